--- /dev/null
+++ b/Makefile
@@ -0,0 +1,39 @@
+# `make demo` and `make test` are all a newcomer needs; see README.md.
+PYTHON ?= python3.11
+VENV := .venv
+BIN := $(VENV)/bin
+
+.PHONY: demo test bench capacity generate clean format
+
+$(VENV)/installed: pyproject.toml
+	test -x $(BIN)/python || $(PYTHON) -m venv $(VENV)
+	$(BIN)/pip install --quiet --disable-pip-version-check --editable '.[dev]'
+	touch $@
+
+demo: $(VENV)/installed
+	$(BIN)/bayhinge demo
+
+test: $(VENV)/installed
+	$(BIN)/ruff format --check .
+	$(BIN)/ruff check .
+	$(BIN)/mypy
+	$(BIN)/lint-imports --no-cache
+	$(BIN)/python -m pytest
+
+bench: $(VENV)/installed
+	$(BIN)/bayhinge bench path
+	$(BIN)/bayhinge bench recovery
+	$(BIN)/bayhinge bench decisions
+
+format: $(VENV)/installed
+	$(BIN)/ruff format .
+	$(BIN)/ruff check --fix .
+
+# The generated code is committed, so that nobody needs the thrift compiler to build.
+generate:
+	for f in idl/*.thrift; do thrift --gen py:slots,enum -out src $$f; done
+	rm -f src/__init__.py
+	git checkout -- src/bayhinge/__init__.py src/bayhinge/coordination/__init__.py src/bayhinge/_internal/__init__.py
+
+clean:
+	rm -rf $(VENV) build src/*.egg-info .mypy_cache .ruff_cache
--- /dev/null
+++ b/src/bayhinge/_internal/bench/__init__.py
@@ -0,0 +1,1 @@
+"""Measurements of this code, in virtual time where possible."""
--- /dev/null
+++ b/src/bayhinge/_internal/cli/__init__.py
@@ -0,0 +1,1 @@
+"""Entry points of the daemon and the tool."""
--- /dev/null
+++ b/src/bayhinge/_internal/cli/daemon.py
@@ -0,0 +1,82 @@
+"""``bayhinged --settings host.ini``: one host's daemon.
+
+SIGTERM and SIGINT begin a planned stop; a second one ends it at once.
+"""
+
+import asyncio
+import logging
+import signal
+import sys
+from pathlib import Path
+from typing import Annotated
+
+import cyclopts
+import eliot
+
+from bayhinge import __version__
+from bayhinge._internal import status_codes
+from bayhinge._internal.models.settings import Settings, read_settings_file
+from bayhinge._internal.services.host import Host
+
+logger = logging.getLogger(__name__)
+
+app = cyclopts.App(name="bayhinged", help="The bayhinge daemon.", version=__version__)
+
+
+@app.default
+def run(
+    settings: Annotated[Path, cyclopts.Parameter(help="The host's settings file (INI).")],
+    *,
+    check: Annotated[bool, cyclopts.Parameter(help="Check the settings and exit.")] = False,
+) -> int:
+    """Runs one host until a signal asks it to stop."""
+    read = read_settings_file(settings)
+    if read.is_error():
+        for finding in read.error:
+            print(finding, file=sys.stderr)
+        print(f"{len(read.error)} finding(s); nothing was started.", file=sys.stderr)
+        return status_codes.EXIT_BAD_SETTINGS
+    if check:
+        print(f"{settings}: no findings")
+        return status_codes.EXIT_OK
+    _open_log(read.ok)
+    logging.basicConfig(level=logging.INFO, stream=sys.stderr)
+    return asyncio.run(_serve(read.ok))
+
+
+def _open_log(settings: Settings) -> None:
+    if settings.host.log_file == "-":
+        eliot.to_file(sys.stdout)
+        return
+    # Kept open for the life of the process.
+    log = Path(settings.host.log_file).open("a", encoding="utf-8")  # noqa: SIM115
+    eliot.to_file(log)
+
+
+async def _serve(settings: Settings) -> int:
+    host = Host(settings)
+    stopping = asyncio.Event()
+    loop = asyncio.get_running_loop()
+    for number in (signal.SIGTERM, signal.SIGINT):
+        loop.add_signal_handler(number, _ask_to_stop, stopping)
+    try:
+        await host.start()
+    except OSError as error:
+        print(f"{settings.host.name}: can't start: {error}", file=sys.stderr)
+        return status_codes.EXIT_FAILURE
+    # Who starts daemons waits for this line.
+    print(f"{settings.host.name} serves at {host.base_url}", file=sys.stderr, flush=True)
+    await stopping.wait()
+    await host.stop()
+    return status_codes.EXIT_OK
+
+
+def _ask_to_stop(stopping: asyncio.Event) -> None:
+    if stopping.is_set():
+        raise SystemExit(status_codes.EXIT_FAILURE)
+    stopping.set()
+
+
+def main() -> None:
+    """Entry point of ``bayhinged``."""
+    sys.exit(app())
--- /dev/null
+++ b/src/bayhinge/_internal/cli/tool/__init__.py
@@ -0,0 +1,1 @@
+"""The command-line tool: one module per command, loaded lazily."""
--- /dev/null
+++ b/src/bayhinge/_internal/cli/tool/config.py
@@ -0,0 +1,22 @@
+"""``bayhinge config status``: which host has which revision."""
+
+from typing import Any
+
+import cyclopts
+
+from bayhinge._internal.cli.tool.connection import Api, Connection, print_table, run
+
+COLUMNS = ["host", "incarnation", "revision", "newest_heard", "vouches", "damaged"]
+
+app = cyclopts.App(name="config", help="The state of the configuration on all hosts.")
+
+
+@app.command
+def status(*, connection: Connection | None = None) -> None:
+    """Shows the revision that each host has applied, and whether it vouches for it."""
+    connection = connection or Connection()
+
+    async def work(api: Api) -> Any:
+        return await api.query("config-status")
+
+    print_table(connection, run(connection, work), COLUMNS)
--- /dev/null
+++ b/src/bayhinge/_internal/cli/tool/configured.py
@@ -0,0 +1,319 @@
+"""What ``bayhinge templates`` and ``bayhinge accounts`` share: both edit INI objects."""
+
+import asyncio
+import difflib
+import getpass
+import sys
+from collections.abc import Iterable, Iterator
+from pathlib import Path
+from typing import Annotated, Any
+
+import cyclopts
+import orjson
+
+from bayhinge._internal import status_codes
+from bayhinge._internal.cli.tool.connection import (
+    Api,
+    Connection,
+    print_json,
+    print_table,
+    run,
+)
+from bayhinge._internal.exceptions import ApiError
+from bayhinge._internal.models.accounts import ConfigKind, check_config_text
+
+HISTORY_COLUMNS = ["revision", "author", "accepted_at_ms", "change"]
+LOOK_S = 0.2
+Wait = Annotated[float, cyclopts.Parameter(help="Seconds to wait until every host has it.")]
+
+
+def build_app(kind: ConfigKind, plural: str) -> cyclopts.App:
+    """Builds the commands for one kind of configured object."""
+    app = cyclopts.App(name=plural, help=f"Get, edit and roll back {plural}.")
+    commands = ConfiguredCommands(kind)
+    app.command(commands.list, name="list")
+    app.command(commands.get, name="get")
+    app.command(commands.edit, name="edit")
+    app.command(commands.apply, name="apply")
+    app.command(commands.diff, name="diff")
+    app.command(commands.history, name="history")
+    app.command(commands.rollback, name="rollback")
+    app.command(commands.delete, name="delete")
+    return app
+
+
+class ConfiguredCommands:
+    """The commands for one kind."""
+
+    def __init__(self, kind: ConfigKind) -> None:
+        """Takes the kind."""
+        self._kind = kind
+
+    def list(self, *, connection: Connection | None = None) -> None:
+        """Lists them with their newest revision."""
+        connection = connection or Connection()
+
+        async def work(api: Api) -> Any:
+            return await api.query("config", kind=self._kind)
+
+        print_table(connection, run(connection, work), ["name", "revision", "author"])
+
+    def get(self, name: str, *, connection: Connection | None = None) -> None:
+        """Prints one as INI, headed by its revision.
+
+        Args:
+            name: which one.
+            connection: which host to ask.
+        """
+        connection = connection or Connection()
+        found = run(connection, lambda api: self._find(api, name))
+        if connection.json:
+            print_json(found)
+            return
+        print(f"# revision {found['revision']}, by {found['author']}")
+        print(found["text"], end="" if found["text"].endswith("\n") else "\n")
+
+    def edit(
+        self,
+        name: str,
+        *values: str,
+        wait: Wait = 0.0,
+        author: str = "",
+        connection: Connection | None = None,
+    ) -> None:
+        """Sets single values: ``edit desk-a priority=7``; ``priority=`` takes one out.
+
+        For more, get the text to a file, change it with your editor, and apply it.
+
+        Args:
+            name: which one.
+            values: what to set.
+            wait: seconds to wait until every host has it.
+            author: who makes the change.
+            connection: which host to ask.
+        """
+        connection = connection or Connection()
+        found = run(connection, lambda api: self._find(api, name))
+        text = set_values(found["text"], values)
+        _print_diff(found["text"], text, "accepted", "yours")
+        self.propose(connection, name, text, found["revision"], author, wait)
+
+    def apply(
+        self,
+        name: str,
+        file: Path,
+        *,
+        base: int | None = None,
+        wait: Wait = 0.0,
+        author: str = "",
+        connection: Connection | None = None,
+    ) -> None:
+        """Applies a file; - reads standard input.
+
+        Args:
+            name: which one.
+            file: the INI text.
+            base: the revision that was edited; by default the newest one is replaced.
+            wait: seconds to wait until every host has it.
+            author: who makes the change.
+            connection: which host to ask.
+        """
+        connection = connection or Connection()
+        text = sys.stdin.read() if str(file) == "-" else file.read_text(encoding="utf-8")
+        findings = check_config_text(self._kind, text, str(file))
+        if findings:
+            _print_findings(str(finding) for finding in findings)
+            raise SystemExit(status_codes.EXIT_BAD_SETTINGS)
+        if base is None:
+            base = run(connection, lambda api: self._newest_revision(api, name))
+        self.propose(connection, name, text, base, author, wait)
+
+    def diff(self, name: str, file: Path, *, connection: Connection | None = None) -> None:
+        """Shows what applying a file would change.
+
+        Args:
+            name: which one.
+            file: the INI text.
+            connection: which host to ask.
+        """
+        connection = connection or Connection()
+        found = run(connection, lambda api: self._find(api, name))
+        _print_diff(found["text"], file.read_text(encoding="utf-8"), "accepted", str(file))
+
+    def history(self, name: str, *, connection: Connection | None = None) -> None:
+        """Lists every accepted revision.
+
+        Args:
+            name: which one.
+            connection: which host to ask.
+        """
+        connection = connection or Connection()
+        found = run(connection, lambda api: self._history(api, name))
+        rows = [
+            {**item, "change": "deleted" if item["text"] is None else "written"} for item in found
+        ]
+        print_table(connection, rows, HISTORY_COLUMNS)
+
+    def rollback(
+        self,
+        name: str,
+        revision: int,
+        *,
+        wait: Wait = 0.0,
+        author: str = "",
+        connection: Connection | None = None,
+    ) -> None:
+        """Writes an older text again, as a new revision.
+
+        Args:
+            name: which one.
+            revision: the revision whose text is wanted.
+            wait: seconds to wait until every host has it.
+            author: who makes the change.
+            connection: which host to ask.
+        """
+        connection = connection or Connection()
+        found = run(connection, lambda api: self._history(api, name))
+        texts = {item["revision"]: item["text"] for item in found}
+        if texts.get(revision) is None:
+            print(f"{name} has no text at revision {revision}", file=sys.stderr)
+            raise SystemExit(status_codes.EXIT_NOT_FOUND)
+        newest = max(texts)
+        self.propose(connection, name, texts[revision], newest, author, wait)
+
+    def delete(
+        self,
+        name: str,
+        *,
+        wait: Wait = 0.0,
+        author: str = "",
+        connection: Connection | None = None,
+    ) -> None:
+        """Deletes one; its history stays.
+
+        Args:
+            name: which one.
+            wait: seconds to wait until every host knows.
+            author: who makes the change.
+            connection: which host to ask.
+        """
+        connection = connection or Connection()
+        found = run(connection, lambda api: self._find(api, name))
+        self.propose(connection, name, None, found["revision"], author, wait)
+
+    # ---- helpers ----
+
+    async def _find(self, api: Api, name: str) -> Any:
+        found = await api.query("config", kind=self._kind, name=name)
+        if not found:
+            message = orjson.dumps({"message": f"{self._kind} '{name}' does not exist"})
+            raise ApiError(status_codes.HTTP_NOT_FOUND, message.decode())
+        return found[0]
+
+    async def _history(self, api: Api, name: str) -> Any:
+        return await api.query("config-history", kind=self._kind, name=name)
+
+    async def _newest_revision(self, api: Api, name: str) -> int:
+        found = await self._history(api, name)
+        return max((int(item["revision"]) for item in found), default=0)
+
+    def propose(
+        self,
+        connection: Connection,
+        name: str,
+        text: str | None,
+        base: int,
+        author: str,
+        wait: float,
+    ) -> None:
+        """Sends an edit, reports what became of it, and waits where that is wanted."""
+
+        async def work(api: Api) -> Any:
+            return await self._send(api, name, text, base, author or getpass.getuser())
+
+        revision = run(connection, lambda api: _caught(work(api), text))
+        if wait:
+            missing = run(connection, lambda api: _wait_for(api, revision, wait))
+            if missing:
+                _print_findings(missing)
+                raise SystemExit(status_codes.EXIT_FAILURE)
+        if connection.json:
+            print_json({"revision": revision, "in_force_everywhere": bool(wait)})
+            return
+        everywhere = ", in force on every live host" if wait else ""
+        print(f"accepted as revision {revision}{everywhere}")
+
+    async def _send(self, api: Api, name: str, text: str | None, base: int, author: str) -> int:
+        path = f"/v1/operator/config/{self._kind}/{name}"
+        headers = {"If-Match": f'"{base}"', "Bayhinge-Author": author}
+        if text is None:
+            answer = await api.request("DELETE", path, headers=headers)
+        else:
+            answer = await api.request("PUT", path, body=text.encode(), headers=headers)
+        return int(answer["revision"])
+
+
+def set_values(text: str, values: Iterable[str]) -> str:
+    """Sets ``key=value`` pairs in an INI text of one section; an empty value takes it out."""
+    lines = text.rstrip("\n").split("\n")
+    for pair in values:
+        key, _, value = (part.strip() for part in pair.partition("="))
+        kept = [line for line in lines if line.partition("=")[0].strip() != key]
+        lines = [*kept, f"{key} = {value}"] if value else kept
+    return "\n".join(lines) + "\n"
+
+
+async def _caught(work: Any, text: str | None) -> int:
+    """Prints findings, and the difference after a lost race, before it fails."""
+    try:
+        return int(await work)
+    except ApiError as error:
+        body = orjson.loads(error.body)
+        if "findings" in body:
+            _print_findings(_finding_line(item) for item in body["findings"])
+        if "current_text" in body:
+            _print_diff(body["current_text"], text or "", "accepted meanwhile", "yours")
+        raise
+
+
+async def _wait_for(api: Api, revision: int, seconds: float) -> list[str]:
+    """Returns what is still missing after the wait: hosts without the revision."""
+    deadline = asyncio.get_running_loop().time() + seconds
+    while True:
+        hosts = {item["incarnation"]: item for item in await api.query("hosts")}
+        status = {item["incarnation"]: item for item in await api.query("config-status")}
+        missing = [
+            _missing_line(hosts[name], status.get(name))
+            for name in sorted(hosts)
+            if name not in status or status[name]["revision"] < revision
+        ]
+        if not missing or asyncio.get_running_loop().time() >= deadline:
+            return missing
+        await asyncio.sleep(LOOK_S)
+
+
+def _missing_line(host: dict[str, Any], status: dict[str, Any] | None) -> str:
+    if status is None:
+        return f"{host['host']}: does not answer"
+    why = "" if status["vouches"] else "; it has not heard from the store or a peer for a while"
+    return f"{host['host']}: still at revision {status['revision']}{why}"
+
+
+def _finding_line(item: dict[str, Any]) -> str:
+    place = f"{item['file']}:{item['line']}" if item["line"] else item["file"]
+    section = f" [{item['section']}]" if item["section"] else ""
+    hint = f" ({item['hint']})" if item["hint"] else ""
+    return f"{place}{section} {item['key']}: {item['problem']}{hint}"
+
+
+def _print_findings(lines: Any) -> None:
+    for line in lines:
+        print(line, file=sys.stderr)
+
+
+def _print_diff(old: str, new: str, old_name: str, new_name: str) -> None:
+    lines: Iterator[str] = difflib.unified_diff(
+        old.splitlines(), new.splitlines(), old_name, new_name, lineterm=""
+    )
+    for line in lines:
+        print(line)
--- /dev/null
+++ b/src/bayhinge/_internal/cli/tool/demo.py
@@ -0,0 +1,26 @@
+"""``bayhinge demo``: a whole system with stand-ins, in one process."""
+
+import asyncio
+import logging
+
+from bayhinge._internal import status_codes
+from bayhinge._internal.demo.run import run_demo, summary_lines
+
+
+def demo(*, json: bool = False, seed: int = 1) -> None:
+    """Runs both workloads, kills one host and stops another, and shows what happened.
+
+    Args:
+        json: print one JSON object with the figures, last.
+        seed: seeds the stand-ins.
+    """
+    logging.basicConfig(level=logging.ERROR)
+    result = asyncio.run(run_demo(seed))
+    if json:
+        print(result.to_json().decode())
+    else:
+        for line in summary_lines(result):
+            print(line)
+    whole = result.finished == result.programs
+    if not whole or result.run_twice or result.lost_turns:
+        raise SystemExit(status_codes.EXIT_FAILURE)
--- /dev/null
+++ b/src/bayhinge/_internal/cli/tool/endpoints.py
@@ -0,0 +1,28 @@
+"""``bayhinge endpoints``: engines and service endpoints as their queue homes see them."""
+
+from typing import Any
+
+from bayhinge._internal.cli.tool.connection import Api, Connection, print_table, run
+
+COLUMNS = [
+    "name",
+    "pool",
+    "hall",
+    "home",
+    "standing",
+    "running",
+    "limit",
+    "resident_programs",
+    "resident_tokens",
+    "failures",
+]
+
+
+def endpoints(*, connection: Connection | None = None) -> None:
+    """Lists the endpoints with their standing, load and cache."""
+    connection = connection or Connection()
+
+    async def work(api: Api) -> Any:
+        return await api.query("endpoints")
+
+    print_table(connection, run(connection, work), COLUMNS)
--- /dev/null
+++ b/src/bayhinge/_internal/cli/tool/hosts.py
@@ -0,0 +1,17 @@
+"""``bayhinge hosts``: the hosts that are alive."""
+
+from typing import Any
+
+from bayhinge._internal.cli.tool.connection import Api, Connection, print_table, run
+
+COLUMNS = ["host", "hall", "state", "public_address", "revision", "load", "incarnation"]
+
+
+def hosts(*, connection: Connection | None = None) -> None:
+    """Lists the hosts that the asked one holds alive."""
+    connection = connection or Connection()
+
+    async def work(api: Api) -> Any:
+        return await api.query("hosts")
+
+    print_table(connection, run(connection, work), COLUMNS)
--- /dev/null
+++ b/src/bayhinge/_internal/cli/tool/programs.py
@@ -0,0 +1,67 @@
+"""``bayhinge programs``: list, show and cancel programs."""
+
+from typing import Any
+
+import cyclopts
+
+from bayhinge._internal.cli.tool.connection import Api, Connection, print_json, print_table, run
+
+COLUMNS = ["id", "account", "owner", "next_call", "running_call", "spent_tokens", "ended"]
+
+app = cyclopts.App(name="programs", help="List, show and cancel programs.")
+
+
+@app.command(name="list")
+def list_programs(account: str = "", *, connection: Connection | None = None) -> None:
+    """Lists the programs of all hosts.
+
+    Args:
+        account: list this client account's programs alone.
+        connection: which host to ask.
+    """
+    connection = connection or Connection()
+
+    async def work(api: Api) -> Any:
+        return await api.query("programs", account=account)
+
+    print_table(connection, run(connection, work), COLUMNS)
+
+
+@app.command
+def show(program: str, *, connection: Connection | None = None) -> None:
+    """Shows one program.
+
+    Args:
+        program: its identifier.
+        connection: which host to ask.
+    """
+    connection = connection or Connection()
+
+    async def work(api: Api) -> Any:
+        return await api.request("GET", f"/v1/programs/{program}")
+
+    _print(connection, run(connection, work))
+
+
+@app.command
+def cancel(program: str, *, connection: Connection | None = None) -> None:
+    """Cancels a program: its running call is dropped, and no more are taken.
+
+    Args:
+        program: its identifier.
+        connection: which host to ask.
+    """
+    connection = connection or Connection()
+
+    async def work(api: Api) -> Any:
+        return await api.request("POST", f"/v1/programs/{program}/cancel")
+
+    _print(connection, run(connection, work))
+
+
+def _print(connection: Connection, view: dict[str, Any]) -> None:
+    if connection.json:
+        print_json(view)
+        return
+    for name, value in view.items():
+        print(f"{name:13} {value}")
--- /dev/null
+++ b/src/bayhinge/_internal/cli/tool/templates.py
@@ -0,0 +1,6 @@
+"""``bayhinge templates``: what client accounts are made from."""
+
+from bayhinge._internal.cli.tool.configured import build_app
+from bayhinge._internal.models.accounts import ConfigKind
+
+app = build_app(ConfigKind.TEMPLATE, "templates")
--- /dev/null
+++ b/src/bayhinge/_internal/cli/tool/timeline.py
@@ -0,0 +1,59 @@
+"""``bayhinge timeline``: the events of all hosts in one order."""
+
+import asyncio
+from typing import Any
+
+from bayhinge._internal.cli.tool.connection import Api, Connection, print_json, run
+from bayhinge._internal.models.events import event_from_fields
+from bayhinge._internal.queries.sentences import timeline_lines
+
+LOOK_S = 0.5
+
+
+def timeline(
+    *,
+    follow: bool = False,
+    program: str = "",
+    account: str = "",
+    endpoint: str = "",
+    mechanism: str = "",
+    connection: Connection | None = None,
+) -> None:
+    """Prints the time line of all hosts.
+
+    Args:
+        follow: go on while the system acts, until you stop it.
+        program: this program's events alone.
+        account: this client account's events alone.
+        endpoint: this endpoint's events alone.
+        mechanism: this mechanism's events alone, such as queue or budget.
+        connection: which host to ask.
+    """
+    connection = connection or Connection()
+    wanted = {
+        "program": program,
+        "account": account,
+        "endpoint": endpoint,
+        "mechanism": mechanism,
+    }
+    try:
+        run(connection, lambda api: _print_events(api, connection, wanted, follow))
+    except KeyboardInterrupt:
+        return
+
+
+async def _print_events(
+    api: Api, connection: Connection, wanted: dict[str, str], follow: bool
+) -> None:
+    after = 0
+    while True:
+        found: list[dict[str, Any]] = await api.query("events", after=str(after), **wanted)
+        if connection.json:
+            print_json(found)
+        else:
+            for line in timeline_lines(event_from_fields(item) for item in found):
+                print(line, flush=True)
+        after = max([after, *(int(item["stamp"]) for item in found)])
+        if not follow:
+            return
+        await asyncio.sleep(LOOK_S)
--- /dev/null
+++ b/src/bayhinge/_internal/commands/__init__.py
@@ -0,0 +1,1 @@
+"""What changes a program's state: checks and transitions."""
--- /dev/null
+++ b/src/bayhinge/_internal/commands/accept_call.py
@@ -0,0 +1,214 @@
+"""Decides what to do with a call: run it, join it, answer it from the record, or refuse.
+
+Pure: the program's state and the call in, a decision out.
+"""
+
+from collections.abc import Iterator
+
+import attrs
+from expression import Error, Ok, Result
+
+from bayhinge._internal.models.accounts import ClientAccount
+from bayhinge._internal.models.calls import Call, MessagesMode, ModelCall
+from bayhinge._internal.models.messages import extend_digest
+from bayhinge._internal.models.programs import EMPTY_DIGEST, CallEntry, ProgramState
+from bayhinge._internal.models.refusals import (
+    Figure,
+    Refusal,
+    RefusalCode,
+    refuse_unaccepted,
+)
+
+MAX_AHEAD = 16
+"""A call may come so many places early and wait for those before it."""
+
+
+class Decision:
+    """What is to be done with a call."""
+
+
+@attrs.frozen
+class RunCall(Decision):
+    """Run it at this index."""
+
+    index: int
+
+
+@attrs.frozen
+class JoinCall(Decision):
+    """It is running already: follow its answer."""
+
+    index: int
+
+
+@attrs.frozen
+class ReplayCall(Decision):
+    """It is recorded already: give the recorded answer."""
+
+    entry: CallEntry
+
+
+@attrs.frozen
+class AwaitTurn(Decision):
+    """A call before it has not ended yet: look again when it has."""
+
+    index: int
+
+
+@attrs.frozen
+class RefuseCall(Decision):
+    """Refuse it."""
+
+    refusal: Refusal
+
+
+@attrs.frozen
+class RunningView:
+    """The one call of the program that is running."""
+
+    index: int
+    digest: str
+    idempotency_key: str | None
+
+
+def decide_call(state: ProgramState, call: Call, running: RunningView | None) -> Decision:
+    """Decides on a call of a living program."""
+    known = _find_known(state, call, running)
+    if known is not None:
+        return known
+    if state.ended is not None:
+        why = f"the program has ended: {state.ended}"
+        return RefuseCall(refuse_unaccepted(RefusalCode.PROGRAM_ENDED, why))
+    index = state.next_index if call.index is None else call.index
+    if running is not None:
+        if call.index is None or index <= running.index + MAX_AHEAD:
+            return AwaitTurn(index)
+        return RefuseCall(_gap(state, index))
+    if index > state.next_index:
+        return (
+            AwaitTurn(index)
+            if index <= state.next_index + MAX_AHEAD
+            else RefuseCall(_gap(state, index))
+        )
+    return RunCall(state.next_index)
+
+
+def _find_known(state: ProgramState, call: Call, running: RunningView | None) -> Decision | None:
+    """Finds a call that was made before, by its idempotency key or its index."""
+    if call.idempotency_key is not None:
+        if running is not None and running.idempotency_key == call.idempotency_key:
+            return _same(running.digest, call, JoinCall(running.index))
+        entry = state.find_key(call.idempotency_key)
+        if entry is not None:
+            return _same(entry.digest, call, ReplayCall(entry))
+    if call.index is not None:
+        if running is not None and running.index == call.index:
+            return _same(running.digest, call, JoinCall(running.index))
+        if call.index < state.next_index:
+            entry = state.calls[call.index]
+            return _same(entry.digest, call, ReplayCall(entry))
+    return None
+
+
+def _same(digest: str, call: Call, decision: Decision) -> Decision:
+    if digest == call.digest:
+        return decision
+    why = "another request was made with this index or idempotency key"
+    return RefuseCall(refuse_unaccepted(RefusalCode.INDEX_REUSED, why))
+
+
+def _gap(state: ProgramState, index: int) -> Refusal:
+    why = f"call {index} was made, and the next one is {state.next_index}"
+    return refuse_unaccepted(RefusalCode.INDEX_GAP, why, Figure("next_index", state.next_index))
+
+
+def check_limits(account: ClientAccount, state: ProgramState, call: Call) -> Iterator[Refusal]:
+    """Yields what the account's parameters have against a call, gravest first."""
+    yield from _check_permission(account, call)
+    if state.next_index >= account.max_calls:
+        yield refuse_unaccepted(
+            RefusalCode.PROGRAM_LIMIT,
+            "the program has made as many calls as its account allows",
+            Figure("max_calls", account.max_calls),
+        )
+    if state.spend >= account.max_program_tokens:
+        yield refuse_unaccepted(
+            RefusalCode.PROGRAM_LIMIT,
+            "the program has spent as many tokens as its account allows",
+            Figure("spent_tokens", state.spend),
+            Figure("max_program_tokens", account.max_program_tokens),
+        )
+    repeated = state.repeated(call.digest)
+    if repeated >= account.max_repeated_calls:
+        yield refuse_unaccepted(
+            RefusalCode.LOOP_DETECTED,
+            "the program makes the same call again and again",
+            Figure("repeated_calls", repeated),
+            Figure("max_repeated_calls", account.max_repeated_calls),
+        )
+
+
+def _check_permission(account: ClientAccount, call: Call) -> Iterator[Refusal]:
+    if isinstance(call.work, ModelCall):
+        if call.work.model not in account.models:
+            why = f"the client account may not use model '{call.work.model}'"
+            yield refuse_unaccepted(RefusalCode.FORBIDDEN, why)
+    elif call.work.service not in account.services:
+        why = f"the client account may not use service '{call.work.service}'"
+        yield refuse_unaccepted(RefusalCode.FORBIDDEN, why)
+
+
+@attrs.frozen
+class NewMessages:
+    """What a model call adds to the history.
+
+    ``rewrite`` says that it replaces the history; ``digest`` is the history's digest
+    with ``messages``.
+    """
+
+    messages: tuple[bytes, ...]
+    rewrite: bool
+    digest: str
+
+
+def find_new_messages(state: ProgramState, work: ModelCall) -> Result[NewMessages, Refusal]:
+    """Finds what a call's message list adds to the recorded history.
+
+    A whole list must extend the history: the digest over as many messages as are
+    recorded must be the recorded one.
+    """
+    if work.mode is MessagesMode.REWRITE:
+        digest = extend_digest(EMPTY_DIGEST, work.messages)
+        return Ok(NewMessages(work.messages, True, digest))
+    if work.mode is MessagesMode.NEW:
+        return Ok(_extension(state, work.messages))
+    count = state.message_count
+    if extend_digest(EMPTY_DIGEST, work.messages[:count]) == state.history_digest:
+        return Ok(_extension(state, work.messages[count:]))
+    why = (
+        "the message list does not extend the program's recorded history; send only what is new "
+        "(Bayhinge-Messages: new), or say that it replaces it (Bayhinge-Messages: rewrite)"
+    )
+    figures = (
+        Figure("recorded_messages", count),
+        Figure("differs_at_message", _first_difference(state, work.messages)),
+    )
+    return Error(refuse_unaccepted(RefusalCode.HISTORY_DIFFERS, why, *figures))
+
+
+def _extension(state: ProgramState, messages: tuple[bytes, ...]) -> NewMessages:
+    digest = extend_digest(state.history_digest, messages)
+    return NewMessages(messages, False, digest)
+
+
+def _first_difference(state: ProgramState, messages: tuple[bytes, ...]) -> int:
+    """Returns a message number at or before which the lists part, from call boundaries."""
+    digest, done = EMPTY_DIGEST, 0
+    for entry in state.calls[state.history_base :]:
+        if not entry.has_messages:
+            continue
+        digest = extend_digest(digest, messages[done : entry.message_count])
+        if digest != entry.history_digest:
+            return done
+        done = entry.message_count
+    return done
--- /dev/null
+++ b/src/bayhinge/_internal/decisions/cell.py
@@ -0,0 +1,338 @@
+"""The scheduler of a cell: one queue before a few endpoints of one pool.
+
+A cell is the part of a pool that one host queues for. Pure code: every method
+takes the time, changes this object, and returns actions for the host to carry out.
+"""
+
+from collections.abc import Iterable, Iterator
+
+import attrs
+from sortedcontainers import SortedKeyList
+
+from bayhinge._internal.decisions.endpoint_view import (
+    EJECT_AFTER_FAILURES,
+    FIRST_EJECTION_S,
+    LONGEST_EJECTION_S,
+    EndpointView,
+    Standing,
+)
+from bayhinge._internal.decisions.estimates import first_estimates
+from bayhinge._internal.decisions.offers import (
+    Action,
+    Done,
+    Grant,
+    Offer,
+    Outcome,
+    Reason,
+    Reject,
+    Release,
+    Transition,
+    Waiting,
+)
+from bayhinge._internal.decisions.policies import (
+    OrderPolicy,
+    Placement,
+    Rank,
+    make_order,
+    make_placement,
+)
+from bayhinge._internal.models.endpoints import Endpoint, EndpointLoad, EndpointState
+from bayhinge._internal.models.refusals import Figure, RefusalCode
+
+SCAN_LIMIT = 32
+"""Waiting calls looked at in one round, so that a decision's cost has a bound."""
+GONE_PROGRAM_S = 600.0
+"""A program not heard of for so long is forgotten here; it is only advice."""
+SHORTEST_RETRY_S = 0.5
+
+
+@attrs.frozen
+class CellSettings:
+    """What settings say of a pool."""
+
+    max_running: int = 96
+    cache_tokens: int = 1_500_000
+    prefill_tokens_per_s: float = 20_000.0
+    token_s: float = 0.02
+    order: str = "program-age"
+    placement: str = "finish-time"
+
+
+@attrs.define
+class _ProgramView:
+    since: float
+    last_end: float | None = None
+    last_seen: float = 0.0
+
+
+@attrs.define
+class _Queued:
+    rank: Rank
+    waiting: Waiting
+
+
+def _queue_key(queued: _Queued) -> Rank:
+    return queued.rank
+
+
+class CellScheduler:
+    """Admits, orders and places the calls of one cell."""
+
+    def __init__(self, settings: CellSettings) -> None:
+        """Starts with no endpoints."""
+        self._settings = settings
+        self.estimates = first_estimates(settings.prefill_tokens_per_s, settings.token_s)
+        self.order: OrderPolicy = make_order(settings.order)
+        self.placement = make_placement(settings.placement, self.estimates)
+        self.endpoints_by_name: dict[str, EndpointView] = {}
+        self._queue: SortedKeyList[_Queued] = SortedKeyList(key=_queue_key)
+        self._queued_by_grant: dict[str, _Queued] = {}
+        self._endpoint_by_grant: dict[str, str] = {}
+        self._programs: dict[str, _ProgramView] = {}
+
+    # ---- what the host tells ----
+
+    def set_endpoints(self, listed: Iterable[Endpoint], now: float) -> list[Action]:
+        """Takes the platform's list in; an endpoint that left it counts as leaving."""
+        return list(self._set_endpoints(listed)) + self._dispatch(now)
+
+    def _set_endpoints(self, listed: Iterable[Endpoint]) -> Iterator[Action]:
+        seen: set[str] = set()
+        for endpoint in listed:
+            seen.add(endpoint.name)
+            view = self.endpoints_by_name.get(endpoint.name)
+            if view is None or view.address != endpoint.address:
+                view = self._new_view(endpoint)
+                self.endpoints_by_name[endpoint.name] = view
+            leaving = endpoint.state is EndpointState.LEAVING
+            if leaving and view.standing is not Standing.LEAVING:
+                yield self._leave(view, "the platform lists it as leaving")
+            elif not leaving and view.standing is Standing.LEAVING:
+                view.standing = Standing.LIVE
+                yield Transition(view.name, "live", Reason("the platform lists it as live"))
+        for name in sorted(self.endpoints_by_name.keys() - seen):
+            view = self.endpoints_by_name[name]
+            if view.standing is not Standing.LEAVING:
+                yield self._leave(view, "the platform no longer lists it")
+            if not view.running_by_grant:
+                del self.endpoints_by_name[name]
+
+    def _new_view(self, endpoint: Endpoint) -> EndpointView:
+        settings = self._settings
+        return EndpointView(
+            endpoint.name,
+            endpoint.hall,
+            endpoint.address,
+            settings.max_running,
+            settings.cache_tokens,
+        )
+
+    def take_load(self, endpoint: str, load: EndpointLoad, now: float) -> list[Action]:
+        """Takes an engine's lagging report in; only its capacity is believed."""
+        view = self.endpoints_by_name.get(endpoint)
+        if view is not None and load.cache_capacity_tokens > 0:
+            view.capacity_tokens = load.cache_capacity_tokens
+        return self._dispatch(now)
+
+    def offer(self, offer: Offer, now: float) -> list[Action]:
+        """Takes a call in: grants it, queues it, or refuses it at once."""
+        program = self._programs.setdefault(offer.program, _ProgramView(now))
+        program.last_seen = now
+        if program.last_end is not None:
+            self.estimates.pause_s.add(now - program.last_end)
+            program.last_end = None
+        refused = self._refuse_early(offer, now)
+        if refused is not None:
+            return [refused]
+        waiting = Waiting(offer, now, program.since, now + offer.patience_s)
+        admitted = any(
+            offer.program in view.resident_by_program for view in self.endpoints_by_name.values()
+        )
+        queued = _Queued(self.order.rank(waiting, admitted), waiting)
+        self._queue.add(queued)
+        self._queued_by_grant[offer.grant] = queued
+        return self._dispatch(now)
+
+    def done(self, done: Done, now: float) -> list[Action]:
+        """Takes the end of a granted call in, or the withdrawal of a waiting one."""
+        queued = self._queued_by_grant.pop(done.grant, None)
+        if queued is not None:
+            self._queue.remove(queued)
+            return self._dispatch(now)
+        name = self._endpoint_by_grant.pop(done.grant, None)
+        view = self.endpoints_by_name.get(name or "")
+        if view is None:
+            return []
+        call = view.finish(done.grant, done.prompt_tokens + done.completion_tokens, now)
+        actions: list[Action] = []
+        if call is not None:
+            program = self._programs.get(call.offer.program)
+            if program is not None:
+                program.last_end = program.last_seen = now
+            self._learn(done, now - call.started_at)
+            actions.extend(self._judge(view, done, now))
+        return actions + self._dispatch(now)
+
+    def program_ended(self, program: str, now: float) -> list[Action]:
+        """Frees what endpoints hold for a program that is gone."""
+        self._programs.pop(program, None)
+        actions: list[Action] = [
+            Release(program, view.name, Reason("the program has ended"))
+            for view in self.endpoints_by_name.values()
+            if view.drop(program)
+        ]
+        return actions + self._dispatch(now)
+
+    def owner_died(self, incarnation: str, now: float) -> list[Action]:
+        """Frees the slots and withdraws the calls of a dead owner."""
+        gone = [
+            grant
+            for view in self.endpoints_by_name.values()
+            for grant, call in view.running_by_grant.items()
+            if call.offer.incarnation == incarnation
+        ]
+        waiting = [
+            grant
+            for grant, queued in self._queued_by_grant.items()
+            if queued.waiting.offer.incarnation == incarnation
+        ]
+        actions: list[Action] = []
+        for grant in [*gone, *waiting]:
+            actions.extend(self.done(Done(grant, Outcome.CANCELLED), now))
+        return actions
+
+    def tick(self, now: float) -> list[Action]:
+        """Refuses what has run out of patience, ends ejections, forgets old programs."""
+        actions = list(self._expire(now))
+        for view in self.endpoints_by_name.values():
+            if view.standing is Standing.EJECTED and now >= view.ejected_until:
+                view.standing = Standing.PROBING
+                actions.append(
+                    Transition(
+                        view.name, "probing", Reason("its ejection is over: one call tries it")
+                    )
+                )
+        horizon = now - GONE_PROGRAM_S
+        for program in [name for name, view in self._programs.items() if view.last_seen < horizon]:
+            del self._programs[program]
+        return actions + self._dispatch(now)
+
+    # ---- what the host may ask ----
+
+    @property
+    def queue_length(self) -> int:
+        """Calls that wait."""
+        return len(self._queue)
+
+    def predicted_wait_s(self) -> float:
+        """Predicts how long a call that comes now would wait for its start."""
+        live = [view for view in self.endpoints_by_name.values() if view.standing is Standing.LIVE]
+        slots = sum(view.limit for view in live)
+        free = sum(max(0, view.limit - len(view.running_by_grant)) for view in live)
+        if not slots:
+            return 0.0
+        if free and len(self._queue) < free:
+            return 0.0
+        ahead = len(self._queue) + 1
+        return ahead * self.estimates.call_s.value / slots
+
+    # ---- decisions ----
+
+    def _refuse_early(self, offer: Offer, now: float) -> Reject | None:
+        views = self.endpoints_by_name.values()
+        if all(view.standing is Standing.LEAVING for view in views):
+            reason = Reason("no endpoint of the pool is in service")
+            return Reject(offer, RefusalCode.NO_ENDPOINT, reason, SHORTEST_RETRY_S * 4)
+        predicted = self.predicted_wait_s()
+        if predicted <= offer.patience_s:
+            return None
+        figures = (
+            Figure("predicted_wait_s", round(predicted, 3)),
+            Figure("patience_s", offer.patience_s),
+            Figure("queued", len(self._queue)),
+        )
+        reason = Reason("the predicted wait is longer than the caller's patience", figures)
+        retry = max(SHORTEST_RETRY_S, predicted - offer.patience_s)
+        return Reject(offer, RefusalCode.PATIENCE_EXCEEDED, reason, retry)
+
+    def _expire(self, now: float) -> Iterator[Action]:
+        late = [queued for queued in self._queue if queued.waiting.deadline <= now]
+        for queued in late:
+            self._unqueue(queued)
+            waiting = queued.waiting
+            figures = (
+                Figure("waited_s", round(now - waiting.arrived_at, 3)),
+                Figure("patience_s", waiting.offer.patience_s),
+                Figure("queued", len(self._queue)),
+            )
+            reason = Reason("no endpoint had room within the caller's patience", figures)
+            retry = max(SHORTEST_RETRY_S, self.predicted_wait_s())
+            yield Reject(waiting.offer, RefusalCode.PATIENCE_EXCEEDED, reason, retry)
+
+    def _dispatch(self, now: float) -> list[Action]:
+        """Grants what can start, in the order of the queue."""
+        actions: list[Action] = []
+        while (found := self._find_startable(now)) is not None:
+            queued, placement = found
+            self._unqueue(queued)
+            actions.append(self._grant(queued.waiting, placement, now))
+        return actions
+
+    def _find_startable(self, now: float) -> tuple[_Queued, Placement] | None:
+        views = list(self.endpoints_by_name.values())
+        if not any(view.has_slot for view in views):
+            return None
+        for queued in self._queue.islice(0, SCAN_LIMIT):
+            placement = self.placement.place(queued.waiting, views, now)
+            if placement is not None:
+                return queued, placement
+        return None
+
+    def _grant(self, waiting: Waiting, placement: Placement, now: float) -> Grant:
+        offer, view = waiting.offer, placement.endpoint
+        uncached = offer.prompt_tokens - placement.cached_tokens
+        view.start(offer, now, self.estimates.prefill_s(uncached))
+        self._endpoint_by_grant[offer.grant] = view.name
+        return Grant(offer, view.name, now - waiting.arrived_at, placement.reason)
+
+    def _unqueue(self, queued: _Queued) -> None:
+        self._queue.remove(queued)
+        del self._queued_by_grant[queued.waiting.offer.grant]
+
+    def _learn(self, done: Done, seconds: float) -> None:
+        if done.outcome is not Outcome.FINISHED:
+            return
+        self.estimates.call_s.add(seconds)
+        self.estimates.answer_tokens.add(done.completion_tokens)
+        if done.completion_tokens > 1 and done.decode_s > 0:
+            self.estimates.token_s.add(done.decode_s / done.completion_tokens)
+
+    def _judge(self, view: EndpointView, done: Done, now: float) -> Iterator[Action]:
+        """Ejects an endpoint that fails again and again, and takes a good one back."""
+        if done.outcome is Outcome.DRAINING and view.standing is not Standing.LEAVING:
+            yield self._leave(view, "it says that it is leaving")
+        if done.outcome is Outcome.FINISHED:
+            view.failures = 0
+            if view.standing is Standing.PROBING:
+                view.standing = Standing.LIVE
+                view.ejections = 0
+                yield Transition(view.name, "live", Reason("its probe succeeded"))
+        if done.outcome in {Outcome.FAILED, Outcome.NOT_SENT}:
+            view.failures += 1
+            live = view.standing is Standing.LIVE
+            probing = view.standing is Standing.PROBING
+            if probing or (live and view.failures >= EJECT_AFTER_FAILURES):
+                yield self._eject(view, now)
+
+    def _eject(self, view: EndpointView, now: float) -> Transition:
+        seconds = min(LONGEST_EJECTION_S, FIRST_EJECTION_S * 2**view.ejections)
+        view.ejections += 1
+        view.standing = Standing.EJECTED
+        view.ejected_until = now + seconds
+        view.forget_all()
+        figures = (Figure("failures", view.failures), Figure("ejected_s", seconds))
+        return Transition(view.name, "ejected", Reason("its calls failed in a row", figures))
+
+    def _leave(self, view: EndpointView, why: str) -> Transition:
+        view.standing = Standing.LEAVING
+        return Transition(view.name, "leaving", Reason(why))
--- /dev/null
+++ b/src/bayhinge/_internal/demo/__init__.py
@@ -0,0 +1,1 @@
+"""The demonstration: a whole system with stand-ins in one process."""
--- /dev/null
+++ b/src/bayhinge/_internal/models/accounts.py
@@ -0,0 +1,184 @@
+"""Client accounts and templates: their parameters, and where each value comes from."""
+
+import hashlib
+import hmac
+from collections.abc import Iterator
+from enum import StrEnum
+from typing import Any
+
+import attrs
+from expression import Error, Ok, Result
+
+from bayhinge._internal.models.findings import Finding, Place
+from bayhinge._internal.models.schema import (
+    Digests,
+    Field,
+    Name,
+    Names,
+    Number,
+    SectionSchema,
+    Whole,
+    Words,
+    check_section,
+    read_section,
+)
+from bayhinge._internal.utils.ini import IniDocument, parse_ini
+
+
+class ConfigKind(StrEnum):
+    """Kinds of configured objects; the names of their INI sections too."""
+
+    TEMPLATE = "template"
+    ACCOUNT = "account"
+
+
+PARAMETERS = (
+    Field("budget_tokens", Whole(0, 10**15), "1000000", "tokens that the account may spend"),
+    Field("priority", Whole(0, 9), "5", "0 to 9; a higher one goes first"),
+    Field("weight", Number(0.01, 1000), "1", "share against other accounts of equal priority"),
+    Field("models", Words(), "", "models that it may use; empty: none"),
+    Field("services", Names(), "", "plain services that it may use; empty: none"),
+    Field("patience_seconds", Number(0.1, 86_400), "60", "longest wait for one call"),
+    Field("max_calls", Whole(1, 100_000), "200", "calls of one program"),
+    Field("max_program_tokens", Whole(1, 10**12), "1000000", "tokens of one program"),
+    Field("max_repeated_calls", Whole(1, 1000), "5", "equal calls in a row that mean a loop"),
+    Field("max_programs", Whole(1, 10**6), "1000", "programs under way on one host"),
+)
+TEMPLATE = SectionSchema(ConfigKind.TEMPLATE, PARAMETERS)
+ACCOUNT = SectionSchema(
+    ConfigKind.ACCOUNT,
+    (
+        Field("template", Name(), None, "the template that the other values come from"),
+        Field("key_sha256", Digests(), "", "digests of the account's keys"),
+        *PARAMETERS,
+    ),
+)
+SCHEMA_BY_KIND = {ConfigKind.TEMPLATE: TEMPLATE, ConfigKind.ACCOUNT: ACCOUNT}
+
+
+@attrs.frozen
+class Parameter:
+    """A value with the place it comes from: ``account``, ``template NAME`` or ``default``."""
+
+    name: str
+    value: Any
+    source: str
+
+
+@attrs.frozen
+class ClientAccount:
+    """A client account with every parameter resolved, at a certain revision."""
+
+    name: str
+    template: str
+    key_sha256: tuple[str, ...]
+    budget_tokens: int
+    priority: int
+    weight: float
+    models: tuple[str, ...]
+    services: tuple[str, ...]
+    patience_seconds: float
+    max_calls: int
+    max_program_tokens: int
+    max_repeated_calls: int
+    max_programs: int
+    revision: int
+    sources_by_parameter: dict[str, str]
+
+    def parameters(self) -> list[Parameter]:
+        """Returns the parameters with their sources, in the schema's order."""
+        return [
+            Parameter(field.key, getattr(self, field.key), self.sources_by_parameter[field.key])
+            for field in PARAMETERS
+        ]
+
+
+@attrs.frozen
+class ConfigText:
+    """A template's or account's text at its revision."""
+
+    kind: ConfigKind
+    name: str
+    text: str
+    revision: int
+
+
+def check_config_text(kind: ConfigKind, text: str, file: str) -> tuple[Finding, ...]:
+    """Returns what is wrong with a template's or account's text."""
+    parsed = parse_ini(text)
+    if parsed.is_error():
+        return (Finding(Place(file, parsed.error.line), parsed.error.problem),)
+    return tuple(_check(kind, parsed.ok, file))
+
+
+def _check(kind: ConfigKind, document: IniDocument, file: str) -> Iterator[Finding]:
+    schema = SCHEMA_BY_KIND[kind]
+    for name, section in document.sections_by_name.items():
+        if name != schema.title:
+            place = Place(file, section.line, name)
+            yield Finding(place, "unknown section", f"the one section is [{schema.title}]")
+    section_found = document.sections_by_name.get(schema.title)
+    if section_found is None:
+        yield Finding(Place(file), f"section [{schema.title}] is missing", "put it first")
+        return
+    yield from check_section(schema, section_found, file)
+
+
+def resolve_account(account: ConfigText, template: ConfigText | None) -> Result[ClientAccount, str]:
+    """Puts an account's values over its template's, and those over the defaults."""
+    own = _read(account)
+    if own.is_error():
+        return Error(own.error)
+    template_name = str(own.ok.values_by_key["template"])
+    if template is None:
+        return Error(f"template '{template_name}' does not exist")
+    base = _read(template)
+    if base.is_error():
+        return Error(base.error)
+    values: dict[str, Any] = {}
+    sources: dict[str, str] = {}
+    for field in PARAMETERS:
+        if field.key in own.ok.given:
+            values[field.key] = own.ok.values_by_key[field.key]
+            sources[field.key] = "account"
+            continue
+        values[field.key] = base.ok.values_by_key[field.key]
+        given = field.key in base.ok.given
+        sources[field.key] = f"template {template.name}" if given else "default"
+    digests: Any = own.ok.values_by_key["key_sha256"]
+    return Ok(
+        ClientAccount(
+            name=account.name,
+            template=template_name,
+            key_sha256=digests,
+            revision=max(account.revision, template.revision),
+            sources_by_parameter=sources,
+            **values,
+        )
+    )
+
+
+def _read(item: ConfigText) -> Result[Any, str]:
+    parsed = parse_ini(item.text)
+    if parsed.is_error():
+        return Error(f"{item.kind} '{item.name}': {parsed.error.problem}")
+    findings = list(_check(item.kind, parsed.ok, f"{item.kind} {item.name}"))
+    if findings:
+        return Error("; ".join(str(finding) for finding in findings))
+    schema = SCHEMA_BY_KIND[item.kind]
+    return Ok(read_section(schema, parsed.ok.sections_by_name.get(schema.title)))
+
+
+def hash_key(key: str) -> str:
+    """Returns the digest of a key as it is kept in configuration.
+
+    Keys are random and long, so that a plain hash is enough; they are no passwords.
+    """
+    return hashlib.sha256(key.encode("utf-8")).hexdigest()
+
+
+def key_matches(key: str, digests: tuple[str, ...]) -> bool:
+    """Tells whether a key has one of the digests, in constant time."""
+    own = hash_key(key)
+    matches = [hmac.compare_digest(own, digest) for digest in digests]
+    return any(matches)
--- /dev/null
+++ b/src/bayhinge/_internal/models/events.py
@@ -0,0 +1,53 @@
+"""Events of the time line: what was decided, for which program, why, on which figures."""
+
+from enum import StrEnum
+from typing import Any
+
+import attrs
+
+from bayhinge._internal.models.refusals import Figure
+
+
+class Mechanism(StrEnum):
+    """The parts of the system that an operator can watch."""
+
+    OWNER = "owner"
+    JOURNAL = "journal"
+    BUDGET = "budget"
+    QUEUE = "queue"
+    PLACEMENT = "placement"
+    ENDPOINT = "endpoint"
+    CACHE = "cache"
+    CONFIG = "config"
+    MEMBERSHIP = "membership"
+    FRONT = "front"
+
+
+@attrs.frozen
+class Event:
+    """One line of the time line. ``stamp`` is a hybrid logical clock's."""
+
+    stamp: int
+    host: str
+    mechanism: Mechanism
+    what: str
+    why: str
+    program: str = ""
+    account: str = ""
+    endpoint: str = ""
+    index: int = -1
+    figures: tuple[Figure, ...] = ()
+
+    def to_fields(self) -> dict[str, Any]:
+        """Returns plain fields for logs and for the wire."""
+        fields = attrs.asdict(self, recurse=False)
+        fields["mechanism"] = self.mechanism.value
+        fields["figures"] = {figure.name: figure.value for figure in self.figures}
+        return fields
+
+
+def event_from_fields(fields: dict[str, Any]) -> Event:
+    """Reads an event from its plain fields."""
+    figures = tuple(Figure(name, value) for name, value in fields["figures"].items())
+    known = {name: fields[name] for name in fields if name not in {"mechanism", "figures"}}
+    return Event(mechanism=Mechanism(fields["mechanism"]), figures=figures, **known)
--- /dev/null
+++ b/src/bayhinge/_internal/models/refusals.py
@@ -0,0 +1,189 @@
+"""Refusals: one typed error for every call that gets no answer.
+
+Whether anything ran is not a text that code may choose freely. It is worked out by
+:class:`CallAttempt`, which counts what was sent; a refusal made without an attempt
+belongs to a call that was never accepted.
+"""
+
+from enum import StrEnum
+
+import attrs
+import orjson
+
+from bayhinge._internal import status_codes
+
+
+class RunState(StrEnum):
+    """What is known of the work behind a refusal."""
+
+    NOT_RUN = "not_run"
+    MAY_HAVE_RUN = "may_have_run"
+    RAN = "ran"
+
+
+class RefusalCode(StrEnum):
+    """Why a call was refused."""
+
+    BAD_REQUEST = "bad_request"
+    TOO_LARGE = "too_large"
+    UNAUTHORIZED = "unauthorized"
+    FORBIDDEN = "forbidden"
+    UNKNOWN_PROGRAM = "unknown_program"
+    PROGRAM_ENDED = "program_ended"
+    INDEX_GAP = "index_gap"
+    INDEX_REUSED = "index_reused"
+    HISTORY_DIFFERS = "history_differs"
+    NOT_RECORDED = "not_recorded"
+    BUDGET_EXCEEDED = "budget_exceeded"
+    PROGRAM_LIMIT = "program_limit"
+    LOOP_DETECTED = "loop_detected"
+    OVERLOADED = "overloaded"
+    PATIENCE_EXCEEDED = "patience_exceeded"
+    NO_ENDPOINT = "no_endpoint"
+    ENDPOINT_FAILED = "endpoint_failed"
+    OUTCOME_UNKNOWN = "outcome_unknown"
+    STORE_UNAVAILABLE = "store_unavailable"
+    CONFIG_UNKNOWN = "config_unknown"
+    OWNER_UNREACHABLE = "owner_unreachable"
+    HOST_LEAVING = "host_leaving"
+    CANCELLED = "cancelled"
+
+
+STATUS_BY_CODE: dict[RefusalCode, int] = {
+    RefusalCode.BAD_REQUEST: status_codes.HTTP_BAD_REQUEST,
+    RefusalCode.TOO_LARGE: status_codes.HTTP_TOO_LARGE,
+    RefusalCode.UNAUTHORIZED: status_codes.HTTP_UNAUTHORIZED,
+    RefusalCode.FORBIDDEN: status_codes.HTTP_FORBIDDEN,
+    RefusalCode.UNKNOWN_PROGRAM: status_codes.HTTP_NOT_FOUND,
+    RefusalCode.PROGRAM_ENDED: status_codes.HTTP_GONE,
+    RefusalCode.INDEX_GAP: status_codes.HTTP_CONFLICT,
+    RefusalCode.INDEX_REUSED: status_codes.HTTP_CONFLICT,
+    RefusalCode.HISTORY_DIFFERS: status_codes.HTTP_CONFLICT,
+    RefusalCode.NOT_RECORDED: status_codes.HTTP_NOT_FOUND,
+    RefusalCode.BUDGET_EXCEEDED: status_codes.HTTP_PAYMENT_REQUIRED,
+    RefusalCode.PROGRAM_LIMIT: status_codes.HTTP_FORBIDDEN,
+    RefusalCode.LOOP_DETECTED: status_codes.HTTP_FORBIDDEN,
+    RefusalCode.OVERLOADED: status_codes.HTTP_TOO_MANY_REQUESTS,
+    RefusalCode.PATIENCE_EXCEEDED: status_codes.HTTP_TOO_MANY_REQUESTS,
+    RefusalCode.NO_ENDPOINT: status_codes.HTTP_UNAVAILABLE,
+    RefusalCode.ENDPOINT_FAILED: status_codes.HTTP_BAD_GATEWAY,
+    RefusalCode.OUTCOME_UNKNOWN: status_codes.HTTP_BAD_GATEWAY,
+    RefusalCode.STORE_UNAVAILABLE: status_codes.HTTP_UNAVAILABLE,
+    RefusalCode.CONFIG_UNKNOWN: status_codes.HTTP_UNAVAILABLE,
+    RefusalCode.OWNER_UNREACHABLE: status_codes.HTTP_UNAVAILABLE,
+    RefusalCode.HOST_LEAVING: status_codes.HTTP_UNAVAILABLE,
+    RefusalCode.CANCELLED: status_codes.HTTP_CONFLICT,
+}
+
+
+@attrs.frozen
+class Figure:
+    """A number that a decision rests on, with its unit in the name (``waited_s``)."""
+
+    name: str
+    value: float
+
+
+@attrs.frozen
+class Refusal:
+    """The answer to a call that was not served.
+
+    ``retry_after_s`` is None where trying again the same way is useless.
+    """
+
+    code: RefusalCode
+    run_state: RunState
+    why: str
+    figures: tuple[Figure, ...] = ()
+    retry_after_s: float | None = None
+
+    @property
+    def http_status(self) -> int:
+        """The HTTP status that goes with the code."""
+        return STATUS_BY_CODE[self.code]
+
+    def to_json(self) -> bytes:
+        """Returns the problem document that callers get."""
+        error: dict[str, object] = {
+            "code": self.code.value,
+            "type": "bayhinge_refusal",
+            "message": self.why,
+            "run_state": self.run_state.value,
+            "figures": {figure.name: figure.value for figure in self.figures},
+            "retry_after_s": self.retry_after_s,
+        }
+        return orjson.dumps({"error": error})
+
+
+def refusal_from_json(data: bytes) -> Refusal:
+    """Reads a problem document that another host made."""
+    error = orjson.loads(data)["error"]
+    figures = tuple(Figure(name, value) for name, value in error["figures"].items())
+    return Refusal(
+        RefusalCode(error["code"]),
+        RunState(error["run_state"]),
+        error["message"],
+        figures,
+        error["retry_after_s"],
+    )
+
+
+class RefusedError(Exception):
+    """Carries a refusal up to where it is answered."""
+
+    def __init__(self, refusal: Refusal) -> None:
+        """Takes the refusal."""
+        super().__init__(f"{refusal.code}: {refusal.why}")
+        self.refusal = refusal
+
+
+def refuse_unaccepted(
+    code: RefusalCode,
+    why: str,
+    *figures: Figure,
+    retry_after_s: float | None = None,
+) -> Refusal:
+    """Refuses a call before it was accepted: nothing can have run."""
+    return Refusal(code, RunState.NOT_RUN, why, figures, retry_after_s)
+
+
+@attrs.define
+class CallAttempt:
+    """Counts what was sent for one call, so that a refusal tells the truth.
+
+    Attributes:
+        sends: requests that may have reached an endpoint.
+        answered: an endpoint has given its whole answer.
+        started_before: an earlier owner had recorded the start of this call.
+    """
+
+    sends: int = 0
+    answered: bool = False
+    started_before: bool = False
+
+    def note_send(self) -> None:
+        """Must be called before any byte goes to an endpoint."""
+        self.sends += 1
+
+    def note_unsent(self) -> None:
+        """Takes a send back that can't have arrived, such as a refused connect."""
+        self.sends -= 1
+
+    @property
+    def run_state(self) -> RunState:
+        """What is true of the work so far."""
+        if self.answered:
+            return RunState.RAN
+        if self.sends or self.started_before:
+            return RunState.MAY_HAVE_RUN
+        return RunState.NOT_RUN
+
+    def refuse(
+        self,
+        code: RefusalCode,
+        why: str,
+        *figures: Figure,
+        retry_after_s: float | None = None,
+    ) -> Refusal:
+        """Makes a refusal that says what ran."""
+        return Refusal(code, self.run_state, why, figures, retry_after_s)
--- /dev/null
+++ b/src/bayhinge/_internal/models/schema.py
@@ -0,0 +1,290 @@
+"""Schemas of INI sections: each key with its type, default, bounds and meaning.
+
+The same tables check a text, fill the classes and print the reference pages.
+"""
+
+import re
+from abc import ABC, abstractmethod
+from collections.abc import Iterator
+from typing import Any, Generic, TypeVar
+
+import attrs
+from expression import Error, Ok, Result
+
+from bayhinge._internal.models.findings import Finding, Place
+from bayhinge._internal.models.ids import NAME_PATTERN
+from bayhinge._internal.utils.ini import IniSection
+
+Value = TypeVar("Value")
+
+_DIGEST = re.compile(r"[0-9a-f]{64}")
+_MAX_PORT = 65_535
+
+
+class Kind(ABC, Generic[Value]):
+    """A type of value: reads a text, or says what is wrong with it."""
+
+    @abstractmethod
+    def read(self, text: str) -> Result[Value, str]:
+        """Returns the value, or the problem."""
+
+    @abstractmethod
+    def describe(self) -> str:
+        """Returns the type for the reference page."""
+
+
+@attrs.frozen
+class Text(Kind[str]):
+    """Any text."""
+
+    def read(self, text: str) -> Result[str, str]:
+        """See :class:`Kind`."""
+        return Ok(text.strip())
+
+    def describe(self) -> str:
+        """See :class:`Kind`."""
+        return "text"
+
+
+@attrs.frozen
+class Name(Kind[str]):
+    """A name of small letters, digits and hyphens."""
+
+    def read(self, text: str) -> Result[str, str]:
+        """See :class:`Kind`."""
+        name = text.strip()
+        if NAME_PATTERN.fullmatch(name) is None:
+            return Error(f"'{name}' is no name: use small letters, digits and hyphens")
+        return Ok(name)
+
+    def describe(self) -> str:
+        """See :class:`Kind`."""
+        return "name"
+
+
+@attrs.frozen
+class Number(Kind[float]):
+    """A number between bounds."""
+
+    least: float
+    most: float
+
+    def read(self, text: str) -> Result[float, str]:
+        """See :class:`Kind`."""
+        try:
+            value = float(text)
+        except ValueError:
+            return Error(f"'{text}' is no number")
+        if not self.least <= value <= self.most:
+            return Error(f"{text} is not between {self.least:g} and {self.most:g}")
+        return Ok(value)
+
+    def describe(self) -> str:
+        """See :class:`Kind`."""
+        return f"number, {self.least:g} to {self.most:g}"
+
+
+@attrs.frozen
+class Whole(Kind[int]):
+    """A whole number between bounds."""
+
+    least: int
+    most: int
+
+    def read(self, text: str) -> Result[int, str]:
+        """See :class:`Kind`."""
+        try:
+            value = int(text.replace("_", ""))
+        except ValueError:
+            return Error(f"'{text}' is no whole number")
+        if not self.least <= value <= self.most:
+            return Error(f"{text} is not between {self.least} and {self.most}")
+        return Ok(value)
+
+    def describe(self) -> str:
+        """See :class:`Kind`."""
+        return f"whole number, {self.least} to {self.most}"
+
+
+@attrs.frozen
+class Flag(Kind[bool]):
+    """Yes or no."""
+
+    def read(self, text: str) -> Result[bool, str]:
+        """See :class:`Kind`."""
+        word = text.strip().lower()
+        if word in {"yes", "true", "on"}:
+            return Ok(True)
+        if word in {"no", "false", "off"}:
+            return Ok(False)
+        return Error(f"'{text}' is neither yes nor no")
+
+    def describe(self) -> str:
+        """See :class:`Kind`."""
+        return "yes or no"
+
+
+@attrs.frozen
+class Choice(Kind[str]):
+    """One of some words."""
+
+    words: tuple[str, ...]
+
+    def read(self, text: str) -> Result[str, str]:
+        """See :class:`Kind`."""
+        word = text.strip()
+        if word not in self.words:
+            return Error(f"'{word}' is none of {', '.join(self.words)}")
+        return Ok(word)
+
+    def describe(self) -> str:
+        """See :class:`Kind`."""
+        return " or ".join(self.words)
+
+
+@attrs.frozen
+class Names(Kind[tuple[str, ...]]):
+    """Names separated by commas."""
+
+    def read(self, text: str) -> Result[tuple[str, ...], str]:
+        """See :class:`Kind`."""
+        names = tuple(part.strip() for part in text.split(",") if part.strip())
+        for name in names:
+            if NAME_PATTERN.fullmatch(name) is None:
+                return Error(f"'{name}' is no name: use small letters, digits and hyphens")
+        return Ok(names)
+
+    def describe(self) -> str:
+        """See :class:`Kind`."""
+        return "names, separated by commas"
+
+
+@attrs.frozen
+class Words(Kind[tuple[str, ...]]):
+    """Words separated by commas."""
+
+    def read(self, text: str) -> Result[tuple[str, ...], str]:
+        """See :class:`Kind`."""
+        return Ok(tuple(part.strip() for part in text.split(",") if part.strip()))
+
+    def describe(self) -> str:
+        """See :class:`Kind`."""
+        return "words, separated by commas"
+
+
+@attrs.frozen
+class Digests(Kind[tuple[str, ...]]):
+    """SHA-256 digests in hexadecimal, separated by commas."""
+
+    def read(self, text: str) -> Result[tuple[str, ...], str]:
+        """See :class:`Kind`."""
+        digests = tuple(part.strip().lower() for part in text.split(",") if part.strip())
+        for position, digest in enumerate(digests, start=1):
+            if _DIGEST.fullmatch(digest) is None:
+                # The text is not repeated: somebody may have put the key itself here.
+                return Error(f"digest {position} is not 64 hexadecimal digits")
+        return Ok(digests)
+
+    def describe(self) -> str:
+        """See :class:`Kind`."""
+        return "SHA-256 digests in hexadecimal, separated by commas"
+
+
+@attrs.frozen
+class Address(Kind[str]):
+    """An IP number with a port."""
+
+    def read(self, text: str) -> Result[str, str]:
+        """See :class:`Kind`."""
+        host, separator, port = text.strip().rpartition(":")
+        if not separator or not port.isdigit() or int(port) > _MAX_PORT:
+            return Error(f"'{text}' is no address: write an IP number and a port, 10.0.0.5:8100")
+        if not re.fullmatch(r"[0-9.]+|\[[0-9a-f:]+\]", host):
+            return Error(f"'{host}' is no IP number")
+        return Ok(text.strip())
+
+    def describe(self) -> str:
+        """See :class:`Kind`."""
+        return "IP number and port"
+
+
+@attrs.frozen
+class Url(Kind[str]):
+    """An HTTP address."""
+
+    def read(self, text: str) -> Result[str, str]:
+        """See :class:`Kind`."""
+        url = text.strip().rstrip("/")
+        if not re.match(r"https?://[^/]+", url):
+            return Error(f"'{url}' is no HTTP address")
+        return Ok(url)
+
+    def describe(self) -> str:
+        """See :class:`Kind`."""
+        return "HTTP address"
+
+
+@attrs.frozen
+class Field:
+    """One key of a section. ``default`` is a text as in the file; None: the key is required."""
+
+    key: str
+    kind: Kind[Any]
+    default: str | None
+    meaning: str
+
+
+@attrs.frozen
+class SectionSchema:
+    """The keys that a section may have."""
+
+    title: str
+    fields: tuple[Field, ...]
+
+    def field(self, key: str) -> Field | None:
+        """Returns the field of a key, or None."""
+        return next((field for field in self.fields if field.key == key), None)
+
+
+@attrs.frozen
+class ReadSection:
+    """A section's values by key, defaults included, and which keys stood in the text."""
+
+    values_by_key: dict[str, object]
+    given: frozenset[str]
+
+
+def check_section(
+    schema: SectionSchema, section: IniSection | None, file: str
+) -> Iterator[Finding]:
+    """Yields what is wrong with a section; None stands for a section that is missing."""
+    if section is None:
+        missing = [field.key for field in schema.fields if field.default is None]
+        if missing:
+            place = Place(file, 0, schema.title)
+            yield Finding(place, "the section is missing", f"it needs {', '.join(missing)}")
+        return
+    for key, value in section.values_by_key.items():
+        place = Place(file, value.line, section.name, key)
+        field = schema.field(key)
+        if field is None:
+            known = ", ".join(field.key for field in schema.fields)
+            yield Finding(place, "unknown key", f"known keys: {known}")
+            continue
+        problem = field.kind.read(value.text)
+        if problem.is_error():
+            yield Finding(place, problem.error, field.meaning)
+    for field in schema.fields:
+        if field.default is None and field.key not in section.values_by_key:
+            place = Place(file, section.line, section.name, field.key)
+            yield Finding(place, "the key is missing", field.meaning)
+
+
+def read_section(schema: SectionSchema, section: IniSection | None) -> ReadSection:
+    """Reads a section that :func:`check_section` found nothing wrong with."""
+    texts = {} if section is None else section.values_by_key
+    values: dict[str, object] = {}
+    for field in schema.fields:
+        text = texts[field.key].text if field.key in texts else field.default
+        values[field.key] = field.kind.read(text or "").ok
+    return ReadSection(values, frozenset(texts))
--- /dev/null
+++ b/src/bayhinge/_internal/network/__init__.py
@@ -0,0 +1,1 @@
+"""HTTP towards callers and endpoints, and the link between hosts."""
--- /dev/null
+++ b/src/bayhinge/_internal/network/endpoint_client.py
@@ -0,0 +1,252 @@
+"""Clients of endpoints: engines over the OpenAI chat protocol, plain services over HTTP."""
+
+from abc import ABC, abstractmethod
+from collections.abc import AsyncIterator
+from typing import Any
+
+import aiohttp
+import attrs
+import orjson
+
+from bayhinge._internal import status_codes
+from bayhinge._internal.exceptions import EndpointError
+from bayhinge._internal.models.calls import ServiceCall, Usage
+from bayhinge._internal.models.endpoints import EndpointLoad
+
+DONE_LINE = b"data: [DONE]"
+DRAINING_HEADER = "X-Draining"
+
+
+@attrs.frozen
+class EngineRequest:
+    """One request to an engine; ``body`` is the encoded JSON."""
+
+    request_id: str
+    body: bytes
+
+
+@attrs.frozen
+class EnginePiece:
+    """A piece of an engine's stream: text, or what ends it."""
+
+    text: str = ""
+    tool_calls: bytes | None = None
+    finish_reason: str | None = None
+    usage: Usage | None = None
+
+
+@attrs.frozen
+class ServiceAnswer:
+    """A plain service's whole answer."""
+
+    status: int
+    content_type: str
+    body: bytes
+
+
+@attrs.frozen
+class EndpointTimes:
+    """Time-outs in seconds."""
+
+    connect_s: float = 1.0
+    first_byte_s: float = 60.0
+    between_bytes_s: float = 20.0
+
+
+class EndpointClient(ABC):
+    """How the owner reaches endpoints."""
+
+    @abstractmethod
+    def complete(
+        self, endpoint: str, address: str, request: EngineRequest
+    ) -> AsyncIterator[EnginePiece]:
+        """Streams an engine's answer.
+
+        Raises:
+            EndpointError: there is no whole answer; it says whether work may have run.
+        """
+
+    @abstractmethod
+    async def cancel(self, address: str, request_id: str) -> None:
+        """Tells an engine to drop a request; a failure is ignored."""
+
+    @abstractmethod
+    async def release(self, address: str, program: str) -> None:
+        """Tells an engine to free what it holds for a program; a failure is ignored."""
+
+    @abstractmethod
+    async def held(self, address: str) -> list[str] | None:
+        """Returns the programs that an engine holds memory for, or None."""
+
+    @abstractmethod
+    async def load(self, address: str) -> EndpointLoad | None:
+        """Returns an engine's load report, or None."""
+
+    @abstractmethod
+    async def call_service(
+        self, endpoint: str, address: str, call: ServiceCall, timeout_s: float
+    ) -> ServiceAnswer:
+        """Calls a plain service.
+
+        Raises:
+            EndpointError: there is no whole answer; it says whether work may have run.
+        """
+
+    async def close(self) -> None:
+        """Closes the connections."""
+        return
+
+
+class HttpEndpointClient(EndpointClient):
+    """Endpoints over HTTP."""
+
+    def __init__(self, times: EndpointTimes) -> None:
+        """Takes the time-outs."""
+        self._times = times
+        self._session: aiohttp.ClientSession | None = None
+        self._is_closed = False
+
+    def _open_session(self) -> aiohttp.ClientSession:
+        if self._session is None:
+            # The library's own pool limit of 100 would queue calls unseen.
+            self._session = aiohttp.ClientSession(connector=aiohttp.TCPConnector(limit=0))
+        return self._session
+
+    async def close(self) -> None:
+        """See :class:`EndpointClient`."""
+        self._is_closed = True
+        if self._session is not None:
+            await self._session.close()
+
+    async def complete(
+        self, endpoint: str, address: str, request: EngineRequest
+    ) -> AsyncIterator[EnginePiece]:
+        """See :class:`EndpointClient`."""
+        times = self._times
+        timeout = aiohttp.ClientTimeout(
+            total=None,
+            sock_connect=times.connect_s,
+            sock_read=max(times.first_byte_s, times.between_bytes_s),
+        )
+        url = f"{address}/v1/chat/completions"
+        headers = {"Content-Type": "application/json"}
+        whole = False
+        try:
+            async with self._open_session().post(
+                url, data=request.body, headers=headers, timeout=timeout
+            ) as response:
+                await _check_status(endpoint, response)
+                async for line in response.content:
+                    if line.startswith(DONE_LINE):
+                        whole = True
+                        break
+                    if line.startswith(b"data: "):
+                        yield _read_piece(endpoint, line[len(b"data: ") :])
+        except aiohttp.ClientConnectorError as error:
+            raise EndpointError(endpoint, str(error), may_have_run=False) from error
+        except (aiohttp.ClientError, TimeoutError, ConnectionError) as error:
+            why = str(error) or type(error).__name__
+            raise EndpointError(endpoint, why, may_have_run=True) from error
+        if not whole:
+            raise EndpointError(endpoint, "the stream ended early", may_have_run=True)
+
+    async def cancel(self, address: str, request_id: str) -> None:
+        """See :class:`EndpointClient`."""
+        await self._quietly("DELETE", f"{address}/v1/requests/{request_id}", None)
+
+    async def release(self, address: str, program: str) -> None:
+        """See :class:`EndpointClient`."""
+        body = orjson.dumps({"program": program})
+        await self._quietly("POST", f"{address}/v1/kv/release", body)
+
+    async def held(self, address: str) -> list[str] | None:
+        """See :class:`EndpointClient`."""
+        answer = await self._quietly("GET", f"{address}/v1/kv/held", None)
+        return None if answer is None else [str(item["program"]) for item in answer["held"]]
+
+    async def load(self, address: str) -> EndpointLoad | None:
+        """See :class:`EndpointClient`."""
+        answer = await self._quietly("GET", f"{address}/v1/load", None)
+        if answer is None:
+            return None
+        return EndpointLoad(
+            int(answer["running"]),
+            int(answer["cache_used_tokens"]),
+            int(answer["cache_capacity_tokens"]),
+            tuple(answer["models"]),
+        )
+
+    async def call_service(
+        self, endpoint: str, address: str, call: ServiceCall, timeout_s: float
+    ) -> ServiceAnswer:
+        """See :class:`EndpointClient`."""
+        timeout = aiohttp.ClientTimeout(total=timeout_s, sock_connect=self._times.connect_s)
+        headers = {"Content-Type": call.content_type} if call.content_type else None
+        try:
+            async with self._open_session().request(
+                call.http_method,
+                f"{address}{call.path}",
+                data=call.body or None,
+                headers=headers,
+                timeout=timeout,
+            ) as response:
+                if response.status == status_codes.HTTP_UNAVAILABLE:
+                    await _check_status(endpoint, response)
+                return ServiceAnswer(response.status, response.content_type, await response.read())
+        except aiohttp.ClientConnectorError as error:
+            raise EndpointError(endpoint, str(error), may_have_run=False) from error
+        except (aiohttp.ClientError, TimeoutError, ConnectionError) as error:
+            why = str(error) or type(error).__name__
+            raise EndpointError(endpoint, why, may_have_run=True) from error
+
+    async def _quietly(self, method: str, url: str, body: bytes | None) -> dict[str, Any] | None:
+        if self._is_closed:
+            return None
+        timeout = aiohttp.ClientTimeout(total=self._times.connect_s * 2)
+        try:
+            async with self._open_session().request(
+                method, url, data=body, timeout=timeout
+            ) as response:
+                if response.status >= status_codes.HTTP_MULTIPLE_CHOICES:
+                    return None
+                data = await response.read()
+        except (aiohttp.ClientError, TimeoutError, ConnectionError):
+            return None
+        return orjson.loads(data) if data else {}
+
+
+async def _check_status(endpoint: str, response: aiohttp.ClientResponse) -> None:
+    if response.status < status_codes.HTTP_MULTIPLE_CHOICES:
+        return
+    draining = DRAINING_HEADER in response.headers
+    text = (await response.text())[:200]
+    # A status before any stream says that the engine did not take the work.
+    ran = response.status >= status_codes.HTTP_SERVER_ERROR and not draining
+    raise EndpointError(endpoint, f"status {response.status} {text}", ran, draining)
+
+
+def _read_piece(endpoint: str, line: bytes) -> EnginePiece:
+    try:
+        chunk = orjson.loads(line)
+        choice = chunk["choices"][0] if chunk.get("choices") else {}
+        delta = choice.get("delta") or {}
+        calls = delta.get("tool_calls")
+        return EnginePiece(
+            delta.get("content") or "",
+            orjson.dumps(calls) if calls else None,
+            choice.get("finish_reason"),
+            _read_usage(chunk.get("usage")),
+        )
+    except (orjson.JSONDecodeError, KeyError, TypeError, AttributeError) as error:
+        raise EndpointError(endpoint, f"a chunk can't be read: {error}", True) from error
+
+
+def _read_usage(usage: dict[str, Any] | None) -> Usage | None:
+    if not usage:
+        return None
+    details = usage.get("prompt_tokens_details") or {}
+    return Usage(
+        int(usage.get("prompt_tokens", 0)),
+        int(usage.get("completion_tokens", 0)),
+        int(details.get("cached_tokens", 0)),
+    )
--- /dev/null
+++ b/src/bayhinge/_internal/network/front_handler.py
@@ -0,0 +1,122 @@
+"""What the front needs from the daemon behind it."""
+
+from abc import ABC, abstractmethod
+from collections.abc import AsyncIterator, Mapping
+
+import attrs
+from expression import Result
+
+from bayhinge._internal.models.accounts import ClientAccount
+from bayhinge._internal.models.calls import AnswerItem, IncomingCall
+from bayhinge._internal.models.refusals import Refusal
+from bayhinge._internal.models.settings import ServiceSettings
+from bayhinge._internal.models.views import AddressView
+
+
+@attrs.frozen
+class ConfigEdit:
+    """An operator's edit of a template or account; ``text`` None deletes it."""
+
+    kind: str
+    name: str
+    text: str | None
+    base_revision: int
+    author: str
+
+
+@attrs.frozen
+class ConfigAnswer:
+    """The answer to an edit: an HTTP status and a JSON document."""
+
+    status: int
+    body: bytes
+
+
+class FrontHandler(ABC):
+    """The daemon as its HTTP front sees it."""
+
+    @abstractmethod
+    def find_account(self, key: str) -> ClientAccount | None:
+        """Returns the client account of a key."""
+
+    @abstractmethod
+    def is_operator(self, key: str) -> bool:
+        """Tells whether a key is an operator's."""
+
+    @abstractmethod
+    def find_service(self, name: str) -> ServiceSettings | None:
+        """Returns a plain service's settings."""
+
+    @abstractmethod
+    def models(self) -> list[str]:
+        """Returns the names of the models that pools serve."""
+
+    @abstractmethod
+    async def begin_single(self, account: ClientAccount) -> Result[str, Refusal]:
+        """Begins a program of one call, for callers that know of no programs."""
+
+    @abstractmethod
+    async def end_single(self, account: ClientAccount, program: str, reason: str) -> None:
+        """Ends a program of one call."""
+
+    @abstractmethod
+    async def open_program(
+        self, account: ClientAccount, parent: str | None, idempotency_key: str | None
+    ) -> Result[bytes, Refusal]:
+        """Opens a program and returns its view as JSON."""
+
+    @abstractmethod
+    async def program_command(
+        self, verb: str, account: str, program: str
+    ) -> Result[bytes, Refusal]:
+        """Shows, ends or cancels a program, and returns its view as JSON.
+
+        Args:
+            verb: ``show``, ``end`` or ``cancel``.
+            account: the caller's account; empty for an operator.
+            program: the program's identifier.
+        """
+
+    @abstractmethod
+    def call(self, incoming: IncomingCall) -> AsyncIterator[AnswerItem]:
+        """Yields the answer to a call.
+
+        Raises:
+            RefusedError: there is none.
+        """
+
+    @abstractmethod
+    def collect(
+        self, account: str, program: str, index: int, offset: int
+    ) -> AsyncIterator[AnswerItem]:
+        """Yields an earlier answer.
+
+        Raises:
+            RefusedError: there is none.
+        """
+
+    @abstractmethod
+    async def addresses(self, program: str | None) -> AddressView:
+        """Returns the addresses that callers should use."""
+
+    @abstractmethod
+    async def operator_query(
+        self, name: str, parameters: Mapping[str, str]
+    ) -> Result[bytes, Refusal]:
+        """Answers an operator's query from all hosts, as JSON."""
+
+    @abstractmethod
+    def follow_events(self, parameters: Mapping[str, str]) -> AsyncIterator[bytes]:
+        """Yields this host's events as they come, a line of JSON each."""
+
+    @abstractmethod
+    async def edit_config(self, edit: ConfigEdit) -> ConfigAnswer:
+        """Checks an edit as a whole and accepts it, or says what is wrong."""
+
+    @abstractmethod
+    def metrics(self) -> bytes:
+        """Returns the metrics in the usual text format."""
+
+    @abstractmethod
+    def note_latency(self, what: str, seconds: float) -> None:
+        """Takes a latency into the histograms."""
--- /dev/null
+++ b/src/bayhinge/_internal/network/request_reading.py
@@ -0,0 +1,128 @@
+"""Reads callers' requests: keys, headers and bodies."""
+
+import math
+
+from aiohttp import web
+from multidict import CIMultiDictProxy
+
+from bayhinge._internal.models.calls import MessagesMode
+from bayhinge._internal.models.refusals import (
+    Refusal,
+    RefusalCode,
+    RefusedError,
+    refuse_unaccepted,
+)
+
+ACCOUNT_HEADER = "Bayhinge-Account"
+PROGRAM_HEADER = "Bayhinge-Program"
+CALL_HEADER = "Bayhinge-Call"
+PATIENCE_HEADER = "Bayhinge-Patience"
+MESSAGES_HEADER = "Bayhinge-Messages"
+REPEATABLE_HEADER = "Bayhinge-Repeatable"
+IDEMPOTENCY_HEADER = "Idempotency-Key"
+LAST_EVENT_HEADER = "Last-Event-ID"
+MAX_IDEMPOTENCY_KEY = 255
+MAX_INDEX = 1_000_000
+
+Headers = CIMultiDictProxy[str]
+
+
+def read_key(headers: Headers) -> str:
+    """Returns the bearer key, or an empty text."""
+    scheme, _, key = headers.get("Authorization", "").partition(" ")
+    return key.strip() if scheme.lower() == "bearer" else ""
+
+
+def read_index(headers: Headers) -> int | None:
+    """Returns the call's index, or None where the header is missing.
+
+    Raises:
+        RefusedError: it is no index.
+    """
+    return _whole(headers, CALL_HEADER)
+
+
+def read_offset(headers: Headers) -> int:
+    """Returns the characters of the answer that the caller has.
+
+    Raises:
+        RefusedError: the header is no number.
+    """
+    return _whole(headers, LAST_EVENT_HEADER) or 0
+
+
+def read_patience(headers: Headers, longest_s: float) -> float:
+    """Returns the caller's patience in seconds, at most the account's.
+
+    Raises:
+        RefusedError: it is no number of seconds.
+    """
+    text = headers.get(PATIENCE_HEADER)
+    if text is None:
+        return longest_s
+    try:
+        patience_s = float(text)
+    except ValueError:
+        patience_s = math.nan
+    if not 0 <= patience_s < math.inf:
+        raise RefusedError(_bad(f"header {PATIENCE_HEADER} must be a number of seconds"))
+    return min(patience_s, longest_s)
+
+
+def read_mode(headers: Headers) -> MessagesMode:
+    """Returns what the message list holds.
+
+    Raises:
+        RefusedError: the header has another word.
+    """
+    word = headers.get(MESSAGES_HEADER, MessagesMode.WHOLE.value).strip().lower()
+    if word not in list(MessagesMode):
+        words = ", ".join(MessagesMode)
+        raise RefusedError(_bad(f"header {MESSAGES_HEADER} must be one of {words}"))
+    return MessagesMode(word)
+
+
+def read_idempotency_key(headers: Headers) -> str | None:
+    """Returns the idempotency key, or None.
+
+    Raises:
+        RefusedError: it is too long.
+    """
+    key = headers.get(IDEMPOTENCY_HEADER)
+    if key is not None and len(key) > MAX_IDEMPOTENCY_KEY:
+        raise RefusedError(
+            _bad(f"header {IDEMPOTENCY_HEADER} is longer than {MAX_IDEMPOTENCY_KEY} characters")
+        )
+    return key or None
+
+
+def forbids_repeat(headers: Headers) -> bool:
+    """True where the caller says that its call must not be repeated."""
+    return headers.get(REPEATABLE_HEADER, "").strip().lower() in {"no", "false"}
+
+
+async def read_body(request: web.Request) -> bytes:
+    """Reads the whole body.
+
+    Raises:
+        RefusedError: it is too large, or ended early.
+    """
+    try:
+        return await request.read()
+    except web.HTTPRequestEntityTooLarge as error:
+        why = f"the body is larger than {request.client_max_size} bytes"
+        raise RefusedError(refuse_unaccepted(RefusalCode.TOO_LARGE, why)) from error
+
+
+def _whole(headers: Headers, name: str) -> int | None:
+    text = headers.get(name)
+    if text is None or not text.strip():
+        return None
+    text = text.strip()
+    if not text.isascii() or not text.isdigit() or int(text[:9]) > MAX_INDEX * 100:
+        raise RefusedError(_bad(f"header {name} must be a whole number"))
+    return int(text)
+
+
+def _bad(why: str) -> Refusal:
+    return refuse_unaccepted(RefusalCode.BAD_REQUEST, why)
--- /dev/null
+++ b/src/bayhinge/_internal/platform/__init__.py
@@ -0,0 +1,1 @@
+"""Clients of the platform: object API, endpoint list."""
--- /dev/null
+++ b/src/bayhinge/_internal/platform/http_store.py
@@ -0,0 +1,148 @@
+"""The platform's object API over HTTP, as an :class:`ObjectStore`.
+
+Entity tags are versions; preconditions make creates, updates and deletes
+conditional. Any break of the connection is an answer that may have been lost.
+"""
+
+import base64
+from collections.abc import AsyncIterator
+from typing import Any
+from urllib.parse import quote
+
+import aiohttp
+import orjson
+
+from bayhinge._internal import status_codes
+from bayhinge.coordination.errors import (
+    AlreadyExistsError,
+    StoreRateLimitedError,
+    StoreUnavailableError,
+    VersionConflictError,
+    WatchEndedError,
+)
+from bayhinge.coordination.store import Change, Listing, ObjectStore, StoredObject
+
+WATCH_SILENCE_S = 300.0
+"""A watch that is silent for so long is opened anew."""
+
+
+class HttpObjectStore(ObjectStore):
+    """A client of the object API; one per daemon."""
+
+    def __init__(self, base_url: str, timeout_s: float) -> None:
+        """Takes the API's address and the time for one call, in seconds."""
+        self._base_url = base_url
+        self._timeout = aiohttp.ClientTimeout(total=timeout_s)
+        self._watch_timeout = aiohttp.ClientTimeout(
+            total=None, sock_connect=timeout_s, sock_read=WATCH_SILENCE_S
+        )
+        self._session: aiohttp.ClientSession | None = None
+
+    async def close(self) -> None:
+        """Closes the connections."""
+        if self._session is not None:
+            await self._session.close()
+
+    async def get(self, key: str) -> StoredObject | None:
+        """See :class:`ObjectStore`."""
+        answer = await self._call("GET", self._object_url(key), f"get {key}")
+        if answer.status == status_codes.HTTP_NOT_FOUND:
+            return None
+        return StoredObject(key, answer.body, answer.version)
+
+    async def create(self, key: str, value: bytes) -> StoredObject:
+        """See :class:`ObjectStore`."""
+        headers = {"If-None-Match": "*"}
+        what = f"create {key}"
+        answer = await self._call("PUT", self._object_url(key), what, headers, value)
+        if answer.status == status_codes.HTTP_PRECONDITION_FAILED:
+            raise AlreadyExistsError(key)
+        return StoredObject(key, value, answer.version)
+
+    async def update(self, key: str, value: bytes, version: int) -> StoredObject:
+        """See :class:`ObjectStore`."""
+        headers = {"If-Match": f'"{version}"'}
+        what = f"update {key}"
+        answer = await self._call("PUT", self._object_url(key), what, headers, value)
+        if answer.status == status_codes.HTTP_PRECONDITION_FAILED:
+            raise VersionConflictError(key, version)
+        return StoredObject(key, value, answer.version)
+
+    async def delete(self, key: str, version: int) -> None:
+        """See :class:`ObjectStore`."""
+        headers = {"If-Match": f'"{version}"'}
+        answer = await self._call("DELETE", self._object_url(key), f"delete {key}", headers)
+        if answer.status == status_codes.HTTP_PRECONDITION_FAILED:
+            raise VersionConflictError(key, version)
+
+    async def list(self, prefix: str, after: str = "", limit: int = 500) -> Listing:
+        """See :class:`ObjectStore`."""
+        url = (
+            f"{self._base_url}/v1/objects?prefix={quote(prefix)}&after={quote(after)}&limit={limit}"
+        )
+        answer = await self._call("GET", url, f"list {prefix}")
+        page: dict[str, Any] = orjson.loads(answer.body)
+        objects = tuple(
+            StoredObject(item["key"], base64.b64decode(item["value"]), item["version"])
+            for item in page["objects"]
+        )
+        return Listing(objects, page["revision"], page["more"])
+
+    async def watch(self, prefix: str, after_revision: int) -> AsyncIterator[Change]:
+        """See :class:`ObjectStore`."""
+        url = f"{self._base_url}/v1/watch?prefix={quote(prefix)}&after={after_revision}"
+        try:
+            async with self._open_session().get(url, timeout=self._watch_timeout) as response:
+                async for line in response.content:
+                    item = orjson.loads(line)
+                    value = None if item["value"] is None else base64.b64decode(item["value"])
+                    yield Change(item["key"], value, item["version"], item["revision"])
+        except (aiohttp.ClientError, TimeoutError) as error:
+            raise WatchEndedError(prefix, str(error) or type(error).__name__) from error
+        raise WatchEndedError(prefix, "the platform closed it")
+
+    def _open_session(self) -> aiohttp.ClientSession:
+        if self._session is None:
+            self._session = aiohttp.ClientSession()
+        return self._session
+
+    def _object_url(self, key: str) -> str:
+        return f"{self._base_url}/v1/objects/{quote(key)}"
+
+    async def _call(
+        self,
+        method: str,
+        url: str,
+        what: str,
+        headers: dict[str, str] | None = None,
+        body: bytes | None = None,
+    ) -> "_Answer":
+        session = self._open_session()
+        try:
+            async with session.request(
+                method, url, headers=headers, data=body, timeout=self._timeout
+            ) as response:
+                answer = _Answer(response.status, _version(response), await response.read())
+        except (aiohttp.ClientError, TimeoutError, OSError) as error:
+            raise StoreUnavailableError(what, str(error) or type(error).__name__) from error
+        if answer.status == status_codes.HTTP_TOO_MANY_REQUESTS:
+            raise StoreRateLimitedError(what, float(response.headers.get("Retry-After", "1")))
+        if answer.status >= status_codes.HTTP_SERVER_ERROR:
+            raise StoreUnavailableError(what, f"status {answer.status}")
+        return answer
+
+
+class _Answer:
+    """What of an HTTP answer is needed."""
+
+    __slots__ = ("body", "status", "version")
+
+    def __init__(self, status: int, version: int, body: bytes) -> None:
+        self.status = status
+        self.version = version
+        self.body = body
+
+
+def _version(response: aiohttp.ClientResponse) -> int:
+    tag = response.headers.get("ETag", "").strip('"')
+    return int(tag) if tag.isdigit() else 0
--- /dev/null
+++ b/src/bayhinge/_internal/queries/__init__.py
@@ -0,0 +1,1 @@
+"""What only reads state."""
--- /dev/null
+++ b/src/bayhinge/_internal/services/__init__.py
@@ -0,0 +1,1 @@
+"""Mode services that wire the parts to a running daemon."""
--- /dev/null
+++ b/src/bayhinge/_internal/services/account_directory.py
@@ -0,0 +1,111 @@
+"""Client accounts as configuration has them now, found by name and by key."""
+
+from abc import ABC, abstractmethod
+
+from expression import Error, Ok, Result
+
+from bayhinge._internal.models.accounts import (
+    ClientAccount,
+    ConfigKind,
+    ConfigText,
+    hash_key,
+    key_matches,
+    resolve_account,
+)
+from bayhinge._internal.utils.ini import parse_ini
+from bayhinge.coordination.config_feed import ConfigFeed, ConfigObject
+
+
+class AccountSource(ABC):
+    """Where accounts are looked up."""
+
+    @abstractmethod
+    def find(self, name: str) -> Result[ClientAccount, str]:
+        """Returns the account, or why there is none."""
+
+    @abstractmethod
+    def find_by_key(self, key: str) -> ClientAccount | None:
+        """Returns the account that a key belongs to."""
+
+    @abstractmethod
+    def is_current(self) -> bool:
+        """True while this host can vouch for its configuration."""
+
+
+class AccountDirectory(AccountSource):
+    """Accounts resolved from the configuration feed, kept until they change."""
+
+    def __init__(self, feed: ConfigFeed) -> None:
+        """Takes the feed; its changes drop what was resolved from them."""
+        self._feed = feed
+        self._resolved_by_name: dict[str, Result[ClientAccount, str]] = {}
+        self._name_by_digest: dict[str, str] = {}
+        self._digests_by_name: dict[str, tuple[str, ...]] = {}
+        feed.on_change = self._take_change
+
+    def find(self, name: str) -> Result[ClientAccount, str]:
+        """See :class:`AccountSource`."""
+        found = self._resolved_by_name.get(name)
+        if found is None:
+            found = self._resolve(name)
+            self._resolved_by_name[name] = found
+        return found
+
+    def find_by_key(self, key: str) -> ClientAccount | None:
+        """See :class:`AccountSource`."""
+        name = self._name_by_digest.get(hash_key(key))
+        if name is None:
+            return None
+        found = self.find(name)
+        if found.is_error() or not key_matches(key, found.ok.key_sha256):
+            return None
+        return found.ok
+
+    def is_current(self) -> bool:
+        """See :class:`AccountSource`."""
+        return self._feed.is_current()
+
+    def _resolve(self, name: str) -> Result[ClientAccount, str]:
+        account = self._feed.get(ConfigKind.ACCOUNT, name)
+        if account is None:
+            return Error(f"client account '{name}' does not exist")
+        template = self._feed.get(ConfigKind.TEMPLATE, _template_name(account))
+        resolved = resolve_account(_text(account), None if template is None else _text(template))
+        return Ok(resolved.ok) if resolved.is_ok() else Error(resolved.error)
+
+    def _take_change(self, changed: ConfigObject) -> None:
+        if changed.kind == ConfigKind.TEMPLATE:
+            self._resolved_by_name.clear()
+            return
+        self._resolved_by_name.pop(changed.name, None)
+        for digest in self._digests_by_name.pop(changed.name, ()):
+            self._name_by_digest.pop(digest, None)
+        digests = () if changed.text is None else _digests(changed)
+        self._digests_by_name[changed.name] = digests
+        for digest in digests:
+            self._name_by_digest[digest] = changed.name
+
+
+def _text(item: ConfigObject) -> ConfigText:
+    return ConfigText(ConfigKind(item.kind), item.name, item.text or "", item.revision)
+
+
+def _raw(item: ConfigObject, key: str) -> str:
+    """Reads one key of an account's text, which was checked when it was accepted."""
+    parsed = parse_ini(item.text or "")
+    if parsed.is_error():
+        return ""
+    section = parsed.ok.sections_by_name.get(ConfigKind.ACCOUNT.value)
+    if section is None or key not in section.values_by_key:
+        return ""
+    return section.values_by_key[key].text
+
+
+def _template_name(item: ConfigObject) -> str:
+    return _raw(item, "template").strip()
+
+
+def _digests(item: ConfigObject) -> tuple[str, ...]:
+    return tuple(
+        part.strip().lower() for part in _raw(item, "key_sha256").split(",") if part.strip()
+    )
--- /dev/null
+++ b/src/bayhinge/_internal/services/adoption.py
@@ -0,0 +1,326 @@
+"""Taking over the programs of a host that died or stopped.
+
+The seal at the end of a journal names its successors; a program's own is chosen
+among them by rendezvous hashing of its identifier. A successor rebuilds the state
+from the sealed journal and writes it to its own before it serves the program.
+"""
+
+import asyncio
+import logging
+from collections.abc import Iterable
+
+import attrs
+
+from bayhinge._internal.models.events import Mechanism
+from bayhinge._internal.models.ids import ProgramId
+from bayhinge._internal.models.programs import ProgramState
+from bayhinge._internal.models.refusals import CallAttempt, Figure, RefusalCode
+from bayhinge._internal.services.owner import failed_end
+from bayhinge._internal.services.owner_parts import OwnedProgram, OwnerParts
+from bayhinge._internal.services.program_registry import ProgramRegistry
+from bayhinge._internal.services.record_codec import (
+    apply_finished,
+    decode_record,
+    encode_adopted,
+    encode_finished,
+    program_of,
+    state_from_adopted,
+    state_from_opened,
+    unfinished_from_wire,
+)
+from bayhinge._internal.wire import ttypes as wire
+from bayhinge.coordination.errors import CorruptObjectError, StoreError
+from bayhinge.coordination.journal import (
+    JournalContents,
+    RecordPosition,
+    SealInfo,
+    find_seal,
+    seal_journal,
+)
+from bayhinge.coordination.membership import HostInfo, Membership
+from bayhinge.coordination.rendezvous import choose, rank
+from bayhinge.coordination.store import ObjectStore
+
+logger = logging.getLogger(__name__)
+
+MAX_SUCCESSORS = 8
+"""Successors of one journal: more would each read it for a small share."""
+TURN_S = 0.5
+"""Each survivor waits this much longer than the one ranked before it to seal."""
+RETRY_S = 1.0
+MAX_CHAIN = 64
+"""Seals followed in one look-up; a day has some 90 of them over the whole fleet."""
+
+
+@attrs.frozen
+class Location:
+    """Where a program is owned. ``path`` lists the sealed journals that led there."""
+
+    incarnation: str
+    path: tuple[str, ...]
+
+
+class OwnerLocator:
+    """Finds a program's owner from its identifier, following seals."""
+
+    def __init__(self, store: ObjectStore, prefix: str, membership: Membership) -> None:
+        """Takes the store, the journals' prefix and the view of living hosts."""
+        self._store = store
+        self._prefix = prefix
+        self._membership = membership
+        # A seal never changes, so it is kept for as long as this process lives.
+        self._seal_by_incarnation: dict[str, SealInfo] = {}
+
+    async def locate(self, program: ProgramId, distrust: str = "") -> Location | None:
+        """Returns the owner, or None while a dead host's journal is not sealed yet.
+
+        Args:
+            program: whose owner is looked for.
+            distrust: an incarnation that did not answer, whose seal is looked for
+                although its heartbeat still counts.
+
+        Raises:
+            StoreError: a seal must be read and the store did not answer.
+        """
+        incarnation = program.incarnation
+        path: list[str] = []
+        for _ in range(MAX_CHAIN):
+            if incarnation not in self._seal_by_incarnation:
+                alive = self._membership.find(incarnation) is not None
+                if alive and incarnation != distrust:
+                    return Location(incarnation, tuple(path))
+                if not await self._read_seal(incarnation):
+                    return Location(incarnation, tuple(path)) if alive else None
+            path.append(incarnation)
+            successors = self._seal_by_incarnation[incarnation].successors
+            chosen = choose(str(program), successors)
+            if chosen is None:
+                return None
+            incarnation = chosen
+        return None
+
+    def note_seal(self, incarnation: str, seal: SealInfo) -> None:
+        """Remembers a seal that this host has set or read."""
+        self._seal_by_incarnation[incarnation] = seal
+
+    async def _read_seal(self, incarnation: str) -> bool:
+        seal = await find_seal(self._store, self._prefix, incarnation)
+        if seal is not None:
+            self._seal_by_incarnation[incarnation] = seal
+        return seal is not None
+
+
+class Adopter:
+    """Seals the journals of dead hosts, and adopts this host's share of them."""
+
+    def __init__(
+        self,
+        parts: OwnerParts,
+        registry: ProgramRegistry,
+        store: ObjectStore,
+        prefix: str,
+        membership: Membership,
+        locator: OwnerLocator,
+    ) -> None:
+        """Takes the owner's parts, its programs, and where journals and hosts are."""
+        self._parts = parts
+        self._registry = registry
+        self._store = store
+        self._prefix = prefix
+        self._membership = membership
+        self._locator = locator
+        self._adopted: set[str] = set()
+        self._locks_by_incarnation: dict[str, asyncio.Lock] = {}
+
+    async def take_over(self, dead: HostInfo) -> None:
+        """Settles a host that is gone: seals its journal and adopts this host's share."""
+        me = self._membership.me.incarnation
+        survivors = [info.incarnation for info in self._membership.serving()]
+        turn = rank(dead.incarnation, survivors).index(me) if me in survivors else len(survivors)
+        await asyncio.sleep(turn * TURN_S)
+        while True:
+            try:
+                seal = await self._seal(dead)
+                if me in seal.successors:
+                    await self.adopt_share(dead.incarnation, seal)
+                await self._membership.forget(dead.incarnation)
+                return
+            except StoreError as error:
+                logger.info("taking over %s waits for the store: %s", dead.incarnation, error)
+                await asyncio.sleep(RETRY_S)
+            except CorruptObjectError as error:
+                logger.error("the journal of %s can't be taken over: %s", dead.incarnation, error)
+                return
+
+    async def _seal(self, dead: HostInfo) -> SealInfo:
+        serving = [info.incarnation for info in self._membership.serving()]
+        candidates = [incarnation for incarnation in serving if incarnation != dead.incarnation]
+        successors = rank(dead.incarnation, candidates)[:MAX_SUCCESSORS]
+        me = self._membership.me.incarnation
+        seal = await seal_journal(
+            self._store, self._prefix, dead.incarnation, successors, me, "its heartbeat stopped"
+        )
+        self._locator.note_seal(dead.incarnation, seal)
+        if seal.sealed_by == me:
+            self._parts.timeline.record(
+                Mechanism.MEMBERSHIP,
+                "journal sealed",
+                f"host {dead.host} is gone; its programs go to {len(successors)} host(s)",
+                Figure("successors", len(successors)),
+            )
+        return seal
+
+    async def adopt_share(self, incarnation: str, seal: SealInfo) -> None:
+        """Adopts every program of a sealed journal whose successor is this host."""
+        me = self._membership.me.incarnation
+        lock = self._locks_by_incarnation.setdefault(incarnation, asyncio.Lock())
+        async with lock:
+            if incarnation in self._adopted:
+                return
+            contents = await self._parts.reader.read_all(incarnation)
+            states = replay_journal(contents)
+            mine = [
+                state
+                for state in states.values()
+                if choose(str(state.program_id), seal.successors) == me
+            ]
+            await self._adopt(incarnation, mine)
+            self._adopted.add(incarnation)
+        await self._settle_grants(incarnation, seal, states.values())
+
+    async def adopt_one(self, program: ProgramId, path: tuple[str, ...]) -> OwnedProgram | None:
+        """Adopts a program that a caller asked for, from the last journal that knows it.
+
+        Raises:
+            StoreError: the journals can't be read now.
+            CorruptObjectError: a journal is damaged.
+        """
+        for incarnation in reversed(path):
+            lock = self._locks_by_incarnation.setdefault(incarnation, asyncio.Lock())
+            async with lock:
+                found = self._registry.find(str(program))
+                if found is not None:
+                    return found
+                states = replay_journal(await self._parts.reader.read_all(incarnation))
+                state = states.get(str(program))
+                if state is not None:
+                    await self._adopt(incarnation, [state])
+                    return self._registry.find(str(program))
+        return None
+
+    async def take_handed_over(self, state: ProgramState) -> None:
+        """Adopts a program that its owner hands over in a planned stop."""
+        if self._registry.find(str(state.program_id)) is None:
+            await self._adopt(state.program_id.incarnation, [state])
+
+    async def _adopt(self, incarnation: str, states: list[ProgramState]) -> None:
+        wanted = [state for state in states if self._registry.find(str(state.program_id)) is None]
+        # Queued together, they share a few journal objects; order within one program holds.
+        durable = [self._parts.journal.append(encode_adopted(state)) for state in wanted]
+        for state in wanted:
+            if state.unfinished is not None:
+                await self._close_unfinished(state)
+        if durable:
+            await asyncio.gather(*durable)
+        for state in wanted:
+            self._registry.add(OwnedProgram(state))
+        if wanted:
+            self._parts.timeline.record(
+                Mechanism.OWNER,
+                "adopted",
+                f"the journal of {incarnation} is sealed and names this host",
+                Figure("programs", len(wanted)),
+            )
+
+    async def _close_unfinished(self, state: ProgramState) -> None:
+        """Records that a started call's outcome will never be known; it is not run again."""
+        started = state.unfinished
+        assert started is not None
+        why = (
+            f"call {started.index} was sent to {started.endpoint}, and its owner died before the "
+            "outcome was recorded; the call may not be repeated"
+        )
+        refusal = CallAttempt(started_before=True).refuse(RefusalCode.OUTCOME_UNKNOWN, why)
+        finished = wire.CallFinished(
+            str(state.program_id),
+            started.index,
+            started.digest,
+            started.idempotency_key,
+            wire.CallKind.SERVICE,
+            [],
+            False,
+            state.message_count,
+            state.history_digest,
+            failed_end(started.index, refusal),
+            0,
+            "",
+            0.0,
+            refusal.to_json(),
+        )
+        position = await self._parts.journal.append(encode_finished(finished))
+        apply_finished(state, finished, position)
+        self._parts.timeline.record(
+            Mechanism.OWNER,
+            "outcome unknown",
+            why,
+            program=str(state.program_id),
+            account=state.account,
+            endpoint=started.endpoint,
+            index=started.index,
+        )
+
+    async def _settle_grants(
+        self, incarnation: str, seal: SealInfo, states: Iterable[ProgramState]
+    ) -> None:
+        """Closes a dead host's budget grants; one successor does it for each account."""
+        me = self._membership.me.incarnation
+        for account in sorted({state.account for state in states}):
+            if choose(account, seal.successors) != me:
+                continue
+            lost = await self._parts.escrow.settle_dead(account, incarnation)
+            if lost:
+                self._parts.timeline.record(
+                    Mechanism.BUDGET,
+                    "grant written off",
+                    f"nothing proves what {incarnation} had left of its grant to be unspent",
+                    Figure("tokens", lost),
+                    account=account,
+                )
+
+
+def replay_journal(contents: JournalContents) -> dict[str, ProgramState]:
+    """Rebuilds the state of every program in a journal, without message bytes.
+
+    Raises:
+        CorruptObjectError: a record can't be read, or stands out of order.
+    """
+    states: dict[str, ProgramState] = {}
+    for record in contents.records:
+        body = decode_record(record)
+        program = program_of(body)
+        if body.opened is not None:
+            states[program] = state_from_opened(body.opened)
+            continue
+        if body.adopted is not None:
+            states[program] = state_from_adopted(body.adopted)
+            continue
+        state = states.get(program)
+        if state is None:
+            why = f"program {program} has a record before it was opened"
+            raise CorruptObjectError(str(record.position), why)
+        _apply(state, body, record.position)
+    return states
+
+
+def _apply(state: ProgramState, body: wire.Record, position: RecordPosition) -> None:
+    if body.started is not None:
+        state.unfinished = unfinished_from_wire(body.started)
+    elif body.withdrawn is not None:
+        state.unfinished = None
+    elif body.ended is not None:
+        state.ended = body.ended.reason
+    elif body.finished is not None:
+        if body.finished.index != state.next_index:
+            why = f"call {body.finished.index} follows {state.next_index - 1}"
+            raise CorruptObjectError(str(position), why)
+        apply_finished(state, body.finished, position)
--- /dev/null
+++ b/src/bayhinge/_internal/services/call_runner.py
@@ -0,0 +1,366 @@
+"""Runs one accepted call: budget, grant, send, retries, and what is to be recorded."""
+
+import asyncio
+import uuid
+from collections.abc import Awaitable, Callable
+
+import attrs
+import orjson
+import xxhash
+
+from bayhinge._internal.decisions.offers import Done, Offer, Outcome
+from bayhinge._internal.exceptions import EndpointError
+from bayhinge._internal.models.accounts import ClientAccount
+from bayhinge._internal.models.calls import AnswerEnd, Call, ModelCall, ServiceCall, Usage
+from bayhinge._internal.models.events import Mechanism
+from bayhinge._internal.models.messages import estimate_tokens, merge_tool_calls, splice
+from bayhinge._internal.models.programs import ProgramState
+from bayhinge._internal.models.refusals import CallAttempt, Figure, RefusalCode, RefusedError
+from bayhinge._internal.models.settings import Settings
+from bayhinge._internal.network.endpoint_client import EndpointClient, EnginePiece, EngineRequest
+from bayhinge._internal.services.answers import LiveAnswer
+from bayhinge._internal.services.grants import GrantedEndpoint, GrantSource
+from bayhinge._internal.services.timeline import Timeline
+
+MAX_ATTEMPTS = 4
+"""Sends of one repeatable call, the first included."""
+FIRST_RETRY_S = 0.05
+SERVICE_RETRY_S = 2.0
+
+
+@attrs.frozen
+class PreparedCall:
+    """A call with all that is needed to send it.
+
+    ``prompt`` is the whole message list of a model call, encoded.
+    """
+
+    state: ProgramState
+    account: ClientAccount
+    call: Call
+    index: int
+    prompt: tuple[bytes, ...]
+    deadline: float
+
+
+@attrs.frozen
+class CallResult:
+    """What a call came to."""
+
+    end: AnswerEnd
+    endpoint: str
+    service_s: float
+
+
+@attrs.define
+class _Progress:
+    """What has happened to a call over all its attempts."""
+
+    attempt: CallAttempt = attrs.field(factory=CallAttempt)
+    avoid: set[str] = attrs.field(factory=set)
+    tool_calls: list[dict[str, object]] = attrs.field(factory=list)
+    usage: Usage = attrs.field(factory=Usage)
+    finish_reason: str = "stop"
+    tries: int = 0
+
+
+BeforeSend = Callable[[str, CallAttempt], Awaitable[None]]
+"""Makes a call's start durable; takes the endpoint and the call's attempts."""
+
+
+class CallRunner:
+    """Sends calls to endpoints."""
+
+    def __init__(
+        self,
+        incarnation: str,
+        settings: Settings,
+        grants: GrantSource,
+        endpoints: EndpointClient,
+        timeline: Timeline,
+        random_unit: Callable[[], float],
+    ) -> None:
+        """Takes who this owner is and what it sends through."""
+        self._incarnation = incarnation
+        self._settings = settings
+        self._grants = grants
+        self._endpoints = endpoints
+        self._timeline = timeline
+        self._random_unit = random_unit
+
+    async def run_model(self, prepared: PreparedCall, live: LiveAnswer) -> CallResult:
+        """Runs a model call, resuming its stream elsewhere where an engine fails.
+
+        Raises:
+            RefusedError: there is no whole answer.
+        """
+        work = prepared.call.work
+        assert isinstance(work, ModelCall)
+        pool = self._settings.pool_of_model(work.model)
+        progress = _Progress()
+        if pool is None:
+            why = f"no pool serves model '{work.model}'"
+            raise RefusedError(progress.attempt.refuse(RefusalCode.NO_ENDPOINT, why))
+        while True:
+            granted = await self._ask(pool.name, prepared, progress)
+            try:
+                return await self._stream(prepared, work, granted, live, progress)
+            except EndpointError as error:
+                await self._after_failure(prepared, progress, error)
+
+    async def run_service(
+        self,
+        prepared: PreparedCall,
+        before_send: BeforeSend | None,
+    ) -> CallResult:
+        """Runs a plain call; ``before_send`` makes its start durable where that matters.
+
+        Raises:
+            RefusedError: there is no whole answer.
+        """
+        work = prepared.call.work
+        assert isinstance(work, ServiceCall)
+        progress = _Progress()
+        if work.service not in self._settings.services_by_name:
+            why = f"no service is called '{work.service}'"
+            raise RefusedError(progress.attempt.refuse(RefusalCode.NO_ENDPOINT, why))
+        while True:
+            granted = await self._ask(work.service, prepared, progress)
+            try:
+                return await self._send_service(prepared, work, granted, progress, before_send)
+            except EndpointError as error:
+                await self._after_failure(prepared, progress, error)
+
+    async def _ask(self, pool: str, prepared: PreparedCall, progress: _Progress) -> GrantedEndpoint:
+        now = asyncio.get_running_loop().time()
+        patience_s = prepared.deadline - now
+        if patience_s <= 0:
+            why = "the caller's patience ran out before an endpoint answered"
+            figures = (Figure("tries", progress.tries),)
+            raise RefusedError(
+                progress.attempt.refuse(
+                    RefusalCode.PATIENCE_EXCEEDED, why, *figures, retry_after_s=SERVICE_RETRY_S
+                )
+            )
+        try:
+            granted = await self._grants.request(pool, self._offer(prepared, progress, patience_s))
+        except RefusedError as error:
+            refusal = attrs.evolve(error.refusal, run_state=progress.attempt.run_state)
+            raise RefusedError(refusal) from error
+        return granted
+
+    def _offer(self, prepared: PreparedCall, progress: _Progress, patience_s: float) -> Offer:
+        work = prepared.call.work
+        is_model = isinstance(work, ModelCall)
+        first = prepared.prompt[0] if is_model and prepared.prompt else b""
+        shared = estimate_tokens([first]) if first else 0
+        return Offer(
+            grant=f"{self._incarnation}/{uuid.UUID(int=int(self._random_unit() * 2**53))}",
+            incarnation=self._incarnation,
+            program=str(prepared.state.program_id),
+            account=prepared.account.name,
+            index=prepared.index,
+            prompt_tokens=estimate_tokens(prepared.prompt),
+            max_tokens=work.max_tokens if isinstance(work, ModelCall) else 0,
+            attained_s=prepared.state.attained_s,
+            priority=prepared.account.priority,
+            patience_s=patience_s,
+            weight=prepared.account.weight,
+            shared_prefix=_prefix_name(first),
+            shared_tokens=shared,
+            avoid=frozenset(progress.avoid),
+        )
+
+    async def _stream(
+        self,
+        prepared: PreparedCall,
+        work: ModelCall,
+        granted: GrantedEndpoint,
+        live: LiveAnswer,
+        progress: _Progress,
+    ) -> CallResult:
+        request = self._engine_request(prepared, work, granted, live.length)
+        loop = asyncio.get_running_loop()
+        started = loop.time()
+        first_token_s = 0.0
+        outcome = Outcome.CANCELLED
+        progress.attempt.note_send()
+        progress.tries += 1
+        try:
+            async for piece in self._endpoints.complete(granted.endpoint, granted.address, request):
+                if piece.text and not first_token_s:
+                    first_token_s = loop.time() - started
+                self._take(piece, live, progress)
+            outcome = Outcome.FINISHED
+        except EndpointError as error:
+            outcome = _outcome_of(error)
+            if not error.may_have_run:
+                progress.attempt.note_unsent()
+            raise
+        finally:
+            if outcome is Outcome.CANCELLED:
+                # The caller left or the program was cancelled: free the engine at once.
+                asyncio.ensure_future(  # noqa: RUF006
+                    self._endpoints.cancel(granted.address, request.request_id)
+                )
+            seconds = loop.time() - started
+            self._grants.done(
+                granted,
+                Done(
+                    granted.grant,
+                    outcome,
+                    progress.usage.prompt_tokens,
+                    progress.usage.cached_tokens,
+                    progress.usage.completion_tokens,
+                    first_token_s,
+                    seconds - first_token_s,
+                ),
+            )
+        progress.attempt.answered = True
+        calls = orjson.dumps(progress.tool_calls) if progress.tool_calls else None
+        usage = progress.usage
+        end = AnswerEnd(
+            prepared.index,
+            200,
+            "application/json",
+            b"",
+            progress.finish_reason,
+            usage,
+            calls,
+            work.model,
+        )
+        return CallResult(end, granted.endpoint, loop.time() - started)
+
+    def _engine_request(
+        self, prepared: PreparedCall, work: ModelCall, granted: GrantedEndpoint, offset: int
+    ) -> EngineRequest:
+        request_id = granted.grant.rpartition("/")[2]
+        fields = {
+            **work.options,
+            "model": work.model,
+            "max_tokens": work.max_tokens,
+            "stream": True,
+            "stream_options": {"include_usage": True},
+            "priority": prepared.account.priority,
+            "request_id": request_id,
+            "program": str(prepared.state.program_id),
+        }
+        if offset:
+            fields["resume_offset"] = offset
+        return EngineRequest(request_id, splice(fields, prepared.prompt))
+
+    def _take(self, piece: EnginePiece, live: LiveAnswer, progress: _Progress) -> None:
+        live.add(piece.text)
+        if piece.tool_calls is not None:
+            merge_tool_calls(progress.tool_calls, piece.tool_calls)
+        if piece.finish_reason is not None:
+            progress.finish_reason = piece.finish_reason
+        if piece.usage is not None:
+            before = progress.usage
+            progress.usage = Usage(
+                piece.usage.prompt_tokens,
+                before.completion_tokens + piece.usage.completion_tokens,
+                piece.usage.cached_tokens,
+            )
+
+    async def _send_service(
+        self,
+        prepared: PreparedCall,
+        work: ServiceCall,
+        granted: GrantedEndpoint,
+        progress: _Progress,
+        before_send: BeforeSend | None,
+    ) -> CallResult:
+        loop = asyncio.get_running_loop()
+        started = loop.time()
+        settings = self._settings.services_by_name[work.service]
+        outcome = Outcome.CANCELLED
+        try:
+            if before_send is not None:
+                await before_send(granted.endpoint, progress.attempt)
+            timeout_s = min(settings.timeout_seconds, max(0.05, prepared.deadline - loop.time()))
+            progress.attempt.note_send()
+            progress.tries += 1
+            answer = await self._endpoints.call_service(
+                granted.endpoint, granted.address, work, timeout_s
+            )
+            outcome = Outcome.FINISHED
+        except EndpointError as error:
+            outcome = _outcome_of(error)
+            if not error.may_have_run:
+                progress.attempt.note_unsent()
+            raise
+        except RefusedError:
+            outcome = Outcome.CANCELLED
+            raise
+        finally:
+            self._grants.done(granted, Done(granted.grant, outcome))
+        progress.attempt.answered = True
+        end = AnswerEnd(
+            prepared.index,
+            answer.status,
+            answer.content_type,
+            answer.body,
+            "stop",
+            Usage(),
+            None,
+            work.service,
+        )
+        return CallResult(end, granted.endpoint, loop.time() - started)
+
+    async def _after_failure(
+        self, prepared: PreparedCall, progress: _Progress, error: EndpointError
+    ) -> None:
+        """Waits before the next attempt, or refuses where there must be none."""
+        progress.avoid.add(error.endpoint)
+        attempt = progress.attempt
+        self._record(
+            prepared,
+            "attempt failed",
+            error.why,
+            Figure("tries", progress.tries),
+            Figure("may_have_run", float(error.may_have_run)),
+            endpoint=error.endpoint,
+        )
+        if error.may_have_run and not prepared.call.repeatable:
+            why = (
+                f"endpoint {error.endpoint} gave no answer ({error.why}); "
+                "the call may not be repeated, and it may have run"
+            )
+            raise RefusedError(attempt.refuse(RefusalCode.OUTCOME_UNKNOWN, why)) from error
+        if progress.tries >= MAX_ATTEMPTS or len(progress.avoid) > MAX_ATTEMPTS:
+            why = f"endpoints failed {progress.tries} times, the last one: {error.why}"
+            figures = (Figure("tries", progress.tries),)
+            raise RefusedError(
+                attempt.refuse(
+                    RefusalCode.ENDPOINT_FAILED, why, *figures, retry_after_s=SERVICE_RETRY_S
+                )
+            ) from error
+        if not error.draining:
+            longest = FIRST_RETRY_S * 2**progress.tries
+            await asyncio.sleep(longest * (0.5 + self._random_unit() / 2))
+
+    def _record(
+        self, prepared: PreparedCall, what: str, why: str, *figures: Figure, endpoint: str = ""
+    ) -> None:
+        self._timeline.record(
+            Mechanism.ENDPOINT,
+            what,
+            why,
+            *figures,
+            program=str(prepared.state.program_id),
+            account=prepared.account.name,
+            endpoint=endpoint,
+            index=prepared.index,
+        )
+
+
+def _outcome_of(error: EndpointError) -> Outcome:
+    if error.draining:
+        return Outcome.DRAINING
+    return Outcome.FAILED if error.may_have_run else Outcome.NOT_SENT
+
+
+def _prefix_name(first_message: bytes) -> str:
+    """Names a prefix that programs of one template share: their first message."""
+    return xxhash.xxh3_64_hexdigest(first_message) if first_message else ""
--- /dev/null
+++ b/src/bayhinge/_internal/services/host.py
@@ -0,0 +1,251 @@
+"""One host: the mode service that a daemon runs, or a test several of."""
+
+import asyncio
+import logging
+from collections.abc import Awaitable, Callable, Coroutine
+
+import attrs
+from mode import Service
+
+from bayhinge._internal.exceptions import PeerFailureError, PeerUnreachableError
+from bayhinge._internal.models.events import Mechanism
+from bayhinge._internal.models.settings import Settings
+from bayhinge._internal.network.frames import decode_message, encode_message
+from bayhinge._internal.network.front import CallerFront
+from bayhinge._internal.services.front_service import FrontService
+from bayhinge._internal.services.host_parts import (
+    HostParts,
+    Outside,
+    build_host_parts,
+    outside_from_settings,
+)
+from bayhinge._internal.services.local_queries import LocalQueries
+from bayhinge._internal.services.peer_service import PeerService
+from bayhinge._internal.services.planned_stop import PlannedStop
+from bayhinge._internal.services.program_opener import ProgramOpener
+from bayhinge._internal.wire import ttypes as wire
+from bayhinge.coordination.clock import SystemClock
+from bayhinge.coordination.errors import CoordinationError, StoreError
+from bayhinge.coordination.membership import HostInfo, HostState
+
+logger = logging.getLogger(__name__)
+
+WRITE_BACK_S = 5.0
+"""Between two rounds of settling budgets with the ledgers."""
+LOAD_POLL_S = 1.0
+FAULT_RETRY_S = 0.5
+
+
+class Host(Service):
+    """One start of a host's daemon."""
+
+    def __init__(self, settings: Settings, outside: Outside | None = None) -> None:
+        """Takes the settings and, in tests, what lies outside."""
+        super().__init__()
+        self.settings = settings
+        self.parts: HostParts = build_host_parts(
+            settings, outside or outside_from_settings(settings, SystemClock())
+        )
+        opener = ProgramOpener(self.parts)
+        queries = LocalQueries(self.parts)
+        self._listener = self.parts.outside.network.listen(
+            settings.host.peer_address,
+            PeerService(self.parts, opener, queries),
+            self.parts.hybrid_clock,
+        )
+        self.service = FrontService(self.parts, opener, queries)
+        self._front = CallerFront(settings, self.service)
+        self._tasks: set[asyncio.Task[None]] = set()
+        self._has_crashed = False
+        self.parts.membership.on_death = self._take_over
+        self.parts.membership.on_gone = self._take_over
+
+    @property
+    def name(self) -> str:
+        """The host's name."""
+        return self.settings.host.name
+
+    @property
+    def base_url(self) -> str:
+        """Where callers reach this host."""
+        return f"http://{self.parts.membership.me.public_address}"
+
+    async def on_start(self) -> None:
+        """Listens, announces the host, and starts what runs for ever."""
+        parts = self.parts
+        peer_address = await self._listener.start()
+        await self._poll_endpoints_once()
+        await self._first_config()
+        public_address = self.settings.host.public_address
+        if parts.outside.serves_http:
+            public_address = await self._front.start()
+        parts.membership.describe(
+            attrs.evolve(
+                parts.membership.me, peer_address=peer_address, public_address=public_address
+            )
+        )
+        parts.timeline.record(
+            Mechanism.MEMBERSHIP, "started", f"incarnation {parts.journal.incarnation}"
+        )
+        await parts.membership.step()
+        for work in (
+            parts.membership.run,
+            parts.journal.run,
+            parts.feed.run,
+            parts.home.run,
+            self._poll_endpoints,
+            self._poll_loads,
+            self._write_back,
+            self._exchange_news,
+            self._describe,
+        ):
+            self._spawn(self._keep_running(work))
+
+    async def on_stop(self) -> None:
+        """A planned stop, unless the host was crashed."""
+        if self._has_crashed:
+            return
+        parts = self.parts
+        loop = asyncio.get_running_loop()
+        began = loop.time()
+        stop = PlannedStop(
+            parts.owner_parts,
+            parts.owner,
+            parts.registry,
+            parts.membership,
+            parts.locator,
+            parts.peers,
+        )
+        complete = await stop.run(self.settings.membership.drain_seconds)
+        # Callers keep an address for a while: they are served until that time is over.
+        rest = began + self.settings.membership.address_keep_seconds - loop.time()
+        if complete and rest > 0:
+            await asyncio.sleep(rest)
+        try:
+            await parts.escrow.write_back(keep_units=0)
+        except CoordinationError as error:
+            logger.warning("a budget grant was not given back: %s", error)
+        await self._front.stop()
+        await parts.owner.drain()
+        await parts.membership.leave()
+        await self._listener.stop()
+        await self._cancel_tasks()
+        await self._close_clients()
+
+    async def crash(self) -> None:
+        """Dies as a killed process does: nothing is handed over, closed or written."""
+        self._has_crashed = True
+        for task in list(self._tasks):
+            task.cancel()
+        self._front.abort()
+        await self._listener.stop()
+        await self.parts.peers.close()
+        # First of all: a dead process cancels nothing at its engines.
+        await self.parts.outside.endpoints.close()
+        self.parts.owner.abandon()
+        await self._cancel_tasks()
+        await self._close_clients()
+        await self.stop()
+
+    # ---- what runs for ever ----
+
+    async def _keep_running(self, work: Callable[[], Awaitable[None]]) -> None:
+        """Restarts work that ends with a fault; one fault must not end a duty for good."""
+        while True:
+            try:
+                await work()
+                return
+            except asyncio.CancelledError:
+                raise
+            except Exception:
+                logger.exception("%s of %s failed; it starts again", work, self.name)
+                await asyncio.sleep(FAULT_RETRY_S)
+
+    async def _poll_endpoints(self) -> None:
+        while True:
+            await asyncio.sleep(self.settings.endpoints.poll_seconds)
+            await self._poll_endpoints_once()
+
+    async def _poll_endpoints_once(self) -> None:
+        listed = await self.parts.outside.endpoint_list.fetch()
+        if listed is not None:
+            self.parts.home.set_endpoints(listed)
+
+    async def _first_config(self) -> None:
+        try:
+            await self.parts.feed.step()
+        except StoreError as error:
+            logger.warning("the first look at the configuration failed: %s", error)
+
+    async def _poll_loads(self) -> None:
+        while True:
+            await asyncio.sleep(LOAD_POLL_S)
+            await self.parts.home.poll_loads()
+
+    async def _write_back(self) -> None:
+        while True:
+            await asyncio.sleep(WRITE_BACK_S)
+            try:
+                await self.parts.escrow.write_back()
+            except StoreError as error:
+                logger.info("budgets wait for the store: %s", error)
+
+    async def _describe(self) -> None:
+        """Puts the applied revision and the load into the next heartbeats."""
+        while True:
+            membership = self.parts.membership
+            membership.describe(
+                attrs.evolve(
+                    membership.me,
+                    applied_revision=self.parts.feed.revision,
+                    load=float(self.parts.owner.running_count),
+                )
+            )
+            await asyncio.sleep(self.settings.membership.beat_seconds)
+
+    async def _exchange_news(self) -> None:
+        """Tells one peer after another of the newest revision, and takes what it has."""
+        turn = 0
+        while True:
+            await asyncio.sleep(self.settings.membership.beat_seconds)
+            me = self.parts.membership.me.incarnation
+            peers = [info for info in self.parts.membership.alive() if info.incarnation != me]
+            if peers:
+                turn += 1
+                await self._exchange_with(peers[turn % len(peers)])
+
+    async def _exchange_with(self, peer: HostInfo) -> None:
+        feed = self.parts.feed
+        news = wire.News(self.parts.journal.incarnation, feed.revision)
+        try:
+            answer = await self.parts.peers.call(peer.peer_address, "news", encode_message(news))
+        except (PeerUnreachableError, PeerFailureError):
+            return
+        reply = decode_message(wire.NewsReply(), answer)
+        feed.hear(reply.revision)
+        feed.take_from_peer(reply.first_revision, reply.changes)
+
+    def _take_over(self, dead: HostInfo) -> None:
+        if self.parts.membership.me.state is HostState.LEAVING:
+            return
+        self.parts.home.owner_died(dead.incarnation)
+        self._spawn(self.parts.adopter.take_over(dead))
+
+    # ---- tasks ----
+
+    def _spawn(self, work: Coroutine[None, None, None]) -> None:
+        task = asyncio.get_running_loop().create_task(work)
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+
+    async def _cancel_tasks(self) -> None:
+        tasks = list(self._tasks)
+        for task in tasks:
+            task.cancel()
+        await asyncio.gather(*tasks, return_exceptions=True)
+
+    async def _close_clients(self) -> None:
+        await self.parts.peers.close()
+        await self.parts.outside.endpoints.close()
+        await self.parts.outside.endpoint_list.close()
+        await self.parts.outside.store.close()
--- /dev/null
+++ b/src/bayhinge/_internal/services/host_parts.py
@@ -0,0 +1,186 @@
+"""Builds the parts of one host and keeps them together."""
+
+import random
+from collections.abc import Callable
+
+import attrs
+
+from bayhinge._internal.models.ids import new_incarnation
+from bayhinge._internal.models.settings import Settings
+from bayhinge._internal.network.endpoint_client import (
+    EndpointClient,
+    EndpointTimes,
+    HttpEndpointClient,
+)
+from bayhinge._internal.network.peer_link import PeerNetwork, Peers, TcpPeerNetwork
+from bayhinge._internal.platform.endpoint_list import EndpointList, HttpEndpointList
+from bayhinge._internal.platform.http_store import HttpObjectStore
+from bayhinge._internal.services.account_directory import AccountDirectory
+from bayhinge._internal.services.adoption import Adopter, OwnerLocator
+from bayhinge._internal.services.call_runner import CallRunner
+from bayhinge._internal.services.histories import HistoryCache
+from bayhinge._internal.services.latencies import Latencies
+from bayhinge._internal.services.owner import ProgramOwner
+from bayhinge._internal.services.owner_parts import OwnerParts
+from bayhinge._internal.services.program_registry import ProgramRegistry
+from bayhinge._internal.services.queue_home import QueueHome
+from bayhinge._internal.services.remote_grants import RemoteGrants
+from bayhinge._internal.services.router import CallRouter
+from bayhinge._internal.services.timeline import Timeline
+from bayhinge.coordination.clock import Clock, HybridClock
+from bayhinge.coordination.config_feed import ConfigFeed, FeedTimes
+from bayhinge.coordination.escrow import Escrow
+from bayhinge.coordination.journal import Journal, JournalReader
+from bayhinge.coordination.membership import HostInfo, HostState, Membership, MembershipTimes
+from bayhinge.coordination.pacing import WritePacer
+from bayhinge.coordination.store import ObjectStore
+
+JOURNALS = "journal"
+HOSTS = "hosts"
+LEDGERS = "ledgers"
+CONFIG_CHANGES = "config"
+
+
+@attrs.define
+class Outside:
+    """What a host meets outside; tests give their own."""
+
+    store: ObjectStore
+    endpoint_list: EndpointList
+    endpoints: EndpointClient
+    clock: Clock
+    random_unit: Callable[[], float]
+    network: PeerNetwork
+    serves_http: bool = True
+
+
+def outside_from_settings(settings: Settings, clock: Clock) -> Outside:
+    """Returns the real clients that settings name."""
+    seed = settings.host.seed or None
+    limits = settings.limits
+    times = EndpointTimes(
+        limits.connect_seconds, limits.first_byte_seconds, limits.between_bytes_seconds
+    )
+    return Outside(
+        HttpObjectStore(settings.store.url, settings.store.timeout_seconds),
+        HttpEndpointList(settings.endpoints.list_url, settings.store.timeout_seconds),
+        HttpEndpointClient(times),
+        clock,
+        (random.Random(seed) if seed else random.SystemRandom()).random,
+        TcpPeerNetwork(limits.connect_seconds),
+    )
+
+
+@attrs.define
+class HostParts:
+    """Every part of one host."""
+
+    settings: Settings
+    outside: Outside
+    hybrid_clock: HybridClock
+    timeline: Timeline
+    latencies: Latencies
+    journal: Journal
+    escrow: Escrow
+    feed: ConfigFeed
+    accounts: AccountDirectory
+    membership: Membership
+    peers: Peers
+    home: QueueHome
+    owner_parts: OwnerParts
+    registry: ProgramRegistry
+    owner: ProgramOwner
+    locator: OwnerLocator
+    adopter: Adopter
+    router: CallRouter
+
+
+def build_host_parts(settings: Settings, outside: Outside) -> HostParts:
+    """Builds the parts of a host for one start of its daemon."""
+    store = outside.store
+    prefix = settings.store.prefix
+    journals = f"{prefix}/{JOURNALS}"
+    incarnation = new_incarnation(settings.host.name, outside.random_unit)
+    hybrid_clock = HybridClock(outside.clock)
+    timeline = Timeline(settings.host.name, hybrid_clock)
+    pacer = WritePacer(settings.store.writes_per_second, settings.store.write_burst)
+    journal = Journal(
+        store, journals, incarnation, pacer, outside.random_unit, settings.store.spool_bytes
+    )
+    reader = JournalReader(store, journals)
+    escrow = Escrow(store, f"{prefix}/{LEDGERS}", incarnation, outside.random_unit)
+    times = FeedTimes(settings.config.poll_seconds, settings.config.stale_after_seconds)
+    feed = ConfigFeed(
+        store, f"{prefix}/{CONFIG_CHANGES}", outside.clock, outside.random_unit, times
+    )
+    accounts = AccountDirectory(feed)
+    membership = _build_membership(settings, outside, incarnation)
+    peers = outside.network.connect(hybrid_clock)
+    home = QueueHome(settings, outside.endpoints, timeline)
+    grants = RemoteGrants(membership, home, peers)
+    runner = CallRunner(
+        incarnation, settings, grants, outside.endpoints, timeline, outside.random_unit
+    )
+    owner_parts = OwnerParts(
+        settings=settings,
+        journal=journal,
+        reader=reader,
+        escrow=escrow,
+        accounts=accounts,
+        runner=runner,
+        grants=grants,
+        histories=HistoryCache(reader, settings.limits.history_bytes),
+        timeline=timeline,
+        clock=outside.clock,
+        random_unit=outside.random_unit,
+    )
+    registry = ProgramRegistry(owner_parts)
+    owner = ProgramOwner(owner_parts, registry)
+    locator = OwnerLocator(store, journals, membership)
+    adopter = Adopter(owner_parts, registry, store, journals, membership, locator)
+    router = CallRouter(
+        registry,
+        owner,
+        adopter,
+        locator,
+        membership,
+        peers,
+        settings.limits.default_max_tokens,
+    )
+    return HostParts(
+        settings=settings,
+        outside=outside,
+        hybrid_clock=hybrid_clock,
+        timeline=timeline,
+        latencies=Latencies(),
+        journal=journal,
+        escrow=escrow,
+        feed=feed,
+        accounts=accounts,
+        membership=membership,
+        peers=peers,
+        home=home,
+        owner_parts=owner_parts,
+        registry=registry,
+        owner=owner,
+        locator=locator,
+        adopter=adopter,
+        router=router,
+    )
+
+
+def _build_membership(settings: Settings, outside: Outside, incarnation: str) -> Membership:
+    me = HostInfo(
+        incarnation=incarnation,
+        host=settings.host.name,
+        hall=settings.host.hall,
+        peer_address=settings.host.peer_address,
+        public_address=settings.host.public_address,
+        state=HostState.SERVING,
+        applied_revision=0,
+        load=0.0,
+    )
+    times = MembershipTimes(
+        settings.membership.beat_seconds, settings.membership.dead_after_seconds
+    )
+    return Membership(outside.store, f"{settings.store.prefix}/{HOSTS}", me, times)
--- /dev/null
+++ b/src/bayhinge/_internal/services/owner.py
@@ -0,0 +1,477 @@
+"""The owner of programs: their order, history, budget, and what must run at most once."""
+
+import asyncio
+import logging
+from collections.abc import AsyncGenerator, Iterator
+
+import attrs
+
+from bayhinge._internal.commands.accept_call import (
+    AwaitTurn,
+    JoinCall,
+    NewMessages,
+    RefuseCall,
+    ReplayCall,
+    RunningView,
+    check_limits,
+    decide_call,
+    find_new_messages,
+)
+from bayhinge._internal.models.accounts import ClientAccount
+from bayhinge._internal.models.calls import AnswerItem, Call, CallKind, ModelCall
+from bayhinge._internal.models.events import Mechanism
+from bayhinge._internal.models.messages import assistant_message, estimate_tokens, extend_digest
+from bayhinge._internal.models.programs import CallEntry, ProgramState, UnfinishedCall
+from bayhinge._internal.models.refusals import (
+    CallAttempt,
+    Figure,
+    Refusal,
+    RefusalCode,
+    RefusedError,
+    RunState,
+    refusal_from_json,
+    refuse_unaccepted,
+)
+from bayhinge._internal.services.answers import LiveAnswer, replay
+from bayhinge._internal.services.call_runner import CallResult, PreparedCall
+from bayhinge._internal.services.owner_parts import (
+    OwnedProgram,
+    OwnerParts,
+    RunningCall,
+    refuse_for_store,
+    refuse_moved,
+)
+from bayhinge._internal.services.program_registry import ProgramRegistry
+from bayhinge._internal.services.record_codec import (
+    WIRE_KIND,
+    apply_finished,
+    decode_record,
+    encode_finished,
+    encode_started,
+    encode_withdrawn,
+    end_from_wire,
+    end_to_wire,
+)
+from bayhinge._internal.wire import ttypes as wire
+from bayhinge.coordination.errors import (
+    BudgetExceededError,
+    CoordinationError,
+    FencedError,
+    JournalFullError,
+)
+from bayhinge.coordination.escrow import Reservation
+
+logger = logging.getLogger(__name__)
+
+BUDGET_RETRY_S = 5.0
+
+
+@attrs.frozen
+class _Admitted:
+    """A call that has passed every check, with its part of the budget set aside."""
+
+    prepared: PreparedCall
+    new: NewMessages | None
+    reservation: Reservation | None
+
+
+class ProgramOwner:
+    """Serves the calls of the programs in a registry."""
+
+    def __init__(self, parts: OwnerParts, registry: ProgramRegistry) -> None:
+        """Takes what it works with and the programs."""
+        self._parts = parts
+        self._registry = registry
+        self._tasks: set[asyncio.Task[None]] = set()
+
+    @property
+    def running_count(self) -> int:
+        """Calls that run now."""
+        return len(self._tasks)
+
+    async def drain(self) -> None:
+        """Waits until no call runs."""
+        while self._tasks:
+            await asyncio.wait(list(self._tasks))
+
+    def abandon(self) -> None:
+        """Drops every running call, as a death of the process does."""
+        for task in list(self._tasks):
+            task.cancel()
+
+    async def call(self, call: Call) -> AsyncGenerator[AnswerItem, None]:
+        """Yields the answer to a call.
+
+        A caller that stops following does not stop the call: its answer is recorded
+        and can be collected.
+
+        Raises:
+            RefusedError: the call gets no answer.
+        """
+        program = self._find(call)
+        deadline = asyncio.get_running_loop().time() + call.patience_s
+        while True:
+            if program.has_moved:
+                raise RefusedError(refuse_moved())
+            running = program.running
+            view = None if running is None else running.view
+            decision = decide_call(program.state, call, view)
+            if isinstance(decision, RefuseCall):
+                self._record_refusal(program.state, call, decision.refusal)
+                raise RefusedError(decision.refusal)
+            if isinstance(decision, ReplayCall):
+                async for item in self._replay(program.state, decision.entry, call.resume_offset):
+                    yield item
+                return
+            if isinstance(decision, AwaitTurn):
+                await self._await_turn(program, decision.index, deadline)
+                continue
+            if program.is_moving and not isinstance(decision, JoinCall):
+                await self._await_turn(program, program.state.next_index, deadline)
+                continue
+            if not isinstance(decision, JoinCall):
+                running = self._start(program, call, deadline)
+            assert running is not None
+            async for item in running.live.follow(call.resume_offset):
+                yield item
+            return
+
+    async def collect(
+        self, account: str, program_id: str, index: int, offset: int
+    ) -> AsyncGenerator[AnswerItem, None]:
+        """Yields the answer to an earlier call, running or recorded.
+
+        Raises:
+            RefusedError: there is no such call.
+        """
+        program = self._registry.find(program_id)
+        if program is None or program.state.account != account:
+            raise RefusedError(_unknown(program_id))
+        running = program.running
+        if running is not None and running.view.index == index:
+            async for item in running.live.follow(offset):
+                yield item
+            return
+        if index >= program.state.next_index:
+            why = (
+                f"call {index} has no recorded answer; the next call is {program.state.next_index}"
+            )
+            raise RefusedError(refuse_unaccepted(RefusalCode.NOT_RECORDED, why))
+        async for item in self._replay(program.state, program.state.calls[index], offset):
+            yield item
+
+    # ---- starting ----
+
+    def _find(self, call: Call) -> OwnedProgram:
+        program = self._registry.find(str(call.program))
+        if program is None or program.state.account != call.account:
+            # The same words for both: nobody learns of another account's programs.
+            raise RefusedError(_unknown(str(call.program)))
+        return program
+
+    async def _await_turn(self, program: OwnedProgram, index: int, deadline: float) -> None:
+        changed = program.changed
+        remaining = deadline - asyncio.get_running_loop().time()
+        try:
+            await asyncio.wait_for(changed.wait(), max(0.0, remaining))
+        except TimeoutError:
+            refusal = refuse_unaccepted(
+                RefusalCode.INDEX_GAP,
+                f"call {index} has waited for the calls before it as long as its patience allows",
+                Figure("next_index", program.state.next_index),
+                retry_after_s=1.0,
+            )
+            raise RefusedError(refusal) from None
+
+    def _start(self, program: OwnedProgram, call: Call, deadline: float) -> RunningCall:
+        index = program.state.next_index
+        running = RunningCall(RunningView(index, call.digest, call.idempotency_key), LiveAnswer())
+        program.running = running
+        task = asyncio.create_task(self._run(program, running, call, deadline))
+        running.task = task
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+        return running
+
+    async def _run(
+        self, program: OwnedProgram, running: RunningCall, call: Call, deadline: float
+    ) -> None:
+        try:
+            await self._run_admitted(program, running, call, deadline)
+        except RefusedError as error:
+            self._record_refusal(program.state, call, error.refusal)
+            running.live.refuse(error.refusal)
+        except asyncio.CancelledError:
+            running.live.refuse(
+                Refusal(RefusalCode.CANCELLED, RunState.MAY_HAVE_RUN, "the program was ended")
+            )
+            raise
+        except Exception:
+            # A fault of ours must not leave the caller waiting for ever.
+            logger.exception("call %s of %s failed", running.view.index, call.program)
+            running.live.refuse(
+                Refusal(
+                    RefusalCode.OUTCOME_UNKNOWN,
+                    RunState.MAY_HAVE_RUN,
+                    "the owner failed while it ran the call; see its log",
+                )
+            )
+        finally:
+            program.running = None
+            program.wake()
+
+    async def _run_admitted(
+        self, program: OwnedProgram, running: RunningCall, call: Call, deadline: float
+    ) -> None:
+        admitted = await self._admit(program, running.view.index, call, deadline)
+        work = call.work
+        used = 0 if admitted.reservation is None else admitted.reservation.units
+        try:
+            if isinstance(work, ModelCall):
+                program.used_pools.update(self._pools(work))
+                result = await self._parts.runner.run_model(admitted.prepared, running.live)
+                used = result.end.usage.total
+            else:
+                result = await self._run_service(program, admitted.prepared)
+        except RefusedError as error:
+            if error.refusal.run_state is RunState.NOT_RUN:
+                used = 0
+            raise
+        finally:
+            if admitted.reservation is not None:
+                self._parts.escrow.settle(admitted.reservation, used)
+        await self._finish(program, running, admitted, result)
+
+    def _pools(self, work: ModelCall) -> Iterator[str]:
+        pool = self._parts.settings.pool_of_model(work.model)
+        if pool is not None:
+            yield pool.name
+
+    async def _admit(
+        self, program: OwnedProgram, index: int, call: Call, deadline: float
+    ) -> _Admitted:
+        state = program.state
+        found = self._parts.accounts.find(state.account)
+        if found.is_error():
+            raise RefusedError(refuse_unaccepted(RefusalCode.FORBIDDEN, found.error))
+        account = found.ok
+        refusal = next(check_limits(account, state, call), None)
+        if refusal is not None:
+            raise RefusedError(refusal)
+        if not isinstance(call.work, ModelCall):
+            return _Admitted(PreparedCall(state, account, call, index, (), deadline), None, None)
+        new = find_new_messages(state, call.work)
+        if new.is_error():
+            raise RefusedError(new.error)
+        prompt = await self._prompt(state, call.work, new.ok)
+        reservation = await self._reserve(account, call.work, prompt)
+        prepared = PreparedCall(state, account, call, index, prompt, deadline)
+        return _Admitted(prepared, new.ok, reservation)
+
+    async def _prompt(
+        self, state: ProgramState, work: ModelCall, new: NewMessages
+    ) -> tuple[bytes, ...]:
+        if new.rewrite or not state.message_count:
+            return new.messages
+        if len(work.messages) > len(new.messages):
+            # The caller sent the whole list, and it was found equal to the record.
+            return work.messages
+        try:
+            return (*await self._parts.histories.get(state), *new.messages)
+        except CoordinationError as error:
+            raise RefusedError(refuse_for_store(CallAttempt(), error)) from error
+
+    async def _reserve(
+        self, account: ClientAccount, work: ModelCall, prompt: tuple[bytes, ...]
+    ) -> Reservation:
+        units = estimate_tokens(prompt) + work.max_tokens
+        try:
+            return await self._parts.escrow.reserve(account.name, units, account.budget_tokens)
+        except BudgetExceededError as error:
+            refusal = refuse_unaccepted(
+                RefusalCode.BUDGET_EXCEEDED,
+                "the client account's budget has no room for this call's worst case",
+                Figure("needed_tokens", error.wanted),
+                Figure("free_on_this_host", error.available),
+                Figure("budget_tokens", account.budget_tokens),
+                retry_after_s=BUDGET_RETRY_S,
+            )
+            raise RefusedError(refusal) from error
+        except CoordinationError as error:
+            raise RefusedError(refuse_for_store(CallAttempt(), error)) from error
+
+    # ---- calls that may not be repeated ----
+
+    async def _run_service(self, program: OwnedProgram, prepared: PreparedCall) -> CallResult:
+        if prepared.call.repeatable:
+            return await self._parts.runner.run_service(prepared, None)
+        if not self._parts.journal.store_ok:
+            why = "the call may not be repeated, and its start can't be recorded now"
+            refusal = refuse_unaccepted(RefusalCode.STORE_UNAVAILABLE, why, retry_after_s=2.0)
+            raise RefusedError(refusal)
+
+        async def record_start(endpoint: str, attempt: CallAttempt) -> None:
+            await self._record_start(program, prepared, endpoint, attempt)
+
+        try:
+            return await self._parts.runner.run_service(prepared, record_start)
+        except RefusedError as error:
+            await self._after_single_run_refused(program, prepared, error.refusal)
+            raise
+
+    async def _record_start(
+        self, program: OwnedProgram, prepared: PreparedCall, endpoint: str, attempt: CallAttempt
+    ) -> None:
+        call = prepared.call
+        started = UnfinishedCall(prepared.index, call.digest, call.idempotency_key, endpoint)
+        program.state.unfinished = started
+        remaining = prepared.deadline - asyncio.get_running_loop().time()
+        try:
+            durable = self._parts.journal.append(encode_started(program.state, started))
+            await asyncio.wait_for(asyncio.shield(durable), max(0.0, remaining))
+        except TimeoutError as error:
+            why = "the call's start could not be recorded within the caller's patience"
+            refusal = attempt.refuse(RefusalCode.STORE_UNAVAILABLE, why, retry_after_s=2.0)
+            raise RefusedError(refusal) from error
+        except (FencedError, JournalFullError) as error:
+            raise RefusedError(refuse_for_store(attempt, error)) from error
+
+    async def _after_single_run_refused(
+        self, program: OwnedProgram, prepared: PreparedCall, refusal: Refusal
+    ) -> None:
+        """Records what is known, so that a successor does not have to guess."""
+        state = program.state
+        if state.unfinished is None:
+            return
+        state.unfinished = None
+        try:
+            if refusal.run_state is RunState.NOT_RUN:
+                self._parts.journal.append(encode_withdrawn(state.program_id, prepared.index))
+                return
+            finished = _failure_record(state, prepared, refusal)
+            position = await self._parts.journal.append(encode_finished(finished))
+            apply_finished(state, finished, position)
+        except (FencedError, JournalFullError) as error:
+            logger.warning("the outcome of a call could not be recorded: %s", error)
+
+    # ---- finishing ----
+
+    async def _finish(
+        self,
+        program: OwnedProgram,
+        running: RunningCall,
+        admitted: _Admitted,
+        result: CallResult,
+    ) -> None:
+        state = program.state
+        finished = _finished_record(state, admitted, result, running.live.text)
+        try:
+            position = await self._parts.journal.append(encode_finished(finished))
+        except (FencedError, JournalFullError) as error:
+            attempt = CallAttempt(sends=1, answered=True)
+            raise RefusedError(refuse_for_store(attempt, error)) from error
+        entry = apply_finished(state, finished, position)
+        if admitted.new is not None:
+            answer = assistant_message(running.live.text, result.end.tool_calls)
+            messages = (*admitted.new.messages, answer)
+            self._parts.histories.append(state, messages, admitted.new.rewrite)
+        self._parts.timeline.record(
+            Mechanism.OWNER,
+            "finished",
+            "the answer is whole and recorded",
+            Figure("service_s", round(result.service_s, 4)),
+            Figure("prompt_tokens", result.end.usage.prompt_tokens),
+            Figure("cached_tokens", result.end.usage.cached_tokens),
+            Figure("completion_tokens", result.end.usage.completion_tokens),
+            program=str(state.program_id),
+            account=state.account,
+            endpoint=result.endpoint,
+            index=entry.index,
+        )
+        running.live.finish(result.end)
+
+    async def _replay(
+        self, state: ProgramState, entry: CallEntry, offset: int
+    ) -> AsyncGenerator[AnswerItem, None]:
+        try:
+            record = decode_record(await self._parts.reader.read_record(entry.position))
+        except CoordinationError as error:
+            attempt = CallAttempt(sends=1, answered=True)
+            raise RefusedError(refuse_for_store(attempt, error)) from error
+        finished = record.finished
+        if finished.failure is not None:
+            raise RefusedError(refusal_from_json(finished.failure))
+        async for item in replay(finished.text, end_from_wire(finished.answer), offset):
+            yield item
+
+    def _record_refusal(self, state: ProgramState, call: Call, refusal: Refusal) -> None:
+        self._parts.timeline.record(
+            Mechanism.OWNER,
+            f"refused: {refusal.code}",
+            refusal.why,
+            *refusal.figures,
+            program=str(state.program_id),
+            account=state.account,
+            index=state.next_index if call.index is None else call.index,
+        )
+
+
+def _unknown(program: str) -> Refusal:
+    why = f"no program '{program}' of this client account is known here"
+    return refuse_unaccepted(RefusalCode.UNKNOWN_PROGRAM, why)
+
+
+def _finished_record(
+    state: ProgramState, admitted: _Admitted, result: CallResult, text: str
+) -> wire.CallFinished:
+    call, new = admitted.prepared.call, admitted.new
+    kind = CallKind.MODEL if new is not None else CallKind.SERVICE
+    messages: tuple[bytes, ...] = ()
+    count, digest = state.message_count, state.history_digest
+    if new is not None:
+        answer = assistant_message(text, result.end.tool_calls)
+        messages = new.messages
+        count = (0 if new.rewrite else count) + len(messages) + 1
+        digest = extend_digest(new.digest, [answer])
+    return wire.CallFinished(
+        str(state.program_id),
+        admitted.prepared.index,
+        call.digest,
+        call.idempotency_key,
+        WIRE_KIND[kind],
+        list(messages),
+        new is not None and new.rewrite,
+        count,
+        digest,
+        end_to_wire(result.end),
+        result.end.usage.total,
+        text,
+        result.service_s,
+        None,
+    )
+
+
+def _failure_record(
+    state: ProgramState, prepared: PreparedCall, refusal: Refusal
+) -> wire.CallFinished:
+    return wire.CallFinished(
+        str(state.program_id),
+        prepared.index,
+        prepared.call.digest,
+        prepared.call.idempotency_key,
+        WIRE_KIND[CallKind.SERVICE],
+        [],
+        False,
+        state.message_count,
+        state.history_digest,
+        failed_end(prepared.index, refusal),
+        0,
+        "",
+        0.0,
+        refusal.to_json(),
+    )
+
+
+def failed_end(index: int, refusal: Refusal) -> wire.AnswerEnd:
+    """Returns the end of an answer that never came."""
+    return wire.AnswerEnd(index, refusal.http_status, "", b"", "", 0, 0, 0, None, "")
--- /dev/null
+++ b/src/bayhinge/_internal/services/peer_service.py
@@ -0,0 +1,134 @@
+"""What a host does for its peers."""
+
+from collections.abc import AsyncIterator, Awaitable, Callable
+
+import orjson
+from expression import Result
+
+from bayhinge._internal.exceptions import FrameError
+from bayhinge._internal.models.ids import parse_program_id
+from bayhinge._internal.models.refusals import (
+    Refusal,
+    RefusalCode,
+    RefusedError,
+    refuse_unaccepted,
+)
+from bayhinge._internal.network.frames import decode_message, encode_message
+from bayhinge._internal.network.peer_link import PeerHandler
+from bayhinge._internal.services.call_codec import decode_call, encode_item
+from bayhinge._internal.services.host_parts import HostParts
+from bayhinge._internal.services.local_queries import LocalQueries
+from bayhinge._internal.services.program_opener import ProgramOpener
+from bayhinge._internal.services.record_codec import state_from_adopted
+from bayhinge._internal.services.remote_grants import done_from_wire, offer_from_wire
+from bayhinge._internal.wire import ttypes as wire
+
+NEWS_CHANGES = 200
+"""Changes of configuration that one exchange of news carries at most."""
+
+
+class PeerService(PeerHandler):
+    """Handles the streams that peers open."""
+
+    def __init__(self, parts: HostParts, opener: ProgramOpener, queries: LocalQueries) -> None:
+        """Takes the parts of this host."""
+        self._parts = parts
+        self._opener = opener
+        self._queries = queries
+        self._answer_by_method: dict[str, Callable[[bytes], Awaitable[bytes]]] = {
+            "grant": self._grant,
+            "done": self._done,
+            "gone": self._gone,
+            "program": self._program,
+            "open": self._open,
+            "adopt": self._adopt,
+            "news": self._news,
+            "query": self._query,
+        }
+
+    async def handle(self, method: str, payload: bytes) -> AsyncIterator[bytes]:
+        """See :class:`PeerHandler`."""
+        if method == "call":
+            async for item in self._parts.router.call(decode_call(payload)):
+                yield encode_item(item)
+        elif method == "collect":
+            asked = decode_message(wire.CollectRequest(), payload)
+            async for item in self._parts.router.collect(
+                asked.account, asked.program, asked.index, asked.offset, asked.hops
+            ):
+                yield encode_item(item)
+        else:
+            yield await self._answer(method, payload)
+
+    async def _answer(self, method: str, payload: bytes) -> bytes:
+        answer = self._answer_by_method.get(method)
+        if answer is None:
+            why = f"method '{method[:40]}' is unknown; is this host's version older?"
+            raise RefusedError(refuse_unaccepted(RefusalCode.BAD_REQUEST, why))
+        return await answer(payload)
+
+    async def _done(self, payload: bytes) -> bytes:
+        message = decode_message(wire.GrantDone(), payload)
+        self._parts.home.done(message.pool, done_from_wire(message))
+        return b""
+
+    async def _gone(self, payload: bytes) -> bytes:
+        gone = decode_message(wire.ProgramGone(), payload)
+        self._parts.home.program_ended(gone.pool, gone.program)
+        return b""
+
+    async def _program(self, payload: bytes) -> bytes:
+        asked = decode_message(wire.ProgramRequest(), payload)
+        return _whole(
+            await self._parts.router.command(asked.verb, asked.account, asked.program, asked.hops)
+        )
+
+    async def _adopt(self, payload: bytes) -> bytes:
+        record = decode_message(wire.Record(), payload)
+        if record.adopted is None:
+            raise FrameError("no adopted program")
+        await self._parts.adopter.take_handed_over(state_from_adopted(record.adopted))
+        return b""
+
+    async def _query(self, payload: bytes) -> bytes:
+        query = decode_message(wire.OperatorQuery(), payload)
+        return _whole(self._queries.answer(query.name, query.parameters))
+
+    async def _grant(self, payload: bytes) -> bytes:
+        request = decode_message(wire.GrantRequest(), payload)
+        granted = await self._parts.home.request(request.pool, offer_from_wire(request))
+        reply = wire.GrantReply(
+            granted.grant, granted.endpoint, granted.address, granted.waited_s, granted.reason
+        )
+        return encode_message(reply)
+
+    async def _open(self, payload: bytes) -> bytes:
+        asked = decode_message(wire.ProgramRequest(), payload)
+        account = self._parts.accounts.find(asked.account)
+        if account.is_error():
+            raise RefusedError(refuse_unaccepted(RefusalCode.FORBIDDEN, account.error))
+        parent = None if parse_program_id(asked.program) is None else asked.program
+        key = asked.verb or None
+        return orjson.dumps(_whole_text(await self._opener.open_here(account.ok, parent, key)))
+
+    async def _news(self, payload: bytes) -> bytes:
+        news = decode_message(wire.News(), payload)
+        feed = self._parts.feed
+        feed.hear(news.revision)
+        changes = feed.changes_after(news.revision, NEWS_CHANGES)
+        reply = wire.NewsReply(
+            self._parts.journal.incarnation, feed.revision, news.revision + 1, changes
+        )
+        return encode_message(reply)
+
+
+def _whole(result: Result[bytes, Refusal]) -> bytes:
+    if result.is_error():
+        raise RefusedError(result.error)
+    return result.ok
+
+
+def _whole_text(result: Result[str, Refusal]) -> str:
+    if result.is_error():
+        raise RefusedError(result.error)
+    return result.ok
--- /dev/null
+++ b/src/bayhinge/_internal/services/planned_stop.py
@@ -0,0 +1,117 @@
+"""A planned stop: hand every program over, cut no request.
+
+The successors are announced in the journal first. Then each program is handed over
+as soon as no call of it runs; calls that come meanwhile wait, and follow it to its
+new owner. At last the journal is sealed with the same successors.
+"""
+
+import asyncio
+import logging
+
+import attrs
+
+from bayhinge._internal.exceptions import PeerFailureError, PeerUnreachableError
+from bayhinge._internal.models.events import Mechanism
+from bayhinge._internal.models.refusals import Figure
+from bayhinge._internal.network.peer_link import Peers
+from bayhinge._internal.services.adoption import MAX_SUCCESSORS, OwnerLocator
+from bayhinge._internal.services.owner import ProgramOwner
+from bayhinge._internal.services.owner_parts import OwnedProgram, OwnerParts
+from bayhinge._internal.services.program_registry import ProgramRegistry
+from bayhinge._internal.services.record_codec import encode_adopted
+from bayhinge.coordination.errors import FencedError, StoreError
+from bayhinge.coordination.journal import SealInfo
+from bayhinge.coordination.membership import HostState, Membership
+from bayhinge.coordination.rendezvous import choose, rank
+
+logger = logging.getLogger(__name__)
+
+LOOK_S = 0.05
+MOVES_AT_ONCE = 16
+
+
+class PlannedStop:
+    """Carries one planned stop out."""
+
+    def __init__(
+        self,
+        parts: OwnerParts,
+        owner: ProgramOwner,
+        registry: ProgramRegistry,
+        membership: Membership,
+        locator: OwnerLocator,
+        peers: Peers,
+    ) -> None:
+        """Takes the owner that stops and the way to its successors."""
+        self._parts = parts
+        self._owner = owner
+        self._registry = registry
+        self._membership = membership
+        self._locator = locator
+        self._peers = peers
+
+    async def run(self, longest_s: float) -> bool:
+        """Hands everything over; returns False where time ran out or nobody is left.
+
+        What could not be handed over is found by the successors as after a death.
+        """
+        me = self._membership.me
+        self._membership.describe(attrs.evolve(me, state=HostState.LEAVING))
+        await self._membership.step()
+        others = [
+            info.incarnation
+            for info in self._membership.serving()
+            if info.incarnation != me.incarnation
+        ]
+        successors = rank(me.incarnation, others)[:MAX_SUCCESSORS]
+        self._record("leaving", "a planned stop began", Figure("successors", len(successors)))
+        try:
+            async with asyncio.timeout(longest_s):
+                if not successors:
+                    await self._owner.drain()
+                    await self._parts.journal.flush()
+                    return False
+                await self._hand_over(successors)
+                await self._parts.journal.seal(successors, "a planned stop")
+        except (TimeoutError, FencedError, StoreError) as error:
+            logger.warning("the planned stop is not complete: %s", error or "time ran out")
+            return False
+        self._record("handed over", "every program has a new owner")
+        return True
+
+    async def _hand_over(self, successors: list[str]) -> None:
+        await self._parts.journal.announce(successors)
+        seal = SealInfo(tuple(successors), self._membership.me.incarnation, "a planned stop")
+        self._locator.note_seal(self._membership.me.incarnation, seal)
+        while True:
+            live = [program for program in self._registry.all() if not program.state.ended]
+            if not live:
+                return
+            idle = [program for program in live if program.running is None][:MOVES_AT_ONCE]
+            for program in idle:
+                program.is_moving = True
+            await asyncio.gather(*(self._move(program, successors) for program in idle))
+            if not idle:
+                await asyncio.sleep(LOOK_S)
+
+    async def _move(self, program: OwnedProgram, successors: list[str]) -> None:
+        # Records of the program that still wait must be in the journal before another
+        # host reads it.
+        await self._parts.journal.flush()
+        target = choose(str(program.state.program_id), successors)
+        info = self._membership.find(target or "")
+        if info is not None:
+            payload = encode_adopted(program.state)
+            try:
+                await self._peers.call(info.peer_address, "adopt", payload)
+            except (PeerUnreachableError, PeerFailureError) as error:
+                # It may have taken the program all the same. Only its journal can tell,
+                # so this host must not serve the program again; look-ups go through the
+                # announced successors.
+                logger.warning("%s was handed over unheard: %s", program.state.program_id, error)
+        self._registry.remove(program)
+        program.has_moved = True
+        program.wake()
+
+    def _record(self, what: str, why: str, *figures: Figure) -> None:
+        self._parts.timeline.record(Mechanism.MEMBERSHIP, what, why, *figures)
--- /dev/null
+++ b/src/bayhinge/_internal/services/program_registry.py
@@ -0,0 +1,184 @@
+"""The programs that a host owns: opened, found, ended."""
+
+import asyncio
+from collections import Counter
+from collections.abc import Iterator
+
+import attrs
+from expression import Error, Ok, Result
+
+from bayhinge._internal.models.accounts import ClientAccount
+from bayhinge._internal.models.events import Mechanism
+from bayhinge._internal.models.ids import ProgramId
+from bayhinge._internal.models.programs import ProgramState
+from bayhinge._internal.models.refusals import CallAttempt, Figure, Refusal
+from bayhinge._internal.services.owner_parts import (
+    OwnedProgram,
+    OwnerParts,
+    refuse_for_store,
+    refuse_too_many,
+    refuse_unvouched,
+)
+from bayhinge._internal.services.record_codec import encode_ended, encode_opened
+from bayhinge.coordination.errors import FencedError, JournalFullError
+from bayhinge.coordination.journal import RecordPosition
+
+ENDED_KEPT = 2000
+"""Ended programs whose answers can still be collected, per host."""
+
+
+@attrs.frozen
+class BegunProgram:
+    """A program that is open in memory, and when it is durable."""
+
+    program: OwnedProgram
+    durable: "asyncio.Future[RecordPosition]"
+
+
+class ProgramRegistry:
+    """Every program of one owner, by its identifier."""
+
+    def __init__(self, parts: OwnerParts) -> None:
+        """Starts with no programs."""
+        self._parts = parts
+        self._programs_by_id: dict[str, OwnedProgram] = {}
+        self._ended_ids: dict[str, None] = {}
+        self._id_by_opening_key: dict[str, str] = {}
+        self._live_by_account: Counter[str] = Counter()
+        self._next_number = 0
+
+    def find(self, program: str) -> OwnedProgram | None:
+        """Returns a program that this host owns."""
+        return self._programs_by_id.get(program)
+
+    def all(self) -> list[OwnedProgram]:
+        """Returns the programs that this host owns, ended ones it still keeps included."""
+        return list(self._programs_by_id.values())
+
+    @property
+    def live_count(self) -> int:
+        """How many programs have not ended."""
+        return self._live_by_account.total()
+
+    def add(self, program: OwnedProgram) -> None:
+        """Adds a program that was adopted."""
+        state = program.state
+        self._programs_by_id[str(state.program_id)] = program
+        if state.ended is None:
+            self._live_by_account[state.account] += 1
+        if state.idempotency_key is not None:
+            key = f"{state.account}/{state.idempotency_key}"
+            self._id_by_opening_key[key] = str(state.program_id)
+
+    def remove(self, program: OwnedProgram) -> None:
+        """Drops a program that was handed over."""
+        state = program.state
+        del self._programs_by_id[str(state.program_id)]
+        if state.ended is None:
+            self._live_by_account[state.account] -= 1
+        self._parts.histories.drop(str(state.program_id))
+
+    async def open(
+        self, account: ClientAccount, parent: str | None, idempotency_key: str | None
+    ) -> Result[OwnedProgram, Refusal]:
+        """Opens a program; it is durable when this returns."""
+        begun = self.begin(account, parent, idempotency_key)
+        if begun.is_error():
+            return Error(begun.error)
+        try:
+            await begun.ok.durable
+        except FencedError as error:
+            return Error(refuse_for_store(CallAttempt(), error))
+        return Ok(begun.ok.program)
+
+    def begin(
+        self, account: ClientAccount, parent: str | None, idempotency_key: str | None
+    ) -> Result[BegunProgram, Refusal]:
+        """Opens a program without waiting until it is durable.
+
+        Its first call is recorded behind it in the same journal, so a program of one
+        call needs no write of its own.
+        """
+        again = self._find_opened(account, idempotency_key)
+        if again is not None:
+            return Ok(again)
+        refusal = next(self._check_open(account), None)
+        if refusal is not None:
+            return Error(refusal)
+        state = ProgramState(
+            ProgramId(self._parts.journal.incarnation, self._next_number),
+            account.name,
+            parent,
+            self._parts.clock.wall_ms(),
+            idempotency_key,
+        )
+        try:
+            durable = self._parts.journal.append(encode_opened(state))
+        except (FencedError, JournalFullError) as error:
+            return Error(refuse_for_store(CallAttempt(), error))
+        self._next_number += 1
+        program = OwnedProgram(state)
+        self.add(program)
+        self._record(state, "opened", "a caller began a program")
+        return Ok(BegunProgram(program, durable))
+
+    async def end(self, program: OwnedProgram, reason: str) -> Result[ProgramId, Refusal]:
+        """Ends a program and waits until that is durable; twice is the same as once."""
+        state = program.state
+        if state.ended is not None:
+            return Ok(state.program_id)
+        if program.running is not None and program.running.task is not None:
+            program.running.task.cancel()
+        state.ended = reason
+        self._live_by_account[state.account] -= 1
+        self._record(
+            state,
+            "ended",
+            reason,
+            Figure("calls", state.next_index),
+            Figure("spent_tokens", state.spend),
+        )
+        self._parts.grants.program_ended(str(state.program_id), frozenset(program.used_pools))
+        self._parts.histories.drop(str(state.program_id))
+        program.wake()
+        try:
+            await self._parts.journal.append(encode_ended(state.program_id, reason))
+        except (FencedError, JournalFullError) as error:
+            return Error(refuse_for_store(CallAttempt(), error))
+        self._forget_oldest(str(state.program_id))
+        return Ok(state.program_id)
+
+    def _find_opened(self, account: ClientAccount, key: str | None) -> BegunProgram | None:
+        if key is None:
+            return None
+        program = self.find(self._id_by_opening_key.get(f"{account.name}/{key}", ""))
+        if program is None:
+            return None
+        durable: asyncio.Future[RecordPosition] = asyncio.get_running_loop().create_future()
+        durable.set_result(RecordPosition("", 0, 0))
+        return BegunProgram(program, durable)
+
+    def _check_open(self, account: ClientAccount) -> Iterator[Refusal]:
+        if not self._parts.accounts.is_current():
+            yield refuse_unvouched()
+        live = self._live_by_account[account.name]
+        if live >= account.max_programs:
+            yield refuse_too_many(live, account.max_programs)
+
+    def _forget_oldest(self, program: str) -> None:
+        self._ended_ids[program] = None
+        while len(self._ended_ids) > ENDED_KEPT:
+            oldest = next(iter(self._ended_ids))
+            del self._ended_ids[oldest]
+            state = self._programs_by_id.pop(oldest).state
+            self._id_by_opening_key.pop(f"{state.account}/{state.idempotency_key}", None)
+
+    def _record(self, state: ProgramState, what: str, why: str, *figures: Figure) -> None:
+        self._parts.timeline.record(
+            Mechanism.OWNER,
+            what,
+            why,
+            *figures,
+            program=str(state.program_id),
+            account=state.account,
+        )
--- /dev/null
+++ b/src/bayhinge/_internal/services/record_codec.py
@@ -0,0 +1,198 @@
+"""The journal's records of programs, as thrift structs and back."""
+
+from bayhinge._internal.models.calls import AnswerEnd, CallKind, Usage
+from bayhinge._internal.models.ids import ProgramId, parse_program_id
+from bayhinge._internal.models.programs import CallEntry, ProgramState, UnfinishedCall
+from bayhinge._internal.network.frames import decode_message, encode_message
+from bayhinge._internal.wire import ttypes as wire
+from bayhinge.coordination.errors import CorruptObjectError
+from bayhinge.coordination.journal import JournalRecord, RecordPosition
+
+WIRE_KIND = {CallKind.MODEL: wire.CallKind.MODEL, CallKind.SERVICE: wire.CallKind.SERVICE}
+
+
+def encode_opened(state: ProgramState) -> bytes:
+    """Encodes that a program was opened."""
+    return encode_message(wire.Record(opened=_opened(state)))
+
+
+def encode_started(state: ProgramState, call: UnfinishedCall) -> bytes:
+    """Encodes that a call which may not be repeated is about to be sent."""
+    return encode_message(wire.Record(started=_started(state, call)))
+
+
+def encode_withdrawn(program: ProgramId, index: int) -> bytes:
+    """Encodes that a started call was never sent."""
+    return encode_message(wire.Record(withdrawn=wire.CallWithdrawn(str(program), index)))
+
+
+def encode_ended(program: ProgramId, reason: str) -> bytes:
+    """Encodes that a program has ended."""
+    return encode_message(wire.Record(ended=wire.ProgramEnded(str(program), reason)))
+
+
+def encode_finished(finished: wire.CallFinished) -> bytes:
+    """Encodes a finished call."""
+    return encode_message(wire.Record(finished=finished))
+
+
+def encode_adopted(state: ProgramState) -> bytes:
+    """Encodes a program's whole state but its messages, which stay where they are."""
+    unfinished = None if state.unfinished is None else _started(state, state.unfinished)
+    calls = [
+        wire.AdoptedCall(
+            call.position.incarnation,
+            call.position.sequence,
+            call.position.entry,
+            call.digest,
+            call.idempotency_key,
+            call.message_count,
+            call.history_digest,
+            call.has_messages,
+        )
+        for call in state.calls
+    ]
+    adopted = wire.ProgramAdopted(
+        _opened(state),
+        state.spend,
+        calls,
+        state.history_base,
+        unfinished,
+        state.ended,
+        state.attained_s,
+    )
+    return encode_message(wire.Record(adopted=adopted))
+
+
+def decode_record(record: JournalRecord) -> wire.Record:
+    """Decodes a record.
+
+    Raises:
+        CorruptObjectError: it can't be read.
+    """
+    try:
+        return decode_message(wire.Record(), record.data)
+    except Exception as error:
+        raise CorruptObjectError(_name(record.position), str(error)) from error
+
+
+def program_of(record: wire.Record) -> str:
+    """Returns the identifier of the program that a record belongs to."""
+    if record.adopted is not None:
+        return str(record.adopted.opened.program)
+    body = record.opened or record.started or record.finished or record.ended or record.withdrawn
+    return str(body.program)
+
+
+def state_from_opened(opened: wire.ProgramOpened) -> ProgramState:
+    """Returns the state of a program that was just opened."""
+    program_id = parse_program_id(opened.program)
+    if program_id is None:
+        raise CorruptObjectError(opened.program, "it is no program's identifier")
+    return ProgramState(
+        program_id, opened.account, opened.parent, opened.opened_at_ms, opened.idempotency_key
+    )
+
+
+def state_from_adopted(adopted: wire.ProgramAdopted) -> ProgramState:
+    """Returns the state that an earlier successor wrote down."""
+    state = state_from_opened(adopted.opened)
+    state.spend = adopted.spend
+    state.attained_s = adopted.attained_s
+    state.history_base = adopted.history_base
+    state.ended = adopted.ended
+    for index, call in enumerate(adopted.calls):
+        position = RecordPosition(call.incarnation, call.sequence, call.entry)
+        entry = CallEntry(
+            index,
+            position,
+            call.digest,
+            call.idempotency_key,
+            call.message_count,
+            call.history_digest,
+            call.has_messages,
+        )
+        state.calls.append(entry)
+        state.recent_digests.append(entry.digest)
+    if adopted.unfinished is not None:
+        state.unfinished = unfinished_from_wire(adopted.unfinished)
+    return state
+
+
+def unfinished_from_wire(started: wire.CallStarted) -> UnfinishedCall:
+    """Returns the call that was started."""
+    return UnfinishedCall(started.index, started.digest, started.idempotency_key, started.endpoint)
+
+
+def apply_finished(
+    state: ProgramState, finished: wire.CallFinished, position: RecordPosition
+) -> CallEntry:
+    """Adds a finished call to a program's state."""
+    entry = CallEntry(
+        finished.index,
+        position,
+        finished.digest,
+        finished.idempotency_key,
+        finished.message_count,
+        finished.history_digest,
+        finished.kind == wire.CallKind.MODEL and finished.failure is None,
+    )
+    state.calls.append(entry)
+    state.recent_digests.append(entry.digest)
+    state.spend += finished.spend
+    state.attained_s += finished.service_s
+    state.unfinished = None
+    if finished.rewrite:
+        state.history_base = finished.index
+    return entry
+
+
+def end_to_wire(end: AnswerEnd) -> wire.AnswerEnd:
+    """Returns the wire form of an answer's end."""
+    return wire.AnswerEnd(
+        end.index,
+        end.status,
+        end.content_type,
+        end.body,
+        end.finish_reason,
+        end.usage.prompt_tokens,
+        end.usage.completion_tokens,
+        end.usage.cached_tokens,
+        end.tool_calls,
+        end.model,
+    )
+
+
+def end_from_wire(end: wire.AnswerEnd) -> AnswerEnd:
+    """Returns an answer's end from its wire form."""
+    usage = Usage(end.prompt_tokens, end.completion_tokens, end.cached_tokens)
+    return AnswerEnd(
+        end.index,
+        end.status,
+        end.content_type,
+        end.body,
+        end.finish_reason,
+        usage,
+        end.tool_calls,
+        end.model,
+    )
+
+
+def _opened(state: ProgramState) -> wire.ProgramOpened:
+    return wire.ProgramOpened(
+        str(state.program_id),
+        state.account,
+        state.parent,
+        state.opened_at_ms,
+        state.idempotency_key,
+    )
+
+
+def _started(state: ProgramState, call: UnfinishedCall) -> wire.CallStarted:
+    return wire.CallStarted(
+        str(state.program_id), call.index, call.digest, call.endpoint, call.idempotency_key
+    )
+
+
+def _name(position: RecordPosition) -> str:
+    return f"journal of {position.incarnation}, object {position.sequence}, entry {position.entry}"
--- /dev/null
+++ b/src/bayhinge/_internal/services/remote_grants.py
@@ -0,0 +1,165 @@
+"""Grants from whichever host is home of a cell: this one, or a peer."""
+
+import asyncio
+import logging
+
+from bayhinge._internal.decisions.offers import Done, Offer, Outcome
+from bayhinge._internal.exceptions import PeerFailureError, PeerUnreachableError
+from bayhinge._internal.models.refusals import (
+    RefusalCode,
+    RefusedError,
+    refusal_from_json,
+    refuse_unaccepted,
+)
+from bayhinge._internal.network.frames import decode_message, encode_message
+from bayhinge._internal.network.peer_link import Peers
+from bayhinge._internal.services.grants import GrantedEndpoint, GrantSource
+from bayhinge._internal.services.queue_home import HomeGrant, QueueHome
+from bayhinge._internal.wire import ttypes as wire
+from bayhinge.coordination.membership import HostInfo, Membership
+from bayhinge.coordination.rendezvous import rank
+
+logger = logging.getLogger(__name__)
+
+MAX_HOMES_TRIED = 3
+
+
+class RemoteGrants(GrantSource):
+    """Asks the home of a cell, found by rendezvous hashing over the serving hosts."""
+
+    def __init__(self, membership: Membership, home: QueueHome, peers: Peers) -> None:
+        """Takes the view of hosts, this host's own homes, and the way to the others."""
+        self._membership = membership
+        self._home = home
+        self._peers = peers
+        self._background: set[asyncio.Task[None]] = set()
+
+    async def request(self, pool: str, offer: Offer) -> GrantedEndpoint:
+        """See :class:`GrantSource`."""
+        for home in self._homes(pool)[:MAX_HOMES_TRIED]:
+            try:
+                granted = await self._request_at(home, pool, offer)
+            except PeerUnreachableError as error:
+                # The next in rank is home as soon as membership notices; order and
+                # cache quality alone suffer if it is asked too early.
+                logger.info("queue home %s: %s", home.host, error)
+                continue
+            return GrantedEndpoint(
+                granted.grant,
+                pool,
+                granted.endpoint,
+                granted.address,
+                granted.waited_s,
+                home.peer_address,
+            )
+        why = "no host that could queue the call answered"
+        raise RefusedError(refuse_unaccepted(RefusalCode.OWNER_UNREACHABLE, why, retry_after_s=1.0))
+
+    def done(self, granted: GrantedEndpoint, done: Done) -> None:
+        """See :class:`GrantSource`."""
+        if granted.home == self._membership.me.peer_address:
+            self._home.done(granted.pool, done)
+            return
+        message = wire.GrantDone(
+            done.grant,
+            granted.pool,
+            done.outcome.value,
+            done.prompt_tokens,
+            done.cached_tokens,
+            done.completion_tokens,
+            done.first_token_s,
+            done.decode_s,
+        )
+        self._send(granted.home, "done", encode_message(message))
+
+    def program_ended(self, program: str, pools: frozenset[str]) -> None:
+        """See :class:`GrantSource`."""
+        for pool in sorted(pools):
+            homes = self._homes(pool)
+            if not homes:
+                continue
+            if homes[0].incarnation == self._membership.me.incarnation:
+                self._home.program_ended(pool, program)
+            else:
+                message = encode_message(wire.ProgramGone(program, pool))
+                self._send(homes[0].peer_address, "gone", message)
+
+    def _homes(self, pool: str) -> list[HostInfo]:
+        by_incarnation = {info.incarnation: info for info in self._membership.serving()}
+        return [by_incarnation[name] for name in rank(f"cell/{pool}", by_incarnation)]
+
+    async def _request_at(self, home: HostInfo, pool: str, offer: Offer) -> HomeGrant:
+        if home.incarnation == self._membership.me.incarnation:
+            return await self._home.request(pool, offer)
+        payload = encode_message(offer_to_wire(pool, offer))
+        try:
+            answer = await self._peers.call(home.peer_address, "grant", payload)
+        except PeerFailureError as error:
+            raise RefusedError(refusal_from_json(error.problem)) from error
+        reply = decode_message(wire.GrantReply(), answer)
+        return HomeGrant(reply.grant, reply.endpoint, reply.address, reply.waited_s, reply.reason)
+
+    def _send(self, address: str, method: str, payload: bytes) -> None:
+        task = asyncio.create_task(self._send_quietly(address, method, payload))
+        self._background.add(task)
+        task.add_done_callback(self._background.discard)
+
+    async def _send_quietly(self, address: str, method: str, payload: bytes) -> None:
+        try:
+            await self._peers.call(address, method, payload)
+        except (PeerUnreachableError, PeerFailureError) as error:
+            logger.info("%s was not told: %s", method, error)
+
+
+def offer_to_wire(pool: str, offer: Offer) -> wire.GrantRequest:
+    """Returns the wire form of an offer."""
+    return wire.GrantRequest(
+        offer.grant,
+        offer.incarnation,
+        pool,
+        offer.program,
+        offer.account,
+        offer.index,
+        offer.prompt_tokens,
+        offer.max_tokens,
+        offer.attained_s,
+        offer.priority,
+        offer.patience_s,
+        offer.weight,
+        offer.shared_prefix,
+        offer.shared_tokens,
+        sorted(offer.avoid),
+    )
+
+
+def offer_from_wire(request: wire.GrantRequest) -> Offer:
+    """Returns an offer from its wire form."""
+    return Offer(
+        request.grant,
+        request.incarnation,
+        request.program,
+        request.account,
+        request.index,
+        request.prompt_tokens,
+        request.max_tokens,
+        request.attained_s,
+        request.priority,
+        request.patience_s,
+        request.weight,
+        request.shared_prefix,
+        request.shared_tokens,
+        frozenset(request.avoid),
+    )
+
+
+def done_from_wire(message: wire.GrantDone) -> Done:
+    """Returns the end of a grant from its wire form."""
+    return Done(
+        message.grant,
+        Outcome(message.outcome),
+        message.prompt_tokens,
+        message.cached_tokens,
+        message.completion_tokens,
+        message.first_token_s,
+        message.decode_s,
+    )
