--- /dev/null
+++ b/src/bayhinge/_internal/services/router.py
@@ -0,0 +1,319 @@
+"""Takes any program's call at any host, and passes it on to the program's owner."""
+
+import asyncio
+from collections.abc import AsyncGenerator, Callable
+
+import attrs
+from expression import Error, Ok, Result
+
+from bayhinge._internal.commands.parse_call import parse_call
+from bayhinge._internal.exceptions import PeerFailureError, PeerUnreachableError
+from bayhinge._internal.models.calls import AnswerEnd, AnswerItem, AnswerPart, IncomingCall
+from bayhinge._internal.models.ids import ProgramId, parse_program_id
+from bayhinge._internal.models.refusals import (
+    Refusal,
+    RefusalCode,
+    RefusedError,
+    RunState,
+    refusal_from_json,
+    refuse_unaccepted,
+)
+from bayhinge._internal.models.views import ProgramView, to_json
+from bayhinge._internal.network.frames import encode_message
+from bayhinge._internal.network.peer_link import Peers
+from bayhinge._internal.queries.program_views import view_program
+from bayhinge._internal.services.adoption import Adopter, Location, OwnerLocator
+from bayhinge._internal.services.call_codec import decode_item, encode_call
+from bayhinge._internal.services.owner import ProgramOwner
+from bayhinge._internal.services.owner_parts import OwnedProgram
+from bayhinge._internal.services.program_registry import ProgramRegistry
+from bayhinge._internal.wire import ttypes as wire
+from bayhinge.coordination.errors import CorruptObjectError, StoreError
+from bayhinge.coordination.membership import Membership
+
+MAX_HOPS = 3
+OWNER_PATIENCE_S = 15.0
+"""How long a look for an owner goes on: longer than a death takes to be settled."""
+OWNER_RETRY_S = 0.3
+"""Between two looks for the owner of a program whose host has just died."""
+
+
+@attrs.define
+class _Trip:
+    """What has become of a call that is passed on, over several tries.
+
+    ``sent`` says that a host which then failed may have begun the work.
+    """
+
+    offset: int
+    sent: bool = False
+    distrust: str = ""
+
+
+class CallRouter:
+    """Finds owners, and passes calls and program commands on to them."""
+
+    def __init__(
+        self,
+        registry: ProgramRegistry,
+        owner: ProgramOwner,
+        adopter: Adopter,
+        locator: OwnerLocator,
+        membership: Membership,
+        peers: Peers,
+        default_max_tokens: int,
+    ) -> None:
+        """Takes this host's owner, and the way to the others."""
+        self._registry = registry
+        self._owner = owner
+        self._adopter = adopter
+        self._locator = locator
+        self._membership = membership
+        self._peers = peers
+        self._default_max_tokens = default_max_tokens
+
+    async def call(self, incoming: IncomingCall) -> AsyncGenerator[AnswerItem, None]:
+        """Yields the answer to a call, wherever its owner is.
+
+        A call whose owner dies is sent to the successor where it may be repeated, and
+        its stream goes on at the offset that was reached.
+
+        Raises:
+            RefusedError: the call gets no answer.
+        """
+        trip = _Trip(incoming.resume_offset)
+
+        def here() -> AsyncGenerator[AnswerItem, None]:
+            return self._call_here(attrs.evolve(incoming, resume_offset=trip.offset), trip)
+
+        def there(location: Location) -> AsyncGenerator[AnswerItem, None]:
+            passed_on = attrs.evolve(incoming, resume_offset=trip.offset, hops=incoming.hops + 1)
+            return self._stream(location, "call", encode_call(passed_on), trip)
+
+        try:
+            async for item in self._follow_owner(
+                incoming.program, incoming.patience_s, trip, here, there, incoming.hops
+            ):
+                yield item
+        except RefusedError as error:
+            raise RefusedError(_true_after(error.refusal, incoming, trip)) from error
+
+    async def collect(
+        self, account: str, program: str, index: int, offset: int, hops: int = 0
+    ) -> AsyncGenerator[AnswerItem, None]:
+        """Yields an earlier answer, wherever the owner is.
+
+        Raises:
+            RefusedError: there is none.
+        """
+        trip = _Trip(offset)
+
+        def there(location: Location) -> AsyncGenerator[AnswerItem, None]:
+            message = wire.CollectRequest(account, program, index, trip.offset, hops + 1)
+            return self._stream(location, "collect", encode_message(message), trip)
+
+        async for item in self._follow_owner(
+            program,
+            OWNER_PATIENCE_S,
+            trip,
+            lambda: self._owner.collect(account, program, index, trip.offset),
+            there,
+            hops,
+        ):
+            yield item
+
+    async def command(
+        self, verb: str, account: str, program: str, hops: int = 0
+    ) -> Result[bytes, Refusal]:
+        """Shows, ends or cancels a program, and returns its view as JSON."""
+        program_id = parse_program_id(program)
+        if program_id is None:
+            return Error(_bad_program(program))
+        deadline = asyncio.get_running_loop().time() + OWNER_PATIENCE_S
+        distrust = ""
+        while True:
+            location: Location | None = None
+            try:
+                location = await self._locate(program_id, distrust)
+                if location is not None and self._is_here(location):
+                    return await self._command_here(verb, account, program_id, location)
+                if location is not None and hops < MAX_HOPS:
+                    return await self._command_there(verb, account, program, hops, location)
+            except PeerUnreachableError:
+                distrust = "" if location is None else location.incarnation
+            except (StoreError, CorruptObjectError) as error:
+                return Error(_owner_unreachable(program, str(error)))
+            if asyncio.get_running_loop().time() >= deadline:
+                return Error(_owner_unreachable(program, "its owner does not answer"))
+            await asyncio.sleep(OWNER_RETRY_S)
+
+    async def find_here(self, program_id: ProgramId, location: Location) -> OwnedProgram | None:
+        """Returns a program that is this host's, adopted first where it must be.
+
+        Raises:
+            StoreError: it must be adopted, and the store did not answer.
+            CorruptObjectError: it must be adopted, and a journal is damaged.
+        """
+        found = self._registry.find(str(program_id))
+        if found is None and location.path:
+            found = await self._adopter.adopt_one(program_id, location.path)
+        return found
+
+    # ---- finding the owner ----
+
+    async def _follow_owner(
+        self,
+        program: str,
+        patience_s: float,
+        trip: _Trip,
+        here: "Callable[[], AsyncGenerator[AnswerItem, None]]",
+        there: "Callable[[Location], AsyncGenerator[AnswerItem, None]]",
+        hops: int,
+    ) -> AsyncGenerator[AnswerItem, None]:
+        program_id = parse_program_id(program)
+        if program_id is None:
+            raise RefusedError(_bad_program(program))
+        loop = asyncio.get_running_loop()
+        deadline = loop.time() + max(patience_s, OWNER_PATIENCE_S)
+        while True:
+            why = "the host that owned it is gone, and its journal is not sealed yet"
+            location: Location | None = None
+            try:
+                location = await self._locate(program_id, trip.distrust)
+                if location is not None and self._is_here(location):
+                    await self.find_here(program_id, location)
+                    async for item in here():
+                        yield item
+                    return
+                if location is not None and hops < MAX_HOPS:
+                    async for item in there(location):
+                        yield item
+                    return
+            except PeerUnreachableError as error:
+                why = str(error)
+                trip.sent = trip.sent or error.sent
+                trip.distrust = "" if location is None else location.incarnation
+            except (StoreError, CorruptObjectError) as error:
+                why = str(error)
+            if loop.time() >= deadline:
+                run_state = RunState.MAY_HAVE_RUN if trip.sent else RunState.NOT_RUN
+                refusal = attrs.evolve(_owner_unreachable(program, why), run_state=run_state)
+                raise RefusedError(refusal)
+            await asyncio.sleep(OWNER_RETRY_S)
+
+    async def _locate(self, program_id: ProgramId, distrust: str) -> Location | None:
+        if self._registry.find(str(program_id)) is not None:
+            return Location(self._membership.me.incarnation, ())
+        return await self._locator.locate(program_id, distrust)
+
+    def _is_here(self, location: Location) -> bool:
+        return location.incarnation == self._membership.me.incarnation
+
+    def _address(self, location: Location) -> str:
+        info = self._membership.find(location.incarnation)
+        if info is None:
+            raise PeerUnreachableError(location.incarnation, "it is not listed", sent=False)
+        return info.peer_address
+
+    # ---- calls ----
+
+    async def _call_here(
+        self, incoming: IncomingCall, trip: _Trip
+    ) -> AsyncGenerator[AnswerItem, None]:
+        parsed = parse_call(incoming, self._default_max_tokens)
+        if parsed.is_error():
+            raise RefusedError(parsed.error)
+        try:
+            async for item in self._owner.call(parsed.ok):
+                if isinstance(item, AnswerPart):
+                    trip.offset = item.offset + len(item.text)
+                yield item
+        except RefusedError as error:
+            if error.refusal.code is not RefusalCode.OWNER_UNREACHABLE:
+                raise
+            # The program was handed over while the call waited: follow it.
+            sent = error.refusal.run_state is not RunState.NOT_RUN
+            raise PeerUnreachableError("this host", error.refusal.why, sent) from error
+
+    async def _stream(
+        self, location: Location, method: str, payload: bytes, trip: _Trip
+    ) -> AsyncGenerator[AnswerItem, None]:
+        address = self._address(location)
+        stream = self._peers.stream(address, method, payload)
+        try:
+            async for message in stream:
+                item = decode_item(message)
+                if isinstance(item, AnswerPart):
+                    trip.offset = item.offset + len(item.text)
+                yield item
+                if isinstance(item, AnswerEnd):
+                    return
+        except PeerFailureError as error:
+            refusal = refusal_from_json(error.problem)
+            if refusal.code is RefusalCode.OWNER_UNREACHABLE:
+                # It has lost the program: look for the owner again.
+                sent = refusal.run_state is not RunState.NOT_RUN
+                trip.sent = trip.sent or sent
+                raise PeerUnreachableError(address, refusal.why, sent) from error
+            raise RefusedError(refusal) from error
+        finally:
+            await stream.aclose()
+
+    # ---- commands ----
+
+    async def _command_here(
+        self, verb: str, account: str, program_id: ProgramId, location: Location
+    ) -> Result[bytes, Refusal]:
+        program = await self.find_here(program_id, location)
+        if program is None or (account and program.state.account != account):
+            why = f"no program '{program_id}' is known here"
+            return Error(refuse_unaccepted(RefusalCode.UNKNOWN_PROGRAM, why))
+        if verb == "end":
+            ended = await self._registry.end(program, "its caller ended it")
+        elif verb == "cancel":
+            ended = await self._registry.end(program, "it was cancelled")
+        else:
+            ended = Ok(program_id)
+        if ended.is_error():
+            return Error(ended.error)
+        return Ok(to_json(self.view(program)))
+
+    async def _command_there(
+        self, verb: str, account: str, program: str, hops: int, location: Location
+    ) -> Result[bytes, Refusal]:
+        message = wire.ProgramRequest(verb, account, program, hops + 1)
+        try:
+            answer = await self._peers.call(
+                self._address(location), "program", encode_message(message)
+            )
+        except PeerFailureError as error:
+            return Error(refusal_from_json(error.problem))
+        return Ok(answer)
+
+    def view(self, program: OwnedProgram) -> ProgramView:
+        """Returns a program's view."""
+        running = None if program.running is None else program.running.view.index
+        return view_program(program.state, self._membership.me.host, running)
+
+
+def _true_after(refusal: Refusal, incoming: IncomingCall, trip: _Trip) -> Refusal:
+    """Corrects a successor's "not run" where an owner that died may have run the work.
+
+    A call that may not be repeated needs no correction: its start would be recorded.
+    """
+    if not trip.sent or not incoming.repeatable or refusal.run_state is not RunState.NOT_RUN:
+        return refusal
+    return attrs.evolve(refusal, run_state=RunState.MAY_HAVE_RUN)
+
+
+def _bad_program(program: str) -> Refusal:
+    why = f"'{program[:80]}' is no program's identifier"
+    return refuse_unaccepted(RefusalCode.BAD_REQUEST, why)
+
+
+def _owner_unreachable(program: str, why: str) -> Refusal:
+    return refuse_unaccepted(
+        RefusalCode.OWNER_UNREACHABLE,
+        f"the owner of program '{program}' can't be reached now: {why}",
+        retry_after_s=1.0,
+    )
--- /dev/null
+++ b/src/bayhinge/_internal/services/timeline.py
@@ -0,0 +1,101 @@
+"""The time line: a host's events, in memory for queries and through eliot for the log."""
+
+import asyncio
+from collections import deque
+from collections.abc import AsyncIterator, Callable
+
+import attrs
+import eliot
+
+from bayhinge._internal.models.events import Event, Mechanism
+from bayhinge._internal.models.refusals import Figure
+from bayhinge.coordination.clock import HybridClock
+
+KEPT_EVENTS = 20_000
+EVENT_MESSAGE = "bayhinge:event"
+
+
+@attrs.frozen
+class EventFilter:
+    """Which events a reader wants; an empty field admits all."""
+
+    program: str = ""
+    account: str = ""
+    endpoint: str = ""
+    mechanism: str = ""
+    after_stamp: int = 0
+
+    def admits(self, event: Event) -> bool:
+        """Tells whether an event passes."""
+        wanted = (
+            (self.program, event.program),
+            (self.account, event.account),
+            (self.endpoint, event.endpoint),
+            (self.mechanism, event.mechanism.value),
+        )
+        if event.stamp <= self.after_stamp:
+            return False
+        return all(not expected or expected == found for expected, found in wanted)
+
+
+class Timeline:
+    """One host's events."""
+
+    def __init__(self, host: str, clock: HybridClock) -> None:
+        """Takes the host's name and the clock that stamps events."""
+        self._host = host
+        self._clock = clock
+        self._events: deque[Event] = deque(maxlen=KEPT_EVENTS)
+        self._changed = asyncio.Event()
+        self.count = 0
+        self.listeners: list[Callable[[Event], None]] = []
+
+    def record(
+        self,
+        mechanism: Mechanism,
+        what: str,
+        why: str,
+        *figures: Figure,
+        program: str = "",
+        account: str = "",
+        endpoint: str = "",
+        index: int = -1,
+    ) -> None:
+        """Records a decision with its reason and the figures it rests on."""
+        event = Event(
+            self._clock.tick(),
+            self._host,
+            mechanism,
+            what,
+            why,
+            program,
+            account,
+            endpoint,
+            index,
+            figures,
+        )
+        self._events.append(event)
+        self.count += 1
+        eliot.log_message(message_type=EVENT_MESSAGE, **event.to_fields())
+        for listener in self.listeners:
+            listener(event)
+        self._changed.set()
+        self._changed = asyncio.Event()
+
+    def select(self, wanted: EventFilter) -> list[Event]:
+        """Returns the kept events that pass, oldest first."""
+        return [event for event in self._events if wanted.admits(event)]
+
+    def all(self) -> list[Event]:
+        """Returns every kept event, oldest first."""
+        return list(self._events)
+
+    async def follow(self, wanted: EventFilter) -> AsyncIterator[Event]:
+        """Yields the kept events that pass, and then new ones as they come."""
+        stamp = wanted.after_stamp
+        while True:
+            changed = self._changed
+            for event in self.select(attrs.evolve(wanted, after_stamp=stamp)):
+                stamp = event.stamp
+                yield event
+            await changed.wait()
--- /dev/null
+++ b/src/bayhinge/_internal/utils/__init__.py
@@ -0,0 +1,1 @@
+"""Small helpers that know nothing of the rest."""
--- /dev/null
+++ b/src/bayhinge/coordination/__init__.py
@@ -0,0 +1,55 @@
+"""Coordination parts on top of an object store with conditional updates.
+
+Nothing here opens a socket or knows the daemon. Embedders implement
+:class:`~bayhinge.coordination.store.ObjectStore` for their platform and use:
+
+* :class:`~bayhinge.coordination.journal.Journal`: a sealed, group-committed log;
+* :class:`~bayhinge.coordination.membership.Membership`: who is alive;
+* :class:`~bayhinge.coordination.config_feed.ConfigFeed`: configuration that never reverts;
+* :class:`~bayhinge.coordination.escrow.Escrow`: a budget shared without going over;
+* :class:`~bayhinge.coordination.lease.Lease`: a lease with a fencing number;
+* :class:`~bayhinge.coordination.clock.HybridClock`: one order of events over all hosts.
+"""
+
+from bayhinge.coordination.clock import Clock, HybridClock, SystemClock
+from bayhinge.coordination.config_feed import ConfigFeed
+from bayhinge.coordination.errors import (
+    AlreadyExistsError,
+    CoordinationError,
+    CorruptObjectError,
+    FencedError,
+    JournalFullError,
+    StoreError,
+    StoreRateLimitedError,
+    StoreUnavailableError,
+    VersionConflictError,
+)
+from bayhinge.coordination.escrow import Escrow
+from bayhinge.coordination.journal import Journal, JournalReader, RecordPosition
+from bayhinge.coordination.lease import Lease
+from bayhinge.coordination.membership import Membership
+from bayhinge.coordination.store import ObjectStore, StoredObject
+
+__all__ = [
+    "AlreadyExistsError",
+    "Clock",
+    "ConfigFeed",
+    "CoordinationError",
+    "CorruptObjectError",
+    "Escrow",
+    "FencedError",
+    "HybridClock",
+    "Journal",
+    "JournalFullError",
+    "JournalReader",
+    "Lease",
+    "Membership",
+    "ObjectStore",
+    "RecordPosition",
+    "StoreError",
+    "StoreRateLimitedError",
+    "StoreUnavailableError",
+    "StoredObject",
+    "SystemClock",
+    "VersionConflictError",
+]
--- /dev/null
+++ b/src/bayhinge/coordination/config_feed.py
@@ -0,0 +1,255 @@
+"""Configuration as one chain of accepted changes that never reverts.
+
+Change number *n* is the object ``<prefix>/<n>``, made with create-if-absent. The
+chain gives each change its revision, a total order, history and rollback, and two
+racing operators a clear winner. A host applies changes in order of revision and
+never applies an older one than it has seen.
+"""
+
+import asyncio
+import logging
+from collections.abc import Callable, Iterable
+
+import attrs
+
+from bayhinge.coordination.clock import Clock
+from bayhinge.coordination.codec import FORMAT, decode, encode
+from bayhinge.coordination.errors import (
+    AlreadyExistsError,
+    ConfigConflictError,
+    CorruptObjectError,
+    StoreError,
+    StoreRateLimitedError,
+    StoreUnavailableError,
+)
+from bayhinge.coordination.pacing import Backoff
+from bayhinge.coordination.store import ObjectStore, StoredObject
+from bayhinge.coordination.wire.ttypes import ConfigChange
+
+logger = logging.getLogger(__name__)
+
+REVISION_DIGITS = 12
+MAX_WRITE_ATTEMPTS = 8
+
+
+@attrs.frozen
+class ConfigObject:
+    """A configured object at its newest revision; ``text`` is None once deleted."""
+
+    kind: str
+    name: str
+    text: str | None
+    revision: int
+    author: str
+    accepted_at_ms: int
+
+
+@attrs.frozen
+class FeedTimes:
+    """Periods in seconds.
+
+    ``poll_s`` bounds how late a change is seen where the watch has silently
+    stopped; ``stale_after_s`` is how long a host may go without hearing from the
+    store or a peer before it says that it can't vouch for its configuration.
+    """
+
+    poll_s: float = 3.0
+    stale_after_s: float = 30.0
+
+
+class ConfigFeed:
+    """Follows the chain of changes, and appends to it."""
+
+    def __init__(
+        self,
+        store: ObjectStore,
+        prefix: str,
+        clock: Clock,
+        random_unit: Callable[[], float],
+        times: FeedTimes,
+    ) -> None:
+        """Takes the store, the chain's prefix, wall time, a random source and periods."""
+        self._store = store
+        self._prefix = prefix
+        self._clock = clock
+        self._random_unit = random_unit
+        self._times = times
+        self._objects_by_key: dict[tuple[str, str], ConfigObject] = {}
+        self._changes_by_revision: dict[int, bytes] = {}
+        self._revision = 0
+        self._heard_revision = 0
+        self._confirmed_at: float | None = None
+        self._wake = asyncio.Event()
+        self.corrupt_by_key: dict[str, CorruptObjectError] = {}
+        self.on_change: Callable[[ConfigObject], None] = lambda changed: None
+
+    @property
+    def revision(self) -> int:
+        """The newest revision that is applied here."""
+        return self._revision
+
+    @property
+    def heard_revision(self) -> int:
+        """The newest revision that the store or a peer has told of."""
+        return max(self._heard_revision, self._revision)
+
+    def is_current(self) -> bool:
+        """True while this host can vouch for its configuration."""
+        if self._confirmed_at is None or self._revision < self._heard_revision:
+            return False
+        age = asyncio.get_running_loop().time() - self._confirmed_at
+        return age <= self._times.stale_after_s
+
+    def get(self, kind: str, name: str) -> ConfigObject | None:
+        """Returns the object, or None where it never was or is deleted."""
+        found = self._objects_by_key.get((kind, name))
+        return None if found is None or found.text is None else found
+
+    def all(self, kind: str) -> list[ConfigObject]:
+        """Returns the live objects of a kind by name."""
+        found = (item for item in self._objects_by_key.values() if item.kind == kind)
+        return sorted((item for item in found if item.text is not None), key=_name)
+
+    def history(self, kind: str, name: str) -> list[ConfigObject]:
+        """Returns every revision of an object that this host has seen, oldest first."""
+        changes = (self._decode(rev, data) for rev, data in self._changes_by_revision.items())
+        return [change for change in changes if (change.kind, change.name) == (kind, name)]
+
+    def changes_after(self, revision: int, limit: int = 200) -> list[bytes]:
+        """Returns encoded changes for a peer that stands at ``revision``."""
+        upto = min(self._revision, revision + limit)
+        return [self._changes_by_revision[rev] for rev in range(revision + 1, upto + 1)]
+
+    def hear(self, revision: int) -> None:
+        """Notes that a peer has applied ``revision``; fetches it if it is newer."""
+        if revision > self.heard_revision:
+            self._heard_revision = revision
+            self._wake.set()
+
+    def take_from_peer(self, first_revision: int, changes: Iterable[bytes]) -> None:
+        """Applies changes that a peer sent, from ``first_revision`` on."""
+        for offset, data in enumerate(changes):
+            self._apply(first_revision + offset, data)
+        if self._revision >= self._heard_revision:
+            self._confirm()
+
+    async def run(self) -> None:
+        """Follows the store until it is cancelled."""
+        while True:
+            try:
+                await self.step()
+            except StoreError as error:
+                logger.info("configuration waits for the store: %s", error)
+            self._wake.clear()
+            try:
+                await asyncio.wait_for(self._wake.wait(), self._times.poll_s)
+            except TimeoutError:
+                continue
+
+    async def step(self) -> None:
+        """Reads the changes that follow the applied revision."""
+        while True:
+            after = self._key(self._revision) if self._revision else ""
+            page = await self._store.list(f"{self._prefix}/", after=after)
+            for stored in page.objects:
+                self._apply_stored(stored)
+            if not page.more or self.corrupt_by_key:
+                break
+        if self.corrupt_by_key:
+            # What can't be read can't be vouched for; operators see it in `config status`.
+            return
+        # A lagging answer must not vouch for a revision that was already heard of.
+        if self._revision >= self._heard_revision:
+            self._confirm()
+
+    async def propose(
+        self, kind: str, name: str, text: str | None, author: str, base_revision: int
+    ) -> ConfigObject:
+        """Appends a change that was made on ``base_revision`` of the object (0: new).
+
+        Raises:
+            ConfigConflictError: the object has a newer revision.
+            StoreError: the store did not answer; whether it was accepted is unknown.
+        """
+        nonce = f"{self._random_unit():.17f}"
+        backoff = Backoff(self._random_unit)
+        last_error: StoreError | None = None
+        for _ in range(MAX_WRITE_ATTEMPTS):
+            try:
+                await self.step()
+                accepted = self._find_nonce(kind, name, nonce)
+                if accepted is not None:
+                    return accepted
+                self._check_base(kind, name, base_revision)
+                await self._append(kind, name, text, author, base_revision, nonce)
+            except AlreadyExistsError:
+                continue
+            except (StoreUnavailableError, StoreRateLimitedError) as error:
+                last_error = error
+                await asyncio.sleep(backoff.next_delay())
+        await self.step()
+        accepted = self._find_nonce(kind, name, nonce)
+        if accepted is not None:
+            return accepted
+        raise last_error or StoreUnavailableError(f"accept {kind} {name}", "too many races")
+
+    async def _append(
+        self, kind: str, name: str, text: str | None, author: str, base: int, nonce: str
+    ) -> None:
+        change = ConfigChange(FORMAT, kind, name, text, author, base, nonce, self._clock.wall_ms())
+        await self._store.create(self._key(self._revision + 1), encode(change))
+
+    def _check_base(self, kind: str, name: str, base_revision: int) -> None:
+        current = self._objects_by_key.get((kind, name))
+        revision = 0 if current is None else current.revision
+        # A deleted object may be made anew by an editor who starts from nothing.
+        if current is not None and current.text is None and base_revision == 0:
+            return
+        if revision != base_revision:
+            text = "" if current is None or current.text is None else current.text
+            raise ConfigConflictError(kind, name, base_revision, revision, text)
+
+    def _find_nonce(self, kind: str, name: str, nonce: str) -> ConfigObject | None:
+        for revision in range(self._revision, max(0, self._revision - 50), -1):
+            data = self._changes_by_revision[revision]
+            change = decode(ConfigChange(), data, self._key(revision))
+            if (change.kind, change.name, change.nonce) == (kind, name, nonce):
+                return self._decode(revision, data)
+        return None
+
+    def _apply_stored(self, stored: StoredObject) -> None:
+        text = stored.key.rpartition("/")[2]
+        try:
+            if len(text) != REVISION_DIGITS or not text.isdigit():
+                raise CorruptObjectError(stored.key, "its name is no revision, so it is not ours")
+            self._apply(int(text), stored.value)
+        except CorruptObjectError as error:
+            if stored.key not in self.corrupt_by_key:
+                logger.error("%s", error)
+            self.corrupt_by_key[stored.key] = error
+
+    def _apply(self, revision: int, data: bytes) -> None:
+        if revision != self._revision + 1:
+            # Already applied, or a gap: the next step reads on from what is applied.
+            return
+        changed = self._decode(revision, data)
+        self._objects_by_key[(changed.kind, changed.name)] = changed
+        self._changes_by_revision[revision] = data
+        self._revision = revision
+        self.on_change(changed)
+
+    def _decode(self, revision: int, data: bytes) -> ConfigObject:
+        change = decode(ConfigChange(), data, self._key(revision))
+        return ConfigObject(
+            change.kind, change.name, change.text, revision, change.author, change.accepted_at_ms
+        )
+
+    def _confirm(self) -> None:
+        self._confirmed_at = asyncio.get_running_loop().time()
+
+    def _key(self, revision: int) -> str:
+        return f"{self._prefix}/{revision:0{REVISION_DIGITS}d}"
+
+
+def _name(item: ConfigObject) -> str:
+    return item.name
--- /dev/null
+++ b/src/bayhinge/coordination/journal.py
@@ -0,0 +1,471 @@
+"""A sealed journal: the durable, fenced log of one incarnation of a process.
+
+Objects ``<prefix>/<incarnation>/<sequence>`` are made with create-if-absent, so
+the chain has one writer at each place. A successor takes over by creating the
+next place itself as a *seal*; the old writer's next append then conflicts, and
+it learns that it is out, however long it was paused. No clock is involved.
+"""
+
+import asyncio
+import logging
+from collections import deque
+from collections.abc import Callable, Iterator
+
+import attrs
+
+from bayhinge.coordination.codec import FORMAT, decode, encode
+from bayhinge.coordination.errors import (
+    AlreadyExistsError,
+    CorruptObjectError,
+    FencedError,
+    JournalFullError,
+    StoreError,
+    StoreRateLimitedError,
+)
+from bayhinge.coordination.pacing import Backoff, WritePacer
+from bayhinge.coordination.store import MAX_VALUE_BYTES, ObjectStore, list_all
+from bayhinge.coordination.wire.ttypes import Batch, Entry, Seal
+
+logger = logging.getLogger(__name__)
+
+SEQUENCE_DIGITS = 10
+BATCH_TARGET_BYTES = 700_000
+"""A batch is closed at this size, so that it stays below the store's largest value."""
+PART_BYTES = 600_000
+"""A larger record is split into parts of this size."""
+
+assert BATCH_TARGET_BYTES + PART_BYTES < 2 * MAX_VALUE_BYTES
+
+
+@attrs.frozen
+class RecordPosition:
+    """Where a record stands: the journal, the object's sequence, the first entry's index."""
+
+    incarnation: str
+    sequence: int
+    entry: int
+
+
+@attrs.frozen
+class JournalRecord:
+    """A whole record with its place."""
+
+    position: RecordPosition
+    data: bytes
+
+
+@attrs.frozen
+class SealInfo:
+    """The end of a journal: who continues, who sealed it, and why."""
+
+    successors: tuple[str, ...]
+    sealed_by: str
+    reason: str
+
+
+@attrs.frozen
+class JournalContents:
+    """All that a journal holds. ``seal`` is None while its writer may append."""
+
+    records: tuple[JournalRecord, ...]
+    seal: SealInfo | None
+    next_sequence: int
+
+
+@attrs.define
+class JournalStatistics:
+    """What a journal has done since it was opened."""
+
+    records: int = 0
+    batches: int = 0
+    write_attempts: int = 0
+    bytes_written: int = 0
+
+
+def object_key(prefix: str, incarnation: str, sequence: int) -> str:
+    """Returns the key of one journal object; keys sort by sequence."""
+    return f"{prefix}/{incarnation}/{sequence:0{SEQUENCE_DIGITS}d}"
+
+
+def _sequence_of(key: str) -> int:
+    text = key.rpartition("/")[2]
+    if len(text) != SEQUENCE_DIGITS or not text.isdigit():
+        raise CorruptObjectError(key, "its name is no journal sequence, so it is not ours")
+    return int(text)
+
+
+def _split(data: bytes) -> list[Entry]:
+    count = max(1, -(-len(data) // PART_BYTES))
+    return [
+        Entry(data[part * PART_BYTES : (part + 1) * PART_BYTES], part, count)
+        for part in range(count)
+    ]
+
+
+def _seal_info(seal: Seal | None) -> SealInfo | None:
+    if seal is None:
+        return None
+    return SealInfo(tuple(seal.successors), seal.sealed_by, seal.reason)
+
+
+@attrs.define
+class _Waiting:
+    """A record that is not durable yet."""
+
+    entries: deque[Entry]
+    size: int
+    done: asyncio.Future[RecordPosition]
+    position: RecordPosition | None = None
+
+
+class Journal:
+    """The writer's side: appends with group commit, from one task."""
+
+    def __init__(
+        self,
+        store: ObjectStore,
+        prefix: str,
+        incarnation: str,
+        pacer: WritePacer,
+        random_unit: Callable[[], float],
+        spool_bytes: int = 16_000_000,
+    ) -> None:
+        """Opens a new journal; ``incarnation`` must never have been used before.
+
+        Args:
+            store: where the journal lives.
+            prefix: the first part of its keys.
+            incarnation: this start of the process.
+            pacer: spaces the writes.
+            random_unit: numbers in [0, 1) for nonces and jitter.
+            spool_bytes: cap on the records that wait for the store.
+        """
+        self._store = store
+        self._prefix = prefix
+        self.incarnation = incarnation
+        self._pacer = pacer
+        self._random_unit = random_unit
+        self._spool_bytes = spool_bytes
+        self._waiting: deque[_Waiting] = deque()
+        self._waiting_bytes = 0
+        self._wake = asyncio.Event()
+        self._idle = asyncio.Event()
+        self._idle.set()
+        self._next_sequence = 0
+        self._fenced: FencedError | None = None
+        self._store_ok = True
+        self._announcement: list[str] | None = None
+        self.statistics = JournalStatistics()
+
+    @property
+    def fenced(self) -> bool:
+        """True once another process has sealed this journal."""
+        return self._fenced is not None
+
+    @property
+    def store_ok(self) -> bool:
+        """False while writes go unanswered."""
+        return self._store_ok
+
+    @property
+    def waiting_bytes(self) -> int:
+        """Bytes of records that are not durable yet."""
+        return self._waiting_bytes
+
+    def append(self, data: bytes) -> asyncio.Future[RecordPosition]:
+        """Queues a record and returns a future that ends once it is durable.
+
+        Raises:
+            FencedError: the journal was sealed.
+            JournalFullError: the spool is full; nothing was queued.
+        """
+        if self._fenced is not None:
+            raise self._fenced
+        if self._waiting_bytes + len(data) > self._spool_bytes:
+            raise JournalFullError(self._waiting_bytes, self._spool_bytes)
+        done: asyncio.Future[RecordPosition] = asyncio.get_running_loop().create_future()
+        # The future may end with FencedError after its caller has gone; without this
+        # the loop would report an exception that was never retrieved.
+        done.add_done_callback(_retrieve)
+        self._waiting.append(_Waiting(deque(_split(data)), len(data), done))
+        self._waiting_bytes += len(data)
+        self._idle.clear()
+        self._wake.set()
+        return done
+
+    async def run(self) -> None:
+        """Writes batches until it is cancelled or fenced."""
+        while self._fenced is None:
+            await self._wake.wait()
+            if not self._waiting and self._announcement is None:
+                self._wake.clear()
+                self._idle.set()
+                continue
+            await self._pacer.wait()
+            await self._write_next_batch()
+
+    async def flush(self) -> None:
+        """Waits until every record queued so far is durable or the journal is fenced."""
+        await self._idle.wait()
+
+    async def announce(self, successors: list[str]) -> None:
+        """Names the successors that the seal will name, whoever sets it.
+
+        A planned stop does this before it moves the first program, so that a program
+        which was moved is found even if the process dies before it seals.
+
+        Raises:
+            FencedError: the journal was sealed.
+        """
+        if self._fenced is not None:
+            raise self._fenced
+        self._announcement = list(successors)
+        self._idle.clear()
+        self._wake.set()
+        await self.flush()
+        if self.fenced:
+            raise FencedError(f"Journal '{self.incarnation}'", "another process")
+
+    async def seal(self, successors: list[str], reason: str) -> SealInfo:
+        """Ends the journal from the writer's side, as in a planned stop."""
+        await self.flush()
+        return await seal_journal(
+            self._store, self._prefix, self.incarnation, successors, self.incarnation, reason
+        )
+
+    async def _write_next_batch(self) -> None:
+        sequence = self._next_sequence
+        entries, finished = self._take_entries(sequence)
+        nonce = f"{self._random_unit():.17f}"
+        announced, self._announcement = self._announcement, None
+        value = encode(Batch(FORMAT, self.incarnation, nonce, entries, None, announced))
+        key = object_key(self._prefix, self.incarnation, sequence)
+        try:
+            await self._create_surely(key, value, nonce)
+        except FencedError as error:
+            self._give_up(error, finished)
+            return
+        self._next_sequence += 1
+        self.statistics.batches += 1
+        self.statistics.bytes_written += len(value)
+        for waiting in finished:
+            self._finish(waiting)
+
+    def _take_entries(self, sequence: int) -> tuple[list[Entry], list[_Waiting]]:
+        entries: list[Entry] = []
+        finished: list[_Waiting] = []
+        size = 0
+        while self._waiting:
+            waiting = self._waiting[0]
+            while waiting.entries:
+                entry = waiting.entries[0]
+                if entries and size + len(entry.data) > BATCH_TARGET_BYTES:
+                    return entries, finished
+                if waiting.position is None:
+                    waiting.position = RecordPosition(self.incarnation, sequence, len(entries))
+                entries.append(waiting.entries.popleft())
+                size += len(entry.data)
+            finished.append(self._waiting.popleft())
+        return entries, finished
+
+    async def _create_surely(self, key: str, value: bytes, nonce: str) -> None:
+        """Creates the object, settling lost answers by reading the key back.
+
+        Raises:
+            FencedError: the key holds another writer's object.
+        """
+        backoff = Backoff(self._random_unit)
+        while True:
+            self.statistics.write_attempts += 1
+            try:
+                await self._store.create(key, value)
+                break
+            except AlreadyExistsError:
+                if await self._is_ours(key, nonce):
+                    break
+            except StoreRateLimitedError as error:
+                await asyncio.sleep(max(error.retry_after_s, backoff.next_delay()))
+            except StoreError as error:
+                self._note_trouble(error)
+                await asyncio.sleep(backoff.next_delay())
+        self._store_ok = True
+
+    async def _is_ours(self, key: str, nonce: str) -> bool:
+        """Tells whether the taken key holds this very batch.
+
+        Raises:
+            FencedError: it holds a seal or another writer's batch.
+        """
+        backoff = Backoff(self._random_unit)
+        while True:
+            try:
+                found = await self._store.get(key)
+                break
+            except StoreError as error:
+                self._note_trouble(error)
+                await asyncio.sleep(backoff.next_delay())
+        if found is None:
+            return False
+        batch = decode(Batch(), found.value, key)
+        if batch.writer == self.incarnation and batch.nonce == nonce:
+            return True
+        raise FencedError(f"Journal '{self.incarnation}'", batch.writer)
+
+    def _note_trouble(self, error: StoreError) -> None:
+        if self._store_ok:
+            logger.warning("journal %s waits for the store: %s", self.incarnation, error)
+        self._store_ok = False
+
+    def _finish(self, waiting: _Waiting) -> None:
+        self.statistics.records += 1
+        self._waiting_bytes -= waiting.size
+        if not waiting.done.done():
+            assert waiting.position is not None
+            waiting.done.set_result(waiting.position)
+
+    def _give_up(self, error: FencedError, finished: list[_Waiting]) -> None:
+        self._fenced = error
+        for waiting in [*finished, *self._waiting]:
+            if not waiting.done.done():
+                waiting.done.set_exception(error)
+        self._waiting.clear()
+        self._waiting_bytes = 0
+        self._idle.set()
+
+
+def _retrieve(done: "asyncio.Future[RecordPosition]") -> None:
+    if not done.cancelled():
+        done.exception()
+
+
+class JournalReader:
+    """The reader's side: whole journals, and single records by position."""
+
+    def __init__(self, store: ObjectStore, prefix: str) -> None:
+        """Reads journals under ``prefix``."""
+        self._store = store
+        self._prefix = prefix
+
+    async def read_all(self, incarnation: str) -> JournalContents:
+        """Reads a whole journal.
+
+        A record whose last part is missing was never acknowledged and is left out.
+
+        Raises:
+            CorruptObjectError: an object is damaged, foreign, or out of sequence.
+        """
+        listing = await list_all(self._store, f"{self._prefix}/{incarnation}/")
+        entries: list[tuple[RecordPosition, Entry]] = []
+        seal: SealInfo | None = None
+        next_sequence = 0
+        for stored in listing.objects:
+            sequence = _sequence_of(stored.key)
+            if seal is not None:
+                raise CorruptObjectError(stored.key, "it stands behind the journal's seal")
+            if next_sequence and sequence != next_sequence:
+                raise CorruptObjectError(stored.key, f"sequence {next_sequence} is missing")
+            batch = decode(Batch(), stored.value, stored.key)
+            seal = _seal_info(batch.seal)
+            next_sequence = sequence + 1
+            entries.extend(
+                (RecordPosition(incarnation, sequence, index), entry)
+                for index, entry in enumerate(batch.entries)
+            )
+        return JournalContents(tuple(_join(entries)), seal, next_sequence)
+
+    async def read_record(self, position: RecordPosition) -> JournalRecord:
+        """Reads one record, following its parts over several objects.
+
+        Raises:
+            CorruptObjectError: the object is missing or has no such entry.
+        """
+        parts: list[bytes] = []
+        sequence, index = position.sequence, position.entry
+        while True:
+            batch = await self._read_batch(position.incarnation, sequence)
+            if index >= len(batch.entries):
+                key = object_key(self._prefix, position.incarnation, sequence)
+                raise CorruptObjectError(key, f"entry {index} is missing")
+            entry = batch.entries[index]
+            parts.append(entry.data)
+            if entry.part + 1 == entry.parts:
+                return JournalRecord(position, b"".join(parts))
+            index += 1
+            if index == len(batch.entries):
+                sequence, index = sequence + 1, 0
+
+    async def _read_batch(self, incarnation: str, sequence: int) -> Batch:
+        key = object_key(self._prefix, incarnation, sequence)
+        stored = await self._store.get(key)
+        if stored is None:
+            raise CorruptObjectError(key, "the journal object is missing")
+        return decode(Batch(), stored.value, key)
+
+
+def _join(entries: list[tuple[RecordPosition, Entry]]) -> Iterator[JournalRecord]:
+    parts: list[bytes] = []
+    first: RecordPosition | None = None
+    for position, entry in entries:
+        if entry.part == 0:
+            parts, first = [], position
+        parts.append(entry.data)
+        if entry.part + 1 == entry.parts and first is not None:
+            yield JournalRecord(first, b"".join(parts))
+
+
+async def seal_journal(
+    store: ObjectStore,
+    prefix: str,
+    incarnation: str,
+    successors: list[str],
+    sealed_by: str,
+    reason: str,
+) -> SealInfo:
+    """Ends a journal and names who continues its work.
+
+    Where two processes seal at once, the first one's seal stands and both get it.
+    Successors that the writer announced go before ``successors``.
+
+    Raises:
+        StoreError: the store did not answer; call again, the result is the same.
+        CorruptObjectError: the journal holds an object that can't be read.
+    """
+    nonce = f"seal-by-{sealed_by}"
+    while True:
+        tail = await _read_tail(store, prefix, incarnation)
+        if tail.seal is not None:
+            return tail.seal
+        named = tail.announced or tuple(successors)
+        seal = Seal(list(named), sealed_by, reason)
+        value = encode(Batch(FORMAT, sealed_by, nonce, [], seal))
+        try:
+            await store.create(object_key(prefix, incarnation, tail.next_sequence), value)
+        except AlreadyExistsError:
+            # The writer appended meanwhile, or another process sealed: look again.
+            continue
+        return SealInfo(named, sealed_by, reason)
+
+
+@attrs.frozen
+class _Tail:
+    seal: SealInfo | None
+    next_sequence: int
+    announced: tuple[str, ...] = ()
+
+
+async def _read_tail(store: ObjectStore, prefix: str, incarnation: str) -> _Tail:
+    listing = await list_all(store, f"{prefix}/{incarnation}/")
+    if not listing.objects:
+        return _Tail(None, 0)
+    announced: tuple[str, ...] = ()
+    for stored in listing.objects:
+        batch = decode(Batch(), stored.value, stored.key)
+        if batch.announced:
+            announced = tuple(batch.announced)
+    last = listing.objects[-1]
+    return _Tail(_seal_info(batch.seal), _sequence_of(last.key) + 1, announced)
+
+
+async def find_seal(store: ObjectStore, prefix: str, incarnation: str) -> SealInfo | None:
+    """Returns the seal of a journal, or None while it has none."""
+    return (await _read_tail(store, prefix, incarnation)).seal
--- /dev/null
+++ b/tests/functional/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of the whole system, with sockets or in virtual time."""
--- /dev/null
+++ b/tests/functional/test_demo.py
@@ -0,0 +1,21 @@
+"""The demonstration, as a newcomer runs it."""
+
+import asyncio
+import json
+
+import pytest
+
+from bayhinge._internal.demo.run import run_demo, summary_lines
+
+
+@pytest.mark.functional
+def test_the_demo_finishes_every_program() -> None:
+    result = asyncio.run(run_demo())
+    figures = json.loads(result.to_json())
+    assert figures["programs"] == figures["finished"] == 9
+    assert figures["run_twice"] == 0
+    assert figures["lost_turns"] == 0
+    assert figures["events"] > 0
+    summary = "\n".join(summary_lines(result))
+    assert f"Host {result.killed} was killed" in summary
+    assert any("adopted" in line for line in result.timeline)
--- /dev/null
+++ b/tests/lib/__init__.py
@@ -0,0 +1,1 @@
+"""Helpers of the tests."""
--- /dev/null
+++ b/tests/unit/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of one part each; no sockets, no processes."""
