Prove the promises under random failure schedules in virtual time

Cause: the whole path had only been shown to work, not to hold. Real hosts now run over seams without sockets; a seed is a schedule of kills, freezes, planned stops, store outages, lost answers, cuts and dying services, judged by the endpoints' and the store's own records.

Ruled out: the judge's first version called a retried action's earlier 'not run' a lie; it now looks at the record in the moment of the refusal.

--- a/tests/lib/virtual.py
+++ b/src/bayhinge/_internal/bench/world/virtual_time.py
@@ -14,7 +14,7 @@
 
 def run_virtual(work: Coroutine[Any, Any, Result]) -> Result:
     """Runs a coroutine on a loop whose time jumps to the next event."""
-    loop = looptime.new_event_loop(start=0.0, idle_step=None, noop_cycles=200)
+    loop = looptime.new_event_loop(start=0.0, idle_step=None, noop_cycles=0)
     try:
         asyncio.set_event_loop(loop)
         return loop.run_until_complete(work)
@@ -39,4 +39,5 @@
         self._offset_ms = offset_ms
 
     def wall_ms(self) -> int:
+        """See :class:`Clock`."""
         return WALL_START_MS + self._offset_ms + int(asyncio.get_running_loop().time() * 1000)
--- /dev/null
+++ b/src/bayhinge/_internal/bench/world/world.py
@@ -0,0 +1,444 @@
+"""A whole system in virtual time: real hosts over seams that need no sockets."""
+
+import asyncio
+import random
+from collections.abc import AsyncIterator, Awaitable
+from typing import TypeVar
+
+import attrs
+import orjson
+
+from bayhinge._internal import status_codes
+from bayhinge._internal.bench.world.endpoints import (
+    ANSWER_TOKENS,
+    EndpointWorld,
+    WorldEndpointClient,
+    WorldEndpointList,
+)
+from bayhinge._internal.bench.world.network import Gate, LocalNetwork
+from bayhinge._internal.bench.world.virtual_time import LoopClock
+from bayhinge._internal.models.accounts import hash_key
+from bayhinge._internal.models.calls import (
+    AnswerEnd,
+    AnswerPart,
+    CallKind,
+    IncomingCall,
+    MessagesMode,
+)
+from bayhinge._internal.models.events import Event
+from bayhinge._internal.models.refusals import Refusal, RefusedError, RunState
+from bayhinge._internal.models.settings import (
+    ConfigSettings,
+    EndpointListSettings,
+    HostSettings,
+    LimitSettings,
+    MembershipSettings,
+    OperatorSettings,
+    PoolSettings,
+    ServiceSettings,
+    Settings,
+    StoreSettings,
+)
+from bayhinge._internal.network.front_handler import ConfigEdit
+from bayhinge._internal.services.host import Host
+from bayhinge._internal.services.host_parts import Outside
+from bayhinge.coordination.errors import StoreUnavailableError
+from bayhinge.coordination.store import Change, Listing, ObjectStore, StoredObject
+from bayhinge_standins.engine import answer_text
+from bayhinge_standins.faults import EndpointFaults, StoreFaults
+from bayhinge_standins.object_store import MemoryObjects, MemoryObjectStore
+
+Answer = TypeVar("Answer")
+MODEL = "agent-llm"
+HALLS = ("kc-clifton", "kc-korangi", "kc-saddar")
+CLOCK_ERRORS_MS = (0, 400, -300, 50, -120, 900, -700, 10)
+STORE_TIMEOUT_S = 3.0
+
+
+class GatedStore(ObjectStore):
+    """A host's way to the store: nothing passes while the host is frozen or dead."""
+
+    def __init__(self, inner: MemoryObjectStore, gate: Gate) -> None:
+        self.inner = inner
+        self._gate = gate
+
+    async def get(self, key: str) -> StoredObject | None:
+        """See :class:`ObjectStore`."""
+        await self._gate.pass_through()
+        return await self._limit(self.inner.get(key), f"get {key}")
+
+    async def create(self, key: str, value: bytes) -> StoredObject:
+        """See :class:`ObjectStore`."""
+        await self._gate.pass_through()
+        return await self._limit(self.inner.create(key, value), f"create {key}")
+
+    async def update(self, key: str, value: bytes, version: int) -> StoredObject:
+        """See :class:`ObjectStore`."""
+        await self._gate.pass_through()
+        return await self._limit(self.inner.update(key, value, version), f"update {key}")
+
+    async def delete(self, key: str, version: int) -> None:
+        """See :class:`ObjectStore`."""
+        await self._gate.pass_through()
+        await self._limit(self.inner.delete(key, version), f"delete {key}")
+
+    async def list(self, prefix: str, after: str = "", limit: int = 500) -> Listing:
+        """See :class:`ObjectStore`."""
+        await self._gate.pass_through()
+        return await self._limit(self.inner.list(prefix, after, limit), f"list {prefix}")
+
+    def watch(self, prefix: str, after_revision: int) -> AsyncIterator[Change]:
+        """See :class:`ObjectStore`."""
+        return self.inner.watch(prefix, after_revision)
+
+    async def _limit(self, call: Awaitable[Answer], what: str) -> Answer:
+        try:
+            async with asyncio.timeout(STORE_TIMEOUT_S):
+                answer = await call
+        except TimeoutError as error:
+            raise StoreUnavailableError(what, "no answer in time") from error
+        await self._gate.pass_through()
+        return answer
+
+
+@attrs.define
+class Outcome:
+    """What a caller got."""
+
+    text: str = ""
+    end: AnswerEnd | None = None
+    refusal: Refusal | None = None
+    disconnected: bool = False
+
+    @property
+    def is_answer(self) -> bool:
+        """True for a whole answer."""
+        return self.end is not None
+
+    @property
+    def run_state(self) -> RunState | None:
+        """What a refusal says of the work."""
+        return None if self.refusal is None else self.refusal.run_state
+
+
+@attrs.define
+class WorldHost:
+    """A host with its seams."""
+
+    name: str
+    host: Host
+    gate: Gate
+    store: MemoryObjectStore
+    died: asyncio.Event = attrs.field(factory=asyncio.Event)
+
+
+@attrs.define
+class SaidTurn:
+    """A turn as the caller knows it: what it said, and the whole answer it got."""
+
+    text: str
+    answer: str
+
+
+class World:
+    """Hosts, store and endpoints, and what callers did and got."""
+
+    def __init__(self, seed: int = 1) -> None:
+        self.random = random.Random(seed)
+        self.objects = MemoryObjects()
+        self.store_faults = StoreFaults()
+        self.network = LocalNetwork()
+        self.endpoints = EndpointWorld()
+        self.hosts_by_name: dict[str, WorldHost] = {}
+        self.all_hosts: list[WorldHost] = []
+        self.turns_by_program: dict[str, list[SaidTurn]] = {}
+        self.account_by_program: dict[str, str] = {}
+        self.budget_by_account: dict[str, int] = {}
+        self.not_run_references: set[str] = set()
+        self.lies: list[str] = []
+        self.answered_references: list[str] = []
+        self.membership = MembershipSettings(
+            beat_seconds=1.0, dead_after_seconds=4.0, address_keep_seconds=5.0, drain_seconds=60.0
+        )
+        self.history_bytes = 64_000_000
+
+    # ---- building ----
+
+    async def start(self, hosts: int, engines: int = 2) -> None:
+        """Starts hosts and endpoints, and waits until the hosts know each other."""
+        for number in range(engines):
+            self.endpoints.add(f"engine-{number + 1}", MODEL, HALLS[number % len(HALLS)])
+        for service in ("prices", "submissions"):
+            for number in range(2):
+                self.endpoints.add(f"{service}-{number + 1}", service, HALLS[number])
+        for number in range(hosts):
+            await self.add_host(f"entry-{number + 1}")
+        await asyncio.sleep(2.5)
+
+    async def add_host(self, name: str) -> WorldHost:
+        """Starts a host."""
+        gate = Gate()
+        store = MemoryObjectStore(self.objects, self.store_faults)
+        number = len(self.all_hosts)
+        outside = Outside(
+            GatedStore(store, gate),
+            WorldEndpointList(self.endpoints),
+            WorldEndpointClient(self.endpoints, gate),
+            LoopClock(CLOCK_ERRORS_MS[number % len(CLOCK_ERRORS_MS)]),
+            random.Random(self.random.getrandbits(32)).random,
+            self.network.member(name, gate),
+            serves_http=False,
+        )
+        host = Host(self._settings(name, number), outside)
+        await host.start()
+        world_host = WorldHost(name, host, gate, store)
+        self.hosts_by_name[name] = world_host
+        self.all_hosts.append(world_host)
+        return world_host
+
+    def _settings(self, name: str, number: int) -> Settings:
+        return Settings(
+            host=HostSettings(name, HALLS[number % len(HALLS)], f"{name}:8100", f"{name}:8200"),
+            store=StoreSettings("http://store", writes_per_second=20.0),
+            endpoints=EndpointListSettings("http://list", poll_seconds=1.0),
+            operators=OperatorSettings((hash_key("operator"),)),
+            membership=self.membership,
+            config=ConfigSettings(poll_seconds=2.0, stale_after_seconds=30.0),
+            limits=LimitSettings(default_max_tokens=64, history_bytes=self.history_bytes),
+            pools_by_name={MODEL: PoolSettings(MODEL, (MODEL,))},
+            services_by_name={
+                "prices": ServiceSettings("prices", timeout_seconds=4.0),
+                "submissions": ServiceSettings("submissions", timeout_seconds=4.0),
+            },
+        )
+
+    async def create_account(self, name: str, budget: int, extra: str = "") -> None:
+        """Creates a client account, and the template of all accounts where it is missing."""
+        if not any(item.name == "standard" for item in self.any_host().parts.feed.all("template")):
+            text = f"[template]\nmodels = {MODEL}\nservices = prices, submissions\n"
+            await self.configure("template", "standard", text)
+        text = f"[account]\ntemplate = standard\nbudget_tokens = {budget}\n{extra}"
+        await self.configure("account", name, text)
+        self.budget_by_account[name] = budget
+        await asyncio.sleep(5)
+
+    async def configure(self, kind: str, name: str, text: str) -> None:
+        """Applies an edit through any host."""
+        feed = self.any_host().parts.feed
+        base = max((item.revision for item in feed.history(kind, name)), default=0)
+        edit = ConfigEdit(kind, name, text, base, "operator")
+        answer = await self.any_host().service.edit_config(edit)
+        if answer.status != status_codes.HTTP_OK:
+            raise ValueError(f"{kind} {name} was refused: {answer.body!r}")
+
+    def any_host(self) -> Host:
+        """Returns some living host."""
+        return next(iter(self.hosts_by_name.values())).host
+
+    def host(self, name: str) -> WorldHost:
+        """Returns a living host."""
+        return self.hosts_by_name[name]
+
+    # ---- failures ----
+
+    async def kill(self, name: str) -> None:
+        """Kills a host without warning."""
+        world_host = self.hosts_by_name.pop(name)
+        world_host.died.set()
+        world_host.gate.freeze()
+        await world_host.host.crash()
+
+    async def stop(self, name: str) -> None:
+        """Stops a host as planned."""
+        world_host = self.hosts_by_name[name]
+        await world_host.host.stop()
+        del self.hosts_by_name[name]
+        world_host.died.set()
+
+    def freeze(self, name: str) -> None:
+        """Freezes a host: nothing gets in or out, and its time goes on."""
+        self.host(name).gate.freeze()
+
+    def wake(self, name: str) -> None:
+        """Wakes a frozen host; what it was about to do then happens, late."""
+        self.host(name).gate.wake()
+
+    def faults_of(self, endpoint: str) -> EndpointFaults:
+        """Returns the faults of an endpoint, to be changed."""
+        return self.endpoints.faults_by_endpoint[endpoint]
+
+    async def close(self) -> None:
+        """Kills every host."""
+        for name in list(self.hosts_by_name):
+            await self.kill(name)
+
+    # ---- callers ----
+
+    async def open(self, account: str, at: str, key: str | None = None) -> str:
+        """Opens a program."""
+        host = self.host(at).host
+        opened = await host.service.open_program(host.parts.accounts.find(account).ok, None, key)
+        if opened.is_error():
+            raise RefusedError(opened.error)
+        program = str(orjson.loads(opened.ok)["id"])
+        self.turns_by_program.setdefault(program, [])
+        self.account_by_program[program] = account
+        return program
+
+    async def think(
+        self,
+        program: str,
+        index: int | None,
+        text: str,
+        at: str,
+        patience_s: float = 30.0,
+        max_tokens: int = ANSWER_TOKENS,
+    ) -> Outcome:
+        """Makes a model call that sends only what is new."""
+        body = orjson.dumps(
+            {
+                "model": MODEL,
+                "messages": [{"role": "user", "content": text}],
+                "max_tokens": max_tokens,
+            }
+        )
+        incoming = self._incoming(program, index, CallKind.MODEL, MODEL, "POST", "", body)
+        incoming = attrs.evolve(incoming, patience_s=patience_s)
+        outcome = await self.send(incoming, at)
+        turns = self.turns_by_program[program]
+        if outcome.is_answer and not any(turn.text == text for turn in turns):
+            turns.append(SaidTurn(text, outcome.text))
+        return outcome
+
+    async def act(
+        self, program: str, index: int | None, reference: str, at: str, patience_s: float = 30.0
+    ) -> Outcome:
+        """Makes a call that may not be repeated."""
+        path = f"/act/{reference}"
+        incoming = self._incoming(program, index, CallKind.SERVICE, "submissions", "POST", path)
+        incoming = attrs.evolve(
+            incoming, repeatable=False, idempotency_key=reference, patience_s=patience_s
+        )
+        # A new attempt may run what an earlier one was refused for.
+        self.not_run_references.discard(reference)
+        before = self.endpoints.records.effects[reference]
+        outcome = await self.send(incoming, at)
+        if outcome.run_state is RunState.NOT_RUN:
+            self.not_run_references.add(reference)
+            if self.endpoints.records.effects[reference] > before:
+                self.lies.append(f"{reference} was refused as not run after it ran")
+        elif outcome.is_answer:
+            self.answered_references.append(reference)
+        return outcome
+
+    async def look_up(self, program: str, index: int | None, what: str, at: str) -> Outcome:
+        """Makes a call that may be repeated."""
+        path = f"/lookup/{what}"
+        return await self.send(
+            self._incoming(program, index, CallKind.SERVICE, "prices", "GET", path), at
+        )
+
+    async def send(self, incoming: IncomingCall, at: str) -> Outcome:
+        """Sends a call to one host and follows its answer as long as that host lives."""
+        world_host = self.host(at)
+        outcome = Outcome()
+        reading = asyncio.create_task(self._read(world_host.host, incoming, outcome))
+        dying = asyncio.create_task(world_host.died.wait())
+        await asyncio.wait({reading, dying}, return_when=asyncio.FIRST_COMPLETED)
+        outcome.disconnected = not reading.done()
+        reading.cancel()
+        dying.cancel()
+        await asyncio.gather(reading, dying, return_exceptions=True)
+        if reading.done() and not reading.cancelled():
+            reading.result()
+        return outcome
+
+    async def _read(self, host: Host, incoming: IncomingCall, outcome: Outcome) -> None:
+        try:
+            async for item in host.service.call(incoming):
+                if isinstance(item, AnswerPart):
+                    outcome.text += item.text
+                else:
+                    outcome.end = item
+        except RefusedError as error:
+            outcome.refusal = error.refusal
+
+    def _incoming(
+        self,
+        program: str,
+        index: int | None,
+        kind: CallKind,
+        target: str,
+        method: str,
+        path: str,
+        body: bytes = b"",
+    ) -> IncomingCall:
+        return IncomingCall(
+            account=self.account_by_program[program],
+            program=program,
+            index=index,
+            kind=kind,
+            target=target,
+            http_method=method,
+            path=path,
+            body=body,
+            content_type="application/json",
+            patience_s=30.0,
+            idempotency_key=None,
+            repeatable=True,
+            mode=MessagesMode.NEW,
+            resume_offset=0,
+        )
+
+    # ---- judging, from the records of store and endpoints ----
+
+    def events(self) -> list[Event]:
+        """Returns the events of all hosts, the dead ones included, in one order."""
+        found = [event for item in self.all_hosts for event in item.host.parts.timeline.all()]
+        return sorted(found, key=lambda event: (event.stamp, event.host))
+
+    def broken_promises(self) -> list[str]:
+        """Returns every broken promise; an empty list is what a test wants."""
+        return [*self._effects(), *self._histories(), *self._budgets()]
+
+    def _effects(self) -> list[str]:
+        effects = self.endpoints.records.effects
+        twice = [f"{name} ran {count} times" for name, count in effects.items() if count > 1]
+        lies = [
+            f"{name} is said not to have run" for name in self.not_run_references if effects[name]
+        ]
+        lost = [
+            f"{name} was answered and never ran"
+            for name in self.answered_references
+            if not effects[name]
+        ]
+        return [*twice, *self.lies, *lies, *lost]
+
+    def _histories(self) -> list[str]:
+        problems: list[str] = []
+        requests = self.endpoints.records.engine_requests
+        for program, turns in self.turns_by_program.items():
+            expected: list[str] = []
+            messages: list[dict[str, object]] = []
+            for turn in turns:
+                expected.append(turn.text)
+                messages.append({"role": "user", "content": turn.text})
+                prompts = {item.messages for item in requests if item.program == program}
+                if tuple(expected) not in prompts:
+                    problems.append(f"{program}: no engine saw '{turn.text}' with its history")
+                if turn.answer != answer_text(messages, ANSWER_TOKENS):
+                    problems.append(f"{program}: the answer to '{turn.text}' is not whole")
+                expected.append(turn.answer)
+                messages.append({"role": "assistant", "content": turn.answer})
+        return problems
+
+    def _budgets(self) -> list[str]:
+        used: dict[str, int] = {}
+        for program, tokens in self.endpoints.records.engine_tokens_by_program.items():
+            account = self.account_by_program[program]
+            used[account] = used.get(account, 0) + tokens
+        return [
+            f"{account} used {tokens} of {self.budget_by_account[account]} tokens"
+            for account, tokens in used.items()
+            if tokens > self.budget_by_account[account]
+        ]
--- a/src/bayhinge/_internal/cli/daemon.py
+++ b/src/bayhinge/_internal/cli/daemon.py
@@ -66,9 +66,11 @@
         return status_codes.EXIT_FAILURE
     # Who starts daemons waits for this line.
     print(f"{settings.host.name} serves at {host.base_url}", file=sys.stderr, flush=True)
-    await stopping.wait()
+    ending = [asyncio.create_task(event.wait()) for event in (stopping, host.fenced)]
+    await asyncio.wait(ending, return_when=asyncio.FIRST_COMPLETED)
     await host.stop()
-    return status_codes.EXIT_OK
+    # Fenced: whoever supervises the daemon should start it again, as a new incarnation.
+    return status_codes.EXIT_FENCED if host.fenced.is_set() else status_codes.EXIT_OK
 
 
 def _ask_to_stop(stopping: asyncio.Event) -> None:
--- a/src/bayhinge/_internal/network/peer_link.py
+++ b/src/bayhinge/_internal/network/peer_link.py
@@ -253,8 +253,8 @@
     async def _connect(self, address: str) -> "_ClientLink":
         host, port = split_address(address)
         try:
-            opening = asyncio.open_connection(host, port)
-            reader, writer = await asyncio.wait_for(opening, self._connect_s)
+            async with asyncio.timeout(self._connect_s):
+                reader, writer = await asyncio.open_connection(host, port)
         except (OSError, TimeoutError) as error:
             why = str(error) or type(error).__name__
             raise PeerUnreachableError(address, why, sent=False) from error
--- a/src/bayhinge/_internal/services/adoption.py
+++ b/src/bayhinge/_internal/services/adoption.py
@@ -29,7 +29,7 @@
     unfinished_from_wire,
 )
 from bayhinge._internal.wire import ttypes as wire
-from bayhinge.coordination.errors import CorruptObjectError, StoreError
+from bayhinge.coordination.errors import CorruptObjectError, FencedError, StoreError
 from bayhinge.coordination.journal import (
     JournalContents,
     RecordPosition,
@@ -148,6 +148,9 @@
             except StoreError as error:
                 logger.info("taking over %s waits for the store: %s", dead.incarnation, error)
                 await asyncio.sleep(RETRY_S)
+            except FencedError:
+                # This host was itself held dead meanwhile; its successors settle both.
+                return
             except CorruptObjectError as error:
                 logger.error("the journal of %s can't be taken over: %s", dead.incarnation, error)
                 return
--- a/src/bayhinge/_internal/services/front_service.py
+++ b/src/bayhinge/_internal/services/front_service.py
@@ -147,8 +147,8 @@
 
     async def _ask(self, peer: HostInfo, message: bytes) -> bytes:
         try:
-            asking = self._parts.peers.call(peer.peer_address, "query", message)
-            return await asyncio.wait_for(asking, QUERY_PEER_S)
+            async with asyncio.timeout(QUERY_PEER_S):
+                return await self._parts.peers.call(peer.peer_address, "query", message)
         except (PeerUnreachableError, PeerFailureError, TimeoutError):
             return b"[]"
 
--- a/src/bayhinge/_internal/services/host.py
+++ b/src/bayhinge/_internal/services/host.py
@@ -25,7 +25,7 @@
 from bayhinge._internal.services.program_opener import ProgramOpener
 from bayhinge._internal.wire import ttypes as wire
 from bayhinge.coordination.clock import SystemClock
-from bayhinge.coordination.errors import CoordinationError, StoreError
+from bayhinge.coordination.errors import CoordinationError, FencedError, StoreError
 from bayhinge.coordination.membership import HostInfo, HostState
 
 logger = logging.getLogger(__name__)
@@ -34,6 +34,7 @@
 """Between two rounds of settling budgets with the ledgers."""
 LOAD_POLL_S = 1.0
 FAULT_RETRY_S = 0.5
+CANCEL_LOOK_S = 0.5
 
 
 class Host(Service):
@@ -59,6 +60,9 @@
         self._has_crashed = False
         self.parts.membership.on_death = self._take_over
         self.parts.membership.on_gone = self._take_over
+        self.parts.membership.on_removed = self._check_own_seal
+        self.parts.journal.on_fenced = self._give_up
+        self.fenced = asyncio.Event()
 
     @property
     def name(self) -> str:
@@ -231,6 +235,45 @@
         self.parts.home.owner_died(dead.incarnation)
         self._spawn(self.parts.adopter.take_over(dead))
 
+    def _check_own_seal(self) -> None:
+        """The host's heartbeat object was removed: it may have been held dead while it slept."""
+        self._spawn(self._read_own_seal())
+
+    async def _read_own_seal(self) -> None:
+        while not self.parts.journal.fenced:
+            try:
+                seal = await self.parts.journal.check_seal()
+            except StoreError:
+                await asyncio.sleep(FAULT_RETRY_S)
+                continue
+            if seal is not None:
+                self.parts.locator.note_seal(self.parts.journal.incarnation, seal)
+            return
+
+    def _give_up(self, error: FencedError) -> None:
+        """The journal is another's now: own nothing more, pass every call on, ask for a restart.
+
+        Without this, a host that slept through its own takeover went on claiming its
+        programs and refused their calls for ever.
+        """
+        parts = self.parts
+        parts.timeline.record(Mechanism.MEMBERSHIP, "fenced", str(error))
+        parts.membership.describe(attrs.evolve(parts.membership.me, state=HostState.LEAVING))
+        self._spawn(self._drop_programs())
+
+    async def _drop_programs(self) -> None:
+        parts = self.parts
+        while True:
+            try:
+                seal = await parts.journal.check_seal()
+                break
+            except StoreError:
+                await asyncio.sleep(FAULT_RETRY_S)
+        if seal is not None:
+            parts.locator.note_seal(parts.journal.incarnation, seal)
+        parts.registry.remove_all()
+        self.fenced.set()
+
     # ---- tasks ----
 
     def _spawn(self, work: Coroutine[None, None, None]) -> None:
@@ -239,10 +282,11 @@
         task.add_done_callback(self._tasks.discard)
 
     async def _cancel_tasks(self) -> None:
-        tasks = list(self._tasks)
-        for task in tasks:
-            task.cancel()
-        await asyncio.gather(*tasks, return_exceptions=True)
+        # More than once: a task that is cancelled in the moment its wait ends may miss it.
+        while tasks := list(self._tasks):
+            for task in tasks:
+                task.cancel()
+            await asyncio.wait(tasks, timeout=CANCEL_LOOK_S)
 
     async def _close_clients(self) -> None:
         await self.parts.peers.close()
--- a/src/bayhinge/_internal/services/owner.py
+++ b/src/bayhinge/_internal/services/owner.py
@@ -173,7 +173,8 @@
         changed = program.changed
         remaining = deadline - asyncio.get_running_loop().time()
         try:
-            await asyncio.wait_for(changed.wait(), max(0.0, remaining))
+            async with asyncio.timeout(max(0.0, remaining)):
+                await changed.wait()
         except TimeoutError:
             refusal = refuse_unaccepted(
                 RefusalCode.INDEX_GAP,
@@ -202,9 +203,9 @@
             self._record_refusal(program.state, call, error.refusal)
             running.live.refuse(error.refusal)
         except asyncio.CancelledError:
-            running.live.refuse(
-                Refusal(RefusalCode.CANCELLED, RunState.MAY_HAVE_RUN, "the program was ended")
-            )
+            moved = attrs.evolve(refuse_moved(), run_state=RunState.MAY_HAVE_RUN)
+            ended = Refusal(RefusalCode.CANCELLED, RunState.MAY_HAVE_RUN, "the program was ended")
+            running.live.refuse(moved if program.has_moved else ended)
             raise
         except Exception:
             # A fault of ours must not leave the caller waiting for ever.
@@ -328,7 +329,8 @@
         remaining = prepared.deadline - asyncio.get_running_loop().time()
         try:
             durable = self._parts.journal.append(encode_started(program.state, started))
-            await asyncio.wait_for(asyncio.shield(durable), max(0.0, remaining))
+            async with asyncio.timeout(max(0.0, remaining)):
+                await asyncio.shield(durable)
         except TimeoutError as error:
             why = "the call's start could not be recorded within the caller's patience"
             refusal = attempt.refuse(RefusalCode.STORE_UNAVAILABLE, why, retry_after_s=2.0)
--- a/src/bayhinge/_internal/services/program_registry.py
+++ b/src/bayhinge/_internal/services/program_registry.py
@@ -78,6 +78,15 @@
             self._live_by_account[state.account] -= 1
         self._parts.histories.drop(str(state.program_id))
 
+    def remove_all(self) -> None:
+        """Drops every program, as a host must that was fenced off its journal."""
+        for program in list(self._programs_by_id.values()):
+            self.remove(program)
+            program.has_moved = True
+            if program.running is not None and program.running.task is not None:
+                program.running.task.cancel()
+            program.wake()
+
     async def open(
         self, account: ClientAccount, parent: str | None, idempotency_key: str | None
     ) -> Result[OwnedProgram, Refusal]:
--- a/src/bayhinge/_internal/services/router.py
+++ b/src/bayhinge/_internal/services/router.py
@@ -28,7 +28,7 @@
 from bayhinge._internal.services.owner_parts import OwnedProgram
 from bayhinge._internal.services.program_registry import ProgramRegistry
 from bayhinge._internal.wire import ttypes as wire
-from bayhinge.coordination.errors import CorruptObjectError, StoreError
+from bayhinge.coordination.errors import CoordinationError
 from bayhinge.coordination.membership import Membership
 
 MAX_HOPS = 3
@@ -141,7 +141,7 @@
                     return await self._command_there(verb, account, program, hops, location)
             except PeerUnreachableError:
                 distrust = "" if location is None else location.incarnation
-            except (StoreError, CorruptObjectError) as error:
+            except CoordinationError as error:
                 return Error(_owner_unreachable(program, str(error)))
             if asyncio.get_running_loop().time() >= deadline:
                 return Error(_owner_unreachable(program, "its owner does not answer"))
@@ -193,7 +193,7 @@
                 why = str(error)
                 trip.sent = trip.sent or error.sent
                 trip.distrust = "" if location is None else location.incarnation
-            except (StoreError, CorruptObjectError) as error:
+            except CoordinationError as error:
                 why = str(error)
             if loop.time() >= deadline:
                 run_state = RunState.MAY_HAVE_RUN if trip.sent else RunState.NOT_RUN
--- a/src/bayhinge/coordination/config_feed.py
+++ b/src/bayhinge/coordination/config_feed.py
@@ -142,7 +142,8 @@
                 logger.info("configuration waits for the store: %s", error)
             self._wake.clear()
             try:
-                await asyncio.wait_for(self._wake.wait(), self._times.poll_s)
+                async with asyncio.timeout(self._times.poll_s):
+                    await self._wake.wait()
             except TimeoutError:
                 continue
 
--- a/src/bayhinge/coordination/journal.py
+++ b/src/bayhinge/coordination/journal.py
@@ -155,6 +155,7 @@
         self._fenced: FencedError | None = None
         self._store_ok = True
         self._announcement: list[str] | None = None
+        self.on_fenced: Callable[[FencedError], None] = lambda error: None
         self.statistics = JournalStatistics()
 
     @property
@@ -204,6 +205,17 @@
             await self._pacer.wait()
             await self._write_next_batch()
 
+    async def check_seal(self) -> SealInfo | None:
+        """Looks whether the journal was sealed meanwhile, as a process that slept should.
+
+        Raises:
+            StoreError: the store did not answer.
+        """
+        seal = await find_seal(self._store, self._prefix, self.incarnation)
+        if seal is not None and self._fenced is None:
+            self._give_up(FencedError(f"Journal '{self.incarnation}'", seal.sealed_by), [])
+        return seal
+
     async def flush(self) -> None:
         """Waits until every record queued so far is durable or the journal is fenced."""
         await self._idle.wait()
@@ -331,6 +343,7 @@
         self._waiting.clear()
         self._waiting_bytes = 0
         self._idle.set()
+        self.on_fenced(error)
 
 
 def _retrieve(done: "asyncio.Future[RecordPosition]") -> None:
--- a/src/bayhinge/coordination/membership.py
+++ b/src/bayhinge/coordination/membership.py
@@ -85,6 +85,7 @@
         self.corrupt_by_key: dict[str, CorruptObjectError] = {}
         self.on_death: Callable[[HostInfo], None] = lambda info: None
         self.on_gone: Callable[[HostInfo], None] = lambda info: None
+        self.on_removed: Callable[[], None] = lambda: None
         self.on_change: Callable[[], None] = lambda: None
 
     @property
@@ -166,6 +167,9 @@
         except (AlreadyExistsError, VersionConflictError):
             # An earlier write took effect although its answer was lost.
             stored = await self._store.get(key)
+            if stored is None:
+                # Somebody held this host dead and settled its work.
+                self.on_removed()
             self._version = None if stored is None else stored.version
 
     def _take(self, objects: tuple[StoredObject, ...]) -> None:
--- a/tests/unit/test_journal.py
+++ b/tests/unit/test_journal.py
@@ -5,6 +5,7 @@
 
 import pytest
 
+from bayhinge._internal.bench.world.virtual_time import run_virtual
 from bayhinge.coordination.errors import CorruptObjectError, FencedError, JournalFullError
 from bayhinge.coordination.journal import (
     PART_BYTES,
@@ -17,7 +18,6 @@
 from bayhinge.coordination.pacing import WritePacer
 from bayhinge_standins.faults import StoreFaults
 from bayhinge_standins.object_store import MemoryObjects, MemoryObjectStore, Operation
-from tests.lib.virtual import run_virtual
 
 PREFIX = "test/journal"
 
