Script the failures as scenarios, with golden time lines

Found and mended: a call that had failed at every endpoint waited until its patience was over (it now goes on trying); a budget that was cut was still spent from grants taken before (hosts now give back what lies above it). Conclusion: kept as the suite's centre; new failures get a scenario each.

--- a/src/bayhinge/_internal/bench/world/world.py
+++ b/src/bayhinge/_internal/bench/world/world.py
@@ -130,6 +130,7 @@
     gate: Gate
     store: MemoryObjectStore
     died: asyncio.Event = attrs.field(factory=asyncio.Event)
+    died_at: float | None = None
 
 
 @attrs.define
@@ -245,6 +246,7 @@
         """Kills a host without warning."""
         world_host = self.hosts_by_name.pop(name)
         world_host.died.set()
+        world_host.died_at = asyncio.get_running_loop().time()
         world_host.gate.freeze()
         await world_host.host.crash()
 
@@ -345,12 +347,13 @@
         reading = asyncio.create_task(self._read(world_host.host, incoming, outcome))
         dying = asyncio.create_task(world_host.died.wait())
         await asyncio.wait({reading, dying}, return_when=asyncio.FIRST_COMPLETED)
-        outcome.disconnected = not reading.done()
+        is_cut = world_host.died.is_set() or not reading.done()
         reading.cancel()
         dying.cancel()
         await asyncio.gather(reading, dying, return_exceptions=True)
-        if reading.done() and not reading.cancelled():
-            reading.result()
+        if is_cut:
+            return Outcome(outcome.text, disconnected=True)
+        reading.result()
         return outcome
 
     async def _read(self, host: Host, incoming: IncomingCall, outcome: Outcome) -> None:
--- a/src/bayhinge/_internal/decisions/policies.py
+++ b/src/bayhinge/_internal/decisions/policies.py
@@ -5,11 +5,12 @@
 
 import attrs
 
-from bayhinge._internal.decisions.endpoint_view import EndpointView
+from bayhinge._internal.decisions.endpoint_view import EndpointView, Standing
 from bayhinge._internal.decisions.estimates import CellEstimates
 from bayhinge._internal.decisions.offers import Offer, Reason, Waiting
 from bayhinge._internal.models.refusals import Figure
 
+USABLE = frozenset({Standing.LIVE, Standing.PROBING})
 PRIORITY_AGE_S = 10.0
 """Seconds of age that one step of priority is worth."""
 
@@ -95,8 +96,14 @@
 
 
 def _open(offer: Offer, endpoints: Iterable[EndpointView]) -> list[EndpointView]:
-    """Returns the endpoints that may take the call now."""
-    return [view for view in endpoints if view.has_slot and view.name not in offer.avoid]
+    """Returns the endpoints that may take the call now.
+
+    Endpoints that failed the call are avoided as long as there are others; a call that
+    has failed everywhere would else wait until its patience is over.
+    """
+    usable = [view for view in endpoints if view.standing in USABLE]
+    fresh = [view for view in usable if view.name not in offer.avoid]
+    return [view for view in fresh or usable if view.has_slot]
 
 
 class RoundRobin(PlacementPolicy):
@@ -158,7 +165,7 @@
         program = waiting.offer.program
         home = self._endpoint_by_program.get(program)
         own = next((view for view in views if view.name == home), None)
-        if own is not None and own.has_slot and own.name not in waiting.offer.avoid:
+        if own is not None and own in _open(waiting.offer, views):
             return Placement(own, own.cached_tokens(waiting.offer), Reason("its session is here"))
         placement = super().place(waiting, views, now)
         if placement is not None:
--- a/src/bayhinge/coordination/escrow.py
+++ b/src/bayhinge/coordination/escrow.py
@@ -62,6 +62,7 @@
     reserved: int = 0
     in_doubt: int = 0
     recent: int = 0
+    budget: int | None = None
     lock: asyncio.Lock = attrs.field(factory=asyncio.Lock)
 
     @property
@@ -115,6 +116,10 @@
             StoreError: the grant is short and the store did not answer.
         """
         account = self._accounts_by_ledger.setdefault(ledger, _Account())
+        if account.budget is not None and budget < account.budget:
+            async with account.lock:
+                await self._follow_cut(ledger, account, budget)
+        account.budget = budget
         if account.free < units:
             async with account.lock:
                 # Another call may have fetched enough while this one waited.
@@ -201,6 +206,19 @@
 
         await self._update(ledger, account, extend)
 
+    async def _follow_cut(self, ledger: str, account: _Account, budget: int) -> None:
+        """Gives back what this host holds above a budget that was lowered."""
+        free = max(0, account.free)
+        account.in_doubt += free
+
+        def shrink(state: Ledger, mine: EscrowGrant) -> bool:
+            state.budget = budget
+            excess = max(0, -_view(state).free)
+            mine.granted -= min(free, excess)
+            return True
+
+        await self._update(ledger, account, shrink)
+
     async def _return(self, ledger: str, account: _Account, keep: int) -> None:
         surplus = max(0, account.free - keep)
         if account.spent == account.settled and not surplus and not account.in_doubt:
--- /dev/null
+++ b/tests/functional/features/stops.feature
@@ -0,0 +1,66 @@
+Feature: Planned stops and leaving endpoints
+  A planned stop cuts no request; a leaving endpoint gets no new work after a few seconds.
+
+  Background:
+    Given 3 hosts and 2 engines
+    And client account "desk" with a budget of 100000 tokens
+    And program "p" of "desk" opened at entry-1
+
+  Scenario: The owner stops while a call runs
+    When call 0 of "p" begins to ask the model "first" at entry-1
+    And 0.05 seconds pass
+    And entry-1 begins a planned stop
+    Then call 0 of "p" is answered
+    When call 1 of "p" asks the model "second" at entry-1
+    Then call 1 of "p" is answered
+    When every planned stop has ended
+    And call 2 of "p" asks the model "third" at entry-2
+    Then call 2 of "p" is answered
+    And every promise holds
+    And the time line is the recorded one
+
+  Scenario: Every host is replaced in turn while a program runs
+    When entry-1 begins a planned stop
+    And call 0 of "p" asks the model "first" at entry-1
+    And every planned stop has ended
+    And entry-4 starts
+    And 3 seconds pass
+    And entry-2 begins a planned stop
+    And call 1 of "p" asks the model "second" at entry-2
+    And every planned stop has ended
+    And entry-5 starts
+    And 3 seconds pass
+    And entry-3 begins a planned stop
+    And call 2 of "p" submits "nav" at entry-3
+    And every planned stop has ended
+    And call 3 of "p" asks the model "third" at entry-5
+    Then call 3 of "p" is answered
+    And "nav" took effect 1 times
+    And every promise holds
+
+  Scenario: The host dies in the middle of its planned stop
+    Given program "q" of "desk" opened at entry-1
+    When call 0 of "p" asks the model "first" at entry-2
+    And call 0 of "q" begins to ask the model "long" at entry-2
+    And entry-1 begins a planned stop
+    And 0.1 seconds pass
+    And entry-1 is killed
+    Then call 0 of "q" is answered
+    When call 1 of "p" asks the model "second" at entry-3
+    Then call 1 of "p" is answered
+    And every promise holds
+
+  Scenario: An engine is listed as leaving
+    When call 0 of "p" asks the model "first" at entry-2
+    And the platform lists endpoint engine-1 as leaving
+    And 2 seconds pass
+    Then endpoint engine-1 got no call after that
+    And every promise holds
+
+  Scenario: An engine says itself that it drains
+    When endpoint engine-1 has the fault "draining"
+    And call 0 of "p" asks the model "first" at entry-2
+    And call 1 of "p" asks the model "second" at entry-2
+    Then call 1 of "p" is answered
+    And endpoint engine-1 got no call after that
+    And every promise holds
