--- a/src/bayhinge/_internal/demo/run.py
+++ b/src/bayhinge/_internal/demo/run.py
@@ -71,7 +71,7 @@
     await world.start()
     clients: dict[Account, DemoClient] = {}
     try:
-        await _configure(world)
+        await configure(world)
         addresses = [host.base_url for host in world.hosts]
         clients = {account: DemoClient(addresses, key_of(account)) for account in Account}
         reports, killed, stopped = await _run_with_failures(world, clients)
@@ -82,10 +82,18 @@
         await world.stop()
 
 
-async def _configure(world: World) -> None:
+async def configure(world: World) -> None:
     """Creates templates and accounts as an operator would, and waits until all hosts agree."""
+    revision = await configure_at(world.hosts[0].base_url)
+    for host in world.hosts:
+        while host.parts.feed.revision < revision:
+            await asyncio.sleep(CONFIG_LOOK_S)
+
+
+async def configure_at(base_url: str) -> int:
+    """Creates templates and accounts through one host, and returns the last revision."""
     headers = {"Authorization": f"Bearer {OPERATOR_KEY}"}
-    base = f"{world.hosts[0].base_url}/v1/operator/config"
+    base = f"{base_url}/v1/operator/config"
     revision = 0
     async with aiohttp.ClientSession(headers=headers) as session:
         texts = [(f"template/{name}", f"[template]\n{body}") for name, body in TEMPLATES.items()]
@@ -100,10 +108,8 @@
             async with session.put(f"{base}/{path}", data=text) as response:
                 if response.status != status_codes.HTTP_OK:
                     raise RuntimeError(f"{path} was refused: {await response.text()}")
-                revision = orjson.loads(await response.read())["revision"]
-    for host in world.hosts:
-        while host.parts.feed.revision < revision:
-            await asyncio.sleep(CONFIG_LOOK_S)
+                revision = int(orjson.loads(await response.read())["revision"])
+    return revision
 
 
 async def _run_with_failures(
