--- a/tests/functional/test_front.py
+++ b/tests/functional/test_front.py
@@ -148,7 +148,7 @@
             *QUESTION["messages"],
             {**answer, "refusal": None},
             {"role": "user", "content": "x"},
-        ]  # type: ignore[misc]
+        ]
         second = await caller.send(
             "POST",
             "/v1/chat/completions",
