--- a/Makefile
+++ b/Makefile
@@ -24,6 +24,10 @@
 	$(BIN)/bayhinge bench path
 	$(BIN)/bayhinge bench recovery
 	$(BIN)/bayhinge bench decisions
+	$(BIN)/bayhinge bench config
+
+capacity: $(VENV)/installed
+	$(BIN)/bayhinge bench capacity --write docs/CAPACITY.md
 
 format: $(VENV)/installed
 	$(BIN)/ruff format .
--- a/src/bayhinge/_internal/cli/tool/bench.py
+++ b/src/bayhinge/_internal/cli/tool/bench.py
@@ -76,6 +76,38 @@
         raise SystemExit(1)
 
 
+@app.command
+def config(*, quick: bool = False, json: bool = False) -> None:
+    """Measures how fast a change of configuration is in force on 350 hosts.
+
+    Args:
+        quick: fewer changes, under 50 s.
+        json: print one JSON object, last.
+    """
+    from bayhinge._internal.bench.config_feed import run
+
+    logging.disable(logging.CRITICAL)
+    _print_figures(attrs.asdict(run(quick)), json)
+
+
+@app.command
+def capacity(*, write: Path | None = None) -> None:
+    """Measures the slopes and works out what the target size needs.
+
+    Args:
+        write: the page to write; printed where none is given.
+    """
+    from bayhinge._internal.bench.capacity import page
+
+    logging.disable(logging.CRITICAL)
+    text = page()
+    if write is None:
+        print(text)
+        return
+    write.write_text(text, encoding="utf-8")
+    print(f"written: {write}")
+
+
 def _print_figures(figures: dict[str, object], json: bool) -> None:
     if json:
         _print_last(figures)
--- a/src/bayhinge/_internal/models/settings.py
+++ b/src/bayhinge/_internal/models/settings.py
@@ -38,9 +38,6 @@
         Field("peer_address", Address(), None, "where the other hosts connect"),
         Field("log_file", Text(), "-", "where eliot writes; - is standard output"),
         Field("data_folder", Text(), "", "a small disk's folder, if this host has one"),
-        Field(
-            "seed", Whole(0, 2**32), "0", "seed of jitter and names; 0 takes the system's source"
-        ),
     ),
 )
 STORE = SectionSchema(
@@ -137,7 +134,6 @@
     peer_address: str
     log_file: str = "-"
     data_folder: str = ""
-    seed: int = 0
 
 
 @attrs.frozen
--- a/src/bayhinge/_internal/services/host_parts.py
+++ b/src/bayhinge/_internal/services/host_parts.py
@@ -56,7 +56,6 @@
 
 def outside_from_settings(settings: Settings, clock: Clock) -> Outside:
     """Returns the real clients that settings name."""
-    seed = settings.host.seed or None
     limits = settings.limits
     times = EndpointTimes(
         limits.connect_seconds, limits.first_byte_seconds, limits.between_bytes_seconds
@@ -66,7 +65,8 @@
         HttpEndpointList(settings.endpoints.list_url, settings.store.timeout_seconds),
         HttpEndpointClient(times),
         clock,
-        (random.Random(seed) if seed else random.SystemRandom()).random,
+        # Never seeded: two starts with one seed would share an incarnation's name.
+        random.SystemRandom().random,
         TcpPeerNetwork(limits.connect_seconds),
     )
 
--- a/src/bayhinge/coordination/escrow.py
+++ b/src/bayhinge/coordination/escrow.py
@@ -102,7 +102,7 @@
         """Takes the store, the ledgers' prefix, this incarnation, and the usual grant."""
         self._store = store
         self._prefix = prefix
-        self._incarnation = incarnation
+        self.incarnation = incarnation
         self._random_unit = random_unit
         self._grant_units = grant_units
         self._accounts_by_ledger: dict[str, _Account] = {}
@@ -270,7 +270,7 @@
         must_write = account is not None and account.in_doubt > 0
         if not change(state, mine) and not must_write:
             return mine
-        mine.nonce = f"{self._incarnation}-{self._random_unit():.17f}"
+        mine.nonce = f"{self.incarnation}-{self._random_unit():.17f}"
         nonces.add(mine.nonce)
         self.updates += 1
         if stored is None:
@@ -281,9 +281,9 @@
 
     def _own_entry(self, state: Ledger) -> EscrowGrant:
         for grant in state.grants:
-            if grant.incarnation == self._incarnation:
+            if grant.incarnation == self.incarnation:
                 return grant
-        mine = EscrowGrant(self._incarnation, 0, 0, False, "")
+        mine = EscrowGrant(self.incarnation, 0, 0, False, "")
         state.grants.append(mine)
         return mine
 
--- a/src/bayhinge/coordination/journal.py
+++ b/src/bayhinge/coordination/journal.py
@@ -118,6 +118,16 @@
     position: RecordPosition | None = None
 
 
+@attrs.frozen
+class _BegunBatch:
+    """A batch whose write may have taken effect already."""
+
+    key: str
+    value: bytes
+    nonce: str
+    finished: list[_Waiting]
+
+
 class Journal:
     """The writer's side: appends with group commit, from one task."""
 
@@ -155,6 +165,7 @@
         self._fenced: FencedError | None = None
         self._store_ok = True
         self._announcement: list[str] | None = None
+        self._begun: _BegunBatch | None = None
         self.on_fenced: Callable[[FencedError], None] = lambda error: None
         self.statistics = JournalStatistics()
 
@@ -198,7 +209,7 @@
         """Writes batches until it is cancelled or fenced."""
         while self._fenced is None:
             await self._wake.wait()
-            if not self._waiting and self._announcement is None:
+            if not self._waiting and self._announcement is None and self._begun is None:
                 self._wake.clear()
                 self._idle.set()
                 continue
@@ -246,23 +257,29 @@
         )
 
     async def _write_next_batch(self) -> None:
-        sequence = self._next_sequence
-        entries, finished = self._take_entries(sequence)
-        nonce = f"{self._random_unit():.17f}"
-        announced, self._announcement = self._announcement, None
-        value = encode(Batch(FORMAT, self.incarnation, nonce, entries, None, announced))
-        key = object_key(self._prefix, self.incarnation, sequence)
+        # A batch that was begun must be the next one written, whatever ended the task
+        # that wrote it: its records have left the queue.
+        batch = self._begun = self._begun or self._begin_batch()
         try:
-            await self._create_surely(key, value, nonce)
+            await self._create_surely(batch.key, batch.value, batch.nonce)
         except FencedError as error:
-            self._give_up(error, finished)
+            self._give_up(error, batch.finished)
             return
+        self._begun = None
         self._next_sequence += 1
         self.statistics.batches += 1
-        self.statistics.bytes_written += len(value)
-        for waiting in finished:
+        self.statistics.bytes_written += len(batch.value)
+        for waiting in batch.finished:
             self._finish(waiting)
 
+    def _begin_batch(self) -> _BegunBatch:
+        entries, finished = self._take_entries(self._next_sequence)
+        nonce = f"{self._random_unit():.17f}"
+        announced, self._announcement = self._announcement, None
+        value = encode(Batch(FORMAT, self.incarnation, nonce, entries, None, announced))
+        key = object_key(self._prefix, self.incarnation, self._next_sequence)
+        return _BegunBatch(key, value, nonce, finished)
+
     def _take_entries(self, sequence: int) -> tuple[list[Entry], list[_Waiting]]:
         entries: list[Entry] = []
         finished: list[_Waiting] = []
