--- a/src/bayhinge/_internal/bench/world/world.py
+++ b/src/bayhinge/_internal/bench/world/world.py
@@ -287,6 +287,16 @@
         self.account_by_program[program] = account
         return program
 
+    async def open_refusal(self, account: str, at: str, patience_s: float = 2.0) -> str:
+        """Tries to open a program, and says what came of it."""
+        try:
+            async with asyncio.timeout(patience_s):
+                return f"opened as {await self.open(account, at)}"
+        except TimeoutError:
+            return f"no answer in {patience_s:g} s, for its beginning can't be recorded"
+        except RefusedError as error:
+            return f"refused, {error.refusal.run_state}: {error.refusal.why}"
+
     async def think(
         self,
         program: str,
--- a/src/bayhinge/_internal/cli/tool/main.py
+++ b/src/bayhinge/_internal/cli/tool/main.py
@@ -11,19 +11,40 @@
     help="Drives and explains bayhinge hosts.",
     version=__version__,
 )
-app.command(f"{_COMMANDS}.demo:demo", name="demo")
-app.command(f"{_COMMANDS}.addresses:addresses", name="addresses")
-app.command(f"{_COMMANDS}.programs:app", name="programs")
-app.command(f"{_COMMANDS}.accounts:app", name="accounts")
-app.command(f"{_COMMANDS}.templates:app", name="templates")
-app.command(f"{_COMMANDS}.config:app", name="config")
-app.command(f"{_COMMANDS}.timeline:timeline", name="timeline")
-app.command(f"{_COMMANDS}.explain:explain", name="explain")
-app.command(f"{_COMMANDS}.stats:stats", name="stats")
-app.command(f"{_COMMANDS}.hosts:hosts", name="hosts")
-app.command(f"{_COMMANDS}.endpoints:endpoints", name="endpoints")
-app.command(f"{_COMMANDS}.settings:app", name="settings")
-app.command(f"{_COMMANDS}.bench:app", name="bench")
+app.command(
+    f"{_COMMANDS}.demo:demo", name="demo", help="Run a whole system with stand-ins, and break it."
+)
+app.command(f"{_COMMANDS}.learn:learn", name="learn", help="Watch one mechanism act.")
+app.command(
+    f"{_COMMANDS}.addresses:addresses",
+    name="addresses",
+    help="Print the addresses that callers should use.",
+)
+app.command(f"{_COMMANDS}.programs:app", name="programs", help="List, show and cancel programs.")
+app.command(
+    f"{_COMMANDS}.accounts:app", name="accounts", help="Create, edit and roll back client accounts."
+)
+app.command(f"{_COMMANDS}.templates:app", name="templates", help="Edit and roll back templates.")
+app.command(
+    f"{_COMMANDS}.config:app", name="config", help="Show which host has which configuration."
+)
+app.command(
+    f"{_COMMANDS}.timeline:timeline",
+    name="timeline",
+    help="Print the events of all hosts in one order.",
+)
+app.command(f"{_COMMANDS}.explain:explain", name="explain", help="Tell one program's story.")
+app.command(f"{_COMMANDS}.stats:stats", name="stats", help="Print counters and latencies.")
+app.command(f"{_COMMANDS}.hosts:hosts", name="hosts", help="List the living hosts.")
+app.command(
+    f"{_COMMANDS}.endpoints:endpoints", name="endpoints", help="List engines and service endpoints."
+)
+app.command(
+    f"{_COMMANDS}.settings:app",
+    name="settings",
+    help="Check a daemon's settings, print their reference.",
+)
+app.command(f"{_COMMANDS}.bench:app", name="bench", help="Measure this code.")
 app.register_install_completion_command()
 
 
--- a/src/bayhinge/_internal/services/adoption.py
+++ b/src/bayhinge/_internal/services/adoption.py
@@ -14,7 +14,13 @@
 from bayhinge._internal.models.events import Mechanism
 from bayhinge._internal.models.ids import ProgramId
 from bayhinge._internal.models.programs import ProgramState
-from bayhinge._internal.models.refusals import CallAttempt, Figure, RefusalCode
+from bayhinge._internal.models.refusals import (
+    CallAttempt,
+    Figure,
+    RefusalCode,
+    RefusedError,
+    refuse_unaccepted,
+)
 from bayhinge._internal.services.owner import failed_end
 from bayhinge._internal.services.owner_parts import OwnedProgram, OwnerParts
 from bayhinge._internal.services.program_registry import ProgramRegistry
@@ -34,7 +40,7 @@
     JournalContents,
     RecordPosition,
     SealInfo,
-    find_seal,
+    read_tail,
     seal_journal,
 )
 from bayhinge.coordination.membership import HostInfo, Membership
@@ -81,6 +87,7 @@
 
         Raises:
             StoreError: a seal must be read and the store did not answer.
+            RefusedError: no such journal ever was.
         """
         incarnation = program.incarnation
         path: list[str] = []
@@ -107,10 +114,14 @@
         self._seal_by_incarnation[incarnation] = seal
 
     async def _read_seal(self, incarnation: str) -> bool:
-        seal = await find_seal(self._store, self._prefix, incarnation)
-        if seal is not None:
-            self._seal_by_incarnation[incarnation] = seal
-        return seal is not None
+        tail = await read_tail(self._store, self._prefix, incarnation)
+        if tail.seal is not None:
+            self._seal_by_incarnation[incarnation] = tail.seal
+        elif not tail.next_sequence and self._membership.find(incarnation) is None:
+            # No host of this name lives and none has written: nothing was ever opened there.
+            why = f"no journal '{incarnation}' exists, so it holds no program"
+            raise RefusedError(refuse_unaccepted(RefusalCode.UNKNOWN_PROGRAM, why))
+        return tail.seal is not None
 
 
 class Adopter:
--- a/src/bayhinge/_internal/services/front_service.py
+++ b/src/bayhinge/_internal/services/front_service.py
@@ -11,7 +11,7 @@
 from bayhinge._internal.models.accounts import ClientAccount, key_matches
 from bayhinge._internal.models.calls import AnswerItem, IncomingCall
 from bayhinge._internal.models.ids import parse_program_id
-from bayhinge._internal.models.refusals import Refusal
+from bayhinge._internal.models.refusals import Refusal, RefusedError
 from bayhinge._internal.models.settings import ServiceSettings
 from bayhinge._internal.models.views import AddressView
 from bayhinge._internal.network.frames import encode_message
@@ -127,7 +127,7 @@
             return ""
         try:
             location = await self._parts.locator.locate(program_id)
-        except StoreError:
+        except (StoreError, RefusedError):
             return ""
         return "" if location is None else location.incarnation
 
--- a/src/bayhinge/_internal/services/owner_parts.py
+++ b/src/bayhinge/_internal/services/owner_parts.py
@@ -104,6 +104,15 @@
     )
 
 
+def refuse_unrecorded() -> Refusal:
+    """Makes the refusal of a program whose beginning can't be recorded now."""
+    return refuse_unaccepted(
+        RefusalCode.STORE_UNAVAILABLE,
+        "the platform's object store does not answer, so the program's beginning can't be recorded",
+        retry_after_s=STORE_RETRY_S,
+    )
+
+
 def refuse_too_many(count: int, limit: int) -> Refusal:
     """Makes the refusal of one program more than the account may have under way."""
     return refuse_unaccepted(
--- a/src/bayhinge/_internal/services/program_registry.py
+++ b/src/bayhinge/_internal/services/program_registry.py
@@ -17,6 +17,7 @@
     OwnerParts,
     refuse_for_store,
     refuse_too_many,
+    refuse_unrecorded,
     refuse_unvouched,
 )
 from bayhinge._internal.services.record_codec import encode_ended, encode_opened
@@ -46,6 +47,7 @@
         self._id_by_opening_key: dict[str, str] = {}
         self._live_by_account: Counter[str] = Counter()
         self._next_number = 0
+        self._endings: set[asyncio.Task[Result[ProgramId, Refusal]]] = set()
 
     def find(self, program: str) -> OwnedProgram | None:
         """Returns a program that this host owns."""
@@ -95,9 +97,14 @@
         if begun.is_error():
             return Error(begun.error)
         try:
-            await begun.ok.durable
+            async with asyncio.timeout(account.patience_seconds):
+                await asyncio.shield(begun.ok.durable)
         except FencedError as error:
             return Error(refuse_for_store(CallAttempt(), error))
+        except TimeoutError:
+            # Its record may still become durable; so does its end, right behind it.
+            self._abandon(begun.ok.program)
+            return Error(refuse_unrecorded())
         return Ok(begun.ok.program)
 
     def begin(
@@ -157,6 +164,11 @@
         self._forget_oldest(str(state.program_id))
         return Ok(state.program_id)
 
+    def _abandon(self, program: OwnedProgram) -> None:
+        ending = asyncio.create_task(self.end(program, "its beginning could not be recorded"))
+        self._endings.add(ending)
+        ending.add_done_callback(self._endings.discard)
+
     def _find_opened(self, account: ClientAccount, key: str | None) -> BegunProgram | None:
         if key is None:
             return None
@@ -170,6 +182,8 @@
     def _check_open(self, account: ClientAccount) -> Iterator[Refusal]:
         if not self._parts.accounts.is_current():
             yield refuse_unvouched()
+        if not self._parts.journal.store_ok:
+            yield refuse_unrecorded()
         live = self._live_by_account[account.name]
         if live >= account.max_programs:
             yield refuse_too_many(live, account.max_programs)
--- a/src/bayhinge/_internal/services/router.py
+++ b/src/bayhinge/_internal/services/router.py
@@ -141,6 +141,8 @@
                     return await self._command_there(verb, account, program, hops, location)
             except PeerUnreachableError:
                 distrust = "" if location is None else location.incarnation
+            except RefusedError as error:
+                return Error(error.refusal)
             except CoordinationError as error:
                 return Error(_owner_unreachable(program, str(error)))
             if asyncio.get_running_loop().time() >= deadline:
--- a/src/bayhinge/coordination/journal.py
+++ b/src/bayhinge/coordination/journal.py
@@ -462,7 +462,7 @@
     """
     nonce = f"seal-by-{sealed_by}"
     while True:
-        tail = await _read_tail(store, prefix, incarnation)
+        tail = await read_tail(store, prefix, incarnation)
         if tail.seal is not None:
             return tail.seal
         named = tail.announced or tuple(successors)
@@ -477,25 +477,28 @@
 
 
 @attrs.frozen
-class _Tail:
+class JournalTail:
+    """The end of a journal, without its records."""
+
     seal: SealInfo | None
     next_sequence: int
     announced: tuple[str, ...] = ()
 
 
-async def _read_tail(store: ObjectStore, prefix: str, incarnation: str) -> _Tail:
+async def read_tail(store: ObjectStore, prefix: str, incarnation: str) -> JournalTail:
+    """Returns the end of a journal; ``next_sequence`` is 0 where nothing was ever written."""
     listing = await list_all(store, f"{prefix}/{incarnation}/")
     if not listing.objects:
-        return _Tail(None, 0)
+        return JournalTail(None, 0)
     announced: tuple[str, ...] = ()
     for stored in listing.objects:
         batch = decode(Batch(), stored.value, stored.key)
         if batch.announced:
             announced = tuple(batch.announced)
     last = listing.objects[-1]
-    return _Tail(_seal_info(batch.seal), _sequence_of(last.key) + 1, announced)
+    return JournalTail(_seal_info(batch.seal), _sequence_of(last.key) + 1, announced)
 
 
 async def find_seal(store: ObjectStore, prefix: str, incarnation: str) -> SealInfo | None:
     """Returns the seal of a journal, or None while it has none."""
-    return (await _read_tail(store, prefix, incarnation)).seal
+    return (await read_tail(store, prefix, incarnation)).seal
--- a/tests/functional/conftest.py
+++ b/tests/functional/conftest.py
@@ -11,7 +11,7 @@
 from pytest_bdd import given, parsers, then, when
 
 from bayhinge._internal.bench.world.world import Outcome, World
-from bayhinge._internal.models.refusals import RefusalCode, RunState
+from bayhinge._internal.models.refusals import RefusalCode, RefusedError, RunState
 from bayhinge._internal.queries.sentences import describe
 from bayhinge.coordination.clock import stamp_to_ms
 
@@ -372,3 +372,14 @@
 
     with pytest.raises(TimeoutError):
         stage.run(attempt())
+
+
+@then(parsers.parse('program "{name}" of "{account}" is refused at {host} at once with {code}'))
+def open_refused(stage: Stage, name: str, account: str, host: str, code: str) -> None:
+    before = stage.loop.time()
+    with pytest.raises(RefusedError) as caught:
+        stage.run(stage.world.open(account, host))
+    assert caught.value.refusal.code is RefusalCode(code)
+    assert caught.value.refusal.run_state is RunState.NOT_RUN
+    assert caught.value.refusal.retry_after_s
+    assert stage.loop.time() == before
--- a/tests/functional/features/store.feature
+++ b/tests/functional/features/store.feature
@@ -62,3 +62,14 @@
     And call 1 of "p" asks the model "second" at entry-3
     Then call 1 of "p" is answered
     And every promise holds
+
+  Scenario: A program that can't be recorded is refused at once, and the next is refused too
+    When the store goes away
+    And program "q" of "desk" is opened at entry-2 in vain
+    And 3 seconds pass
+    Then program "r" of "desk" is refused at entry-2 at once with store_unavailable
+    When the store comes back
+    And 4 seconds pass
+    And program "s" of "desk" is opened at entry-2
+    And call 0 of "s" asks the model "first" at entry-3
+    Then call 0 of "s" is answered
