--- a/examples/coordination_example.py
+++ b/examples/coordination_example.py
@@ -15,7 +15,7 @@
     SystemClock,
 )
 from bayhinge.coordination.config_feed import FeedTimes
-from bayhinge.coordination.journal import seal_journal
+from bayhinge.coordination.journal_seal import seal_journal
 from bayhinge.coordination.pacing import WritePacer
 from bayhinge_standins.object_store import MemoryObjects, MemoryObjectStore
 
--- a/src/bayhinge/_internal/bench/recovery.py
+++ b/src/bayhinge/_internal/bench/recovery.py
@@ -23,7 +23,9 @@
     end_to_wire,
 )
 from bayhinge._internal.wire import ttypes as wire
-from bayhinge.coordination.journal import Journal, JournalReader, RecordPosition
+from bayhinge.coordination.journal import Journal
+from bayhinge.coordination.journal_objects import RecordPosition
+from bayhinge.coordination.journal_reader import JournalReader
 from bayhinge.coordination.pacing import WritePacer
 from bayhinge_standins.faults import StoreFaults
 from bayhinge_standins.object_store import MemoryObjects, MemoryObjectStore, Operation
--- a/src/bayhinge/_internal/models/accounts.py
+++ b/src/bayhinge/_internal/models/accounts.py
@@ -169,6 +169,23 @@
     return Ok(read_section(schema, parsed.ok.sections_by_name.get(schema.title)))
 
 
+def read_value(text: str, key: str) -> str:
+    """Reads one key of an account's text, which was checked when it was accepted."""
+    parsed = parse_ini(text)
+    if parsed.is_error():
+        return ""
+    section = parsed.ok.sections_by_name.get(ConfigKind.ACCOUNT.value)
+    if section is None or key not in section.values_by_key:
+        return ""
+    return section.values_by_key[key].text.strip()
+
+
+def read_digests(text: str) -> tuple[str, ...]:
+    """Reads the digests of an account's keys from its text."""
+    parts = read_value(text, "key_sha256").split(",")
+    return tuple(part.strip().lower() for part in parts if part.strip())
+
+
 def hash_key(key: str) -> str:
     """Returns the digest of a key as it is kept in configuration.
 
--- a/src/bayhinge/_internal/models/programs.py
+++ b/src/bayhinge/_internal/models/programs.py
@@ -9,7 +9,7 @@
 import attrs
 
 from bayhinge._internal.models.ids import ProgramId
-from bayhinge.coordination.journal import RecordPosition
+from bayhinge.coordination.journal_objects import RecordPosition
 
 EMPTY_DIGEST = ""
 
--- a/src/bayhinge/_internal/services/account_directory.py
+++ b/src/bayhinge/_internal/services/account_directory.py
@@ -10,9 +10,10 @@
     ConfigText,
     hash_key,
     key_matches,
+    read_digests,
+    read_value,
     resolve_account,
 )
-from bayhinge._internal.utils.ini import parse_ini
 from bayhinge.coordination.config_feed import ConfigFeed, ConfigObject
 
 
@@ -69,7 +70,7 @@
         account = self._feed.get(ConfigKind.ACCOUNT, name)
         if account is None:
             return Error(f"client account '{name}' does not exist")
-        template = self._feed.get(ConfigKind.TEMPLATE, _template_name(account))
+        template = self._feed.get(ConfigKind.TEMPLATE, read_value(account.text or "", "template"))
         resolved = resolve_account(_text(account), None if template is None else _text(template))
         return Ok(resolved.ok) if resolved.is_ok() else Error(resolved.error)
 
@@ -80,7 +81,7 @@
         self._resolved_by_name.pop(changed.name, None)
         for digest in self._digests_by_name.pop(changed.name, ()):
             self._name_by_digest.pop(digest, None)
-        digests = () if changed.text is None else _digests(changed)
+        digests = () if changed.text is None else read_digests(changed.text)
         self._digests_by_name[changed.name] = digests
         for digest in digests:
             self._name_by_digest[digest] = changed.name
@@ -88,24 +89,3 @@
 
 def _text(item: ConfigObject) -> ConfigText:
     return ConfigText(ConfigKind(item.kind), item.name, item.text or "", item.revision)
-
-
-def _raw(item: ConfigObject, key: str) -> str:
-    """Reads one key of an account's text, which was checked when it was accepted."""
-    parsed = parse_ini(item.text or "")
-    if parsed.is_error():
-        return ""
-    section = parsed.ok.sections_by_name.get(ConfigKind.ACCOUNT.value)
-    if section is None or key not in section.values_by_key:
-        return ""
-    return section.values_by_key[key].text
-
-
-def _template_name(item: ConfigObject) -> str:
-    return _raw(item, "template").strip()
-
-
-def _digests(item: ConfigObject) -> tuple[str, ...]:
-    return tuple(
-        part.strip().lower() for part in _raw(item, "key_sha256").split(",") if part.strip()
-    )
--- a/src/bayhinge/_internal/services/adoption.py
+++ b/src/bayhinge/_internal/services/adoption.py
@@ -21,7 +21,7 @@
     RefusedError,
     refuse_unaccepted,
 )
-from bayhinge._internal.services.owner import failed_end
+from bayhinge._internal.services.call_records import failure_record
 from bayhinge._internal.services.owner_parts import OwnedProgram, OwnerParts
 from bayhinge._internal.services.program_registry import ProgramRegistry
 from bayhinge._internal.services.record_codec import (
@@ -36,13 +36,8 @@
 )
 from bayhinge._internal.wire import ttypes as wire
 from bayhinge.coordination.errors import CorruptObjectError, FencedError, StoreError
-from bayhinge.coordination.journal import (
-    JournalContents,
-    RecordPosition,
-    SealInfo,
-    read_tail,
-    seal_journal,
-)
+from bayhinge.coordination.journal_objects import JournalContents, RecordPosition, SealInfo
+from bayhinge.coordination.journal_seal import read_tail, seal_journal
 from bayhinge.coordination.membership import HostInfo, Membership
 from bayhinge.coordination.rendezvous import choose, rank
 from bayhinge.coordination.store import ObjectStore
@@ -261,22 +256,7 @@
             "outcome was recorded; the call may not be repeated"
         )
         refusal = CallAttempt(started_before=True).refuse(RefusalCode.OUTCOME_UNKNOWN, why)
-        finished = wire.CallFinished(
-            str(state.program_id),
-            started.index,
-            started.digest,
-            started.idempotency_key,
-            wire.CallKind.SERVICE,
-            [],
-            False,
-            state.message_count,
-            state.history_digest,
-            failed_end(started.index, refusal),
-            0,
-            "",
-            0.0,
-            refusal.to_json(),
-        )
+        finished = failure_record(state, started, refusal)
         position = await self._parts.journal.append(encode_finished(finished))
         apply_finished(state, finished, position)
         self._parts.timeline.record(
--- a/src/bayhinge/_internal/services/config_editor.py
+++ b/src/bayhinge/_internal/services/config_editor.py
@@ -9,13 +9,14 @@
     ConfigKind,
     ConfigText,
     check_config_text,
+    read_digests,
+    read_value,
     resolve_account,
 )
 from bayhinge._internal.models.findings import Finding, Place
 from bayhinge._internal.models.ids import NAME_PATTERN
 from bayhinge._internal.network.front_handler import ConfigAnswer, ConfigEdit
-from bayhinge._internal.utils.ini import parse_ini
-from bayhinge.coordination.config_feed import ConfigFeed, ConfigObject
+from bayhinge.coordination.config_feed import ConfigFeed
 from bayhinge.coordination.errors import ConfigConflictError, CoordinationError
 
 
@@ -68,15 +69,15 @@
     def _check_delete(self, kind: ConfigKind, name: str, file: str) -> Iterator[Finding]:
         if kind is not ConfigKind.TEMPLATE:
             return
-        users = [
-            item.name for item in self._feed.all(ConfigKind.ACCOUNT) if _template(item) == name
-        ]
+        accounts = self._feed.all(ConfigKind.ACCOUNT)
+        named = [(item.name, read_value(item.text or "", "template")) for item in accounts]
+        users = [account for account, template in named if template == name]
         if users:
             hint = f"move them to another template first: {', '.join(users[:10])}"
             yield Finding(Place(file), f"{len(users)} client account(s) use the template", hint)
 
     def _check_template(self, name: str, text: str, file: str) -> Iterator[Finding]:
-        template_name = _value(text, "template")
+        template_name = read_value(text, "template")
         found = self._feed.get(ConfigKind.TEMPLATE, template_name)
         template = None
         if found is not None and found.text is not None:
@@ -89,31 +90,13 @@
             yield Finding(place, resolved.error, f"known templates: {known or 'none'}")
 
     def _check_keys(self, name: str, text: str, file: str) -> Iterator[Finding]:
-        own = set(_digests(text))
+        own = set(read_digests(text))
         for item in self._feed.all(ConfigKind.ACCOUNT):
-            if item.name != name and own & set(_digests(item.text or "")):
+            if item.name != name and own & set(read_digests(item.text or "")):
                 place = Place(file, 0, ConfigKind.ACCOUNT.value, "key_sha256")
                 yield Finding(place, f"client account '{item.name}' has one of these keys")
 
 
-def _value(text: str, key: str) -> str:
-    parsed = parse_ini(text)
-    if parsed.is_error():
-        return ""
-    section = parsed.ok.sections_by_name.get(ConfigKind.ACCOUNT.value)
-    if section is None or key not in section.values_by_key:
-        return ""
-    return section.values_by_key[key].text.strip()
-
-
-def _digests(text: str) -> Iterator[str]:
-    return (part.strip().lower() for part in _value(text, "key_sha256").split(",") if part.strip())
-
-
-def _template(item: ConfigObject) -> str:
-    return _value(item.text or "", "template")
-
-
 def _finding_fields(finding: Finding) -> dict[str, object]:
     place = finding.place
     return {
--- a/src/bayhinge/_internal/services/histories.py
+++ b/src/bayhinge/_internal/services/histories.py
@@ -14,7 +14,7 @@
 from bayhinge._internal.models.programs import CallEntry, ProgramState
 from bayhinge._internal.services.record_codec import decode_record
 from bayhinge.coordination.errors import CorruptObjectError
-from bayhinge.coordination.journal import JournalReader
+from bayhinge.coordination.journal_reader import JournalReader
 
 REBUILD_READS = 8
 """Records of one program that are read at once while it is rebuilt."""
--- a/src/bayhinge/_internal/services/host_parts.py
+++ b/src/bayhinge/_internal/services/host_parts.py
@@ -30,7 +30,8 @@
 from bayhinge.coordination.clock import Clock, HybridClock
 from bayhinge.coordination.config_feed import ConfigFeed, FeedTimes
 from bayhinge.coordination.escrow import Escrow
-from bayhinge.coordination.journal import Journal, JournalReader
+from bayhinge.coordination.journal import Journal
+from bayhinge.coordination.journal_reader import JournalReader
 from bayhinge.coordination.membership import HostInfo, HostState, Membership, MembershipTimes
 from bayhinge.coordination.pacing import WritePacer
 from bayhinge.coordination.store import ObjectStore
--- a/src/bayhinge/_internal/services/owner.py
+++ b/src/bayhinge/_internal/services/owner.py
@@ -18,9 +18,9 @@
     find_new_messages,
 )
 from bayhinge._internal.models.accounts import ClientAccount
-from bayhinge._internal.models.calls import AnswerItem, Call, CallKind, ModelCall
+from bayhinge._internal.models.calls import AnswerItem, Call, ModelCall
 from bayhinge._internal.models.events import Mechanism
-from bayhinge._internal.models.messages import assistant_message, estimate_tokens, extend_digest
+from bayhinge._internal.models.messages import assistant_message, estimate_tokens
 from bayhinge._internal.models.programs import CallEntry, ProgramState, UnfinishedCall
 from bayhinge._internal.models.refusals import (
     CallAttempt,
@@ -33,6 +33,7 @@
     refuse_unaccepted,
 )
 from bayhinge._internal.services.answers import LiveAnswer, replay
+from bayhinge._internal.services.call_records import failure_record, finished_record
 from bayhinge._internal.services.call_runner import CallResult, PreparedCall
 from bayhinge._internal.services.owner_parts import (
     OwnedProgram,
@@ -43,16 +44,13 @@
 )
 from bayhinge._internal.services.program_registry import ProgramRegistry
 from bayhinge._internal.services.record_codec import (
-    WIRE_KIND,
     apply_finished,
     decode_record,
     encode_finished,
     encode_started,
     encode_withdrawn,
     end_from_wire,
-    end_to_wire,
 )
-from bayhinge._internal.wire import ttypes as wire
 from bayhinge.coordination.errors import (
     BudgetExceededError,
     CoordinationError,
@@ -343,14 +341,14 @@
     ) -> None:
         """Records what is known, so that a successor does not have to guess."""
         state = program.state
-        if state.unfinished is None:
+        started, state.unfinished = state.unfinished, None
+        if started is None:
             return
-        state.unfinished = None
         try:
             if refusal.run_state is RunState.NOT_RUN:
                 self._parts.journal.append(encode_withdrawn(state.program_id, prepared.index))
                 return
-            finished = _failure_record(state, prepared, refusal)
+            finished = failure_record(state, started, refusal)
             position = await self._parts.journal.append(encode_finished(finished))
             apply_finished(state, finished, position)
         except (FencedError, JournalFullError) as error:
@@ -366,7 +364,9 @@
         result: CallResult,
     ) -> None:
         state = program.state
-        finished = _finished_record(state, admitted, result, running.live.text)
+        finished = finished_record(
+            state, admitted.prepared, admitted.new, result, running.live.text
+        )
         try:
             position = await self._parts.journal.append(encode_finished(finished))
         except (FencedError, JournalFullError) as error:
@@ -421,59 +421,3 @@
 def _unknown(program: str) -> Refusal:
     why = f"no program '{program}' of this client account is known here"
     return refuse_unaccepted(RefusalCode.UNKNOWN_PROGRAM, why)
-
-
-def _finished_record(
-    state: ProgramState, admitted: _Admitted, result: CallResult, text: str
-) -> wire.CallFinished:
-    call, new = admitted.prepared.call, admitted.new
-    kind = CallKind.MODEL if new is not None else CallKind.SERVICE
-    messages: tuple[bytes, ...] = ()
-    count, digest = state.message_count, state.history_digest
-    if new is not None:
-        answer = assistant_message(text, result.end.tool_calls)
-        messages = new.messages
-        count = (0 if new.rewrite else count) + len(messages) + 1
-        digest = extend_digest(new.digest, [answer])
-    return wire.CallFinished(
-        str(state.program_id),
-        admitted.prepared.index,
-        call.digest,
-        call.idempotency_key,
-        WIRE_KIND[kind],
-        list(messages),
-        new is not None and new.rewrite,
-        count,
-        digest,
-        end_to_wire(result.end),
-        result.end.usage.total,
-        text,
-        result.service_s,
-        None,
-    )
-
-
-def _failure_record(
-    state: ProgramState, prepared: PreparedCall, refusal: Refusal
-) -> wire.CallFinished:
-    return wire.CallFinished(
-        str(state.program_id),
-        prepared.index,
-        prepared.call.digest,
-        prepared.call.idempotency_key,
-        WIRE_KIND[CallKind.SERVICE],
-        [],
-        False,
-        state.message_count,
-        state.history_digest,
-        failed_end(prepared.index, refusal),
-        0,
-        "",
-        0.0,
-        refusal.to_json(),
-    )
-
-
-def failed_end(index: int, refusal: Refusal) -> wire.AnswerEnd:
-    """Returns the end of an answer that never came."""
-    return wire.AnswerEnd(index, refusal.http_status, "", b"", "", 0, 0, 0, None, "")
--- a/src/bayhinge/_internal/services/owner_parts.py
+++ b/src/bayhinge/_internal/services/owner_parts.py
@@ -24,7 +24,8 @@
 from bayhinge.coordination.clock import Clock
 from bayhinge.coordination.errors import CoordinationError, FencedError
 from bayhinge.coordination.escrow import Escrow
-from bayhinge.coordination.journal import Journal, JournalReader
+from bayhinge.coordination.journal import Journal
+from bayhinge.coordination.journal_reader import JournalReader
 
 STORE_RETRY_S = 2.0
 """When to come back after the store was away."""
--- a/src/bayhinge/_internal/services/planned_stop.py
+++ b/src/bayhinge/_internal/services/planned_stop.py
@@ -22,7 +22,7 @@
 from bayhinge._internal.services.record_codec import encode_adopted
 from bayhinge._internal.wire import ttypes as wire
 from bayhinge.coordination.errors import FencedError, StoreError
-from bayhinge.coordination.journal import SealInfo
+from bayhinge.coordination.journal_objects import SealInfo
 from bayhinge.coordination.membership import HostState, Membership
 from bayhinge.coordination.rendezvous import choose, rank
 
--- a/src/bayhinge/_internal/services/program_registry.py
+++ b/src/bayhinge/_internal/services/program_registry.py
@@ -22,7 +22,7 @@
 )
 from bayhinge._internal.services.record_codec import encode_ended, encode_opened
 from bayhinge.coordination.errors import FencedError, JournalFullError
-from bayhinge.coordination.journal import RecordPosition
+from bayhinge.coordination.journal_objects import RecordPosition
 
 ENDED_KEPT = 2000
 """Ended programs whose answers can still be collected, per host."""
--- a/src/bayhinge/_internal/services/record_codec.py
+++ b/src/bayhinge/_internal/services/record_codec.py
@@ -6,7 +6,7 @@
 from bayhinge._internal.network.frames import decode_message, encode_message
 from bayhinge._internal.wire import ttypes as wire
 from bayhinge.coordination.errors import CorruptObjectError
-from bayhinge.coordination.journal import JournalRecord, RecordPosition
+from bayhinge.coordination.journal_objects import JournalRecord, RecordPosition
 
 WIRE_KIND = {CallKind.MODEL: wire.CallKind.MODEL, CallKind.SERVICE: wire.CallKind.SERVICE}
 
--- a/src/bayhinge/coordination/__init__.py
+++ b/src/bayhinge/coordination/__init__.py
@@ -25,7 +25,9 @@
     VersionConflictError,
 )
 from bayhinge.coordination.escrow import Escrow
-from bayhinge.coordination.journal import Journal, JournalReader, RecordPosition
+from bayhinge.coordination.journal import Journal
+from bayhinge.coordination.journal_objects import RecordPosition
+from bayhinge.coordination.journal_reader import JournalReader
 from bayhinge.coordination.lease import Lease
 from bayhinge.coordination.membership import Membership
 from bayhinge.coordination.store import ObjectStore, StoredObject
--- a/src/bayhinge/coordination/journal.py
+++ b/src/bayhinge/coordination/journal.py
@@ -9,26 +9,26 @@
 import asyncio
 import logging
 from collections import deque
-from collections.abc import Callable, Iterator
+from collections.abc import Callable
 
 import attrs
 
 from bayhinge.coordination.codec import FORMAT, decode, encode
 from bayhinge.coordination.errors import (
     AlreadyExistsError,
-    CorruptObjectError,
     FencedError,
     JournalFullError,
     StoreError,
     StoreRateLimitedError,
 )
+from bayhinge.coordination.journal_objects import RecordPosition, SealInfo, object_key
+from bayhinge.coordination.journal_seal import find_seal, seal_journal
 from bayhinge.coordination.pacing import Backoff, WritePacer
-from bayhinge.coordination.store import MAX_VALUE_BYTES, ObjectStore, list_all
-from bayhinge.coordination.wire.ttypes import Batch, Entry, Seal
+from bayhinge.coordination.store import MAX_VALUE_BYTES, ObjectStore
+from bayhinge.coordination.wire.ttypes import Batch, Entry
 
 logger = logging.getLogger(__name__)
 
-SEQUENCE_DIGITS = 10
 BATCH_TARGET_BYTES = 700_000
 """A batch is closed at this size, so that it stays below the store's largest value."""
 PART_BYTES = 600_000
@@ -37,41 +37,6 @@
 assert BATCH_TARGET_BYTES + PART_BYTES < 2 * MAX_VALUE_BYTES
 
 
-@attrs.frozen
-class RecordPosition:
-    """Where a record stands: the journal, the object's sequence, the first entry's index."""
-
-    incarnation: str
-    sequence: int
-    entry: int
-
-
-@attrs.frozen
-class JournalRecord:
-    """A whole record with its place."""
-
-    position: RecordPosition
-    data: bytes
-
-
-@attrs.frozen
-class SealInfo:
-    """The end of a journal: who continues, who sealed it, and why."""
-
-    successors: tuple[str, ...]
-    sealed_by: str
-    reason: str
-
-
-@attrs.frozen
-class JournalContents:
-    """All that a journal holds. ``seal`` is None while its writer may append."""
-
-    records: tuple[JournalRecord, ...]
-    seal: SealInfo | None
-    next_sequence: int
-
-
 @attrs.define
 class JournalStatistics:
     """What a journal has done since it was opened."""
@@ -82,18 +47,6 @@
     bytes_written: int = 0
 
 
-def object_key(prefix: str, incarnation: str, sequence: int) -> str:
-    """Returns the key of one journal object; keys sort by sequence."""
-    return f"{prefix}/{incarnation}/{sequence:0{SEQUENCE_DIGITS}d}"
-
-
-def _sequence_of(key: str) -> int:
-    text = key.rpartition("/")[2]
-    if len(text) != SEQUENCE_DIGITS or not text.isdigit():
-        raise CorruptObjectError(key, "its name is no journal sequence, so it is not ours")
-    return int(text)
-
-
 def _split(data: bytes) -> list[Entry]:
     count = max(1, -(-len(data) // PART_BYTES))
     return [
@@ -102,12 +55,6 @@
     ]
 
 
-def _seal_info(seal: Seal | None) -> SealInfo | None:
-    if seal is None:
-        return None
-    return SealInfo(tuple(seal.successors), seal.sealed_by, seal.reason)
-
-
 @attrs.define
 class _Waiting:
     """A record that is not durable yet."""
@@ -366,139 +313,3 @@
 def _retrieve(done: "asyncio.Future[RecordPosition]") -> None:
     if not done.cancelled():
         done.exception()
-
-
-class JournalReader:
-    """The reader's side: whole journals, and single records by position."""
-
-    def __init__(self, store: ObjectStore, prefix: str) -> None:
-        """Reads journals under ``prefix``."""
-        self._store = store
-        self._prefix = prefix
-
-    async def read_all(self, incarnation: str) -> JournalContents:
-        """Reads a whole journal.
-
-        A record whose last part is missing was never acknowledged and is left out.
-
-        Raises:
-            CorruptObjectError: an object is damaged, foreign, or out of sequence.
-        """
-        listing = await list_all(self._store, f"{self._prefix}/{incarnation}/")
-        entries: list[tuple[RecordPosition, Entry]] = []
-        seal: SealInfo | None = None
-        next_sequence = 0
-        for stored in listing.objects:
-            sequence = _sequence_of(stored.key)
-            if seal is not None:
-                raise CorruptObjectError(stored.key, "it stands behind the journal's seal")
-            if next_sequence and sequence != next_sequence:
-                raise CorruptObjectError(stored.key, f"sequence {next_sequence} is missing")
-            batch = decode(Batch(), stored.value, stored.key)
-            seal = _seal_info(batch.seal)
-            next_sequence = sequence + 1
-            entries.extend(
-                (RecordPosition(incarnation, sequence, index), entry)
-                for index, entry in enumerate(batch.entries)
-            )
-        return JournalContents(tuple(_join(entries)), seal, next_sequence)
-
-    async def read_record(self, position: RecordPosition) -> JournalRecord:
-        """Reads one record, following its parts over several objects.
-
-        Raises:
-            CorruptObjectError: the object is missing or has no such entry.
-        """
-        parts: list[bytes] = []
-        sequence, index = position.sequence, position.entry
-        while True:
-            batch = await self._read_batch(position.incarnation, sequence)
-            if index >= len(batch.entries):
-                key = object_key(self._prefix, position.incarnation, sequence)
-                raise CorruptObjectError(key, f"entry {index} is missing")
-            entry = batch.entries[index]
-            parts.append(entry.data)
-            if entry.part + 1 == entry.parts:
-                return JournalRecord(position, b"".join(parts))
-            index += 1
-            if index == len(batch.entries):
-                sequence, index = sequence + 1, 0
-
-    async def _read_batch(self, incarnation: str, sequence: int) -> Batch:
-        key = object_key(self._prefix, incarnation, sequence)
-        stored = await self._store.get(key)
-        if stored is None:
-            raise CorruptObjectError(key, "the journal object is missing")
-        return decode(Batch(), stored.value, key)
-
-
-def _join(entries: list[tuple[RecordPosition, Entry]]) -> Iterator[JournalRecord]:
-    parts: list[bytes] = []
-    first: RecordPosition | None = None
-    for position, entry in entries:
-        if entry.part == 0:
-            parts, first = [], position
-        parts.append(entry.data)
-        if entry.part + 1 == entry.parts and first is not None:
-            yield JournalRecord(first, b"".join(parts))
-
-
-async def seal_journal(
-    store: ObjectStore,
-    prefix: str,
-    incarnation: str,
-    successors: list[str],
-    sealed_by: str,
-    reason: str,
-) -> SealInfo:
-    """Ends a journal and names who continues its work.
-
-    Where two processes seal at once, the first one's seal stands and both get it.
-    Successors that the writer announced go before ``successors``.
-
-    Raises:
-        StoreError: the store did not answer; call again, the result is the same.
-        CorruptObjectError: the journal holds an object that can't be read.
-    """
-    nonce = f"seal-by-{sealed_by}"
-    while True:
-        tail = await read_tail(store, prefix, incarnation)
-        if tail.seal is not None:
-            return tail.seal
-        named = tail.announced or tuple(successors)
-        seal = Seal(list(named), sealed_by, reason)
-        value = encode(Batch(FORMAT, sealed_by, nonce, [], seal))
-        try:
-            await store.create(object_key(prefix, incarnation, tail.next_sequence), value)
-        except AlreadyExistsError:
-            # The writer appended meanwhile, or another process sealed: look again.
-            continue
-        return SealInfo(named, sealed_by, reason)
-
-
-@attrs.frozen
-class JournalTail:
-    """The end of a journal, without its records."""
-
-    seal: SealInfo | None
-    next_sequence: int
-    announced: tuple[str, ...] = ()
-
-
-async def read_tail(store: ObjectStore, prefix: str, incarnation: str) -> JournalTail:
-    """Returns the end of a journal; ``next_sequence`` is 0 where nothing was ever written."""
-    listing = await list_all(store, f"{prefix}/{incarnation}/")
-    if not listing.objects:
-        return JournalTail(None, 0)
-    announced: tuple[str, ...] = ()
-    for stored in listing.objects:
-        batch = decode(Batch(), stored.value, stored.key)
-        if batch.announced:
-            announced = tuple(batch.announced)
-    last = listing.objects[-1]
-    return JournalTail(_seal_info(batch.seal), _sequence_of(last.key) + 1, announced)
-
-
-async def find_seal(store: ObjectStore, prefix: str, incarnation: str) -> SealInfo | None:
-    """Returns the seal of a journal, or None while it has none."""
-    return (await read_tail(store, prefix, incarnation)).seal
--- a/tests/unit/test_journal.py
+++ b/tests/unit/test_journal.py
@@ -7,14 +7,10 @@
 
 from bayhinge._internal.bench.world.virtual_time import run_virtual
 from bayhinge.coordination.errors import CorruptObjectError, FencedError, JournalFullError
-from bayhinge.coordination.journal import (
-    PART_BYTES,
-    Journal,
-    JournalReader,
-    find_seal,
-    object_key,
-    seal_journal,
-)
+from bayhinge.coordination.journal import PART_BYTES, Journal
+from bayhinge.coordination.journal_objects import object_key
+from bayhinge.coordination.journal_reader import JournalReader
+from bayhinge.coordination.journal_seal import find_seal, seal_journal
 from bayhinge.coordination.pacing import WritePacer
 from bayhinge_standins.faults import StoreFaults
 from bayhinge_standins.object_store import MemoryObjects, MemoryObjectStore, Operation
--- a/tests/unit/test_state_machines.py
+++ b/tests/unit/test_state_machines.py
@@ -19,7 +19,10 @@
     StoreError,
 )
 from bayhinge.coordination.escrow import Escrow, Reservation
-from bayhinge.coordination.journal import Journal, JournalReader, RecordPosition, seal_journal
+from bayhinge.coordination.journal import Journal
+from bayhinge.coordination.journal_objects import RecordPosition
+from bayhinge.coordination.journal_reader import JournalReader
+from bayhinge.coordination.journal_seal import seal_journal
 from bayhinge.coordination.pacing import WritePacer
 from bayhinge_standins.faults import StoreFaults
 from bayhinge_standins.object_store import MemoryObjects, MemoryObjectStore
