Tell fenced hosts from owners; write the time line as a page

A host that had been fenced still beat and was taken for the owner; hosts that knew of different seals passed its calls round in a circle. Its heartbeat now says that it is fenced, and look-ups read the seal. Ruled out: the seals themselves (the chain led to a living host each time), and the rule that leaves out journals passed already.

--- a/src/bayhinge/_internal/cli/tool/demo.py
+++ b/src/bayhinge/_internal/cli/tool/demo.py
@@ -2,20 +2,25 @@
 
 import asyncio
 import logging
+from pathlib import Path
 
 from bayhinge._internal import status_codes
 from bayhinge._internal.demo.run import run_demo, summary_lines
+from bayhinge._internal.queries.html_report import html_report
 
 
-def demo(*, json: bool = False, seed: int = 1) -> None:
+def demo(*, json: bool = False, seed: int = 1, html: Path | None = None) -> None:
     """Runs both workloads, kills one host and stops another, and shows what happened.
 
     Args:
         json: print one JSON object with the figures, last.
         seed: seeds the stand-ins.
+        html: write the time line as a page to this file.
     """
     logging.basicConfig(level=logging.ERROR)
     result = asyncio.run(run_demo(seed))
+    if html is not None:
+        html.write_text(html_report("bayhinge demo", list(result.event_list)), encoding="utf-8")
     if json:
         print(result.to_json().decode())
     else:
--- a/src/bayhinge/_internal/cli/tool/timeline.py
+++ b/src/bayhinge/_internal/cli/tool/timeline.py
@@ -1,10 +1,12 @@
 """``bayhinge timeline``: the events of all hosts in one order."""
 
 import asyncio
+from pathlib import Path
 from typing import Any
 
 from bayhinge._internal.cli.tool.connection import Api, Connection, print_json, run
 from bayhinge._internal.models.events import event_from_fields
+from bayhinge._internal.queries.html_report import html_report
 from bayhinge._internal.queries.sentences import timeline_lines
 
 LOOK_S = 0.5
@@ -17,6 +19,7 @@
     account: str = "",
     endpoint: str = "",
     mechanism: str = "",
+    html: Path | None = None,
     connection: Connection | None = None,
 ) -> None:
     """Prints the time line of all hosts.
@@ -27,6 +30,7 @@
         account: this client account's events alone.
         endpoint: this endpoint's events alone.
         mechanism: this mechanism's events alone, such as queue or budget.
+        html: write a page with a lane for each host and endpoint to this file.
         connection: which host to ask.
     """
     connection = connection or Connection()
@@ -36,6 +40,12 @@
         "endpoint": endpoint,
         "mechanism": mechanism,
     }
+    if html is not None:
+        found = run(connection, lambda api: api.query("events", **wanted))
+        events = [event_from_fields(item) for item in found]
+        html.write_text(html_report("bayhinge time line", events), encoding="utf-8")
+        print(f"written: {html}")
+        return
     try:
         run(connection, lambda api: _print_events(api, connection, wanted, follow))
     except KeyboardInterrupt:
--- a/src/bayhinge/_internal/demo/run.py
+++ b/src/bayhinge/_internal/demo/run.py
@@ -54,8 +54,7 @@
     events: int
     killed: str
     stopped: str
-    timeline: tuple[str, ...]
-    sample_program: str
+    event_list: tuple[Event, ...]
 
     def to_json(self) -> bytes:
         """Returns the figures as one JSON object."""
@@ -137,7 +136,6 @@
         key=lambda event: (event.stamp, event.host),
     )
     records = [tools[0].record for tools in world.tools_by_service.values()]
-    lines = tuple(timeline_lines(events))
     return DemoResult(
         programs=len(reports),
         finished=sum(report.finished for report in reports),
@@ -147,8 +145,7 @@
         events=len(events),
         killed=killed.name,
         stopped=stopped.name,
-        timeline=lines,
-        sample_program=reports[0].program,
+        event_list=tuple(events),
     )
 
 
@@ -182,10 +179,9 @@
     """Yields the summary for a newcomer."""
     yield "What happened, in the order of cause and effect over all hosts:"
     yield ""
-    shown = result.timeline[:TIMELINE_LINES]
-    yield from shown
-    if len(result.timeline) > len(shown):
-        yield f"... and {len(result.timeline) - len(shown)} events more."
+    yield from timeline_lines(result.event_list[:TIMELINE_LINES])
+    if result.events > TIMELINE_LINES:
+        yield f"... and {result.events - TIMELINE_LINES} events more (see --html)."
     yield ""
     yield f"{result.programs} agent programs ran on 3 hosts, 2 engines and 4 services."
     yield f"Host {result.killed} was killed in mid-program; {result.stopped} made a planned stop."
--- a/src/bayhinge/_internal/services/adoption.py
+++ b/src/bayhinge/_internal/services/adoption.py
@@ -38,7 +38,7 @@
 from bayhinge.coordination.errors import CorruptObjectError, FencedError, StoreError
 from bayhinge.coordination.journal_objects import JournalContents, RecordPosition, SealInfo
 from bayhinge.coordination.journal_seal import read_tail, seal_journal
-from bayhinge.coordination.membership import HostInfo, Membership
+from bayhinge.coordination.membership import HostInfo, HostState, Membership
 from bayhinge.coordination.rendezvous import choose, rank
 from bayhinge.coordination.store import ObjectStore
 
@@ -88,7 +88,10 @@
         path: list[str] = []
         for _ in range(MAX_CHAIN):
             if incarnation not in self._seal_by_incarnation:
-                alive = self._membership.find(incarnation) is not None
+                info = self._membership.find(incarnation)
+                # A fenced host still beats. Taken for an owner, it sent calls on to hosts
+                # that sent them back, as each knew of another seal.
+                alive = info is not None and info.state is not HostState.FENCED
                 if alive and incarnation != distrust:
                     return Location(incarnation, tuple(path))
                 if not await self._read_seal(incarnation):
--- a/src/bayhinge/_internal/services/host.py
+++ b/src/bayhinge/_internal/services/host.py
@@ -128,7 +128,8 @@
             parts.locator,
             parts.peers,
         )
-        complete = await stop.run(self.settings.membership.drain_seconds)
+        # A fenced host has nothing left to hand over.
+        complete = parts.journal.fenced or await stop.run(self.settings.membership.drain_seconds)
         # Callers keep an address for a while: they are served until that time is over.
         rest = began + self.settings.membership.address_keep_seconds - loop.time()
         if complete and rest > 0:
@@ -239,7 +240,7 @@
         feed.take_from_peer(reply.first_revision, reply.changes)
 
     def _take_over(self, dead: HostInfo) -> None:
-        if self.parts.membership.me.state is HostState.LEAVING:
+        if self.parts.membership.me.state is not HostState.SERVING:
             return
         self.parts.home.owner_died(dead.incarnation)
         self._spawn(self.parts.adopter.take_over(dead))
@@ -267,7 +268,7 @@
         """
         parts = self.parts
         parts.timeline.record(Mechanism.MEMBERSHIP, "fenced", str(error))
-        parts.membership.describe(attrs.evolve(parts.membership.me, state=HostState.LEAVING))
+        parts.membership.describe(attrs.evolve(parts.membership.me, state=HostState.FENCED))
         self._spawn(self._drop_programs())
 
     async def _drop_programs(self) -> None:
--- a/src/bayhinge/_internal/services/program_opener.py
+++ b/src/bayhinge/_internal/services/program_opener.py
@@ -49,7 +49,7 @@
 
     @property
     def _is_leaving(self) -> bool:
-        return self._parts.membership.me.state is HostState.LEAVING
+        return self._parts.membership.me.state is not HostState.SERVING
 
     async def _open_at_peer(
         self, account: ClientAccount, parent: str | None, key: str | None
--- a/src/bayhinge/coordination/membership.py
+++ b/src/bayhinge/coordination/membership.py
@@ -26,10 +26,17 @@
 
 
 class HostState(StrEnum):
-    """What a host says of itself."""
+    """What a host says of itself.
+
+    Attributes:
+        SERVING: it owns programs and takes new ones.
+        LEAVING: it makes a planned stop.
+        FENCED: its journal is another's; it owns nothing, and passes calls on.
+    """
 
     SERVING = "serving"
     LEAVING = "leaving"
+    FENCED = "fenced"
 
 
 @attrs.frozen
