--- a/src/bayhinge/_internal/decisions/cell.py
+++ b/src/bayhinge/_internal/decisions/cell.py
@@ -17,7 +17,7 @@
     EndpointView,
     Standing,
 )
-from bayhinge._internal.decisions.estimates import AdmissionRate, first_estimates
+from bayhinge._internal.decisions.estimates import AdmissionRate, RetryBudget, first_estimates
 from bayhinge._internal.decisions.offers import (
     Action,
     Done,
@@ -45,6 +45,10 @@
 """A program not heard of for so long is forgotten here; it is only advice."""
 SHORTEST_RETRY_S = 0.5
 LONGEST_RETRY_S = 15.0
+RETRY_AFTER_FAILURES_S = 3.0
+LIMIT_STEP = 0.25
+LIMIT_CUT = 0.97
+LOWEST_LIMIT = 2.0
 RESERVE_AFTER_S = 10.0
 """A call that has waited so long for memory holds back programs that would begin."""
 LEARNED_PREFILL_TOKENS = 1000
@@ -64,6 +68,7 @@
     early_refusal: bool = True
     releases: bool = True
     read_again_share: float = 0.05
+    token_target_s: float = 0.048
 
 
 @attrs.define
@@ -101,6 +106,7 @@
         self._queued_by_grant: dict[str, _Queued] = {}
         self._endpoint_by_grant: dict[str, str] = {}
         self._beginners = 0
+        self._retries = RetryBudget()
         self._admission = AdmissionRate()
         self._deadlines: list[tuple[float, str]] = []
         self._programs: dict[str, _ProgramView] = {}
@@ -138,7 +144,7 @@
             endpoint.name,
             endpoint.hall,
             endpoint.address,
-            settings.max_running,
+            float(settings.max_running),
             settings.cache_tokens,
         )
 
@@ -158,7 +164,7 @@
         if program.last_end is not None:
             self.estimates.pause_s.add(now - program.last_end)
             program.last_end = None
-        refused = self._refuse_early(offer, now)
+        refused = self._refuse_retry(offer) or self._refuse_early(offer, now)
         if refused is not None:
             return [refused]
         waiting = Waiting(offer, now, program.since, now + offer.patience_s)
@@ -189,6 +195,7 @@
                 program.last_end = program.last_seen = now
                 self._note_read_again(program, done)
             self._learn(done, now - call.started_at, len(view.running_by_grant) + 1)
+            self._adapt_limit(view, done)
             actions.extend(self._judge(view, done, now))
         return actions + self._dispatch(now)
 
@@ -272,6 +279,17 @@
 
     # ---- decisions ----
 
+    def _refuse_retry(self, offer: Offer) -> Reject | None:
+        """Refuses retries beyond their share of fresh calls; ``avoid`` marks a retry."""
+        if not offer.avoid:
+            self._retries.note_fresh()
+            return None
+        if self._retries.take():
+            return None
+        figures = (Figure("fresh_calls_per_retry", self._retries.fresh_per_retry),)
+        reason = Reason("endpoints fail, and retries have used up their share of calls", figures)
+        return Reject(offer, RefusalCode.ENDPOINT_FAILED, reason, RETRY_AFTER_FAILURES_S)
+
     def _refuse_early(self, offer: Offer, now: float) -> Reject | None:
         views = self.endpoints_by_name.values()
         if all(view.standing is Standing.LEAVING for view in views):
@@ -347,6 +365,20 @@
         self._beginners -= queued.waiting.offer.index == 0
         del self._queued_by_grant[queued.waiting.offer.grant]
 
+    def _adapt_limit(self, view: EndpointView, done: Done) -> None:
+        """Steers how many calls run at once, so that tokens come within the target time.
+
+        Additive up and multiplicative down, as congestion control does; only while the
+        limit is what holds calls back does a good sample say anything.
+        """
+        if done.outcome is not Outcome.FINISHED or done.completion_tokens <= 1:
+            return
+        settings = self._settings
+        if done.decode_s / done.completion_tokens > settings.token_target_s:
+            view.exact_limit = max(LOWEST_LIMIT, view.exact_limit * LIMIT_CUT)
+        elif len(view.running_by_grant) + 1 >= view.limit:
+            view.exact_limit = min(float(settings.max_running), view.exact_limit + LIMIT_STEP)
+
     def _note_read_again(self, program: _ProgramView, done: Done) -> None:
         if done.outcome is not Outcome.FINISHED:
             return
--- a/src/bayhinge/_internal/decisions/endpoint_view.py
+++ b/src/bayhinge/_internal/decisions/endpoint_view.py
@@ -49,7 +49,7 @@
     goes, so that all sums are at hand without a scan.
 
     Attributes:
-        limit: how many calls may run at once.
+        exact_limit: how many calls may run at once, steered in fractions.
         capacity_tokens: the engine's memory for prefixes and running calls.
         prefill_until: when the prompts that were sent will have been read.
     """
@@ -57,7 +57,7 @@
     name: str
     hall: str
     address: str
-    limit: int
+    exact_limit: float
     capacity_tokens: int
     standing: Standing = Standing.LIVE
     running_by_grant: dict[str, RunningCall] = attrs.field(factory=dict)
@@ -73,6 +73,11 @@
     ejections: int = 0
     ejected_until: float = 0.0
 
+    @property
+    def limit(self) -> int:
+        """How many calls may run at once."""
+        return int(self.exact_limit)
+
     @property
     def has_slot(self) -> bool:
         """True where another call may start now."""
--- a/src/bayhinge/_internal/decisions/estimates.py
+++ b/src/bayhinge/_internal/decisions/estimates.py
@@ -109,6 +109,26 @@
         self.read_again_s, self.since = 0.0, now
 
 
+@attrs.define
+class RetryBudget:
+    """Lets retries be a share of fresh calls, so that a failing pool meets no storm of them."""
+
+    fresh_per_retry: int = 5
+    most: int = 100
+    earned: int = 100
+
+    def note_fresh(self) -> None:
+        """Takes a first attempt in."""
+        self.earned = min(self.most, self.earned + 1)
+
+    def take(self) -> bool:
+        """Takes a retry, or returns False where none is left."""
+        if self.earned < self.fresh_per_retry:
+            return False
+        self.earned -= self.fresh_per_retry
+        return True
+
+
 @attrs.define
 class TokenLine:
     """How the time between tokens grows with the batch: a line, fitted with forgetting.
--- a/src/bayhinge/_internal/models/settings.py
+++ b/src/bayhinge/_internal/models/settings.py
@@ -99,6 +99,7 @@
         Field("max_running", Whole(1, 10_000), "96", "calls at once on one engine"),
         Field("prefill_tokens_per_second", Number(1, 10**9), "20000", "first guess, then learned"),
         Field("token_seconds", Number(1e-6, 10), "0.02", "time between tokens; first guess"),
+        Field("token_target_seconds", Number(1e-6, 60), "0.048", "time between tokens to keep to"),
         Field("order", Choice(ORDER_NAMES), "program-age", "order policy of the queue"),
         Field("placement", Choice(PLACEMENT_NAMES), "finish-time", "placement policy"),
         Field(
@@ -202,6 +203,7 @@
     max_running: int = 96
     prefill_tokens_per_second: float = 20_000.0
     token_seconds: float = 0.02
+    token_target_seconds: float = 0.048
     order: str = "program-age"
     placement: str = "finish-time"
     read_again_share: float = 0.05
--- a/src/bayhinge/_internal/services/adoption.py
+++ b/src/bayhinge/_internal/services/adoption.py
@@ -195,7 +195,7 @@
         async with lock:
             if incarnation in self._adopted:
                 return
-            contents = await self._parts.reader.read_all(incarnation)
+            contents = await self._parts.reader.read_sealed(incarnation)
             states = replay_journal(contents)
             mine = [
                 state
@@ -219,7 +219,7 @@
                 found = self._registry.find(str(program))
                 if found is not None:
                     return found
-                states = replay_journal(await self._parts.reader.read_all(incarnation))
+                states = replay_journal(await self._parts.reader.read_sealed(incarnation))
                 state = states.get(str(program))
                 if state is not None:
                     await self._adopt(incarnation, [state])
--- a/src/bayhinge/_internal/services/queue_home.py
+++ b/src/bayhinge/_internal/services/queue_home.py
@@ -165,6 +165,7 @@
                 pool.order,
                 pool.placement,
                 read_again_share=pool.read_again_share,
+                token_target_s=pool.token_target_seconds,
             )
         service = self._settings.services_by_name.get(pool_of(cell))
         limit = 32 if service is None else service.max_running
--- a/src/bayhinge/coordination/journal_reader.py
+++ b/src/bayhinge/coordination/journal_reader.py
@@ -3,7 +3,7 @@
 from collections.abc import Iterator
 
 from bayhinge.coordination.codec import decode
-from bayhinge.coordination.errors import CorruptObjectError
+from bayhinge.coordination.errors import CorruptObjectError, StoreUnavailableError
 from bayhinge.coordination.journal_objects import (
     JournalContents,
     JournalRecord,
@@ -52,6 +52,20 @@
             )
         return JournalContents(tuple(_join(entries)), seal, next_sequence)
 
+    async def read_sealed(self, incarnation: str) -> JournalContents:
+        """Reads a whole journal that is known to be sealed.
+
+        Raises:
+            StoreUnavailableError: the answer lags behind the seal; ask again.
+            CorruptObjectError: see :meth:`read_all`.
+        """
+        contents = await self.read_all(incarnation)
+        if contents.seal is None:
+            # Without this check a lagging listing would lose the last records for good:
+            # what is adopted is written down as the whole.
+            raise StoreUnavailableError(f"list journal {incarnation}", "the answer is too old")
+        return contents
+
     async def read_record(self, position: RecordPosition) -> JournalRecord:
         """Reads one record, following its parts over several objects.
 
--- a/tests/unit/test_cell.py
+++ b/tests/unit/test_cell.py
@@ -226,3 +226,39 @@
 def test_settings_name_the_policies_that_exist() -> None:
     assert set(ORDER_NAMES) == set(ORDERS)
     assert set(PLACEMENT_NAMES) == set(PLACEMENTS)
+
+
+def test_retries_are_a_share_of_fresh_calls() -> None:
+    cell = make_cell(attrs.evolve(SETTINGS, max_running=1000))
+    failed = frozenset({"a"})
+    rejected = [
+        action
+        for number in range(60)
+        for action in cell.offer(make_offer(f"p{number}", 1, avoid=failed), 0.0)
+        if isinstance(action, Reject)
+    ]
+    assert len(rejected) == 40
+    assert {action.code for action in rejected} == {RefusalCode.ENDPOINT_FAILED}
+    for number in range(10):
+        cell.offer(make_offer(f"q{number}", 1), 1.0)
+    # Ten fresh calls make two more retries.
+    answers = [cell.offer(make_offer(f"r{number}", 1, avoid=failed), 2.0) for number in range(3)]
+    assert [isinstance(actions[0], Reject) for actions in answers] == [False, False, True]
+
+
+def test_the_limit_follows_the_time_between_tokens() -> None:
+    cell = make_cell(attrs.evolve(SETTINGS, max_running=20), names=("a",))
+    view = cell.endpoints_by_name["a"]
+
+    def run_calls(count: int, token_s: float) -> None:
+        for number in range(count):
+            offer = make_offer(f"p{number}/{token_s}")
+            cell.offer(offer, 0.0)
+            cell.done(Done(offer.grant, Outcome.FINISHED, 1000, 0, 100, 0.1, 100 * token_s), 1.0)
+
+    run_calls(60, 0.2)
+    assert view.limit < 6
+    low = view.exact_limit
+    run_calls(10, 0.02)
+    # A lone call says nothing of a higher limit.
+    assert view.exact_limit == low
--- a/tests/unit/test_journal.py
+++ b/tests/unit/test_journal.py
@@ -6,7 +6,12 @@
 import pytest
 
 from bayhinge._internal.bench.world.virtual_time import run_virtual
-from bayhinge.coordination.errors import CorruptObjectError, FencedError, JournalFullError
+from bayhinge.coordination.errors import (
+    CorruptObjectError,
+    FencedError,
+    JournalFullError,
+    StoreUnavailableError,
+)
 from bayhinge.coordination.journal import PART_BYTES, Journal
 from bayhinge.coordination.journal_objects import object_key
 from bayhinge.coordination.journal_reader import JournalReader
@@ -223,3 +228,23 @@
             await JournalReader(store, PREFIX).read_all("a~1")
 
     run_virtual(scenario())
+
+
+def test_a_lagging_listing_is_not_taken_for_a_sealed_journal() -> None:
+    async def scenario() -> None:
+        objects = MemoryObjects()
+        store = MemoryObjectStore(objects)
+        journal = make_journal(store)
+        task = asyncio.create_task(journal.run())
+        await journal.append(b"first")
+        await journal.append(b"last")
+        task.cancel()
+        await seal_journal(store, PREFIX, "a~1", ["b~1"], "b~1", "silent")
+        lagging = MemoryObjectStore(objects, StoreFaults(stale_reads=2))
+        with pytest.raises(StoreUnavailableError, match="too old"):
+            await JournalReader(lagging, PREFIX).read_sealed("a~1")
+        lagging.faults.stale_reads = 0
+        contents = await JournalReader(lagging, PREFIX).read_sealed("a~1")
+        assert [record.data for record in contents.records] == [b"first", b"last"]
+
+    run_virtual(scenario())
