--- a/src/bayhinge/_internal/bench/capacity.py
+++ b/src/bayhinge/_internal/bench/capacity.py
@@ -24,6 +24,7 @@
 from bayhinge._internal.services.remote_grants import offer_from_wire, offer_to_wire
 from bayhinge._internal.wire import ttypes as wire
 from bayhinge.coordination.codec import FORMAT, decode, encode
+from bayhinge.coordination.membership import MAX_BEATS_PER_SECOND
 from bayhinge.coordination.wire.ttypes import HostStatus
 
 NODES = 350
@@ -39,7 +40,10 @@
 READS_LIMIT_S = 2000.0
 BEAT_S = 1.5
 JOURNAL_WRITES_S = 8.0
+TOTAL_JOURNAL_WRITES_S = 240.0
 CONFIG_POLL_S = 3.0
+DELAY_LIMIT_S = 0.36
+"""The time to the first token; a call's end should not be delayed by more."""
 LISTED_OVERHEAD = 1.5
 """A listed object's bytes on the wire against its value: base64, key and version."""
 REPEATS = 3
@@ -169,8 +173,9 @@
     programs = PROGRAMS / NODES
     per_call_us = 3 * slopes["decision"].median + slopes["grant message, both ways"].median
     records_us = recovery.cpu_us_per_record * calls
-    listed = slopes["heartbeat object"].median * LISTED_OVERHEAD * NODES / BEAT_S
-    beats_us = slopes["heartbeat read"].median * NODES / BEAT_S
+    beat_s = max(BEAT_S, NODES / MAX_BEATS_PER_SECOND)
+    listed = slopes["heartbeat object"].median * LISTED_OVERHEAD * NODES / beat_s
+    beats_us = slopes["heartbeat read"].median * NODES / beat_s
     yield Need(
         "program owner",
         "memory of programs",
@@ -219,25 +224,34 @@
     yield Need(
         "journal combiner",
         "journal writes",
-        NODES * min(JOURNAL_WRITES_S, calls),
-        WRITES_LIMIT_S,
+        min(TOTAL_JOURNAL_WRITES_S, NODES * min(JOURNAL_WRITES_S, calls)),
+        WRITES_LIMIT_S - MAX_BEATS_PER_SECOND,
         "writes/s in all",
-        "group commit in each host alone",
-        "combine the batches of a hall's hosts into one object; not built yet",
+        "group commit; each host takes its share of all writes",
+        "combine the batches of a hall's hosts, for the delay's sake",
+    )
+    yield Need(
+        "journal combiner",
+        "delay of a call's end",
+        NODES / TOTAL_JOURNAL_WRITES_S / 2,
+        DELAY_LIMIT_S,
+        "s, a mean",
+        "a host's share of writes is one in 1.5 s",
+        "the same; not built yet",
     )
     yield Need(
         "membership",
         "heartbeat writes",
-        NODES / BEAT_S,
-        WRITES_LIMIT_S,
+        NODES / beat_s,
+        MAX_BEATS_PER_SECOND,
         "writes/s in all",
-        "one object a host",
-        "combine a hall's heartbeats into one object",
+        "one object a host; the beat slows down in a large fleet",
+        "none",
     )
     yield Need(
         "membership",
         "listings",
-        NODES / BEAT_S,
+        NODES / beat_s,
         READS_LIMIT_S,
         "reads/s in all",
         "each host lists all heartbeats",
--- a/src/bayhinge/_internal/models/settings.py
+++ b/src/bayhinge/_internal/models/settings.py
@@ -46,6 +46,12 @@
         Field("prefix", Name(), "bayhinge", "first part of every key"),
         Field("timeout_seconds", Number(0.1, 60), "3", "time for one call"),
         Field("writes_per_second", Number(0.1, 200), "8", "journal writes of this host"),
+        Field(
+            "total_writes_per_second",
+            Number(1, 100_000),
+            "240",
+            "journal writes of all hosts; a host takes its share, if that is less",
+        ),
         Field("write_burst", Whole(1, 50), "4", "journal writes that may go back to back"),
         Field("spool_bytes", Whole(100_000, 10**9), "16000000", "records that may wait"),
     ),
@@ -143,6 +149,7 @@
     prefix: str = "bayhinge"
     timeout_seconds: float = 3.0
     writes_per_second: float = 8.0
+    total_writes_per_second: float = 240.0
     write_burst: int = 4
     spool_bytes: int = 16_000_000
 
--- a/src/bayhinge/_internal/services/host.py
+++ b/src/bayhinge/_internal/services/host.py
@@ -205,7 +205,7 @@
                 logger.info("budgets wait for the store: %s", error)
 
     async def _describe(self) -> None:
-        """Puts the applied revision and the load into the next heartbeats."""
+        """Keeps the next heartbeats true, and the journal's pace at this host's share."""
         while True:
             membership = self.parts.membership
             membership.describe(
@@ -215,6 +215,9 @@
                     load=float(self.parts.owner.running_count),
                 )
             )
+            store = self.settings.store
+            share = store.total_writes_per_second / len(membership.alive())
+            self.parts.pacer.set_rate(min(store.writes_per_second, share))
             await asyncio.sleep(self.settings.membership.beat_seconds)
 
     async def _exchange_news(self) -> None:
--- a/src/bayhinge/_internal/services/host_parts.py
+++ b/src/bayhinge/_internal/services/host_parts.py
@@ -81,6 +81,7 @@
     hybrid_clock: HybridClock
     timeline: Timeline
     latencies: Latencies
+    pacer: WritePacer
     journal: Journal
     escrow: Escrow
     feed: ConfigFeed
@@ -154,6 +155,7 @@
         hybrid_clock=hybrid_clock,
         timeline=timeline,
         latencies=Latencies(),
+        pacer=pacer,
         journal=journal,
         escrow=escrow,
         feed=feed,
--- a/src/bayhinge/coordination/membership.py
+++ b/src/bayhinge/coordination/membership.py
@@ -25,6 +25,10 @@
 logger = logging.getLogger(__name__)
 
 
+MAX_BEATS_PER_SECOND = 60.0
+"""Heartbeats of a whole fleet; beyond it each host beats more slowly."""
+
+
 class HostState(StrEnum):
     """What a host says of itself.
 
@@ -100,6 +104,16 @@
         """This host as it was last described."""
         return self._me
 
+    @property
+    def beat_s(self) -> float:
+        """Seconds between heartbeats; longer in a large fleet, for the store's sake."""
+        return max(self._times.beat_s, len(self._seen_by_incarnation) / MAX_BEATS_PER_SECOND)
+
+    @property
+    def dead_after_s(self) -> float:
+        """Seconds of silence that mean death: as many beats as settings say."""
+        return self._times.dead_after_s * self.beat_s / self._times.beat_s
+
     def describe(self, me: HostInfo) -> None:
         """Changes what the next heartbeat says of this host."""
         self._me = me
@@ -126,7 +140,7 @@
         """Beats and looks around until it is cancelled."""
         while True:
             await self.step()
-            await asyncio.sleep(self._times.beat_s)
+            await asyncio.sleep(self.beat_s)
 
     async def step(self) -> None:
         """Writes one heartbeat and reads all others once."""
@@ -183,7 +197,7 @@
         now = asyncio.get_running_loop().time()
         elapsed = 0.0 if self._last_poll is None else now - self._last_poll
         # A process that was paused must not blame the others for the time it slept.
-        elapsed = min(elapsed, 2 * self._times.beat_s)
+        elapsed = min(elapsed, 2 * self.beat_s)
         self._last_poll = now
         before = [info.incarnation for info in self.alive()]
         found = {
@@ -220,7 +234,7 @@
                 self._seen_by_incarnation[incarnation] = _Seen(info, version, 0.0)
                 continue
             seen.silent_s += elapsed
-            if seen.silent_s >= self._times.dead_after_s:
+            if seen.silent_s >= self.dead_after_s:
                 self._declare_dead(seen.info, version)
 
     def _declare_dead(self, info: HostInfo, version: int) -> None:
--- a/src/bayhinge/coordination/pacing.py
+++ b/src/bayhinge/coordination/pacing.py
@@ -13,13 +13,17 @@
 
     def __init__(self, writes_per_second: float, burst: int) -> None:
         """Takes the steady rate and how many writes may go out back to back."""
+        self._burst = burst
         self._interval = 1.0 / writes_per_second
-        self._slack = self._interval * (burst - 1)
         self._next = float("-inf")
 
+    def set_rate(self, writes_per_second: float) -> None:
+        """Changes the steady rate, as when the share of a host shrinks with a larger fleet."""
+        self._interval = 1.0 / writes_per_second
+
     def delay(self, now: float) -> float:
         """Returns the seconds to wait before a write may start."""
-        return max(0.0, self._next - self._slack - now)
+        return max(0.0, self._next - self._interval * (self._burst - 1) - now)
 
     async def wait(self) -> None:
         """Waits for the next write's turn and takes it."""
--- /dev/null
+++ b/tests/unit/test_membership.py
@@ -0,0 +1,125 @@
+"""Membership: deaths, outages, pauses, and the pace of a large fleet."""
+
+import asyncio
+from collections.abc import Callable
+
+from bayhinge._internal.bench.world.virtual_time import run_virtual
+from bayhinge.coordination.membership import HostInfo, HostState, Membership, MembershipTimes
+from bayhinge.coordination.pacing import WritePacer
+from bayhinge_standins.faults import StoreFaults
+from bayhinge_standins.object_store import MemoryObjects, MemoryObjectStore
+
+TIMES = MembershipTimes(beat_s=1.0, dead_after_s=3.7)
+
+
+def make_member(objects: MemoryObjects, name: str, faults: StoreFaults) -> Membership:
+    info = HostInfo(f"{name}~1", name, "hall", "p:1", "c:1", HostState.SERVING, 0, 0.0)
+    return Membership(MemoryObjectStore(objects, faults), "hosts", info, TIMES)
+
+
+class Fleet:
+    """Members that beat, and what each held dead."""
+
+    def __init__(self, count: int) -> None:
+        objects = MemoryObjects()
+        self.objects = objects
+        self.faults = [StoreFaults() for _ in range(count)]
+        self.members = [
+            make_member(objects, f"h{number:03d}", faults)
+            for number, faults in enumerate(self.faults)
+        ]
+        self.deaths: list[tuple[str, str, float]] = []
+        for member in self.members:
+            member.on_death = self._note(member)
+        self.tasks = [asyncio.create_task(member.run()) for member in self.members]
+
+    def _note(self, member: Membership) -> Callable[[HostInfo], None]:
+        def note(info: HostInfo) -> None:
+            now = asyncio.get_running_loop().time()
+            self.deaths.append((member.me.host, info.host, now))
+
+        return note
+
+    def stop(self) -> None:
+        for task in self.tasks:
+            task.cancel()
+
+
+def test_a_host_that_stops_is_held_dead_by_all_others_in_time() -> None:
+    async def scenario() -> None:
+        fleet = Fleet(5)
+        await asyncio.sleep(10)
+        fleet.tasks[0].cancel()
+        died = asyncio.get_running_loop().time()
+        await asyncio.sleep(10)
+        assert {who for who, dead, _ in fleet.deaths} == {"h001", "h002", "h003", "h004"}
+        assert {dead for _, dead, _ in fleet.deaths} == {"h000"}
+        assert all(3.0 <= at - died <= 6.0 for _, _, at in fleet.deaths)
+        fleet.stop()
+
+    run_virtual(scenario())
+
+
+def test_an_outage_and_a_slow_store_kill_nobody() -> None:
+    async def scenario() -> None:
+        fleet = Fleet(5)
+        await asyncio.sleep(10)
+        for faults in fleet.faults:
+            faults.down = True
+        await asyncio.sleep(3600)
+        for number, faults in enumerate(fleet.faults):
+            # They come back one after the other, each with everybody's beat stale.
+            faults.down = False
+            await asyncio.sleep(0.5 * number)
+        for faults in fleet.faults:
+            faults.delay_s = 0.4
+        await asyncio.sleep(60)
+        assert fleet.deaths == []
+        fleet.stop()
+
+    run_virtual(scenario())
+
+
+def test_a_host_cut_off_from_the_store_is_held_dead_and_holds_nobody_dead() -> None:
+    async def scenario() -> None:
+        fleet = Fleet(4)
+        await asyncio.sleep(10)
+        fleet.faults[0].down = True
+        await asyncio.sleep(30)
+        assert {dead for _, dead, _ in fleet.deaths} == {"h000"}
+        assert "h000" not in {who for who, _, _ in fleet.deaths}
+        fleet.stop()
+
+    run_virtual(scenario())
+
+
+def test_a_large_fleet_beats_more_slowly_and_kills_nobody() -> None:
+    async def scenario() -> None:
+        fleet = Fleet(150)
+        await asyncio.sleep(30)
+        before = fleet.objects.revision
+        await asyncio.sleep(30)
+        beats_a_second = (fleet.objects.revision - before) / 30
+        assert beats_a_second <= 61
+        assert fleet.members[0].beat_s > 2 * TIMES.beat_s
+        assert fleet.deaths == []
+        fleet.stop()
+
+    run_virtual(scenario())
+
+
+def test_a_pacer_follows_its_share() -> None:
+    pacer = WritePacer(10.0, 1)
+
+    async def spent(writes: int) -> float:
+        began = asyncio.get_running_loop().time()
+        for _ in range(writes):
+            await pacer.wait()
+        return asyncio.get_running_loop().time() - began
+
+    async def scenario() -> None:
+        assert round(await spent(11), 6) == 1.0
+        pacer.set_rate(1.0)
+        assert await spent(10) >= 9.0
+
+    run_virtual(scenario())
