Count what failed attempts of a model call cost

Cause: a stream that broke was sent again, with its whole prompt, on the reservation of one attempt; the tokens of the attempt that failed were settled for nobody, so that an account could pass its budget while engines failed. Each failed attempt now counts as its prompt and the text that came, and as much is set aside before the call goes out again, or it is refused. Tool calls of a failed attempt are forgotten too: their pieces had been joined to those of the next one. Before: the new scenario broke the promise (shown again by taking the counting out); after: it holds, with 30 programs racing on streams that always break.

--- a/src/bayhinge/_internal/bench/world/endpoints.py
+++ b/src/bayhinge/_internal/bench/world/endpoints.py
@@ -127,7 +127,8 @@
                 continue
             await asyncio.sleep(TOKEN_S * faults.slow_factor)
             if faults.break_stream_after is not None and sent >= faults.break_stream_after:
-                faults.break_stream_after = None
+                if not faults.breaks_every_stream:
+                    faults.break_stream_after = None
                 raise EndpointError(endpoint, "the stream broke", may_have_run=True)
             await self._gate.pass_through()
             sent += 1
--- a/src/bayhinge/_internal/services/call_records.py
+++ b/src/bayhinge/_internal/services/call_records.py
@@ -38,7 +38,7 @@
         count,
         digest,
         end_to_wire(result.end),
-        result.end.usage.total,
+        result.spend,
         text,
         result.service_s,
         None,
--- a/src/bayhinge/_internal/services/call_runner.py
+++ b/src/bayhinge/_internal/services/call_runner.py
@@ -2,12 +2,13 @@
 
 import asyncio
 import uuid
-from collections.abc import Awaitable, Callable
+from collections.abc import Awaitable, Callable, Coroutine
 
 import attrs
 import orjson
 import xxhash
 
+from bayhinge._internal import status_codes
 from bayhinge._internal.decisions.offers import Done, Offer, Outcome
 from bayhinge._internal.exceptions import EndpointError
 from bayhinge._internal.models.accounts import ClientAccount
@@ -32,7 +33,8 @@
 class PreparedCall:
     """A call with all that is needed to send it.
 
-    ``prompt`` is the whole message list of a model call, encoded.
+    ``prompt`` is the whole message list of a model call, encoded. ``extend_budget`` sets
+    more tokens aside before a model call is sent again, or refuses the call.
     """
 
     state: ProgramState
@@ -41,15 +43,17 @@
     index: int
     prompt: tuple[bytes, ...]
     deadline: float
+    extend_budget: Callable[[int, CallAttempt], Awaitable[None]] | None = None
 
 
 @attrs.frozen
 class CallResult:
-    """What a call came to."""
+    """What a call came to; ``spend`` counts the tokens of failed attempts too."""
 
     end: AnswerEnd
     endpoint: str
     service_s: float
+    spend: int = 0
 
 
 @attrs.define
@@ -62,6 +66,14 @@
     usage: Usage = attrs.field(factory=Usage)
     finish_reason: str = "stop"
     tries: int = 0
+    lost_tokens: int = 0
+
+    def begin_attempt(self) -> None:
+        """Forgets what an attempt that failed had collected besides text."""
+        self.attempt.note_send()
+        self.tries += 1
+        self.tool_calls.clear()
+        self.usage = Usage()
 
 
 BeforeSend = Callable[[str, CallAttempt], Awaitable[None]]
@@ -87,6 +99,7 @@
         self._endpoints = endpoints
         self._timeline = timeline
         self._random_unit = random_unit
+        self._background: set[asyncio.Task[None]] = set()
 
     async def run_model(self, prepared: PreparedCall, live: LiveAnswer) -> CallResult:
         """Runs a model call, resuming its stream elsewhere where an engine fails.
@@ -184,52 +197,56 @@
         started = loop.time()
         first_token_s = 0.0
         outcome = Outcome.CANCELLED
-        progress.attempt.note_send()
-        progress.tries += 1
+        progress.begin_attempt()
+        pieces = 0
         try:
             async for piece in self._endpoints.complete(granted.endpoint, granted.address, request):
                 if piece.text and not first_token_s:
                     first_token_s = loop.time() - started
+                pieces += bool(piece.text)
                 self._take(piece, live, progress)
             outcome = Outcome.FINISHED
         except EndpointError as error:
             outcome = _outcome_of(error)
-            if not error.may_have_run:
+            if error.may_have_run:
+                await self._pay_for_failure(prepared, progress, pieces)
+            else:
                 progress.attempt.note_unsent()
             raise
         finally:
             if outcome is Outcome.CANCELLED:
                 # The caller left or the program was cancelled: free the engine at once.
-                asyncio.ensure_future(  # noqa: RUF006
-                    self._endpoints.cancel(granted.address, request.request_id)
-                )
+                self._spawn(self._endpoints.cancel(granted.address, request.request_id))
             seconds = loop.time() - started
-            self._grants.done(
-                granted,
-                Done(
-                    granted.grant,
-                    outcome,
-                    progress.usage.prompt_tokens,
-                    progress.usage.cached_tokens,
-                    progress.usage.completion_tokens,
-                    first_token_s,
-                    seconds - first_token_s,
-                ),
+            usage = progress.usage
+            done = Done(
+                granted.grant,
+                outcome,
+                usage.prompt_tokens,
+                usage.cached_tokens,
+                usage.completion_tokens,
+                first_token_s,
+                seconds - first_token_s,
             )
+            self._grants.done(granted, done)
         progress.attempt.answered = True
-        calls = orjson.dumps(progress.tool_calls) if progress.tool_calls else None
-        usage = progress.usage
-        end = AnswerEnd(
-            prepared.index,
-            200,
-            "application/json",
-            b"",
-            progress.finish_reason,
-            usage,
-            calls,
-            work.model,
-        )
-        return CallResult(end, granted.endpoint, loop.time() - started)
+        end = _model_end(prepared, work, progress)
+        spend = progress.usage.total + progress.lost_tokens
+        return CallResult(end, granted.endpoint, loop.time() - started, spend)
+
+    async def _pay_for_failure(
+        self, prepared: PreparedCall, progress: _Progress, pieces: int
+    ) -> None:
+        """Counts what a failed attempt has cost, and sets as much aside for the next one."""
+        lost = estimate_tokens(prepared.prompt) + pieces
+        progress.lost_tokens += lost
+        if prepared.extend_budget is not None:
+            await prepared.extend_budget(lost, progress.attempt)
+
+    def _spawn(self, work: Coroutine[None, None, None]) -> None:
+        task = asyncio.get_running_loop().create_task(work)
+        self._background.add(task)
+        task.add_done_callback(self._background.discard)
 
     def _engine_request(
         self, prepared: PreparedCall, work: ModelCall, granted: GrantedEndpoint, offset: int
@@ -256,12 +273,7 @@
         if piece.finish_reason is not None:
             progress.finish_reason = piece.finish_reason
         if piece.usage is not None:
-            before = progress.usage
-            progress.usage = Usage(
-                piece.usage.prompt_tokens,
-                before.completion_tokens + piece.usage.completion_tokens,
-                piece.usage.cached_tokens,
-            )
+            progress.usage = piece.usage
 
     async def _send_service(
         self,
@@ -355,6 +367,20 @@
         )
 
 
+def _model_end(prepared: PreparedCall, work: ModelCall, progress: _Progress) -> AnswerEnd:
+    calls = orjson.dumps(progress.tool_calls) if progress.tool_calls else None
+    return AnswerEnd(
+        prepared.index,
+        status_codes.HTTP_OK,
+        "application/json",
+        b"",
+        progress.finish_reason,
+        progress.usage,
+        calls,
+        work.model,
+    )
+
+
 def _outcome_of(error: EndpointError) -> Outcome:
     if error.draining:
         return Outcome.DRAINING
--- a/src/bayhinge/_internal/services/owner.py
+++ b/src/bayhinge/_internal/services/owner.py
@@ -224,12 +224,12 @@
     ) -> None:
         admitted = await self._admit(program, running.view.index, call, deadline)
         work = call.work
-        used = 0 if admitted.reservation is None else admitted.reservation.units
+        used: int | None = None
         try:
             if isinstance(work, ModelCall):
                 program.used_pools.update(self._pools(work))
                 result = await self._parts.runner.run_model(admitted.prepared, running.live)
-                used = result.end.usage.total
+                used = result.spend
             else:
                 result = await self._run_service(program, admitted.prepared)
         except RefusedError as error:
@@ -238,7 +238,9 @@
             raise
         finally:
             if admitted.reservation is not None:
-                self._parts.escrow.settle(admitted.reservation, used)
+                # What became of a call that was cut off is unknown: its worst case counts.
+                units = admitted.reservation.units
+                self._parts.escrow.settle(admitted.reservation, units if used is None else used)
         await self._finish(program, running, admitted, result)
 
     def _pools(self, work: ModelCall) -> Iterator[str]:
@@ -264,7 +266,11 @@
             raise RefusedError(new.error)
         prompt = await self._prompt(state, call.work, new.ok)
         reservation = await self._reserve(account, call.work, prompt)
-        prepared = PreparedCall(state, account, call, index, prompt, deadline)
+
+        async def extend_budget(units: int, attempt: CallAttempt) -> None:
+            await self._extend(account, reservation, units, attempt)
+
+        prepared = PreparedCall(state, account, call, index, prompt, deadline, extend_budget)
         return _Admitted(prepared, new.ok, reservation)
 
     async def _prompt(
@@ -286,18 +292,17 @@
         units = estimate_tokens(prompt) + work.max_tokens
         try:
             return await self._parts.escrow.reserve(account.name, units, account.budget_tokens)
-        except BudgetExceededError as error:
-            refusal = refuse_unaccepted(
-                RefusalCode.BUDGET_EXCEEDED,
-                "the client account's budget has no room for this call's worst case",
-                Figure("needed_tokens", error.wanted),
-                Figure("free_on_this_host", error.available),
-                Figure("budget_tokens", account.budget_tokens),
-                retry_after_s=BUDGET_RETRY_S,
-            )
-            raise RefusedError(refusal) from error
         except CoordinationError as error:
-            raise RefusedError(refuse_for_store(CallAttempt(), error)) from error
+            raise RefusedError(_refuse_for_budget(account, CallAttempt(), error)) from error
+
+    async def _extend(
+        self, account: ClientAccount, reservation: Reservation, units: int, attempt: CallAttempt
+    ) -> None:
+        """Sets the cost of a failed attempt aside, before the call is sent again."""
+        try:
+            await self._parts.escrow.extend(reservation, units, account.budget_tokens)
+        except CoordinationError as error:
+            raise RefusedError(_refuse_for_budget(account, attempt, error)) from error
 
     # ---- calls that may not be repeated ----
 
@@ -418,6 +423,21 @@
         )
 
 
+def _refuse_for_budget(
+    account: ClientAccount, attempt: CallAttempt, error: CoordinationError
+) -> Refusal:
+    if not isinstance(error, BudgetExceededError):
+        return refuse_for_store(attempt, error)
+    return attempt.refuse(
+        RefusalCode.BUDGET_EXCEEDED,
+        "the client account's budget has no room for this call's worst case",
+        Figure("needed_tokens", error.wanted),
+        Figure("free_on_this_host", error.available),
+        Figure("budget_tokens", account.budget_tokens),
+        retry_after_s=BUDGET_RETRY_S,
+    )
+
+
 def _unknown(program: str) -> Refusal:
     why = f"no program '{program}' of this client account is known here"
     return refuse_unaccepted(RefusalCode.UNKNOWN_PROGRAM, why)
--- a/src/bayhinge/coordination/escrow.py
+++ b/src/bayhinge/coordination/escrow.py
@@ -130,6 +130,17 @@
         account.reserved += units
         return Reservation(ledger, units)
 
+    async def extend(self, reservation: Reservation, units: int, budget: int) -> None:
+        """Sets more units aside for a call that costs more than was foreseen.
+
+        Raises:
+            BudgetExceededError: the budget has no such amount free; the reservation stays.
+            StoreError: the grant is short and the store did not answer.
+        """
+        more = await self.reserve(reservation.ledger, units, budget)
+        more.settled = True
+        reservation.units += more.units
+
     def settle(self, reservation: Reservation, used: int) -> None:
         """Ends a reservation with what was really used; a second call does nothing."""
         if reservation.settled:
--- a/src/bayhinge_standins/engine.py
+++ b/src/bayhinge_standins/engine.py
@@ -236,7 +236,8 @@
     async def _maybe_break(self, response: web.StreamResponse, record: EngineRequestRecord) -> None:
         after = self.faults.break_stream_after
         if after is not None and record.completion_tokens >= after:
-            self.faults.break_stream_after = None
+            if not self.faults.breaks_every_stream:
+                self.faults.break_stream_after = None
             raise ConnectionResetError("the engine broke the stream on request")
 
     async def _apply_faults(self, request: web.Request) -> None:
--- a/src/bayhinge_standins/faults.py
+++ b/src/bayhinge_standins/faults.py
@@ -38,7 +38,8 @@
         die_after_acting: the side effect happens, and the connection breaks before the answer.
         die_before_acting: the connection breaks before anything happens.
         slow_factor: every duration is multiplied by this.
-        break_stream_after: so many tokens into each stream, its connection breaks.
+        break_stream_after: so many tokens into the next stream, its connection breaks.
+        breaks_every_stream: and into each stream after that one.
         drop_cache_events: the share of cache events that are lost, 0 to 1.
         ignore_fencing: orders are obeyed whatever their fencing number.
         draining: new work is refused with 503, running work goes on.
@@ -50,6 +51,7 @@
     die_before_acting: bool = False
     slow_factor: float = 1.0
     break_stream_after: int | None = None
+    breaks_every_stream: bool = False
     drop_cache_events: float = 0.0
     ignore_fencing: bool = False
     draining: bool = False
--- a/tests/functional/conftest.py
+++ b/tests/functional/conftest.py
@@ -220,6 +220,12 @@
     stage.world.faults_of(name).break_stream_after = count
 
 
+@when(parsers.parse("endpoint {name} breaks every stream after {count:d} tokens"))
+def endpoint_breaks_always(stage: Stage, name: str, count: int) -> None:
+    stage.world.faults_of(name).break_stream_after = count
+    stage.world.faults_of(name).breaks_every_stream = True
+
+
 @when(parsers.parse("the platform lists endpoint {name} as leaving"))
 def endpoint_leaves(stage: Stage, name: str) -> None:
     stage.world.endpoints.leave(name)
@@ -353,6 +359,29 @@
     stage.run(all_of_them())
 
 
+@when(
+    parsers.parse('{count:d} programs of "{account}" ask the model until the budget refuses them')
+)
+def race_with_failures(stage: Stage, count: int, account: str) -> None:
+    world = stage.world
+
+    async def spend(number: int) -> None:
+        hosts = sorted(world.hosts_by_name)
+        host = hosts[number % len(hosts)]
+        program = await world.open(account, host)
+        for attempt in range(60):
+            outcome = await world.think(program, None, f"{number}/{attempt}", host)
+            refusal = outcome.refusal
+            if refusal is not None and refusal.code is RefusalCode.BUDGET_EXCEEDED:
+                return
+            await asyncio.sleep(1.0)
+
+    async def all_of_them() -> None:
+        await asyncio.gather(*(spend(number) for number in range(count)))
+
+    stage.run(all_of_them())
+
+
 @then(parsers.parse('at most {percent:d} percent of the budget of "{account}" is left'))
 def little_left(stage: Stage, percent: int, account: str) -> None:
     used = sum(
--- a/tests/functional/features/budgets.feature
+++ b/tests/functional/features/budgets.feature
@@ -44,3 +44,11 @@
     When call 0 of "p" asks the model "first" at entry-1
     And call 1 of "p" asks the model "second" at entry-1
     Then call 1 of "p" is refused as not_run with program_limit
+
+  Scenario: Streams break again and again, and what failed attempts cost is counted
+    Given 3 hosts and 2 engines
+    And client account "desk" with a budget of 3000 tokens
+    When endpoint engine-1 breaks every stream after 3 tokens
+    And endpoint engine-2 breaks every stream after 4 tokens
+    And 30 programs of "desk" ask the model until the budget refuses them
+    Then every promise holds
