--- a/tests/functional/conftest.py
+++ b/tests/functional/conftest.py
@@ -370,7 +370,8 @@
         host = hosts[number % len(hosts)]
         program = await world.open(account, host)
         for attempt in range(60):
-            outcome = await world.think(program, None, f"{number}/{attempt}", host)
+            text = f"{number}/{attempt} " + "long " * 160
+            outcome = await world.think(program, None, text, host)
             refusal = outcome.refusal
             if refusal is not None and refusal.code is RefusalCode.BUDGET_EXCEEDED:
                 return
