Test that crossed, late and broken answers on the peer link stay with their callers

Cause: "a caller gets the whole answer to its own request, though answers come late or crossed" had breaks of streams tested, and no link whose answers cross. Forty streams are now answered in another order with their pieces mixed; a caller that left gets nothing.

--- /dev/null
+++ b/tests/functional/test_peer_link.py
@@ -0,0 +1,96 @@
+"""The peer link over loopback: answers that come late, crossed, or not at all."""
+
+import asyncio
+from collections.abc import AsyncIterator, Awaitable, Callable
+
+import pytest
+
+from bayhinge._internal.exceptions import PeerFailureError, PeerUnreachableError
+from bayhinge._internal.models.refusals import RefusalCode, RefusedError, refuse_unaccepted
+from bayhinge._internal.network.peer_link import PeerClient, PeerHandler, PeerServer
+from bayhinge.coordination.clock import HybridClock, SystemClock
+
+pytestmark = pytest.mark.functional
+STREAMS = 40
+PIECES = 5
+
+
+class CrossingHandler(PeerHandler):
+    """Answers the last stream first, and mixes the pieces of all of them."""
+
+    def __init__(self) -> None:
+        self.opened = 0
+        self.cancelled = 0
+        self.all_open = asyncio.Event()
+
+    async def handle(self, method: str, payload: bytes) -> AsyncIterator[bytes]:
+        if method == "refuse":
+            raise RefusedError(refuse_unaccepted(RefusalCode.OVERLOADED, "no"))
+        self.opened += 1
+        if self.opened == STREAMS:
+            self.all_open.set()
+        try:
+            await self.all_open.wait()
+            for piece in range(PIECES):
+                await asyncio.sleep(0.002 * ((STREAMS - int(payload)) % 7))
+                yield payload + b"/%d" % piece
+        except asyncio.CancelledError:
+            self.cancelled += 1
+            raise
+
+
+def run_linked(scenario: Callable[[str, PeerClient, CrossingHandler], Awaitable[None]]) -> None:
+    async def main() -> None:
+        handler = CrossingHandler()
+        server = PeerServer("127.0.0.1:0", handler, HybridClock(SystemClock()))
+        address = await server.start()
+        client = PeerClient(HybridClock(SystemClock()), connect_s=1.0)
+        await scenario(address, client, handler)
+        await client.close()
+        await server.stop()
+
+    asyncio.run(main())
+
+
+def test_crossed_answers_reach_their_own_callers_whole() -> None:
+    async def scenario(address: str, client: PeerClient, handler: CrossingHandler) -> None:
+        async def ask(number: int) -> list[bytes]:
+            name = str(number).encode()
+            return [message async for message in client.stream(address, "call", name)]
+
+        answers = await asyncio.gather(*(ask(number) for number in range(STREAMS)))
+        for number, answer in enumerate(answers):
+            assert answer == [b"%d/%d" % (number, piece) for piece in range(PIECES)]
+
+    run_linked(scenario)
+
+
+def test_a_late_answer_to_a_caller_that_left_reaches_nobody() -> None:
+    async def scenario(address: str, client: PeerClient, handler: CrossingHandler) -> None:
+        left = asyncio.create_task(client.call(address, "call", b"1"))
+        await asyncio.sleep(0.05)
+        left.cancel()
+        await asyncio.gather(left, return_exceptions=True)
+        await asyncio.sleep(0.05)
+        assert handler.cancelled == 1
+        handler.all_open.set()
+        assert await client.call(address, "call", b"2") == b"2/%d" % (PIECES - 1)
+
+    run_linked(scenario)
+
+
+def test_a_broken_link_and_a_refusal_are_told_apart() -> None:
+    async def scenario(address: str, client: PeerClient, handler: CrossingHandler) -> None:
+        with pytest.raises(PeerFailureError, match="overloaded"):
+            await client.call(address, "refuse", b"")
+        waiting = asyncio.create_task(client.call(address, "call", b"1"))
+        await asyncio.sleep(0.05)
+        await client.close()
+        with pytest.raises(PeerUnreachableError) as caught:
+            await waiting
+        assert caught.value.sent
+        with pytest.raises(PeerUnreachableError) as refused:
+            await client.call("127.0.0.1:1", "call", b"1")
+        assert not refused.value.sent
+
+    run_linked(scenario)
