Hold an endpoint whose entry vanished as a last resort, for 1.8 s

Ruled out: a slow watch (the change was seen 7 ms after the store took it). Now any vanished endpoint is used only where no other is left, for 1.8 s.

--- a/src/bayhinge/_internal/decisions/endpoint_book.py
+++ b/src/bayhinge/_internal/decisions/endpoint_book.py
@@ -21,13 +21,17 @@
 
 @attrs.define
 class EndpointBelief:
-    """One endpoint: its entry, the work it has, and how it did lately."""
+    """One endpoint: its entry, the work it has, and how it did lately.
+
+    ``is_doubtful``: its entry has vanished, for a reason that is not known yet.
+    """
 
     entry: EndpointEntry
     running_here: int = 0
     running_at_peers: int = 0
     failures_in_a_row: int = 0
     ejected_until_s: float = 0.0
+    is_doubtful: bool = False
 
     @property
     def load(self) -> float:
@@ -65,8 +69,9 @@
         if belief is None:
             self._belief_by_instance[entry.instance] = EndpointBelief(entry)
             return True
-        is_news = belief.entry != entry
+        is_news = belief.entry != entry or belief.is_doubtful
         belief.entry = entry
+        belief.is_doubtful = False
         return is_news
 
     def remove(self, instance: str) -> bool:
@@ -114,9 +119,10 @@
             and not belief.entry.is_leaving
             and belief.entry.instance not in passed_over
         ]
-        well = [belief for belief in candidates if belief.ejected_until_s <= now_s]
+        sure = [belief for belief in candidates if not belief.is_doubtful] or candidates
+        well = [belief for belief in sure if belief.ejected_until_s <= now_s]
         # Where all have failed lately, trying one is better than refusing.
-        return self._best(well or candidates, wish)
+        return self._best(well or sure, wish)
 
     def _best(self, candidates: list[EndpointBelief], wish: Wish) -> EndpointBelief | None:
         if not candidates:
--- a/src/bayhinge/_internal/services/gateway/beliefs.py
+++ b/src/bayhinge/_internal/services/gateway/beliefs.py
@@ -9,14 +9,13 @@
 from bayhinge._internal.models.routing import RoutingTable
 from bayhinge._internal.network.endpoint_link import EndpointLinks
 from bayhinge._internal.services.gateway.outside import ObjectReader
-from bayhinge._internal.services.key_follower import FollowListener, StoreHealth
+from bayhinge._internal.services.key_follower import FollowListener
 from bayhinge.coordination.store import Change
 
-OUTAGE_GRACE_S = 2.3
-"""Entries that vanished in an outage of the store may come back for so long after its end."""
-
-OUTAGE_SHADOW_S = 2.5
-"""An entry that vanishes within this time after an outage may have vanished because of it."""
+VANISHED_GRACE_S = 1.8
+"""An endpoint whose entry vanished is a last resort for so long, then it is gone. Entries also
+lapse in outages of the store, and come back within two seconds of the end; an endpoint that
+leaves must get nothing new two seconds after its entry went."""
 
 
 class ConfigurationBelief(FollowListener):
@@ -64,7 +63,6 @@
         self._book = book
         self._links = links
         self._missing_by_instance: dict[str, asyncio.TimerHandle] = {}
-        self.health = StoreHealth()
 
     def replace_all(self, value_by_key: dict[str, bytes]) -> None:
         """See :class:`FollowListener`."""
@@ -101,20 +99,18 @@
             )
 
     def _vanished(self, instance: str) -> None:
-        now = asyncio.get_running_loop().time()
-        if self._book.find(instance) is None or instance in self._missing_by_instance:
-            return
-        if self.health.is_settled(now, OUTAGE_SHADOW_S):
-            self._remove(instance, "its entry was removed")
+        belief = self._book.find(instance)
+        if belief is None or instance in self._missing_by_instance:
             return
-        # Entries also lapse while the store is down: they get time to come back.
+        belief.is_doubtful = True
+        eliot.log_message("endpoint.vanished", endpoint=instance, running=belief.running_here)
         self._missing_by_instance[instance] = asyncio.get_running_loop().call_later(
-            OUTAGE_GRACE_S, self._gone_for_good, instance
+            VANISHED_GRACE_S, self._gone_for_good, instance
         )
 
     def _gone_for_good(self, instance: str) -> None:
         del self._missing_by_instance[instance]
-        self._remove(instance, "its entry did not come back after an outage")
+        self._remove(instance, "its entry vanished and did not come back")
 
     def _remove(self, instance: str, why: str) -> None:
         if self._book.remove(instance):
--- a/src/bayhinge/_internal/services/gateway/gateway.py
+++ b/src/bayhinge/_internal/services/gateway/gateway.py
@@ -67,7 +67,6 @@
                 (platform.endpoints_prefix, endpoints),
             )
         }
-        endpoints.health = self.followers_by_prefix[platform.endpoints_prefix].health
         self.disks = DiskDirectory(settings, platform.store, self.peers)
         self.keeper = TurnKeeper(self.disks, self.peers, settings.tolerated_disks)
         self.latencies = Latencies()
--- a/src/bayhinge/_internal/services/key_follower.py
+++ b/src/bayhinge/_internal/services/key_follower.py
@@ -45,15 +45,9 @@
 
 @attrs.define
 class StoreHealth:
-    """When the store last failed and last answered, on the loop's clock, in seconds."""
+    """Since when the store fails, on the loop's clock in seconds; None while it answers."""
 
     failing_since_s: float | None = None
-    regained_s: float = -1e9
-
-    def is_settled(self, now_s: float, for_s: float) -> bool:
-        """Tells whether the store has answered without a failure for so long."""
-        return self.failing_since_s is None and now_s - self.regained_s >= for_s
-
 
 class KeyFollower:
     """Follows one prefix."""
@@ -173,4 +167,3 @@
             "store.regained", prefix=self.prefix, after_s=now - self.health.failing_since_s
         )
         self.health.failing_since_s = None
-        self.health.regained_s = now
