--- a/src/bayhinge/_internal/services/disks/disk_host.py
+++ b/src/bayhinge/_internal/services/disks/disk_host.py
@@ -9,6 +9,11 @@
 import eliot
 from mode import Service
 
+from bayhinge._internal.decisions.disk_set_rules import (
+    has_copied_enough,
+    with_newcomer,
+    without_silent,
+)
 from bayhinge._internal.exceptions import FrameError, PeerFailureError, PeerUnreachableError
 from bayhinge._internal.models.refusals import RefusalCode, RefusedError, refuse_unaccepted
 from bayhinge._internal.models.site_settings import SiteSettings
@@ -26,6 +31,9 @@
 COPY_PERIOD_S = 0.8
 """Between two looks at what the other disks have written."""
 
+JOIN_PERIOD_S = 0.3
+"""The same for a disk that waits to join the set."""
+
 KEYS_AT_ONCE = 2000
 ENTRIES_AT_ONCE = 60
 """Entries of one copying call: some 400 KB, so that turns are not kept waiting."""
@@ -86,6 +94,8 @@
         self.gossip = Gossip(settings, wire.HostRole.DISK)
         self.disk_set = wire.DiskSet(0, [])
         self._position_by_generation: dict[int, int] = {}
+        self._read_hosts: set[str] = set()
+        self._silent_since_by_host: dict[str, float] = {}
         self.is_retired = False
 
     async def on_start(self) -> None:
@@ -104,8 +114,7 @@
         )
         registry = HostRegistry(self._store, self.settings)
         self.add_future(registry.announce(self.gossip.learn))
-        self.add_future(self._join())
-        self.add_future(self._copy_for_ever())
+        self.add_future(self._keep_place())
 
     async def on_stop(self) -> None:
         """Syncs and closes everything."""
@@ -125,42 +134,53 @@
             settings.host, self.turns.generation, settings.peer_address, settings.hall
         )
 
-    async def _join(self) -> None:
-        """Joins the set of disks: at once on the first start, else after copying."""
+    async def _keep_place(self) -> None:
+        """Keeps this disk in the set: joins, copies what it lacks, drops who is lost."""
         if self.settings.is_first_start and self.turns.is_fresh:
             self.turns.mark_joined()
-        if self.turns.is_joined:
-            self.take_disk_set(await change_disk_set(self._store, self._add_or_keep))
-            if self._is_member():
-                return
-        # The disk is empty, or the set went on without it: what it lacks comes first.
-        self.take_disk_set(await change_disk_set(self._store, lambda members: None))
-        await _repeat_until_done(self._copy_from_all)
-        self.take_disk_set(await change_disk_set(self._store, self._take_a_place))
+            self.take_disk_set(
+                await change_disk_set(self._store, lambda found: with_newcomer(found, self.me))
+            )
+        while not self.should_stop and not self.is_retired:
+            if not self.disk_set.members:
+                self.take_disk_set(await change_disk_set(self._store, lambda members: None))
+            await self._copy_from_all()
+            if not self._is_member():
+                await self._join_if_copied()
+            else:
+                await self._drop_silent()
+            pause_s = COPY_PERIOD_S if self._is_member() else JOIN_PERIOD_S
+            await asyncio.sleep(pause_s * random.uniform(0.8, 1.2))
+
+    async def _join_if_copied(self) -> None:
+        members = self.disk_set.members
+        tolerated = self.settings.tolerated_disks
+        if not has_copied_enough(members, self.settings.host, self._read_hosts, tolerated):
+            return
+        self.take_disk_set(
+            await change_disk_set(self._store, lambda found: with_newcomer(found, self.me))
+        )
         self.turns.mark_joined()
         eliot.log_message(
             "disk.joined", host=self.settings.host, disk_set_version=self.disk_set.version
         )
 
+    async def _drop_silent(self) -> None:
+        now = asyncio.get_running_loop().time()
+        silent_s = {host: now - since for host, since in self._silent_since_by_host.items()}
+        tolerated = self.settings.tolerated_disks
+        if without_silent(self.disk_set.members, silent_s, tolerated) is None:
+            return
+        eliot.log_message("disk_set.dropping", silent_s=silent_s, version=self.disk_set.version)
+        self.take_disk_set(
+            await change_disk_set(
+                self._store, lambda found: without_silent(found, silent_s, tolerated)
+            )
+        )
+
     def _is_member(self) -> bool:
         return any(member.generation == self.turns.generation for member in self.disk_set.members)
 
-    def _add_or_keep(self, members: list[wire.DiskMember]) -> list[wire.DiskMember] | None:
-        if any(member.generation == self.turns.generation for member in members):
-            return None
-        if not self.settings.is_first_start:
-            return None
-        return [*members, self.me]
-
-    def _take_a_place(self, members: list[wire.DiskMember]) -> list[wire.DiskMember] | None:
-        if any(member.generation == self.turns.generation for member in members):
-            return None
-        heard = {hello.host for hello in self.gossip.fresh(wire.HostRole.DISK)}
-        others = [member for member in members if member.host != self.settings.host]
-        silent = [member for member in others if member.host not in heard]
-        dropped = silent[: self.settings.tolerated_disks]
-        return [member for member in others if member not in dropped] + [self.me]
-
     def take_disk_set(self, disk_set: wire.DiskSet) -> None:
         """Takes a set in, unless a newer one is known."""
         if disk_set.version > self.disk_set.version:
@@ -184,19 +204,18 @@
 
     # ---- copying ----
 
-    async def _copy_for_ever(self) -> None:
-        while not self.should_stop:
-            await asyncio.sleep(COPY_PERIOD_S * random.uniform(0.8, 1.2))
-            await self._copy_from_all()
-
-    async def _copy_from_all(self) -> bool:
-        """Copies what the others have; returns whether enough of them were read to the end."""
-        members = self.disk_set.members
-        others = [member for member in members if member.host != self.settings.host]
-        was_replaced = len(others) < len(members) and not self._is_member()
-        results = [await self._copy_from(member) for member in others]
-        missed = results.count(False) + was_replaced
-        return bool(others) and missed <= self.settings.tolerated_disks and any(results)
+    async def _copy_from_all(self) -> None:
+        """Copies what the other members have, and notes who was read and who is silent."""
+        now = asyncio.get_running_loop().time()
+        others = [m for m in self.disk_set.members if m.host != self.settings.host]
+        results = await asyncio.gather(*(self._copy_from(member) for member in others))
+        self._read_hosts = {
+            member.host for member, was_read in zip(others, results, strict=True) if was_read
+        }
+        silent = {member.host for member in others} - self._read_hosts
+        self._silent_since_by_host = {
+            host: self._silent_since_by_host.get(host, now) for host in silent
+        }
 
     async def _copy_from(self, member: wire.DiskMember) -> bool:
         while True:
--- a/src/bayhinge/_internal/services/gateway/disk_directory.py
+++ b/src/bayhinge/_internal/services/gateway/disk_directory.py
@@ -25,8 +25,18 @@
 class DiskDirectory:
     """The set of disks, and who is silent."""
 
-    def __init__(self, settings: SiteSettings, store: ObjectStore, peers: Peers) -> None:
-        """Takes the host's settings, the platform's store and the way to other hosts."""
+    def __init__(
+        self,
+        settings: SiteSettings,
+        store: ObjectStore,
+        peers: Peers,
+        heard: Callable[[], list[Hello]],
+    ) -> None:
+        """Takes the host's settings, the platform's store, and the way to other hosts.
+
+        ``heard`` returns the hellos of disk hosts that were heard of lately.
+        """
+        self._heard = heard
         self._settings = settings
         self._store = store
         self._peers = peers
@@ -77,6 +87,18 @@
             ),
         )
 
+    def writable(self) -> list[DiskMember]:
+        """Returns the members, and disks outside the set that were heard of lately.
+
+        A copy lasts wherever it is synced, also on a disk that is about to join.
+        """
+        hosts = {member.host for member in self.disk_set.members}
+        return self.nearest_first() + [
+            DiskMember(hello.host, 0, hello.peer_address, hello.hall)
+            for hello in self._heard()
+            if hello.host not in hosts
+        ]
+
     def note_failure(self, member: DiskMember, why: str) -> None:
         """A disk did not answer."""
         now = asyncio.get_running_loop().time()
--- a/src/bayhinge/_internal/services/gateway/gateway.py
+++ b/src/bayhinge/_internal/services/gateway/gateway.py
@@ -67,7 +67,12 @@
                 (platform.endpoints_prefix, endpoints),
             )
         }
-        self.disks = DiskDirectory(settings, platform.store, self.peers)
+        self.disks = DiskDirectory(
+            settings,
+            platform.store,
+            self.peers,
+            lambda: self.gossip.fresh(wire.HostRole.DISK),
+        )
         self.keeper = TurnKeeper(self.disks, self.peers, settings.tolerated_disks)
         self.latencies = Latencies()
         self.requests = RequestService(
--- a/src/bayhinge/_internal/services/gateway/turn_keeper.py
+++ b/src/bayhinge/_internal/services/gateway/turn_keeper.py
@@ -108,19 +108,23 @@
             keep_s,
         )
         message = encode_message(wire.AppendEntries([entry]))
-        done: set[int] = set()
+        generation_by_host: dict[str, int] = {}
+        tries = 0
         while True:
-            members = [m for m in self._directory.disk_set.members if m.generation not in done]
-            async for member, _ in self._ask(members, methods.APPEND, message, wire.AppendReply):
-                done.add(member.generation)
-                if len(done) >= copies_needed(self._tolerated):
+            disks = [m for m in self._directory.writable() if m.host not in generation_by_host]
+            async for disk, reply in self._ask(disks, methods.APPEND, message, wire.AppendReply):
+                generation_by_host[disk.host] = reply.generation
+                if len(set(generation_by_host.values())) >= copies_needed(self._tolerated):
                     return
-            eliot.log_message(
-                "turn.not_durable_yet",
-                attempt=turn.attempt,
-                copies=len(done),
-                disk_set_version=self._directory.disk_set.version,
-            )
+            if tries == 0:
+                eliot.log_message(
+                    "turn.not_durable_yet",
+                    attempt=turn.attempt,
+                    copies_on=list(generation_by_host),
+                    asked=[disk.host for disk in disks],
+                    disk_set_version=self._directory.disk_set.version,
+                )
+            tries += 1
             await asyncio.sleep(CLOSE_PAUSE_S)
 
     def settle(self, turn: OpenTurn, tokens: int) -> None:
--- a/src/bayhinge/_internal/services/key_follower.py
+++ b/src/bayhinge/_internal/services/key_follower.py
@@ -49,6 +49,7 @@
 
     failing_since_s: float | None = None
 
+
 class KeyFollower:
     """Follows one prefix."""
 
