Reach disks through a peer where a cut lies between; pace watches that bring changes

Ruled out: slow disks (the others were served meanwhile). Hellos now name the disks a host hears, and a call goes through a peer that hears the disk. The frame types are a file of their own: the large wire module is not imported by these programs any more.

--- a/idl/hosts.thrift
+++ b/idl/hosts.thrift
@@ -33,6 +33,7 @@
   11: required map<string, i32> running_by_endpoint,
   12: required i64 disk_set_version,
   13: required list<string> known_addresses,
+  14: required list<string> heard_disks,
 }
 
 // RESERVED: tokens set aside before a turn runs. SETTLED: what it used in the end.
@@ -85,3 +86,6 @@
 // Objects of the platform's store as a host knows them; `revision` is the store's own counter.
 struct KnownObjects { 1: required i64 revision, 2: required map<string, binary> value_by_key }
 struct ObjectsQuery { 1: required string prefix }
+
+// A call that a host passes on to another, which the sender can't reach itself.
+struct RelayCall { 1: required string address, 2: required string method, 3: required binary payload }
--- a/idl/peer.thrift
+++ b/idl/peer.thrift
@@ -1,17 +1,6 @@
 // Messages between bayhinged processes, and the records of a program's journal.
 namespace py bayhinge._internal.wire
 
-enum FrameKind { OPEN = 1, DATA = 2, END = 3, FAIL = 4, CANCEL = 5 }
-
-// Every frame of the peer link. `clock` is the sender's hybrid logical clock.
-struct Frame {
-  1: required i64 stream,
-  2: required FrameKind kind,
-  3: required i64 clock,
-  4: optional string method,
-  5: optional binary payload,
-}
-
 enum CallKind { MODEL = 1, SERVICE = 2 }
 enum MessagesMode { WHOLE = 1, NEW = 2, REWRITE = 3 }
 
--- a/src/bayhinge/_internal/network/frames.py
+++ b/src/bayhinge/_internal/network/frames.py
@@ -9,7 +9,7 @@
 from thrift.TSerialization import deserialize, serialize
 
 from bayhinge._internal.exceptions import FrameError
-from bayhinge._internal.wire.ttypes import Frame
+from bayhinge._internal.wire.frames.ttypes import Frame
 
 MAX_FRAME_BYTES = 64_000_000
 _LENGTH = struct.Struct(">I")
--- a/src/bayhinge/_internal/network/peer_link.py
+++ b/src/bayhinge/_internal/network/peer_link.py
@@ -13,7 +13,7 @@
 from bayhinge._internal.exceptions import FrameError, PeerFailureError, PeerUnreachableError
 from bayhinge._internal.models.refusals import RefusalCode, RefusedError, refuse_unaccepted
 from bayhinge._internal.network.frames import encode_frame, read_frame
-from bayhinge._internal.wire.ttypes import Frame, FrameKind
+from bayhinge._internal.wire.frames.ttypes import Frame, FrameKind
 from bayhinge.coordination.clock import HybridClock
 
 logger = logging.getLogger(__name__)
--- a/src/bayhinge/_internal/services/gateway/disk_directory.py
+++ b/src/bayhinge/_internal/services/gateway/disk_directory.py
@@ -77,11 +77,10 @@
 
     def nearest_first(self) -> list[DiskMember]:
         """Returns the members: well ones first, and among them those of the own hall."""
-        now = asyncio.get_running_loop().time()
         return sorted(
             self.disk_set.members,
             key=lambda member: (
-                self._suspect_until_by_host.get(member.host, 0.0) > now,
+                self.is_suspect(member),
                 member.hall != self._settings.hall,
                 member.host,
             ),
@@ -99,6 +98,11 @@
             if hello.host not in hosts
         ]
 
+    def is_suspect(self, member: DiskMember) -> bool:
+        """Tells whether a disk failed lately."""
+        until_s = self._suspect_until_by_host.get(member.host, 0.0)
+        return until_s > asyncio.get_running_loop().time()
+
     def note_failure(self, member: DiskMember, why: str) -> None:
         """A disk did not answer."""
         now = asyncio.get_running_loop().time()
--- a/src/bayhinge/_internal/services/gateway/gateway.py
+++ b/src/bayhinge/_internal/services/gateway/gateway.py
@@ -7,7 +7,8 @@
 from mode import Service
 
 from bayhinge._internal.decisions.endpoint_book import EndpointBook
-from bayhinge._internal.exceptions import FrameError
+from bayhinge._internal.exceptions import FrameError, PeerFailureError, PeerUnreachableError
+from bayhinge._internal.models.refusals import RefusalCode, RefusedError, refuse_unaccepted
 from bayhinge._internal.models.site_settings import SiteSettings
 from bayhinge._internal.network.endpoint_link import EndpointLinks
 from bayhinge._internal.network.frames import decode_message, encode_message
@@ -16,6 +17,7 @@
 from bayhinge._internal.services.disks import methods
 from bayhinge._internal.services.gateway.beliefs import ConfigurationBelief, EndpointBelief
 from bayhinge._internal.services.gateway.disk_directory import DiskDirectory
+from bayhinge._internal.services.gateway.disk_link import DiskLink
 from bayhinge._internal.services.gateway.outside import Platform
 from bayhinge._internal.services.gateway.request_service import RequestService
 from bayhinge._internal.services.gateway.sending import Sender
@@ -73,7 +75,8 @@
             self.peers,
             lambda: self.gossip.fresh(wire.HostRole.DISK),
         )
-        self.keeper = TurnKeeper(self.disks, self.peers, settings.tolerated_disks)
+        link = DiskLink(self.disks, self.gossip, self.peers)
+        self.keeper = TurnKeeper(self.disks, link, settings.tolerated_disks)
         self.latencies = Latencies()
         self.requests = RequestService(
             self.configuration,
@@ -159,6 +162,9 @@
         me.phase = wire.HostPhase.READY if self.is_ready else wire.HostPhase.STARTING
         if self.is_leaving:
             me.phase = wire.HostPhase.LEAVING
+        me.heard_disks = [
+            member.host for member in self.disks.disk_set.members if self.gossip.hears(member.host)
+        ]
         me.running_by_endpoint = self.book.running_here()
         me.disk_set_version = self.disks.disk_set.version
         me.revision_by_prefix = {
@@ -204,7 +210,20 @@
             if follower is None:
                 raise FrameError(f"objects under '{prefix}' are not followed here")
             yield encode_message(follower.known())
+        elif method == methods.RELAY:
+            yield await self._relay(decode_message(wire.RelayCall(), payload))
         elif method == methods.DISK_SET:
             yield encode_message(self._gateway.disks.disk_set)
         else:
             raise FrameError(f"an entry host has no method '{method}'")
+
+    async def _relay(self, call: wire.RelayCall) -> bytes:
+        """Passes a call on to a disk that the caller can't reach."""
+        members = self._gateway.disks.disk_set.members
+        if call.address not in {member.address for member in members}:
+            raise FrameError(f"'{call.address}' is no disk of the set")
+        try:
+            return await self._gateway.peers.call(call.address, call.method, call.payload)
+        except (PeerUnreachableError, PeerFailureError) as error:
+            refusal = refuse_unaccepted(RefusalCode.STORE_UNAVAILABLE, str(error))
+            raise RefusedError(refusal) from error
--- a/src/bayhinge/_internal/services/gateway/turn_keeper.py
+++ b/src/bayhinge/_internal/services/gateway/turn_keeper.py
@@ -17,7 +17,7 @@
     copies_needed,
     reservations_needed,
 )
-from bayhinge._internal.exceptions import FrameError, PeerFailureError, PeerUnreachableError
+from bayhinge._internal.exceptions import FrameError
 from bayhinge._internal.models.refusals import (
     Figure,
     RefusalCode,
@@ -26,14 +26,11 @@
 )
 from bayhinge._internal.models.routed_requests import TurnContext
 from bayhinge._internal.network.frames import decode_message, encode_message
-from bayhinge._internal.network.peer_link import Peers
 from bayhinge._internal.services.disks import methods
 from bayhinge._internal.services.gateway.disk_directory import DiskDirectory
+from bayhinge._internal.services.gateway.disk_link import DiskLink, DiskUnreachableError
 from bayhinge._internal.wire.hosts import ttypes as wire
 
-ANSWER_S = 1.5
-"""Time for one disk's answer; after it the disk is held silent."""
-
 OPEN_S = 0.45
 """Time for enough disks to answer before a turn is refused as not run."""
 
@@ -69,10 +66,10 @@
 class TurnKeeper:
     """One entry host's way to the disks."""
 
-    def __init__(self, directory: DiskDirectory, peers: Peers, tolerated: int) -> None:
+    def __init__(self, directory: DiskDirectory, link: DiskLink, tolerated: int) -> None:
         """Takes who the disks are, the way there, and how many may be lost at once."""
         self._directory = directory
-        self._peers = peers
+        self._link = link
         self._tolerated = tolerated
         self._tasks: set[asyncio.Task[Any]] = set()
 
@@ -298,14 +295,12 @@
         self, member: wire.DiskMember, method: str, message: bytes, empty: Reply
     ) -> Reply | None:
         try:
-            async with asyncio.timeout(ANSWER_S):
-                answer = await self._peers.call(member.address, method, message)
-            reply = decode_message(empty, answer)
-        except (TimeoutError, PeerUnreachableError, PeerFailureError, FrameError) as error:
-            self._directory.note_failure(member, str(error) or "no answer in time")
+            return decode_message(empty, await self._link.call(member, method, message))
+        except DiskUnreachableError:
+            return None
+        except FrameError as error:
+            self._directory.note_failure(member, str(error))
             return None
-        self._directory.note_success(member)
-        return reply
 
     def _start(self, work: Coroutine[Any, Any, Reply]) -> asyncio.Task[Reply]:
         task = asyncio.get_running_loop().create_task(work)
--- a/src/bayhinge/_internal/services/gossip.py
+++ b/src/bayhinge/_internal/services/gossip.py
@@ -26,6 +26,9 @@
 FRESH_S = 1.5
 """A host that was silent for six hellos is not counted on."""
 
+HEARD_S = 0.8
+"""A host that was silent for three hellos may be cut off: another way is taken at once."""
+
 FORGET_S = 60.0
 """An address that was silent for so long is not greeted any more."""
 
@@ -70,6 +73,7 @@
             {},
             0,
             [],
+            [],
         )
         self._heard_by_host: dict[str, HeardHost] = {}
         self._last_heard_by_address: dict[str, float] = {}
@@ -108,6 +112,12 @@
             if heard.heard_s >= oldest and heard.hello.role == role
         ]
 
+    def hears(self, host: str) -> bool:
+        """Tells whether a host was heard of in the last moment."""
+        heard = self._heard_by_host.get(host)
+        now = asyncio.get_running_loop().time()
+        return heard is not None and now - heard.heard_s <= HEARD_S
+
     def say_now(self) -> None:
         """Sends one hello out of turn, where news should not wait."""
         self._send_round()
--- a/src/bayhinge/_internal/services/key_follower.py
+++ b/src/bayhinge/_internal/services/key_follower.py
@@ -22,6 +22,11 @@
 RETRY_S = 0.5
 """Pause after the store failed, before it is asked again; drawn between half and one and a half."""
 
+FIRST_PAUSE_S = 0.2
+LONGEST_PAUSE_S = 0.8
+"""Pauses after a watch call that brought changes, doubled while changes go on: a fleet that
+starts or is replaced brings one change after the other, and each call is paid for."""
+
 PEER_PATIENCE_S = 0.3
 """Time that the own watch has to bring what a peer has seen already."""
 
@@ -68,6 +73,7 @@
         self._listener = listener
         self._peers = peers
         self._cursor = 0
+        self._pause_s = 0.0
         self._poll: asyncio.Task[None] | None = None
         self._is_fetching = False
         self.revision = 0
@@ -111,8 +117,11 @@
         self._adopt({stored.key: stored.value for stored in listing.objects}, newest)
 
     async def _poll_once(self) -> None:
+        await asyncio.sleep(self._pause_s)
         page = await self._store.poll(self.prefix, self._cursor, self._wait_s)
         self._note_success()
+        longer_s = min(LONGEST_PAUSE_S, max(FIRST_PAUSE_S, 2 * self._pause_s))
+        self._pause_s = longer_s if page.changes else 0.0
         self._cursor = max(self._cursor, page.revision)
         for change in page.changes:
             self._apply(change)
--- /dev/null
+++ b/src/bayhinge/_internal/wire/frames/__init__.py
@@ -0,0 +1,1 @@
+__all__ = ['ttypes', 'constants']
--- a/src/bayhinge/_internal/wire/hosts/ttypes.py
+++ b/src/bayhinge/_internal/wire/hosts/ttypes.py
@@ -258,6 +258,7 @@
      - running_by_endpoint
      - disk_set_version
      - known_addresses
+     - heard_disks
 
     """
 
@@ -275,10 +276,11 @@
         'running_by_endpoint',
         'disk_set_version',
         'known_addresses',
+        'heard_disks',
     )
 
 
-    def __init__(self, host=None, incarnation=None, beat=None, role=None, phase=None, hall=None, gossip_address=None, peer_address=None, public_address=None, revision_by_prefix=None, running_by_endpoint=None, disk_set_version=None, known_addresses=None,):
+    def __init__(self, host=None, incarnation=None, beat=None, role=None, phase=None, hall=None, gossip_address=None, peer_address=None, public_address=None, revision_by_prefix=None, running_by_endpoint=None, disk_set_version=None, known_addresses=None, heard_disks=None,):
         self.host = host
         self.incarnation = incarnation
         self.beat = beat
@@ -292,6 +294,7 @@
         self.running_by_endpoint = running_by_endpoint
         self.disk_set_version = disk_set_version
         self.known_addresses = known_addresses
+        self.heard_disks = heard_disks
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -384,6 +387,16 @@
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
+            elif fid == 14:
+                if ftype == TType.LIST:
+                    self.heard_disks = []
+                    (_etype30, _size27) = iprot.readListBegin()
+                    for _i31 in range(_size27):
+                        _elem32 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        self.heard_disks.append(_elem32)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -433,17 +446,17 @@
         if self.revision_by_prefix is not None:
             oprot.writeFieldBegin('revision_by_prefix', TType.MAP, 10)
             oprot.writeMapBegin(TType.STRING, TType.I64, len(self.revision_by_prefix))
-            for kiter27, viter28 in self.revision_by_prefix.items():
-                oprot.writeString(kiter27.encode('utf-8') if sys.version_info[0] == 2 else kiter27)
-                oprot.writeI64(viter28)
+            for kiter33, viter34 in self.revision_by_prefix.items():
+                oprot.writeString(kiter33.encode('utf-8') if sys.version_info[0] == 2 else kiter33)
+                oprot.writeI64(viter34)
             oprot.writeMapEnd()
             oprot.writeFieldEnd()
         if self.running_by_endpoint is not None:
             oprot.writeFieldBegin('running_by_endpoint', TType.MAP, 11)
             oprot.writeMapBegin(TType.STRING, TType.I32, len(self.running_by_endpoint))
-            for kiter29, viter30 in self.running_by_endpoint.items():
-                oprot.writeString(kiter29.encode('utf-8') if sys.version_info[0] == 2 else kiter29)
-                oprot.writeI32(viter30)
+            for kiter35, viter36 in self.running_by_endpoint.items():
+                oprot.writeString(kiter35.encode('utf-8') if sys.version_info[0] == 2 else kiter35)
+                oprot.writeI32(viter36)
             oprot.writeMapEnd()
             oprot.writeFieldEnd()
         if self.disk_set_version is not None:
@@ -453,8 +466,15 @@
         if self.known_addresses is not None:
             oprot.writeFieldBegin('known_addresses', TType.LIST, 13)
             oprot.writeListBegin(TType.STRING, len(self.known_addresses))
-            for iter31 in self.known_addresses:
-                oprot.writeString(iter31.encode('utf-8') if sys.version_info[0] == 2 else iter31)
+            for iter37 in self.known_addresses:
+                oprot.writeString(iter37.encode('utf-8') if sys.version_info[0] == 2 else iter37)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        if self.heard_disks is not None:
+            oprot.writeFieldBegin('heard_disks', TType.LIST, 14)
+            oprot.writeListBegin(TType.STRING, len(self.heard_disks))
+            for iter38 in self.heard_disks:
+                oprot.writeString(iter38.encode('utf-8') if sys.version_info[0] == 2 else iter38)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -487,6 +507,8 @@
             raise TProtocolException(message='Required field disk_set_version is unset!')
         if self.known_addresses is None:
             raise TProtocolException(message='Required field known_addresses is unset!')
+        if self.heard_disks is None:
+            raise TProtocolException(message='Required field heard_disks is unset!')
         return
 
     def __repr__(self):
@@ -810,22 +832,22 @@
             elif fid == 2:
                 if ftype == TType.MAP:
                     self.open_by_attempt = {}
-                    (_ktype33, _vtype34, _size32) = iprot.readMapBegin()
-                    for _i36 in range(_size32):
-                        _key37 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
-                        _val38 = iprot.readI64()
-                        self.open_by_attempt[_key37] = _val38
+                    (_ktype40, _vtype41, _size39) = iprot.readMapBegin()
+                    for _i43 in range(_size39):
+                        _key44 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        _val45 = iprot.readI64()
+                        self.open_by_attempt[_key44] = _val45
                     iprot.readMapEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 3:
                 if ftype == TType.MAP:
                     self.settled_by_attempt = {}
-                    (_ktype40, _vtype41, _size39) = iprot.readMapBegin()
-                    for _i43 in range(_size39):
-                        _key44 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
-                        _val45 = iprot.readI64()
-                        self.settled_by_attempt[_key44] = _val45
+                    (_ktype47, _vtype48, _size46) = iprot.readMapBegin()
+                    for _i50 in range(_size46):
+                        _key51 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        _val52 = iprot.readI64()
+                        self.settled_by_attempt[_key51] = _val52
                     iprot.readMapEnd()
                 else:
                     iprot.skip(ftype)
@@ -861,17 +883,17 @@
         if self.open_by_attempt is not None:
             oprot.writeFieldBegin('open_by_attempt', TType.MAP, 2)
             oprot.writeMapBegin(TType.STRING, TType.I64, len(self.open_by_attempt))
-            for kiter46, viter47 in self.open_by_attempt.items():
-                oprot.writeString(kiter46.encode('utf-8') if sys.version_info[0] == 2 else kiter46)
-                oprot.writeI64(viter47)
+            for kiter53, viter54 in self.open_by_attempt.items():
+                oprot.writeString(kiter53.encode('utf-8') if sys.version_info[0] == 2 else kiter53)
+                oprot.writeI64(viter54)
             oprot.writeMapEnd()
             oprot.writeFieldEnd()
         if self.settled_by_attempt is not None:
             oprot.writeFieldBegin('settled_by_attempt', TType.MAP, 3)
             oprot.writeMapBegin(TType.STRING, TType.I64, len(self.settled_by_attempt))
-            for kiter48, viter49 in self.settled_by_attempt.items():
-                oprot.writeString(kiter48.encode('utf-8') if sys.version_info[0] == 2 else kiter48)
-                oprot.writeI64(viter49)
+            for kiter55, viter56 in self.settled_by_attempt.items():
+                oprot.writeString(kiter55.encode('utf-8') if sys.version_info[0] == 2 else kiter55)
+                oprot.writeI64(viter56)
             oprot.writeMapEnd()
             oprot.writeFieldEnd()
         if self.chain is not None:
@@ -944,11 +966,11 @@
             if fid == 1:
                 if ftype == TType.LIST:
                     self.entries = []
-                    (_etype53, _size50) = iprot.readListBegin()
-                    for _i54 in range(_size50):
-                        _elem55 = TurnEntry()
-                        _elem55.read(iprot)
-                        self.entries.append(_elem55)
+                    (_etype60, _size57) = iprot.readListBegin()
+                    for _i61 in range(_size57):
+                        _elem62 = TurnEntry()
+                        _elem62.read(iprot)
+                        self.entries.append(_elem62)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -965,8 +987,8 @@
         if self.entries is not None:
             oprot.writeFieldBegin('entries', TType.LIST, 1)
             oprot.writeListBegin(TType.STRUCT, len(self.entries))
-            for iter56 in self.entries:
-                iter56.write(oprot)
+            for iter63 in self.entries:
+                iter63.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -1201,10 +1223,10 @@
             elif fid == 4:
                 if ftype == TType.LIST:
                     self.keys = []
-                    (_etype60, _size57) = iprot.readListBegin()
-                    for _i61 in range(_size57):
-                        _elem62 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
-                        self.keys.append(_elem62)
+                    (_etype67, _size64) = iprot.readListBegin()
+                    for _i68 in range(_size64):
+                        _elem69 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        self.keys.append(_elem69)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -1233,8 +1255,8 @@
         if self.keys is not None:
             oprot.writeFieldBegin('keys', TType.LIST, 4)
             oprot.writeListBegin(TType.STRING, len(self.keys))
-            for iter63 in self.keys:
-                oprot.writeString(iter63.encode('utf-8') if sys.version_info[0] == 2 else iter63)
+            for iter70 in self.keys:
+                oprot.writeString(iter70.encode('utf-8') if sys.version_info[0] == 2 else iter70)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -1297,10 +1319,10 @@
             if fid == 1:
                 if ftype == TType.LIST:
                     self.keys = []
-                    (_etype67, _size64) = iprot.readListBegin()
-                    for _i68 in range(_size64):
-                        _elem69 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
-                        self.keys.append(_elem69)
+                    (_etype74, _size71) = iprot.readListBegin()
+                    for _i75 in range(_size71):
+                        _elem76 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        self.keys.append(_elem76)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -1317,8 +1339,8 @@
         if self.keys is not None:
             oprot.writeFieldBegin('keys', TType.LIST, 1)
             oprot.writeListBegin(TType.STRING, len(self.keys))
-            for iter70 in self.keys:
-                oprot.writeString(iter70.encode('utf-8') if sys.version_info[0] == 2 else iter70)
+            for iter77 in self.keys:
+                oprot.writeString(iter77.encode('utf-8') if sys.version_info[0] == 2 else iter77)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -1375,11 +1397,11 @@
             if fid == 1:
                 if ftype == TType.LIST:
                     self.entries = []
-                    (_etype74, _size71) = iprot.readListBegin()
-                    for _i75 in range(_size71):
-                        _elem76 = TurnEntry()
-                        _elem76.read(iprot)
-                        self.entries.append(_elem76)
+                    (_etype81, _size78) = iprot.readListBegin()
+                    for _i82 in range(_size78):
+                        _elem83 = TurnEntry()
+                        _elem83.read(iprot)
+                        self.entries.append(_elem83)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -1396,8 +1418,8 @@
         if self.entries is not None:
             oprot.writeFieldBegin('entries', TType.LIST, 1)
             oprot.writeListBegin(TType.STRUCT, len(self.entries))
-            for iter77 in self.entries:
-                iter77.write(oprot)
+            for iter84 in self.entries:
+                iter84.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -1454,10 +1476,10 @@
             if fid == 1:
                 if ftype == TType.LIST:
                     self.keys = []
-                    (_etype81, _size78) = iprot.readListBegin()
-                    for _i82 in range(_size78):
-                        _elem83 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
-                        self.keys.append(_elem83)
+                    (_etype88, _size85) = iprot.readListBegin()
+                    for _i89 in range(_size85):
+                        _elem90 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        self.keys.append(_elem90)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -1474,8 +1496,8 @@
         if self.keys is not None:
             oprot.writeFieldBegin('keys', TType.LIST, 1)
             oprot.writeListBegin(TType.STRING, len(self.keys))
-            for iter84 in self.keys:
-                oprot.writeString(iter84.encode('utf-8') if sys.version_info[0] == 2 else iter84)
+            for iter91 in self.keys:
+                oprot.writeString(iter91.encode('utf-8') if sys.version_info[0] == 2 else iter91)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -1540,11 +1562,11 @@
             elif fid == 2:
                 if ftype == TType.MAP:
                     self.value_by_key = {}
-                    (_ktype86, _vtype87, _size85) = iprot.readMapBegin()
-                    for _i89 in range(_size85):
-                        _key90 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
-                        _val91 = iprot.readBinary()
-                        self.value_by_key[_key90] = _val91
+                    (_ktype93, _vtype94, _size92) = iprot.readMapBegin()
+                    for _i96 in range(_size92):
+                        _key97 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        _val98 = iprot.readBinary()
+                        self.value_by_key[_key97] = _val98
                     iprot.readMapEnd()
                 else:
                     iprot.skip(ftype)
@@ -1565,9 +1587,9 @@
         if self.value_by_key is not None:
             oprot.writeFieldBegin('value_by_key', TType.MAP, 2)
             oprot.writeMapBegin(TType.STRING, TType.STRING, len(self.value_by_key))
-            for kiter92, viter93 in self.value_by_key.items():
-                oprot.writeString(kiter92.encode('utf-8') if sys.version_info[0] == 2 else kiter92)
-                oprot.writeBinary(viter93)
+            for kiter99, viter100 in self.value_by_key.items():
+                oprot.writeString(kiter99.encode('utf-8') if sys.version_info[0] == 2 else kiter99)
+                oprot.writeBinary(viter100)
             oprot.writeMapEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -1667,6 +1689,104 @@
 
     def __ne__(self, other):
         return not (self == other)
+
+
+class RelayCall(object):
+    """
+    Attributes:
+     - address
+     - method
+     - payload
+
+    """
+
+    __slots__ = (
+        'address',
+        'method',
+        'payload',
+    )
+
+
+    def __init__(self, address=None, method=None, payload=None,):
+        self.address = address
+        self.method = method
+        self.payload = payload
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.STRING:
+                    self.address = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.STRING:
+                    self.method = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.STRING:
+                    self.payload = iprot.readBinary()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('RelayCall')
+        if self.address is not None:
+            oprot.writeFieldBegin('address', TType.STRING, 1)
+            oprot.writeString(self.address.encode('utf-8') if sys.version_info[0] == 2 else self.address)
+            oprot.writeFieldEnd()
+        if self.method is not None:
+            oprot.writeFieldBegin('method', TType.STRING, 2)
+            oprot.writeString(self.method.encode('utf-8') if sys.version_info[0] == 2 else self.method)
+            oprot.writeFieldEnd()
+        if self.payload is not None:
+            oprot.writeFieldBegin('payload', TType.STRING, 3)
+            oprot.writeBinary(self.payload)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        if self.address is None:
+            raise TProtocolException(message='Required field address is unset!')
+        if self.method is None:
+            raise TProtocolException(message='Required field method is unset!')
+        if self.payload is None:
+            raise TProtocolException(message='Required field payload is unset!')
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
 all_structs.append(DiskMember)
 DiskMember.thrift_spec = (
     None,  # 0
@@ -1697,6 +1817,7 @@
     (11, TType.MAP, 'running_by_endpoint', (TType.STRING, 'UTF8', TType.I32, None, False), None, ),  # 11
     (12, TType.I64, 'disk_set_version', None, None, ),  # 12
     (13, TType.LIST, 'known_addresses', (TType.STRING, 'UTF8', False), None, ),  # 13
+    (14, TType.LIST, 'heard_disks', (TType.STRING, 'UTF8', False), None, ),  # 14
 )
 all_structs.append(TurnEntry)
 TurnEntry.thrift_spec = (
@@ -1777,5 +1898,12 @@
     None,  # 0
     (1, TType.STRING, 'prefix', 'UTF8', None, ),  # 1
 )
+all_structs.append(RelayCall)
+RelayCall.thrift_spec = (
+    None,  # 0
+    (1, TType.STRING, 'address', 'UTF8', None, ),  # 1
+    (2, TType.STRING, 'method', 'UTF8', None, ),  # 2
+    (3, TType.STRING, 'payload', 'BINARY', None, ),  # 3
+)
 fix_spec(all_structs)
 del all_structs
--- a/src/bayhinge/_internal/wire/ttypes.py
+++ b/src/bayhinge/_internal/wire/ttypes.py
@@ -17,15 +17,6 @@
 all_structs = []
 
 
-class FrameKind(IntEnum):
-    OPEN = 1
-    DATA = 2
-    END = 3
-    FAIL = 4
-    CANCEL = 5
-
-
-
 class CallKind(IntEnum):
     MODEL = 1
     SERVICE = 2
@@ -39,128 +30,6 @@
 
 
 
-class Frame(object):
-    """
-    Attributes:
-     - stream
-     - kind
-     - clock
-     - method
-     - payload
-
-    """
-
-    __slots__ = (
-        'stream',
-        'kind',
-        'clock',
-        'method',
-        'payload',
-    )
-
-
-    def __init__(self, stream=None, kind=None, clock=None, method=None, payload=None,):
-        self.stream = stream
-        self.kind = kind
-        self.clock = clock
-        self.method = method
-        self.payload = payload
-
-    def read(self, iprot):
-        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
-            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
-            return
-        iprot.readStructBegin()
-        while True:
-            (fname, ftype, fid) = iprot.readFieldBegin()
-            if ftype == TType.STOP:
-                break
-            if fid == 1:
-                if ftype == TType.I64:
-                    self.stream = iprot.readI64()
-                else:
-                    iprot.skip(ftype)
-            elif fid == 2:
-                if ftype == TType.I32:
-                    self.kind = FrameKind(iprot.readI32()).name
-                else:
-                    iprot.skip(ftype)
-            elif fid == 3:
-                if ftype == TType.I64:
-                    self.clock = iprot.readI64()
-                else:
-                    iprot.skip(ftype)
-            elif fid == 4:
-                if ftype == TType.STRING:
-                    self.method = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
-                else:
-                    iprot.skip(ftype)
-            elif fid == 5:
-                if ftype == TType.STRING:
-                    self.payload = iprot.readBinary()
-                else:
-                    iprot.skip(ftype)
-            else:
-                iprot.skip(ftype)
-            iprot.readFieldEnd()
-        iprot.readStructEnd()
-
-    def write(self, oprot):
-        if oprot._fast_encode is not None and self.thrift_spec is not None:
-            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
-            return
-        oprot.writeStructBegin('Frame')
-        if self.stream is not None:
-            oprot.writeFieldBegin('stream', TType.I64, 1)
-            oprot.writeI64(self.stream)
-            oprot.writeFieldEnd()
-        if self.kind is not None:
-            oprot.writeFieldBegin('kind', TType.I32, 2)
-            oprot.writeI32(FrameKind[self.kind].value)
-            oprot.writeFieldEnd()
-        if self.clock is not None:
-            oprot.writeFieldBegin('clock', TType.I64, 3)
-            oprot.writeI64(self.clock)
-            oprot.writeFieldEnd()
-        if self.method is not None:
-            oprot.writeFieldBegin('method', TType.STRING, 4)
-            oprot.writeString(self.method.encode('utf-8') if sys.version_info[0] == 2 else self.method)
-            oprot.writeFieldEnd()
-        if self.payload is not None:
-            oprot.writeFieldBegin('payload', TType.STRING, 5)
-            oprot.writeBinary(self.payload)
-            oprot.writeFieldEnd()
-        oprot.writeFieldStop()
-        oprot.writeStructEnd()
-
-    def validate(self):
-        if self.stream is None:
-            raise TProtocolException(message='Required field stream is unset!')
-        if self.kind is None:
-            raise TProtocolException(message='Required field kind is unset!')
-        if self.clock is None:
-            raise TProtocolException(message='Required field clock is unset!')
-        return
-
-    def __repr__(self):
-        L = ['%s=%r' % (key, getattr(self, key))
-             for key in self.__slots__]
-        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
-
-    def __eq__(self, other):
-        if not isinstance(other, self.__class__):
-            return False
-        for attr in self.__slots__:
-            my_val = getattr(self, attr)
-            other_val = getattr(other, attr)
-            if my_val != other_val:
-                return False
-        return True
-
-    def __ne__(self, other):
-        return not (self == other)
-
-
 class CallRequest(object):
     """
     Attributes:
@@ -3101,15 +2970,6 @@
 
     def __ne__(self, other):
         return not (self == other)
-all_structs.append(Frame)
-Frame.thrift_spec = (
-    None,  # 0
-    (1, TType.I64, 'stream', None, None, ),  # 1
-    (2, TType.I32, 'kind', None, None, ),  # 2
-    (3, TType.I64, 'clock', None, None, ),  # 3
-    (4, TType.STRING, 'method', 'UTF8', None, ),  # 4
-    (5, TType.STRING, 'payload', 'BINARY', None, ),  # 5
-)
 all_structs.append(CallRequest)
 CallRequest.thrift_spec = (
     None,  # 0
--- a/tests/unit/test_fuzzing.py
+++ b/tests/unit/test_fuzzing.py
@@ -14,7 +14,8 @@
 from bayhinge._internal.models.refusals import RunState
 from bayhinge._internal.models.settings import read_settings
 from bayhinge._internal.network.frames import decode_message, encode_message, read_frame
-from bayhinge._internal.wire.ttypes import CallRequest, Frame, FrameKind, Record
+from bayhinge._internal.wire.frames.ttypes import Frame, FrameKind
+from bayhinge._internal.wire.ttypes import CallRequest, Record
 from bayhinge.coordination.codec import decode
 from bayhinge.coordination.errors import CorruptObjectError
 from bayhinge.coordination.wire.ttypes import Batch, HostStatus, Ledger
