--- /dev/null
+++ b/tests/functional/test_platform_store.py
@@ -0,0 +1,230 @@
+"""The client of the platform's store, against a stand-in: what holds, also in trouble."""
+
+import asyncio
+from collections.abc import Awaitable, Callable
+
+import orjson
+import pytest
+
+from bayhinge._internal.network.peer_link import PeerClient, Peers
+from bayhinge._internal.platform.objects_api import PlatformObjects
+from bayhinge._internal.services import key_follower
+from bayhinge._internal.services.disk_sets import change_disk_set, read_disk_set
+from bayhinge._internal.services.key_follower import FollowListener, KeyFollower
+from bayhinge._internal.wire.hosts.ttypes import DiskMember
+from bayhinge.coordination.clock import HybridClock, SystemClock
+from bayhinge.coordination.errors import (
+    AlreadyExistsError,
+    HistoryLostError,
+    StoreRateLimitedError,
+    StoreUnavailableError,
+    VersionConflictError,
+)
+from bayhinge.coordination.store import Change, list_all
+from tests.lib.platform_store import PlatformStoreServer
+
+pytestmark = pytest.mark.functional
+
+
+def run(scenario: Callable[[PlatformStoreServer, PlatformObjects], Awaitable[None]]) -> None:
+    async def main() -> None:
+        server = PlatformStoreServer()
+        await server.start()
+        store = PlatformObjects(server.address)
+        try:
+            await scenario(server, store)
+        finally:
+            await store.close()
+            await server.stop()
+
+    asyncio.run(main())
+
+
+def test_objects_of_our_own_keep_the_stores_contract() -> None:
+    async def scenario(server: PlatformStoreServer, store: PlatformObjects) -> None:
+        assert await store.get("things/a") is None
+        first = await store.create("things/a", b"\x00one")
+        with pytest.raises(AlreadyExistsError):
+            await store.create("things/a", b"again")
+        second = await store.update("things/a", b"two", first.version)
+        assert second.version > first.version
+        with pytest.raises(VersionConflictError):
+            await store.update("things/a", b"three", first.version)
+        read = await store.get("things/a")
+        assert read is not None
+        assert (read.value, read.version) == (b"two", second.version)
+        with pytest.raises(VersionConflictError):
+            await store.delete("things/a", first.version)
+        await store.delete("things/a", second.version)
+        assert await store.get("things/a") is None
+        with pytest.raises(VersionConflictError):
+            await store.update("things/a", b"x", second.version)
+
+    run(scenario)
+
+
+def test_lists_are_read_page_by_page() -> None:
+    async def scenario(server: PlatformStoreServer, store: PlatformObjects) -> None:
+        for number in range(45):
+            server.put("servers", f"i-{number:02d}", {"number": number})
+        listing = await list_all(store, "servers/")
+        assert [stored.key for stored in listing.objects] == [
+            f"servers/i-{number:02d}" for number in range(45)
+        ]
+        assert orjson.loads(listing.objects[7].value) == {"number": 7}
+
+    run(scenario)
+
+
+def test_a_watch_brings_changes_and_says_when_history_is_lost() -> None:
+    async def scenario(server: PlatformStoreServer, store: PlatformObjects) -> None:
+        start = server.revision
+        waiting = asyncio.create_task(store.poll("config/", start, 5.0))
+        await asyncio.sleep(0.05)
+        server.put("config", "main", {"version": 3})
+        page = await waiting
+        assert [change.key for change in page.changes] == ["config/main"]
+        server.remove("config", "main")
+        page = await store.poll("config/", page.revision, 5.0)
+        assert [change.value for change in page.changes] == [None]
+        assert (await store.poll("config/", page.revision, 0.05)).changes == ()
+        server.put("config", "main", {"version": 4})
+        server.forget_history()
+        with pytest.raises(HistoryLostError):
+            await store.poll("config/", page.revision, 5.0)
+
+    run(scenario)
+
+
+def test_trouble_is_told_apart() -> None:
+    async def scenario(server: PlatformStoreServer, store: PlatformObjects) -> None:
+        server.troubles.refuses_with = 429
+        with pytest.raises(StoreRateLimitedError):
+            await store.get("things/a")
+        server.troubles.refuses_with = 503
+        with pytest.raises(StoreUnavailableError):
+            await store.get("things/a")
+        server.troubles.refuses_with = 0
+        server.troubles.down = True
+        with pytest.raises(StoreUnavailableError):
+            await store.get("things/a")
+        server.troubles.down = False
+        server.troubles.loses_answers = True
+        with pytest.raises(StoreUnavailableError):
+            await store.create("things/a", b"one")
+        server.troubles.loses_answers = False
+        # The write was done although its answer was lost.
+        assert (await store.get("things/a")) is not None
+
+    run(scenario)
+
+
+def test_an_answer_of_unknown_form_is_an_outage_not_a_crash() -> None:
+    async def scenario(server: PlatformStoreServer, store: PlatformObjects) -> None:
+        server._objects["things", "odd"] = {"metadata": {}, "spec": "%%%", "status": None}
+        with pytest.raises(StoreUnavailableError):
+            await store.get("things/odd")
+        with pytest.raises(StoreUnavailableError):
+            await store.list("things/")
+
+    run(scenario)
+
+
+def member(name: str) -> DiskMember:
+    return DiskMember(name, hash(name) & 0xFFFF, "127.0.0.1:1", "north")
+
+
+def test_racing_changes_of_the_disk_set_are_all_made_also_with_lost_answers() -> None:
+    async def scenario(server: PlatformStoreServer, store: PlatformObjects) -> None:
+        def add(name: str) -> Callable[[list[DiskMember]], list[DiskMember] | None]:
+            def change(members: list[DiskMember]) -> list[DiskMember] | None:
+                names = {one.host for one in members}
+                return None if name in names else [*members, member(name)]
+
+            return change
+
+        changes = [
+            asyncio.create_task(change_disk_set(store, add(f"d{number}"))) for number in range(5)
+        ]
+        await asyncio.sleep(0.02)
+        server.troubles.loses_answers = True
+        await asyncio.sleep(0.1)
+        server.troubles.loses_answers = False
+        await asyncio.gather(*changes)
+        disk_set = await read_disk_set(store)
+        assert disk_set is not None
+        assert sorted(one.host for one in disk_set.members) == [f"d{n}" for n in range(5)]
+        assert disk_set.version == 5
+
+    run(scenario)
+
+
+class Memory(FollowListener):
+    """Keeps what it hears."""
+
+    def __init__(self) -> None:
+        self.value_by_key: dict[str, bytes] = {}
+
+    def replace_all(self, value_by_key: dict[str, bytes]) -> None:
+        self.value_by_key = dict(value_by_key)
+
+    def apply(self, change: Change) -> None:
+        if change.value is None:
+            self.value_by_key.pop(change.key, None)
+        else:
+            self.value_by_key[change.key] = change.value
+
+
+def peers() -> Peers:
+    return PeerClient(HybridClock(SystemClock()), 0.2)
+
+
+async def until(condition: Callable[[], bool], limit_s: float = 3.0) -> None:
+    async with asyncio.timeout(limit_s):
+        while not condition():  # noqa: ASYNC110
+            await asyncio.sleep(0.01)
+
+
+def test_a_follower_hears_changes_through_lost_history_and_outages(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    monkeypatch.setattr(key_follower, "RETRY_S", 0.05)
+
+    async def scenario(server: PlatformStoreServer, store: PlatformObjects) -> None:
+        memory = Memory()
+        server.put("config", "main", {"version": 1})
+        follower = KeyFollower(store, "config/", 2.0, memory, peers())
+        running = asyncio.create_task(follower.run())
+        await until(lambda: memory.value_by_key == {"config/main": b'{"version":1}'})
+        server.put("config", "main", {"version": 2})
+        await until(lambda: memory.value_by_key == {"config/main": b'{"version":2}'})
+        server.put("config", "main", {"version": 3})
+        server.forget_history()
+        await until(lambda: memory.value_by_key == {"config/main": b'{"version":3}'})
+        server.troubles.refuses_with = 503
+        server.put("config", "main", {"version": 4})
+        server.forget_history()
+        await until(lambda: follower.health.failing_since_s is not None)
+        assert memory.value_by_key == {"config/main": b'{"version":3}'}
+        server.troubles.refuses_with = 0
+        await until(lambda: memory.value_by_key == {"config/main": b'{"version":4}'})
+        assert follower.health.failing_since_s is None
+        running.cancel()
+
+    run(scenario)
+
+
+def test_many_changes_in_a_row_cost_few_calls(monkeypatch: pytest.MonkeyPatch) -> None:
+    async def scenario(server: PlatformStoreServer, store: PlatformObjects) -> None:
+        memory = Memory()
+        follower = KeyFollower(store, "servers/", 2.0, memory, peers())
+        running = asyncio.create_task(follower.run())
+        await until(lambda: len(server.calls) >= 2)
+        for number in range(40):
+            server.put("servers", f"i-{number}", {})
+            await asyncio.sleep(0.02)
+        await until(lambda: len(memory.value_by_key) == 40)
+        assert len(server.calls) <= 10, server.calls
+        running.cancel()
+
+    run(scenario)
--- /dev/null
+++ b/tests/lib/platform_store.py
@@ -0,0 +1,196 @@
+"""A stand-in of the users' platform's store, with the troubles that it may have."""
+
+import asyncio
+from typing import Any
+
+import attrs
+import orjson
+from aiohttp import web
+
+from bayhinge_standins.http_service import StandinServer
+
+
+@attrs.define
+class StoreTroubles:
+    """What goes wrong: each may be switched on at any time.
+
+    Attributes:
+        down: every call's connection is cut.
+        silent: no call is answered, and nothing is done.
+        loses_answers: writes are done, and their connection is cut.
+        refuses_with: every call gets this status.
+        hangs_watches: a watch hears nothing until its wait is over.
+    """
+
+    down: bool = False
+    silent: bool = False
+    loses_answers: bool = False
+    refuses_with: int = 0
+    hangs_watches: bool = False
+
+
+class PlatformStoreServer(StandinServer):
+    """Objects by kind and name, lists, watches, conditions."""
+
+    def __init__(self, port: int = 0) -> None:
+        super().__init__(port)
+        self.troubles = StoreTroubles()
+        self.revision = 10
+        self.oldest_revision = 0
+        self.calls: list[str] = []
+        self._objects: dict[tuple[str, str], dict[str, Any]] = {}
+        self._history: list[tuple[int, str, bool, dict[str, Any]]] = []
+        self._changed = asyncio.Event()
+
+    @property
+    def address(self) -> str:
+        return f"127.0.0.1:{self.port}"
+
+    # ---- what operators and engines do ----
+
+    def put(self, kind: str, name: str, spec: Any) -> None:
+        """Writes an object's spec."""
+        old = self._objects.get((kind, name))
+        self.revision += 1
+        item = {
+            "metadata": {"name": name, "revision": self.revision, "created": self.revision},
+            "spec": spec,
+            "status": None if old is None else old["status"],
+        }
+        self._objects[kind, name] = item
+        self._note(kind, False, item)
+
+    def remove(self, kind: str, name: str) -> None:
+        """Removes an object."""
+        item = self._objects.pop((kind, name))
+        self.revision += 1
+        self._note(kind, True, item)
+
+    def status(self, kind: str, name: str) -> Any:
+        """Returns an object's status."""
+        return self._objects[kind, name]["status"]
+
+    def forget_history(self) -> None:
+        """Drops the history; watches that stand behind it get 410."""
+        self.oldest_revision = self.revision
+        self._history.clear()
+        self._wake()
+
+    # ---- the calls ----
+
+    def add_routes(self, app: web.Application) -> None:
+        app.router.add_get("/-/objects/{kind}", self._list)
+        app.router.add_post("/-/objects/{kind}", self._create)
+        app.router.add_get("/-/objects/{kind}/{name}", self._get)
+        app.router.add_put("/-/objects/{kind}/{name}", self._replace)
+        app.router.add_delete("/-/objects/{kind}/{name}", self._delete)
+        app.router.add_put("/-/objects/{kind}/{name}/status", self._put_status)
+        app.middlewares.append(self._trouble)
+
+    @web.middleware
+    async def _trouble(self, request: web.Request, handler: Any) -> web.StreamResponse:
+        self.calls.append(f"{request.method} {request.path_qs}")
+        troubles = self.troubles
+        if troubles.silent:
+            await asyncio.sleep(60)
+        if troubles.down:
+            self._cut(request)
+        if troubles.refuses_with:
+            return web.Response(status=troubles.refuses_with)
+        response: web.StreamResponse = await handler(request)
+        if troubles.loses_answers and request.method != "GET":
+            self._cut(request)
+        return response
+
+    @staticmethod
+    def _cut(request: web.Request) -> None:
+        assert request.transport is not None
+        request.transport.abort()
+        raise ConnectionResetError
+
+    async def _list(self, request: web.Request) -> web.Response:
+        kind = request.match_info["kind"]
+        if "watch" in request.query:
+            return await self._watch(kind, request)
+        after = request.query.get("after", "")
+        items = [
+            item
+            for (own, name), item in sorted(self._objects.items())
+            if own == kind and name > after
+        ]
+        page = {"items": items[:20], "has_more": len(items) > 20, "timestamp": self.revision}
+        return _json(page)
+
+    async def _watch(self, kind: str, request: web.Request) -> web.Response:
+        since = int(request.query["watch"])
+        limit = asyncio.get_running_loop().time() + int(request.query["wait_ms"]) / 1000
+        while True:
+            if since < self.oldest_revision:
+                return web.Response(status=410)
+            events = [
+                {"deleted": deleted, "object": item}
+                for revision, own, deleted, item in self._history
+                if own == kind and revision > since
+            ]
+            rest = limit - asyncio.get_running_loop().time()
+            if (events and not self.troubles.hangs_watches) or rest <= 0:
+                shown = [] if self.troubles.hangs_watches else events
+                stamp = since if self.troubles.hangs_watches else self.revision
+                return _json({"events": shown, "timestamp": stamp})
+            changed = self._changed
+            try:
+                await asyncio.wait_for(changed.wait(), rest)
+            except TimeoutError:
+                continue
+
+    async def _get(self, request: web.Request) -> web.Response:
+        item = self._objects.get((request.match_info["kind"], request.match_info["name"]))
+        return web.Response(status=404) if item is None else _json(item)
+
+    async def _create(self, request: web.Request) -> web.Response:
+        body = await request.json()
+        kind, name = request.match_info["kind"], body["metadata"]["name"]
+        if (kind, name) in self._objects:
+            return _json(self._objects[kind, name], 409)
+        self.put(kind, name, body["spec"])
+        return _json(self._objects[kind, name])
+
+    async def _replace(self, request: web.Request) -> web.Response:
+        body = await request.json()
+        kind, name = request.match_info["kind"], request.match_info["name"]
+        item = self._objects.get((kind, name))
+        if item is None:
+            return web.Response(status=404)
+        wanted = body["metadata"].get("revision")
+        if wanted is not None and wanted != item["metadata"]["revision"]:
+            return _json(item, 409)
+        if item["spec"] != body["spec"]:
+            self.put(kind, name, body["spec"])
+        return _json(self._objects[kind, name])
+
+    async def _put_status(self, request: web.Request) -> web.Response:
+        item = self._objects[request.match_info["kind"], request.match_info["name"]]
+        item["status"] = (await request.json())["status"]
+        return _json(item)
+
+    async def _delete(self, request: web.Request) -> web.Response:
+        kind, name = request.match_info["kind"], request.match_info["name"]
+        item = self._objects.get((kind, name))
+        if item is None:
+            return web.Response(status=404)
+        if int(request.query["revision"]) != item["metadata"]["revision"]:
+            return _json(item, 409)
+        self.remove(kind, name)
+        return _json({})
+
+    def _note(self, kind: str, deleted: bool, item: dict[str, Any]) -> None:
+        self._history.append((self.revision, kind, deleted, item))
+        self._wake()
+
+    def _wake(self) -> None:
+        self._changed.set()
+        self._changed = asyncio.Event()
+
+
+def _json(body: Any, status: int = 200) -> web.Response:
+    return web.Response(body=orjson.dumps(body), status=status, content_type="application/json")
--- /dev/null
+++ b/tests/unit/test_disk_rules.py
@@ -0,0 +1,101 @@
+"""Which disks must answer, and who joins and leaves their set."""
+
+import attrs
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from bayhinge._internal.decisions.disk_quorum import (
+    committed_tokens,
+    copies_needed,
+    reservations_needed,
+)
+from bayhinge._internal.decisions.disk_set_rules import (
+    DROP_AFTER_S,
+    has_copied_enough,
+    with_newcomer,
+    without_silent,
+)
+
+
+@attrs.frozen
+class Disk:
+    host: str
+    generation: int
+
+
+A, B, C, D = (Disk(name, number) for number, name in enumerate("abcd", start=1))
+
+
+def test_a_copy_outlives_the_tolerated_loss() -> None:
+    assert copies_needed(1) == 2
+    assert copies_needed(2) == 3
+
+
+@given(st.integers(1, 12), st.integers(0, 4))
+def test_two_reservations_always_meet_also_after_the_tolerated_loss(
+    members: int, tolerated: int
+) -> None:
+    needed = reservations_needed(members, tolerated)
+    assert 2 * needed > members, "two quorums must share a disk"
+    if members >= 2 * tolerated + 1:
+        # Whatever `tolerated` disks are lost, a later quorum of the rest still shares one.
+        assert needed <= members - tolerated
+        assert needed + (members - tolerated) > members or members - tolerated >= needed
+
+
+def test_settled_turns_count_at_what_they_used_and_open_ones_at_their_most() -> None:
+    replies = [({"x": 100, "y": 50}, {}), ({"x": 100, "own": 70}, {"x": 12})]
+    assert committed_tokens("own", replies) == 12 + 50
+
+
+@settings(max_examples=300)
+@given(st.data())
+def test_of_two_racing_turns_one_sees_the_other(data: st.DataObject) -> None:
+    tolerated = data.draw(st.integers(1, 2))
+    members = data.draw(st.integers(2 * tolerated + 1, 7))
+    needed = reservations_needed(members, tolerated)
+    disks: list[dict[str, int]] = [{} for _ in range(members)]
+    # Each turn writes to its disks in any order, and reads each right after its own write.
+    steps = data.draw(
+        st.permutations(
+            [
+                (turn, disk)
+                for turn in ("first", "second")
+                for disk in data.draw(
+                    st.permutations(range(members)).map(lambda order: order[:needed])
+                )
+            ]
+        )
+    )
+    seen: dict[str, list[tuple[dict[str, int], dict[str, int]]]] = {"first": [], "second": []}
+    for turn, disk in steps:
+        disks[disk][turn] = 10
+        seen[turn].append((dict(disks[disk]), {}))
+    committed = [committed_tokens(turn, seen[turn]) for turn in ("first", "second")]
+    assert max(committed) == 10
+
+
+def test_a_newcomer_replaces_the_lost_disk_of_its_own_host() -> None:
+    fresh = Disk("a", 9)
+    assert with_newcomer([A, B, C], fresh) == [B, C, fresh]
+    assert with_newcomer([A, B, C], D) == [A, B, C, D]
+    assert with_newcomer([A, B, C], B) is None
+
+
+def test_a_newcomer_must_have_read_all_but_the_tolerated() -> None:
+    assert has_copied_enough([A, B, C], "d", {"a", "b"}, tolerated=1)
+    assert not has_copied_enough([A, B, C], "d", {"a"}, tolerated=1)
+    # Its own earlier disk is the lost one already: all others must have been read.
+    assert has_copied_enough([A, B, C], "a", {"b", "c"}, tolerated=1)
+    assert not has_copied_enough([A, B, C], "a", {"b"}, tolerated=1)
+    assert not has_copied_enough([A], "a", set(), tolerated=1)
+    assert not has_copied_enough([], "a", set(), tolerated=1)
+
+
+def test_only_long_silence_drops_a_member_and_never_the_last_that_bear_a_loss() -> None:
+    long = DROP_AFTER_S + 0.1
+    assert without_silent([A, B, C, D], {"a": long}, tolerated=1) == [B, C, D]
+    assert without_silent([A, B, C, D], {"a": DROP_AFTER_S / 2}, tolerated=1) is None
+    assert without_silent([A, B, C], {"a": long}, tolerated=1) is None
+    # Who hears two silent ones of four may be cut off itself.
+    assert without_silent([A, B, C, D], {"a": long, "b": 0.1}, tolerated=1) is None
--- /dev/null
+++ b/tests/unit/test_endpoint_book.py
@@ -0,0 +1,80 @@
+"""Which endpoint a request goes to."""
+
+from bayhinge._internal.decisions.endpoint_book import (
+    FIRST_EJECTION_S,
+    EndpointBelief,
+    EndpointBook,
+    Wish,
+)
+from bayhinge._internal.models.endpoint_entries import EndpointEntry
+
+
+def entry(
+    instance: str, hall: str = "north", slots: int = 10, leaving: bool = False
+) -> EndpointEntry:
+    return EndpointEntry(instance, "app", f"10.0.0.1:{len(instance)}", hall, slots, leaving)
+
+
+def book_of(*entries: EndpointEntry) -> EndpointBook:
+    book = EndpointBook("north")
+    for one in entries:
+        book.put(one)
+    return book
+
+
+def chosen(book: EndpointBook, wish: Wish | None = None, tried: tuple[str, ...] = ()) -> str | None:
+    belief: EndpointBelief | None = book.choose("app", wish or Wish(), tried, 100.0)
+    return None if belief is None else belief.entry.instance
+
+
+def test_the_least_loaded_endpoint_is_chosen_and_the_own_hall_where_equal() -> None:
+    book = book_of(entry("a", "south"), entry("b"), entry("c"))
+    assert chosen(book) == "b"
+    book.hear_loads({"b": 1, "c": 2})
+    assert chosen(book) == "a"
+
+
+def test_what_is_leaving_or_tried_gets_nothing() -> None:
+    book = book_of(entry("a", leaving=True), entry("b"), entry("c"))
+    assert chosen(book, tried=("b",)) == "c"
+    assert chosen(book, tried=("b", "c")) is None
+
+
+def test_a_failure_rests_an_endpoint_unless_there_is_no_other() -> None:
+    book = book_of(entry("a"), entry("b"))
+    book.note_failure("a", 100.0)
+    assert chosen(book) == "b"
+    assert chosen(book, tried=("b",)) == "a"
+    belief = book.find("a")
+    assert belief is not None
+    assert belief.ejected_until_s == 100.0 + FIRST_EJECTION_S
+    book.note_failure("a", 100.0)
+    assert belief.ejected_until_s == 100.0 + 2 * FIRST_EJECTION_S
+    book.note_success("a")
+    assert chosen(book) == "a"
+
+
+def test_an_endpoint_whose_entry_vanished_is_the_last_resort() -> None:
+    book = book_of(entry("a"), entry("b"))
+    belief = book.find("a")
+    assert belief is not None
+    belief.is_doubtful = True
+    assert chosen(book) == "b"
+    assert chosen(book, tried=("b",)) == "a"
+    assert book.put(entry("a"))
+    assert chosen(book) == "a"
+
+
+def test_a_turn_goes_back_to_its_engine_unless_that_is_much_busier() -> None:
+    book = book_of(entry("a"), entry("b"))
+    book.hear_loads({"b": 1})
+    assert chosen(book, Wish(endpoint="b")) == "b"
+    book.hear_loads({"b": 5})
+    assert chosen(book, Wish(endpoint="b")) == "a"
+
+
+def test_requests_with_one_shared_part_meet_at_one_engine() -> None:
+    book = book_of(*(entry(name) for name in "abcdef"))
+    first = chosen(book, Wish(shared_part="policy"))
+    assert {chosen(book, Wish(shared_part="policy")) for _ in range(5)} == {first}
+    assert len({chosen(book, Wish(shared_part=f"p{number}")) for number in range(40)}) > 2
--- /dev/null
+++ b/tests/unit/test_turn_log.py
@@ -0,0 +1,115 @@
+"""The disk's log: what is synced lasts, what is torn is cut, nothing else changes."""
+
+from pathlib import Path
+
+import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from bayhinge._internal.services.disks import turn_log
+from bayhinge._internal.services.disks.turn_log import Chain, TurnLog, entry_key
+from bayhinge._internal.wire.hosts.ttypes import EntryKind, TurnEntry
+
+
+def turn(
+    attempt: str, previous: str | None = None, text: bytes = b"", tokens: int = 3
+) -> TurnEntry:
+    return TurnEntry(EntryKind.TURN, attempt, "program", tokens, previous, text, "e-1", 60.0)
+
+
+def reserved(attempt: str, tokens: int) -> TurnEntry:
+    return TurnEntry(EntryKind.RESERVED, attempt, "program", tokens)
+
+
+def test_a_chain_is_joined_from_the_oldest_turn_on(tmp_path: Path) -> None:
+    log = TurnLog(tmp_path)
+    log.append([turn("c", "b", b"three"), turn("a", None, b"one "), turn("b", "a", b"two ")])
+    assert log.chain("c") == Chain(b"one two three", "e-1")
+    assert log.chain("x") == Chain(missing="x")
+    log.append([turn("z", "y", b"")])
+    assert log.chain("z") == Chain(missing="y")
+
+
+def test_everything_synced_is_there_after_a_restart(tmp_path: Path) -> None:
+    log = TurnLog(tmp_path)
+    log.append([reserved("a", 40), reserved("b", 50), turn("a", None, b"one", tokens=7)])
+    log.close()
+    again = TurnLog(tmp_path)
+    assert again.generation == log.generation
+    assert not again.is_fresh
+    assert again.chain("a").text == b"one"
+    ledger = again.ledger("program")
+    assert ledger.open_by_attempt == {"a": 40, "b": 50}
+    assert ledger.settled_by_attempt == {"a": 7}
+    assert again.keys_after(0, 10) == log.keys_after(0, 10)
+
+
+def test_the_same_entry_again_changes_nothing(tmp_path: Path) -> None:
+    log = TurnLog(tmp_path)
+    log.append([turn("a", None, b"one"), turn("a", None, b"one")])
+    log.append([turn("a", None, b"one")])
+    assert log.position == 1
+
+
+@settings(max_examples=60, deadline=None)
+@given(cut=st.integers(0, 400), noise=st.binary(max_size=12))
+def test_a_torn_tail_is_cut_and_what_stands_before_it_stays(
+    tmp_path_factory: pytest.TempPathFactory, cut: int, noise: bytes
+) -> None:
+    folder = tmp_path_factory.mktemp("torn")
+    log = TurnLog(folder)
+    log.append([turn("a", None, b"x" * 50)])
+    log.sync()
+    kept = log._end
+    log.append([turn("b", "a", b"y" * 50), turn("c", "b", b"z" * 50)])
+    segment = next(folder.glob(f"*{turn_log.SEGMENT_SUFFIX}"))
+    data = segment.read_bytes()
+    segment.write_bytes(data[: max(kept, len(data) - cut)] + noise)
+    again = TurnLog(folder)
+    assert again.chain("a").text == b"x" * 50
+    present = [name for name in "abc" if again.has(entry_key(turn(name)))]
+    assert present in (["a"], ["a", "b"], ["a", "b", "c"])
+    again.append([turn("d", "a", b"new")])
+    again.close()
+    assert TurnLog(folder).chain("d").text == b"x" * 50 + b"new"
+
+
+def test_an_empty_folder_is_a_new_generation(tmp_path: Path) -> None:
+    first, second = TurnLog(tmp_path / "a"), TurnLog(tmp_path / "b")
+    assert first.is_fresh
+    assert first.generation != second.generation
+    assert not first.is_joined
+    first.mark_joined()
+    first.close()
+    assert TurnLog(tmp_path / "a").is_joined
+
+
+def test_segments_follow_each_other_and_are_all_read(
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    monkeypatch.setattr(turn_log, "SEGMENT_BYTES", 300)
+    log = TurnLog(tmp_path)
+    previous = None
+    for number in range(20):
+        log.append([turn(f"t{number}", previous, b"%02d" % number)])
+        previous = f"t{number}"
+    log.close()
+    assert len(list(tmp_path.glob(f"*{turn_log.SEGMENT_SUFFIX}"))) > 2
+    text = TurnLog(tmp_path).chain("t19").text
+    assert text == b"".join(b"%02d" % number for number in range(20))
+
+
+def test_a_write_that_the_disk_refuses_leaves_the_log_readable(
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    log = TurnLog(tmp_path)
+    log.append([turn("a", None, b"one")])
+    real_write = turn_log.os.write
+    monkeypatch.setattr(turn_log.os, "write", lambda file, data: real_write(file, data[:9]))
+    with pytest.raises(OSError, match="only 9 of"):
+        log.append([turn("b", "a", b"two")])
+    monkeypatch.undo()
+    assert not log.has(entry_key(turn("b")))
+    log.append([turn("c", "a", b"three")])
+    log.close()
+    assert TurnLog(tmp_path).chain("c").text == b"onethree"
