--- a/src/bayhinge/_internal/decisions/disk_set_rules.py
+++ b/src/bayhinge/_internal/decisions/disk_set_rules.py
@@ -16,8 +16,15 @@
 class MemberLike(Protocol):
     """What the rules need to know of a member."""
 
-    host: str
-    generation: int
+    @property
+    def host(self) -> str:
+        """The host's name."""
+        ...
+
+    @property
+    def generation(self) -> int:
+        """Drawn when the disk's folder was empty."""
+        ...
 
 
 Member = TypeVar("Member", bound=MemberLike)
--- /dev/null
+++ b/tests/functional/test_endpoint_link.py
@@ -0,0 +1,222 @@
+"""Connections to endpoints that answer late, twice, crossed, cut, or with other bytes."""
+
+import asyncio
+import socket
+from collections.abc import Awaitable, Callable
+
+import pytest
+
+from bayhinge._internal.network.endpoint_link import (
+    Answer,
+    BrokenAnswerError,
+    EndpointConnection,
+    EndpointLinks,
+    UnreachableError,
+)
+
+pytestmark = pytest.mark.functional
+Wire = Callable[[asyncio.StreamReader, asyncio.StreamWriter], Awaitable[None]]
+
+
+def answer(name: str, body: bytes = b"body", more: str = "") -> bytes:
+    return (
+        f"HTTP/1.1 200 OK\r\nBayhinge-Attempt-Id: {name}\r\n{more}"
+        f"Content-Length: {len(body)}\r\n\r\n"
+    ).encode() + body
+
+
+async def read_request(reader: asyncio.StreamReader) -> bytes:
+    return await reader.readuntil(b"\r\n\r\n")
+
+
+def run(wire: Wire, scenario: Callable[[EndpointLinks, str], Awaitable[None]]) -> None:
+    async def main() -> None:
+        server = await asyncio.start_server(wire, "127.0.0.1", 0)
+        address = f"127.0.0.1:{server.sockets[0].getsockname()[1]}"
+        links = EndpointLinks()
+        try:
+            async with asyncio.timeout(5):
+                await scenario(links, address)
+        finally:
+            links.close()
+            server.close()
+
+    asyncio.run(main())
+
+
+async def ask(links: EndpointLinks, address: str) -> tuple[EndpointConnection, Answer]:
+    connection = await links.acquire("e-1", address)
+    connection.send(b"GET / HTTP/1.1\r\nHost: x\r\n\r\n", b"")
+    return connection, await connection.next_answer()
+
+
+def test_a_kept_connection_serves_one_request_after_the_other() -> None:
+    async def wire(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        while True:
+            await read_request(reader)
+            writer.write(answer("a"))
+
+    async def scenario(links: EndpointLinks, address: str) -> None:
+        for _ in range(3):
+            connection, got = await ask(links, address)
+            assert await got.read_body() == b"body"
+            links.release(connection, None)
+        assert (links.counts.opened, links.counts.reused) == (1, 2)
+
+    run(wire, scenario)
+
+
+def test_a_surplus_answer_ends_the_connection() -> None:
+    async def wire(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        await read_request(reader)
+        writer.write(answer("a") + answer("surplus"))
+        await reader.read()
+
+    async def scenario(links: EndpointLinks, address: str) -> None:
+        connection, got = await ask(links, address)
+        assert await got.read_body() == b"body"
+        links.release(connection, None)
+        assert not connection.is_open
+
+    run(wire, scenario)
+
+
+def test_a_surplus_answer_that_comes_later_ends_the_idle_connection() -> None:
+    async def wire(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        await read_request(reader)
+        writer.write(answer("a"))
+        await asyncio.sleep(0.05)
+        writer.write(answer("surplus"))
+        await reader.read()
+
+    async def scenario(links: EndpointLinks, address: str) -> None:
+        connection, got = await ask(links, address)
+        await got.read_body()
+        links.release(connection, None)
+        await asyncio.sleep(0.1)
+        assert not connection.is_open
+
+    run(wire, scenario)
+
+
+def test_a_late_answer_in_the_place_of_the_next_one_is_told_by_its_id() -> None:
+    async def wire(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        await read_request(reader)
+        writer.write(answer("late", b"other") + answer("mine", b"own"))
+        await reader.read()
+
+    async def scenario(links: EndpointLinks, address: str) -> None:
+        connection, first = await ask(links, address)
+        assert (b"Bayhinge-Attempt-Id", b"late") in first.headers
+        await first.read_body()
+        second = await connection.next_answer()
+        assert (b"Bayhinge-Attempt-Id", b"mine") in second.headers
+        assert await second.read_body() == b"own"
+
+    run(wire, scenario)
+
+
+@pytest.mark.parametrize(
+    "bytes_sent",
+    [
+        b"HTTP/1.1 200 OK\r\nContent-Length: 10\r\n\r\nfour",
+        b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nfour\r\n",
+        b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\nzz\r\nfour\r\n",
+    ],
+)
+def test_a_body_that_is_cut_short_or_spoiled_is_not_whole(bytes_sent: bytes) -> None:
+    async def wire(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        await read_request(reader)
+        writer.write(bytes_sent)
+        await writer.drain()
+        writer.close()
+
+    async def scenario(links: EndpointLinks, address: str) -> None:
+        with pytest.raises(BrokenAnswerError):
+            _, got = await ask(links, address)
+            await got.read_body()
+
+    run(wire, scenario)
+
+
+@pytest.mark.parametrize("resets", [False, True])
+def test_an_answer_without_a_length_is_whole_only_after_a_clean_close(resets: bool) -> None:
+    async def wire(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        await read_request(reader)
+        writer.write(b"HTTP/1.1 200 OK\r\n\r\nsome")
+        await writer.drain()
+        await asyncio.sleep(0.05)
+        if resets:
+            sock = writer.get_extra_info("socket")
+            sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, b"\x01\0\0\0\0\0\0\0")
+        writer.close()
+
+    async def scenario(links: EndpointLinks, address: str) -> None:
+        _, got = await ask(links, address)
+        if resets:
+            with pytest.raises(BrokenAnswerError):
+                await got.read_body()
+        else:
+            assert await got.read_body() == b"some"
+
+    run(wire, scenario)
+
+
+@pytest.mark.parametrize("bytes_sent", [b"", b"nonsense\r\n\r\n", b"HTTP/1.1 2x0 OK\r\n\r\n"])
+def test_no_answer_and_bytes_that_are_none_are_broken(bytes_sent: bytes) -> None:
+    async def wire(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        await read_request(reader)
+        writer.write(bytes_sent)
+        writer.close()
+
+    async def scenario(links: EndpointLinks, address: str) -> None:
+        with pytest.raises(BrokenAnswerError):
+            await ask(links, address)
+
+    run(wire, scenario)
+
+
+def test_an_early_answer_leaves_no_connection_whose_body_is_still_due() -> None:
+    async def wire(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        await read_request(reader)
+        writer.write(answer("a"))
+        await asyncio.sleep(10)
+
+    async def scenario(links: EndpointLinks, address: str) -> None:
+        connection = await links.acquire("e-1", address)
+        connection.send(b"POST / HTTP/1.1\r\nHost: x\r\n\r\n", b"x" * 20_000_000)
+        got = await connection.next_answer()
+        await got.read_body()
+        links.release(connection, None)
+        assert not connection.is_open
+
+    run(wire, scenario)
+
+
+def test_nobody_there_is_sure_not_to_have_run() -> None:
+    async def main() -> None:
+        with socket.socket() as free:
+            free.bind(("127.0.0.1", 0))
+            port = free.getsockname()[1]
+        with pytest.raises(UnreachableError):
+            await EndpointLinks().acquire("e-1", f"127.0.0.1:{port}")
+
+    asyncio.run(main())
+
+
+def test_an_idle_connection_that_the_endpoint_closed_is_not_used() -> None:
+    async def wire(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        await read_request(reader)
+        writer.write(answer("a"))
+        await asyncio.sleep(0.05)
+        writer.close()
+
+    async def scenario(links: EndpointLinks, address: str) -> None:
+        connection, got = await ask(links, address)
+        await got.read_body()
+        links.release(connection, None)
+        await asyncio.sleep(0.15)
+        assert await links.acquire("e-1", address) is not connection
+        assert links.counts.opened == 2
+
+    run(wire, scenario)
--- /dev/null
+++ b/tests/lib/platform_engine.py
@@ -0,0 +1,108 @@
+"""Stand-ins of an engine and of a plain service that speak the users' platform's calls."""
+
+import asyncio
+import itertools
+
+import attrs
+from aiohttp import web
+
+from bayhinge_standins.http_service import StandinServer
+
+
+@attrs.define
+class Run:
+    """One request that was worked on."""
+
+    attempt: str
+    method: str
+    target: str
+    body: bytes
+    headers: list[tuple[str, str]]
+    was_cancelled: bool = False
+
+
+@attrs.define
+class EngineTroubles:
+    """What goes wrong; lists of attempts count down.
+
+    Attributes:
+        full: so many requests are turned away as not run.
+        breaks_after: streams break off after so many events.
+        loses_answers: so many requests run, and their connection is cut.
+        pause_s: before the answer, and between events.
+    """
+
+    full: int = 0
+    breaks_after: int | None = None
+    loses_answers: int = 0
+    pause_s: float = 0.0
+
+
+class PlatformEngine(StandinServer):
+    """Streams events on ``/chat/`` and answers whole elsewhere."""
+
+    def __init__(self, instance: str, service: str, events: int = 3) -> None:
+        super().__init__()
+        self.instance = instance
+        self.service = service
+        self.events = events
+        self.runs: list[Run] = []
+        self.troubles = EngineTroubles()
+        self._numbers = itertools.count(1)
+
+    def entry(self, state: str = "ready") -> dict[str, object]:
+        """Returns the engine's entry in the platform's store."""
+        return {
+            "service": self.service,
+            "address": f"127.0.0.1:{self.port}",
+            "zone": "north",
+            "version": "v1",
+            "slots": 8,
+            "state": state,
+            "cold_left_ms": 0,
+            "seq": 1,
+        }
+
+    def add_routes(self, app: web.Application) -> None:
+        app.router.add_route("*", "/{path:.*}", self._serve)
+
+    async def _serve(self, request: web.Request) -> web.StreamResponse:
+        attempt = request.headers["Bayhinge-Attempt-Id"]
+        headers = {"Bayhinge-Attempt-Id": attempt}
+        if request.headers.get("Bayhinge-Expect-Instance") != self.instance:
+            return web.Response(status=421, headers=headers)
+        body = await request.read()
+        if self.troubles.full > 0:
+            self.troubles.full -= 1
+            return web.Response(status=503, headers=headers | {"Bayhinge-Not-Executed": "1"})
+        sent = [(name, value) for name, value in request.headers.items()]
+        run = Run(attempt, request.method, request.raw_path, body, sent)
+        self.runs.append(run)
+        headers["Bayhinge-Server-Seal"] = f"seal-{self.instance}"
+        try:
+            await asyncio.sleep(self.troubles.pause_s)
+            if self.troubles.loses_answers > 0:
+                self.troubles.loses_answers -= 1
+                assert request.transport is not None
+                request.transport.abort()
+                raise ConnectionResetError
+            if "/chat/" not in request.path:
+                return web.Response(body=b"answer to " + body, headers=headers)
+            return await self._stream(request, headers)
+        except asyncio.CancelledError:
+            run.was_cancelled = True
+            raise
+
+    async def _stream(self, request: web.Request, headers: dict[str, str]) -> web.StreamResponse:
+        response = web.StreamResponse(headers=headers | {"Content-Type": "text/event-stream"})
+        await response.prepare(request)
+        run = next(self._numbers)
+        for number in range(1, self.events + 1):
+            if self.troubles.breaks_after is not None and number > self.troubles.breaks_after:
+                assert request.transport is not None
+                request.transport.abort()
+                raise ConnectionResetError
+            await response.write(f"id: {number}\ndata: r{run}e{number}\n\n".encode())
+            await asyncio.sleep(self.troubles.pause_s)
+        await response.write_eof()
+        return response
--- a/tests/unit/test_turn_log.py
+++ b/tests/unit/test_turn_log.py
@@ -1,5 +1,6 @@
 """The disk's log: what is synced lasts, what is torn is cut, nothing else changes."""
 
+import os
 from pathlib import Path
 
 import pytest
@@ -104,8 +105,8 @@
 ) -> None:
     log = TurnLog(tmp_path)
     log.append([turn("a", None, b"one")])
-    real_write = turn_log.os.write
-    monkeypatch.setattr(turn_log.os, "write", lambda file, data: real_write(file, data[:9]))
+    real_write = os.write
+    monkeypatch.setattr(os, "write", lambda file, data: real_write(file, data[:9]))
     with pytest.raises(OSError, match="only 9 of"):
         log.append([turn("b", "a", b"two")])
     monkeypatch.undo()
