Keep configuration, endpoints and the disk set on the disks

Now disk hosts keep what entry hosts know, in files that are replaced whole, and tell of it in their hellos; a host that can read the store never takes it. Test: all hosts stop and start while the store is down, and the next turn goes on.

--- a/idl/hosts.thrift
+++ b/idl/hosts.thrift
@@ -83,8 +83,13 @@
 
 struct LackingReply { 1: required list<string> keys }
 
-// Objects of the platform's store as a host knows them; `revision` is the store's own counter.
-struct KnownObjects { 1: required i64 revision, 2: required map<string, binary> value_by_key }
+// Objects of the platform's store as a host knows them, in revisions of the store: the last
+// change among them, and the revision up to which nothing is missing.
+struct KnownObjects {
+  1: required i64 revision,
+  2: required map<string, binary> value_by_key,
+  3: required i64 complete_to,
+}
 struct ObjectsQuery { 1: required string prefix }
 
 // A call that a host passes on to another, which the sender can't reach itself.
--- a/src/bayhinge/_internal/services/disks/disk_host.py
+++ b/src/bayhinge/_internal/services/disks/disk_host.py
@@ -19,11 +19,13 @@
 from bayhinge._internal.models.site_settings import SiteSettings
 from bayhinge._internal.network.frames import decode_message, encode_message
 from bayhinge._internal.network.peer_link import PeerHandler, TcpPeerNetwork
+from bayhinge._internal.services import methods
 from bayhinge._internal.services.disk_sets import change_disk_set
-from bayhinge._internal.services.disks import methods
+from bayhinge._internal.services.disks.object_keeper import ObjectKeeper
 from bayhinge._internal.services.disks.turn_log import TurnLog
 from bayhinge._internal.services.gossip import Gossip
 from bayhinge._internal.services.host_registry import HostRegistry
+from bayhinge._internal.utils.durable_files import replace_synced
 from bayhinge._internal.wire.hosts import ttypes as wire
 from bayhinge.coordination.clock import HybridClock, SystemClock
 from bayhinge.coordination.store import ObjectStore
@@ -34,6 +36,8 @@
 JOIN_PERIOD_S = 0.3
 """The same for a disk that waits to join the set."""
 
+DISK_SET_FILE = "disk-set"
+
 KEYS_AT_ONCE = 2000
 ENTRIES_AT_ONCE = 60
 """Entries of one copying call: some 400 KB, so that turns are not kept waiting."""
@@ -92,7 +96,9 @@
         self.peers = network.connect(clock)
         self._listener = network.listen(settings.peer_address, _DiskHandler(self), clock)
         self.gossip = Gossip(settings, wire.HostRole.DISK)
-        self.disk_set = wire.DiskSet(0, [])
+        self.objects = ObjectKeeper(Path(settings.data_folder), self.peers)
+        self._set_file = Path(settings.data_folder) / DISK_SET_FILE
+        self.disk_set = _read_disk_set(self._set_file)
         self._position_by_generation: dict[int, int] = {}
         self._read_hosts: set[str] = set()
         self._silent_since_by_host: dict[str, float] = {}
@@ -103,7 +109,9 @@
         await self._listener.start()
         await self.gossip.start()
         self.gossip.me.phase = wire.HostPhase.READY
+        self.gossip.me.disk_set_version = self.disk_set.version
         self.gossip.on_hello = self._hear
+        self.gossip.describe = self._describe
         eliot.log_message(
             "disk.started",
             host=self.settings.host,
@@ -185,6 +193,7 @@
         """Takes a set in, unless a newer one is known."""
         if disk_set.version > self.disk_set.version:
             self.disk_set = disk_set
+            self._keep_disk_set()
             self.gossip.me.disk_set_version = disk_set.version
             self.gossip.say_now()
             eliot.log_message(
@@ -193,7 +202,20 @@
                 members=[member.host for member in disk_set.members],
             )
 
+    def _keep_disk_set(self) -> None:
+        """Keeps the set for a start while the store is down."""
+        try:
+            replace_synced(self._set_file, encode_message(self.disk_set))
+        except OSError as error:
+            eliot.log_message("disk.refused", what="disk set", why=str(error))
+
+    def _describe(self, me: wire.Hello) -> None:
+        me.revision_by_prefix = self.objects.revision_by_prefix
+
     def _hear(self, hello: wire.Hello) -> None:
+        if hello.role == wire.HostRole.ENTRY:
+            for fetch in self.objects.news(hello):
+                self._spawn(fetch)
         if hello.disk_set_version > self.disk_set.version:
             self._spawn(self._fetch_disk_set(hello.peer_address))
 
@@ -319,6 +341,16 @@
         self.add_future(work)
 
 
+def _read_disk_set(path: Path) -> wire.DiskSet:
+    try:
+        return decode_message(wire.DiskSet(), path.read_bytes())
+    except FileNotFoundError:
+        return wire.DiskSet(0, [])
+    except (FrameError, OSError) as error:
+        eliot.log_message("disk_set.unreadable", file=path.name, why=str(error))
+        return wire.DiskSet(0, [])
+
+
 async def _repeat_until_done(step: Callable[[], Awaitable[bool]]) -> None:
     while True:
         if await step():
@@ -338,6 +370,7 @@
             methods.ENTRIES: self._entries,
             methods.LACKING: self._lacking,
             methods.DISK_SET: self._disk_set,
+            methods.OBJECTS: self._objects,
         }
 
     async def handle(self, method: str, payload: bytes) -> AsyncIterator[bytes]:
@@ -393,6 +426,10 @@
     async def _disk_set(self, _payload: bytes) -> bytes:
         return encode_message(self._host.disk_set)
 
+    async def _objects(self, payload: bytes) -> bytes:
+        prefix = decode_message(wire.ObjectsQuery(), payload).prefix
+        return encode_message(self._host.objects.known(prefix))
+
     def _refuse_if_retired(self) -> None:
         if self._host.is_retired:
             why = "this disk is being emptied; ask the other disks of the set"
--- a/src/bayhinge/_internal/services/disks/turn_log.py
+++ b/src/bayhinge/_internal/services/disks/turn_log.py
@@ -16,6 +16,7 @@
 
 from bayhinge._internal.exceptions import FrameError
 from bayhinge._internal.network.frames import decode_message, encode_message
+from bayhinge._internal.utils.durable_files import write_synced
 from bayhinge._internal.wire.hosts.ttypes import EntryKind, TurnEntry
 
 SEGMENT_BYTES = 8_000_000
@@ -154,7 +155,7 @@
 
     def mark_joined(self) -> None:
         """Notes that this disk counts: it has copied all that it lacked."""
-        _write_synced(self._folder / JOINED_FILE, b"joined\n")
+        write_synced(self._folder / JOINED_FILE, b"joined\n")
         self.is_joined = True
 
     def close(self) -> None:
@@ -243,7 +244,7 @@
             if text.isdigit():
                 return int(text), False
         generation = random.SystemRandom().getrandbits(62)
-        _write_synced(path, f"{generation}\n".encode())
+        write_synced(path, f"{generation}\n".encode())
         return generation, True
 
 
@@ -262,12 +263,3 @@
             return
         yield offset, length, entry
         position = offset + length
-
-
-def _write_synced(path: Path, data: bytes) -> None:
-    file = os.open(path, os.O_WRONLY | os.O_CREAT | os.O_TRUNC, 0o644)
-    try:
-        os.write(file, data)
-        os.fsync(file)
-    finally:
-        os.close(file)
--- a/src/bayhinge/_internal/services/gateway/disk_directory.py
+++ b/src/bayhinge/_internal/services/gateway/disk_directory.py
@@ -9,8 +9,8 @@
 from bayhinge._internal.models.site_settings import SiteSettings
 from bayhinge._internal.network.frames import decode_message
 from bayhinge._internal.network.peer_link import Peers
+from bayhinge._internal.services import methods
 from bayhinge._internal.services.disk_sets import read_disk_set
-from bayhinge._internal.services.disks import methods
 from bayhinge._internal.wire.hosts.ttypes import DiskMember, DiskSet, Hello
 from bayhinge.coordination.errors import StoreError
 from bayhinge.coordination.store import ObjectStore
--- a/src/bayhinge/_internal/services/gateway/disk_link.py
+++ b/src/bayhinge/_internal/services/gateway/disk_link.py
@@ -12,7 +12,7 @@
 from bayhinge._internal.exceptions import FrameError, PeerFailureError, PeerUnreachableError
 from bayhinge._internal.network.frames import encode_message
 from bayhinge._internal.network.peer_link import Peers
-from bayhinge._internal.services.disks import methods
+from bayhinge._internal.services import methods
 from bayhinge._internal.services.gateway.disk_directory import DiskDirectory
 from bayhinge._internal.services.gossip import Gossip
 from bayhinge._internal.wire.hosts import ttypes as wire
--- a/src/bayhinge/_internal/services/gateway/gateway.py
+++ b/src/bayhinge/_internal/services/gateway/gateway.py
@@ -14,7 +14,7 @@
 from bayhinge._internal.network.frames import decode_message, encode_message
 from bayhinge._internal.network.peer_link import PeerHandler, TcpPeerNetwork
 from bayhinge._internal.network.routed_front import RoutedFront
-from bayhinge._internal.services.disks import methods
+from bayhinge._internal.services import methods
 from bayhinge._internal.services.gateway.beliefs import ConfigurationBelief, EndpointBelief
 from bayhinge._internal.services.gateway.disk_directory import DiskDirectory
 from bayhinge._internal.services.gateway.disk_link import DiskLink
@@ -24,7 +24,7 @@
 from bayhinge._internal.services.gateway.turn_keeper import TurnKeeper
 from bayhinge._internal.services.gossip import Gossip
 from bayhinge._internal.services.host_registry import HostRegistry
-from bayhinge._internal.services.key_follower import OBJECTS_METHOD, KeyFollower
+from bayhinge._internal.services.key_follower import KeyFollower
 from bayhinge._internal.services.latencies import Latencies
 from bayhinge._internal.wire.hosts import ttypes as wire
 from bayhinge.coordination.clock import HybridClock, SystemClock
@@ -204,7 +204,7 @@
 
     async def handle(self, method: str, payload: bytes) -> AsyncIterator[bytes]:
         """Yields the one message that answers."""
-        if method == OBJECTS_METHOD:
+        if method == methods.OBJECTS:
             prefix = decode_message(wire.ObjectsQuery(), payload).prefix
             follower = self._gateway.followers_by_prefix.get(prefix)
             if follower is None:
--- a/src/bayhinge/_internal/services/gateway/turn_keeper.py
+++ b/src/bayhinge/_internal/services/gateway/turn_keeper.py
@@ -26,7 +26,7 @@
 )
 from bayhinge._internal.models.routed_requests import TurnContext
 from bayhinge._internal.network.frames import decode_message, encode_message
-from bayhinge._internal.services.disks import methods
+from bayhinge._internal.services import methods
 from bayhinge._internal.services.gateway.disk_directory import DiskDirectory
 from bayhinge._internal.services.gateway.disk_link import DiskLink, DiskUnreachableError
 from bayhinge._internal.wire.hosts import ttypes as wire
--- a/src/bayhinge/_internal/services/key_follower.py
+++ b/src/bayhinge/_internal/services/key_follower.py
@@ -15,6 +15,7 @@
 from bayhinge._internal.exceptions import FrameError, PeerFailureError, PeerUnreachableError
 from bayhinge._internal.network.frames import decode_message, encode_message
 from bayhinge._internal.network.peer_link import Peers
+from bayhinge._internal.services import methods
 from bayhinge._internal.wire.hosts.ttypes import KnownObjects, ObjectsQuery
 from bayhinge.coordination.errors import HistoryLostError, StoreError
 from bayhinge.coordination.store import Change, PollingStore, list_all
@@ -33,8 +34,6 @@
 PEER_CALL_S = 0.5
 """Time for a peer's answer."""
 
-OBJECTS_METHOD = "objects"
-
 
 class FollowListener(ABC):
     """What happens with the objects."""
@@ -77,6 +76,7 @@
         self._poll: asyncio.Task[None] | None = None
         self._is_fetching = False
         self.revision = 0
+        self.complete_to = 0
         self.value_by_key: dict[str, bytes] = {}
         self.health = StoreHealth()
 
@@ -101,20 +101,24 @@
 
     def known(self) -> KnownObjects:
         """Returns what this host knows, for a peer."""
-        return KnownObjects(self.revision, self.value_by_key)
+        return KnownObjects(self.revision, self.value_by_key, self.complete_to)
 
     def hear(self, revision: int, peer_address: str) -> None:
         """Learns that a peer has seen a revision; fetches from it if the watch is behind."""
-        if revision > self.revision and not self._is_fetching:
+        if self._lacks(revision) and not self._is_fetching:
             self._is_fetching = True
             self._fetching = asyncio.ensure_future(self._fetch(revision, peer_address))
 
+    def _lacks(self, revision: int) -> bool:
+        return revision > max(self.revision, self.complete_to)
+
     async def _list(self) -> None:
         listing = await list_all(self._store, self.prefix)
         self._note_success()
         self._cursor = listing.revision
         newest = max((stored.version for stored in listing.objects), default=0)
-        self._adopt({stored.key: stored.value for stored in listing.objects}, newest)
+        value_by_key = {stored.key: stored.value for stored in listing.objects}
+        self._adopt(KnownObjects(newest, value_by_key, listing.revision))
 
     async def _poll_once(self) -> None:
         await asyncio.sleep(self._pause_s)
@@ -125,6 +129,9 @@
         self._cursor = max(self._cursor, page.revision)
         for change in page.changes:
             self._apply(change)
+        if page.changes:
+            # Not for empty pages: a watch that hangs ends without the changes it missed.
+            self.complete_to = max(self.complete_to, page.revision)
 
     def _apply(self, change: Change) -> None:
         if change.value is None:
@@ -134,33 +141,34 @@
         self.revision = max(self.revision, change.revision)
         self._listener.apply(change)
 
-    def _adopt(self, value_by_key: dict[str, bytes], revision: int) -> None:
-        self.revision = max(self.revision, revision)
-        self.value_by_key = value_by_key
-        self._listener.replace_all(value_by_key)
+    def _adopt(self, known: KnownObjects) -> None:
+        self.revision = max(self.revision, known.revision)
+        self.complete_to = max(self.complete_to, known.complete_to)
+        self.value_by_key = dict(known.value_by_key)
+        self._listener.replace_all(self.value_by_key)
 
     async def _fetch(self, revision: int, peer_address: str) -> None:
         try:
             await asyncio.sleep(PEER_PATIENCE_S)
-            if revision <= self.revision:
+            if not self._lacks(revision):
                 return
             query = encode_message(ObjectsQuery(self.prefix))
             async with asyncio.timeout(PEER_CALL_S):
-                answer = await self._peers.call(peer_address, OBJECTS_METHOD, query)
+                answer = await self._peers.call(peer_address, methods.OBJECTS, query)
             known = decode_message(KnownObjects(), answer)
         except (TimeoutError, PeerUnreachableError, PeerFailureError, FrameError) as error:
             eliot.log_message("peer.objects_missed", prefix=self.prefix, why=str(error))
             return
         finally:
             self._is_fetching = False
-        if known.revision <= self.revision:
+        if known.complete_to <= self.complete_to:
             return
         eliot.log_message(
             "store.news_from_peer", prefix=self.prefix, before=self.revision, now=known.revision
         )
-        self._adopt(dict(known.value_by_key), known.revision)
+        self._adopt(known)
         # The waiting call missed this change, so it may miss the next one too.
-        self._cursor = max(self._cursor, known.revision)
+        self._cursor = max(self._cursor, known.complete_to)
         if self._poll is not None:
             self._poll.cancel()
 
--- /dev/null
+++ b/src/bayhinge/_internal/utils/durable_files.py
@@ -0,0 +1,26 @@
+"""Small files on a disk that may lose its power at any moment."""
+
+import os
+from pathlib import Path
+
+
+def write_synced(path: Path, data: bytes) -> None:
+    """Writes a file that lasts; it is not whole if the power goes meanwhile."""
+    file = os.open(path, os.O_WRONLY | os.O_CREAT | os.O_TRUNC, 0o644)
+    try:
+        os.write(file, data)
+        os.fsync(file)
+    finally:
+        os.close(file)
+
+
+def replace_synced(path: Path, data: bytes) -> None:
+    """Replaces a file so that after a power loss either the old or the new one is whole."""
+    fresh = path.with_suffix(".fresh")
+    write_synced(fresh, data)
+    fresh.replace(path)
+    folder = os.open(path.parent, os.O_RDONLY)
+    try:
+        os.fsync(folder)
+    finally:
+        os.close(folder)
--- a/src/bayhinge/_internal/wire/hosts/ttypes.py
+++ b/src/bayhinge/_internal/wire/hosts/ttypes.py
@@ -1532,18 +1532,21 @@
     Attributes:
      - revision
      - value_by_key
+     - complete_to
 
     """
 
     __slots__ = (
         'revision',
         'value_by_key',
+        'complete_to',
     )
 
 
-    def __init__(self, revision=None, value_by_key=None,):
+    def __init__(self, revision=None, value_by_key=None, complete_to=None,):
         self.revision = revision
         self.value_by_key = value_by_key
+        self.complete_to = complete_to
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -1570,6 +1573,11 @@
                     iprot.readMapEnd()
                 else:
                     iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.I64:
+                    self.complete_to = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -1592,6 +1600,10 @@
                 oprot.writeBinary(viter100)
             oprot.writeMapEnd()
             oprot.writeFieldEnd()
+        if self.complete_to is not None:
+            oprot.writeFieldBegin('complete_to', TType.I64, 3)
+            oprot.writeI64(self.complete_to)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -1600,6 +1612,8 @@
             raise TProtocolException(message='Required field revision is unset!')
         if self.value_by_key is None:
             raise TProtocolException(message='Required field value_by_key is unset!')
+        if self.complete_to is None:
+            raise TProtocolException(message='Required field complete_to is unset!')
         return
 
     def __repr__(self):
@@ -1892,6 +1906,7 @@
     None,  # 0
     (1, TType.I64, 'revision', None, None, ),  # 1
     (2, TType.MAP, 'value_by_key', (TType.STRING, 'UTF8', TType.STRING, 'BINARY', False), None, ),  # 2
+    (3, TType.I64, 'complete_to', None, None, ),  # 3
 )
 all_structs.append(ObjectsQuery)
 ObjectsQuery.thrift_spec = (
--- a/tests/functional/test_platform_hosts.py
+++ b/tests/functional/test_platform_hosts.py
@@ -398,3 +398,30 @@
         assert gateway.keeper._link.relayed >= 2
 
     run_site(tmp_path, scenario)
+
+
+def test_all_hosts_come_back_while_the_store_is_down(tmp_path: Path) -> None:
+    async def scenario(site: PlatformSite) -> None:
+        first = await site.turn(b"one ")
+        prefixes = {"config/", "servers/"}
+        await site.until(
+            lambda: all(
+                disk._disk.objects.revision_by_prefix.keys() >= prefixes
+                for disk in site.disk_by_name.values()
+            )
+        )
+        site.store.troubles.down = True
+        for name in list(site.entry_by_name):
+            await site.crash_entry(name)
+        for name in list(site.disk_by_name):
+            await site.stop_disk(name)
+            await site.start_disk(name, first_start=False)
+        for number in range(2):
+            await site.start_entry(f"entry-{number}")
+        await site.until(lambda: site.is_ready("entry-0"), limit_s=4.0)
+        await asyncio.sleep(0.5)
+        second = await site.turn(b"two ", first)
+        assert (second.status, second.is_whole) == (200, True)
+        assert (await site.ask("/act/x")).status == 200
+
+    run_site(tmp_path, scenario)
--- a/tests/lib/platform_site.py
+++ b/tests/lib/platform_site.py
@@ -98,7 +98,7 @@
                 platform=self.store.address,
                 data_folder=data_folder,
                 first_start=first_start,
-                seeds="[]",
+                seeds=f'["{self._net}.1.1:8144","{self._net}.1.2:8144"]',
             )
         )
         return read_settings(path).ok
