--- a/src/bayhinge/_internal/services/gossip.py
+++ b/src/bayhinge/_internal/services/gossip.py
@@ -99,9 +99,17 @@
     def learn(self, addresses: Iterable[str]) -> None:
         """Takes addresses of hosts that may be up."""
         now = asyncio.get_running_loop().time()
-        for address in addresses:
-            if address != self._settings.gossip_address:
-                self._last_heard_by_address.setdefault(address, now)
+        fresh = [
+            address
+            for address in addresses
+            if address != self._settings.gossip_address
+            and address not in self._last_heard_by_address
+        ]
+        for address in fresh:
+            self._last_heard_by_address[address] = now
+        if fresh:
+            # A host that has just started should know the others before its callers do.
+            self._send_to(fresh)
 
     def fresh(self, role: HostRole) -> list[Hello]:
         """Returns the newest hellos of hosts heard lately."""
@@ -128,15 +136,19 @@
             await asyncio.sleep(PERIOD_S * random.uniform(0.8, 1.2))
 
     def _send_round(self) -> None:
+        self._forget_silent()
+        addresses = list(self._last_heard_by_address)
+        self._send_to(random.sample(addresses, min(FANOUT, len(addresses))))
+
+    def _send_to(self, addresses: Iterable[str]) -> None:
         if self._transport is None or self._transport.is_closing():
             return
         self.me.beat += 1
         self.describe(self.me)
-        self._forget_silent()
-        addresses = list(self._last_heard_by_address)
-        self.me.known_addresses = random.sample(addresses, min(MOST_KNOWN, len(addresses)))
+        known = list(self._last_heard_by_address)
+        self.me.known_addresses = random.sample(known, min(MOST_KNOWN, len(known)))
         data = encode_message(self.me)
-        for address in random.sample(addresses, min(FANOUT, len(addresses))):
+        for address in addresses:
             self._transport.sendto(data, split_address(address))
 
     def _forget_silent(self) -> None:
@@ -161,4 +173,6 @@
         self._heard_by_host[hello.host] = HeardHost(hello, now)
         self._last_heard_by_address[hello.gossip_address] = now
         self.learn(hello.known_addresses)
+        if not is_same_start:
+            self._send_to([hello.gossip_address])
         self.on_hello(hello)
--- a/src/bayhinge/_internal/services/key_follower.py
+++ b/src/bayhinge/_internal/services/key_follower.py
@@ -31,6 +31,9 @@
 PEER_PATIENCE_S = 0.3
 """Time that the own watch has to bring what a peer has seen already."""
 
+FIRST_PATIENCE_S = 0.05
+"""The same for a host that knows nothing yet; the store answers a list within milliseconds."""
+
 PEER_CALL_S = 0.5
 """Time for a peer's answer."""
 
@@ -149,7 +152,7 @@
 
     async def _fetch(self, revision: int, peer_address: str) -> None:
         try:
-            await asyncio.sleep(PEER_PATIENCE_S)
+            await asyncio.sleep(PEER_PATIENCE_S if self.complete_to else FIRST_PATIENCE_S)
             if not self._lacks(revision):
                 return
             query = encode_message(ObjectsQuery(self.prefix))
