--- a/tests/functional/test_platform_hosts.py
+++ b/tests/functional/test_platform_hosts.py
@@ -7,7 +7,7 @@
 import pytest
 
 from bayhinge._internal.exceptions import PeerUnreachableError
-from bayhinge._internal.wire.hosts.ttypes import HostRole
+from bayhinge._internal.wire.hosts.ttypes import HostPhase, HostRole
 from tests.lib.platform_data import CONFIGURATION
 from tests.lib.platform_site import PlatformSite, run_site
 
@@ -392,7 +392,11 @@
                 raise PeerUnreachableError(address, "cut", sent=False)
             return straight(address, method, payload)
 
-        await site.until(lambda: bool(gateway.gossip.fresh(HostRole.ENTRY)))
+        await site.until(
+            lambda: any(
+                hello.phase == HostPhase.READY for hello in gateway.gossip.fresh(HostRole.ENTRY)
+            )
+        )
         peers.stream = cut  # type: ignore[method-assign]
         second = await site.turn(b"two ", first, at="entry-0")
         assert (second.status, second.is_whole) == (200, True)
