Let two hosts a hall watch the store, and the others hear from them

Now two hosts of each hall, drawn by rank among those that are ready and whose store answers, hold the watches and tell their hall of each change at once; the others fetch from them.

--- a/idl/hosts.thrift
+++ b/idl/hosts.thrift
@@ -33,6 +33,7 @@
   11: required map<string, i32> running_by_endpoint,
   12: required i64 disk_set_version,
   13: required list<string> known_addresses,
+  14: required bool store_fails,
 }
 
 // RESERVED: tokens set aside before a turn runs. SETTLED: what it used in the end.
--- a/src/bayhinge/_internal/services/disks/disk_host.py
+++ b/src/bayhinge/_internal/services/disks/disk_host.py
@@ -121,7 +121,7 @@
             cut_bytes=self.turns.cut_bytes,
         )
         registry = HostRegistry(self._store, self.settings)
-        self.add_future(registry.announce(self.gossip.learn))
+        self.add_future(registry.announce(self.gossip, lambda: True))
         self.add_future(self._keep_place())
 
     async def on_stop(self) -> None:
--- a/src/bayhinge/_internal/services/gateway/disk_directory.py
+++ b/src/bayhinge/_internal/services/gateway/disk_directory.py
@@ -18,6 +18,9 @@
 SUSPECT_S = 1.0
 """A disk that failed is asked last for so long; it is asked in the background all the same."""
 
+PEER_PATIENCE_S = 0.25
+"""Time for a hello to tell of the set before the store is asked."""
+
 FETCH_S = 0.5
 RETRY_S = 0.5
 
@@ -47,6 +50,7 @@
 
     async def load(self) -> None:
         """Reads the set from the store; goes on until there is one or a peer told of one."""
+        await asyncio.sleep(PEER_PATIENCE_S)
         while not self.disk_set.members:
             try:
                 disk_set = await read_disk_set(self._store)
--- a/src/bayhinge/_internal/services/gateway/gateway.py
+++ b/src/bayhinge/_internal/services/gateway/gateway.py
@@ -28,6 +28,7 @@
 from bayhinge._internal.services.latencies import Latencies
 from bayhinge._internal.wire.hosts import ttypes as wire
 from bayhinge.coordination.clock import HybridClock, SystemClock
+from bayhinge.coordination.rendezvous import rank
 
 CONNECT_S = 0.5
 """Time to connect to another host."""
@@ -36,6 +37,10 @@
 """Longest wait of one watch call. Hosts begin at different times, so that even where all
 watches hang, one of them ends within a fraction of this and tells the others."""
 
+WATCHERS_PER_HALL = 2
+"""Hosts of a hall that watch the store; the others hear the news from them. Two, so that
+one may fail or hang, and so that a site of three halls has a watch that ends every second."""
+
 ADDRESS_KEEP_S = 1.0
 """How long callers may keep an answer about addresses; some keep it three times as long."""
 
@@ -69,6 +74,9 @@
                 (platform.endpoints_prefix, endpoints),
             )
         }
+        for follower in self.followers_by_prefix.values():
+            follower.should_poll = self._is_watcher
+            follower.on_change = self.gossip.say_now
         self.disks = DiskDirectory(
             settings,
             platform.store,
@@ -99,7 +107,7 @@
         for follower in self.followers_by_prefix.values():
             self.add_future(follower.run())
         registry = HostRegistry(self._platform.store, self.settings)
-        self.add_future(registry.announce(self.gossip.learn))
+        self.add_future(registry.announce(self.gossip, self._is_watcher))
         self.add_future(self.disks.load())
         self.add_future(self._sweep())
         eliot.log_message("host.started", host=self.settings.host, hall=self.settings.hall)
@@ -158,7 +166,24 @@
 
     # ---- hellos ----
 
+    def _is_watcher(self) -> bool:
+        """Whether this host is among those of its hall that watch the store."""
+        me = self.gossip.me
+        candidates = [
+            hello.host
+            for hello in self.gossip.fresh(wire.HostRole.ENTRY)
+            if hello.hall == me.hall
+            and not hello.store_fails
+            and hello.phase == wire.HostPhase.READY
+        ]
+        ranked = rank(me.hall, [*candidates, me.host])
+        return me.host in ranked[:WATCHERS_PER_HALL]
+
     def _describe(self, me: wire.Hello) -> None:
+        me.store_fails = any(
+            follower.health.failing_since_s is not None
+            for follower in self.followers_by_prefix.values()
+        )
         me.phase = wire.HostPhase.READY if self.is_ready else wire.HostPhase.STARTING
         if self.is_leaving:
             me.phase = wire.HostPhase.LEAVING
--- a/src/bayhinge/_internal/services/gossip.py
+++ b/src/bayhinge/_internal/services/gossip.py
@@ -19,7 +19,10 @@
 from bayhinge._internal.wire.hosts.ttypes import Hello, HostPhase, HostRole
 
 PERIOD_S = 0.3
-"""Between two rounds of hellos."""
+"""Between two rounds of hellos, in a site of up to ``PERIOD_HOSTS`` hosts; longer in larger
+ones, whose hosts hear the same news from more sides."""
+
+PERIOD_HOSTS = 30
 
 FIRST_PERIOD_S = 0.05
 FIRST_S = 1.5
@@ -82,6 +85,7 @@
             {},
             0,
             [],
+            False,
         )
         self._heard_by_host: dict[str, HeardHost] = {}
         self._last_heard_by_address: dict[str, float] = {}
@@ -135,18 +139,26 @@
         is_near = hello.hall == self._settings.hall
         targets = NEAR_TARGETS if is_near else max(FAR_TARGETS, ALL_TARGETS - len(near))
         rounds = math.ceil(len(near if is_near else far) / targets)
-        return max(LEAST_FRESH_S, FRESH_CYCLES * rounds * PERIOD_S)
+        return max(LEAST_FRESH_S, FRESH_CYCLES * rounds * self._period_s())
+
+    def _period_s(self) -> float:
+        return PERIOD_S * max(1.0, len(self._last_heard_by_address) / PERIOD_HOSTS)
 
     def say_now(self) -> None:
-        """Sends one hello out of turn, where news should not wait."""
-        self._send_round()
+        """Sends a hello out of turn to the whole hall and some others: news should not wait."""
+        near, far = self._by_distance()
+        self._send_to(near + self._next_turns(far, ALL_TARGETS))
+
+    def knows_others(self) -> bool:
+        """Tells whether any other host was heard."""
+        return bool(self._heard_by_host)
 
     async def _run(self) -> None:
         loop = asyncio.get_running_loop()
         first_until_s = loop.time() + FIRST_S
         while not self.should_stop:
             self._send_round()
-            period_s = FIRST_PERIOD_S if loop.time() < first_until_s else PERIOD_S
+            period_s = FIRST_PERIOD_S if loop.time() < first_until_s else self._period_s()
             await asyncio.sleep(period_s * random.uniform(0.8, 1.2))
 
     def _send_round(self) -> None:
--- a/src/bayhinge/_internal/services/key_follower.py
+++ b/src/bayhinge/_internal/services/key_follower.py
@@ -8,6 +8,7 @@
 import asyncio
 import random
 from abc import ABC, abstractmethod
+from collections.abc import Callable
 
 import attrs
 import eliot
@@ -31,8 +32,12 @@
 PEER_PATIENCE_S = 0.3
 """Time that the own watch has to bring what a peer has seen already."""
 
-FIRST_PATIENCE_S = 0.05
-"""The same for a host that knows nothing yet; the store answers a list within milliseconds."""
+LISTENER_PATIENCE_S = 0.03
+"""The same for a host that has no watch, or knows nothing yet: several changes that come
+together make one fetch."""
+
+LISTEN_PERIOD_S = 0.3
+"""How often a host without a watch looks whether it should have one."""
 
 PEER_CALL_S = 0.5
 """Time for a peer's answer."""
@@ -82,6 +87,8 @@
         self.complete_to = 0
         self.value_by_key: dict[str, bytes] = {}
         self.health = StoreHealth()
+        self.should_poll: Callable[[], bool] = lambda: True
+        self.on_change: Callable[[], None] = lambda: None
 
     async def run(self) -> None:
         """Follows until it is cancelled."""
@@ -89,6 +96,9 @@
             try:
                 if self._cursor == 0:
                     await self._list()
+                if not self.should_poll():
+                    await asyncio.sleep(LISTEN_PERIOD_S)
+                    continue
                 self._poll = asyncio.ensure_future(self._poll_once())
                 await asyncio.wait([self._poll])
                 if not self._poll.cancelled():
@@ -143,6 +153,7 @@
             self.value_by_key[change.key] = change.value
         self.revision = max(self.revision, change.revision)
         self._listener.apply(change)
+        self.on_change()
 
     def _adopt(self, known: KnownObjects) -> None:
         self.revision = max(self.revision, known.revision)
@@ -152,7 +163,8 @@
 
     async def _fetch(self, revision: int, peer_address: str) -> None:
         try:
-            await asyncio.sleep(PEER_PATIENCE_S if self.complete_to else FIRST_PATIENCE_S)
+            is_waiting = bool(self.complete_to) and self.should_poll()
+            await asyncio.sleep(PEER_PATIENCE_S if is_waiting else LISTENER_PATIENCE_S)
             if not self._lacks(revision):
                 return
             query = encode_message(ObjectsQuery(self.prefix))
--- a/src/bayhinge/_internal/wire/hosts/ttypes.py
+++ b/src/bayhinge/_internal/wire/hosts/ttypes.py
@@ -258,6 +258,7 @@
      - running_by_endpoint
      - disk_set_version
      - known_addresses
+     - store_fails
 
     """
 
@@ -275,10 +276,11 @@
         'running_by_endpoint',
         'disk_set_version',
         'known_addresses',
+        'store_fails',
     )
 
 
-    def __init__(self, host=None, incarnation=None, beat=None, role=None, phase=None, hall=None, gossip_address=None, peer_address=None, public_address=None, revision_by_prefix=None, running_by_endpoint=None, disk_set_version=None, known_addresses=None,):
+    def __init__(self, host=None, incarnation=None, beat=None, role=None, phase=None, hall=None, gossip_address=None, peer_address=None, public_address=None, revision_by_prefix=None, running_by_endpoint=None, disk_set_version=None, known_addresses=None, store_fails=None,):
         self.host = host
         self.incarnation = incarnation
         self.beat = beat
@@ -292,6 +294,7 @@
         self.running_by_endpoint = running_by_endpoint
         self.disk_set_version = disk_set_version
         self.known_addresses = known_addresses
+        self.store_fails = store_fails
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -384,6 +387,11 @@
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
+            elif fid == 14:
+                if ftype == TType.BOOL:
+                    self.store_fails = iprot.readBool()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -457,6 +465,10 @@
                 oprot.writeString(iter31.encode('utf-8') if sys.version_info[0] == 2 else iter31)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
+        if self.store_fails is not None:
+            oprot.writeFieldBegin('store_fails', TType.BOOL, 14)
+            oprot.writeBool(self.store_fails)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -487,6 +499,8 @@
             raise TProtocolException(message='Required field disk_set_version is unset!')
         if self.known_addresses is None:
             raise TProtocolException(message='Required field known_addresses is unset!')
+        if self.store_fails is None:
+            raise TProtocolException(message='Required field store_fails is unset!')
         return
 
     def __repr__(self):
@@ -1809,6 +1823,7 @@
     (11, TType.MAP, 'running_by_endpoint', (TType.STRING, 'UTF8', TType.I32, None, False), None, ),  # 11
     (12, TType.I64, 'disk_set_version', None, None, ),  # 12
     (13, TType.LIST, 'known_addresses', (TType.STRING, 'UTF8', False), None, ),  # 13
+    (14, TType.BOOL, 'store_fails', None, None, ),  # 14
 )
 all_structs.append(TurnEntry)
 TurnEntry.thrift_spec = (
