--- a/src/bayhinge/_internal/platform/__main__.py
+++ b/src/bayhinge/_internal/platform/__main__.py
@@ -30,6 +30,9 @@
 from bayhinge._internal.utils.log_output import LogOutput
 
 SETTINGS_VARIABLE = "BAYHINGE_NODE_FILE"
+METRICS_PORT = 9464
+"""Where the metrics page is, as the deploy file names it; outside the ports that days draw."""
+
 RETIREMENT_WAIT_S = 20.0
 """Wait of one watch call for retirements, which come rarely and have seconds to spare."""
 
@@ -52,7 +55,8 @@
             ),
         )
         calls = EntryCalls(self._gateway)
-        addresses = {settings.ready_address, settings.directory_address} - {""}
+        metrics_address = f"{settings.ip}:{METRICS_PORT}"
+        addresses = {settings.ready_address, settings.directory_address, metrics_address} - {""}
         self._fronts = [RoutedFront(address, calls) for address in sorted(addresses)]
 
     async def on_start(self) -> None:
--- a/src/bayhinge/_internal/platform/entry_calls.py
+++ b/src/bayhinge/_internal/platform/entry_calls.py
@@ -6,12 +6,15 @@
 
 from bayhinge._internal import status_codes
 from bayhinge._internal.network.routed_front import Exchange, ExchangeHandler
+from bayhinge._internal.services.gateway.figures import entry_metrics
 from bayhinge._internal.services.gateway.gateway import ADDRESS_KEEP_S, Gateway
 
+METRICS_PATH = "/metrics"
 READY_PATH = "/-/readyz"
 RESOLVE_PATH = "/-/resolve"
 MOST_ADDRESSES = 64
 
+_TEXT = ((b"Content-Type", b"text/plain; version=0.0.4"),)
 _JSON = ((b"Content-Type", b"application/json"),)
 
 
@@ -29,6 +32,8 @@
             ready = self._gateway.is_ready
             status = status_codes.HTTP_OK if ready else status_codes.HTTP_UNAVAILABLE
             await exchange.respond(status, (), b"")
+        elif path == METRICS_PATH:
+            await exchange.respond(status_codes.HTTP_OK, _TEXT, entry_metrics(self._gateway))
         elif path == RESOLVE_PATH:
             await self._resolve(exchange, query)
         else:
--- /dev/null
+++ b/src/bayhinge/_internal/services/gateway/figures.py
@@ -0,0 +1,41 @@
+"""The figures of an entry host's metrics page."""
+
+import asyncio
+
+from bayhinge._internal.services.gateway.gateway import Gateway
+from bayhinge._internal.services.latencies import metrics_page
+from bayhinge._internal.wire.hosts.ttypes import HostRole
+
+
+def entry_metrics(gateway: Gateway) -> bytes:
+    """Returns the page: requests by outcome, beliefs and their ages, connections, disks."""
+    return metrics_page(gateway.latencies, _gauges(gateway))
+
+
+def _gauges(gateway: Gateway) -> dict[str, float]:
+    table = gateway.configuration.table
+    gauges: dict[str, float] = {
+        "requests_taken_total": gateway.requests.counts.taken,
+        "requests_running": gateway.front.running,
+        "configuration_version": 0 if table is None else table.version,
+        "disk_set_version": gateway.disks.disk_set.version,
+        "disks_in_set": len(gateway.disks.disk_set.members),
+        "disk_calls_relayed_total": gateway.link.relayed,
+        "hosts_heard": len(gateway.gossip.fresh(HostRole.ENTRY)),
+        "disks_heard": len(gateway.gossip.fresh(HostRole.DISK)),
+        "endpoints_known": len(gateway.book.all()),
+        "endpoint_connections_opened_total": gateway.links.counts.opened,
+        "endpoint_connections_reused_total": gateway.links.counts.reused,
+        "endpoint_connections_with_surplus_total": gateway.links.counts.dropped_with_surplus,
+        "is_ready": gateway.is_ready,
+        "is_leaving": gateway.is_leaving,
+    }
+    for outcome, count in gateway.requests.counts.ended_by_outcome.items():
+        gauges[f"requests_{outcome}_total"] = count
+    now = asyncio.get_running_loop().time()
+    for prefix, follower in gateway.followers_by_prefix.items():
+        name = prefix.rstrip("/")
+        gauges[f"store_revision_{name}"] = follower.revision
+        gauges[f"store_age_seconds_{name}"] = now - follower.heard_s
+        gauges[f"store_fails_{name}"] = follower.health.failing_since_s is not None
+    return gauges
--- a/src/bayhinge/_internal/services/gateway/gateway.py
+++ b/src/bayhinge/_internal/services/gateway/gateway.py
@@ -83,8 +83,8 @@
             self.peers,
             lambda: self.gossip.fresh(wire.HostRole.DISK),
         )
-        link = DiskLink(self.disks, self.gossip, self.peers)
-        self.keeper = TurnKeeper(self.disks, link, settings.tolerated_disks)
+        self.link = DiskLink(self.disks, self.gossip, self.peers)
+        self.keeper = TurnKeeper(self.disks, self.link, settings.tolerated_disks)
         self.latencies = Latencies()
         self.requests = RequestService(
             self.configuration,
--- a/src/bayhinge/_internal/services/gateway/request_service.py
+++ b/src/bayhinge/_internal/services/gateway/request_service.py
@@ -194,6 +194,7 @@
         eliot.log_message(
             "request.refused",
             attempt=attempt,
+            program=request.turn.program if request is not None and request.turn else None,
             status=status,
             code=refusal.code.value,
             run_state=refusal.run_state.value,
@@ -212,11 +213,13 @@
         took_s = asyncio.get_running_loop().time() - exchange.began_s
         self.counts.end(outcome)
         self._latencies.add(f"request_{outcome}", took_s)
-        if outcome != "served":
-            eliot.log_message(
-                "request.ended",
-                attempt=None if request is None else request.attempt,
-                outcome=outcome,
-                endpoint=endpoint,
-                took_ms=round(took_s * 1000, 1),
-            )
+        table = self._configuration.table
+        eliot.log_message(
+            "request.served" if outcome == "served" else "request.ended",
+            attempt=None if request is None else request.attempt,
+            program=request.turn.program if request is not None and request.turn else None,
+            outcome=outcome,
+            endpoint=endpoint,
+            took_ms=round(took_s * 1000, 1),
+            configuration=0 if table is None else table.version,
+        )
--- a/src/bayhinge/_internal/services/key_follower.py
+++ b/src/bayhinge/_internal/services/key_follower.py
@@ -87,6 +87,7 @@
         self.complete_to = 0
         self.value_by_key: dict[str, bytes] = {}
         self.health = StoreHealth()
+        self.heard_s = 0.0
         self.should_poll: Callable[[], bool] = lambda: True
         self.on_change: Callable[[], None] = lambda: None
 
@@ -137,6 +138,7 @@
         await asyncio.sleep(self._pause_s)
         page = await self._store.poll(self.prefix, self._cursor, self._wait_s)
         self._note_success()
+        self.heard_s = asyncio.get_running_loop().time()
         longer_s = min(LONGEST_PAUSE_S, max(FIRST_PAUSE_S, 2 * self._pause_s))
         self._pause_s = longer_s if page.changes else 0.0
         self._cursor = max(self._cursor, page.revision)
@@ -159,6 +161,7 @@
         self.revision = max(self.revision, known.revision)
         self.complete_to = max(self.complete_to, known.complete_to)
         self.value_by_key = dict(known.value_by_key)
+        self.heard_s = asyncio.get_running_loop().time()
         self._listener.replace_all(self.value_by_key)
 
     async def _fetch(self, revision: int, peer_address: str) -> None:
--- a/src/bayhinge/_internal/utils/log_output.py
+++ b/src/bayhinge/_internal/utils/log_output.py
@@ -6,6 +6,7 @@
 
 import asyncio
 import os
+import time
 from collections import deque
 from collections.abc import Mapping
 from typing import Any
@@ -16,12 +17,45 @@
 """Lines that wait for a stalled reader; about two seconds of a busy host."""
 
 
+ORDINARY_PER_SECOND = 100
+"""Lines of ordinary successes that are written in a second; further ones are counted."""
+
+ORDINARY_TYPES = frozenset({"request.served"})
+
+
+class LineBudget:
+    """How many ordinary lines may still be written in the second that runs."""
+
+    def __init__(self, per_second: int) -> None:
+        """Takes the lines that one second may have."""
+        self._per_second = per_second
+        self._second = 0
+        self._left = per_second
+        self.thinned = 0
+
+    def takes(self, now_s: float) -> bool:
+        """Tells whether one more line may be written, and counts it."""
+        if int(now_s) != self._second:
+            self._second = int(now_s)
+            self._left = self._per_second
+        if self._left <= 0:
+            self.thinned += 1
+            return False
+        self._left -= 1
+        return True
+
+
 class LogOutput:
-    """An eliot destination on a file descriptor."""
+    """An eliot destination on a file descriptor.
+
+    Ordinary successes are thinned first; refusals, failures and changes of belief stay as
+    long as there is room.
+    """
 
     def __init__(self, descriptor: int) -> None:
         """Takes the descriptor, which becomes non-blocking where it can."""
         self._descriptor = descriptor
+        self.ordinary = LineBudget(ORDINARY_PER_SECOND)
         self._waiting: deque[bytes] = deque()
         self._waiting_bytes = 0
         self._is_watching = False
@@ -31,6 +65,8 @@
 
     def __call__(self, message: Mapping[str, Any]) -> None:
         """Takes one message; see eliot's destinations."""
+        if message.get("message_type") in ORDINARY_TYPES and not self._takes_ordinary():
+            return
         line = orjson.dumps(message, default=str, option=orjson.OPT_APPEND_NEWLINE)
         if self._waiting_bytes + len(line) > BUFFER_BYTES:
             self.dropped += 1
@@ -44,6 +80,15 @@
         if not self._is_watching:
             self.flush()
 
+    def _takes_ordinary(self) -> bool:
+        # Half of the buffer is kept for what matters more.
+        has_room = self._waiting_bytes < BUFFER_BYTES // 2
+        if has_room and self.ordinary.takes(time.monotonic()):
+            return True
+        if not has_room:
+            self.ordinary.thinned += 1
+        return False
+
     def flush(self) -> None:
         """Writes what the reader takes now."""
         while self._waiting:
--- a/tests/functional/test_platform_hosts.py
+++ b/tests/functional/test_platform_hosts.py
@@ -430,3 +430,20 @@
         assert (await site.ask("/act/x")).status == 200
 
     run_site(tmp_path, scenario)
+
+
+def test_the_metrics_page_counts_by_outcome_and_tells_the_age_of_beliefs(tmp_path: Path) -> None:
+    async def scenario(site: PlatformSite) -> None:
+        await site.ask("/act/x")
+        await site.ask("/nowhere/")
+        url = site.address("entry-0").replace(":8149", ":9464") + "/metrics"
+        async with site.session.get(url) as response:
+            page = (await response.read()).decode()
+        assert "bayhinge_requests_served_total 1.0" in page
+        assert "bayhinge_requests_unknown_program_total 1.0" in page
+        assert "bayhinge_configuration_version 7.0" in page
+        assert "bayhinge_disks_in_set 3.0" in page
+        assert "bayhinge_store_age_seconds_config" in page
+        assert "bayhinge_request_served_quantile_seconds" in page
+
+    run_site(tmp_path, scenario)
