--- a/Makefile
+++ b/Makefile
@@ -3,7 +3,7 @@
 VENV := .venv
 BIN := $(VENV)/bin
 
-.PHONY: demo test bench capacity generate clean format
+.PHONY: demo test soak bench capacity generate clean format
 
 $(VENV)/installed: pyproject.toml
 	test -x $(BIN)/python || $(PYTHON) -m venv $(VENV)
@@ -20,6 +20,11 @@
 	$(BIN)/lint-imports --no-cache
 	$(BIN)/python -m pytest
 
+# Real processes under faults from outside; each run draws fresh seeds and prints the first.
+SEEDS ?= 10
+soak: $(VENV)/installed
+	$(BIN)/python -m tests.soak.run --seeds $(SEEDS)
+
 bench: $(VENV)/installed
 	$(BIN)/bayhinge bench path
 	$(BIN)/bayhinge bench recovery
--- /dev/null
+++ b/tests/soak/callers.py
@@ -0,0 +1,121 @@
+"""Callers that play programs over kept connections, and note what they see."""
+
+import asyncio
+import itertools
+import random
+
+import aiohttp
+import attrs
+
+from tests.soak.daemons import Daemon
+from tests.soak.ledger import Ledger, Sent
+
+CALL_S = 3.0
+MOST_TOKENS = 30
+TRIES = 6
+
+
+@attrs.define
+class Callers:
+    """Plays programs until it is told to stop."""
+
+    entries: list[Daemon]
+    ledger: Ledger
+    source: random.Random
+    is_stopping: bool = False
+    served_turns: int = 0
+    _numbers: "itertools.count[int]" = attrs.field(factory=itertools.count)
+
+    async def play(self, session: aiohttp.ClientSession, name: str) -> None:
+        """Plays one program after the other."""
+        for number in itertools.count():
+            if self.is_stopping:
+                return
+            await self._program(session, f"{name}-{number}")
+
+    async def _program(self, session: aiohttp.ClientSession, program: str) -> None:
+        budget = self.source.choice([60, 200, 100_000])
+        self.ledger.budget_by_program[program] = (budget, MOST_TOKENS)
+        history, previous = b"", ""
+        for turn in range(self.source.randint(2, 7)):
+            text = f"{program} turn {turn}\n".encode()
+            sent = await self._turn(session, program, text, history, previous, budget)
+            if sent is None or self.is_stopping:
+                return
+            said = b"".join(
+                line[6:] + b"\n" for line in sent.answer.split(b"\n") if line.startswith(b"data: ")
+            )
+            history, previous = history + text + said, sent.attempt
+            self.served_turns += 1
+            await asyncio.gather(
+                *(self._tool(session, program) for _ in range(self.source.randint(0, 2)))
+            )
+
+    async def _turn(
+        self,
+        session: aiohttp.ClientSession,
+        program: str,
+        text: bytes,
+        history: bytes,
+        previous: str,
+        budget: int,
+    ) -> Sent | None:
+        headers = {
+            "Bayhinge-Program-Id": program,
+            "Bayhinge-Session-Id": program,
+            "Bayhinge-Token-Budget": str(budget),
+            "Bayhinge-Token-Usage": f"100,{MOST_TOKENS}",
+        }
+        if previous:
+            headers["Bayhinge-Previous-Turn"] = previous
+        for _ in range(TRIES):
+            sent = self._new("turn", text, program)
+            sent.expected_body = history + text
+            await self._send(session, sent, "/chat/x", headers)
+            if sent.status == 200 and sent.is_whole:
+                return sent
+            if sent.status == 402 or self.is_stopping:
+                return None
+            await asyncio.sleep(self.source.uniform(0.1, 0.4))
+        return None
+
+    async def _tool(self, session: aiohttp.ClientSession, program: str) -> None:
+        kind = self.source.choice(["act", "look"])
+        sent = self._new(kind, f"{kind} of {program}".encode(), program)
+        await self._send(session, sent, f"/{kind}/x", {"Bayhinge-Program-Id": program})
+
+    def _new(self, kind: str, body: bytes, program: str) -> Sent:
+        # A caller keeps off hosts that it knows to be gone, as the platform's callers do.
+        well = [entry for entry in self.entries if not entry.is_hurt] or self.entries
+        entry = self.source.choice(well)
+        sent = Sent(f"s{next(self._numbers):07d}", kind, entry.name, body, program=program)
+        self.ledger.sent_by_attempt[sent.attempt] = sent
+        return sent
+
+    async def _send(
+        self, session: aiohttp.ClientSession, sent: Sent, path: str, headers: dict[str, str]
+    ) -> None:
+        entry = next(entry for entry in self.entries if entry.name == sent.at)
+        starts = entry.starts
+        sent.was_excused = entry.is_hurt
+        every = {
+            "Host": "desk.example",
+            "Bayhinge-Attempt-Id": sent.attempt,
+            "Bayhinge-Deadline-Ms": str(int(CALL_S * 1000)),
+        }
+        url = f"http://{entry.ip}:8149{path}"
+        pieces: list[bytes] = []
+        try:
+            async with (
+                asyncio.timeout(CALL_S + 1.0),
+                session.post(url, data=sent.body, headers=every | headers) as response,
+            ):
+                sent.status = response.status
+                async for piece in response.content.iter_any():
+                    pieces.append(piece)
+                sent.is_whole = True
+        except (aiohttp.ClientError, TimeoutError, ConnectionError):
+            pass
+        sent.answer = b"".join(pieces)
+        sent.is_ended = True
+        sent.was_excused = sent.was_excused or entry.is_hurt or entry.starts != starts
--- /dev/null
+++ b/tests/soak/daemons.py
@@ -0,0 +1,107 @@
+"""Starts entry and disk hosts as real processes, and ends only these, by their ids."""
+
+import asyncio
+import os
+import resource
+import shutil
+import signal
+import sys
+from pathlib import Path
+
+import attrs
+
+from tests.lib.platform_data import settings_text
+
+START_S = 10.0
+
+
+@attrs.define
+class Daemon:
+    """One host: its settings, its process, and whether it may be counted on.
+
+    ``is_hurt`` is set while a fault of its own is under way, and stays set after a kill
+    until the host is back.
+    """
+
+    name: str
+    role: str
+    folder: Path
+    ip: str
+    settings: str
+    process: asyncio.subprocess.Process | None = None
+    is_hurt: bool = False
+    starts: int = 0
+
+    @property
+    def pid(self) -> int:
+        assert self.process is not None
+        return self.process.pid
+
+    @property
+    def data_folder(self) -> Path:
+        return self.folder / f"{self.name}-data"
+
+    async def start(self, first_start: bool = False) -> None:
+        path = self.folder / f"{self.name}.toml"
+        text = self.settings
+        if not first_start:
+            text = text.replace("bootstrap = true", "bootstrap = false")
+        path.write_text(text)
+        log = (self.folder / f"{self.name}.log").open("ab")
+        self.process = await asyncio.create_subprocess_exec(
+            sys.executable,
+            "-m",
+            "bayhinge._internal.platform",
+            self.role,
+            stdout=log,
+            stderr=log,
+            env=os.environ | {"BAYHINGE_NODE_FILE": str(path)},
+        )
+        log.close()
+        self.starts += 1
+
+    def send(self, number: signal.Signals) -> None:
+        if self.process is not None and self.process.returncode is None:
+            self.process.send_signal(number)
+
+    async def kill(self) -> None:
+        """Ends the process as a crash does."""
+        self.send(signal.SIGCONT)
+        self.send(signal.SIGKILL)
+        if self.process is not None:
+            await self.process.wait()
+
+    async def stop(self) -> int:
+        """Asks for a planned stop and waits for its end."""
+        self.send(signal.SIGTERM)
+        assert self.process is not None
+        return await self.process.wait()
+
+    def wipe(self) -> None:
+        """Loses the disk; the process must be down."""
+        shutil.rmtree(self.data_folder, ignore_errors=True)
+
+    def limit_files(self, size: int | None) -> None:
+        """Makes the disk refuse writes beyond ``size`` bytes a file; None ends it."""
+        _, hard = resource.prlimit(self.pid, resource.RLIMIT_FSIZE)
+        soft = hard if size is None else size
+        resource.prlimit(self.pid, resource.RLIMIT_FSIZE, (soft, hard))
+
+
+def entry_daemon(
+    folder: Path, net: str, number: int, platform: str, hall: str, seeds: str
+) -> Daemon:
+    ip = f"{net}.1.{number + 1}"
+    text = settings_text(f"entry-{number}", ip, hall=hall, platform=platform, seeds=seeds)
+    return Daemon(f"entry-{number}", "entry", folder, ip, text)
+
+
+def disk_daemon(
+    folder: Path, net: str, number: int, platform: str, hall: str, seeds: str
+) -> Daemon:
+    ip = f"{net}.2.{number + 1}"
+    data = str(folder / f"disk-{number}-data")
+    text = settings_text(
+        f"disk-{number}", ip, hall=hall, platform=platform, data_folder=data, seeds=seeds
+    )
+    return Daemon(f"disk-{number}", "disk", folder, ip, text)
--- /dev/null
+++ b/tests/soak/faults.py
@@ -0,0 +1,148 @@
+"""Series of faults that overlap, within what the site must bear."""
+
+import asyncio
+import random
+import signal
+from collections.abc import Awaitable, Callable
+
+import attrs
+
+from tests.lib.platform_engine import PlatformEngine
+from tests.lib.platform_store import PlatformStoreServer
+from tests.soak.daemons import Daemon
+from tests.soak.proxy import Proxy, Trouble
+
+CATCH_UP_S = 2.5
+"""A disk that was lost counts as lost for so long after it is back."""
+
+FULL_DISK_BYTES = 1
+
+
+@attrs.define
+class Faults:
+    """Every kind of fault, and a series of each that runs beside the others."""
+
+    source: random.Random
+    store: PlatformStoreServer
+    store_proxies: list[Proxy]
+    engine_proxies: list[Proxy]
+    engines: list[PlatformEngine]
+    entries: list[Daemon]
+    disks: list[Daemon]
+    said: Callable[[str], None]
+    disk_lock: asyncio.Lock = attrs.field(factory=asyncio.Lock)
+    entry_lock: asyncio.Lock = attrs.field(factory=asyncio.Lock)
+
+    def series(self) -> list[Callable[[], Awaitable[None]]]:
+        """Returns the kinds; each is played again and again."""
+        return [
+            self.trouble_store,
+            self.trouble_engine,
+            self.hurt_disk,
+            self.hurt_entry,
+            self.stop_entry,
+            self.lose_store_answers,
+        ]
+
+    async def trouble_store(self) -> None:
+        """The way from one host, or from all, to the platform's store."""
+        kinds = [Trouble.DELAY, Trouble.RESET, Trouble.REFUSE, Trouble.SILENT, Trouble.NO_ANSWERS]
+        trouble = self.source.choice(kinds)
+        proxies = self.source.choice([self.store_proxies, [self.source.choice(self.store_proxies)]])
+        self.said(f"store {trouble} for {len(proxies)} host(s)")
+        for proxy in proxies:
+            proxy.set_trouble(trouble)
+        await asyncio.sleep(self.source.uniform(0.5, 4.0))
+        for proxy in proxies:
+            proxy.set_trouble(Trouble.NONE)
+
+    async def lose_store_answers(self) -> None:
+        """Writes are done and not answered; or the history is dropped."""
+        if self.source.random() < 0.5:
+            self.said("store loses answers")
+            self.store.troubles.loses_answers = True
+            await asyncio.sleep(self.source.uniform(0.5, 2.0))
+            self.store.troubles.loses_answers = False
+        else:
+            self.said("store forgets its history")
+            self.store.forget_history()
+
+    async def trouble_engine(self) -> None:
+        """The way to one endpoint, or the endpoint itself."""
+        number = self.source.randrange(len(self.engines))
+        engine, proxy = self.engines[number], self.engine_proxies[number]
+        kind = self.source.choice(["reset", "delay", "full", "lost", "breaks", "leaves"])
+        self.said(f"{engine.instance} {kind}")
+        if kind in {"reset", "delay"}:
+            proxy.set_trouble(Trouble(kind))
+            await asyncio.sleep(self.source.uniform(0.3, 2.0))
+            proxy.set_trouble(Trouble.NONE)
+        elif kind == "full":
+            engine.troubles.full = self.source.randint(1, 10)
+        elif kind == "lost":
+            engine.troubles.loses_answers = self.source.randint(1, 4)
+        elif kind == "breaks":
+            engine.troubles.breaks_after = self.source.randint(0, 2)
+            await asyncio.sleep(self.source.uniform(0.2, 1.0))
+            engine.troubles.breaks_after = None
+        else:
+            self.store.remove("servers", engine.instance)
+            await asyncio.sleep(self.source.uniform(0.5, 3.0))
+            entry = engine.entry() | {"address": f"127.0.0.1:{proxy.port}"}
+            self.store.put("servers", engine.instance, entry)
+
+    async def hurt_disk(self) -> None:
+        """One disk at a time is killed, frozen, wiped, or refuses writes."""
+        async with self.disk_lock:
+            disk = self.source.choice(self.disks)
+            kind = self.source.choice(["kill", "freeze", "wipe", "full"])
+            self.said(f"{disk.name} {kind}")
+            disk.is_hurt = True
+            if kind == "freeze":
+                disk.send(signal.SIGSTOP)
+                await asyncio.sleep(self.source.uniform(0.3, 3.0))
+                disk.send(signal.SIGCONT)
+            elif kind == "full":
+                disk.limit_files(FULL_DISK_BYTES)
+                await asyncio.sleep(self.source.uniform(0.3, 3.0))
+                disk.limit_files(None)
+            else:
+                await disk.kill()
+                if kind == "wipe":
+                    disk.wipe()
+                await asyncio.sleep(self.source.uniform(0.0, 2.0))
+                await disk.start()
+            await asyncio.sleep(CATCH_UP_S)
+            disk.is_hurt = False
+
+    async def hurt_entry(self) -> None:
+        """One entry host is killed or frozen."""
+        async with self.entry_lock:
+            entry = self.source.choice(self.entries)
+            kind = self.source.choice(["kill", "freeze"])
+            self.said(f"{entry.name} {kind}")
+            entry.is_hurt = True
+            if kind == "freeze":
+                entry.send(signal.SIGSTOP)
+                await asyncio.sleep(self.source.uniform(0.3, 2.5))
+                entry.send(signal.SIGCONT)
+            else:
+                await entry.kill()
+                await asyncio.sleep(self.source.uniform(0.0, 1.0))
+                await entry.start()
+            await asyncio.sleep(1.5)
+            entry.is_hurt = False
+
+    async def stop_entry(self) -> None:
+        """A planned stop: nothing that the host has read may be cut."""
+        async with self.entry_lock:
+            entry = self.source.choice(self.entries)
+            self.said(f"{entry.name} planned stop")
+            stopping = asyncio.ensure_future(entry.stop())
+            # Callers learn within a second that it leaves; until then they go on using it.
+            await asyncio.sleep(1.0)
+            entry.is_hurt = True
+            await stopping
+            await entry.start()
+            await asyncio.sleep(1.5)
+            entry.is_hurt = False
--- /dev/null
+++ b/tests/soak/proxy.py
@@ -0,0 +1,94 @@
+"""A loopback proxy that delays, resets, cuts one way, or falls silent."""
+
+import asyncio
+from enum import StrEnum
+
+import attrs
+
+
+class Trouble(StrEnum):
+    """What the proxy does to every connection through it."""
+
+    NONE = "none"
+    DELAY = "delay"
+    RESET = "reset"
+    REFUSE = "refuse"
+    SILENT = "silent"
+    NO_ANSWERS = "no answers"
+
+
+DELAY_S = 0.25
+_PIECE_BYTES = 65_536
+
+
+@attrs.define
+class Proxy:
+    """One listening address before one target; the trouble may change at any time."""
+
+    target_host: str
+    target_port: int
+    trouble: Trouble = Trouble.NONE
+    port: int = 0
+    _server: asyncio.Server | None = None
+    _writers: set[asyncio.StreamWriter] = attrs.field(factory=set)
+
+    async def start(self) -> None:
+        self._server = await asyncio.start_server(self._serve, "127.0.0.1", 0)
+        self.port = self._server.sockets[0].getsockname()[1]
+
+    async def stop(self) -> None:
+        if self._server is not None:
+            self._server.close()
+        self._cut_all()
+
+    def set_trouble(self, trouble: Trouble) -> None:
+        """Begins or ends a trouble; a reset also ends the connections that are open."""
+        self.trouble = trouble
+        if trouble in {Trouble.RESET, Trouble.REFUSE}:
+            self._cut_all()
+
+    def _cut_all(self) -> None:
+        for writer in list(self._writers):
+            writer.transport.abort()
+
+    async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        if self.trouble is Trouble.REFUSE:
+            writer.transport.abort()
+            return
+        try:
+            far_reader, far_writer = await asyncio.open_connection(
+                self.target_host, self.target_port
+            )
+        except OSError:
+            writer.transport.abort()
+            return
+        both = {writer, far_writer}
+        self._writers |= both
+        try:
+            await asyncio.gather(
+                self._pump(reader, far_writer, is_answer=False),
+                self._pump(far_reader, writer, is_answer=True),
+            )
+        except ConnectionError:
+            pass
+        finally:
+            for one in both:
+                one.transport.abort()
+            self._writers -= both
+
+    async def _pump(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter, is_answer: bool
+    ) -> None:
+        while piece := await reader.read(_PIECE_BYTES):
+            if self.trouble is Trouble.DELAY:
+                await asyncio.sleep(DELAY_S)
+            while self.trouble is Trouble.SILENT:  # noqa: ASYNC110
+                await asyncio.sleep(0.05)
+            if self.trouble is Trouble.NO_ANSWERS and is_answer:
+                continue
+            if self.trouble is Trouble.RESET:
+                raise ConnectionResetError
+            writer.write(piece)
+            await writer.drain()
+        if writer.can_write_eof():
+            writer.write_eof()
--- /dev/null
+++ b/tests/soak/run.py
@@ -0,0 +1,221 @@
+"""``python -m tests.soak.run --seeds 50 --seconds 20``: plays soaks and reports what broke."""
+
+import argparse
+import asyncio
+import random
+import sys
+import tempfile
+import time
+from pathlib import Path
+
+import aiohttp
+import attrs
+
+from tests.lib.platform_data import CONFIGURATION
+from tests.lib.platform_engine import PlatformEngine
+from tests.lib.platform_store import PlatformStoreServer
+from tests.soak.callers import Callers
+from tests.soak.daemons import START_S, Daemon, disk_daemon, entry_daemon
+from tests.soak.faults import Faults
+from tests.soak.ledger import Ledger
+from tests.soak.proxy import Proxy, Trouble
+
+HALLS = ("north", "south", "north")
+ENTRIES = 3
+DISKS = 3
+CALLERS = 6
+RECOVERY_S = 6.0
+"""Time after the last fault within which every host must serve again."""
+
+
+@attrs.define
+class Result:
+    """One soak: what broke, what was played, and how much was served."""
+
+    seed: int
+    problems: list[str]
+    story: list[str]
+    requests: int
+    served_turns: int
+    folder: Path
+
+
+class Soak:
+    """One site of processes, played with one seed."""
+
+    def __init__(self, seed: int, seconds: float, folder: Path, net: str) -> None:
+        self._seed = seed
+        self._seconds = seconds
+        self._folder = folder
+        self._source = random.Random(seed)
+        self._store = PlatformStoreServer()
+        self._engines = [
+            PlatformEngine("i-llm-1", "llm"),
+            PlatformEngine("i-llm-2", "llm"),
+            PlatformEngine("i-app-1", "app"),
+            PlatformEngine("i-app-2", "app"),
+        ]
+        self._net = net
+        self._engine_proxies: list[Proxy] = []
+        self._store_proxies: list[Proxy] = []
+        self._entries: list[Daemon] = []
+        self._disks: list[Daemon] = []
+        self._story: list[str] = []
+        self._began_s = time.monotonic()
+
+    async def play(self) -> Result:
+        ledger = Ledger()
+        callers = Callers(self._entries, ledger, self._source)
+        try:
+            await self._start()
+            async with aiohttp.ClientSession() as session:
+                playing = [
+                    asyncio.create_task(callers.play(session, f"p{number}"))
+                    for number in range(CALLERS)
+                ]
+                await self._hurt()
+                ledger.problems += await self._recovers(callers)
+                callers.is_stopping = True
+                await asyncio.gather(*playing)
+            problems = ledger.check(self._engines)
+            problems += self._failed_alone()
+        finally:
+            await self._end()
+        return Result(
+            self._seed,
+            problems,
+            self._story,
+            len(ledger.sent_by_attempt),
+            callers.served_turns,
+            self._folder,
+        )
+
+    async def _start(self) -> None:
+        await self._store.start()
+        for engine in self._engines:
+            await engine.start()
+            engine.troubles.pause_s = 0.01
+            proxy = Proxy("127.0.0.1", engine.port)
+            await proxy.start()
+            self._engine_proxies.append(proxy)
+            entry = engine.entry() | {"address": f"127.0.0.1:{proxy.port}"}
+            self._store.put("servers", engine.instance, entry)
+        self._store.put("config", "main", CONFIGURATION)
+        seeds = f'["{self._net}.1.1:8144","{self._net}.1.2:8144"]'
+        for number in range(DISKS):
+            address = await self._store_proxy()
+            hall = HALLS[number]
+            self._disks.append(disk_daemon(self._folder, self._net, number, address, hall, seeds))
+        for number in range(ENTRIES):
+            address = await self._store_proxy()
+            hall = HALLS[number]
+            self._entries.append(
+                entry_daemon(self._folder, self._net, number, address, hall, seeds)
+            )
+        for daemon in (*self._disks, *self._entries):
+            await daemon.start(first_start=True)
+        async with asyncio.timeout(START_S):
+            while not await self._all_ready():  # noqa: ASYNC110 - it asks real processes
+                await asyncio.sleep(0.1)
+
+    async def _store_proxy(self) -> str:
+        proxy = Proxy("127.0.0.1", self._store.port)
+        await proxy.start()
+        self._store_proxies.append(proxy)
+        return f"127.0.0.1:{proxy.port}"
+
+    async def _all_ready(self) -> bool:
+        async with aiohttp.ClientSession(timeout=aiohttp.ClientTimeout(total=1)) as session:
+            for entry in self._entries:
+                try:
+                    async with session.get(f"http://{entry.ip}:8150/-/readyz") as response:
+                        if response.status != 200:
+                            return False
+                except (aiohttp.ClientError, TimeoutError):
+                    return False
+        return True
+
+    async def _hurt(self) -> None:
+        faults = Faults(
+            self._source,
+            self._store,
+            self._store_proxies,
+            self._engine_proxies,
+            self._engines,
+            self._entries,
+            self._disks,
+            self._say,
+        )
+        limit_s = time.monotonic() + self._seconds
+        kinds = self._source.sample(faults.series(), k=self._source.randint(2, 4))
+
+        async def repeat(kind) -> None:  # type: ignore[no-untyped-def]
+            while time.monotonic() < limit_s:
+                await asyncio.sleep(self._source.uniform(0.1, 1.5))
+                await kind()
+
+        await asyncio.gather(*(repeat(kind) for kind in kinds))
+
+    async def _recovers(self, callers: Callers) -> list[str]:
+        """After the last fault every host is ready, and turns are served again."""
+        for proxy in (*self._store_proxies, *self._engine_proxies):
+            proxy.set_trouble(Trouble.NONE)
+        before = callers.served_turns
+        limit_s = time.monotonic() + RECOVERY_S
+        while time.monotonic() < limit_s:
+            if await self._all_ready() and callers.served_turns > before + CALLERS:
+                return []
+            await asyncio.sleep(0.2)
+        return [f"not recovered {RECOVERY_S} s after the last fault"]
+
+    def _failed_alone(self) -> list[str]:
+        """A process must not end by itself."""
+        return [
+            f"{daemon.name} ended by itself with {daemon.process.returncode}"
+            for daemon in (*self._disks, *self._entries)
+            if daemon.process is not None and daemon.process.returncode is not None
+        ]
+
+    def _say(self, what: str) -> None:
+        self._story.append(f"{time.monotonic() - self._began_s:7.2f} {what}")
+
+    async def _end(self) -> None:
+        for daemon in (*self._entries, *self._disks):
+            if daemon.process is not None and daemon.process.returncode is None:
+                await daemon.kill()
+        for proxy in (*self._store_proxies, *self._engine_proxies):
+            await proxy.stop()
+        for engine in self._engines:
+            await engine.stop()
+        await self._store.stop()
+
+
+def play_seed(seed: int, seconds: float, folder: Path, net: str = "127.77") -> Result:
+    """Plays one seed in a folder of its own."""
+    return asyncio.run(Soak(seed, seconds, folder, net).play())
+
+
+def main() -> int:
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument("--seeds", type=int, default=10, help="how many seeds to play")
+    parser.add_argument("--first", type=int, default=0, help="the first seed; 0 draws one")
+    parser.add_argument("--seconds", type=float, default=20.0, help="faults of one soak")
+    parser.add_argument("--net", default="127.77", help="the loopback net of the site's hosts")
+    options = parser.parse_args()
+    first = options.first or random.SystemRandom().randrange(1, 1_000_000)
+    failed = 0
+    for seed in range(first, first + options.seeds):
+        folder = Path(tempfile.mkdtemp(prefix=f"soak-{seed}-"))
+        result = play_seed(seed, options.seconds, folder, options.net)
+        verdict = "ok" if not result.problems else f"{len(result.problems)} PROBLEMS"
+        print(f"seed {seed}: {result.requests} requests, {result.served_turns} turns, {verdict}")
+        if result.problems:
+            failed += 1
+            print(*result.problems[:20], *result.story, f"logs: {result.folder}", sep="\n  ")
+        sys.stdout.flush()
+    print(f"{options.seeds - failed} passed, {failed} failed")
+    return 1 if failed else 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
