--- a/src/bayhinge/_internal/cli/tool/main.py
+++ b/src/bayhinge/_internal/cli/tool/main.py
@@ -34,6 +34,9 @@
     help="Print the events of all hosts in one order.",
 )
 app.command(f"{_COMMANDS}.explain:explain", name="explain", help="Tell one program's story.")
+app.command(
+    f"{_COMMANDS}.logs:logs", name="logs", help="Trace a request through the logs of hosts."
+)
 app.command(f"{_COMMANDS}.stats:stats", name="stats", help="Print counters and latencies.")
 app.command(f"{_COMMANDS}.hosts:hosts", name="hosts", help="List the living hosts.")
 app.command(
--- a/src/bayhinge/_internal/platform/__main__.py
+++ b/src/bayhinge/_internal/platform/__main__.py
@@ -137,7 +137,7 @@
         for finding in read.error:
             print(finding, file=sys.stderr)
         return status_codes.EXIT_BAD_SETTINGS
-    eliot.add_destinations(LogOutput(sys.stdout.fileno()))
+    eliot.add_destinations(LogOutput(sys.stdout.fileno(), read.ok.host))
     asyncio.run(_run(program(read.ok), path))
     return status_codes.EXIT_OK
 
--- a/src/bayhinge/_internal/utils/log_output.py
+++ b/src/bayhinge/_internal/utils/log_output.py
@@ -23,6 +23,10 @@
 ORDINARY_TYPES = frozenset({"request.served"})
 
 
+_UNUSED = frozenset({"task_uuid", "task_level"})
+"""What eliot adds to nest actions; these lines stand alone."""
+
+
 class LineBudget:
     """How many ordinary lines may still be written in the second that runs."""
 
@@ -52,9 +56,10 @@
     long as there is room.
     """
 
-    def __init__(self, descriptor: int) -> None:
-        """Takes the descriptor, which becomes non-blocking where it can."""
+    def __init__(self, descriptor: int, host: str = "") -> None:
+        """Takes the descriptor, which becomes non-blocking where it can, and the host's name."""
         self._descriptor = descriptor
+        self._host = {"host": host} if host else {}
         self.ordinary = LineBudget(ORDINARY_PER_SECOND)
         self._waiting: deque[bytes] = deque()
         self._waiting_bytes = 0
@@ -67,7 +72,8 @@
         """Takes one message; see eliot's destinations."""
         if message.get("message_type") in ORDINARY_TYPES and not self._takes_ordinary():
             return
-        line = orjson.dumps(message, default=str, option=orjson.OPT_APPEND_NEWLINE)
+        fields = {name: value for name, value in message.items() if name not in _UNUSED}
+        line = orjson.dumps(self._host | fields, default=str, option=orjson.OPT_APPEND_NEWLINE)
         if self._waiting_bytes + len(line) > BUFFER_BYTES:
             self.dropped += 1
             self._unreported += 1
