--- a/src/bayhinge/_internal/platform/entry_calls.py
+++ b/src/bayhinge/_internal/platform/entry_calls.py
@@ -6,7 +6,6 @@
 
 from bayhinge._internal import status_codes
 from bayhinge._internal.network.routed_front import Exchange, ExchangeHandler
-from bayhinge._internal.services.gateway.figures import entry_metrics
 from bayhinge._internal.services.gateway.gateway import ADDRESS_KEEP_S, Gateway
 
 METRICS_PATH = "/metrics"
@@ -33,6 +32,9 @@
             status = status_codes.HTTP_OK if ready else status_codes.HTTP_UNAVAILABLE
             await exchange.respond(status, (), b"")
         elif path == METRICS_PATH:
+            # Loaded when first asked for: most hosts are looked at rarely, memory is paid for.
+            from bayhinge._internal.services.gateway.figures import entry_metrics
+
             await exchange.respond(status_codes.HTTP_OK, _TEXT, entry_metrics(self._gateway))
         elif path == RESOLVE_PATH:
             await self._resolve(exchange, query)
--- a/src/bayhinge/_internal/services/front_service.py
+++ b/src/bayhinge/_internal/services/front_service.py
@@ -18,12 +18,12 @@
 from bayhinge._internal.network.front_handler import ConfigAnswer, ConfigEdit, FrontHandler
 from bayhinge._internal.services.config_editor import ConfigEditor
 from bayhinge._internal.services.host_parts import HostParts
-from bayhinge._internal.services.latencies import metrics_page
 from bayhinge._internal.services.local_queries import (
     MERGED_QUERIES,
     LocalQueries,
     event_filter,
 )
+from bayhinge._internal.services.metrics_page import metrics_page
 from bayhinge._internal.services.program_opener import ProgramOpener
 from bayhinge._internal.wire import ttypes as wire
 from bayhinge.coordination.errors import StoreError
--- a/src/bayhinge/_internal/services/gateway/figures.py
+++ b/src/bayhinge/_internal/services/gateway/figures.py
@@ -3,7 +3,7 @@
 import asyncio
 
 from bayhinge._internal.services.gateway.gateway import Gateway
-from bayhinge._internal.services.latencies import metrics_page
+from bayhinge._internal.services.metrics_page import metrics_page
 from bayhinge._internal.wire.hosts.ttypes import HostRole
 
 
--- a/src/bayhinge/_internal/services/gateway/gateway.py
+++ b/src/bayhinge/_internal/services/gateway/gateway.py
@@ -102,6 +102,7 @@
         await self.front.start()
         self.gossip.describe = self._describe
         self.gossip.on_hello = self._hear
+        self.gossip.on_round = self._sum_loads
         self.disks.on_change = self._disks_changed
         await self.gossip.start()
         for follower in self.followers_by_prefix.values():
@@ -199,6 +200,8 @@
             follower = self.followers_by_prefix.get(prefix)
             if follower is not None:
                 follower.hear(revision, hello.peer_address)
+
+    def _sum_loads(self) -> None:
         self.book.hear_loads(_sum_loads(self.gossip.fresh(wire.HostRole.ENTRY)))
 
     def _disks_changed(self, disk_set: wire.DiskSet) -> None:
--- a/src/bayhinge/_internal/services/gossip.py
+++ b/src/bayhinge/_internal/services/gossip.py
@@ -90,8 +90,10 @@
         self._heard_by_host: dict[str, HeardHost] = {}
         self._last_heard_by_address: dict[str, float] = {}
         self._greeted_by_address: dict[str, int] = {}
+        self._near_fresh_s = self._far_fresh_s = LEAST_FRESH_S
         self._transport: asyncio.DatagramTransport | None = None
         self.on_hello: Callable[[Hello], None] = lambda hello: None
+        self.on_round: Callable[[], None] = lambda: None
         self.describe: Callable[[Hello], None] = lambda hello: None
 
     async def on_start(self) -> None:
@@ -127,19 +129,22 @@
     def fresh(self, role: HostRole) -> list[Hello]:
         """Returns the newest hellos of hosts that greet as often as they should."""
         now = asyncio.get_running_loop().time()
+        own_hall = self._settings.hall
+        near_since_s, far_since_s = now - self._near_fresh_s, now - self._far_fresh_s
         return [
             heard.hello
             for heard in self._heard_by_host.values()
-            if heard.hello.role == role and now - heard.heard_s <= self._fresh_s(heard.hello)
+            if heard.hello.role == role
+            and heard.heard_s >= (near_since_s if heard.hello.hall == own_hall else far_since_s)
         ]
 
-    def _fresh_s(self, hello: Hello) -> float:
-        """Returns the silence that is usual for a host, on the count of hosts known here."""
-        near, far = self._by_distance()
-        is_near = hello.hall == self._settings.hall
-        targets = NEAR_TARGETS if is_near else max(FAR_TARGETS, ALL_TARGETS - len(near))
-        rounds = math.ceil(len(near if is_near else far) / targets)
-        return max(LEAST_FRESH_S, FRESH_CYCLES * rounds * self._period_s())
+    def _set_fresh_times(self, near: int, far: int) -> None:
+        """Works out which silence is usual, from the counts of hosts known here."""
+        period_s = self._period_s()
+        near_rounds = math.ceil(near / NEAR_TARGETS)
+        far_rounds = math.ceil(far / max(FAR_TARGETS, ALL_TARGETS - near))
+        self._near_fresh_s = max(LEAST_FRESH_S, FRESH_CYCLES * near_rounds * period_s)
+        self._far_fresh_s = max(LEAST_FRESH_S, FRESH_CYCLES * far_rounds * period_s)
 
     def _period_s(self) -> float:
         return PERIOD_S * max(1.0, len(self._last_heard_by_address) / PERIOD_HOSTS)
@@ -158,12 +163,14 @@
         first_until_s = loop.time() + FIRST_S
         while not self.should_stop:
             self._send_round()
+            self.on_round()
             period_s = FIRST_PERIOD_S if loop.time() < first_until_s else self._period_s()
             await asyncio.sleep(period_s * random.uniform(0.8, 1.2))
 
     def _send_round(self) -> None:
         self._forget_silent()
         near, far = self._by_distance()
+        self._set_fresh_times(len(near), len(far))
         near_count = min(len(near), max(NEAR_TARGETS, ALL_TARGETS - len(far)))
         self._send_to(
             self._next_turns(near, near_count) + self._next_turns(far, ALL_TARGETS - near_count)
--- a/src/bayhinge/_internal/services/latencies.py
+++ b/src/bayhinge/_internal/services/latencies.py
@@ -1,11 +1,9 @@
-"""Latency histograms, and the metrics page in the usual text format."""
+"""Latency histograms."""
 
-from collections.abc import Mapping
+from collections.abc import Iterator
 
+import attrs
 from hdrh.histogram import HdrHistogram
-from prometheus_client import CollectorRegistry, generate_latest
-from prometheus_client.core import GaugeMetricFamily, Metric, SummaryMetricFamily
-from prometheus_client.registry import Collector
 
 LOWEST_US = 1
 HIGHEST_US = 3_600_000_000
@@ -13,6 +11,16 @@
 PERCENTILES = (50.0, 95.0, 99.0)
 
 
+@attrs.frozen
+class LatencySummary:
+    """One histogram: how many, their sum in seconds, and seconds by percentile."""
+
+    name: str
+    count: int
+    sum_s: float
+    seconds_by_percentile: dict[float, float]
+
+
 class Latencies:
     """One histogram for each thing that is timed, in microseconds."""
 
@@ -44,41 +52,15 @@
             for name, histogram in sorted(self._histograms_by_name.items())
         }
 
-    def families(self) -> list[Metric]:
-        """Returns the histograms as metric families."""
-        families: list[Metric] = []
+    def summaries(self) -> Iterator[LatencySummary]:
+        """Yields every histogram, by name."""
         for name, histogram in sorted(self._histograms_by_name.items()):
-            family = SummaryMetricFamily(f"bayhinge_{name}_seconds", f"Latency: {name}")
-            family.add_metric([], histogram.total_count, self._sums_by_name[name])
-            families.append(family)
-            quantiles = GaugeMetricFamily(
-                f"bayhinge_{name}_quantile_seconds", f"Quantiles: {name}", labels=["quantile"]
+            yield LatencySummary(
+                name,
+                histogram.total_count,
+                self._sums_by_name[name],
+                {
+                    percentile: histogram.get_value_at_percentile(percentile) / 1e6
+                    for percentile in PERCENTILES
+                },
             )
-            for percentile in PERCENTILES:
-                value = histogram.get_value_at_percentile(percentile) / 1e6
-                quantiles.add_metric([f"{percentile / 100:g}"], value)
-            families.append(quantiles)
-        return families
-
-
-class _Page(Collector):
-    """Collects one host's figures for a metrics page."""
-
-    def __init__(self, latencies: Latencies, gauges: Mapping[str, float]) -> None:
-        self._latencies = latencies
-        self._gauges = gauges
-
-    def collect(self) -> list[Metric]:
-        gauges = [
-            GaugeMetricFamily(f"bayhinge_{name}", name.replace("_", " "), value=value)
-            for name, value in sorted(self._gauges.items())
-        ]
-        return [*gauges, *self._latencies.families()]
-
-
-def metrics_page(latencies: Latencies, gauges: Mapping[str, float]) -> bytes:
-    """Returns the metrics in the text format that the usual collectors read."""
-    # A registry of its own: several hosts of one process must not mix.
-    registry = CollectorRegistry()
-    registry.register(_Page(latencies, gauges))
-    return generate_latest(registry)
