Drop segments of turns that no program needs any more

The log of a disk host grew for ever. A program's entries are needed for its route's retention after it was last written, or after another program that goes on from its turns was; the oldest segments go once nothing in them is needed. After a restart all count as just written.

--- a/src/bayhinge/_internal/services/disks/disk_host.py
+++ b/src/bayhinge/_internal/services/disks/disk_host.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import random
+import time
 from collections.abc import AsyncIterator, Awaitable, Callable, Coroutine, Iterable
 from pathlib import Path
 from typing import Any
@@ -90,7 +91,7 @@
         super().__init__()
         self.settings = settings
         self._store = store
-        self.turns = TurnLog(Path(settings.data_folder))
+        self.turns = TurnLog(Path(settings.data_folder), time.monotonic())
         self._commits = CommitGroup(self.turns)
         clock = HybridClock(SystemClock())
         network = TcpPeerNetwork(CONNECT_S)
@@ -155,6 +156,7 @@
             if not self.disk_set.members:
                 self.take_disk_set(await change_disk_set(self._store, lambda members: None))
             await self._copy_from_all()
+            self._expire()
             if not self._is_member():
                 await self._join_if_copied()
             else:
@@ -162,6 +164,11 @@
             pause_s = COPY_PERIOD_S if self._is_member() else JOIN_PERIOD_S
             await asyncio.sleep(pause_s * random.uniform(0.8, 1.2))
 
+    def _expire(self) -> None:
+        removed = self.turns.expire(time.monotonic())
+        if removed:
+            eliot.log_message("disk.expired", segments=removed, entries_left=self.turns.entry_count)
+
     async def _join_if_copied(self) -> None:
         members = self.disk_set.members
         tolerated = self.settings.tolerated_disks
@@ -435,7 +442,7 @@
         turns = self._host.turns
         after = query.after if query.generation == turns.generation else 0
         written = turns.keys_after(after, KEYS_AT_ONCE)
-        position = after + len(written)
+        position = max(after, turns.first_position) + len(written)
         more = position < turns.position
         keys = self._host.keys_kept_by(query.asker, written)
         version = self._host.disk_set.version
--- a/src/bayhinge/_internal/services/disks/turn_log.py
+++ b/src/bayhinge/_internal/services/disks/turn_log.py
@@ -22,6 +22,9 @@
 SEGMENT_BYTES = 8_000_000
 """A segment is closed at this size; whole segments are removed when nothing in them lives."""
 
+LEAST_KEEP_S = 90.0
+"""Entries are kept for so long at least after their program was last heard of."""
+
 GENERATION_FILE = "generation"
 JOINED_FILE = "joined"
 SEGMENT_SUFFIX = ".turns"
@@ -44,6 +47,22 @@
     location: Location
     previous: str | None
     endpoint: str
+    program: str
+
+
+@attrs.define
+class ProgramLife:
+    """How long a program's entries are needed.
+
+    Attributes:
+        last_s: when something of it was last written or gone on from, on the caller's clock.
+        keep_s: the longest time that one of its turns asks for.
+        needs: programs whose turns its own go on from.
+    """
+
+    last_s: float = 0.0
+    keep_s: float = LEAST_KEEP_S
+    needs: set[str] = attrs.field(factory=set)
 
 
 @attrs.define
@@ -71,8 +90,11 @@
 class TurnLog:
     """One disk's entries."""
 
-    def __init__(self, folder: Path) -> None:
-        """Opens the folder and reads what stands there."""
+    def __init__(self, folder: Path, now_s: float = 0.0) -> None:
+        """Opens the folder and reads what stands there.
+
+        ``now_s`` is the caller's steady clock; all that is read counts as just written.
+        """
         self._folder = folder
         folder.mkdir(parents=True, exist_ok=True)
         self._files_by_segment: dict[int, int] = {}
@@ -80,6 +102,10 @@
         self._keys: list[tuple[str, str]] = []
         self._turn_by_attempt: dict[str, KnownTurn] = {}
         self._ledger_by_program: dict[str, ProgramLedger] = {}
+        self._life_by_program: dict[str, ProgramLife] = {}
+        self._keys_by_segment: dict[int, list[tuple[str, str]]] = {}
+        self._dropped_keys = 0
+        self._now_s = now_s
         self._segment = 0
         self._end = 0
         self._is_dirty = False
@@ -112,11 +138,22 @@
 
     def keys_after(self, position: int, most: int) -> list[tuple[str, str]]:
         """Returns keys in the order in which they were written, each with its program."""
-        return self._keys[position : position + most]
+        start = max(0, position - self._dropped_keys)
+        return self._keys[start : start + most]
+
+    @property
+    def first_position(self) -> int:
+        """The position of the oldest entry that is still here."""
+        return self._dropped_keys
 
     @property
     def position(self) -> int:
-        """The number of entries written so far."""
+        """The number of entries written so far, those dropped included."""
+        return self._dropped_keys + len(self._keys)
+
+    @property
+    def entry_count(self) -> int:
+        """The number of entries that are here."""
         return len(self._keys)
 
     def has(self, key: str) -> bool:
@@ -153,6 +190,49 @@
             os.fdatasync(self._files_by_segment[self._segment])
             self._is_dirty = False
 
+    def expire(self, now_s: float) -> int:
+        """Removes the oldest segments in which no program lives; returns how many.
+
+        ``now_s`` is the caller's steady clock.
+        """
+        self._now_s = now_s
+        living = self._living(now_s)
+        removed = 0
+        for segment in sorted(self._files_by_segment):
+            keys = self._keys_by_segment.get(segment, [])
+            if segment == self._segment or any(program in living for _, program in keys):
+                break
+            self._remove_segment(segment, keys)
+            removed += 1
+        return removed
+
+    def _living(self, now_s: float) -> set[str]:
+        living = {
+            program
+            for program, life in self._life_by_program.items()
+            if now_s - life.last_s <= life.keep_s
+        }
+        waiting = list(living)
+        while waiting:
+            needed = self._life_by_program[waiting.pop()].needs - living
+            needed &= self._life_by_program.keys()
+            living |= needed
+            waiting.extend(needed)
+        return living
+
+    def _remove_segment(self, segment: int, keys: list[tuple[str, str]]) -> None:
+        os.close(self._files_by_segment.pop(segment))
+        self._segment_path(segment).unlink()
+        self._keys_by_segment.pop(segment, None)
+        # Segments go oldest first, so their keys stand at the front.
+        del self._keys[: len(keys)]
+        self._dropped_keys += len(keys)
+        for key, program in keys:
+            self._location_by_key.pop(key, None)
+            self._turn_by_attempt.pop(key[1:], None)
+            self._ledger_by_program.pop(program, None)
+            self._life_by_program.pop(program, None)
+
     def mark_joined(self) -> None:
         """Notes that this disk counts: it has copied all that it lacked."""
         write_synced(self._folder / JOINED_FILE, b"joined\n")
@@ -195,6 +275,10 @@
     def _index(self, key: str, entry: TurnEntry, location: Location) -> None:
         self._location_by_key[key] = location
         self._keys.append((key, entry.program))
+        self._keys_by_segment.setdefault(location.segment, []).append((key, entry.program))
+        life = self._life_by_program.setdefault(entry.program, ProgramLife())
+        life.last_s = self._now_s
+        life.keep_s = max(life.keep_s, entry.keep_s or 0.0)
         ledger = self._ledger_by_program.setdefault(entry.program, ProgramLedger())
         if entry.kind == EntryKind.RESERVED:
             ledger.open_by_attempt[entry.attempt] = entry.tokens
@@ -202,8 +286,15 @@
         ledger.settled_by_attempt[entry.attempt] = entry.tokens
         if entry.kind == EntryKind.TURN:
             self._turn_by_attempt[entry.attempt] = KnownTurn(
-                location, entry.previous, entry.endpoint or ""
+                location, entry.previous, entry.endpoint or "", entry.program
             )
+            self._note_needs(entry)
+
+    def _note_needs(self, entry: TurnEntry) -> None:
+        """A turn that goes on from another program's keeps that program alive."""
+        previous = self._turn_by_attempt.get(entry.previous or "")
+        if previous is not None and previous.program != entry.program:
+            self._life_by_program[entry.program].needs.add(previous.program)
 
     def _read(self, location: Location) -> TurnEntry:
         data = os.pread(self._files_by_segment[location.segment], location.length, location.offset)
--- a/tests/unit/test_turn_log.py
+++ b/tests/unit/test_turn_log.py
@@ -50,6 +50,7 @@
     log.append([turn("a", None, b"one"), turn("a", None, b"one")])
     log.append([turn("a", None, b"one")])
     assert log.position == 1
+    assert log.entry_count == 1
 
 
 @settings(max_examples=60, deadline=None)
@@ -114,3 +115,43 @@
     log.append([turn("c", "a", b"three")])
     log.close()
     assert TurnLog(tmp_path).chain("c").text == b"onethree"
+
+
+def test_segments_in_which_no_program_lives_go_oldest_first(
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    monkeypatch.setattr(turn_log, "SEGMENT_BYTES", 200)
+    log = TurnLog(tmp_path)
+    log.expire(1000.0)
+    for number in range(6):
+        log.append([TurnEntry(EntryKind.TURN, f"old{number}", "old", 3, None, b"x" * 80)])
+    log.expire(1050.0)
+    # Another program goes on from the last turn of the old one, and keeps all of it alive.
+    log.append([TurnEntry(EntryKind.TURN, "new0", "new", 3, "old5", b"y" * 80, "", 60.0)])
+    log.append([TurnEntry(EntryKind.TURN, "new1", "new", 3, "new0", b"y" * 80, "", 60.0)])
+    assert log.expire(1000.0 + turn_log.LEAST_KEEP_S + 1) == 0
+    assert log.chain("new1").missing is None
+    # Once nobody needs them any more, the old segments go; the newest stays open.
+    assert log.expire(1051.0 + turn_log.LEAST_KEEP_S) > 0
+    assert not log.has(entry_key(turn("old0")))
+    assert log.first_position > 0
+    assert log.position == 8
+    assert len(log.keys_after(0, 100)) == log.entry_count == 8 - log.first_position
+    log.append([turn("later", None, b"z")])
+    log.close()
+    assert TurnLog(tmp_path).chain("later").text == b"z"
+
+
+def test_after_a_restart_nothing_goes_too_soon(
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    monkeypatch.setattr(turn_log, "SEGMENT_BYTES", 100)
+    log = TurnLog(tmp_path)
+    log.expire(5000.0)
+    for number in range(4):
+        log.append([turn(f"t{number}", None, b"x" * 80)])
+    log.close()
+    again = TurnLog(tmp_path, now_s=90_000.0)
+    assert again.expire(90_000.0 + turn_log.LEAST_KEEP_S / 2) == 0
+    assert again.has(entry_key(turn("t0")))
+    assert again.expire(90_001.0 + turn_log.LEAST_KEEP_S) > 0
