--- a/src/bayhinge/_internal/decisions/endpoint_book.py
+++ b/src/bayhinge/_internal/decisions/endpoint_book.py
@@ -12,7 +12,7 @@
 
 LONGEST_EJECTION_S = 8.0
 
-CACHE_SLACK = 0.15
+CACHE_SLACK = 0.3
 """Load, as a share of an endpoint's slots, that a request accepts for a warm cache."""
 
 OTHER_HALL_COST = 0.02
