--- a/src/bayhinge/_internal/models/site_settings.py
+++ b/src/bayhinge/_internal/models/site_settings.py
@@ -3,15 +3,6 @@
 import attrs
 
 
-@attrs.frozen
-class StoreLimits:
-    """The platform's store: its address and the rates that all hosts share, in calls a second."""
-
-    address: str
-    writes_per_second: float
-    reads_per_second: float
-
-
 @attrs.frozen
 class SiteSettings:
     """One process of one host.
@@ -23,11 +14,9 @@
         seeds: IP addresses of hosts that may be up.
         is_first_start: the whole system starts for the first time, with empty disks.
         tolerated_disks: disks that may be lost at once while nothing acknowledged is lost.
+        store_address: ``ip:port`` of the platform's store.
         address_keep_s: the longest that callers may keep an answer about addresses.
-        drain_s: an endpoint that is leaving gets nothing new after this time.
-        config_apply_s: a configuration is in force after this time.
         grace_s: time between the request to stop and the kill.
-        catch_up_s: time that a replaced disk has to copy what it lacks.
     """
 
     host: str
@@ -44,12 +33,9 @@
     data_folder: str
     is_first_start: bool
     tolerated_disks: int
-    store: StoreLimits
+    store_address: str
     address_keep_s: float
-    drain_s: float
-    config_apply_s: float
     grace_s: float
-    catch_up_s: float
 
     @property
     def gossip_address(self) -> str:
--- a/src/bayhinge/_internal/platform/entry_calls.py
+++ b/src/bayhinge/_internal/platform/entry_calls.py
@@ -6,7 +6,7 @@
 
 from bayhinge._internal import status_codes
 from bayhinge._internal.network.routed_front import Exchange, ExchangeHandler
-from bayhinge._internal.services.gateway.gateway import ADDRESS_KEEP_S, Gateway
+from bayhinge._internal.services.gateway.gateway import Gateway
 
 METRICS_PATH = "/metrics"
 READY_PATH = "/-/readyz"
@@ -49,5 +49,5 @@
         if not addresses:
             await exchange.respond(status_codes.HTTP_UNAVAILABLE, (), b"")
             return
-        body = orjson.dumps({"addresses": addresses, "ttl_s": ADDRESS_KEEP_S})
+        body = orjson.dumps({"addresses": addresses, "ttl_s": self._gateway.address_keep_s})
         await exchange.respond(status_codes.HTTP_OK, _JSON, body)
--- a/src/bayhinge/_internal/platform/programs.py
+++ b/src/bayhinge/_internal/platform/programs.py
@@ -43,7 +43,7 @@
     def __init__(self, settings: SiteSettings) -> None:
         """Takes the settings."""
         super().__init__()
-        store = PlatformObjects(settings.store.address)
+        store = PlatformObjects(settings.store_address)
         self._gateway = Gateway(
             settings,
             Platform(
@@ -78,7 +78,7 @@
     def __init__(self, settings: SiteSettings) -> None:
         """Takes the settings."""
         super().__init__()
-        self._store = PlatformObjects(settings.store.address)
+        self._store = PlatformObjects(settings.store_address)
         self._disk = DiskHost(settings, self._store)
         self._follower = KeyFollower(
             self._store,
--- a/src/bayhinge/_internal/platform/settings_file.py
+++ b/src/bayhinge/_internal/platform/settings_file.py
@@ -9,7 +9,7 @@
 from expression import Error, Ok, Result
 
 from bayhinge._internal.models.findings import Finding, Place
-from bayhinge._internal.models.site_settings import SiteSettings, StoreLimits
+from bayhinge._internal.models.site_settings import SiteSettings
 
 Value = TypeVar("Value")
 
@@ -100,14 +100,7 @@
         data_folder=take("data_dir", _text, ""),
         is_first_start=take("bootstrap", bool, False),
         tolerated_disks=take("fault_tolerance.machines", int, 1),
-        store=StoreLimits(
-            take("platform.address", _text),
-            take("platform.writes_per_s", float, 400.0),
-            take("platform.reads_per_s", float, 2000.0),
-        ),
+        store_address=take("platform.address", _text),
         address_keep_s=take("bounds.ttl_max_s", float, 5.0),
-        drain_s=take("bounds.drain_ms", float, 2000.0) / 1000,
-        config_apply_s=take("bounds.config_apply_ms", float, 2000.0) / 1000,
         grace_s=take("bounds.grace_s", float, 8.0),
-        catch_up_s=take("bounds.catch_up_s", float, 5.0),
     )
--- /dev/null
+++ b/src/bayhinge/_internal/services/disks/disk_answers.py
@@ -0,0 +1,100 @@
+"""What a disk host answers to entry hosts and to other disk hosts."""
+
+from collections.abc import AsyncIterator, Callable, Coroutine
+from typing import TYPE_CHECKING, Any
+
+import eliot
+
+from bayhinge._internal.exceptions import FrameError
+from bayhinge._internal.models.refusals import RefusalCode, RefusedError, refuse_unaccepted
+from bayhinge._internal.network.frames import decode_message, encode_message
+from bayhinge._internal.network.peer_link import PeerHandler
+from bayhinge._internal.services import methods
+from bayhinge._internal.wire.hosts import ttypes as wire
+
+if TYPE_CHECKING:
+    from bayhinge._internal.services.disks.disk_host import DiskHost
+
+KEYS_AT_ONCE = 2000
+"""Keys of one answer: some 80 KB."""
+
+
+class DiskAnswers(PeerHandler):
+    """What a disk host answers."""
+
+    def __init__(self, host: "DiskHost") -> None:
+        """Takes the host whose disk is asked."""
+        self._host = host
+        self._handlers: dict[str, Callable[[bytes], Coroutine[Any, Any, bytes]]] = {
+            methods.RESERVE: self._reserve,
+            methods.APPEND: self._append,
+            methods.KEYS: self._keys,
+            methods.ENTRIES: self._entries,
+            methods.LACKING: self._lacking,
+            methods.DISK_SET: self._disk_set,
+            methods.OBJECTS: self._objects,
+        }
+
+    async def handle(self, method: str, payload: bytes) -> AsyncIterator[bytes]:
+        """Yields the one message that answers."""
+        handler = self._handlers.get(method)
+        if handler is None:
+            raise FrameError(f"a disk host has no method '{method}'")
+        try:
+            yield await handler(payload)
+        except OSError as error:
+            eliot.log_message("disk.refused", method=method, why=str(error))
+            refusal = refuse_unaccepted(RefusalCode.STORE_UNAVAILABLE, f"the disk refused: {error}")
+            raise RefusedError(refusal) from error
+
+    async def _reserve(self, payload: bytes) -> bytes:
+        query = decode_message(wire.ReserveTurn(), payload)
+        turns = self._host.turns
+        reply = wire.ReserveReply(turns.generation, {}, {})
+        if query.reservation is not None:
+            self._refuse_if_retired()
+            await self._host.write([query.reservation])
+            ledger = turns.ledger(query.reservation.program)
+            reply.open_by_attempt = ledger.open_by_attempt
+            reply.settled_by_attempt = ledger.settled_by_attempt
+        if query.wants_chain and query.previous is not None:
+            chain = turns.chain(query.previous)
+            reply.chain, reply.missing, reply.endpoint = chain.text, chain.missing, chain.endpoint
+        return encode_message(reply)
+
+    async def _append(self, payload: bytes) -> bytes:
+        self._refuse_if_retired()
+        await self._host.write(decode_message(wire.AppendEntries(), payload).entries)
+        return encode_message(wire.AppendReply(self._host.turns.generation))
+
+    async def _keys(self, payload: bytes) -> bytes:
+        query = decode_message(wire.KeysQuery(), payload)
+        turns = self._host.turns
+        after = query.after if query.generation == turns.generation else 0
+        written = turns.keys_after(after, KEYS_AT_ONCE)
+        position = max(after, turns.first_position) + len(written)
+        more = position < turns.position
+        keys = self._host.keys_kept_by(query.asker, written)
+        version = self._host.disk_set.version
+        return encode_message(wire.KeysReply(turns.generation, position, more, keys, version))
+
+    async def _entries(self, payload: bytes) -> bytes:
+        query = decode_message(wire.EntriesQuery(), payload)
+        return encode_message(wire.EntriesReply(list(self._host.turns.read_entries(query.keys))))
+
+    async def _lacking(self, payload: bytes) -> bytes:
+        query = decode_message(wire.EntriesQuery(), payload)
+        turns = self._host.turns
+        return encode_message(wire.LackingReply([k for k in query.keys if not turns.has(k)]))
+
+    async def _disk_set(self, _payload: bytes) -> bytes:
+        return encode_message(self._host.disk_set)
+
+    async def _objects(self, payload: bytes) -> bytes:
+        prefix = decode_message(wire.ObjectsQuery(), payload).prefix
+        return encode_message(self._host.objects.known(prefix))
+
+    def _refuse_if_retired(self) -> None:
+        if self._host.is_retired:
+            why = "this disk is being emptied; ask the other disks of the set"
+            raise RefusedError(refuse_unaccepted(RefusalCode.HOST_LEAVING, why))
--- a/src/bayhinge/_internal/services/disks/disk_host.py
+++ b/src/bayhinge/_internal/services/disks/disk_host.py
@@ -3,7 +3,7 @@
 import asyncio
 import random
 import time
-from collections.abc import AsyncIterator, Awaitable, Callable, Coroutine, Iterable
+from collections.abc import Awaitable, Callable, Coroutine, Iterable
 from pathlib import Path
 from typing import Any
 
@@ -17,12 +17,13 @@
     without_silent,
 )
 from bayhinge._internal.exceptions import FrameError, PeerFailureError, PeerUnreachableError
-from bayhinge._internal.models.refusals import RefusalCode, RefusedError, refuse_unaccepted
 from bayhinge._internal.models.site_settings import SiteSettings
 from bayhinge._internal.network.frames import decode_message, encode_message
-from bayhinge._internal.network.peer_link import PeerHandler, TcpPeerNetwork
+from bayhinge._internal.network.peer_link import TcpPeerNetwork
 from bayhinge._internal.services import methods
 from bayhinge._internal.services.disk_sets import change_disk_set
+from bayhinge._internal.services.disks.commit_group import CommitGroup
+from bayhinge._internal.services.disks.disk_answers import KEYS_AT_ONCE, DiskAnswers
 from bayhinge._internal.services.disks.object_keeper import ObjectKeeper
 from bayhinge._internal.services.disks.turn_log import TurnLog
 from bayhinge._internal.services.gossip import Gossip
@@ -40,7 +41,6 @@
 
 DISK_SET_FILE = "disk-set"
 
-KEYS_AT_ONCE = 2000
 ENTRIES_AT_ONCE = 60
 """Entries of one copying call: some 400 KB, so that turns are not kept waiting."""
 
@@ -50,39 +50,6 @@
 CONNECT_S = 0.5
 
 
-class CommitGroup:
-    """Syncs once for all entries that were appended in the same round of the loop."""
-
-    def __init__(self, log: TurnLog) -> None:
-        """Takes the log to sync."""
-        self._log = log
-        self._waiting: asyncio.Future[None] | None = None
-
-    async def sync(self) -> None:
-        """Returns when everything appended so far lasts.
-
-        Raises:
-            OSError: the disk refused.
-        """
-        if self._waiting is None:
-            loop = asyncio.get_running_loop()
-            self._waiting = loop.create_future()
-            loop.call_soon(self._sync_now)
-        await asyncio.shield(self._waiting)
-
-    def _sync_now(self) -> None:
-        waiting, self._waiting = self._waiting, None
-        assert waiting is not None
-        try:
-            self._log.sync()
-        except OSError as error:
-            waiting.set_exception(error)
-            # Whoever waits gets it; without a waiter it must not be reported as lost.
-            waiting.exception()
-        else:
-            waiting.set_result(None)
-
-
 class DiskHost(Service):
     """One start of a disk host."""
 
@@ -96,7 +63,7 @@
         clock = HybridClock(SystemClock())
         network = TcpPeerNetwork(CONNECT_S)
         self.peers = network.connect(clock)
-        self._listener = network.listen(settings.peer_address, _DiskHandler(self), clock)
+        self._listener = network.listen(settings.peer_address, DiskAnswers(self), clock)
         self.gossip = Gossip(settings, wire.HostRole.DISK)
         self.objects = ObjectKeeper(Path(settings.data_folder), self.peers)
         self._set_file = Path(settings.data_folder) / DISK_SET_FILE
@@ -388,83 +355,3 @@
         if await step():
             return
         await asyncio.sleep(COPY_PERIOD_S / 2)
-
-
-class _DiskHandler(PeerHandler):
-    """What a disk host answers."""
-
-    def __init__(self, host: DiskHost) -> None:
-        self._host = host
-        self._handlers: dict[str, Callable[[bytes], Coroutine[Any, Any, bytes]]] = {
-            methods.RESERVE: self._reserve,
-            methods.APPEND: self._append,
-            methods.KEYS: self._keys,
-            methods.ENTRIES: self._entries,
-            methods.LACKING: self._lacking,
-            methods.DISK_SET: self._disk_set,
-            methods.OBJECTS: self._objects,
-        }
-
-    async def handle(self, method: str, payload: bytes) -> AsyncIterator[bytes]:
-        """Yields the one message that answers."""
-        handler = self._handlers.get(method)
-        if handler is None:
-            raise FrameError(f"a disk host has no method '{method}'")
-        try:
-            yield await handler(payload)
-        except OSError as error:
-            eliot.log_message("disk.refused", method=method, why=str(error))
-            refusal = refuse_unaccepted(RefusalCode.STORE_UNAVAILABLE, f"the disk refused: {error}")
-            raise RefusedError(refusal) from error
-
-    async def _reserve(self, payload: bytes) -> bytes:
-        query = decode_message(wire.ReserveTurn(), payload)
-        turns = self._host.turns
-        reply = wire.ReserveReply(turns.generation, {}, {})
-        if query.reservation is not None:
-            self._refuse_if_retired()
-            await self._host.write([query.reservation])
-            ledger = turns.ledger(query.reservation.program)
-            reply.open_by_attempt = ledger.open_by_attempt
-            reply.settled_by_attempt = ledger.settled_by_attempt
-        if query.wants_chain and query.previous is not None:
-            chain = turns.chain(query.previous)
-            reply.chain, reply.missing, reply.endpoint = chain.text, chain.missing, chain.endpoint
-        return encode_message(reply)
-
-    async def _append(self, payload: bytes) -> bytes:
-        self._refuse_if_retired()
-        await self._host.write(decode_message(wire.AppendEntries(), payload).entries)
-        return encode_message(wire.AppendReply(self._host.turns.generation))
-
-    async def _keys(self, payload: bytes) -> bytes:
-        query = decode_message(wire.KeysQuery(), payload)
-        turns = self._host.turns
-        after = query.after if query.generation == turns.generation else 0
-        written = turns.keys_after(after, KEYS_AT_ONCE)
-        position = max(after, turns.first_position) + len(written)
-        more = position < turns.position
-        keys = self._host.keys_kept_by(query.asker, written)
-        version = self._host.disk_set.version
-        return encode_message(wire.KeysReply(turns.generation, position, more, keys, version))
-
-    async def _entries(self, payload: bytes) -> bytes:
-        query = decode_message(wire.EntriesQuery(), payload)
-        return encode_message(wire.EntriesReply(list(self._host.turns.read_entries(query.keys))))
-
-    async def _lacking(self, payload: bytes) -> bytes:
-        query = decode_message(wire.EntriesQuery(), payload)
-        turns = self._host.turns
-        return encode_message(wire.LackingReply([k for k in query.keys if not turns.has(k)]))
-
-    async def _disk_set(self, _payload: bytes) -> bytes:
-        return encode_message(self._host.disk_set)
-
-    async def _objects(self, payload: bytes) -> bytes:
-        prefix = decode_message(wire.ObjectsQuery(), payload).prefix
-        return encode_message(self._host.objects.known(prefix))
-
-    def _refuse_if_retired(self) -> None:
-        if self._host.is_retired:
-            why = "this disk is being emptied; ask the other disks of the set"
-            raise RefusedError(refuse_unaccepted(RefusalCode.HOST_LEAVING, why))
--- a/src/bayhinge/_internal/services/gateway/gateway.py
+++ b/src/bayhinge/_internal/services/gateway/gateway.py
@@ -122,7 +122,7 @@
         self.gossip.say_now()
         eliot.log_message("host.leaving", host=self.settings.host, running=self.front.running)
         # Callers keep an answer up to three times as long as it says.
-        await asyncio.sleep(3 * ADDRESS_KEEP_S)
+        await asyncio.sleep(3 * self.address_keep_s)
         self.front.close_idle()
         limit_s = began_s + self.settings.grace_s - STOP_MARGIN_S
         await self.front.wait_until_idle(limit_s - loop.time())
@@ -137,6 +137,11 @@
 
     # ---- what others ask ----
 
+    @property
+    def address_keep_s(self) -> float:
+        """How long callers may keep an answer about addresses."""
+        return min(ADDRESS_KEEP_S, self.settings.address_keep_s)
+
     @property
     def is_ready(self) -> bool:
         """Whether callers may be sent here."""
--- a/src/bayhinge/_internal/services/gateway/request_service.py
+++ b/src/bayhinge/_internal/services/gateway/request_service.py
@@ -20,7 +20,7 @@
 from bayhinge._internal.network.routed_front import BodyTooLongError, Exchange, ExchangeHandler
 from bayhinge._internal.services.gateway.beliefs import ConfigurationBelief
 from bayhinge._internal.services.gateway.outside import CallFormat
-from bayhinge._internal.services.gateway.sending import Delivery, Sender
+from bayhinge._internal.services.gateway.sending import RETRY_AFTER_S, Delivery, Sender
 from bayhinge._internal.services.gateway.stream_delivery import StreamDelivery
 from bayhinge._internal.services.gateway.turn_keeper import OpenTurn, TurnKeeper
 from bayhinge._internal.services.gateway.whole_delivery import WholeDelivery
@@ -33,9 +33,6 @@
 }
 """What a time-out is answered with: only what has not run may be called so."""
 
-RETRY_AFTER_S = 0.3
-"""When a request that no endpoint took should come again."""
-
 NO_CONFIGURATION_RETRY_S = 0.5
 
 
--- a/src/bayhinge/_internal/services/gateway/sending.py
+++ b/src/bayhinge/_internal/services/gateway/sending.py
@@ -133,11 +133,7 @@
         if sending.untaken < MOST_UNTAKEN_SENDS:
             belief = self._book.choose(sending.service, sending.wish, sending.tried, now)
         if belief is None:
-            code = RefusalCode.OVERLOADED if sending.tried else RefusalCode.NO_ENDPOINT
-            if sending.ran:
-                code = RefusalCode.OUTCOME_UNKNOWN
-            elif sending.tried:
-                code = RefusalCode.NO_ENDPOINT
+            code = RefusalCode.OUTCOME_UNKNOWN if sending.ran else RefusalCode.NO_ENDPOINT
             why = f"none of {len(sending.tried)} endpoint(s) of the service took the request"
             raise RefusedError(sending.attempt.refuse(code, why, retry_after_s=RETRY_AFTER_S))
         sending.tried.append(belief.entry.instance)
--- a/tests/unit/test_platform_formats.py
+++ b/tests/unit/test_platform_formats.py
@@ -42,7 +42,8 @@
     assert settings.gossip_address == "10.1.0.38:7380"
     assert settings.peer_address == "10.1.0.38:7381"
     assert settings.seeds == ("10.1.0.38", "10.2.0.40")
-    assert settings.drain_s == 2.0
+    assert (settings.grace_s, settings.address_keep_s) == (8.0, 5.0)
+    assert settings.store_address == "10.9.1.7:8142"
     assert settings.tolerated_disks == 1
 
 
