--- a/src/bayhinge/_internal/platform/programs.py
+++ b/src/bayhinge/_internal/platform/programs.py
@@ -26,6 +26,7 @@
 from bayhinge._internal.services.disks.disk_host import DiskHost
 from bayhinge._internal.services.gateway.gateway import Gateway
 from bayhinge._internal.services.gateway.outside import Platform
+from bayhinge._internal.services.keep_running import keep_running
 from bayhinge._internal.services.key_follower import KeyFollower
 from bayhinge._internal.utils.log_output import LogOutput
 
@@ -91,7 +92,7 @@
     async def on_start(self) -> None:
         """Starts the host and follows requests to empty it."""
         await self._disk.start()
-        self.add_future(self._follower.run())
+        self.add_future(keep_running("follow retirements", self._follower.run))
 
     async def on_stop(self) -> None:
         """Stops the host."""
--- a/src/bayhinge/_internal/platform/retirements.py
+++ b/src/bayhinge/_internal/platform/retirements.py
@@ -6,6 +6,7 @@
 
 from bayhinge._internal.platform.objects_api import RETIREMENTS_KIND, PlatformObjects
 from bayhinge._internal.services.disks.disk_host import DiskHost
+from bayhinge._internal.services.keep_running import keep_running
 from bayhinge._internal.services.key_follower import FollowListener
 from bayhinge.coordination.errors import StoreError
 from bayhinge.coordination.store import Change
@@ -36,7 +37,7 @@
 
     def _begin(self) -> None:
         if self._task is None:
-            self._task = asyncio.ensure_future(self._retire())
+            self._task = asyncio.ensure_future(keep_running("retire", self._retire))
 
     async def _retire(self) -> None:
         await self._report("in_progress")
--- a/src/bayhinge/_internal/services/disks/disk_host.py
+++ b/src/bayhinge/_internal/services/disks/disk_host.py
@@ -28,6 +28,7 @@
 from bayhinge._internal.services.disks.turn_log import TurnLog
 from bayhinge._internal.services.gossip import Gossip
 from bayhinge._internal.services.host_registry import HostRegistry
+from bayhinge._internal.services.keep_running import keep_running
 from bayhinge._internal.utils.durable_files import replace_synced
 from bayhinge._internal.wire.hosts import ttypes as wire
 from bayhinge.coordination.clock import HybridClock, SystemClock
@@ -91,8 +92,10 @@
             cut_bytes=self.turns.cut_bytes,
         )
         registry = HostRegistry(self._store, self.settings)
-        self.add_future(registry.announce(self.gossip, lambda: True))
-        self.add_future(self._keep_place())
+        self.add_future(
+            keep_running("announce", lambda: registry.announce(self.gossip, lambda: True))
+        )
+        self.add_future(keep_running("keep place", self._keep_place))
 
     async def on_stop(self) -> None:
         """Syncs and closes everything."""
@@ -219,8 +222,12 @@
 
     async def _fetch_disk_set(self, address: str) -> None:
         answer = await self._call(address, methods.DISK_SET, b"")
-        if answer is not None:
+        if answer is None:
+            return
+        try:
             self.take_disk_set(decode_message(wire.DiskSet(), answer))
+        except FrameError as error:
+            eliot.log_message("disk_set.unreadable", address=address, why=str(error))
 
     # ---- copying ----
 
--- a/src/bayhinge/_internal/services/gateway/gateway.py
+++ b/src/bayhinge/_internal/services/gateway/gateway.py
@@ -1,7 +1,7 @@
 """The entry host's service on a platform: starts the parts, tells the others, stops in order."""
 
 import asyncio
-from collections.abc import AsyncIterator, Iterable
+from collections.abc import AsyncIterator, Awaitable, Callable, Iterable, Mapping
 
 import eliot
 from mode import Service
@@ -24,6 +24,7 @@
 from bayhinge._internal.services.gateway.turn_keeper import TurnKeeper
 from bayhinge._internal.services.gossip import Gossip
 from bayhinge._internal.services.host_registry import HostRegistry
+from bayhinge._internal.services.keep_running import keep_running
 from bayhinge._internal.services.key_follower import KeyFollower
 from bayhinge._internal.services.latencies import Latencies
 from bayhinge._internal.wire.hosts import ttypes as wire
@@ -105,12 +106,17 @@
         self.gossip.on_round = self._sum_loads
         self.disks.on_change = self._disks_changed
         await self.gossip.start()
-        for follower in self.followers_by_prefix.values():
-            self.add_future(follower.run())
         registry = HostRegistry(self._platform.store, self.settings)
-        self.add_future(registry.announce(self.gossip, self._is_watcher))
-        self.add_future(self.disks.load())
-        self.add_future(self._sweep())
+        duty_by_name: Mapping[str, Callable[[], Awaitable[None]]] = {
+            f"follow {prefix}": follower.run
+            for prefix, follower in self.followers_by_prefix.items()
+        } | {
+            "announce": lambda: registry.announce(self.gossip, self._is_watcher),
+            "disk set": self.disks.load,
+            "sweep": self._sweep,
+        }
+        for name, duty in duty_by_name.items():
+            self.add_future(keep_running(name, duty))
         eliot.log_message("host.started", host=self.settings.host, hall=self.settings.hall)
 
     async def on_stop(self) -> None:
--- a/src/bayhinge/_internal/services/gateway/turn_keeper.py
+++ b/src/bayhinge/_internal/services/gateway/turn_keeper.py
@@ -85,7 +85,7 @@
         try:
             self._check_budget(turn, replies)
             await self._add_history(turn, replies)
-        except RefusedError:
+        except (RefusedError, asyncio.CancelledError):
             self.settle(turn, 0)
             raise
         return turn
@@ -155,7 +155,7 @@
         entry = wire.TurnEntry(wire.EntryKind.RESERVED, attempt, context.program, reserved)
         reservation = entry if reserved else None
         needed = reservations_needed(len(members), self._tolerated) if reserved else 1
-        member_by_task = {
+        tasks = [
             self._start(
                 self._call(
                     member,
@@ -165,10 +165,15 @@
                     ),
                     wire.ReserveReply(),
                 )
-            ): member
+            )
             for member in members
-        }
-        replies = await self._first_replies(list(member_by_task), needed, context)
+        ]
+        try:
+            replies = await self._first_replies(tasks, needed, context)
+        except asyncio.CancelledError:
+            # The caller left: what the disks have taken meanwhile must not stay set aside.
+            self.settle(OpenTurn(attempt, context, b"", "", reserved), 0)
+            raise
         if len(replies) >= needed:
             return replies
         eliot.log_message(
--- a/src/bayhinge/_internal/services/gossip.py
+++ b/src/bayhinge/_internal/services/gossip.py
@@ -16,6 +16,7 @@
 from bayhinge._internal.models.site_settings import SiteSettings
 from bayhinge._internal.network.frames import decode_message, encode_message
 from bayhinge._internal.network.peer_link import split_address
+from bayhinge._internal.services.keep_running import keep_running
 from bayhinge._internal.wire.hosts.ttypes import Hello, HostPhase, HostRole
 
 PERIOD_S = 0.3
@@ -104,7 +105,7 @@
             lambda: _Datagrams(self._take), local_addr=(host, port)
         )
         self.learn(f"{seed}:{self._settings.gossip_port}" for seed in self._settings.seeds)
-        self.add_future(self._run())
+        self.add_future(keep_running("hellos", self._run))
 
     async def on_stop(self) -> None:
         """Closes the socket."""
--- a/tests/functional/test_platform_hosts.py
+++ b/tests/functional/test_platform_hosts.py
@@ -447,3 +447,29 @@
         assert "bayhinge_request_served_quantile_seconds" in page
 
     run_site(tmp_path, scenario)
+
+
+def test_a_caller_that_leaves_while_disks_are_asked_keeps_no_tokens_set_aside(
+    tmp_path: Path,
+) -> None:
+    async def scenario(site: PlatformSite) -> None:
+        gateway = site.entry_by_name["entry-0"]._gateway
+        call = gateway.link.call
+        asked = asyncio.Event()
+
+        async def slow(member, method, message):  # type: ignore[no-untyped-def]
+            answer = await call(member, method, message)
+            asked.set()
+            if method == "reserve-turn":
+                await asyncio.sleep(0.3)
+            return answer
+
+        gateway.link.call = slow  # type: ignore[method-assign]
+        asking = asyncio.create_task(site.turn(b"x", budget=60, most=50))
+        await asked.wait()
+        asking.cancel()
+        gateway.link.call = call  # type: ignore[method-assign]
+        await asyncio.sleep(0.6)
+        assert (await site.turn(b"x", budget=60, most=50)).status == 200
+
+    run_site(tmp_path, scenario)
--- /dev/null
+++ b/tests/unit/test_keep_running.py
@@ -0,0 +1,37 @@
+"""A duty that fails begins anew; one that ends stays ended; a cancelled one stops."""
+
+import asyncio
+
+import pytest
+
+from bayhinge._internal.bench.world.virtual_time import run_virtual
+from bayhinge._internal.services.keep_running import FAULT_PAUSE_S, keep_running
+
+
+def test_a_duty_outlives_its_faults() -> None:
+    async def scenario() -> None:
+        tries = 0
+
+        async def duty() -> None:
+            nonlocal tries
+            tries += 1
+            if tries < 3:
+                raise ValueError("once more")
+
+        began = asyncio.get_running_loop().time()
+        await keep_running("test", duty)
+        assert tries == 3
+        assert asyncio.get_running_loop().time() - began >= 2 * FAULT_PAUSE_S
+
+    run_virtual(scenario())
+
+
+def test_a_cancelled_duty_stops() -> None:
+    async def scenario() -> None:
+        running = asyncio.create_task(keep_running("test", lambda: asyncio.sleep(100)))
+        await asyncio.sleep(1)
+        running.cancel()
+        with pytest.raises(asyncio.CancelledError):
+            await running
+
+    run_virtual(scenario())
