--- a/src/bayhinge/_internal/models/routing.py
+++ b/src/bayhinge/_internal/models/routing.py
@@ -85,10 +85,9 @@
 
 @attrs.frozen
 class FrontLimits:
-    """What callers may send, and how long they may stay idle."""
+    """What callers may send."""
 
     body_bytes: int = 4_194_304
-    idle_timeout_s: float = 15.0
 
 
 @attrs.frozen
--- a/src/bayhinge/_internal/platform/object_reader.py
+++ b/src/bayhinge/_internal/platform/object_reader.py
@@ -113,8 +113,4 @@
 
 
 def _read_limits(item: dict[str, Any]) -> FrontLimits:
-    standard = FrontLimits()
-    return FrontLimits(
-        int(item.get("max_body_bytes", standard.body_bytes)),
-        float(item.get("idle_timeout_ms", standard.idle_timeout_s * 1000)) / 1000,
-    )
+    return FrontLimits(int(item.get("max_body_bytes", FrontLimits().body_bytes)))
--- a/src/bayhinge/_internal/services/gateway/sending.py
+++ b/src/bayhinge/_internal/services/gateway/sending.py
@@ -146,13 +146,12 @@
         is_clean = False
         try:
             connection = await self._links.acquire(belief.entry.instance, belief.entry.address)
-            idle_s = await self._exchange(connection, belief, sending)
+            answer, marks = await self._exchange(connection, belief, sending)
             is_clean = True
+            self._keep_or_close(connection, answer, marks)
+            if marks.not_run or marks.wrong_instance:
+                raise NotTakenError(f"status {answer.status}")
             self._book.note_success(belief.entry.instance)
-            if idle_s != 0:
-                self._links.release(connection, idle_s)
-            else:
-                connection.abort("the endpoint closes it")
         finally:
             belief.running_here -= 1
             if connection is not None and not is_clean:
@@ -161,8 +160,8 @@
 
     async def _exchange(
         self, connection: EndpointConnection, belief: Belief, sending: _Sending
-    ) -> float | None:
-        """Sends, reads and delivers; returns how long the connection stays, 0 for not at all."""
+    ) -> tuple[Answer, AnswerMarks]:
+        """Sends, and reads the answer to its end; delivers it unless the request did not run."""
         request = sending.request
         loop = asyncio.get_running_loop()
         head = self._calls.request_head(
@@ -176,14 +175,19 @@
         answer, marks = await self._own_answer(connection, request.attempt)
         if marks.not_run or marks.wrong_instance:
             await answer.read_body()
-            idle_s = 0 if answer.closes_connection else marks.idle_s
-            if idle_s != 0:
-                self._links.release(connection, idle_s)
-            raise NotTakenError(f"status {answer.status}")
+            return answer, marks
         sending.delivery.endpoint = belief.entry.instance
         may_repeat = sending.route.may_repeat and sending.ran + 1 < sending.route.max_endpoints
         await sending.delivery.deliver(answer, marks, may_repeat)
-        return 0 if answer.closes_connection else marks.idle_s
+        return answer, marks
+
+    def _keep_or_close(
+        self, connection: EndpointConnection, answer: Answer, marks: AnswerMarks
+    ) -> None:
+        if answer.closes_connection or marks.idle_s == 0:
+            connection.abort("the endpoint closes it")
+        else:
+            self._links.release(connection, marks.idle_s)
 
     async def _own_answer(
         self, connection: EndpointConnection, attempt: str
@@ -192,9 +196,9 @@
         while True:
             answer = await connection.next_answer()
             marks = self._calls.read_answer(answer.status, answer.headers)
-            if marks.attempt == attempt or (marks.attempt is None and marks.not_run):
-                return answer, marks
-            if marks.wrong_instance:
+            # A refusal may bear no id; one that bears another request's says nothing of this one.
+            is_bare_refusal = marks.attempt is None and (marks.not_run or marks.wrong_instance)
+            if marks.attempt == attempt or is_bare_refusal:
                 return answer, marks
             eliot.log_message(
                 "answer.passed_over", attempt=attempt, found=marks.attempt, status=answer.status
