--- a/Makefile
+++ b/Makefile
@@ -3,7 +3,7 @@
 VENV := .venv
 BIN := $(VENV)/bin
 
-.PHONY: demo test soak bench capacity generate clean format
+.PHONY: demo test soak days bench capacity generate clean format
 
 $(VENV)/installed: pyproject.toml
 	test -x $(BIN)/python || $(PYTHON) -m venv $(VENV)
@@ -25,6 +25,10 @@
 soak: $(VENV)/installed
 	$(BIN)/python -m tests.soak.run --seeds $(SEEDS)
 
+# Days of our own on the users' bench; says so where the bench is absent.
+days:
+	bash tests/data/days/play.sh
+
 bench: $(VENV)/installed
 	$(BIN)/bayhinge bench path
 	$(BIN)/bayhinge bench recovery
