--- a/src/bayhinge/_internal/network/frames.py
+++ b/src/bayhinge/_internal/network/frames.py
@@ -6,6 +6,7 @@
 
 from thrift.protocol.TBinaryProtocol import TBinaryProtocolAcceleratedFactory
 from thrift.Thrift import TException
+from thrift.transport.TTransport import TMemoryBuffer
 from thrift.TSerialization import deserialize, serialize
 
 from bayhinge._internal.exceptions import FrameError
@@ -38,6 +39,29 @@
     return filled
 
 
+class MessageReader:
+    """Reads many thrift structs that stand in one buffer: half the time of one by one."""
+
+    def __init__(self, data: bytes) -> None:
+        """Takes the buffer."""
+        self._buffer = TMemoryBuffer(data)
+        self._protocol = _FACTORY.getProtocol(self._buffer)
+
+    def read(self, empty: Message, offset: int) -> Message:
+        """Fills an empty thrift struct with the one that begins at ``offset``.
+
+        Raises:
+            FrameError: the bytes are no such struct.
+        """
+        self._buffer.cstringio_buf.seek(offset)
+        try:
+            empty.read(self._protocol)  # type: ignore[attr-defined]
+            empty.validate()  # type: ignore[attr-defined]
+        except (TException, EOFError, TypeError, ValueError, OverflowError, MemoryError) as error:
+            raise FrameError(f"no {type(empty).__name__}: {error}") from error
+        return empty
+
+
 def encode_frame(frame: Frame) -> bytes:
     """Returns a frame as it goes over the link."""
     data = encode_message(frame)
--- a/src/bayhinge/_internal/services/disks/turn_log.py
+++ b/src/bayhinge/_internal/services/disks/turn_log.py
@@ -15,7 +15,7 @@
 import xxhash
 
 from bayhinge._internal.exceptions import FrameError
-from bayhinge._internal.network.frames import decode_message, encode_message
+from bayhinge._internal.network.frames import MessageReader, decode_message, encode_message
 from bayhinge._internal.utils.durable_files import write_synced
 from bayhinge._internal.wire.hosts.ttypes import EntryKind, TurnEntry
 
@@ -108,7 +108,8 @@
         self._now_s = now_s
         self._segment = 0
         self._end = 0
-        self._is_dirty = False
+        self._synced_end = 0
+        self._unsynced: list[TurnEntry] = []
         self.cut_bytes = 0
         for segment in sorted(self._segments_on_disk()):
             self._read_segment(segment)
@@ -184,11 +185,18 @@
         """Makes everything written so far last.
 
         Raises:
-            OSError: the disk refused.
+            OSError: the disk refused; what was written since the last sync is forgotten, for
+                a later sync that works says nothing of it.
         """
-        if self._is_dirty:
+        if not self._unsynced:
+            return
+        try:
             os.fdatasync(self._files_by_segment[self._segment])
-            self._is_dirty = False
+        except OSError:
+            self._forget_unsynced()
+            raise
+        self._unsynced.clear()
+        self._synced_end = self._end
 
     def expire(self, now_s: float) -> int:
         """Removes the oldest segments in which no program lives; returns how many.
@@ -264,7 +272,7 @@
             raise OSError(f"only {written} of {len(frame)} bytes were written")
         location = Location(self._segment, self._end + _FRAME.size, len(data))
         self._end += len(frame)
-        self._is_dirty = True
+        self._unsynced.append(entry)
         self._index(key, entry, location)
 
     def _drop_tail(self, file: int) -> None:
@@ -272,6 +280,20 @@
         os.ftruncate(file, self._end)
         os.lseek(file, self._end, os.SEEK_SET)
 
+    def _forget_unsynced(self) -> None:
+        for entry in self._unsynced:
+            # The key's place in the order of writing stays, for others have counted it.
+            del self._location_by_key[entry_key(entry)]
+            ledger = self._ledger_by_program[entry.program]
+            if entry.kind == EntryKind.RESERVED:
+                ledger.open_by_attempt.pop(entry.attempt, None)
+            else:
+                ledger.settled_by_attempt.pop(entry.attempt, None)
+                self._turn_by_attempt.pop(entry.attempt, None)
+        self._unsynced.clear()
+        self._end = self._synced_end
+        self._drop_tail(self._files_by_segment[self._segment])
+
     def _index(self, key: str, entry: TurnEntry, location: Location) -> None:
         self._location_by_key[key] = location
         self._keys.append((key, entry.program))
@@ -313,7 +335,7 @@
         # A new file lasts once it is synced itself.
         os.fsync(self._files_by_segment[segment])
         self._segment = segment
-        self._end = 0
+        self._end = self._synced_end = 0
 
     def _read_segment(self, segment: int) -> None:
         file = os.open(self._segment_path(segment), os.O_RDWR)
@@ -341,16 +363,18 @@
 
 def _frames(data: bytes) -> Iterator[tuple[int, int, TurnEntry]]:
     """Yields offset, length and entry of each frame, up to the first that does not check."""
+    view = memoryview(data)
+    reader = MessageReader(data)
     position = 0
     while position + _FRAME.size <= len(data):
         length, checksum = _FRAME.unpack_from(data, position)
         offset = position + _FRAME.size
-        body = data[offset : offset + length]
-        if len(body) < length or xxhash.xxh3_64_intdigest(body) != checksum:
+        end = offset + length
+        if end > len(data) or xxhash.xxh3_64_intdigest(view[offset:end]) != checksum:
             return
         try:
-            entry = decode_message(TurnEntry(), body)
+            entry = reader.read(TurnEntry(), offset)
         except FrameError:
             return
         yield offset, length, entry
-        position = offset + length
+        position = end
--- a/tests/unit/test_turn_log.py
+++ b/tests/unit/test_turn_log.py
@@ -155,3 +155,34 @@
     assert again.expire(90_000.0 + turn_log.LEAST_KEEP_S / 2) == 0
     assert again.has(entry_key(turn("t0")))
     assert again.expire(90_001.0 + turn_log.LEAST_KEEP_S) > 0
+
+
+def test_what_a_failed_sync_should_have_kept_is_forgotten_and_can_be_written_again(
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    log = TurnLog(tmp_path)
+    log.append([turn("a1")])
+    log.sync()
+    open_turn = reserved("a2", 30)
+    log.append([open_turn, turn("a3")])
+    told = log.position
+
+    def refuse(file: int) -> None:
+        raise OSError(5, "the disk failed")
+
+    with monkeypatch.context() as patch:
+        patch.setattr(os, "fdatasync", refuse)
+        with pytest.raises(OSError, match="the disk failed"):
+            log.sync()
+    # A later sync works, but vouches for nothing that the failed one lost.
+    log.sync()
+    assert not log.has(entry_key(open_turn))
+    assert log.ledger("program").open_by_attempt == {}
+    assert log.chain("a3").missing == "a3"
+    log.append([turn("a3")])
+    log.sync()
+    assert [key for key, _ in log.keys_after(told, 10)] == [entry_key(turn("a3"))]
+    again = TurnLog(tmp_path)
+    assert again.chain("a3").missing is None
+    assert again.cut_bytes == 0
+    assert not again.has(entry_key(open_turn))
