--- a/src/bayhinge/_internal/services/gateway/turn_keeper.py
+++ b/src/bayhinge/_internal/services/gateway/turn_keeper.py
@@ -40,6 +40,10 @@
 HISTORY_HEDGE_S = 0.06
 """Time that the nearest disk's history is waited for once enough disks have answered."""
 
+REOPEN_PAUSE_S = 0.1
+"""Between two tries to reach a disk that refused at once: one that restarts is back within a
+second, and a caller has few tries."""
+
 CLOSE_PAUSE_S = 0.1
 """Between two tries to make a turn last."""
 
@@ -155,15 +159,15 @@
         entry = wire.TurnEntry(wire.EntryKind.RESERVED, attempt, context.program, reserved)
         reservation = entry if reserved else None
         needed = reservations_needed(len(members), self._tolerated) if reserved else 1
+        is_decided = asyncio.Event()
         tasks = [
             self._start(
-                self._call(
+                self._reserve_at(
                     member,
-                    methods.RESERVE,
                     encode_message(
                         wire.ReserveTurn(reservation, context.previous, member is members[0])
                     ),
-                    wire.ReserveReply(),
+                    is_decided,
                 )
             )
             for member in members
@@ -174,6 +178,8 @@
             # The caller left: what the disks have taken meanwhile must not stay set aside.
             self.settle(OpenTurn(attempt, context, b"", "", reserved), 0)
             raise
+        finally:
+            is_decided.set()
         if len(replies) >= needed:
             return replies
         eliot.log_message(
@@ -186,6 +192,16 @@
         self.settle(OpenTurn(attempt, context, b"", "", reserved), 0)
         raise _too_few_disks(len(replies), needed)
 
+    async def _reserve_at(
+        self, member: wire.DiskMember, message: bytes, is_decided: asyncio.Event
+    ) -> wire.ReserveReply | None:
+        """Asks one disk, again where it can't be reached, until the turn needs it no more."""
+        while True:
+            reply = await self._call(member, methods.RESERVE, message, wire.ReserveReply())
+            if reply is not None or is_decided.is_set():
+                return reply
+            await asyncio.sleep(REOPEN_PAUSE_S)
+
     async def _first_replies(
         self,
         tasks: list[asyncio.Task[wire.ReserveReply | None]],
--- a/tests/functional/test_platform_hosts.py
+++ b/tests/functional/test_platform_hosts.py
@@ -219,6 +219,20 @@
     run_site(tmp_path, scenario)
 
 
+def test_a_turn_waits_a_moment_for_disks_that_restart(tmp_path: Path) -> None:
+    async def scenario(site: PlatformSite) -> None:
+        first = await site.turn(b"hello")
+        for name in ("disk-0", "disk-1"):
+            await site.stop_disk(name)
+        turn = asyncio.ensure_future(site.turn(b"more", first))
+        await asyncio.sleep(0.1)
+        assert not turn.done(), "two of three disks refuse at once"
+        await site.start_disk("disk-0", first_start=False)
+        assert (await turn).status == 200
+
+    run_site(tmp_path, scenario)
+
+
 def test_without_two_disks_no_turn_ends_as_whole(tmp_path: Path) -> None:
     async def scenario(site: PlatformSite) -> None:
         await site.stop_disk("disk-0")
