Place requests by a home in each hall; keep callers in their hall; list only living hosts

Each hall has a home, found by hashing over its ready hosts, that knows from datagrams what every host has under way at the hall's endpoints; it is asked for an endpoint, and what it grants counts at once. Where it does not answer within 40 ms, the host decides alone as before. Hosts tell it which endpoints fail them, and a success no longer wipes out an endpoint's failures. Callers are told of their own hall's hosts where it has 8 or more, and of hosts heard in 3.5 s. First turns stay in their hall while it has room.

Turn texts do not compress (3741 bytes to 3752): ruled out for the bytes between halls.

--- a/idl/hosts.thrift
+++ b/idl/hosts.thrift
@@ -96,3 +96,44 @@
 
 // A call that a host passes on to another, which the sender can't reach itself.
 struct RelayCall { 1: required string address, 2: required string method, 3: required binary payload }
+
+// What one host has under way at the endpoints of one hall. `beat` orders what a start of the
+// host says; `last_grant` is the newest grant of the hall's home that is counted in here.
+struct HostLoads {
+  1: required string host,
+  2: required i64 incarnation,
+  3: required i64 beat,
+  4: required i64 last_grant,
+  5: required map<string, i32> running_by_endpoint,
+  6: required list<string> resting,
+}
+
+// What all hosts together have under way at the endpoints of one hall, as its home knows it.
+struct HallLoads {
+  1: required string hall,
+  2: required string host,
+  3: required i64 incarnation,
+  4: required i64 beat,
+  5: required map<string, i32> running_by_endpoint,
+}
+
+// A datagram between entry hosts: one of the two.
+struct LoadNews { 1: optional HostLoads host, 2: optional HallLoads hall }
+
+// Asks a hall's home for an endpoint. `wished` holds the request's history, or is empty;
+// `avoid` names endpoints that the asking host will not send to.
+struct PlaceCall {
+  1: required HostLoads loads,
+  2: required string service_name,
+  3: required string wished,
+  4: required string shared_part,
+  5: required list<string> avoid,
+}
+
+// `endpoint` is empty where none is left. A host that is not the hall's home says which
+// one is, in `home`, and grants nothing.
+struct PlaceReply {
+  1: required string endpoint,
+  2: required i64 grant,
+  3: optional string home,
+}
--- a/src/bayhinge/_internal/decisions/endpoint_book.py
+++ b/src/bayhinge/_internal/decisions/endpoint_book.py
@@ -12,24 +12,44 @@
 
 LONGEST_EJECTION_S = 8.0
 
+FAILURE_DECAY = 0.8
+"""What a success leaves of the failures before it. An endpoint that fails a part of its requests
+while the others succeed rests longer each time; one that failed once is trusted again soon."""
+
+TRUSTED_FAILURES = 2.0
+"""A success ends the rest of an endpoint that has had no more failures of late: one in twenty
+answers lost stays below it, two in five failed requests soon pass it."""
+
+COMPLAINT_COST = 0.15
+"""Load, as a share of slots, that one host's bad experience with an endpoint counts for at its
+hall's home: one complaint rarely moves work, four keep it away while others have room."""
+
 CACHE_SLACK = 0.3
-"""Load, as a share of an endpoint's slots, that a request accepts for a warm cache."""
+"""Load, as a share of an endpoint's slots, that a request accepts for its program's own cache."""
 
-OTHER_HALL_COST = 0.02
-"""Load, as a share of slots, that a request accepts to stay in its own hall."""
+SHARED_SLACK = 0.1
+"""The same for parts that many programs share: after a while most endpoints have read them."""
+
+OTHER_HALL_COST = 0.15
+"""Load, as a share of slots, that a request accepts to stay in its own hall. A program's turns
+follow its first one, so each one that goes abroad carries a whole history between halls."""
 
 
 @attrs.define
 class EndpointBelief:
     """One endpoint: its entry, the work it has, and how it did lately.
 
-    ``is_doubtful``: its entry has vanished, for a reason that is not known yet.
+    Attributes:
+        failures: those of late, each success takes a part of them away.
+        complaints: other hosts at which it failed a moment ago, as far as they were heard.
+        is_doubtful: its entry has vanished, for a reason that is not known yet.
     """
 
     entry: EndpointEntry
     running_here: int = 0
     running_at_peers: int = 0
-    failures_in_a_row: int = 0
+    failures: float = 0.0
+    complaints: int = 0
     ejected_until_s: float = 0.0
     is_doubtful: bool = False
 
@@ -38,6 +58,11 @@
         """Requests under way, as a share of the slots."""
         return (self.running_here + self.running_at_peers) / max(1, self.entry.slots)
 
+    @property
+    def burden(self) -> float:
+        """The load, and what speaks against the endpoint in the same measure."""
+        return self.load + COMPLAINT_COST * self.complaints
+
 
 @attrs.frozen
 class Wish:
@@ -95,18 +120,27 @@
         """An endpoint gave a whole answer."""
         belief = self._belief_by_instance.get(instance)
         if belief is not None:
-            belief.failures_in_a_row = 0
-            belief.ejected_until_s = 0.0
+            belief.failures *= FAILURE_DECAY
+            if belief.failures <= TRUSTED_FAILURES:
+                belief.ejected_until_s = 0.0
 
     def note_failure(self, instance: str, now_s: float) -> None:
         """An endpoint could not be reached, or broke off."""
         belief = self._belief_by_instance.get(instance)
         if belief is None:
             return
-        rest_s = min(LONGEST_EJECTION_S, FIRST_EJECTION_S * 2**belief.failures_in_a_row)
-        belief.failures_in_a_row += 1
+        rest_s = min(LONGEST_EJECTION_S, FIRST_EJECTION_S * 2**belief.failures)
+        belief.failures += 1
         belief.ejected_until_s = now_s + rest_s
 
+    def resting(self, now_s: float) -> set[str]:
+        """Returns the endpoints that failed here a moment ago."""
+        return {
+            instance
+            for instance, belief in self._belief_by_instance.items()
+            if belief.ejected_until_s > now_s
+        }
+
     def choose(
         self, service: str, wish: Wish, tried: Iterable[str], now_s: float
     ) -> EndpointBelief | None:
@@ -128,18 +162,24 @@
         if not candidates:
             return None
         least = min(candidates, key=self._cost)
-        for instance in self._wished(candidates, wish):
-            belief = self._belief_by_instance[instance]
-            if belief.load <= least.load + CACHE_SLACK:
-                return belief
-        return least
-
-    def _wished(self, candidates: list[EndpointBelief], wish: Wish) -> list[str]:
-        instances = [belief.entry.instance for belief in candidates]
-        if wish.endpoint in instances:
-            return [wish.endpoint]
-        return rank(wish.shared_part, instances) if wish.shared_part else []
+        wished = [belief for belief in candidates if belief.entry.instance == wish.endpoint]
+        slack = CACHE_SLACK
+        if not wished and wish.shared_part:
+            wished, slack = self._by_shared_part(candidates, wish.shared_part), SHARED_SLACK
+        fitting = (belief for belief in wished if belief.burden <= least.burden + slack)
+        return next(fitting, least)
+
+    def _by_shared_part(
+        self, candidates: list[EndpointBelief], shared_part: str
+    ) -> list[EndpointBelief]:
+        """Returns the endpoints in the order in which requests with a shared part gather.
+
+        Each hall gathers them on its own endpoints, where it has any.
+        """
+        near = [belief for belief in candidates if belief.entry.hall == self._hall]
+        names = [belief.entry.instance for belief in near or candidates]
+        return [self._belief_by_instance[name] for name in rank(shared_part, names)]
 
     def _cost(self, belief: EndpointBelief) -> tuple[float, str]:
         away = OTHER_HALL_COST if belief.entry.hall != self._hall else 0.0
-        return belief.load + away, belief.entry.instance
+        return belief.burden + away, belief.entry.instance
--- a/src/bayhinge/_internal/services/gateway/figures.py
+++ b/src/bayhinge/_internal/services/gateway/figures.py
@@ -27,6 +27,9 @@
         "endpoint_connections_opened_total": gateway.links.counts.opened,
         "endpoint_connections_reused_total": gateway.links.counts.reused,
         "endpoint_connections_with_surplus_total": gateway.links.counts.dropped_with_surplus,
+        "placed_by_home_total": gateway.placer.counts.by_home,
+        "placed_as_home_total": gateway.placer.counts.as_home,
+        "placed_alone_total": gateway.placer.counts.alone,
         "is_ready": gateway.is_ready,
         "is_leaving": gateway.is_leaving,
     }
--- a/src/bayhinge/_internal/services/gateway/gateway.py
+++ b/src/bayhinge/_internal/services/gateway/gateway.py
@@ -1,11 +1,13 @@
 """The entry host's service on a platform: starts the parts, tells the others, stops in order."""
 
 import asyncio
+import random
 from collections.abc import AsyncIterator, Awaitable, Callable, Iterable, Mapping
 
 import eliot
 from mode import Service
 
+from bayhinge._internal.decisions.caller_addresses import ReadyHost, addresses_for
 from bayhinge._internal.decisions.endpoint_book import EndpointBook
 from bayhinge._internal.exceptions import FrameError, PeerFailureError, PeerUnreachableError
 from bayhinge._internal.models.refusals import RefusalCode, RefusedError, refuse_unaccepted
@@ -18,7 +20,10 @@
 from bayhinge._internal.services.gateway.beliefs import ConfigurationBelief, EndpointBelief
 from bayhinge._internal.services.gateway.disk_directory import DiskDirectory
 from bayhinge._internal.services.gateway.disk_link import DiskLink
+from bayhinge._internal.services.gateway.hall_homes import HallHomes
+from bayhinge._internal.services.gateway.load_exchange import LoadExchange
 from bayhinge._internal.services.gateway.outside import Platform
+from bayhinge._internal.services.gateway.placement import HomePlacer
 from bayhinge._internal.services.gateway.request_service import RequestService
 from bayhinge._internal.services.gateway.sending import Sender
 from bayhinge._internal.services.gateway.turn_keeper import TurnKeeper
@@ -45,6 +50,10 @@
 ADDRESS_KEEP_S = 1.0
 """How long callers may keep an answer about addresses; some keep it three times as long."""
 
+LISTED_S = 3.5
+"""Callers are told of hosts that were heard so lately. Hosts of the own hall greet every 1.2 s on
+a site of 80 hosts; those of other halls are heard by turns, so some are always missing there."""
+
 STOP_MARGIN_S = 1.2
 """Part of the grace time that is left for closing when requests are still running."""
 
@@ -86,15 +95,19 @@
         )
         self.link = DiskLink(self.disks, self.gossip, self.peers)
         self.keeper = TurnKeeper(self.disks, self.link, settings.tolerated_disks)
+        self.homes = HallHomes(self.gossip)
+        self.exchange = LoadExchange(self.gossip.me, self.book, self.homes)
+        self.placer = HomePlacer(self.book, self.homes, self.exchange, self.peers, settings.hall)
         self.latencies = Latencies()
         self.requests = RequestService(
             self.configuration,
             platform.calls,
-            Sender(self.book, self.links, platform.calls),
+            Sender(self.book, self.links, platform.calls, self.placer),
             self.keeper,
             self.latencies,
         )
         self.front = RoutedFront(settings.front_address, self.requests)
+        self._random = random.Random()
         self.is_leaving = False
 
     async def on_start(self) -> None:
@@ -106,6 +119,7 @@
         self.gossip.on_round = self._sum_loads
         self.disks.on_change = self._disks_changed
         await self.gossip.start()
+        await self.exchange.start()
         registry = HostRegistry(self._platform.store, self.settings)
         duty_by_name: Mapping[str, Callable[[], Awaitable[None]]] = {
             f"follow {prefix}": follower.run
@@ -133,6 +147,7 @@
         limit_s = began_s + self.settings.grace_s - STOP_MARGIN_S
         await self.front.wait_until_idle(limit_s - loop.time())
         await self.keeper.drain(max(0.0, min(0.3, limit_s - loop.time())))
+        await self.exchange.stop()
         await self.gossip.stop()
         await self.front.stop()
         await self._listener.stop()
@@ -161,20 +176,17 @@
         """Returns the public addresses of ready hosts, those near a caller first."""
         ready = [
             hello
-            for hello in self.gossip.fresh(wire.HostRole.ENTRY)
+            for hello in self.gossip.heard_within(wire.HostRole.ENTRY, LISTED_S)
             if hello.phase == wire.HostPhase.READY
         ]
         if self.is_ready:
             ready.append(self.gossip.me)
         regions = self.settings.region_by_hall
-        ready.sort(
-            key=lambda hello: (
-                hello.hall != hall,
-                regions.get(hello.hall) != region,
-                hello.public_address,
-            )
-        )
-        return [hello.public_address for hello in ready]
+        hosts = [
+            ReadyHost(hello.public_address, hello.hall, regions.get(hello.hall, ""))
+            for hello in ready
+        ]
+        return addresses_for(hosts, hall, region, self._random)
 
     # ---- hellos ----
 
@@ -214,6 +226,10 @@
 
     def _sum_loads(self) -> None:
         self.book.hear_loads(_sum_loads(self.gossip.fresh(wire.HostRole.ENTRY)))
+        self.homes.refresh()
+        if self.homes.mine:
+            # A home knows better, but for halls whose homes are silent.
+            self.exchange.refresh_book()
 
     def _disks_changed(self, disk_set: wire.DiskSet) -> None:
         self.gossip.me.disk_set_version = disk_set.version
@@ -248,6 +264,9 @@
             yield encode_message(follower.known())
         elif method == methods.RELAY:
             yield await self._relay(decode_message(wire.RelayCall(), payload))
+        elif method == methods.PLACE:
+            call = decode_message(wire.PlaceCall(), payload)
+            yield encode_message(self._gateway.placer.answer(call))
         elif method == methods.DISK_SET:
             yield encode_message(self._gateway.disks.disk_set)
         else:
--- /dev/null
+++ b/src/bayhinge/_internal/services/gateway/hall_homes.py
@@ -0,0 +1,108 @@
+"""Which host of each hall is the home of the hall's endpoints, as one host believes.
+
+A home is found by hashing over the hall's ready hosts. Two hosts may disagree for a moment:
+then loads are known less well, and nothing else.
+"""
+
+import asyncio
+
+import attrs
+import eliot
+
+from bayhinge._internal.services.gossip import Gossip
+from bayhinge._internal.wire.hosts import ttypes as wire
+from bayhinge.coordination.rendezvous import choose
+
+SUSPECT_S = 1.0
+"""A home that did not answer is passed over for so long at least, and until it is heard again."""
+
+
+@attrs.frozen
+class Home:
+    """The home of one hall's endpoints.
+
+    Attributes:
+        address: where its peers reach it, by TCP for calls and by UDP for loads.
+    """
+
+    hall: str
+    host: str
+    address: str
+
+
+class HallHomes:
+    """The homes of all halls."""
+
+    def __init__(self, gossip: Gossip) -> None:
+        """Takes what is heard of hosts."""
+        self._gossip = gossip
+        self._home_by_hall: dict[str, Home] = {}
+        self._suspect_since_by_host: dict[str, float] = {}
+
+    def home_of(self, hall: str) -> Home | None:
+        """Returns a hall's home, or None where no host of it is known."""
+        return self._home_by_hall.get(hall)
+
+    @property
+    def mine(self) -> str:
+        """The hall whose home this host is, or empty."""
+        me = self._gossip.me
+        home = self._home_by_hall.get(me.hall)
+        return me.hall if home is not None and home.host == me.host else ""
+
+    def others(self) -> list[Home]:
+        """Returns the homes of halls that are not this host's own duty."""
+        return [home for home in self._home_by_hall.values() if home.host != self._gossip.me.host]
+
+    def refresh(self) -> None:
+        """Works out every home anew from the hosts that are heard."""
+        me = self._gossip.me
+        hello_by_host = {
+            hello.host: hello
+            for hello in (*self._gossip.fresh(wire.HostRole.ENTRY), me)
+            if hello.phase == wire.HostPhase.READY
+        }
+        hosts_by_hall: dict[str, list[str]] = {}
+        for hello in hello_by_host.values():
+            if not self._is_suspect(hello.host):
+                hosts_by_hall.setdefault(hello.hall, []).append(hello.host)
+        before = self._home_by_hall
+        self._home_by_hall = {}
+        for hall, hosts in hosts_by_hall.items():
+            host = choose(f"home of {hall}", hosts)
+            if host is not None:
+                self._home_by_hall[hall] = Home(hall, host, hello_by_host[host].peer_address)
+        if before.get(me.hall) != self._home_by_hall.get(me.hall):
+            home = self._home_by_hall.get(me.hall)
+            eliot.log_message(
+                "home.changed", hall=me.hall, home=home.host if home else "", heard=len(hosts)
+            )
+
+    def suspect(self, home: Home, why: str) -> None:
+        """A home did not answer."""
+        eliot.log_message("home.silent", hall=home.hall, home=home.host, why=why)
+        self._suspect_since_by_host[home.host] = _now()
+        self.refresh()
+
+    def redirect(self, hall: str, host: str) -> Home | None:
+        """Takes another host's word on who a hall's home is; None where it is not to be had."""
+        if self._is_suspect(host):
+            return None
+        for hello in self._gossip.fresh(wire.HostRole.ENTRY):
+            if hello.host == host:
+                home = self._home_by_hall[hall] = Home(hall, host, hello.peer_address)
+                return home
+        return None
+
+    def _is_suspect(self, host: str) -> bool:
+        since_s = self._suspect_since_by_host.get(host)
+        if since_s is None:
+            return False
+        if _now() < since_s + SUSPECT_S or self._gossip.heard_s(host) < since_s:
+            return True
+        del self._suspect_since_by_host[host]
+        return False
+
+
+def _now() -> float:
+    return asyncio.get_running_loop().time()
--- a/src/bayhinge/_internal/services/gateway/sending.py
+++ b/src/bayhinge/_internal/services/gateway/sending.py
@@ -20,6 +20,7 @@
     UnreachableError,
 )
 from bayhinge._internal.services.gateway.outside import CallFormat
+from bayhinge._internal.services.gateway.placement import OwnPlacer, Placer
 from bayhinge._internal.services.gateway.turn_keeper import OpenTurn
 
 MOST_UNTAKEN_SENDS = 4
@@ -77,9 +78,16 @@
 class Sender:
     """Chooses endpoints and speaks to them."""
 
-    def __init__(self, book: EndpointBook, links: EndpointLinks, calls: CallFormat) -> None:
-        """Takes the endpoints, the connections and the format of calls."""
+    def __init__(
+        self,
+        book: EndpointBook,
+        links: EndpointLinks,
+        calls: CallFormat,
+        placer: Placer | None = None,
+    ) -> None:
+        """Takes the endpoints, the connections, the format of calls, and who chooses."""
         self._book = book
+        self._placer = placer or OwnPlacer(book)
         self._links = links
         self._calls = calls
 
@@ -110,7 +118,7 @@
             delivery,
         )
         while True:
-            belief = self._next_endpoint(sending)
+            belief = await self._next_endpoint(sending)
             try:
                 await self._send_to(belief, sending)
                 return
@@ -127,11 +135,10 @@
                 self._note_failure(belief, sending, error.why)
                 self._give_up_unless_repeatable(sending, error)
 
-    def _next_endpoint(self, sending: _Sending) -> Belief:
-        now = asyncio.get_running_loop().time()
+    async def _next_endpoint(self, sending: _Sending) -> Belief:
         belief = None
         if sending.untaken < MOST_UNTAKEN_SENDS:
-            belief = self._book.choose(sending.service, sending.wish, sending.tried, now)
+            belief = await self._placer.place(sending.service, sending.wish, sending.tried)
         if belief is None:
             code = RefusalCode.OUTCOME_UNKNOWN if sending.ran else RefusalCode.NO_ENDPOINT
             why = f"none of {len(sending.tried)} endpoint(s) of the service took the request"
@@ -154,6 +161,7 @@
             self._book.note_success(belief.entry.instance)
         finally:
             belief.running_here -= 1
+            self._placer.note_ended(belief)
             if connection is not None and not is_clean:
                 # Also tells the endpoint to stop: the caller has left or the time is over.
                 connection.abort("given up")
--- a/src/bayhinge/_internal/services/gossip.py
+++ b/src/bayhinge/_internal/services/gossip.py
@@ -23,7 +23,7 @@
 """Between two rounds of hellos, in a site of up to ``PERIOD_HOSTS`` hosts; longer in larger
 ones, whose hosts hear the same news from more sides."""
 
-PERIOD_HOSTS = 30
+PERIOD_HOSTS = 60
 
 FIRST_PERIOD_S = 0.05
 FIRST_S = 1.5
@@ -32,9 +32,9 @@
 NEAR_TARGETS = 5
 FAR_TARGETS = 2
 """Hosts of the own hall, and of other halls, that one round goes to, each in its turn. A
-hello with eight addresses and four loads has 437 bytes: at most 10 KB a second on a small site,
-less on larger ones, where rounds are rarer. Where one kind has fewer hosts, the other gets its
-places."""
+hello with four addresses and four loads has some 370 bytes: at most 9 KB a second on a small
+site, less on larger ones, where rounds are rarer. Where one kind has fewer hosts, the other
+gets its places."""
 
 ALL_TARGETS = NEAR_TARGETS + FAR_TARGETS
 
@@ -46,7 +46,7 @@
 FORGET_S = 60.0
 """An address that was silent for so long is not greeted any more."""
 
-MOST_KNOWN = 8
+MOST_KNOWN = 4
 """Addresses that a hello names, drawn anew each time."""
 
 
@@ -140,6 +140,20 @@
             and heard.heard_s >= (near_since_s if heard.hello.hall == own_hall else far_since_s)
         ]
 
+    def heard_within(self, role: HostRole, seconds: float) -> list[Hello]:
+        """Returns the newest hellos of hosts that were heard in the last ``seconds``."""
+        since_s = asyncio.get_running_loop().time() - seconds
+        return [
+            heard.hello
+            for heard in self._heard_by_host.values()
+            if heard.hello.role == role and heard.heard_s >= since_s
+        ]
+
+    def heard_s(self, host: str) -> float:
+        """Returns when a host was last heard, on the loop's clock; 0 if it never was."""
+        heard = self._heard_by_host.get(host)
+        return 0.0 if heard is None else heard.heard_s
+
     def _set_fresh_times(self, near: int, far: int) -> None:
         """Works out which silence is usual, from the counts of hosts known here."""
         period_s = self._period_s()
--- a/src/bayhinge/_internal/wire/hosts/ttypes.py
+++ b/src/bayhinge/_internal/wire/hosts/ttypes.py
@@ -1822,6 +1822,613 @@
 
     def __ne__(self, other):
         return not (self == other)
+
+
+class HostLoads(object):
+    """
+    Attributes:
+     - host
+     - incarnation
+     - beat
+     - last_grant
+     - running_by_endpoint
+     - resting
+
+    """
+
+    __slots__ = (
+        'host',
+        'incarnation',
+        'beat',
+        'last_grant',
+        'running_by_endpoint',
+        'resting',
+    )
+
+
+    def __init__(self, host=None, incarnation=None, beat=None, last_grant=None, running_by_endpoint=None, resting=None,):
+        self.host = host
+        self.incarnation = incarnation
+        self.beat = beat
+        self.last_grant = last_grant
+        self.running_by_endpoint = running_by_endpoint
+        self.resting = resting
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.STRING:
+                    self.host = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.I64:
+                    self.incarnation = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.I64:
+                    self.beat = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 4:
+                if ftype == TType.I64:
+                    self.last_grant = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 5:
+                if ftype == TType.MAP:
+                    self.running_by_endpoint = {}
+                    (_ktype95, _vtype96, _size94) = iprot.readMapBegin()
+                    for _i98 in range(_size94):
+                        _key99 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        _val100 = iprot.readI32()
+                        self.running_by_endpoint[_key99] = _val100
+                    iprot.readMapEnd()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 6:
+                if ftype == TType.LIST:
+                    self.resting = []
+                    (_etype104, _size101) = iprot.readListBegin()
+                    for _i105 in range(_size101):
+                        _elem106 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        self.resting.append(_elem106)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('HostLoads')
+        if self.host is not None:
+            oprot.writeFieldBegin('host', TType.STRING, 1)
+            oprot.writeString(self.host.encode('utf-8') if sys.version_info[0] == 2 else self.host)
+            oprot.writeFieldEnd()
+        if self.incarnation is not None:
+            oprot.writeFieldBegin('incarnation', TType.I64, 2)
+            oprot.writeI64(self.incarnation)
+            oprot.writeFieldEnd()
+        if self.beat is not None:
+            oprot.writeFieldBegin('beat', TType.I64, 3)
+            oprot.writeI64(self.beat)
+            oprot.writeFieldEnd()
+        if self.last_grant is not None:
+            oprot.writeFieldBegin('last_grant', TType.I64, 4)
+            oprot.writeI64(self.last_grant)
+            oprot.writeFieldEnd()
+        if self.running_by_endpoint is not None:
+            oprot.writeFieldBegin('running_by_endpoint', TType.MAP, 5)
+            oprot.writeMapBegin(TType.STRING, TType.I32, len(self.running_by_endpoint))
+            for kiter107, viter108 in self.running_by_endpoint.items():
+                oprot.writeString(kiter107.encode('utf-8') if sys.version_info[0] == 2 else kiter107)
+                oprot.writeI32(viter108)
+            oprot.writeMapEnd()
+            oprot.writeFieldEnd()
+        if self.resting is not None:
+            oprot.writeFieldBegin('resting', TType.LIST, 6)
+            oprot.writeListBegin(TType.STRING, len(self.resting))
+            for iter109 in self.resting:
+                oprot.writeString(iter109.encode('utf-8') if sys.version_info[0] == 2 else iter109)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        if self.host is None:
+            raise TProtocolException(message='Required field host is unset!')
+        if self.incarnation is None:
+            raise TProtocolException(message='Required field incarnation is unset!')
+        if self.beat is None:
+            raise TProtocolException(message='Required field beat is unset!')
+        if self.last_grant is None:
+            raise TProtocolException(message='Required field last_grant is unset!')
+        if self.running_by_endpoint is None:
+            raise TProtocolException(message='Required field running_by_endpoint is unset!')
+        if self.resting is None:
+            raise TProtocolException(message='Required field resting is unset!')
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
+class HallLoads(object):
+    """
+    Attributes:
+     - hall
+     - host
+     - incarnation
+     - beat
+     - running_by_endpoint
+
+    """
+
+    __slots__ = (
+        'hall',
+        'host',
+        'incarnation',
+        'beat',
+        'running_by_endpoint',
+    )
+
+
+    def __init__(self, hall=None, host=None, incarnation=None, beat=None, running_by_endpoint=None,):
+        self.hall = hall
+        self.host = host
+        self.incarnation = incarnation
+        self.beat = beat
+        self.running_by_endpoint = running_by_endpoint
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.STRING:
+                    self.hall = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.STRING:
+                    self.host = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.I64:
+                    self.incarnation = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 4:
+                if ftype == TType.I64:
+                    self.beat = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 5:
+                if ftype == TType.MAP:
+                    self.running_by_endpoint = {}
+                    (_ktype111, _vtype112, _size110) = iprot.readMapBegin()
+                    for _i114 in range(_size110):
+                        _key115 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        _val116 = iprot.readI32()
+                        self.running_by_endpoint[_key115] = _val116
+                    iprot.readMapEnd()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('HallLoads')
+        if self.hall is not None:
+            oprot.writeFieldBegin('hall', TType.STRING, 1)
+            oprot.writeString(self.hall.encode('utf-8') if sys.version_info[0] == 2 else self.hall)
+            oprot.writeFieldEnd()
+        if self.host is not None:
+            oprot.writeFieldBegin('host', TType.STRING, 2)
+            oprot.writeString(self.host.encode('utf-8') if sys.version_info[0] == 2 else self.host)
+            oprot.writeFieldEnd()
+        if self.incarnation is not None:
+            oprot.writeFieldBegin('incarnation', TType.I64, 3)
+            oprot.writeI64(self.incarnation)
+            oprot.writeFieldEnd()
+        if self.beat is not None:
+            oprot.writeFieldBegin('beat', TType.I64, 4)
+            oprot.writeI64(self.beat)
+            oprot.writeFieldEnd()
+        if self.running_by_endpoint is not None:
+            oprot.writeFieldBegin('running_by_endpoint', TType.MAP, 5)
+            oprot.writeMapBegin(TType.STRING, TType.I32, len(self.running_by_endpoint))
+            for kiter117, viter118 in self.running_by_endpoint.items():
+                oprot.writeString(kiter117.encode('utf-8') if sys.version_info[0] == 2 else kiter117)
+                oprot.writeI32(viter118)
+            oprot.writeMapEnd()
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        if self.hall is None:
+            raise TProtocolException(message='Required field hall is unset!')
+        if self.host is None:
+            raise TProtocolException(message='Required field host is unset!')
+        if self.incarnation is None:
+            raise TProtocolException(message='Required field incarnation is unset!')
+        if self.beat is None:
+            raise TProtocolException(message='Required field beat is unset!')
+        if self.running_by_endpoint is None:
+            raise TProtocolException(message='Required field running_by_endpoint is unset!')
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
+class LoadNews(object):
+    """
+    Attributes:
+     - host
+     - hall
+
+    """
+
+    __slots__ = (
+        'host',
+        'hall',
+    )
+
+
+    def __init__(self, host=None, hall=None,):
+        self.host = host
+        self.hall = hall
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.STRUCT:
+                    self.host = HostLoads()
+                    self.host.read(iprot)
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.STRUCT:
+                    self.hall = HallLoads()
+                    self.hall.read(iprot)
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('LoadNews')
+        if self.host is not None:
+            oprot.writeFieldBegin('host', TType.STRUCT, 1)
+            self.host.write(oprot)
+            oprot.writeFieldEnd()
+        if self.hall is not None:
+            oprot.writeFieldBegin('hall', TType.STRUCT, 2)
+            self.hall.write(oprot)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
+class PlaceCall(object):
+    """
+    Attributes:
+     - loads
+     - service_name
+     - wished
+     - shared_part
+     - avoid
+
+    """
+
+    __slots__ = (
+        'loads',
+        'service_name',
+        'wished',
+        'shared_part',
+        'avoid',
+    )
+
+
+    def __init__(self, loads=None, service_name=None, wished=None, shared_part=None, avoid=None,):
+        self.loads = loads
+        self.service_name = service_name
+        self.wished = wished
+        self.shared_part = shared_part
+        self.avoid = avoid
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.STRUCT:
+                    self.loads = HostLoads()
+                    self.loads.read(iprot)
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.STRING:
+                    self.service_name = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.STRING:
+                    self.wished = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 4:
+                if ftype == TType.STRING:
+                    self.shared_part = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 5:
+                if ftype == TType.LIST:
+                    self.avoid = []
+                    (_etype122, _size119) = iprot.readListBegin()
+                    for _i123 in range(_size119):
+                        _elem124 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        self.avoid.append(_elem124)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('PlaceCall')
+        if self.loads is not None:
+            oprot.writeFieldBegin('loads', TType.STRUCT, 1)
+            self.loads.write(oprot)
+            oprot.writeFieldEnd()
+        if self.service_name is not None:
+            oprot.writeFieldBegin('service_name', TType.STRING, 2)
+            oprot.writeString(self.service_name.encode('utf-8') if sys.version_info[0] == 2 else self.service_name)
+            oprot.writeFieldEnd()
+        if self.wished is not None:
+            oprot.writeFieldBegin('wished', TType.STRING, 3)
+            oprot.writeString(self.wished.encode('utf-8') if sys.version_info[0] == 2 else self.wished)
+            oprot.writeFieldEnd()
+        if self.shared_part is not None:
+            oprot.writeFieldBegin('shared_part', TType.STRING, 4)
+            oprot.writeString(self.shared_part.encode('utf-8') if sys.version_info[0] == 2 else self.shared_part)
+            oprot.writeFieldEnd()
+        if self.avoid is not None:
+            oprot.writeFieldBegin('avoid', TType.LIST, 5)
+            oprot.writeListBegin(TType.STRING, len(self.avoid))
+            for iter125 in self.avoid:
+                oprot.writeString(iter125.encode('utf-8') if sys.version_info[0] == 2 else iter125)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        if self.loads is None:
+            raise TProtocolException(message='Required field loads is unset!')
+        if self.service_name is None:
+            raise TProtocolException(message='Required field service_name is unset!')
+        if self.wished is None:
+            raise TProtocolException(message='Required field wished is unset!')
+        if self.shared_part is None:
+            raise TProtocolException(message='Required field shared_part is unset!')
+        if self.avoid is None:
+            raise TProtocolException(message='Required field avoid is unset!')
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
+class PlaceReply(object):
+    """
+    Attributes:
+     - endpoint
+     - grant
+     - home
+
+    """
+
+    __slots__ = (
+        'endpoint',
+        'grant',
+        'home',
+    )
+
+
+    def __init__(self, endpoint=None, grant=None, home=None,):
+        self.endpoint = endpoint
+        self.grant = grant
+        self.home = home
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.STRING:
+                    self.endpoint = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.I64:
+                    self.grant = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.STRING:
+                    self.home = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('PlaceReply')
+        if self.endpoint is not None:
+            oprot.writeFieldBegin('endpoint', TType.STRING, 1)
+            oprot.writeString(self.endpoint.encode('utf-8') if sys.version_info[0] == 2 else self.endpoint)
+            oprot.writeFieldEnd()
+        if self.grant is not None:
+            oprot.writeFieldBegin('grant', TType.I64, 2)
+            oprot.writeI64(self.grant)
+            oprot.writeFieldEnd()
+        if self.home is not None:
+            oprot.writeFieldBegin('home', TType.STRING, 3)
+            oprot.writeString(self.home.encode('utf-8') if sys.version_info[0] == 2 else self.home)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        if self.endpoint is None:
+            raise TProtocolException(message='Required field endpoint is unset!')
+        if self.grant is None:
+            raise TProtocolException(message='Required field grant is unset!')
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
 all_structs.append(DiskMember)
 DiskMember.thrift_spec = (
     None,  # 0
@@ -1943,5 +2550,46 @@
     (2, TType.STRING, 'method', 'UTF8', None, ),  # 2
     (3, TType.STRING, 'payload', 'BINARY', None, ),  # 3
 )
+all_structs.append(HostLoads)
+HostLoads.thrift_spec = (
+    None,  # 0
+    (1, TType.STRING, 'host', 'UTF8', None, ),  # 1
+    (2, TType.I64, 'incarnation', None, None, ),  # 2
+    (3, TType.I64, 'beat', None, None, ),  # 3
+    (4, TType.I64, 'last_grant', None, None, ),  # 4
+    (5, TType.MAP, 'running_by_endpoint', (TType.STRING, 'UTF8', TType.I32, None, False), None, ),  # 5
+    (6, TType.LIST, 'resting', (TType.STRING, 'UTF8', False), None, ),  # 6
+)
+all_structs.append(HallLoads)
+HallLoads.thrift_spec = (
+    None,  # 0
+    (1, TType.STRING, 'hall', 'UTF8', None, ),  # 1
+    (2, TType.STRING, 'host', 'UTF8', None, ),  # 2
+    (3, TType.I64, 'incarnation', None, None, ),  # 3
+    (4, TType.I64, 'beat', None, None, ),  # 4
+    (5, TType.MAP, 'running_by_endpoint', (TType.STRING, 'UTF8', TType.I32, None, False), None, ),  # 5
+)
+all_structs.append(LoadNews)
+LoadNews.thrift_spec = (
+    None,  # 0
+    (1, TType.STRUCT, 'host', [HostLoads, None], None, ),  # 1
+    (2, TType.STRUCT, 'hall', [HallLoads, None], None, ),  # 2
+)
+all_structs.append(PlaceCall)
+PlaceCall.thrift_spec = (
+    None,  # 0
+    (1, TType.STRUCT, 'loads', [HostLoads, None], None, ),  # 1
+    (2, TType.STRING, 'service_name', 'UTF8', None, ),  # 2
+    (3, TType.STRING, 'wished', 'UTF8', None, ),  # 3
+    (4, TType.STRING, 'shared_part', 'UTF8', None, ),  # 4
+    (5, TType.LIST, 'avoid', (TType.STRING, 'UTF8', False), None, ),  # 5
+)
+all_structs.append(PlaceReply)
+PlaceReply.thrift_spec = (
+    None,  # 0
+    (1, TType.STRING, 'endpoint', 'UTF8', None, ),  # 1
+    (2, TType.I64, 'grant', None, None, ),  # 2
+    (3, TType.STRING, 'home', 'UTF8', None, ),  # 3
+)
 fix_spec(all_structs)
 del all_structs
--- /dev/null
+++ b/tests/functional/test_homes.py
@@ -0,0 +1,93 @@
+"""Hosts that ask their hall's home where to send a request, with real sockets."""
+
+import asyncio
+from pathlib import Path
+
+import pytest
+
+from bayhinge._internal.services import gossip
+from bayhinge._internal.services.gateway.gateway import LISTED_S
+from tests.lib.platform_site import PlatformSite, run_site
+
+pytestmark = pytest.mark.functional
+
+HOSTS = ("entry-0", "entry-1", "entry-2")
+
+
+async def hall_has_one_home(site: PlatformSite) -> str:
+    """Waits until the two hosts of the northern hall agree on its home."""
+    names = ("entry-0", "entry-2")
+
+    def homes() -> set[str]:
+        found = [site.entry_by_name[name]._gateway.homes.home_of("north") for name in names]
+        return {home.host if home else "" for home in found}
+
+    await site.until(lambda: len(homes()) == 1 and "" not in homes())
+    return homes().pop()
+
+
+def test_requests_that_come_together_at_all_hosts_are_spread_evenly(tmp_path: Path) -> None:
+    async def scenario(site: PlatformSite) -> None:
+        await hall_has_one_home(site)
+        for service in site.services:
+            service.troubles.pause_s = 0.5
+        asked = [site.ask("/act/x", b"pay", at=HOSTS[n % 3]) for n in range(12)]
+        replies = await asyncio.gather(*asked)
+        assert [reply.status for reply in replies] == [200] * 12
+        # By their own figures, three hosts would each send their first one to the same endpoint.
+        assert [len(service.runs) for service in site.services] == [6, 6]
+        counts = [site.entry_by_name[name]._gateway.placer.counts for name in HOSTS]
+        assert sum(one.by_home for one in counts) >= 4
+        assert sum(one.alone for one in counts) == 0
+
+    run_site(tmp_path, scenario, entries=3)
+
+
+def test_a_home_that_is_gone_holds_nothing_up_and_another_follows(tmp_path: Path) -> None:
+    async def scenario(site: PlatformSite) -> None:
+        home = await hall_has_one_home(site)
+        left = "entry-2" if home == "entry-0" else "entry-0"
+        await site.crash_entry(home)
+        replies = await asyncio.gather(
+            *(site.ask("/act/x", b"pay", at=at) for at in (left, "entry-1") for _ in range(4))
+        )
+        assert [reply.status for reply in replies] == [200] * 8
+        gateway = site.entry_by_name[left]._gateway
+        await site.until(lambda: gateway.homes.mine == "north")
+        assert (await site.ask("/act/x", b"pay", at="entry-1")).status == 200
+
+    run_site(tmp_path, scenario, entries=3)
+
+
+def test_a_home_that_is_asked_by_mistake_names_the_right_one(tmp_path: Path) -> None:
+    async def scenario(site: PlatformSite) -> None:
+        home = await hall_has_one_home(site)
+        other = "entry-2" if home == "entry-0" else "entry-0"
+        homes = site.entry_by_name["entry-1"]._gateway.homes
+        assert homes.redirect("north", other) is not None
+        assert (await site.ask("/act/x", b"pay", at="entry-1")).status == 200
+
+        def believed() -> str:
+            found = homes.home_of("north")
+            return found.host if found else ""
+
+        await site.until(lambda: believed() == home)
+
+    run_site(tmp_path, scenario, entries=3)
+
+
+def test_callers_are_not_sent_to_a_host_that_is_long_silent(
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    # On a large site it takes long until silence of a far host is unusual.
+    monkeypatch.setattr(gossip, "FRESH_CYCLES", 1000)
+
+    async def scenario(site: PlatformSite) -> None:
+        address = site.address("entry-2").removeprefix("http://")
+        gateway = site.entry_by_name["entry-0"]._gateway
+        await site.until(lambda: address in gateway.addresses("north", "land"))
+        await site.crash_entry("entry-2")
+        await asyncio.sleep(LISTED_S + 0.3)
+        assert address not in await site.resolve()
+
+    run_site(tmp_path, scenario, entries=3)
--- a/tests/lib/platform_site.py
+++ b/tests/lib/platform_site.py
@@ -114,6 +114,7 @@
         program = self.entry_by_name.pop(name)
         gateway = program._gateway
         await gateway.gossip.stop()
+        await gateway.exchange.stop()
         await gateway.front.stop()
         for front in program._fronts:
             await front.stop()
