Take frames of the peer link where their bytes arrive; one frame for an answer

Cause: each call went through a stream reader, a reading task, a queue and a generator, so an answer took four turns of the loop and two frames.

--- a/src/bayhinge/_internal/network/frames.py
+++ b/src/bayhinge/_internal/network/frames.py
@@ -1,7 +1,7 @@
 """Frames of the peer link: a length, then a thrift struct."""
 
-import asyncio
 import struct
+from collections.abc import Iterator
 from typing import Any, TypeVar
 
 from thrift.protocol.TBinaryProtocol import TBinaryProtocolAccelerated
@@ -90,18 +90,31 @@
     return _LENGTH.pack(len(data)) + data
 
 
-async def read_frame(reader: asyncio.StreamReader) -> Frame | None:
-    """Reads the next frame, or returns None at the end of the connection.
+class FrameSplitter:
+    """Takes the bytes of a link as they come and gives out whole frames."""
 
-    Raises:
-        FrameError: the bytes are no frame, or it is too long.
-    """
-    try:
-        head = await reader.readexactly(_LENGTH.size)
-        (length,) = _LENGTH.unpack(head)
-        if length > MAX_FRAME_BYTES:
-            raise FrameError(f"it claims {length} bytes, the limit is {MAX_FRAME_BYTES}")
-        data = await reader.readexactly(length)
-    except (asyncio.IncompleteReadError, ConnectionError):
-        return None
-    return decode_message(Frame(), data)
+    def __init__(self) -> None:
+        """Starts at the beginning of a link."""
+        self._buffer = bytearray()
+
+    def feed(self, data: bytes) -> Iterator[Frame]:
+        """Yields the frames that are whole now.
+
+        Raises:
+            FrameError: the bytes are no frame, or it is too long.
+        """
+        self._buffer += data
+        position = 0
+        try:
+            while len(self._buffer) - position >= _LENGTH.size:
+                (length,) = _LENGTH.unpack_from(self._buffer, position)
+                if length > MAX_FRAME_BYTES:
+                    raise FrameError(f"it claims {length} bytes, the limit is {MAX_FRAME_BYTES}")
+                end = position + _LENGTH.size + length
+                if len(self._buffer) < end:
+                    return
+                body = bytes(self._buffer[position + _LENGTH.size : end])
+                position = end
+                yield decode_message(Frame(), body)
+        finally:
+            del self._buffer[:position]
--- a/src/bayhinge/_internal/network/peer_link.py
+++ b/src/bayhinge/_internal/network/peer_link.py
@@ -2,17 +2,21 @@
 
 A stream is opened with a method and a message. The peer answers with any number
 of data messages and one end or failure. Either side may break: a client that goes
-cancels its streams, and a lost connection fails all of them.
+cancels its streams, and a lost connection fails all of them. An end may carry the last
+message, so that a call with one answer takes one frame each way.
+
+Frames are taken where their bytes arrive, without readers or tasks between: a host of a
+large site makes some hundred calls a second, and each turn of the loop costs.
 """
 
 import asyncio
 import logging
 from abc import ABC, abstractmethod
-from collections.abc import AsyncGenerator, AsyncIterator
+from collections.abc import AsyncGenerator, AsyncIterator, Callable
 
 from bayhinge._internal.exceptions import FrameError, PeerFailureError, PeerUnreachableError
 from bayhinge._internal.models.refusals import RefusalCode, RefusedError, refuse_unaccepted
-from bayhinge._internal.network.frames import encode_frame, read_frame
+from bayhinge._internal.network.frames import FrameSplitter, encode_frame
 from bayhinge._internal.wire.frames.ttypes import Frame, FrameKind
 from bayhinge.coordination.clock import HybridClock
 
@@ -31,6 +35,22 @@
         """
 
 
+class AnsweringHandler(PeerHandler):
+    """For hosts whose every method has one message for an answer."""
+
+    @abstractmethod
+    async def answer(self, method: str, payload: bytes) -> bytes:
+        """Returns the answer.
+
+        Raises:
+            RefusedError: goes to the peer as a failure.
+        """
+
+    async def handle(self, method: str, payload: bytes) -> AsyncIterator[bytes]:
+        """See :class:`PeerHandler`."""
+        yield await self.answer(method, payload)
+
+
 class Peers(ABC):
     """The way to all other hosts."""
 
@@ -106,23 +126,62 @@
     return host.strip("[]"), int(port)
 
 
-class _FrameWriter:
-    """Sends the frames of one round of the loop in one piece: fewer system calls and wake-ups."""
+class _Link(asyncio.Protocol):
+    """One connection: frames in, frames out."""
+
+    def __init__(self, clock: HybridClock) -> None:
+        self._clock = clock
+        self._splitter = FrameSplitter()
+        self._transport: asyncio.Transport | None = None
+        self._may_write = asyncio.Event()
+        self._may_write.set()
+        self.is_open = True
+
+    # ---- called by the transport ----
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        assert isinstance(transport, asyncio.Transport)
+        self._transport = transport
+
+    def data_received(self, data: bytes) -> None:
+        try:
+            for frame in self._splitter.feed(data):
+                self._clock.observe(frame.clock)
+                self._take(frame)
+        except FrameError as error:
+            logger.warning("%s", error)
+            self.abort()
+
+    def pause_writing(self) -> None:
+        self._may_write.clear()
+
+    def resume_writing(self) -> None:
+        self._may_write.set()
+
+    def connection_lost(self, exc: Exception | None) -> None:
+        self.is_open = False
+        self._may_write.set()
+        self._lost()
+
+    # ---- for both sides ----
+
+    def abort(self) -> None:
+        self.is_open = False
+        if self._transport is not None:
+            self._transport.abort()
 
-    def __init__(self, writer: asyncio.StreamWriter) -> None:
-        self._writer = writer
-        self._waiting: list[bytes] = []
+    def _send(
+        self, stream: int, kind: FrameKind, method: str | None, payload: bytes | None
+    ) -> None:
+        if self.is_open and self._transport is not None:
+            frame = Frame(stream, kind, self._clock.tick(), method, payload)
+            self._transport.write(encode_frame(frame))
 
-    def write(self, frame: Frame) -> None:
-        if not self._waiting:
-            asyncio.get_running_loop().call_soon(self._flush)
-        self._waiting.append(encode_frame(frame))
+    def _take(self, frame: Frame) -> None:
+        raise NotImplementedError
 
-    def _flush(self) -> None:
-        data = b"".join(self._waiting)
-        self._waiting.clear()
-        if not self._writer.is_closing():
-            self._writer.write(data)
+    def _lost(self) -> None:
+        raise NotImplementedError
 
 
 class PeerServer(PeerListener):
@@ -139,7 +198,7 @@
     async def start(self) -> str:
         """Listens, and returns the address with its real port."""
         host, port = split_address(self._address)
-        self._server = await asyncio.start_server(self._accept, host, port)
+        self._server = await asyncio.get_running_loop().create_server(self._accept, host, port)
         bound: int = self._server.sockets[0].getsockname()[1]
         self._address = f"{host}:{bound}"
         return self._address
@@ -151,72 +210,55 @@
         for connection in list(self._connections):
             connection.abort()
 
-    async def _accept(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
-        connection = _ServerConnection(reader, writer, self._handler, self._clock)
+    def _accept(self) -> "_ServerConnection":
+        connection = _ServerConnection(self._handler, self._clock, self._connections.discard)
         self._connections.add(connection)
-        try:
-            await connection.run()
-        finally:
-            self._connections.discard(connection)
+        return connection
 
 
-class _ServerConnection:
+class _ServerConnection(_Link):
     """One peer's connection, on the serving side."""
 
     def __init__(
         self,
-        reader: asyncio.StreamReader,
-        writer: asyncio.StreamWriter,
         handler: PeerHandler,
         clock: HybridClock,
+        on_lost: "Callable[[_ServerConnection], None]",
     ) -> None:
-        self._reader = reader
-        self._writer = writer
-        self._frames = _FrameWriter(writer)
+        super().__init__(clock)
         self._handler = handler
-        self._clock = clock
+        self._on_lost = on_lost
         self._tasks_by_stream: dict[int, asyncio.Task[None]] = {}
 
-    async def run(self) -> None:
-        try:
-            while (frame := await read_frame(self._reader)) is not None:
-                self._clock.observe(frame.clock)
-                self._take(frame)
-        except FrameError as error:
-            logger.warning("%s", error)
-        finally:
-            self.abort()
-
-    def abort(self) -> None:
+    def _lost(self) -> None:
         for task in list(self._tasks_by_stream.values()):
             task.cancel()
-        self._writer.transport.abort()
+        self._on_lost(self)
 
     def _take(self, frame: Frame) -> None:
         if frame.kind == FrameKind.OPEN:
-            task = asyncio.create_task(self._serve(frame))
+            task = asyncio.get_running_loop().create_task(self._serve(frame))
             self._tasks_by_stream[frame.stream] = task
             task.add_done_callback(lambda done: self._tasks_by_stream.pop(frame.stream, None))
         elif frame.kind == FrameKind.CANCEL and frame.stream in self._tasks_by_stream:
             self._tasks_by_stream[frame.stream].cancel()
 
     async def _serve(self, frame: Frame) -> None:
+        stream, method, payload = frame.stream, frame.method or "", frame.payload or b""
         try:
-            async for payload in self._handler.handle(frame.method or "", frame.payload or b""):
-                await self._send(frame.stream, FrameKind.DATA, payload)
-            await self._send(frame.stream, FrameKind.END, None)
+            if isinstance(self._handler, AnsweringHandler):
+                answer = await self._handler.answer(method, payload)
+                self._send(stream, FrameKind.END, None, answer)
+                return
+            async for message in self._handler.handle(method, payload):
+                self._send(stream, FrameKind.DATA, None, message)
+                await self._may_write.wait()
+            self._send(stream, FrameKind.END, None, None)
         except RefusedError as error:
-            await self._send(frame.stream, FrameKind.FAIL, error.refusal.to_json())
+            self._send(stream, FrameKind.FAIL, None, error.refusal.to_json())
         except FrameError as error:
             refusal = refuse_unaccepted(RefusalCode.BAD_REQUEST, str(error))
-            await self._send(frame.stream, FrameKind.FAIL, refusal.to_json())
-        except ConnectionError:
-            return
-
-    async def _send(self, stream: int, kind: FrameKind, payload: bytes | None) -> None:
-        frame = Frame(stream, kind, self._clock.tick(), None, payload)
-        self._frames.write(frame)
-        await self._writer.drain()
+            self._send(stream, FrameKind.FAIL, None, refusal.to_json())
 
 
 class PeerClient(Peers):
@@ -239,19 +281,31 @@
             PeerFailureError: the peer answered with a failure.
         """
         link = await self._link(address)
-        messages = link.open(method, payload)
+        stream = link.open(method, payload)
         try:
             while True:
-                frame = await messages.get()
-                if frame is None:
-                    raise PeerUnreachableError(address, "the connection broke", sent=True)
+                frame = await _next_frame(stream, address)
+                if frame.payload is not None:
+                    yield frame.payload
                 if frame.kind == FrameKind.END:
                     return
-                if frame.kind == FrameKind.FAIL:
-                    raise PeerFailureError(frame.payload or b"")
-                yield frame.payload or b""
         finally:
-            link.close_stream(messages)
+            link.close_stream(stream)
+
+    async def call(self, address: str, method: str, payload: bytes) -> bytes:
+        """See :class:`Peers`; without the cost of a generator."""
+        link = await self._link(address)
+        stream = link.open(method, payload)
+        answer = b""
+        try:
+            while True:
+                frame = await _next_frame(stream, address)
+                if frame.payload is not None:
+                    answer = frame.payload
+                if frame.kind == FrameKind.END:
+                    return answer
+        finally:
+            link.close_stream(stream)
 
     async def close(self) -> None:
         """Closes every connection."""
@@ -274,72 +328,63 @@
         host, port = split_address(address)
         try:
             async with asyncio.timeout(self._connect_s):
-                reader, writer = await asyncio.open_connection(host, port)
+                _, link = await asyncio.get_running_loop().create_connection(
+                    lambda: _ClientLink(self._clock), host, port
+                )
         except (OSError, TimeoutError) as error:
             why = str(error) or type(error).__name__
             raise PeerUnreachableError(address, why, sent=False) from error
-        return _ClientLink(reader, writer, self._clock)
+        return link
+
+
+class _Stream:
+    """One stream on the asking side; None among its frames means that the connection broke."""
 
+    def __init__(self, number: int) -> None:
+        self.number = number
+        self.frames: asyncio.Queue[Frame | None] = asyncio.Queue()
 
-StreamQueue = asyncio.Queue[Frame | None]
 
+async def _next_frame(stream: _Stream, address: str) -> Frame:
+    frame = await stream.frames.get()
+    if frame is None:
+        raise PeerUnreachableError(address, "the connection broke", sent=True)
+    if frame.kind == FrameKind.FAIL:
+        raise PeerFailureError(frame.payload or b"")
+    return frame
 
-class _ClientLink:
+
+class _ClientLink(_Link):
     """One connection to a peer, on the asking side."""
 
-    def __init__(
-        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter, clock: HybridClock
-    ) -> None:
-        self._reader = reader
-        self._writer = writer
-        self._frames = _FrameWriter(writer)
-        self._clock = clock
-        self._queues_by_stream: dict[int, StreamQueue] = {}
-        self._next_stream = 0
-        self.is_open = True
-        self._task = asyncio.create_task(self._read())
-
-    def open(self, method: str, payload: bytes) -> StreamQueue:
-        self._next_stream += 1
-        stream = self._next_stream
-        queue: StreamQueue = asyncio.Queue()
-        self._queues_by_stream[stream] = queue
-        frame = Frame(stream, FrameKind.OPEN, self._clock.tick(), method, payload)
-        self._frames.write(frame)
-        return queue
-
-    def close_stream(self, queue: StreamQueue) -> None:
-        for stream, own in list(self._queues_by_stream.items()):
-            if own is queue:
-                del self._queues_by_stream[stream]
-                if self.is_open:
-                    cancel = Frame(stream, FrameKind.CANCEL, self._clock.tick())
-                    self._frames.write(cancel)
+    def __init__(self, clock: HybridClock) -> None:
+        super().__init__(clock)
+        self._stream_by_number: dict[int, _Stream] = {}
+        self._newest = 0
+
+    def open(self, method: str, payload: bytes) -> _Stream:
+        self._newest += 1
+        stream = self._stream_by_number[self._newest] = _Stream(self._newest)
+        self._send(stream.number, FrameKind.OPEN, method, payload)
+        return stream
+
+    def close_stream(self, stream: _Stream) -> None:
+        if self._stream_by_number.pop(stream.number, None) is not None:
+            self._send(stream.number, FrameKind.CANCEL, None, None)
 
     def abort(self) -> None:
-        self.is_open = False
-        self._writer.transport.abort()
-        self._task.cancel()
-        self._fail_all()
+        super().abort()
+        self._lost()
 
-    async def _read(self) -> None:
-        try:
-            while (frame := await read_frame(self._reader)) is not None:
-                self._clock.observe(frame.clock)
-                queue = self._queues_by_stream.get(frame.stream)
-                if queue is None:
-                    continue
-                if frame.kind in {FrameKind.END, FrameKind.FAIL}:
-                    del self._queues_by_stream[frame.stream]
-                queue.put_nowait(frame)
-        except FrameError as error:
-            logger.warning("%s", error)
-        finally:
-            self.is_open = False
-            self._writer.transport.abort()
-            self._fail_all()
-
-    def _fail_all(self) -> None:
-        for queue in self._queues_by_stream.values():
-            queue.put_nowait(None)
-        self._queues_by_stream.clear()
+    def _take(self, frame: Frame) -> None:
+        stream = self._stream_by_number.get(frame.stream)
+        if stream is None:
+            return
+        if frame.kind in {FrameKind.END, FrameKind.FAIL}:
+            del self._stream_by_number[frame.stream]
+        stream.frames.put_nowait(frame)
+
+    def _lost(self) -> None:
+        for stream in self._stream_by_number.values():
+            stream.frames.put_nowait(None)
+        self._stream_by_number.clear()
--- a/src/bayhinge/_internal/services/disks/disk_answers.py
+++ b/src/bayhinge/_internal/services/disks/disk_answers.py
@@ -1,6 +1,6 @@
 """What a disk host answers to entry hosts and to other disk hosts."""
 
-from collections.abc import AsyncIterator, Callable, Coroutine
+from collections.abc import Callable, Coroutine
 from typing import TYPE_CHECKING, Any
 
 import eliot
@@ -8,7 +8,7 @@
 from bayhinge._internal.exceptions import FrameError
 from bayhinge._internal.models.refusals import RefusalCode, RefusedError, refuse_unaccepted
 from bayhinge._internal.network.frames import decode_message, encode_message
-from bayhinge._internal.network.peer_link import PeerHandler
+from bayhinge._internal.network.peer_link import AnsweringHandler
 from bayhinge._internal.services import methods
 from bayhinge._internal.wire.hosts import ttypes as wire
 
@@ -19,7 +19,7 @@
 """Keys of one answer: some 80 KB."""
 
 
-class DiskAnswers(PeerHandler):
+class DiskAnswers(AnsweringHandler):
     """What a disk host answers."""
 
     def __init__(self, host: "DiskHost") -> None:
@@ -35,13 +35,13 @@
             methods.OBJECTS: self._objects,
         }
 
-    async def handle(self, method: str, payload: bytes) -> AsyncIterator[bytes]:
-        """Yields the one message that answers."""
+    async def answer(self, method: str, payload: bytes) -> bytes:
+        """See :class:`AnsweringHandler`."""
         handler = self._handlers.get(method)
         if handler is None:
             raise FrameError(f"a disk host has no method '{method}'")
         try:
-            yield await handler(payload)
+            return await handler(payload)
         except OSError as error:
             eliot.log_message("disk.refused", method=method, why=str(error))
             refusal = refuse_unaccepted(RefusalCode.STORE_UNAVAILABLE, f"the disk refused: {error}")
--- a/src/bayhinge/_internal/services/gateway/gateway.py
+++ b/src/bayhinge/_internal/services/gateway/gateway.py
@@ -2,7 +2,7 @@
 
 import asyncio
 import random
-from collections.abc import AsyncIterator, Awaitable, Callable, Iterable, Mapping
+from collections.abc import Awaitable, Callable, Iterable, Mapping
 
 import eliot
 from mode import Service
@@ -14,7 +14,7 @@
 from bayhinge._internal.models.site_settings import SiteSettings
 from bayhinge._internal.network.endpoint_link import EndpointLinks
 from bayhinge._internal.network.frames import decode_message, encode_message
-from bayhinge._internal.network.peer_link import PeerHandler, TcpPeerNetwork
+from bayhinge._internal.network.peer_link import AnsweringHandler, TcpPeerNetwork
 from bayhinge._internal.network.routed_front import RoutedFront
 from bayhinge._internal.services import methods
 from bayhinge._internal.services.gateway.beliefs import ConfigurationBelief, EndpointBelief
@@ -248,29 +248,28 @@
     return total
 
 
-class _PeerAnswers(PeerHandler):
+class _PeerAnswers(AnsweringHandler):
     """What an entry host answers other hosts."""
 
     def __init__(self, gateway: Gateway) -> None:
         self._gateway = gateway
 
-    async def handle(self, method: str, payload: bytes) -> AsyncIterator[bytes]:
-        """Yields the one message that answers."""
+    async def answer(self, method: str, payload: bytes) -> bytes:
+        """See :class:`AnsweringHandler`."""
         if method == methods.OBJECTS:
             prefix = decode_message(wire.ObjectsQuery(), payload).prefix
             follower = self._gateway.followers_by_prefix.get(prefix)
             if follower is None:
                 raise FrameError(f"objects under '{prefix}' are not followed here")
-            yield encode_message(follower.known())
-        elif method == methods.RELAY:
-            yield await self._relay(decode_message(wire.RelayCall(), payload))
-        elif method == methods.PLACE:
+            return encode_message(follower.known())
+        if method == methods.RELAY:
+            return await self._relay(decode_message(wire.RelayCall(), payload))
+        if method == methods.PLACE:
             call = decode_message(wire.PlaceCall(), payload)
-            yield encode_message(self._gateway.placer.answer(call))
-        elif method == methods.DISK_SET:
-            yield encode_message(self._gateway.disks.disk_set)
-        else:
-            raise FrameError(f"an entry host has no method '{method}'")
+            return encode_message(self._gateway.placer.answer(call))
+        if method == methods.DISK_SET:
+            return encode_message(self._gateway.disks.disk_set)
+        raise FrameError(f"an entry host has no method '{method}'")
 
     async def _relay(self, call: wire.RelayCall) -> bytes:
         """Passes a call on to a disk that the caller can't reach."""
--- a/src/bayhinge/_internal/services/key_follower.py
+++ b/src/bayhinge/_internal/services/key_follower.py
@@ -36,7 +36,7 @@
 """The same for a host that has no watch, or knows nothing yet: several changes that come
 together make one fetch."""
 
-LISTEN_PERIOD_S = 0.3
+LISTEN_PERIOD_S = 0.6
 """How often a host without a watch looks whether it should have one."""
 
 PEER_CALL_S = 0.5
