Say who is home also where nobody is; a stopping host no longer says that it lost its store

Cause: the line on a changed home counted the hosts of whichever hall came last, and failed where no host was ready at all (a host that leaves alone). The test fails on both.

--- a/src/bayhinge/_internal/platform/programs.py
+++ b/src/bayhinge/_internal/platform/programs.py
@@ -97,6 +97,7 @@
     async def on_stop(self) -> None:
         """Stops the host."""
         await self._disk.stop()
+        self._follower.stop()
         await self._store.close()
 
 
--- a/src/bayhinge/_internal/services/gateway/gateway.py
+++ b/src/bayhinge/_internal/services/gateway/gateway.py
@@ -153,6 +153,8 @@
         await self._listener.stop()
         await self.peers.close()
         self.links.close()
+        for follower in self.followers_by_prefix.values():
+            follower.stop()
         await self._platform.store.close()
         eliot.log_message("host.stopped", host=self.settings.host, running=self.front.running)
 
--- a/src/bayhinge/_internal/services/gateway/hall_homes.py
+++ b/src/bayhinge/_internal/services/gateway/hall_homes.py
@@ -66,16 +66,20 @@
         for hello in hello_by_host.values():
             if not self._is_suspect(hello.host):
                 hosts_by_hall.setdefault(hello.hall, []).append(hello.host)
-        before = self._home_by_hall
+        before = self._home_by_hall.get(me.hall)
         self._home_by_hall = {}
         for hall, hosts in hosts_by_hall.items():
             host = choose(f"home of {hall}", hosts)
             if host is not None:
                 self._home_by_hall[hall] = Home(hall, host, hello_by_host[host].peer_address)
-        if before.get(me.hall) != self._home_by_hall.get(me.hall):
-            home = self._home_by_hall.get(me.hall)
+        home = self._home_by_hall.get(me.hall)
+        if home != before:
             eliot.log_message(
-                "home.changed", hall=me.hall, home=home.host if home else "", heard=len(hosts)
+                "home.changed",
+                hall=me.hall,
+                home=home.host if home else "",
+                before=before.host if before else "",
+                heard=len(hosts_by_hall.get(me.hall, [])),
             )
 
     def suspect(self, home: Home, why: str) -> None:
--- a/src/bayhinge/_internal/services/key_follower.py
+++ b/src/bayhinge/_internal/services/key_follower.py
@@ -83,6 +83,7 @@
         self._pause_s = 0.0
         self._poll: asyncio.Task[None] | None = None
         self._is_fetching = False
+        self._is_stopped = False
         self.revision = 0
         self.complete_to = 0
         self.value_by_key: dict[str, bytes] = {}
@@ -92,8 +93,8 @@
         self.on_change: Callable[[], None] = lambda: None
 
     async def run(self) -> None:
-        """Follows until it is cancelled."""
-        while True:
+        """Follows until it is stopped or cancelled."""
+        while not self._is_stopped:
             try:
                 if self._cursor == 0:
                     await self._list()
@@ -113,6 +114,12 @@
                 if self._poll is not None:
                     self._poll.cancel()
 
+    def stop(self) -> None:
+        """Ends the waiting call; what the store says from now on is no news."""
+        self._is_stopped = True
+        if self._poll is not None:
+            self._poll.cancel()
+
     def known(self) -> KnownObjects:
         """Returns what this host knows, for a peer."""
         return KnownObjects(self.revision, self.value_by_key, self.complete_to)
@@ -191,6 +198,8 @@
             self._poll.cancel()
 
     def _note_failure(self, error: StoreError) -> None:
+        if self._is_stopped:
+            return
         if self.health.failing_since_s is None:
             self.health.failing_since_s = asyncio.get_running_loop().time()
             eliot.log_message("store.lost", prefix=self.prefix, why=str(error))
--- a/tests/functional/test_homes.py
+++ b/tests/functional/test_homes.py
@@ -3,6 +3,7 @@
 import asyncio
 from pathlib import Path
 
+import eliot
 import pytest
 
 from bayhinge._internal.services import gossip
@@ -91,3 +92,26 @@
         assert address not in await site.resolve()
 
     run_site(tmp_path, scenario, entries=3)
+
+
+def test_the_last_host_of_a_site_leaves_without_an_error(tmp_path: Path) -> None:
+    lines: list[dict[str, object]] = []
+
+    async def scenario(site: PlatformSite) -> None:
+        gateway = site.entry_by_name["entry-0"]._gateway
+        await site.until(lambda: gateway.homes.mine == "north")
+        gateway.is_leaving = True
+        gateway.gossip.say_now()
+        gateway.homes.refresh()
+        assert gateway.homes.mine == ""
+        gateway.is_leaving = False
+        eliot.add_destinations(lines.append)
+        await site.entry_by_name["entry-0"].stop()
+
+    try:
+        run_site(tmp_path, scenario, entries=1)
+    finally:
+        eliot.remove_destination(lines.append)
+    kinds = [line.get("message_type") for line in lines]
+    assert "host.stopped" in kinds
+    assert "store.lost" not in kinds, "a host that stops has not lost its store"
