Let requests wait for what a host that has just started has not heard yet

Cause: a host listens before it knows the configuration, the endpoints and the disks; turns that came in its first milliseconds were refused (turn.too_few_disks with disk_set_version 0, 15 ms after the start), which uses up one of a caller's few tries.

Ruled out: listening later, since a refused connection uses up a try too.

--- a/src/bayhinge/_internal/services/gateway/beliefs.py
+++ b/src/bayhinge/_internal/services/gateway/beliefs.py
@@ -8,6 +8,7 @@
 from bayhinge._internal.exceptions import UnreadableObjectError
 from bayhinge._internal.models.routing import RoutingTable
 from bayhinge._internal.network.endpoint_link import EndpointLinks
+from bayhinge._internal.services.gateway.first_news import FirstNews
 from bayhinge._internal.services.gateway.outside import ObjectReader
 from bayhinge._internal.services.key_follower import FollowListener
 from bayhinge.coordination.store import Change
@@ -25,6 +26,7 @@
         """Takes the decoder of configurations."""
         self._reader = reader
         self.table: RoutingTable | None = None
+        self.news = FirstNews("configuration")
 
     def replace_all(self, value_by_key: dict[str, bytes]) -> None:
         """See :class:`FollowListener`."""
@@ -46,6 +48,7 @@
             return
         before = 0 if self.table is None else self.table.version
         self.table = table
+        self.news.note()
         eliot.log_message(
             "configuration.in_force",
             version=table.version,
@@ -63,6 +66,7 @@
         self._book = book
         self._links = links
         self._missing_by_instance: dict[str, asyncio.TimerHandle] = {}
+        self.news = FirstNews("endpoints")
 
     def replace_all(self, value_by_key: dict[str, bytes]) -> None:
         """See :class:`FollowListener`."""
@@ -72,6 +76,7 @@
                 self._vanished(belief.entry.instance)
         for key, value in value_by_key.items():
             self._put(key, value)
+        self.news.note()
 
     def apply(self, change: Change) -> None:
         """See :class:`FollowListener`."""
--- a/src/bayhinge/_internal/services/gateway/disk_directory.py
+++ b/src/bayhinge/_internal/services/gateway/disk_directory.py
@@ -12,6 +12,7 @@
 from bayhinge._internal.network.peer_link import Peers
 from bayhinge._internal.services import methods
 from bayhinge._internal.services.disk_sets import read_disk_set
+from bayhinge._internal.services.gateway.first_news import FirstNews
 from bayhinge._internal.wire.hosts.ttypes import DiskMember, DiskSet, Hello
 from bayhinge.coordination.errors import StoreError
 from bayhinge.coordination.store import ObjectStore
@@ -47,6 +48,7 @@
         self._suspect_until_by_host: dict[str, float] = {}
         self._is_fetching = False
         self.disk_set = DiskSet(0, [])
+        self.news = FirstNews("disks")
         self.on_change: Callable[[DiskSet], None] = lambda disk_set: None
 
     async def load(self) -> None:
@@ -67,6 +69,8 @@
         if disk_set.version <= self.disk_set.version:
             return
         self.disk_set = disk_set
+        if disk_set.members:
+            self.news.note()
         self.on_change(disk_set)
         eliot.log_message(
             "disk_set.changed",
--- a/src/bayhinge/_internal/services/gateway/gateway.py
+++ b/src/bayhinge/_internal/services/gateway/gateway.py
@@ -105,6 +105,8 @@
             Sender(self.book, self.links, platform.calls, self.placer),
             self.keeper,
             self.latencies,
+            endpoints.news,
+            self.disks.news,
         )
         self.front = RoutedFront(settings.front_address, self.requests)
         self._random = random.Random()
--- a/src/bayhinge/_internal/services/gateway/request_service.py
+++ b/src/bayhinge/_internal/services/gateway/request_service.py
@@ -19,6 +19,7 @@
 from bayhinge._internal.models.routing import Route, RouteKind, RoutingTable
 from bayhinge._internal.network.routed_front import BodyTooLongError, Exchange, ExchangeHandler
 from bayhinge._internal.services.gateway.beliefs import ConfigurationBelief
+from bayhinge._internal.services.gateway.first_news import FirstNews, wait_until
 from bayhinge._internal.services.gateway.outside import CallFormat
 from bayhinge._internal.services.gateway.sending import RETRY_AFTER_S, Delivery, Sender
 from bayhinge._internal.services.gateway.stream_delivery import StreamDelivery
@@ -58,8 +59,12 @@
         sender: Sender,
         keeper: TurnKeeper,
         latencies: Latencies,
+        endpoint_news: FirstNews,
+        disk_news: FirstNews,
     ) -> None:
-        """Takes what a request needs on its way."""
+        """Takes what a request needs on its way, and what a host hears before it can serve."""
+        self._endpoint_news = endpoint_news
+        self._disk_news = disk_news
         self._configuration = configuration
         self._calls = calls
         self._sender = sender
@@ -73,12 +78,12 @@
         self.counts.taken += 1
         request: RoutedRequest | None = None
         try:
-            table = self._table()
             request = self._calls.read_request(exchange.method, exchange.target, exchange.headers)
             if request is None:
                 raise RefusedError(
                     refuse_unaccepted(RefusalCode.BAD_REQUEST, "the request has no attempt id")
                 )
+            table = await self._known_table(request, exchange)
             await self._serve(exchange, table, request)
         except RefusedError as error:
             if exchange.has_begun:
@@ -91,7 +96,10 @@
             self._note(request, "caller_left", "", exchange)
             raise
 
-    def _table(self) -> RoutingTable:
+    async def _known_table(self, request: RoutedRequest, exchange: Exchange) -> RoutingTable:
+        """Returns the configuration; a host that has just started hears of it first."""
+        until_s = wait_until(exchange.began_s, request.patience_s)
+        await self._configuration.news.wait(request.attempt, until_s)
         table = self._configuration.table
         if table is None:
             raise RefusedError(
@@ -153,7 +161,9 @@
         attempt: CallAttempt,
         deadline_s: float,
     ) -> None:
-        turn = await self._open_turn(route, request)
+        until_s = wait_until(exchange.began_s, request.patience_s)
+        await self._endpoint_news.wait(request.attempt, until_s)
+        turn = await self._open_turn(route, request, until_s)
         service = route.choose_service(self._random)
         delivery = self._delivery(exchange, table, route, service, request, turn)
         try:
@@ -163,12 +173,15 @@
                 self._keeper.settle(turn, delivery.tokens_handed_out)
         self._note(request, delivery.outcome, delivery.endpoint, exchange)
 
-    async def _open_turn(self, route: Route, request: RoutedRequest) -> OpenTurn | None:
+    async def _open_turn(
+        self, route: Route, request: RoutedRequest, until_s: float
+    ) -> OpenTurn | None:
         """Opens a turn of a program: one to be kept, or one whose tokens have a budget."""
         context = request.turn
         if route.kind is not RouteKind.STREAMING or context is None:
             return None
         if route.keeps_turns or context.token_budget is not None:
+            await self._disk_news.wait(request.attempt, until_s)
             return await self._keeper.open(request.attempt, context, route.keeps_turns)
         return None
 
