Find connections that fall silent for good while new ones work

Cause: a peer link whose calls all timed out stayed in use for ever, watches hung to the end of their wait, and kept endpoint connections took requests that nobody got.

Now every connection has the kernel's probes (found after 2.0 s without traffic) and a bound on unacknowledged bytes; a peer link that left a call alone for 30 ms or more is replaced by a new one, once, since a second one that brings nothing says that the peer itself is silent; a call to a disk is tried over a new connection after 0.1 s, beside the way through another host; lookups give a silent endpoint up after 0.9 s.

--- a/src/bayhinge/_internal/network/endpoint_link.py
+++ b/src/bayhinge/_internal/network/endpoint_link.py
@@ -6,7 +6,6 @@
 """
 
 import asyncio
-import socket
 from collections import deque
 from collections.abc import AsyncIterator
 
@@ -19,6 +18,7 @@
 
 from bayhinge._internal.models.routed_requests import RawHeaders
 from bayhinge._internal.network.peer_link import split_address
+from bayhinge._internal.utils.silence import bound_silence
 
 READ_BUFFER_BYTES = 65_536
 """Bytes of a body that are held before the endpoint is made to wait."""
@@ -35,8 +35,13 @@
 IDLE_SHARE = 0.6
 """Part of the endpoint's own time that is used, so that a close does not cross a request."""
 
-UNACKNOWLEDGED_MS = 3000
-"""Sent bytes that stay without an acknowledgement for so long end the connection."""
+UNACKNOWLEDGED_S = 3.0
+"""Sent bytes that stay without an acknowledgement for so long end the connection. Long, because a
+request that must not be repeated has nothing to gain from an earlier end."""
+
+REPEATABLE_UNACKNOWLEDGED_S = 0.6
+"""The same for a request that another endpoint may serve instead: the connection ends after 0.9 s
+(loopback, a socket that drops every packet), while callers wait for 1.2 s or more."""
 
 _INTERIM_STATUS = 200
 
@@ -115,15 +120,14 @@
         self._body: StreamReader | None = None
         self._waiter: asyncio.Future[None] | None = None
         self._why_closed = ""
+        self._unacknowledged_s = 0.0
 
     # ---- called by the transport ----
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Sets the socket up."""
         super().connection_made(transport)
-        sock = transport.get_extra_info("socket")
-        if sock is not None:
-            sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, UNACKNOWLEDGED_MS)
+        self._bound_silence(UNACKNOWLEDGED_S)
 
     def data_received(self, data: bytes) -> None:
         """Parses what came; bytes that nobody asked for end the connection."""
@@ -166,8 +170,8 @@
 
     # ---- called by the pool's users ----
 
-    def send(self, head: bytes, body: bytes) -> None:
-        """Writes one request.
+    def send(self, head: bytes, body: bytes, may_repeat: bool = False) -> None:
+        """Writes one request; one that may be repeated gives a silent endpoint up earlier.
 
         Raises:
             UnreachableError: the connection is closed already; nothing was sent.
@@ -175,6 +179,7 @@
         if not self.is_open or self.transport is None or self.transport.is_closing():
             raise UnreachableError(self._why_closed or "the connection is closed")
         self.is_busy = True
+        self._bound_silence(REPEATABLE_UNACKNOWLEDGED_S if may_repeat else UNACKNOWLEDGED_S)
         self.transport.write(head + body)
 
     async def next_answer(self) -> Answer:
@@ -208,6 +213,14 @@
         """Whether bytes of the request still wait to be sent."""
         return self.transport is not None and self.transport.get_write_buffer_size() > 0
 
+    def _bound_silence(self, unacknowledged_s: float) -> None:
+        if self._unacknowledged_s == unacknowledged_s or self.transport is None:
+            return
+        self._unacknowledged_s = unacknowledged_s
+        sock = self.transport.get_extra_info("socket")
+        if sock is not None:
+            bound_silence(sock, unacknowledged_s)
+
     def _break_body(self, why: str) -> None:
         body = self._body
         if body is not None and not body.is_eof() and body.exception() is None:
--- a/src/bayhinge/_internal/network/peer_link.py
+++ b/src/bayhinge/_internal/network/peer_link.py
@@ -14,14 +14,25 @@
 from abc import ABC, abstractmethod
 from collections.abc import AsyncGenerator, AsyncIterator, Callable
 
+import eliot
+
 from bayhinge._internal.exceptions import FrameError, PeerFailureError, PeerUnreachableError
 from bayhinge._internal.models.refusals import RefusalCode, RefusedError, refuse_unaccepted
 from bayhinge._internal.network.frames import FrameSplitter, encode_frame
+from bayhinge._internal.utils.silence import bound_silence
 from bayhinge._internal.wire.frames.ttypes import Frame, FrameKind
 from bayhinge.coordination.clock import HybridClock
 
 logger = logging.getLogger(__name__)
 
+UNACKNOWLEDGED_S = 1.0
+"""Sent bytes that stay without an acknowledgement for so long end a connection. A lost packet is
+sent again after 0.2 s and 0.6 s, so two losses in a row do not end one."""
+
+UNHEARD_S = 0.03
+"""A call that is given up after so long, with nothing heard over its connection meanwhile, makes
+the connection doubtful: some ten times the way there and back between halls."""
+
 
 class PeerHandler(ABC):
     """What a host does for its peers."""
@@ -67,6 +78,15 @@
     async def close(self) -> None:
         """Closes every connection."""
 
+    def doubt(self, address: str, unheard_s: float) -> bool:
+        """Leaves a connection that brought nothing since a call began so long ago, in seconds.
+
+        Returns whether the next call goes over a new one. Calls that wait on the old one go on
+        waiting. A connection that never brought anything is not left: then the peer is silent,
+        and a new connection would say no more.
+        """
+        return False
+
     async def call(self, address: str, method: str, payload: bytes) -> bytes:
         """Opens a stream that has one message for an answer, and returns it.
 
@@ -136,14 +156,19 @@
         self._may_write = asyncio.Event()
         self._may_write.set()
         self.is_open = True
+        self.heard_s: float | None = None
 
     # ---- called by the transport ----
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         assert isinstance(transport, asyncio.Transport)
         self._transport = transport
+        sock = transport.get_extra_info("socket")
+        if sock is not None:
+            bound_silence(sock, UNACKNOWLEDGED_S)
 
     def data_received(self, data: bytes) -> None:
+        self.heard_s = asyncio.get_running_loop().time()
         try:
             for frame in self._splitter.feed(data):
                 self._clock.observe(frame.clock)
@@ -270,6 +295,7 @@
         self._connect_s = connect_s
         self._links_by_address: dict[str, _ClientLink] = {}
         self._locks_by_address: dict[str, asyncio.Lock] = {}
+        self.left_silent = 0
 
     async def stream(
         self, address: str, method: str, payload: bytes
@@ -307,6 +333,14 @@
         finally:
             link.close_stream(stream)
 
+    def doubt(self, address: str, unheard_s: float) -> bool:
+        """See :class:`Peers`."""
+        link = self._links_by_address.get(address)
+        if link is None or not link.is_open:
+            return False
+        link.doubt(unheard_s)
+        return link.is_doubtful
+
     async def close(self) -> None:
         """Closes every connection."""
         for link in list(self._links_by_address.values()):
@@ -314,16 +348,25 @@
 
     async def _link(self, address: str) -> "_ClientLink":
         link = self._links_by_address.get(address)
-        if link is not None and link.is_open:
+        if link is not None and link.is_usable:
             return link
         lock = self._locks_by_address.setdefault(address, asyncio.Lock())
         async with lock:
             link = self._links_by_address.get(address)
-            if link is None or not link.is_open:
-                link = await self._connect(address)
-                self._links_by_address[address] = link
+            if link is None or not link.is_usable:
+                fresh = await self._connect(address)
+                if link is not None:
+                    self._leave(link, address)
+                self._links_by_address[address] = link = fresh
         return link
 
+    def _leave(self, link: "_ClientLink", address: str) -> None:
+        """Gives a doubtful connection up; what waits on it may still get its answer."""
+        if link.is_open:
+            self.left_silent += 1
+            eliot.log_message("peer.left_silent_connection", address=address)
+            link.retire()
+
     async def _connect(self, address: str) -> "_ClientLink":
         host, port = split_address(address)
         try:
@@ -340,8 +383,9 @@
 class _Stream:
     """One stream on the asking side; None among its frames means that the connection broke."""
 
-    def __init__(self, number: int) -> None:
+    def __init__(self, number: int, opened_s: float) -> None:
         self.number = number
+        self.opened_s = opened_s
         self.frames: asyncio.Queue[Frame | None] = asyncio.Queue()
 
 
@@ -361,16 +405,51 @@
         super().__init__(clock)
         self._stream_by_number: dict[int, _Stream] = {}
         self._newest = 0
+        self._is_retired = False
+        self.is_doubtful = False
+
+    @property
+    def is_usable(self) -> bool:
+        return self.is_open and not self.is_doubtful
+
+    def doubt(self, unheard_s: float) -> None:
+        """Marks the connection where it worked once, and leaves a call alone for so long."""
+        for stream in self._stream_by_number.values():
+            self._doubt_by(stream, unheard_s)
+
+    def _doubt_by(self, stream: _Stream, unheard_s: float) -> None:
+        now = asyncio.get_running_loop().time()
+        has_waited = now - stream.opened_s >= unheard_s
+        if has_waited and self.heard_s is not None and self.heard_s <= stream.opened_s:
+            self.is_doubtful = True
+
+    def retire(self) -> None:
+        """Takes no more streams; closes once those that are open have ended."""
+        self._is_retired = True
+        self._close_if_done()
+
+    def data_received(self, data: bytes) -> None:
+        self.is_doubtful = False
+        super().data_received(data)
+        self._close_if_done()
+
+    def _close_if_done(self) -> None:
+        if self._is_retired and not self._stream_by_number:
+            self.abort()
 
     def open(self, method: str, payload: bytes) -> _Stream:
         self._newest += 1
-        stream = self._stream_by_number[self._newest] = _Stream(self._newest)
+        opened_s = asyncio.get_running_loop().time()
+        stream = self._stream_by_number[self._newest] = _Stream(self._newest, opened_s)
         self._send(stream.number, FrameKind.OPEN, method, payload)
         return stream
 
     def close_stream(self, stream: _Stream) -> None:
-        if self._stream_by_number.pop(stream.number, None) is not None:
-            self._send(stream.number, FrameKind.CANCEL, None, None)
+        if self._stream_by_number.pop(stream.number, None) is None:
+            return
+        self._send(stream.number, FrameKind.CANCEL, None, None)
+        self._doubt_by(stream, UNHEARD_S)
+        self._close_if_done()
 
     def abort(self) -> None:
         super().abort()
--- a/src/bayhinge/_internal/network/routed_front.py
+++ b/src/bayhinge/_internal/network/routed_front.py
@@ -16,10 +16,15 @@
 from bayhinge._internal import status_codes
 from bayhinge._internal.models.routed_requests import RawHeaders
 from bayhinge._internal.network.peer_link import split_address
+from bayhinge._internal.utils.silence import bound_silence
 
 MAX_HEADER_BYTES = 65_536
 """Longest header line that is taken; the configuration's own limit is lower."""
 
+UNACKNOWLEDGED_S = 2.0
+"""Bytes of an answer that stay without an acknowledgement for so long end the connection, and
+with it the work for it: callers leave a silent stream after two seconds."""
+
 KEEP_IDLE_S = 75.0
 """Seconds that callers' idle connections stay open; longer than callers keep them."""
 
@@ -113,6 +118,16 @@
         await response.prepare(self._request)
 
 
+class _Connections(Server):
+    """aiohttp's server, with a bound on silence for each connection."""
+
+    def connection_made(self, handler: RequestHandler, transport: asyncio.Transport) -> None:
+        super().connection_made(handler, transport)
+        sock = transport.get_extra_info("socket")
+        if sock is not None:
+            bound_silence(sock, UNACKNOWLEDGED_S)
+
+
 class ExchangeHandler(ABC):
     """What serves requests."""
 
@@ -140,7 +155,7 @@
         """Listens, and returns the address with its real port."""
         loop = asyncio.get_running_loop()
         host, port = split_address(self._address)
-        self._server = Server(
+        self._server = _Connections(
             self._serve,
             handler_cancellation=True,
             access_log=None,
--- a/src/bayhinge/_internal/services/gateway/disk_link.py
+++ b/src/bayhinge/_internal/services/gateway/disk_link.py
@@ -8,6 +8,7 @@
 import asyncio
 import random
 
+import attrs
 import eliot
 
 from bayhinge._internal.exceptions import FrameError, PeerFailureError, PeerUnreachableError
@@ -28,6 +29,9 @@
 """Relayed calls between two log lines: a cut lasts seconds, and each turn makes several."""
 
 
+_CALL_ERRORS = (PeerUnreachableError, PeerFailureError, FrameError)
+
+
 class DiskUnreachableError(Exception):
     """A disk did not answer, or refused."""
 
@@ -48,41 +52,48 @@
         Raises:
             DiskUnreachableError: there was none, or it was a refusal.
         """
-        straight = asyncio.ensure_future(self._peers.call(member.address, method, message))
-        try:
-            if not self._directory.is_suspect(member):
-                await asyncio.wait({straight}, timeout=HEDGE_S)
-            if not straight.done() or _failed(straight):
-                return await self._call_both_ways(straight, member, method, message)
-        finally:
-            straight.cancel()
-        self._directory.note_success(member)
-        return straight.result()
-
-    async def _call_both_ways(
-        self, straight: asyncio.Task[bytes], member: wire.DiskMember, method: str, message: bytes
-    ) -> bytes:
-        ways = {straight}
-        relay = self._relay()
-        if relay is not None:
-            call = self._call_through(relay, member, method, message)
-            ways.add(asyncio.ensure_future(call))
+        ways = _Ways()
+        ways.straight.append(self._call_straight(member, method, message))
+        if self._directory.is_suspect(member):
+            ways.around += self._call_around(member, method, message)
         try:
-            async with asyncio.timeout(ANSWER_S):
-                answer = await _first_answer(ways)
-        except (TimeoutError, PeerUnreachableError, PeerFailureError, FrameError) as error:
-            why = str(error) or "no answer in time"
-            self._directory.note_failure(member, why)
-            raise DiskUnreachableError(why) from error
+            answer = await ways.first_answer(HEDGE_S)
+            if answer is None:
+                self._widen(ways, member, method, message)
+                answer = await ways.first_answer(ANSWER_S)
         finally:
-            for way in ways:
-                way.cancel()
-        if straight.done() and not straight.cancelled() and not _failed(straight):
+            ways.cancel()
+        if answer is None:
+            self._directory.note_failure(member, ways.why())
+            raise DiskUnreachableError(ways.why())
+        if any(_has_answered(way) for way in ways.straight):
             self._directory.note_success(member)
         else:
             self._directory.note_failure(member, "only a peer reaches it")
         return answer
 
+    def _widen(self, ways: "_Ways", member: wire.DiskMember, method: str, message: bytes) -> None:
+        """Adds ways where the first one has not answered in a moment, or has failed."""
+        has_broken = any(_broke_off(way) for way in ways.straight)
+        if has_broken or self._peers.doubt(member.address, HEDGE_S):
+            # The connection may be dead and the disk well: a new one tells within milliseconds.
+            ways.straight.append(self._call_straight(member, method, message))
+        if not ways.around:
+            ways.around += self._call_around(member, method, message)
+
+    def _call_straight(
+        self, member: wire.DiskMember, method: str, message: bytes
+    ) -> asyncio.Task[bytes]:
+        return asyncio.ensure_future(self._peers.call(member.address, method, message))
+
+    def _call_around(
+        self, member: wire.DiskMember, method: str, message: bytes
+    ) -> list[asyncio.Task[bytes]]:
+        relay = self._relay()
+        if relay is None:
+            return []
+        return [asyncio.ensure_future(self._call_through(relay, member, method, message))]
+
     def _relay(self) -> wire.Hello | None:
         """Returns a host to go through: of the own hall, where there is one."""
         peers = [
@@ -105,15 +116,56 @@
         return await self._peers.call(relay.peer_address, methods.RELAY, encode_message(call))
 
 
-def _failed(way: asyncio.Task[bytes]) -> bool:
-    return way.done() and not way.cancelled() and way.exception() is not None
+@attrs.define
+class _Ways:
+    """One call, under way several times: straight, and through another host."""
+
+    straight: list[asyncio.Task[bytes]] = attrs.field(factory=list)
+    around: list[asyncio.Task[bytes]] = attrs.field(factory=list)
+
+    async def first_answer(self, limit_s: float) -> bytes | None:
+        """Returns the first answer; None where the time ends before it, or every way has failed."""
+        loop = asyncio.get_running_loop()
+        end_s = loop.time() + limit_s
+        waiting = {*self.straight, *self.around}
+        while waiting and loop.time() < end_s:
+            finished, waiting = await asyncio.wait(
+                waiting, timeout=end_s - loop.time(), return_when=asyncio.FIRST_COMPLETED
+            )
+            for way in finished:
+                if _has_answered(way):
+                    return way.result()
+        return None
+
+    def cancel(self) -> None:
+        """Ends what is still under way."""
+        for way in (*self.straight, *self.around):
+            if not way.cancel() and not way.cancelled():
+                # Looked at, so that asyncio does not report as lost what another way made up for.
+                way.exception()
+
+    def why(self) -> str:
+        """Says why there was no answer."""
+        errors = [str(_error(way)) for way in (*self.straight, *self.around) if _error(way)]
+        return errors[-1] if errors else "no answer in time"
+
+
+def _has_answered(way: asyncio.Task[bytes]) -> bool:
+    return way.done() and not way.cancelled() and _error(way) is None
+
+
+def _broke_off(way: asyncio.Task[bytes]) -> bool:
+    error = _error(way)
+    return isinstance(error, PeerUnreachableError) and error.sent
+
 
+def _error(way: asyncio.Task[bytes]) -> BaseException | None:
+    """Returns why a way failed.
 
-async def _first_answer(ways: set[asyncio.Task[bytes]]) -> bytes:
-    """Returns the first answer; raises the last error where every way has failed."""
-    waiting = set(ways)
-    while True:
-        finished, waiting = await asyncio.wait(waiting, return_when=asyncio.FIRST_COMPLETED)
-        for way in finished:
-            if not _failed(way) or not waiting:
-                return way.result()
+    Raises:
+        Exception: an error that no call should end with.
+    """
+    error = way.exception() if way.done() and not way.cancelled() else None
+    if error is not None and not isinstance(error, _CALL_ERRORS):
+        raise error
+    return error
--- a/src/bayhinge/_internal/services/gateway/sending.py
+++ b/src/bayhinge/_internal/services/gateway/sending.py
@@ -195,7 +195,7 @@
             sending.route.urgency,
             sending.delivery.resume_after,
         )
-        connection.send(head, sending.body)
+        connection.send(head, sending.body, may_repeat)
         try:
             async with asyncio.timeout(bounds.first_event_s):
                 answer, marks = await self._own_answer(connection, request.attempt)
--- a/src/bayhinge/_internal/utils/http_session.py
+++ b/src/bayhinge/_internal/utils/http_session.py
@@ -5,8 +5,16 @@
 write would find its own first copy and report a conflict.
 """
 
+import socket
+
 import aiohttp
-from aiohttp import ClientHandlerType, ClientRequest, ClientResponse
+from aiohttp import AddrInfoType, ClientHandlerType, ClientRequest, ClientResponse
+
+from bayhinge._internal.utils.silence import bound_silence
+
+UNACKNOWLEDGED_S = 2.0
+"""Sent bytes that stay without an acknowledgement for so long end a connection. Calls bound
+themselves; this is for those that wait for long, such as a watch."""
 
 
 class BrokenConnectionError(aiohttp.ClientError):
@@ -23,8 +31,16 @@
         raise BrokenConnectionError(str(error) or type(error).__name__) from error
 
 
+def _open_socket(address: AddrInfoType) -> socket.socket:
+    family, kind, protocol, _, _ = address
+    sock = socket.socket(family, kind, protocol)
+    bound_silence(sock, UNACKNOWLEDGED_S)
+    return sock
+
+
 def open_session() -> aiohttp.ClientSession:
     """Opens a session without limits on connections: queueing is done elsewhere, and seen."""
     return aiohttp.ClientSession(
-        connector=aiohttp.TCPConnector(limit=0), middlewares=(_repeat_nothing,)
+        connector=aiohttp.TCPConnector(limit=0, socket_factory=_open_socket),
+        middlewares=(_repeat_nothing,),
     )
--- a/tests/functional/test_resuming.py
+++ b/tests/functional/test_resuming.py
@@ -2,6 +2,7 @@
 
 import asyncio
 from pathlib import Path
+from typing import Any
 
 import attrs
 import pytest
@@ -12,7 +13,7 @@
 pytestmark = pytest.mark.functional
 
 
-async def draft(site: PlatformSite, **headers: str) -> Reply:
+async def draft(site: PlatformSite, **headers: Any) -> Reply:
     return await site.turn(b"hello", path="/draft/x", **headers)
 
 
--- /dev/null
+++ b/tests/functional/test_silent_connections.py
@@ -0,0 +1,218 @@
+"""Open connections fall silent for good while new ones work: every kind of link finds it."""
+
+import asyncio
+import socket
+from pathlib import Path
+
+import orjson
+import pytest
+
+from bayhinge._internal.exceptions import PeerUnreachableError
+from bayhinge._internal.network.peer_link import AnsweringHandler, PeerClient, PeerServer
+from bayhinge._internal.services.gateway.turn_keeper import OPEN_S
+from bayhinge.coordination.clock import HybridClock, SystemClock
+from tests.lib.platform_data import CONFIGURATION
+from tests.lib.platform_engine import EngineTroubles, PlatformEngine
+from tests.lib.platform_site import PlatformSite, run_site
+from tests.lib.silence import fall_silent, silence_connections
+
+pytestmark = pytest.mark.functional
+
+IN_TOUCH_S = 3.0
+"""A host counts as in touch again so long after the silence began."""
+
+APPLY_S = 2.0
+"""A configuration is in force so long after the store has taken it."""
+
+
+def disk_addresses(site: PlatformSite) -> list[str]:
+    return [disk._disk.settings.peer_address for disk in site.disk_by_name.values()]
+
+
+def entry_addresses(site: PlatformSite) -> list[str]:
+    return [entry._gateway.settings.peer_address for entry in site.entry_by_name.values()]
+
+
+def endpoint_addresses(endpoints: list[PlatformEngine]) -> list[str]:
+    return [f"127.0.0.1:{endpoint.port}" for endpoint in endpoints]
+
+
+class Echo(AnsweringHandler):
+    async def answer(self, method: str, payload: bytes) -> bytes:
+        if method == "never":
+            await asyncio.sleep(60)
+        return payload
+
+
+def test_a_call_that_is_given_up_leaves_the_silent_peer_link() -> None:
+    async def main() -> None:
+        server = PeerServer("127.0.0.1:0", Echo(), HybridClock(SystemClock()))
+        address = await server.start()
+        client = PeerClient(HybridClock(SystemClock()), connect_s=0.5)
+        assert await client.call(address, "echo", b"1") == b"1"
+        assert silence_connections([address]) == 2
+        with pytest.raises(TimeoutError):
+            async with asyncio.timeout(0.04):
+                await client.call(address, "echo", b"2")
+        async with asyncio.timeout(0.04):
+            assert await client.call(address, "echo", b"3") == b"3"
+        assert client.left_silent == 1
+        await client.close()
+        await server.stop()
+
+    asyncio.run(main())
+
+
+def test_a_call_without_a_bound_of_its_own_ends_when_its_link_is_silent() -> None:
+    async def main() -> None:
+        server = PeerServer("127.0.0.1:0", Echo(), HybridClock(SystemClock()))
+        address = await server.start()
+        client = PeerClient(HybridClock(SystemClock()), connect_s=0.5)
+        waiting = asyncio.create_task(client.call(address, "never", b""))
+        await asyncio.sleep(0.05)
+        assert silence_connections([address]) == 2
+        # Its request was acknowledged long ago: only the kernel's probes can tell.
+        async with asyncio.timeout(IN_TOUCH_S):
+            with pytest.raises(PeerUnreachableError):
+                await waiting
+        await client.close()
+        await server.stop()
+
+    asyncio.run(main())
+
+
+def test_a_slow_peer_is_not_left_and_a_silent_peer_only_once() -> None:
+    async def main() -> None:
+        server = PeerServer("127.0.0.1:0", Echo(), HybridClock(SystemClock()))
+        address = await server.start()
+        client = PeerClient(HybridClock(SystemClock()), connect_s=0.5)
+
+        async def give_up() -> None:
+            with pytest.raises(TimeoutError):
+                async with asyncio.timeout(0.04):
+                    await client.call(address, "never", b"")
+
+        await client.call(address, "echo", b"")
+        slow = asyncio.create_task(give_up())
+        await asyncio.sleep(0.02)
+        await client.call(address, "echo", b"")
+        await slow
+        assert client.left_silent == 0, "the link was heard while the call waited"
+        for _ in range(5):
+            await give_up()
+        # The second connection never brought anything: a third one would say no more.
+        assert client.left_silent == 1
+        await client.close()
+        await server.stop()
+
+    asyncio.run(main())
+
+
+def test_turns_go_on_when_every_link_to_disks_and_peers_is_silent(tmp_path: Path) -> None:
+    async def scenario(site: PlatformSite) -> None:
+        for number in range(4):
+            # Opens the links between all hosts that the turns behind will need.
+            first = await site.turn(b"one ", at=f"entry-{number % 2}", program=f"w{number}")
+        assert silence_connections([*disk_addresses(site), *entry_addresses(site)]) >= 6
+        loop = asyncio.get_running_loop()
+        began = loop.time()
+        second = await site.turn(b"two ", first)
+        assert (second.status, second.is_whole) == (200, True)
+        assert loop.time() - began < OPEN_S
+        replies = await asyncio.gather(
+            *(site.turn(b"x", program=f"p{number}", at="entry-1") for number in range(5))
+        )
+        assert [reply.status for reply in replies] == [200] * 5
+
+    run_site(tmp_path, scenario)
+
+
+def test_news_from_the_store_come_although_every_watch_is_silent(tmp_path: Path) -> None:
+    async def scenario(site: PlatformSite) -> None:
+        assert silence_connections([site.store.address, *entry_addresses(site)]) >= 4
+        loop = asyncio.get_running_loop()
+        began = loop.time()
+        newer = orjson.loads(orjson.dumps(CONFIGURATION)) | {"version": 9}
+        site.store.put("config", "main", newer)
+        await site.until(
+            lambda: all(
+                entry._gateway.configuration.table is not None
+                and entry._gateway.configuration.table.version == 9
+                for entry in site.entry_by_name.values()
+            )
+        )
+        assert loop.time() - began < IN_TOUCH_S + APPLY_S / 2
+
+    run_site(tmp_path, scenario)
+
+
+def test_a_disk_is_emptied_although_its_watch_is_silent(tmp_path: Path) -> None:
+    async def scenario(site: PlatformSite) -> None:
+        assert silence_connections([site.store.address]) >= 2
+        await asyncio.sleep(IN_TOUCH_S)
+        site.retire("disk-1")
+        await site.until(
+            lambda: site.store.status("retirements", "disk-1") == {"state": "completed"},
+            limit_s=4.0,
+        )
+
+    run_site(tmp_path, scenario)
+
+
+def test_a_lookup_leaves_a_silent_endpoint_connection_for_another_one(tmp_path: Path) -> None:
+    async def scenario(site: PlatformSite) -> None:
+        for _ in range(4):
+            assert (await site.ask("/look/x", method="GET")).status == 200
+        assert silence_connections(endpoint_addresses(site.services)) >= 1
+        loop = asyncio.get_running_loop()
+        began = loop.time()
+        assert (await site.ask("/look/x", method="GET")).status == 200
+        assert loop.time() - began < 1.2
+
+    run_site(tmp_path, scenario)
+
+
+def test_what_may_not_repeat_is_not_called_unrun_on_a_silent_connection(tmp_path: Path) -> None:
+    async def scenario(site: PlatformSite) -> None:
+        assert (await site.ask("/act/x", b"pay")).status == 200
+        silence_connections(endpoint_addresses(site.services))
+        reply = await site.ask("/act/x", b"pay")
+        assert reply.status in {502, 504}
+        assert "Retry-After" not in reply.headers
+        assert (await site.ask("/act/x", b"pay")).status == 200
+
+    run_site(tmp_path, scenario)
+
+
+def test_a_silent_stream_ends_in_its_middle_where_it_may_not_be_resumed(tmp_path: Path) -> None:
+    async def scenario(site: PlatformSite) -> None:
+        for engine in site.engines:
+            engine.troubles = EngineTroubles(silent_after=1)
+        asking = asyncio.create_task(site.turn(b"hello"))
+        await site.until(lambda: any(engine.runs for engine in site.engines))
+        await asyncio.sleep(0.1)
+        assert silence_connections(endpoint_addresses(site.engines)) == 2
+        async with asyncio.timeout(IN_TOUCH_S):
+            assert not (await asking).is_whole
+
+    run_site(tmp_path, scenario)
+
+
+def test_work_for_a_caller_that_fell_silent_ends(tmp_path: Path) -> None:
+    async def scenario(site: PlatformSite) -> None:
+        for engine in site.engines:
+            engine.events, engine.troubles.pause_s = 1000, 0.05
+        loop = asyncio.get_running_loop()
+        address = site.address("entry-0").removeprefix("http://")
+        host, _, port = address.partition(":")
+        caller = socket.create_connection((host, int(port)))
+        caller.setblocking(False)
+        head = b"POST /chat/x HTTP/1.1\r\nHost: desk.example\r\nBayhinge-Attempt-Id: lone\r\n"
+        await loop.sock_sendall(caller, head + b"Content-Length: 0\r\n\r\n")
+        assert await loop.sock_recv(caller, 100)
+        fall_silent(caller)
+        (run,) = [run for engine in site.engines for run in engine.runs]
+        await site.until(lambda: run.was_cancelled, limit_s=4.5)
+        caller.close()
+
+    run_site(tmp_path, scenario)
