Doubt endpoints that say nothing; leave them where another one may serve

Cause: an endpoint that takes requests and answers nothing was noticed by nobody: its callers left, which says nothing of it, and the next request went there again. A non-repeatable request on a dead connection waited 3 s.

Now an endpoint from which this host heard nothing at all for two objectives of a waiting request is doubted (its failures count, other hosts hear of it), and left where the request may run elsewhere and another endpoint is there; one that answers others is left after four objectives. Turns end 0.9 s after their bytes stay unacknowledged, since a program asks for them again; connections that are kept open to an endpoint that fell silent are closed. What may run once only goes on waiting.

Also: calls to disks that wait together on a connection that was replaced a moment ago are tried anew as well. A test saw it in one run of eight: the first of five was refused at 0.45 s, because its hedge began a fraction of a millisecond before the connection counted as doubtful, or after another call had it replaced.

Tests: tests/functional/test_silent_endpoints.py (two of three red before).

--- a/src/bayhinge/_internal/network/endpoint_link.py
+++ b/src/bayhinge/_internal/network/endpoint_link.py
@@ -40,8 +40,9 @@
 request that must not be repeated has nothing to gain from an earlier end."""
 
 REPEATABLE_UNACKNOWLEDGED_S = 0.6
-"""The same for a request that another endpoint may serve instead: the connection ends after 0.9 s
-(loopback, a socket that drops every packet), while callers wait for 1.2 s or more."""
+"""The same for a request that another endpoint may serve instead, now or when its program asks for
+the turn again: the connection ends after 0.9 s (loopback, a socket that drops every packet), while
+callers wait for 1.2 s or more."""
 
 _INTERIM_STATUS = 200
 
@@ -55,6 +56,10 @@
         self.why = why
 
 
+class SilentEndpointError(BrokenAnswerError):
+    """There is no whole answer, because nothing came for longer than the endpoint may be silent."""
+
+
 class UnreachableError(Exception):
     """There is no connection to the endpoint, so nothing was sent."""
 
@@ -97,8 +102,10 @@
 class EndpointConnection(BaseProtocol):
     """One connection, which serves one request at a time."""
 
-    def __init__(self, loop: asyncio.AbstractEventLoop, key: str) -> None:
-        """Takes the loop and the pool's key."""
+    def __init__(
+        self, loop: asyncio.AbstractEventLoop, key: str, heard_s_by_key: dict[str, float]
+    ) -> None:
+        """Takes the loop, the pool's key, and where to note that the endpoint was heard."""
         super().__init__(loop)
         self._answer_parser = HttpResponseParser(
             self,
@@ -113,6 +120,7 @@
         )
         self._parser = self._answer_parser
         self.key = key
+        self._heard_s_by_key = heard_s_by_key
         self.is_open = True
         self.is_busy = False
         self.usable_until = 0.0
@@ -121,6 +129,7 @@
         self._waiter: asyncio.Future[None] | None = None
         self._why_closed = ""
         self._unacknowledged_s = 0.0
+        self._fell_silent = False
 
     # ---- called by the transport ----
 
@@ -133,6 +142,7 @@
         """Parses what came; bytes that nobody asked for end the connection."""
         if not self.is_open:
             return
+        self._heard_s_by_key[self.key] = self._loop.time()
         if not self.is_busy:
             if data:
                 self.abort("bytes came that nobody asked for")
@@ -159,6 +169,7 @@
         self.is_open = False
         why = str(exc) if exc else "the endpoint closed the connection"
         self._why_closed = self._why_closed or why
+        self._fell_silent = isinstance(exc, TimeoutError)
         if exc is None and not self._why_closed.startswith("aborted"):
             try:
                 self._answer_parser.feed_eof()
@@ -170,8 +181,8 @@
 
     # ---- called by the pool's users ----
 
-    def send(self, head: bytes, body: bytes, may_repeat: bool = False) -> None:
-        """Writes one request; one that may be repeated gives a silent endpoint up earlier.
+    def send(self, head: bytes, body: bytes, may_go_elsewhere: bool = False) -> None:
+        """Writes one request; one that may go elsewhere gives a silent connection up earlier.
 
         Raises:
             UnreachableError: the connection is closed already; nothing was sent.
@@ -179,7 +190,8 @@
         if not self.is_open or self.transport is None or self.transport.is_closing():
             raise UnreachableError(self._why_closed or "the connection is closed")
         self.is_busy = True
-        self._bound_silence(REPEATABLE_UNACKNOWLEDGED_S if may_repeat else UNACKNOWLEDGED_S)
+        bound_s = REPEATABLE_UNACKNOWLEDGED_S if may_go_elsewhere else UNACKNOWLEDGED_S
+        self._bound_silence(bound_s)
         self.transport.write(head + body)
 
     async def next_answer(self) -> Answer:
@@ -190,7 +202,8 @@
         """
         while not self._answers:
             if not self.is_open:
-                raise BrokenAnswerError(self._why_closed)
+                kind = SilentEndpointError if self._fell_silent else BrokenAnswerError
+                raise kind(self._why_closed)
             self._waiter = self._loop.create_future()
             await self._waiter
         return self._answers.popleft()
@@ -246,6 +259,7 @@
     def __init__(self) -> None:
         """Starts with none."""
         self._idle_by_key: dict[str, list[EndpointConnection]] = {}
+        self._heard_s_by_key: dict[str, float] = {}
         self.counts = LinkCounts()
 
     async def acquire(self, key: str, address: str) -> EndpointConnection:
@@ -266,7 +280,7 @@
         try:
             async with asyncio.timeout(CONNECT_S):
                 _, connection = await loop.create_connection(
-                    lambda: EndpointConnection(loop, key), host, port
+                    lambda: EndpointConnection(loop, key, self._heard_s_by_key), host, port
                 )
         except (OSError, TimeoutError) as error:
             raise UnreachableError(str(error) or type(error).__name__) from error
@@ -284,10 +298,19 @@
         connection.usable_until = asyncio.get_running_loop().time() + keep_s
         self._idle_by_key.setdefault(connection.key, []).append(connection)
 
-    def forget(self, key: str) -> None:
-        """Closes the idle connections to an endpoint that is gone."""
+    def was_heard_since(self, key: str, since_s: float) -> bool:
+        """Tells whether an endpoint sent anything since a moment on the loop's clock."""
+        return self._heard_s_by_key.get(key, 0.0) > since_s
+
+    def drop_idle(self, key: str) -> None:
+        """Closes the idle connections to an endpoint: it is gone, or fell silent on another one."""
         for connection in self._idle_by_key.pop(key, []):
-            connection.abort("the endpoint is gone")
+            connection.abort("the endpoint is gone or silent")
+
+    def forget(self, key: str) -> None:
+        """Forgets an endpoint that is gone."""
+        self.drop_idle(key)
+        self._heard_s_by_key.pop(key, None)
 
     def sweep(self) -> None:
         """Closes connections that were idle for too long."""
@@ -305,4 +328,4 @@
     def close(self) -> None:
         """Closes every idle connection."""
         for key in list(self._idle_by_key):
-            self.forget(key)
+            self.drop_idle(key)
--- a/src/bayhinge/_internal/network/peer_link.py
+++ b/src/bayhinge/_internal/network/peer_link.py
@@ -30,8 +30,8 @@
 sent again after 0.2 s and 0.6 s, so two losses in a row do not end one."""
 
 UNHEARD_S = 0.03
-"""A call that is given up after so long, with nothing heard over its connection meanwhile, makes
-the connection doubtful: some ten times the way there and back between halls."""
+"""A call that waits for so long, with nothing heard over its connection meanwhile, makes the
+connection doubtful once it is given up or hedged: ten times the way between halls and back."""
 
 
 class PeerHandler(ABC):
@@ -78,12 +78,12 @@
     async def close(self) -> None:
         """Closes every connection."""
 
-    def doubt(self, address: str, unheard_s: float) -> bool:
-        """Leaves a connection that brought nothing since a call began so long ago, in seconds.
+    def doubt(self, address: str, began_s: float) -> bool:
+        """Leaves a connection that brings nothing, because a call over it waits for too long.
 
-        Returns whether the next call goes over a new one. Calls that wait on the old one go on
-        waiting. A connection that never brought anything is not left: then the peer is silent,
-        and a new connection would say no more.
+        Returns whether a call goes over a newer connection now than one that began at ``began_s``
+        on the loop's clock. Calls that wait on the old one go on waiting. A connection that never
+        brought anything is not left: then the peer is silent, and a new one would say no more.
         """
         return False
 
@@ -156,6 +156,7 @@
         self._may_write = asyncio.Event()
         self._may_write.set()
         self.is_open = True
+        self.made_s = 0.0
         self.heard_s: float | None = None
 
     # ---- called by the transport ----
@@ -163,6 +164,7 @@
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         assert isinstance(transport, asyncio.Transport)
         self._transport = transport
+        self.made_s = asyncio.get_running_loop().time()
         sock = transport.get_extra_info("socket")
         if sock is not None:
             bound_silence(sock, UNACKNOWLEDGED_S)
@@ -333,13 +335,14 @@
         finally:
             link.close_stream(stream)
 
-    def doubt(self, address: str, unheard_s: float) -> bool:
+    def doubt(self, address: str, began_s: float) -> bool:
         """See :class:`Peers`."""
         link = self._links_by_address.get(address)
         if link is None or not link.is_open:
-            return False
-        link.doubt(unheard_s)
-        return link.is_doubtful
+            return True
+        link.doubt()
+        # Another call may have had it replaced a moment ago.
+        return link.is_doubtful or link.made_s > began_s
 
     async def close(self) -> None:
         """Closes every connection."""
@@ -412,14 +415,14 @@
     def is_usable(self) -> bool:
         return self.is_open and not self.is_doubtful
 
-    def doubt(self, unheard_s: float) -> None:
-        """Marks the connection where it worked once, and leaves a call alone for so long."""
+    def doubt(self) -> None:
+        """Marks the connection where it worked once, and leaves a call alone for too long."""
         for stream in self._stream_by_number.values():
-            self._doubt_by(stream, unheard_s)
+            self._doubt_by(stream)
 
-    def _doubt_by(self, stream: _Stream, unheard_s: float) -> None:
+    def _doubt_by(self, stream: _Stream) -> None:
         now = asyncio.get_running_loop().time()
-        has_waited = now - stream.opened_s >= unheard_s
+        has_waited = now - stream.opened_s >= UNHEARD_S
         if has_waited and self.heard_s is not None and self.heard_s <= stream.opened_s:
             self.is_doubtful = True
 
@@ -448,7 +451,7 @@
         if self._stream_by_number.pop(stream.number, None) is None:
             return
         self._send(stream.number, FrameKind.CANCEL, None, None)
-        self._doubt_by(stream, UNHEARD_S)
+        self._doubt_by(stream)
         self._close_if_done()
 
     def abort(self) -> None:
--- a/src/bayhinge/_internal/services/gateway/disk_link.py
+++ b/src/bayhinge/_internal/services/gateway/disk_link.py
@@ -52,7 +52,7 @@
         Raises:
             DiskUnreachableError: there was none, or it was a refusal.
         """
-        ways = _Ways()
+        ways = _Ways(asyncio.get_running_loop().time())
         ways.straight.append(self._call_straight(member, method, message))
         if self._directory.is_suspect(member):
             ways.around += self._call_around(member, method, message)
@@ -75,7 +75,7 @@
     def _widen(self, ways: "_Ways", member: wire.DiskMember, method: str, message: bytes) -> None:
         """Adds ways where the first one has not answered in a moment, or has failed."""
         has_broken = any(_broke_off(way) for way in ways.straight)
-        if has_broken or self._peers.doubt(member.address, HEDGE_S):
+        if has_broken or self._peers.doubt(member.address, ways.began_s):
             # The connection may be dead and the disk well: a new one tells within milliseconds.
             ways.straight.append(self._call_straight(member, method, message))
         if not ways.around:
@@ -120,6 +120,7 @@
 class _Ways:
     """One call, under way several times: straight, and through another host."""
 
+    began_s: float
     straight: list[asyncio.Task[bytes]] = attrs.field(factory=list)
     around: list[asyncio.Task[bytes]] = attrs.field(factory=list)
 
--- a/src/bayhinge/_internal/services/gateway/sending.py
+++ b/src/bayhinge/_internal/services/gateway/sending.py
@@ -7,17 +7,18 @@
 import eliot
 
 from bayhinge._internal import status_codes
+from bayhinge._internal.decisions.answer_bounds import MOST_WAITS, AnswerBounds, bounds_of
 from bayhinge._internal.decisions.endpoint_book import EndpointBelief as Belief
 from bayhinge._internal.decisions.endpoint_book import EndpointBook, Wish
-from bayhinge._internal.decisions.stream_bounds import StreamBounds, bounds_of
 from bayhinge._internal.models.refusals import CallAttempt, RefusalCode, RefusedError
 from bayhinge._internal.models.routed_requests import AnswerMarks, RoutedRequest
-from bayhinge._internal.models.routing import Route
+from bayhinge._internal.models.routing import Route, RouteKind
 from bayhinge._internal.network.endpoint_link import (
     Answer,
     BrokenAnswerError,
     EndpointConnection,
     EndpointLinks,
+    SilentEndpointError,
     UnreachableError,
 )
 from bayhinge._internal.services.gateway.outside import CallFormat
@@ -52,12 +53,12 @@
 
     @property
     def may_go_on(self) -> bool:
-        """Whether another endpoint may go on where this answer has broken off."""
-        return False
+        """Whether another endpoint may be asked for what this one has not given."""
+        return True
 
     @abstractmethod
     async def deliver(
-        self, answer: Answer, marks: AnswerMarks, may_repeat: bool, bounds: StreamBounds
+        self, answer: Answer, marks: AnswerMarks, may_repeat: bool, bounds: AnswerBounds
     ) -> None:
         """Passes an answer on.
 
@@ -145,6 +146,9 @@
                 self._note_not_taken(belief, sending, str(error))
             except BrokenAnswerError as error:
                 sending.ran += 1
+                if isinstance(error, SilentEndpointError):
+                    # What is kept open to it may be as dead as the connection that was used.
+                    self._links.drop_idle(belief.entry.instance)
                 self._note_failure(belief, sending, error.why)
                 self._give_up_unless_repeatable(sending, error)
 
@@ -183,24 +187,21 @@
         self, connection: EndpointConnection, belief: Belief, sending: _Sending
     ) -> tuple[Answer, AnswerMarks]:
         """Sends, and reads the answer to its end; delivers it unless the request did not run."""
-        request = sending.request
+        request, route = sending.request, sending.route
         loop = asyncio.get_running_loop()
-        may_repeat = sending.route.may_repeat and sending.ran + 1 < sending.route.max_endpoints
-        bounds = bounds_of(sending.route, may_repeat and sending.delivery.may_go_on)
+        may_repeat = route.may_repeat and sending.ran + 1 < route.max_endpoints
+        bounds = bounds_of(route, may_repeat and sending.delivery.may_go_on)
         head = self._calls.request_head(
             request,
             len(sending.body),
             belief.entry.instance,
             sending.deadline_s - loop.time(),
-            sending.route.urgency,
+            route.urgency,
             sending.delivery.resume_after,
         )
-        connection.send(head, sending.body, may_repeat)
-        try:
-            async with asyncio.timeout(bounds.first_event_s):
-                answer, marks = await self._own_answer(connection, request.attempt)
-        except TimeoutError:
-            raise BrokenAnswerError(f"no answer for {bounds.first_event_s} s") from None
+        # A program asks for a turn again that failed, so a turn may end early as well.
+        connection.send(head, sending.body, may_repeat or route.kind is RouteKind.STREAMING)
+        answer, marks = await self._answer_in_time(connection, belief, sending, bounds)
         if marks.not_run or marks.wrong_instance:
             await answer.read_body()
             return answer, marks
@@ -216,6 +217,39 @@
         else:
             self._links.release(connection, marks.idle_s)
 
+    async def _answer_in_time(
+        self,
+        connection: EndpointConnection,
+        belief: Belief,
+        sending: _Sending,
+        bounds: AnswerBounds,
+    ) -> tuple[Answer, AnswerMarks]:
+        """Returns the head of the answer; doubts an endpoint that says nothing to anybody here.
+
+        Raises:
+            SilentEndpointError: it said nothing for too long, and another one may be asked.
+        """
+        instance = belief.entry.instance
+        sent_s = asyncio.get_running_loop().time()
+        waits = 0
+        while True:
+            try:
+                async with asyncio.timeout(bounds.unheard_s):
+                    return await self._own_answer(connection, sending.request.attempt)
+            except TimeoutError:
+                waits += 1
+            is_heard = self._links.was_heard_since(instance, sent_s)
+            should_leave = waits >= MOST_WAITS or not is_heard
+            if should_leave and bounds.may_leave and self._has_other(sending):
+                raise SilentEndpointError(f"no answer for {waits * bounds.unheard_s:.3f} s")
+            if waits == 1 and not is_heard:
+                self._note_failure(belief, sending, f"not heard for {bounds.unheard_s:.3f} s")
+
+    def _has_other(self, sending: _Sending) -> bool:
+        """Whether an endpoint is left that was not asked yet."""
+        now = asyncio.get_running_loop().time()
+        return self._book.choose(sending.service, sending.wish, sending.tried, now) is not None
+
     async def _own_answer(
         self, connection: EndpointConnection, attempt: str
     ) -> tuple[Answer, AnswerMarks]:
--- a/src/bayhinge/_internal/services/gateway/stream_delivery.py
+++ b/src/bayhinge/_internal/services/gateway/stream_delivery.py
@@ -9,10 +9,10 @@
 from collections.abc import AsyncIterator
 
 from bayhinge._internal import status_codes
-from bayhinge._internal.decisions.stream_bounds import StreamBounds
+from bayhinge._internal.decisions.answer_bounds import AnswerBounds
 from bayhinge._internal.models.routed_requests import AnswerMarks, RoutedRequest
 from bayhinge._internal.models.routing import Route
-from bayhinge._internal.network.endpoint_link import Answer, BrokenAnswerError
+from bayhinge._internal.network.endpoint_link import Answer, BrokenAnswerError, SilentEndpointError
 from bayhinge._internal.network.event_stream import EventReader, StreamEvent
 from bayhinge._internal.network.routed_front import Exchange
 from bayhinge._internal.network.stream_splice import SpliceError, StreamSplice
@@ -57,7 +57,7 @@
         return self._splice is not None and self._splice.may_go_on
 
     async def deliver(
-        self, answer: Answer, marks: AnswerMarks, may_repeat: bool, bounds: StreamBounds
+        self, answer: Answer, marks: AnswerMarks, may_repeat: bool, bounds: AnswerBounds
     ) -> None:
         """See :class:`Delivery`."""
         if not is_success(answer.status):
@@ -93,7 +93,7 @@
             raise BrokenAnswerError("the stream ended within an event")
 
     async def _pass_events(
-        self, answer: Answer, splice: StreamSplice, bounds: StreamBounds
+        self, answer: Answer, splice: StreamSplice, bounds: AnswerBounds
     ) -> None:
         """Passes whole events on; the head goes out with the first one.
 
@@ -139,21 +139,19 @@
         self.is_recorded = True
 
 
-async def _pieces(answer: Answer, bounds: StreamBounds) -> AsyncIterator[bytes]:
+async def _pieces(answer: Answer, bounds: AnswerBounds) -> AsyncIterator[bytes]:
     """Yields an answer's bytes as they come.
 
     Raises:
         BrokenAnswerError: the answer breaks off, or is silent for longer than its bounds.
     """
     pieces = answer.read_pieces()
-    limit_s = bounds.first_event_s
     while True:
         try:
-            async with asyncio.timeout(limit_s):
+            async with asyncio.timeout(bounds.pause_s):
                 piece = await anext(pieces, b"")
         except TimeoutError:
-            raise BrokenAnswerError(f"no event for {limit_s} s") from None
+            raise SilentEndpointError(f"no event for {bounds.pause_s:.3f} s") from None
         if not piece:
             return
         yield piece
-        limit_s = bounds.pause_s
--- a/src/bayhinge/_internal/services/gateway/whole_delivery.py
+++ b/src/bayhinge/_internal/services/gateway/whole_delivery.py
@@ -1,7 +1,7 @@
 """Delivers answers that are read whole before anything of them goes out."""
 
 from bayhinge._internal import status_codes
-from bayhinge._internal.decisions.stream_bounds import StreamBounds
+from bayhinge._internal.decisions.answer_bounds import AnswerBounds
 from bayhinge._internal.models.routed_requests import AnswerMarks
 from bayhinge._internal.network.endpoint_link import Answer, BrokenAnswerError
 from bayhinge._internal.network.routed_front import Exchange
@@ -19,7 +19,7 @@
         self._calls = calls
 
     async def deliver(
-        self, answer: Answer, marks: AnswerMarks, may_repeat: bool, bounds: StreamBounds
+        self, answer: Answer, marks: AnswerMarks, may_repeat: bool, bounds: AnswerBounds
     ) -> None:
         """See :class:`Delivery`."""
         body = await answer.read_body()
--- a/tests/functional/test_sending.py
+++ b/tests/functional/test_sending.py
@@ -5,8 +5,8 @@
 
 import pytest
 
+from bayhinge._internal.decisions.answer_bounds import AnswerBounds
 from bayhinge._internal.decisions.endpoint_book import EndpointBook
-from bayhinge._internal.decisions.stream_bounds import StreamBounds
 from bayhinge._internal.models.endpoint_entries import EndpointEntry
 from bayhinge._internal.models.refusals import CallAttempt, RefusedError, RunState
 from bayhinge._internal.models.routed_requests import AnswerMarks, RoutedRequest
@@ -31,7 +31,7 @@
         self.body = b""
 
     async def deliver(
-        self, answer: Answer, marks: AnswerMarks, may_repeat: bool, bounds: StreamBounds
+        self, answer: Answer, marks: AnswerMarks, may_repeat: bool, bounds: AnswerBounds
     ) -> None:
         self.body = await answer.read_body()
 
--- a/tests/functional/test_silent_connections.py
+++ b/tests/functional/test_silent_connections.py
@@ -122,7 +122,9 @@
         replies = await asyncio.gather(
             *(site.turn(b"x", program=f"p{number}", at="entry-1") for number in range(5))
         )
-        assert [reply.status for reply in replies] == [200] * 5
+        assert [reply.status for reply in replies] == [200] * 5, [
+            reply.body for reply in replies if reply.status != 200
+        ]
 
     run_site(tmp_path, scenario)
 
--- /dev/null
+++ b/tests/functional/test_silent_endpoints.py
@@ -0,0 +1,78 @@
+"""Endpoints that take requests and say nothing: doubted early, left where that is allowed."""
+
+import asyncio
+from pathlib import Path
+
+import pytest
+
+from bayhinge._internal.decisions.answer_bounds import UNHEARD_OBJECTIVES
+from tests.lib.platform_engine import EngineTroubles, PlatformEngine
+from tests.lib.platform_site import PlatformSite, run_site
+
+pytestmark = pytest.mark.functional
+
+LOOK_OBJECTIVE_S = 0.4
+CHAT_OBJECTIVE_S = 0.2
+
+
+async def mute_the_first_asked(site: PlatformSite, endpoints: list[PlatformEngine]) -> None:
+    """Whichever endpoint runs something keeps silent for good; the others are healed."""
+    await site.until(lambda: any(endpoint.runs for endpoint in endpoints))
+    for endpoint in endpoints:
+        if not endpoint.runs:
+            endpoint.troubles = EngineTroubles()
+
+
+def test_a_lookup_leaves_an_endpoint_that_says_nothing(tmp_path: Path) -> None:
+    async def scenario(site: PlatformSite) -> None:
+        for service in site.services:
+            service.troubles = EngineTroubles(pause_s=30.0)
+        began = asyncio.get_running_loop().time()
+        asking = asyncio.create_task(site.ask("/look/x", method="GET"))
+        await mute_the_first_asked(site, site.services)
+        assert (await asking).status == 200
+        took_s = asyncio.get_running_loop().time() - began
+        assert took_s < UNHEARD_OBJECTIVES * LOOK_OBJECTIVE_S + 0.3
+
+    run_site(tmp_path, scenario)
+
+
+def test_an_endpoint_that_is_slow_alone_is_waited_for(tmp_path: Path) -> None:
+    async def scenario(site: PlatformSite) -> None:
+        gone = site.services.pop()
+        site.store.remove("servers", gone.instance)
+        await site.until(
+            lambda: site.entry_by_name["entry-0"]._gateway.book.find(gone.instance) is None
+        )
+        await gone.stop()
+        site.services[0].troubles = EngineTroubles(pause_s=1.2)
+        assert (await site.ask("/look/x", method="GET")).status == 200
+        assert len(site.services[0].runs) == 1
+
+    run_site(tmp_path, scenario)
+
+
+def test_others_avoid_a_silent_endpoint_while_what_may_not_repeat_waits_there(
+    tmp_path: Path,
+) -> None:
+    async def scenario(site: PlatformSite) -> None:
+        for engine in site.engines:
+            engine.troubles = EngineTroubles(pause_s=30.0)
+        waiting = asyncio.create_task(site.turn(b"hello"))
+        await mute_the_first_asked(site, site.engines)
+        (mute,) = [engine for engine in site.engines if engine.troubles.pause_s]
+        await asyncio.sleep(UNHEARD_OBJECTIVES * CHAT_OBJECTIVE_S + 0.1)
+        for engine in site.engines:
+            if engine is not mute:
+                engine.troubles = EngineTroubles(pause_s=0.1)
+        # By load alone the mute one would get most of these.
+        replies = await asyncio.gather(
+            *(site.turn(b"x", program=f"p{number}") for number in range(6))
+        )
+        assert [reply.status for reply in replies] == [200] * 6
+        assert len(mute.runs) == 1
+        assert not waiting.done(), "it runs once, and may still be answered"
+        waiting.cancel()
+        await asyncio.gather(waiting, return_exceptions=True)
+
+    run_site(tmp_path, scenario)
--- a/tests/lib/silence.py
+++ b/tests/lib/silence.py
@@ -31,9 +31,11 @@
     count = 0
     for descriptor in list(Path("/proc/self/fd").iterdir()):
         try:
+            if not str(descriptor.readlink()).startswith("socket:"):
+                continue
             sock = socket.socket(fileno=os.dup(int(descriptor.name)))
         except OSError:
-            # No socket, or closed since the folder was read.
+            # Closed since the folder was read.
             continue
         with sock:
             if wanted & _ends(sock):
