Load only what a program needs at its start, without garbage collection meanwhile

Hypothesis: after a loss of power all callers wait for imports; a host with half the processor of another started 0.3 s later in the logs of three final faults (disk hosts after 0.27 to 0.48 s, entry hosts after 0.57 to 0.89 s).

Measure: imports, processor time, medians of 25 starts taken by turns: entry host 0.445 s to 0.350 s (0.07 s of it the collector), disk host 0.445 s to 0.340 s; memory of a disk host 46 MB to 43 MB. Tried and not taken: bytecode without docstrings (-OO), whose gain was within the noise of a busy machine; mode's import of croniter stays.

--- a/src/bayhinge/_internal/platform/__main__.py
+++ b/src/bayhinge/_internal/platform/__main__.py
@@ -1,5 +1,6 @@
 """``python -m bayhinge._internal.platform entry|disk``: a host on the platform."""
 
+import gc
 import os
 import sys
 
@@ -12,6 +13,9 @@
     # needs to start, and a megabyte. These programs speak plain HTTP alone.
     os.environ.setdefault("SSL_CERT_FILE", EMPTY)
     os.environ.setdefault("SSL_CERT_DIR", EMPTY)
+    # What is imported stays; looking through it for garbage took 0.07 of 0.42 s of processor time
+    # (medians of 25 starts, taken by turns).
+    gc.disable()
     from bayhinge._internal.platform.programs import run
 
     return run(sys.argv[1:])
--- /dev/null
+++ b/src/bayhinge/_internal/platform/entry_program.py
@@ -0,0 +1,54 @@
+"""The program of an entry host: the product's host with the platform's calls to it."""
+
+from mode import Service
+
+from bayhinge._internal.models.site_settings import SiteSettings
+from bayhinge._internal.network.routed_front import RoutedFront
+from bayhinge._internal.platform.call_format import PlatformCallFormat
+from bayhinge._internal.platform.entry_calls import EntryCalls
+from bayhinge._internal.platform.object_reader import PlatformObjectReader
+from bayhinge._internal.platform.objects_api import (
+    CONFIGURATION_KIND,
+    ENDPOINTS_KIND,
+    PlatformObjects,
+)
+from bayhinge._internal.services.gateway.gateway import Gateway
+from bayhinge._internal.services.gateway.outside import Platform
+
+METRICS_PORT = 9464
+"""Where the metrics page is, as the deploy file names it; outside the ports that days draw."""
+
+
+class EntryProgram(Service):
+    """An entry host with the platform's calls to it."""
+
+    def __init__(self, settings: SiteSettings) -> None:
+        """Takes the settings."""
+        super().__init__()
+        store = PlatformObjects(settings.store_address)
+        self._gateway = Gateway(
+            settings,
+            Platform(
+                store,
+                PlatformCallFormat(),
+                PlatformObjectReader(),
+                f"{CONFIGURATION_KIND}/",
+                f"{ENDPOINTS_KIND}/",
+            ),
+        )
+        calls = EntryCalls(self._gateway)
+        metrics_address = f"{settings.ip}:{METRICS_PORT}"
+        addresses = {settings.ready_address, settings.directory_address, metrics_address} - {""}
+        self._fronts = [RoutedFront(address, calls) for address in sorted(addresses)]
+
+    async def on_start(self) -> None:
+        """Listens for the platform, then starts the host."""
+        for front in self._fronts:
+            await front.start()
+        await self._gateway.start()
+
+    async def on_stop(self) -> None:
+        """Stops the host, then the platform's calls: it says that it leaves to the last."""
+        await self._gateway.stop()
+        for front in self._fronts:
+            await front.stop()
--- a/src/bayhinge/_internal/platform/programs.py
+++ b/src/bayhinge/_internal/platform/programs.py
@@ -1,9 +1,11 @@
 """The two programs of a platform's hosts, and how one is started."""
 
 import asyncio
+import gc
 import os
 import signal
 import sys
+from collections.abc import Callable
 from pathlib import Path
 
 import eliot
@@ -11,103 +13,38 @@
 
 from bayhinge._internal import status_codes
 from bayhinge._internal.models.site_settings import SiteSettings
-from bayhinge._internal.network.routed_front import RoutedFront
-from bayhinge._internal.platform.call_format import PlatformCallFormat
-from bayhinge._internal.platform.entry_calls import EntryCalls
-from bayhinge._internal.platform.object_reader import PlatformObjectReader
-from bayhinge._internal.platform.objects_api import (
-    CONFIGURATION_KIND,
-    ENDPOINTS_KIND,
-    RETIREMENTS_KIND,
-    PlatformObjects,
-)
-from bayhinge._internal.platform.retirements import RetirementDesk
 from bayhinge._internal.platform.settings_file import read_settings
-from bayhinge._internal.services.disks.disk_host import DiskHost
-from bayhinge._internal.services.gateway.gateway import Gateway
-from bayhinge._internal.services.gateway.outside import Platform
-from bayhinge._internal.services.keep_running import keep_running
-from bayhinge._internal.services.key_follower import KeyFollower
 from bayhinge._internal.utils.log_output import LogOutput
 
 SETTINGS_VARIABLE = "BAYHINGE_NODE_FILE"
-METRICS_PORT = 9464
-"""Where the metrics page is, as the deploy file names it; outside the ports that days draw."""
-
-RETIREMENT_WAIT_S = 20.0
-"""Wait of one watch call for retirements, which come rarely and have seconds to spare."""
-
-
-class EntryProgram(Service):
-    """An entry host with the platform's calls to it."""
-
-    def __init__(self, settings: SiteSettings) -> None:
-        """Takes the settings."""
-        super().__init__()
-        store = PlatformObjects(settings.store_address)
-        self._gateway = Gateway(
-            settings,
-            Platform(
-                store,
-                PlatformCallFormat(),
-                PlatformObjectReader(),
-                f"{CONFIGURATION_KIND}/",
-                f"{ENDPOINTS_KIND}/",
-            ),
-        )
-        calls = EntryCalls(self._gateway)
-        metrics_address = f"{settings.ip}:{METRICS_PORT}"
-        addresses = {settings.ready_address, settings.directory_address, metrics_address} - {""}
-        self._fronts = [RoutedFront(address, calls) for address in sorted(addresses)]
-
-    async def on_start(self) -> None:
-        """Listens for the platform, then starts the host."""
-        for front in self._fronts:
-            await front.start()
-        await self._gateway.start()
-
-    async def on_stop(self) -> None:
-        """Stops the host, then the platform's calls: it says that it leaves to the last."""
-        await self._gateway.stop()
-        for front in self._fronts:
-            await front.stop()
-
-
-class DiskProgram(Service):
-    """A disk host with the platform's requests to empty it."""
-
-    def __init__(self, settings: SiteSettings) -> None:
-        """Takes the settings."""
-        super().__init__()
-        self._store = PlatformObjects(settings.store_address)
-        self._disk = DiskHost(settings, self._store)
-        self._follower = KeyFollower(
-            self._store,
-            f"{RETIREMENTS_KIND}/",
-            RETIREMENT_WAIT_S,
-            RetirementDesk(self._store, self._disk),
-            self._disk.peers,
-        )
-
-    async def on_start(self) -> None:
-        """Starts the host and follows requests to empty it."""
-        await self._disk.start()
-        self.add_future(keep_running("follow retirements", self._follower.run))
-
-    async def on_stop(self) -> None:
-        """Stops the host."""
-        await self._disk.stop()
-        self._follower.stop()
-        await self._store.close()
-
-
-PROGRAM_BY_NAME: dict[str, type[EntryProgram] | type[DiskProgram]] = {
-    "entry": EntryProgram,
-    "disk": DiskProgram,
+
+
+# Each program loads what it needs alone: an entry host has no use for the log of turns, a disk
+# host none for the HTTP server. With that, lazy parts of the coordination library and no garbage
+# collection meanwhile, imports take 0.350 s of processor time in an entry host and 0.340 s in a
+# disk host, in place of 0.445 s (medians of 25 starts, taken by turns); a disk host's peak memory
+# fell from 46 to 43 MB.
+def _entry(settings: SiteSettings) -> Service:
+    from bayhinge._internal.platform.entry_program import EntryProgram
+
+    return EntryProgram(settings)
+
+
+def _disk(settings: SiteSettings) -> Service:
+    from bayhinge._internal.platform.disk_program import DiskProgram
+
+    return DiskProgram(settings)
+
+
+PROGRAM_BY_NAME: dict[str, Callable[[SiteSettings], Service]] = {
+    "entry": _entry,
+    "disk": _disk,
 }
 
 
 async def _run(program: Service, settings_path: Path) -> None:
+    gc.freeze()
+    gc.enable()
     stopping = asyncio.Event()
     loop = asyncio.get_running_loop()
     for number in (signal.SIGTERM, signal.SIGINT):
--- a/tests/lib/platform_site.py
+++ b/tests/lib/platform_site.py
@@ -12,7 +12,8 @@
 import orjson
 
 from bayhinge._internal.models.site_settings import SiteSettings
-from bayhinge._internal.platform.programs import DiskProgram, EntryProgram
+from bayhinge._internal.platform.disk_program import DiskProgram
+from bayhinge._internal.platform.entry_program import EntryProgram
 from bayhinge._internal.platform.settings_file import read_settings
 from tests.lib.platform_data import CONFIGURATION, settings_text
 from tests.lib.platform_engine import PlatformEngine
