Soak: connections that fall silent, and streams that callers resume

The proxies before the store and the endpoints let open connections pass nothing on any more, while new ones work; callers ask for streams that may be resumed and go on behind their last event, and the ledger checks that events come once, in order, and whole.

--- a/tests/soak/callers.py
+++ b/tests/soak/callers.py
@@ -8,7 +8,7 @@
 import attrs
 
 from tests.soak.daemons import Daemon
-from tests.soak.ledger import Ledger, Sent
+from tests.soak.ledger import Draft, Ledger, Sent
 
 CALL_S = 3.0
 MOST_TOKENS = 30
@@ -47,6 +47,8 @@
             )
             history, previous = history + text + said, sent.attempt
             self.served_turns += 1
+            if self.source.random() < 0.5:
+                await self._draft(session, program, budget)
             await asyncio.gather(
                 *(self._tool(session, program) for _ in range(self.source.randint(0, 2)))
             )
@@ -79,6 +81,26 @@
             await asyncio.sleep(self.source.uniform(0.1, 0.4))
         return None
 
+    async def _draft(self, session: aiohttp.ClientSession, program: str, budget: int) -> None:
+        """Asks for a stream that may be resumed, and goes on behind its last event if it breaks."""
+        headers = {
+            "Bayhinge-Program-Id": program,
+            "Bayhinge-Session-Id": program,
+            "Bayhinge-Token-Budget": str(budget),
+            "Bayhinge-Token-Usage": f"100,{MOST_TOKENS}",
+        }
+        draft = Draft(program)
+        self.ledger.drafts.append(draft)
+        for _ in range(TRIES):
+            sent = self._new("draft", f"draft of {program}".encode(), program)
+            await self._send(session, sent, "/draft/x", headers)
+            draft.take(sent)
+            if draft.is_whole or sent.status == 402 or self.is_stopping:
+                return
+            if draft.event_ids:
+                headers["Last-Event-Id"] = str(draft.event_ids[-1])
+            await asyncio.sleep(self.source.uniform(0.1, 0.4))
+
     async def _tool(self, session: aiohttp.ClientSession, program: str) -> None:
         kind = self.source.choice(["act", "look"])
         sent = self._new(kind, f"{kind} of {program}".encode(), program)
--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -42,6 +42,7 @@
             self.hurt_entry,
             self.stop_entry,
             self.lose_store_answers,
+            self.silence_connections,
         ]
 
     async def trouble_store(self) -> None:
@@ -67,6 +68,15 @@
             self.said("store forgets its history")
             self.store.forget_history()
 
+    async def silence_connections(self) -> None:
+        """Open connections to the store and to endpoints fall silent for good."""
+        proxies = [*self.store_proxies, *self.engine_proxies]
+        chosen = [proxy for proxy in proxies if self.source.random() < 0.6]
+        self.said(f"open connections of {len(chosen)} of {len(proxies)} ways fall silent")
+        for proxy in chosen:
+            proxy.silence_open_connections()
+        await asyncio.sleep(self.source.uniform(1.0, 3.0))
+
     async def trouble_engine(self) -> None:
         """The way to one endpoint, or the endpoint itself."""
         number = self.source.randrange(len(self.engines))
--- a/tests/soak/proxy.py
+++ b/tests/soak/proxy.py
@@ -1,4 +1,8 @@
-"""A loopback proxy that delays, resets, cuts one way, or falls silent."""
+"""A loopback proxy that delays, resets, cuts one way, or falls silent.
+
+Connections that are open may also fall silent for good while new ones work; on loopback this shows
+as bytes that are taken and never passed on.
+"""
 
 import asyncio
 from enum import StrEnum
@@ -31,6 +35,7 @@
     port: int = 0
     _server: asyncio.Server | None = None
     _writers: set[asyncio.StreamWriter] = attrs.field(factory=set)
+    _silences: int = 0
 
     async def start(self) -> None:
         self._server = await asyncio.start_server(self._serve, "127.0.0.1", 0)
@@ -47,6 +52,10 @@
         if trouble in {Trouble.RESET, Trouble.REFUSE}:
             self._cut_all()
 
+    def silence_open_connections(self) -> None:
+        """What is open passes nothing on any more; what is opened from now on works."""
+        self._silences += 1
+
     def _cut_all(self) -> None:
         for writer in list(self._writers):
             writer.transport.abort()
@@ -79,7 +88,10 @@
     async def _pump(
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter, is_answer: bool
     ) -> None:
+        silences = self._silences
         while piece := await reader.read(_PIECE_BYTES):
+            if silences != self._silences:
+                continue
             if self.trouble is Trouble.DELAY:
                 await asyncio.sleep(DELAY_S)
             while self.trouble is Trouble.SILENT:  # noqa: ASYNC110
@@ -90,5 +102,5 @@
                 raise ConnectionResetError
             writer.write(piece)
             await writer.drain()
-        if writer.can_write_eof():
+        if silences == self._silences and writer.can_write_eof():
             writer.write_eof()
