--- a/src/bayhinge/_internal/bench/world/network.py
+++ b/src/bayhinge/_internal/bench/world/network.py
@@ -8,7 +8,7 @@
 
 from bayhinge._internal.exceptions import PeerFailureError, PeerUnreachableError
 from bayhinge._internal.models.refusals import RefusedError
-from bayhinge._internal.network.peer_link import PeerHandler, PeerListener, PeerNetwork, Peers
+from bayhinge._internal.network.peers import PeerHandler, PeerListener, PeerNetwork, Peers
 from bayhinge.coordination.clock import HybridClock
 
 PEER_DELAY_S = 0.0015
--- a/src/bayhinge/_internal/network/endpoint_link.py
+++ b/src/bayhinge/_internal/network/endpoint_link.py
@@ -17,7 +17,7 @@
 from aiohttp.streams import StreamReader
 
 from bayhinge._internal.models.routed_requests import RawHeaders
-from bayhinge._internal.network.peer_link import split_address
+from bayhinge._internal.network.addresses import split_address
 from bayhinge._internal.utils.silence import bound_silence
 
 READ_BUFFER_BYTES = 65_536
--- /dev/null
+++ b/src/bayhinge/_internal/network/peer_client.py
@@ -0,0 +1,200 @@
+"""The asking side of the link between hosts, and how it leaves connections that fell silent."""
+
+import asyncio
+from collections.abc import AsyncGenerator
+
+import eliot
+
+from bayhinge._internal.exceptions import PeerFailureError, PeerUnreachableError
+from bayhinge._internal.network.addresses import split_address
+from bayhinge._internal.network.peer_link import PeerLink
+from bayhinge._internal.network.peers import Peers
+from bayhinge._internal.wire.frames.ttypes import Frame, FrameKind
+from bayhinge.coordination.clock import HybridClock
+
+UNHEARD_S = 0.03
+"""A call that waits for so long, with nothing heard over its connection meanwhile, makes the
+connection doubtful once it is given up or hedged: ten times the way between halls and back."""
+
+
+class PeerClient(Peers):
+    """The connections to all peers, opened when first needed."""
+
+    def __init__(self, clock: HybridClock, connect_s: float) -> None:
+        """Takes the clock whose stamps go with each frame, and the time to connect."""
+        self._clock = clock
+        self._connect_s = connect_s
+        self._links_by_address: dict[str, _ClientLink] = {}
+        self._locks_by_address: dict[str, asyncio.Lock] = {}
+
+    async def stream(
+        self, address: str, method: str, payload: bytes
+    ) -> AsyncGenerator[bytes, None]:
+        """Opens a stream and yields the answer's messages.
+
+        Raises:
+            PeerUnreachableError: there is no connection, or it broke before the end.
+            PeerFailureError: the peer answered with a failure.
+        """
+        link = await self._link(address)
+        stream = link.open(method, payload)
+        try:
+            while True:
+                frame = await _next_frame(stream, address)
+                if frame.payload is not None:
+                    yield frame.payload
+                if frame.kind == FrameKind.END:
+                    return
+        finally:
+            link.close_stream(stream)
+
+    async def call(self, address: str, method: str, payload: bytes) -> bytes:
+        """See :class:`Peers`; without the cost of a generator."""
+        link = await self._link(address)
+        stream = link.open(method, payload)
+        answer = b""
+        try:
+            while True:
+                frame = await _next_frame(stream, address)
+                if frame.payload is not None:
+                    answer = frame.payload
+                if frame.kind == FrameKind.END:
+                    return answer
+        finally:
+            link.close_stream(stream)
+
+    def doubt(self, address: str, began_s: float) -> bool:
+        """See :class:`Peers`."""
+        link = self._links_by_address.get(address)
+        if link is None or not link.is_open:
+            return True
+        link.doubt()
+        # Another call may have had it replaced a moment ago.
+        return link.is_doubtful or link.made_s > began_s
+
+    async def close(self) -> None:
+        """Closes every connection."""
+        for link in list(self._links_by_address.values()):
+            link.abort()
+
+    async def _link(self, address: str) -> "_ClientLink":
+        link = self._links_by_address.get(address)
+        if link is not None and link.is_usable:
+            return link
+        lock = self._locks_by_address.setdefault(address, asyncio.Lock())
+        async with lock:
+            link = self._links_by_address.get(address)
+            if link is None or not link.is_usable:
+                fresh = await self._connect(address)
+                if link is not None:
+                    self._leave(link, address)
+                self._links_by_address[address] = link = fresh
+        return link
+
+    def _leave(self, link: "_ClientLink", address: str) -> None:
+        """Gives a doubtful connection up; what waits on it may still get its answer."""
+        if link.is_open:
+            self.left_silent += 1
+            eliot.log_message("peer.left_silent_connection", address=address)
+            link.retire()
+
+    async def _connect(self, address: str) -> "_ClientLink":
+        host, port = split_address(address)
+        try:
+            async with asyncio.timeout(self._connect_s):
+                _, link = await asyncio.get_running_loop().create_connection(
+                    lambda: _ClientLink(self._clock), host, port
+                )
+        except (OSError, TimeoutError) as error:
+            why = str(error) or type(error).__name__
+            raise PeerUnreachableError(address, why, sent=False) from error
+        return link
+
+
+class _Stream:
+    """One stream on the asking side; None among its frames means that the connection broke."""
+
+    def __init__(self, number: int, opened_s: float) -> None:
+        self.number = number
+        self.opened_s = opened_s
+        self.frames: asyncio.Queue[Frame | None] = asyncio.Queue()
+
+
+async def _next_frame(stream: _Stream, address: str) -> Frame:
+    frame = await stream.frames.get()
+    if frame is None:
+        raise PeerUnreachableError(address, "the connection broke", sent=True)
+    if frame.kind == FrameKind.FAIL:
+        raise PeerFailureError(frame.payload or b"")
+    return frame
+
+
+class _ClientLink(PeerLink):
+    """One connection to a peer, on the asking side."""
+
+    def __init__(self, clock: HybridClock) -> None:
+        super().__init__(clock)
+        self._stream_by_number: dict[int, _Stream] = {}
+        self._newest = 0
+        self._is_retired = False
+        self.is_doubtful = False
+
+    @property
+    def is_usable(self) -> bool:
+        return self.is_open and not self.is_doubtful
+
+    def doubt(self) -> None:
+        """Marks the connection where it worked once, and leaves a call alone for too long."""
+        for stream in self._stream_by_number.values():
+            self._doubt_by(stream)
+
+    def _doubt_by(self, stream: _Stream) -> None:
+        now = asyncio.get_running_loop().time()
+        has_waited = now - stream.opened_s >= UNHEARD_S
+        if has_waited and self.heard_s is not None and self.heard_s <= stream.opened_s:
+            self.is_doubtful = True
+
+    def retire(self) -> None:
+        """Takes no more streams; closes once those that are open have ended."""
+        self._is_retired = True
+        self._close_if_done()
+
+    def data_received(self, data: bytes) -> None:
+        self.is_doubtful = False
+        super().data_received(data)
+        self._close_if_done()
+
+    def _close_if_done(self) -> None:
+        if self._is_retired and not self._stream_by_number:
+            self.abort()
+
+    def open(self, method: str, payload: bytes) -> _Stream:
+        self._newest += 1
+        opened_s = asyncio.get_running_loop().time()
+        stream = self._stream_by_number[self._newest] = _Stream(self._newest, opened_s)
+        self._send(stream.number, FrameKind.OPEN, method, payload)
+        return stream
+
+    def close_stream(self, stream: _Stream) -> None:
+        if self._stream_by_number.pop(stream.number, None) is None:
+            return
+        self._send(stream.number, FrameKind.CANCEL, None, None)
+        self._doubt_by(stream)
+        self._close_if_done()
+
+    def abort(self) -> None:
+        super().abort()
+        self._lost()
+
+    def _take(self, frame: Frame) -> None:
+        stream = self._stream_by_number.get(frame.stream)
+        if stream is None:
+            return
+        if frame.kind in {FrameKind.END, FrameKind.FAIL}:
+            del self._stream_by_number[frame.stream]
+        stream.frames.put_nowait(frame)
+
+    def _lost(self) -> None:
+        for stream in self._stream_by_number.values():
+            stream.frames.put_nowait(None)
+        self._stream_by_number.clear()
--- /dev/null
+++ b/src/bayhinge/_internal/network/peer_server.py
@@ -0,0 +1,89 @@
+"""The serving side of the link between hosts."""
+
+import asyncio
+from collections.abc import Callable
+
+from bayhinge._internal.exceptions import FrameError
+from bayhinge._internal.models.refusals import RefusalCode, RefusedError, refuse_unaccepted
+from bayhinge._internal.network.addresses import split_address
+from bayhinge._internal.network.peer_link import PeerLink
+from bayhinge._internal.network.peers import AnsweringHandler, PeerHandler, PeerListener
+from bayhinge._internal.wire.frames.ttypes import Frame, FrameKind
+from bayhinge.coordination.clock import HybridClock
+
+
+class PeerServer(PeerListener):
+    """Listens for peers and serves their streams."""
+
+    def __init__(self, address: str, handler: PeerHandler, clock: HybridClock) -> None:
+        """Takes the address to listen on and what handles the streams."""
+        self._address = address
+        self._handler = handler
+        self._clock = clock
+        self._server: asyncio.Server | None = None
+        self._connections: set[_ServerConnection] = set()
+
+    async def start(self) -> str:
+        """Listens, and returns the address with its real port."""
+        host, port = split_address(self._address)
+        self._server = await asyncio.get_running_loop().create_server(self._accept, host, port)
+        bound: int = self._server.sockets[0].getsockname()[1]
+        self._address = f"{host}:{bound}"
+        return self._address
+
+    async def stop(self) -> None:
+        """Stops listening and closes every connection."""
+        if self._server is not None:
+            self._server.close()
+        for connection in list(self._connections):
+            connection.abort()
+
+    def _accept(self) -> "_ServerConnection":
+        connection = _ServerConnection(self._handler, self._clock, self._connections.discard)
+        self._connections.add(connection)
+        return connection
+
+
+class _ServerConnection(PeerLink):
+    """One peer's connection, on the serving side."""
+
+    def __init__(
+        self,
+        handler: PeerHandler,
+        clock: HybridClock,
+        on_lost: "Callable[[_ServerConnection], None]",
+    ) -> None:
+        super().__init__(clock)
+        self._handler = handler
+        self._on_lost = on_lost
+        self._tasks_by_stream: dict[int, asyncio.Task[None]] = {}
+
+    def _lost(self) -> None:
+        for task in list(self._tasks_by_stream.values()):
+            task.cancel()
+        self._on_lost(self)
+
+    def _take(self, frame: Frame) -> None:
+        if frame.kind == FrameKind.OPEN:
+            task = asyncio.get_running_loop().create_task(self._serve(frame))
+            self._tasks_by_stream[frame.stream] = task
+            task.add_done_callback(lambda done: self._tasks_by_stream.pop(frame.stream, None))
+        elif frame.kind == FrameKind.CANCEL and frame.stream in self._tasks_by_stream:
+            self._tasks_by_stream[frame.stream].cancel()
+
+    async def _serve(self, frame: Frame) -> None:
+        stream, method, payload = frame.stream, frame.method or "", frame.payload or b""
+        try:
+            if isinstance(self._handler, AnsweringHandler):
+                answer = await self._handler.answer(method, payload)
+                self._send(stream, FrameKind.END, None, answer)
+                return
+            async for message in self._handler.handle(method, payload):
+                self._send(stream, FrameKind.DATA, None, message)
+                await self._may_write.wait()
+            self._send(stream, FrameKind.END, None, None)
+        except RefusedError as error:
+            self._send(stream, FrameKind.FAIL, None, error.refusal.to_json())
+        except FrameError as error:
+            refusal = refuse_unaccepted(RefusalCode.BAD_REQUEST, str(error))
+            self._send(stream, FrameKind.FAIL, None, refusal.to_json())
--- a/src/bayhinge/_internal/network/routed_front.py
+++ b/src/bayhinge/_internal/network/routed_front.py
@@ -15,7 +15,7 @@
 
 from bayhinge._internal import status_codes
 from bayhinge._internal.models.routed_requests import RawHeaders
-from bayhinge._internal.network.peer_link import split_address
+from bayhinge._internal.network.addresses import split_address
 from bayhinge._internal.utils.silence import bound_silence
 
 MAX_HEADER_BYTES = 65_536
--- /dev/null
+++ b/src/bayhinge/_internal/network/tcp_peers.py
@@ -0,0 +1,22 @@
+"""Hosts connected over TCP."""
+
+from bayhinge._internal.network.peer_client import PeerClient
+from bayhinge._internal.network.peer_server import PeerServer
+from bayhinge._internal.network.peers import PeerHandler, PeerListener, PeerNetwork, Peers
+from bayhinge.coordination.clock import HybridClock
+
+
+class TcpPeerNetwork(PeerNetwork):
+    """Hosts connected over TCP."""
+
+    def __init__(self, connect_s: float) -> None:
+        """Takes the time to connect, in seconds."""
+        self._connect_s = connect_s
+
+    def connect(self, clock: HybridClock) -> Peers:
+        """See :class:`PeerNetwork`."""
+        return PeerClient(clock, self._connect_s)
+
+    def listen(self, address: str, handler: PeerHandler, clock: HybridClock) -> PeerListener:
+        """See :class:`PeerNetwork`."""
+        return PeerServer(address, handler, clock)
--- a/src/bayhinge/_internal/services/disks/disk_answers.py
+++ b/src/bayhinge/_internal/services/disks/disk_answers.py
@@ -8,7 +8,7 @@
 from bayhinge._internal.exceptions import FrameError
 from bayhinge._internal.models.refusals import RefusalCode, RefusedError, refuse_unaccepted
 from bayhinge._internal.network.frames import decode_message, encode_message
-from bayhinge._internal.network.peer_link import AnsweringHandler
+from bayhinge._internal.network.peers import AnsweringHandler
 from bayhinge._internal.services import methods
 from bayhinge._internal.wire.hosts import ttypes as wire
 
--- a/src/bayhinge/_internal/services/disks/disk_host.py
+++ b/src/bayhinge/_internal/services/disks/disk_host.py
@@ -19,7 +19,7 @@
 from bayhinge._internal.exceptions import FrameError, PeerFailureError, PeerUnreachableError
 from bayhinge._internal.models.site_settings import SiteSettings
 from bayhinge._internal.network.frames import decode_message, encode_message
-from bayhinge._internal.network.peer_link import TcpPeerNetwork
+from bayhinge._internal.network.tcp_peers import TcpPeerNetwork
 from bayhinge._internal.services import methods
 from bayhinge._internal.services.disk_sets import change_disk_set
 from bayhinge._internal.services.disks.commit_group import CommitGroup
--- a/src/bayhinge/_internal/services/disks/object_keeper.py
+++ b/src/bayhinge/_internal/services/disks/object_keeper.py
@@ -14,7 +14,7 @@
 
 from bayhinge._internal.exceptions import FrameError, PeerFailureError, PeerUnreachableError
 from bayhinge._internal.network.frames import decode_message, encode_message
-from bayhinge._internal.network.peer_link import Peers
+from bayhinge._internal.network.peers import Peers
 from bayhinge._internal.services import methods
 from bayhinge._internal.utils.durable_files import replace_synced
 from bayhinge._internal.wire.hosts.ttypes import Hello, KnownObjects, ObjectsQuery
--- a/src/bayhinge/_internal/services/gateway/disk_directory.py
+++ b/src/bayhinge/_internal/services/gateway/disk_directory.py
@@ -9,7 +9,7 @@
 from bayhinge._internal.exceptions import FrameError, PeerFailureError, PeerUnreachableError
 from bayhinge._internal.models.site_settings import SiteSettings
 from bayhinge._internal.network.frames import decode_message
-from bayhinge._internal.network.peer_link import Peers
+from bayhinge._internal.network.peers import Peers
 from bayhinge._internal.services import methods
 from bayhinge._internal.services.disk_sets import read_disk_set
 from bayhinge._internal.services.gateway.first_news import FirstNews
--- a/src/bayhinge/_internal/services/gateway/disk_link.py
+++ b/src/bayhinge/_internal/services/gateway/disk_link.py
@@ -13,7 +13,7 @@
 
 from bayhinge._internal.exceptions import FrameError, PeerFailureError, PeerUnreachableError
 from bayhinge._internal.network.frames import encode_message
-from bayhinge._internal.network.peer_link import Peers
+from bayhinge._internal.network.peers import Peers
 from bayhinge._internal.services import methods
 from bayhinge._internal.services.gateway.disk_directory import DiskDirectory
 from bayhinge._internal.services.gossip import Gossip
--- a/src/bayhinge/_internal/services/gateway/gateway.py
+++ b/src/bayhinge/_internal/services/gateway/gateway.py
@@ -14,8 +14,9 @@
 from bayhinge._internal.models.site_settings import SiteSettings
 from bayhinge._internal.network.endpoint_link import EndpointLinks
 from bayhinge._internal.network.frames import decode_message, encode_message
-from bayhinge._internal.network.peer_link import AnsweringHandler, TcpPeerNetwork
+from bayhinge._internal.network.peers import AnsweringHandler
 from bayhinge._internal.network.routed_front import RoutedFront
+from bayhinge._internal.network.tcp_peers import TcpPeerNetwork
 from bayhinge._internal.services import methods
 from bayhinge._internal.services.gateway.beliefs import ConfigurationBelief, EndpointBelief
 from bayhinge._internal.services.gateway.disk_directory import DiskDirectory
--- a/src/bayhinge/_internal/services/gateway/load_exchange.py
+++ b/src/bayhinge/_internal/services/gateway/load_exchange.py
@@ -11,8 +11,8 @@
 from bayhinge._internal.decisions.endpoint_book import EndpointBelief, EndpointBook
 from bayhinge._internal.decisions.load_board import HostReport, LoadBoard
 from bayhinge._internal.exceptions import FrameError
+from bayhinge._internal.network.addresses import split_address
 from bayhinge._internal.network.frames import decode_message, encode_message
-from bayhinge._internal.network.peer_link import split_address
 from bayhinge._internal.services.gateway.hall_homes import HallHomes
 from bayhinge._internal.services.keep_running import keep_running
 from bayhinge._internal.wire.hosts import ttypes as wire
--- a/src/bayhinge/_internal/services/gateway/placement.py
+++ b/src/bayhinge/_internal/services/gateway/placement.py
@@ -14,7 +14,7 @@
 from bayhinge._internal.decisions.endpoint_book import EndpointBelief, EndpointBook, Wish
 from bayhinge._internal.exceptions import FrameError, PeerFailureError, PeerUnreachableError
 from bayhinge._internal.network.frames import decode_message, encode_message
-from bayhinge._internal.network.peer_link import Peers
+from bayhinge._internal.network.peers import Peers
 from bayhinge._internal.services import methods
 from bayhinge._internal.services.gateway.hall_homes import HallHomes, Home
 from bayhinge._internal.services.gateway.load_exchange import LoadExchange
--- a/src/bayhinge/_internal/services/gossip.py
+++ b/src/bayhinge/_internal/services/gossip.py
@@ -14,8 +14,8 @@
 
 from bayhinge._internal.exceptions import FrameError
 from bayhinge._internal.models.site_settings import SiteSettings
+from bayhinge._internal.network.addresses import split_address
 from bayhinge._internal.network.frames import decode_message, encode_message
-from bayhinge._internal.network.peer_link import split_address
 from bayhinge._internal.services.keep_running import keep_running
 from bayhinge._internal.wire.hosts.ttypes import Hello, HostPhase, HostRole
 
--- a/src/bayhinge/_internal/services/host_parts.py
+++ b/src/bayhinge/_internal/services/host_parts.py
@@ -14,7 +14,8 @@
 )
 from bayhinge._internal.network.endpoint_list import EndpointList, HttpEndpointList
 from bayhinge._internal.network.http_store import HttpObjectStore
-from bayhinge._internal.network.peer_link import PeerNetwork, Peers, TcpPeerNetwork
+from bayhinge._internal.network.peers import PeerNetwork, Peers
+from bayhinge._internal.network.tcp_peers import TcpPeerNetwork
 from bayhinge._internal.services.account_directory import AccountDirectory
 from bayhinge._internal.services.adoption import Adopter, OwnerLocator
 from bayhinge._internal.services.call_runner import CallRunner
--- a/src/bayhinge/_internal/services/key_follower.py
+++ b/src/bayhinge/_internal/services/key_follower.py
@@ -15,7 +15,7 @@
 
 from bayhinge._internal.exceptions import FrameError, PeerFailureError, PeerUnreachableError
 from bayhinge._internal.network.frames import decode_message, encode_message
-from bayhinge._internal.network.peer_link import Peers
+from bayhinge._internal.network.peers import Peers
 from bayhinge._internal.services import methods
 from bayhinge._internal.wire.hosts.ttypes import KnownObjects, ObjectsQuery
 from bayhinge.coordination.errors import HistoryLostError, StoreError
--- a/src/bayhinge/_internal/services/peer_service.py
+++ b/src/bayhinge/_internal/services/peer_service.py
@@ -14,7 +14,7 @@
     refuse_unaccepted,
 )
 from bayhinge._internal.network.frames import decode_message, encode_message
-from bayhinge._internal.network.peer_link import PeerHandler
+from bayhinge._internal.network.peers import PeerHandler
 from bayhinge._internal.services.call_codec import decode_call, encode_item
 from bayhinge._internal.services.host_parts import HostParts
 from bayhinge._internal.services.local_queries import LocalQueries
--- a/src/bayhinge/_internal/services/planned_stop.py
+++ b/src/bayhinge/_internal/services/planned_stop.py
@@ -14,7 +14,7 @@
 from bayhinge._internal.models.events import Mechanism
 from bayhinge._internal.models.refusals import Figure
 from bayhinge._internal.network.frames import encode_message
-from bayhinge._internal.network.peer_link import Peers
+from bayhinge._internal.network.peers import Peers
 from bayhinge._internal.services.adoption import MAX_SUCCESSORS, OwnerLocator
 from bayhinge._internal.services.owner import ProgramOwner
 from bayhinge._internal.services.owner_parts import OwnedProgram, OwnerParts
--- a/src/bayhinge/_internal/services/remote_grants.py
+++ b/src/bayhinge/_internal/services/remote_grants.py
@@ -12,7 +12,7 @@
     refuse_unaccepted,
 )
 from bayhinge._internal.network.frames import decode_message, encode_message
-from bayhinge._internal.network.peer_link import Peers
+from bayhinge._internal.network.peers import Peers
 from bayhinge._internal.services.grants import GrantedEndpoint, GrantSource
 from bayhinge._internal.services.queue_home import HomeGrant, QueueHome
 from bayhinge._internal.wire import ttypes as wire
--- a/src/bayhinge/_internal/services/router.py
+++ b/src/bayhinge/_internal/services/router.py
@@ -20,7 +20,7 @@
 )
 from bayhinge._internal.models.views import ProgramView, to_json
 from bayhinge._internal.network.frames import encode_message
-from bayhinge._internal.network.peer_link import Peers
+from bayhinge._internal.network.peers import Peers
 from bayhinge._internal.queries.program_views import view_program
 from bayhinge._internal.services.adoption import Adopter, Location, OwnerLocator
 from bayhinge._internal.services.call_codec import decode_item, encode_call
--- a/tests/functional/test_peer_link.py
+++ b/tests/functional/test_peer_link.py
@@ -7,7 +7,9 @@
 
 from bayhinge._internal.exceptions import PeerFailureError, PeerUnreachableError
 from bayhinge._internal.models.refusals import RefusalCode, RefusedError, refuse_unaccepted
-from bayhinge._internal.network.peer_link import PeerClient, PeerHandler, PeerServer
+from bayhinge._internal.network.peer_client import PeerClient
+from bayhinge._internal.network.peer_server import PeerServer
+from bayhinge._internal.network.peers import PeerHandler
 from bayhinge.coordination.clock import HybridClock, SystemClock
 
 pytestmark = pytest.mark.functional
--- a/tests/functional/test_platform_store.py
+++ b/tests/functional/test_platform_store.py
@@ -6,7 +6,8 @@
 import orjson
 import pytest
 
-from bayhinge._internal.network.peer_link import PeerClient, Peers
+from bayhinge._internal.network.peer_client import PeerClient
+from bayhinge._internal.network.peers import Peers
 from bayhinge._internal.platform.objects_api import PlatformObjects
 from bayhinge._internal.services import key_follower
 from bayhinge._internal.services.disk_sets import change_disk_set, read_disk_set
--- a/tests/functional/test_routed_front.py
+++ b/tests/functional/test_routed_front.py
@@ -4,7 +4,7 @@
 
 import pytest
 
-from bayhinge._internal.network.peer_link import split_address
+from bayhinge._internal.network.addresses import split_address
 from bayhinge._internal.network.routed_front import Exchange, ExchangeHandler, RoutedFront
 
 pytestmark = pytest.mark.functional
