Doubt an endpoint only for longer than answers usually take

Cause: with 57 hosts each has few requests at each of many endpoints; in a burst of 3.6 times the usual, endpoints answer late and were taken for silent by host after host.

--- a/src/bayhinge/_internal/services/gateway/sending.py
+++ b/src/bayhinge/_internal/services/gateway/sending.py
@@ -7,7 +7,12 @@
 import eliot
 
 from bayhinge._internal import status_codes
-from bayhinge._internal.decisions.answer_bounds import MOST_WAITS, AnswerBounds, bounds_of
+from bayhinge._internal.decisions.answer_bounds import (
+    MOST_WAITS,
+    AnswerBounds,
+    bounds_of,
+    usual_answer_s,
+)
 from bayhinge._internal.decisions.endpoint_book import EndpointBelief as Belief
 from bayhinge._internal.decisions.endpoint_book import EndpointBook, Wish
 from bayhinge._internal.models.refusals import CallAttempt, RefusalCode, RefusedError
@@ -120,6 +125,7 @@
         self._links = links
         self._calls = calls
         self.counts = SendCounts()
+        self._usual_answer_s_by_service: dict[str, float] = {}
 
     async def send(
         self,
@@ -206,7 +212,11 @@
         request, route = sending.request, sending.route
         loop = asyncio.get_running_loop()
         may_repeat = route.may_repeat and sending.ran + 1 < route.max_endpoints
-        bounds = bounds_of(route, may_repeat and sending.delivery.may_go_on)
+        bounds = bounds_of(
+            route,
+            may_repeat and sending.delivery.may_go_on,
+            self._usual_answer_s_by_service.get(sending.service, 0.0),
+        )
         head = self._calls.request_head(
             request,
             len(sending.body),
@@ -251,7 +261,9 @@
         while True:
             try:
                 async with asyncio.timeout(bounds.unheard_s):
-                    return await self._own_answer(connection, sending.request.attempt)
+                    answer, marks = await self._own_answer(connection, sending.request.attempt)
+                self._note_answer(sending.service, sent_s)
+                return answer, marks
             except TimeoutError:
                 waits += 1
             is_heard = self._links.was_heard_since(instance, sent_s)
@@ -262,6 +274,11 @@
                 self.counts.doubted += 1
                 self._note_failure(belief, sending, f"not heard for {bounds.unheard_s:.3f} s")
 
+    def _note_answer(self, service: str, sent_s: float) -> None:
+        took_s = asyncio.get_running_loop().time() - sent_s
+        before_s = self._usual_answer_s_by_service.get(service)
+        self._usual_answer_s_by_service[service] = usual_answer_s(before_s, took_s)
+
     def _has_other(self, sending: _Sending) -> bool:
         """Whether an endpoint is left that was not asked yet."""
         now = asyncio.get_running_loop().time()
