--- a/src/bayhinge/_internal/decisions/answer_bounds.py
+++ b/src/bayhinge/_internal/decisions/answer_bounds.py
@@ -54,8 +54,9 @@
 def bounds_of(route: Route, may_leave: bool, usual_s: float = 0.0) -> AnswerBounds:
     """Returns the bounds of a run.
 
-    ``usual_s`` is how long answers of the service take to begin at present. Where no other endpoint may serve the request, waiting is all that is left: the endpoint is
-    doubted all the same, so that other requests avoid it.
+    ``usual_s`` is how long answers of the service take to begin at present. Where no other endpoint
+    may serve the request, waiting is all that is left: the endpoint is doubted all the same, so
+    that other requests avoid it.
     """
     has_pauses = may_leave and route.is_resumable and route.pause_s is not None
     return AnswerBounds(
