Soak: a host that starts is well once it listens

Cause: it counted as well 1.5 s after its process was made. A host must listen within 10 s now, or the soak fails.

--- a/tests/soak/daemons.py
+++ b/tests/soak/daemons.py
@@ -13,6 +13,7 @@
 from tests.lib.platform_data import settings_text
 
 START_S = 10.0
+CALLERS_PORT = 8149
 
 
 @attrs.define
@@ -60,6 +61,22 @@
         log.close()
         self.starts += 1
 
+    async def until_listening(self) -> None:
+        """Waits until an entry host takes callers' connections.
+
+        Raises:
+            TimeoutError: it does not within the time that a start may take.
+        """
+        async with asyncio.timeout(START_S):
+            while True:
+                try:
+                    _, writer = await asyncio.open_connection(self.ip, CALLERS_PORT)
+                except OSError:
+                    await asyncio.sleep(0.05)
+                else:
+                    writer.close()
+                    return
+
     def send(self, number: signal.Signals) -> None:
         if self.process is not None and self.process.returncode is None:
             self.process.send_signal(number)
--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -140,6 +140,8 @@
                 await entry.kill()
                 await asyncio.sleep(self.source.uniform(0.0, 1.0))
                 await entry.start()
+            # Beside eight busy processes a start took 2.2 s: until it listens it is not well.
+            await entry.until_listening()
             await asyncio.sleep(1.5)
             entry.is_hurt = False
 
@@ -154,5 +156,6 @@
             entry.is_hurt = True
             await stopping
             await entry.start()
+            await entry.until_listening()
             await asyncio.sleep(1.5)
             entry.is_hurt = False
