--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -140,7 +140,7 @@
                 await entry.kill()
                 await asyncio.sleep(self.source.uniform(0.0, 1.0))
                 await entry.start()
-            # Beside eight busy processes a start took 2.2 s: until it listens it is not well.
+            # Beside busy processes a start takes longer than the pause below (by its log).
             await entry.until_listening()
             await asyncio.sleep(1.5)
             entry.is_hurt = False
