Sight: each failed call to the store has a line with its wait, and who watches is logged

Logs had the first failure of a follower alone, so they could not tell a watch that hangs from a host that does not watch.

--- a/src/bayhinge/_internal/services/gateway/figures.py
+++ b/src/bayhinge/_internal/services/gateway/figures.py
@@ -44,5 +44,6 @@
         name = prefix.rstrip("/")
         gauges[f"store_revision_{name}"] = follower.revision
         gauges[f"store_age_seconds_{name}"] = now - follower.heard_s
+        gauges[f"store_call_seconds_{name}"] = follower.waiting_s()
         gauges[f"store_fails_{name}"] = follower.health.failing_since_s is not None
     return gauges
--- a/src/bayhinge/_internal/services/key_follower.py
+++ b/src/bayhinge/_internal/services/key_follower.py
@@ -84,6 +84,8 @@
         self._poll: asyncio.Task[None] | None = None
         self._is_fetching = False
         self._is_stopped = False
+        self._asked_s: float | None = None
+        self._is_watching: bool | None = None
         self.revision = 0
         self.complete_to = 0
         self.value_by_key: dict[str, bytes] = {}
@@ -98,7 +100,7 @@
             try:
                 if self._cursor == 0:
                     await self._list()
-                if not self.should_poll():
+                if not self._has_duty():
                     await asyncio.sleep(LISTEN_PERIOD_S)
                     continue
                 self._poll = asyncio.ensure_future(self._poll_once())
@@ -130,10 +132,25 @@
             self._is_fetching = True
             self._fetching = asyncio.ensure_future(self._fetch(revision, peer_address))
 
+    def waiting_s(self) -> float:
+        """Returns for how long the call under way has been waiting, in seconds; 0 without one."""
+        if self._asked_s is None:
+            return 0.0
+        return asyncio.get_running_loop().time() - self._asked_s
+
+    def _has_duty(self) -> bool:
+        """Whether this host is to watch; says so where that changes."""
+        has_duty = self.should_poll()
+        if has_duty is not self._is_watching:
+            self._is_watching = has_duty
+            eliot.log_message("store.watcher", prefix=self.prefix, is_watching=has_duty)
+        return has_duty
+
     def _lacks(self, revision: int) -> bool:
         return revision > max(self.revision, self.complete_to)
 
     async def _list(self) -> None:
+        self._asked_s = asyncio.get_running_loop().time()
         listing = await list_all(self._store, self.prefix)
         self._note_success()
         self._cursor = listing.revision
@@ -143,6 +160,7 @@
 
     async def _poll_once(self) -> None:
         await asyncio.sleep(self._pause_s)
+        self._asked_s = asyncio.get_running_loop().time()
         page = await self._store.poll(self.prefix, self._cursor, self._wait_s)
         self._note_success()
         self.heard_s = asyncio.get_running_loop().time()
@@ -200,15 +218,25 @@
     def _note_failure(self, error: StoreError) -> None:
         if self._is_stopped:
             return
+        waited_s = round(self.waiting_s(), 3)
+        self._asked_s = None
+        what = "store.fails_again"
         if self.health.failing_since_s is None:
             self.health.failing_since_s = asyncio.get_running_loop().time()
-            eliot.log_message("store.lost", prefix=self.prefix, why=str(error))
+            what = "store.lost"
+        # One line a call, and the pause before the next call bounds their number.
+        eliot.log_message(what, prefix=self.prefix, waited_s=waited_s, why=str(error))
 
     def _note_success(self) -> None:
+        waited_s = round(self.waiting_s(), 3)
+        self._asked_s = None
         if self.health.failing_since_s is None:
             return
         now = asyncio.get_running_loop().time()
         eliot.log_message(
-            "store.regained", prefix=self.prefix, after_s=now - self.health.failing_since_s
+            "store.regained",
+            prefix=self.prefix,
+            after_s=now - self.health.failing_since_s,
+            waited_s=waited_s,
         )
         self.health.failing_since_s = None
