--- a/tests/lib/platform_store.py
+++ b/tests/lib/platform_store.py
@@ -38,6 +38,7 @@
         self.revision = 10
         self.oldest_revision = 0
         self.calls: list[str] = []
+        self._outages = 0
         self._objects: dict[tuple[str, str], dict[str, Any]] = {}
         self._history: list[tuple[int, str, bool, dict[str, Any]]] = []
         self._changed = asyncio.Event()
@@ -76,6 +77,15 @@
         self._history.clear()
         self._wake()
 
+    def go_away(self) -> None:
+        """Answers nothing from now on; what is under way is never answered, also later."""
+        self._outages += 1
+        self.troubles.silent = True
+
+    def come_back(self) -> None:
+        """Answers calls that come from now on."""
+        self.troubles.silent = False
+
     # ---- the calls ----
 
     def add_routes(self, app: web.Application) -> None:
@@ -91,6 +101,7 @@
     async def _trouble(self, request: web.Request, handler: Any) -> web.StreamResponse:
         self.calls.append(f"{request.method} {request.path_qs}")
         troubles = self.troubles
+        outages = self._outages
         if troubles.silent:
             await asyncio.sleep(60)
         if troubles.down:
@@ -98,6 +109,8 @@
         if troubles.refuses_with:
             return web.Response(status=troubles.refuses_with)
         response: web.StreamResponse = await handler(request)
+        if self._outages != outages:
+            await asyncio.sleep(60)
         if troubles.loses_answers and request.method != "GET":
             return self._cut(request)
         return response
