Log a change of the disk set that the store did not take

The retry was silent, so an outage could be read in no line of the disks that wanted to join or to drop a member.

--- a/src/bayhinge/_internal/services/disk_sets.py
+++ b/src/bayhinge/_internal/services/disk_sets.py
@@ -3,6 +3,8 @@
 import asyncio
 from collections.abc import Callable
 
+import eliot
+
 from bayhinge._internal.network.frames import decode_message, encode_message
 from bayhinge._internal.wire.hosts.ttypes import DiskMember, DiskSet
 from bayhinge.coordination.errors import (
@@ -39,7 +41,8 @@
             changed = await _try_change(store, change)
         except (AlreadyExistsError, VersionConflictError):
             continue
-        except (StoreUnavailableError, StoreRateLimitedError):
+        except (StoreUnavailableError, StoreRateLimitedError) as error:
+            eliot.log_message("disk_set.not_changed", why=str(error))
             await asyncio.sleep(RETRY_S)
             continue
         return changed
