Soak: the store goes away with changes behind it, and every host in touch must have them

The proxy's silence lets calls through late, and no soak changed the configuration, so none could see watches that outlive an outage. The stand-in store now leaves calls under way unanswered for 0.3 to 9 s, takes a newer version at its return, and hosts in touch are asked for theirs on the metrics page.

--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -3,10 +3,13 @@
 import asyncio
 import random
 import signal
-from collections.abc import Awaitable, Callable
+from collections.abc import AsyncIterator, Awaitable, Callable
+from contextlib import asynccontextmanager
 
+import aiohttp
 import attrs
 
+from tests.lib.platform_data import CONFIGURATION
 from tests.lib.platform_engine import PlatformEngine
 from tests.lib.platform_store import PlatformStoreServer
 from tests.soak.daemons import Daemon
@@ -17,6 +20,15 @@
 
 FULL_DISK_BYTES = 1
 
+IN_TOUCH_S = 3.0
+"""A host counts as in touch so long after the last trouble of its own or of the store."""
+
+CHECK_S = 8.0
+"""A check of the configuration is left where troubles go on for so long."""
+
+METRICS_PORT = 9464
+VERSION_LINE = "bayhinge_configuration_version "
+
 
 @attrs.define
 class Faults:
@@ -30,6 +42,11 @@
     entries: list[Daemon]
     disks: list[Daemon]
     said: Callable[[str], None]
+    problems: list[str] = attrs.field(factory=list)
+    store_troubles: int = 0
+    store_well_since_s: float = 0.0
+    version: int = CONFIGURATION["version"]
+    store_lock: asyncio.Lock = attrs.field(factory=asyncio.Lock)
     disk_lock: asyncio.Lock = attrs.field(factory=asyncio.Lock)
     entry_lock: asyncio.Lock = attrs.field(factory=asyncio.Lock)
 
@@ -37,6 +54,7 @@
         """Returns the kinds; each is played again and again."""
         return [
             self.trouble_store,
+            self.change_behind_outage,
             self.trouble_engine,
             self.hurt_disk,
             self.hurt_entry,
@@ -51,30 +69,78 @@
         trouble = self.source.choice(kinds)
         proxies = self.source.choice([self.store_proxies, [self.source.choice(self.store_proxies)]])
         self.said(f"store {trouble} for {len(proxies)} host(s)")
-        for proxy in proxies:
-            proxy.set_trouble(trouble)
-        await asyncio.sleep(self.source.uniform(0.5, 4.0))
-        for proxy in proxies:
-            proxy.set_trouble(Trouble.NONE)
+        async with self._store_trouble():
+            for proxy in proxies:
+                proxy.set_trouble(trouble)
+            await asyncio.sleep(self.source.uniform(0.5, 4.0))
+            for proxy in proxies:
+                proxy.set_trouble(Trouble.NONE)
+
+    @asynccontextmanager
+    async def _store_trouble(self) -> AsyncIterator[None]:
+        """Notes a trouble of the store while it lasts, and when the last one ended."""
+        self.store_troubles += 1
+        yield
+        self.store_troubles -= 1
+        self.store_well_since_s = asyncio.get_running_loop().time()
+
+    async def change_behind_outage(self) -> None:
+        """The store answers nothing for a while; a change comes right behind."""
+        async with self.store_lock:
+            away_s = self.source.uniform(0.3, 9.0)
+            self.said(f"store away for {away_s:.1f} s")
+            async with self._store_trouble():
+                self.store.go_away()
+                await asyncio.sleep(away_s)
+                self.store.come_back()
+            self.version += 1
+            self.store.put("config", "main", CONFIGURATION | {"version": self.version})
+            self.said(f"version {self.version}")
+            await self._check_configuration(self.version)
+
+    async def _check_configuration(self, version: int) -> None:
+        """Every host in touch must have the version in force."""
+        loop = asyncio.get_running_loop()
+        starts = {entry.name: entry.starts for entry in self.entries if not entry.is_hurt}
+        limit_s = loop.time() + CHECK_S
+        while self.store_troubles or loop.time() < self.store_well_since_s + IN_TOUCH_S:
+            if loop.time() > limit_s:
+                return
+            await asyncio.sleep(0.05)
+            starts = {
+                entry.name: entry.starts
+                for entry in self.entries
+                if not entry.is_hurt and starts.get(entry.name) == entry.starts
+            }
+        for entry in self.entries:
+            if entry.name not in starts:
+                continue
+            found = await _version_in_force(entry)
+            is_well = not entry.is_hurt and entry.starts == starts[entry.name]
+            if found < version and is_well and not self.store_troubles:
+                self.problems.append(f"{entry.name}: version {found}, {version} should be in force")
 
     async def lose_store_answers(self) -> None:
         """Writes are done and not answered; or the history is dropped."""
         if self.source.random() < 0.5:
             self.said("store loses answers")
-            self.store.troubles.loses_answers = True
-            await asyncio.sleep(self.source.uniform(0.5, 2.0))
-            self.store.troubles.loses_answers = False
+            async with self._store_trouble():
+                self.store.troubles.loses_answers = True
+                await asyncio.sleep(self.source.uniform(0.5, 2.0))
+                self.store.troubles.loses_answers = False
         else:
             self.said("store forgets its history")
-            self.store.forget_history()
+            async with self._store_trouble():
+                self.store.forget_history()
 
     async def silence_connections(self) -> None:
         """Open connections to the store and to endpoints fall silent for good."""
         proxies = [*self.store_proxies, *self.engine_proxies]
         chosen = [proxy for proxy in proxies if self.source.random() < 0.6]
         self.said(f"open connections of {len(chosen)} of {len(proxies)} ways fall silent")
-        for proxy in chosen:
-            proxy.silence_open_connections()
+        async with self._store_trouble():
+            for proxy in chosen:
+                proxy.silence_open_connections()
         await asyncio.sleep(self.source.uniform(1.0, 3.0))
 
     async def trouble_engine(self) -> None:
@@ -159,3 +225,18 @@
             await entry.until_listening()
             await asyncio.sleep(1.5)
             entry.is_hurt = False
+
+
+async def _version_in_force(entry: Daemon) -> int:
+    """Returns the configuration's version at a host, from its metrics page; 0 if it says none."""
+    timeout = aiohttp.ClientTimeout(total=1.0)
+    try:
+        async with (
+            aiohttp.ClientSession(timeout=timeout) as session,
+            session.get(f"http://{entry.ip}:{METRICS_PORT}/metrics") as response,
+        ):
+            lines = (await response.text()).splitlines()
+    except (aiohttp.ClientError, TimeoutError):
+        return 0
+    found = [line for line in lines if line.startswith(VERSION_LINE)]
+    return int(float(found[0].removeprefix(VERSION_LINE))) if found else 0
--- a/tests/soak/run.py
+++ b/tests/soak/run.py
@@ -73,7 +73,7 @@
                     asyncio.create_task(callers.play(session, f"p{number}"))
                     for number in range(CALLERS)
                 ]
-                await self._hurt()
+                ledger.problems += await self._hurt()
                 ledger.problems += await self._recovers(callers)
                 callers.is_stopping = True
                 await asyncio.gather(*playing)
@@ -135,7 +135,7 @@
                     return False
         return True
 
-    async def _hurt(self) -> None:
+    async def _hurt(self) -> list[str]:
         faults = Faults(
             self._source,
             self._store,
@@ -155,6 +155,7 @@
                 await kind()
 
         await asyncio.gather(*(repeat(kind) for kind in kinds))
+        return faults.problems
 
     async def _recovers(self, callers: Callers) -> list[str]:
         """After the last fault every host is ready, and turns are served again."""
