A follower does not wait for another one's answer where the store turns calls away

Found by reading: a call that is turned away for its rate counted as an answer, so the follower that waits for another's success waited for its whole 5 s. Turned away calls are no answers now, and nobody waits where the store has answered.

--- a/src/bayhinge/_internal/platform/objects_api.py
+++ b/src/bayhinge/_internal/platform/objects_api.py
@@ -173,7 +173,8 @@
         return _checked(what, status, content)
 
     def _note_status(self, status: int) -> None:
-        if status >= status_codes.HTTP_SERVER_ERROR:
+        is_turned_away = status == status_codes.HTTP_TOO_MANY_REQUESTS
+        if is_turned_away or status >= status_codes.HTTP_SERVER_ERROR:
             self._contact.note_failure(is_silent=False)
         else:
             self._contact.note_answer()
--- a/src/bayhinge/coordination/store_contact.py
+++ b/src/bayhinge/coordination/store_contact.py
@@ -33,7 +33,7 @@
     _has_returned: asyncio.Event = attrs.field(factory=asyncio.Event)
 
     def note_failure(self, is_silent: bool) -> None:
-        """A call ended without an answer of the store; ``is_silent``: it was given up."""
+        """A call was not served; ``is_silent``: it was given up without an answer."""
         self._was_silent = self._was_silent or is_silent
         if self._failing_since_s is None:
             self._failing_since_s = asyncio.get_running_loop().time()
@@ -42,8 +42,10 @@
         """Whether ``asker`` is the one that goes on asking a store that fails.
 
         The first that wants to is, until the store answers: each call is paid for, and its answer
-        tells all others as well.
+        tells all others as well. Where the store has answered meanwhile, everybody may ask.
         """
+        if self._failing_since_s is None:
+            return True
         if self._asker is None:
             self._asker = asker
         return self._asker is asker
@@ -57,7 +59,7 @@
             return
 
     def note_answer(self) -> None:
-        """The store answered a call, whatever it said."""
+        """The store served a call, whatever it said."""
         if self._failing_since_s is None:
             return
         now = asyncio.get_running_loop().time()
--- a/tests/functional/test_platform_store.py
+++ b/tests/functional/test_platform_store.py
@@ -215,6 +215,33 @@
     run(scenario)
 
 
+@pytest.mark.parametrize("status", [429, 503])
+def test_all_followers_of_a_process_go_on_when_it_is_turned_away_no_more(status: int) -> None:
+    async def scenario(server: PlatformStoreServer, store: PlatformObjects) -> None:
+        prefixes = ("config/", "servers/")
+        memories = [Memory() for _ in prefixes]
+        followers = [
+            KeyFollower(store, prefix, lambda: 1.0, memory, peers())
+            for prefix, memory in zip(prefixes, memories, strict=True)
+        ]
+        running = [asyncio.create_task(follower.run()) for follower in followers]
+        await until(lambda: len(server.calls) >= 4)
+        server.troubles.refuses_with = status
+        await until(lambda: all(follower.is_failing for follower in followers))
+        await asyncio.sleep(0.5)
+        before = len(server.calls)
+        await asyncio.sleep(2.0)
+        assert len(server.calls) - before <= 9, "one of them asks, every 0.25 s at the soonest"
+        server.troubles.refuses_with = 0
+        for prefix in prefixes:
+            server.put(prefix.rstrip("/"), "main", {"version": 7})
+        await until(lambda: all(memory.value_by_key for memory in memories), limit_s=1.75)
+        for task in running:
+            task.cancel()
+
+    run(scenario)
+
+
 def test_many_changes_in_a_row_cost_few_calls(monkeypatch: pytest.MonkeyPatch) -> None:
     async def scenario(server: PlatformStoreServer, store: PlatformObjects) -> None:
         memory = Memory()
