--- a/tests/unit/test_watchers.py
+++ b/tests/unit/test_watchers.py
@@ -205,6 +205,13 @@
                 await asyncio.sleep(0.01)
         return loop.time() - began_s
 
+    async def calls_within(self, seconds: float) -> int:
+        """Plays on for a time and stops; returns how often the store was called meanwhile."""
+        before = sum(store.calls for store in self.stores)
+        await asyncio.sleep(seconds)
+        self.stop()
+        return sum(store.calls for store in self.stores) - before
+
     def stop(self) -> None:
         for task in self.tasks:
             task.cancel()
@@ -267,10 +274,7 @@
     async def scenario() -> int:
         site = WatchingSite(3, 3)
         await asyncio.sleep(7.0)
-        before = sum(store.calls for store in site.stores)
-        await asyncio.sleep(20.0)
-        site.stop()
-        return sum(store.calls for store in site.stores) - before
+        return await site.calls_within(20.0)
 
     watches = 3 * WATCHERS_PER_HALL * len(PREFIXES)
     assert run_virtual(scenario()) <= watches * (20.0 / WATCH_PERIOD_S + 1)
@@ -282,10 +286,7 @@
         await asyncio.sleep(7.0)
         site.truth.go_away()
         await asyncio.sleep(7.0)
-        before = sum(store.calls for store in site.stores)
-        await asyncio.sleep(20.0)
-        site.stop()
-        return sum(store.calls for store in site.stores) - before
+        return await site.calls_within(20.0)
 
     watches = 3 * WATCHERS_PER_HALL * len(PREFIXES)
     # A call is given up after 0.7 s, and the shortest pause is 0.25 s.
