Placement weighs memory and halls in requests where slots are few; cut hosts and spare hosts are not told

Cause: what a history or a shared part in an endpoint's memory is worth, and what speaks against another hall, were shares of an endpoint's slots. Beside it every third host was cut from the disks for twelve seconds; callers were still sent there (p90 of a turn 1.5 s against 0.7 s) and relays were cut as well. And 171 hosts kept connections of their own to 80 endpoints.

Change: placement_weights.py holds the weights, the larger of a share and of whole requests; a turn that leaves its engine goes where its shared part is; two complaints keep work from an endpoint while others have room; hellos tell that a host is cut off and what it is asked; callers of a hall are told of 20 hosts or more by load; connections are kept for 0.8 of the endpoint's time (0.6 before).

--- a/idl/hosts.thrift
+++ b/idl/hosts.thrift
@@ -18,7 +18,8 @@
   2: required list<DiskMember> members,
 }
 
-// What a host tells the others a few times a second.
+// What a host tells the others a few times a second. `is_cut_off`: it reaches no disk but through
+// others; `requests_per_s`: what callers ask of it.
 struct Hello {
   1: required string host,
   2: required i64 incarnation,
@@ -34,6 +35,8 @@
   12: required i64 disk_set_version,
   13: required list<string> known_addresses,
   14: required bool store_fails,
+  15: optional bool is_cut_off = false,
+  16: optional i32 requests_per_s = 0,
 }
 
 // RESERVED: tokens set aside before a turn runs. SETTLED: what it used in the end.
@@ -123,13 +126,16 @@
 struct LoadNews { 1: optional HostLoads host, 2: optional HallLoads hall }
 
 // Asks a hall's home for an endpoint. `wished` holds the request's history, or is empty;
-// `avoid` names endpoints that the asking host will not send to.
+// `avoid` names endpoints that the asking host will not send to. `kept_tokens` of the prompt
+// were read at `wished`, `shared_tokens` are those of `shared_part`.
 struct PlaceCall {
   1: required HostLoads loads,
   2: required string service_name,
   3: required string wished,
   4: required string shared_part,
   5: required list<string> avoid,
+  6: optional i32 kept_tokens = 0,
+  7: optional i32 shared_tokens = 0,
 }
 
 // `endpoint` is empty where none is left. A host that is not the hall's home says which
--- a/src/bayhinge/_internal/decisions/caller_addresses.py
+++ b/src/bayhinge/_internal/decisions/caller_addresses.py
@@ -5,11 +5,14 @@
 and fewer bytes and fewer connections go between halls.
 """
 
+import math
 import random
-from collections.abc import Iterable
+from collections.abc import Iterable, Sequence
 
 import attrs
 
+from bayhinge.coordination.rendezvous import rank
+
 ENOUGH_NEAR = 8
 """Ready hosts of a hall that serve its callers by themselves; several of them may be lost
 before the others feel it."""
@@ -17,14 +20,30 @@
 SPARES = 2
 """Hosts of other halls that are told as well, for the case that a whole hall is lost."""
 
+TOLD_NEAR = 20
+"""Hosts of a hall that its callers are told of while these carry the load. Each host keeps its own
+connections to endpoints, so the fewer hosts send, the more of the connections are used again; the
+loss of every third of so many still leaves enough."""
+
+REQUESTS_A_HOST = 8.0
+"""Requests a second that are expected of one host before callers are told of more. One takes 4 ms
+of processor time, so that a host is at a thirtieth of a core, and a burst may treble it."""
+
 
 @attrs.frozen
 class ReadyHost:
-    """A host that takes callers' requests."""
+    """A host that takes callers' requests.
+
+    Attributes:
+        requests_per_s: what callers ask of it now.
+        is_cut_off: it serves, but reaches the disks only through other hosts.
+    """
 
     address: str
     hall: str
     region: str
+    requests_per_s: int = 0
+    is_cut_off: bool = False
 
 
 def addresses_for(
@@ -32,11 +51,27 @@
 ) -> list[str]:
     """Returns the addresses for a caller in ``hall``, those near it first."""
     ordered = sorted(
-        hosts, key=lambda host: (host.hall != hall, host.region != region, host.address)
+        _well(list(hosts)),
+        key=lambda host: (host.hall != hall, host.region != region, host.address),
     )
-    near = [host.address for host in ordered if host.hall == hall]
+    near = [host for host in ordered if host.hall == hall]
     if len(near) < ENOUGH_NEAR:
         return [host.address for host in ordered]
     same_region = [host.address for host in ordered if host.hall != hall and host.region == region]
     others = same_region or [host.address for host in ordered if host.hall != hall]
-    return near + generator.sample(others, min(SPARES, len(others)))
+    return _sending(near, hall) + generator.sample(others, min(SPARES, len(others)))
+
+
+def _well(hosts: Sequence[ReadyHost]) -> Sequence[ReadyHost]:
+    """Leaves out hosts that are cut off, unless that is most of them: then the disks are gone."""
+    well = [host for host in hosts if not host.is_cut_off]
+    return well if 2 * len(well) >= len(hosts) else hosts
+
+
+def _sending(near: Sequence[ReadyHost], hall: str) -> list[str]:
+    """Returns as many of a hall's hosts as its load needs, the same ones at every host asked."""
+    rate = sum(host.requests_per_s for host in near)
+    count = max(TOLD_NEAR, math.ceil(rate / REQUESTS_A_HOST))
+    if count >= len(near):
+        return [host.address for host in near]
+    return rank(f"callers of {hall}", [host.address for host in near])[:count]
--- a/src/bayhinge/_internal/decisions/endpoint_book.py
+++ b/src/bayhinge/_internal/decisions/endpoint_book.py
@@ -4,6 +4,7 @@
 
 import attrs
 
+from bayhinge._internal.decisions import placement_weights as weights
 from bayhinge._internal.models.endpoint_entries import EndpointEntry
 from bayhinge.coordination.rendezvous import rank
 
@@ -20,20 +21,6 @@
 """A success ends the rest of an endpoint that has had no more failures of late: one in twenty
 answers lost stays below it, two in five failed requests soon pass it."""
 
-COMPLAINT_COST = 0.15
-"""Load, as a share of slots, that one host's bad experience with an endpoint counts for at its
-hall's home: one complaint rarely moves work, four keep it away while others have room."""
-
-CACHE_SLACK = 0.3
-"""Load, as a share of an endpoint's slots, that a request accepts for its program's own cache."""
-
-SHARED_SLACK = 0.1
-"""The same for parts that many programs share: after a while most endpoints have read them."""
-
-OTHER_HALL_COST = 0.15
-"""Load, as a share of slots, that a request accepts to stay in its own hall. A program's turns
-follow its first one, so each one that goes abroad carries a whole history between halls."""
-
 
 @attrs.define
 class EndpointBelief:
@@ -61,15 +48,22 @@
     @property
     def burden(self) -> float:
         """The load, and what speaks against the endpoint in the same measure."""
-        return self.load + COMPLAINT_COST * self.complaints
+        return self.load + weights.complaint(self.entry.slots) * self.complaints
 
 
 @attrs.frozen
 class Wish:
-    """What a request would like: the endpoint that holds its history, or shared parts."""
+    """What a request would like: the endpoint that holds its history, or shared parts.
+
+    Attributes:
+        kept_tokens: those of the prompt that ``endpoint`` has read.
+        shared_tokens: those of ``shared_part``.
+    """
 
     endpoint: str = ""
     shared_part: str = ""
+    kept_tokens: int = 0
+    shared_tokens: int = 0
 
 
 class EndpointBook:
@@ -155,6 +149,9 @@
         ]
         sure = [belief for belief in candidates if not belief.is_doubtful] or candidates
         well = [belief for belief in sure if belief.ejected_until_s <= now_s]
+        trusted = [belief for belief in well if belief.complaints < weights.COMPLAINTS_BELIEVED]
+        if any(belief.load < weights.ROOM for belief in trusted):
+            well = trusted
         # Where all have failed lately, trying one is better than refusing.
         return self._best(well or sure, wish)
 
@@ -162,12 +159,17 @@
         if not candidates:
             return None
         least = min(candidates, key=self._cost)
-        wished = [belief for belief in candidates if belief.entry.instance == wish.endpoint]
-        slack = CACHE_SLACK
-        if not wished and wish.shared_part:
-            wished, slack = self._by_shared_part(candidates, wish.shared_part), SHARED_SLACK
-        fitting = (belief for belief in wished if belief.burden <= least.burden + slack)
-        return next(fitting, least)
+        for belief in candidates:
+            if belief.entry.instance == wish.endpoint:
+                slack = weights.own_cache(belief.entry.slots, wish.kept_tokens)
+                if belief.burden <= least.burden + slack:
+                    return belief
+        if wish.shared_part:
+            for belief in self._by_shared_part(candidates, wish.shared_part):
+                slack = weights.shared_part(belief.entry.slots, wish.shared_tokens)
+                if belief.burden <= least.burden + slack:
+                    return belief
+        return least
 
     def _by_shared_part(
         self, candidates: list[EndpointBelief], shared_part: str
@@ -181,5 +183,6 @@
         return [self._belief_by_instance[name] for name in rank(shared_part, names)]
 
     def _cost(self, belief: EndpointBelief) -> tuple[float, str]:
-        away = OTHER_HALL_COST if belief.entry.hall != self._hall else 0.0
+        is_near = belief.entry.hall == self._hall
+        away = 0.0 if is_near else weights.other_hall(belief.entry.slots)
         return belief.burden + away, belief.entry.instance
--- a/src/bayhinge/_internal/network/endpoint_link.py
+++ b/src/bayhinge/_internal/network/endpoint_link.py
@@ -32,8 +32,9 @@
 IDLE_S = 3.0
 """Seconds that a kept connection is reused where the endpoint names no time."""
 
-IDLE_SHARE = 0.6
-"""Part of the endpoint's own time that is used, so that a close does not cross a request."""
+IDLE_SHARE = 0.8
+"""Part of the endpoint's own time that is used, so that a close does not cross a request. Times are
+whole seconds, five or more on the users' sites, and a close crosses within milliseconds."""
 
 UNACKNOWLEDGED_S = 3.0
 """Sent bytes that stay without an acknowledgement for so long end the connection. Long, because a
--- a/src/bayhinge/_internal/services/gateway/disk_directory.py
+++ b/src/bayhinge/_internal/services/gateway/disk_directory.py
@@ -1,11 +1,13 @@
 """Which disks count, and which of them answer, as one entry host sees it."""
 
 import asyncio
+import random
 from collections.abc import Callable, Iterable
 
 import eliot
 
 from bayhinge._internal.decisions.disk_placement import places_of
+from bayhinge._internal.decisions.disk_reach import DiskReach
 from bayhinge._internal.exceptions import FrameError, PeerFailureError, PeerUnreachableError
 from bayhinge._internal.models.site_settings import SiteSettings
 from bayhinge._internal.network.frames import decode_message
@@ -26,6 +28,10 @@
 FETCH_S = 0.5
 RETRY_S = 0.5
 
+REACH_PERIOD_S = 0.3
+"""Between two tries of a host that is cut off to reach any disk: callers are no longer told of it,
+so no request would show that the cut is over."""
+
 
 class DiskDirectory:
     """The set of disks, and who is silent."""
@@ -48,6 +54,7 @@
         self._suspect_until_by_host: dict[str, float] = {}
         self._is_fetching = False
         self.disk_set = DiskSet(0, [])
+        self.reach = DiskReach(settings.tolerated_disks)
         self.news = FirstNews("disks")
         self.on_change: Callable[[DiskSet], None] = lambda disk_set: None
 
@@ -64,6 +71,27 @@
                     self.take(disk_set)
             await asyncio.sleep(RETRY_S)
 
+    async def watch_reach(self) -> None:
+        """While this host is cut off, tries one disk after the other."""
+        was_cut_off = False
+        while True:
+            await asyncio.sleep(REACH_PERIOD_S)
+            is_cut_off = self.reach.is_cut_off
+            if is_cut_off != was_cut_off:
+                eliot.log_message("disks.cut_off" if is_cut_off else "disks.reached")
+            was_cut_off = is_cut_off
+            if is_cut_off and self.disk_set.members:
+                await self._try_to_reach(random.choice(self.disk_set.members))
+
+    async def _try_to_reach(self, member: DiskMember) -> None:
+        try:
+            async with asyncio.timeout(FETCH_S):
+                await self._peers.call(member.address, methods.DISK_SET, b"")
+        except (TimeoutError, PeerUnreachableError, PeerFailureError) as error:
+            self.note_failure(member, str(error) or "no answer in time")
+        else:
+            self.note_success(member)
+
     def take(self, disk_set: DiskSet) -> None:
         """Takes a set in, unless a newer one is known."""
         if disk_set.version <= self.disk_set.version:
@@ -118,14 +146,16 @@
         return until_s > asyncio.get_running_loop().time()
 
     def note_failure(self, member: DiskMember, why: str) -> None:
-        """A disk did not answer."""
+        """A disk did not answer, or not without a relay."""
+        self.reach.note_silence(member.host)
         now = asyncio.get_running_loop().time()
         if self._suspect_until_by_host.get(member.host, 0.0) < now:
             eliot.log_message("disk.silent", disk=member.host, why=why)
         self._suspect_until_by_host[member.host] = now + SUSPECT_S
 
     def note_success(self, member: DiskMember) -> None:
-        """A disk answered."""
+        """A disk answered straight."""
+        self.reach.note_answer()
         if self._suspect_until_by_host.pop(member.host, None) is not None:
             eliot.log_message("disk.answers", disk=member.host)
 
--- a/src/bayhinge/_internal/services/gateway/disk_link.py
+++ b/src/bayhinge/_internal/services/gateway/disk_link.py
@@ -54,7 +54,7 @@
         """
         ways = _Ways(asyncio.get_running_loop().time())
         ways.straight.append(self._call_straight(member, method, message))
-        if self._directory.is_suspect(member):
+        if self._directory.is_suspect(member) or self._directory.reach.is_cut_off:
             ways.around += self._call_around(member, method, message)
         try:
             answer = await ways.first_answer(HEDGE_S)
@@ -95,12 +95,13 @@
         return [asyncio.ensure_future(self._call_through(relay, member, method, message))]
 
     def _relay(self) -> wire.Hello | None:
-        """Returns a host to go through: of the own hall, where there is one."""
-        peers = [
+        """Returns a host to go through: one that reaches disks, of the own hall if there is one."""
+        ready = [
             hello
             for hello in self._gossip.fresh(wire.HostRole.ENTRY)
             if hello.phase == wire.HostPhase.READY
         ]
+        peers = [hello for hello in ready if not hello.is_cut_off] or ready
         near = [hello for hello in peers if hello.hall == self._gossip.me.hall]
         return random.choice(near or peers) if peers else None
 
--- a/src/bayhinge/_internal/services/gateway/gateway.py
+++ b/src/bayhinge/_internal/services/gateway/gateway.py
@@ -10,6 +10,7 @@
 
 from bayhinge._internal.decisions.caller_addresses import ReadyHost, addresses_for
 from bayhinge._internal.decisions.endpoint_book import EndpointBook
+from bayhinge._internal.decisions.request_rate import RequestRate
 from bayhinge._internal.decisions.watchers import (
     HallHost,
     WatchTurn,
@@ -113,6 +114,7 @@
             self.disks.news,
         )
         self.front = RoutedFront(settings.front_address, self.requests)
+        self._rate = RequestRate()
         self._random = random.Random()
         self.is_leaving = False
 
@@ -133,6 +135,7 @@
         } | {
             "announce": lambda: registry.announce(self.gossip, self._is_watcher),
             "disk set": self.disks.load,
+            "reach of disks": self.disks.watch_reach,
             "sweep": self._sweep,
         }
         for name, duty in duty_by_name.items():
@@ -191,7 +194,13 @@
             ready.append(self.gossip.me)
         regions = self.settings.region_by_hall
         hosts = [
-            ReadyHost(hello.public_address, hello.hall, regions.get(hello.hall, ""))
+            ReadyHost(
+                hello.public_address,
+                hello.hall,
+                regions.get(hello.hall, ""),
+                hello.requests_per_s,
+                hello.is_cut_off,
+            )
             for hello in ready
         ]
         return addresses_for(hosts, hall, region, self._random)
@@ -231,6 +240,8 @@
 
     def _describe(self, me: wire.Hello) -> None:
         me.store_fails = self._store_fails()
+        me.is_cut_off = self.disks.reach.is_cut_off
+        me.requests_per_s = round(self._rate.per_s)
         me.phase = wire.HostPhase.READY if self.is_ready else wire.HostPhase.STARTING
         if self.is_leaving:
             me.phase = wire.HostPhase.LEAVING
@@ -261,6 +272,7 @@
         while not self.should_stop:
             await asyncio.sleep(SWEEP_S)
             self.links.sweep()
+            self._rate.note(self.requests.counts.taken, SWEEP_S)
 
 
 def _sum_loads(hellos: Iterable[wire.Hello]) -> dict[str, int]:
--- a/src/bayhinge/_internal/services/gateway/placement.py
+++ b/src/bayhinge/_internal/services/gateway/placement.py
@@ -102,7 +102,7 @@
             return wire.PlaceReply("", 0, None if home is None else home.host)
         self._exchange.hear(call.loads)
         self._exchange.refresh_book()
-        wish = Wish(call.wished, call.shared_part)
+        wish = Wish(call.wished, call.shared_part, call.kept_tokens, call.shared_tokens)
         now = asyncio.get_running_loop().time()
         belief = self._book.choose(call.service_name, wish, call.avoid, now)
         if belief is None:
@@ -135,6 +135,8 @@
                 wish.endpoint,
                 wish.shared_part,
                 sorted(avoid),
+                wish.kept_tokens,
+                wish.shared_tokens,
             )
             reply = await self._call(home, call)
             if reply is None:
--- a/src/bayhinge/_internal/services/gateway/sending.py
+++ b/src/bayhinge/_internal/services/gateway/sending.py
@@ -33,6 +33,9 @@
 MOST_UNTAKEN_SENDS = 4
 """Endpoints that are asked although none has taken the request; each costs a round trip."""
 
+MOST_WEIGHED_TOKENS = 10_000_000
+"""A caller may name any number; more than the longest history changes no choice."""
+
 RETRY_AFTER_S = 0.3
 """When a request that no endpoint took should come again."""
 
@@ -337,8 +340,18 @@
 
 
 def _wish(request: RoutedRequest, turn: OpenTurn | None) -> Wish:
-    shared = request.parts[0].name if len(request.parts) > 1 else ""
-    return Wish("" if turn is None else turn.endpoint, shared or request.affinity or "")
+    shared = request.parts[0] if len(request.parts) > 1 else None
+    endpoint = "" if turn is None else turn.endpoint
+    kept_tokens = 0
+    if turn is not None and turn.history:
+        tokens = sum(part.tokens for part in request.parts)
+        kept_tokens = tokens * len(turn.history) // (len(turn.history) + len(request.body))
+    return Wish(
+        endpoint,
+        request.affinity or "" if shared is None else shared.name,
+        min(MOST_WEIGHED_TOKENS, kept_tokens),
+        0 if shared is None else min(MOST_WEIGHED_TOKENS, shared.tokens),
+    )
 
 
 def is_success(status: int) -> bool:
--- a/src/bayhinge/_internal/wire/hosts/ttypes.py
+++ b/src/bayhinge/_internal/wire/hosts/ttypes.py
@@ -259,6 +259,8 @@
      - disk_set_version
      - known_addresses
      - store_fails
+     - is_cut_off
+     - requests_per_s
 
     """
 
@@ -277,10 +279,12 @@
         'disk_set_version',
         'known_addresses',
         'store_fails',
+        'is_cut_off',
+        'requests_per_s',
     )
 
 
-    def __init__(self, host=None, incarnation=None, beat=None, role=None, phase=None, hall=None, gossip_address=None, peer_address=None, public_address=None, revision_by_prefix=None, running_by_endpoint=None, disk_set_version=None, known_addresses=None, store_fails=None,):
+    def __init__(self, host=None, incarnation=None, beat=None, role=None, phase=None, hall=None, gossip_address=None, peer_address=None, public_address=None, revision_by_prefix=None, running_by_endpoint=None, disk_set_version=None, known_addresses=None, store_fails=None, is_cut_off=False, requests_per_s=0,):
         self.host = host
         self.incarnation = incarnation
         self.beat = beat
@@ -295,6 +299,8 @@
         self.disk_set_version = disk_set_version
         self.known_addresses = known_addresses
         self.store_fails = store_fails
+        self.is_cut_off = is_cut_off
+        self.requests_per_s = requests_per_s
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -392,6 +398,16 @@
                     self.store_fails = iprot.readBool()
                 else:
                     iprot.skip(ftype)
+            elif fid == 15:
+                if ftype == TType.BOOL:
+                    self.is_cut_off = iprot.readBool()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 16:
+                if ftype == TType.I32:
+                    self.requests_per_s = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -469,6 +485,14 @@
             oprot.writeFieldBegin('store_fails', TType.BOOL, 14)
             oprot.writeBool(self.store_fails)
             oprot.writeFieldEnd()
+        if self.is_cut_off is not None:
+            oprot.writeFieldBegin('is_cut_off', TType.BOOL, 15)
+            oprot.writeBool(self.is_cut_off)
+            oprot.writeFieldEnd()
+        if self.requests_per_s is not None:
+            oprot.writeFieldBegin('requests_per_s', TType.I32, 16)
+            oprot.writeI32(self.requests_per_s)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -2220,6 +2244,8 @@
      - wished
      - shared_part
      - avoid
+     - kept_tokens
+     - shared_tokens
 
     """
 
@@ -2229,15 +2255,19 @@
         'wished',
         'shared_part',
         'avoid',
+        'kept_tokens',
+        'shared_tokens',
     )
 
 
-    def __init__(self, loads=None, service_name=None, wished=None, shared_part=None, avoid=None,):
+    def __init__(self, loads=None, service_name=None, wished=None, shared_part=None, avoid=None, kept_tokens=0, shared_tokens=0,):
         self.loads = loads
         self.service_name = service_name
         self.wished = wished
         self.shared_part = shared_part
         self.avoid = avoid
+        self.kept_tokens = kept_tokens
+        self.shared_tokens = shared_tokens
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -2279,6 +2309,16 @@
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
+            elif fid == 6:
+                if ftype == TType.I32:
+                    self.kept_tokens = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 7:
+                if ftype == TType.I32:
+                    self.shared_tokens = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -2312,6 +2352,14 @@
                 oprot.writeString(iter125.encode('utf-8') if sys.version_info[0] == 2 else iter125)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
+        if self.kept_tokens is not None:
+            oprot.writeFieldBegin('kept_tokens', TType.I32, 6)
+            oprot.writeI32(self.kept_tokens)
+            oprot.writeFieldEnd()
+        if self.shared_tokens is not None:
+            oprot.writeFieldBegin('shared_tokens', TType.I32, 7)
+            oprot.writeI32(self.shared_tokens)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -2472,6 +2520,8 @@
     (12, TType.I64, 'disk_set_version', None, None, ),  # 12
     (13, TType.LIST, 'known_addresses', (TType.STRING, 'UTF8', False), None, ),  # 13
     (14, TType.BOOL, 'store_fails', None, None, ),  # 14
+    (15, TType.BOOL, 'is_cut_off', None, False, ),  # 15
+    (16, TType.I32, 'requests_per_s', None, 0, ),  # 16
 )
 all_structs.append(TurnEntry)
 TurnEntry.thrift_spec = (
@@ -2596,6 +2646,8 @@
     (3, TType.STRING, 'wished', 'UTF8', None, ),  # 3
     (4, TType.STRING, 'shared_part', 'UTF8', None, ),  # 4
     (5, TType.LIST, 'avoid', (TType.STRING, 'UTF8', False), None, ),  # 5
+    (6, TType.I32, 'kept_tokens', None, 0, ),  # 6
+    (7, TType.I32, 'shared_tokens', None, 0, ),  # 7
 )
 all_structs.append(PlaceReply)
 PlaceReply.thrift_spec = (
--- /dev/null
+++ b/tests/functional/test_cut_hosts.py
@@ -0,0 +1,86 @@
+"""Hosts that are cut from the disks, with real sockets.
+
+Users saw a site whose every third host was cut from the disks for twelve seconds: callers were
+still sent there, each turn went the long way round, and through relays that were cut off too.
+"""
+
+import asyncio
+from collections.abc import Callable
+from pathlib import Path
+from typing import Any
+
+import pytest
+
+from bayhinge._internal.exceptions import PeerUnreachableError
+from bayhinge._internal.services.gateway import disk_directory
+from tests.lib.platform_site import PlatformSite, run_site
+
+pytestmark = pytest.mark.functional
+
+HOSTS = ("entry-0", "entry-1", "entry-2")
+
+
+def cut_from_disks(site: PlatformSite, name: str) -> Callable[[], None]:
+    """Cuts a host from every disk; returns what ends the cut."""
+    gateway = site.entry_by_name[name]._gateway
+    peers: Any = gateway.peers
+    disks = {member.address for member in gateway.disks.disk_set.members}
+    straight = peers._link
+
+    async def cut(address: str) -> Any:
+        if address in disks:
+            raise PeerUnreachableError(address, "cut", sent=False)
+        return await straight(address)
+
+    def mend() -> None:
+        peers._link = straight
+
+    peers._link = cut
+    return mend
+
+
+async def all_know_each_other(site: PlatformSite) -> None:
+    gateways = [site.entry_by_name[name]._gateway for name in HOSTS]
+    await site.until(lambda: all(len(one.addresses("north", "land")) == 3 for one in gateways))
+
+
+def test_callers_are_told_of_other_hosts_until_the_cut_is_over(tmp_path: Path) -> None:
+    async def scenario(site: PlatformSite) -> None:
+        await all_know_each_other(site)
+        mend = cut_from_disks(site, "entry-2")
+        first = await site.turn(b"one ", at="entry-2")
+        assert first.status == 200, "whoever comes all the same is served"
+        address = site.address("entry-2").removeprefix("http://")
+        gateway = site.entry_by_name["entry-0"]._gateway
+        own = site.entry_by_name["entry-2"]._gateway
+        await site.until(lambda: address not in gateway.addresses("north", "land"), limit_s=2.0)
+        assert address not in own.addresses("north", "land")
+        mend()
+        # No request comes to it now, so it must find out by itself.
+        await site.until(lambda: address in gateway.addresses("north", "land"), limit_s=3.0)
+
+    run_site(tmp_path, scenario, entries=3)
+
+
+def test_a_relay_is_a_host_that_reaches_the_disks(
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    monkeypatch.setattr(disk_directory, "REACH_PERIOD_S", 30.0)
+
+    async def scenario(site: PlatformSite) -> None:
+        await all_know_each_other(site)
+        # The only other host of its hall is cut off as well.
+        for name in ("entry-0", "entry-2"):
+            cut_from_disks(site, name)
+            await site.turn(b"one ", at=name)
+        gateway = site.entry_by_name["entry-2"]._gateway
+        hellos = gateway.gossip.fresh
+        await site.until(lambda: any(one.is_cut_off for one in hellos(gateway.gossip.me.role)))
+        for _ in range(5):
+            relay = gateway.link._relay()
+            assert relay is not None and relay.host == "entry-1"
+        began_s = asyncio.get_running_loop().time()
+        assert (await site.turn(b"two ", at="entry-2")).status == 200
+        assert asyncio.get_running_loop().time() - began_s < 0.4
+
+    run_site(tmp_path, scenario, entries=3)
--- a/tests/unit/test_caller_addresses.py
+++ b/tests/unit/test_caller_addresses.py
@@ -2,9 +2,12 @@
 
 import random
 
+import attrs
+
 from bayhinge._internal.decisions.caller_addresses import (
     ENOUGH_NEAR,
     SPARES,
+    TOLD_NEAR,
     ReadyHost,
     addresses_for,
 )
@@ -44,3 +47,30 @@
 
 def test_a_caller_of_an_unknown_hall_is_told_of_everyone() -> None:
     assert len(told(hosts(20, "south"), hall="")) == 20
+
+
+def test_callers_of_a_large_hall_are_told_of_the_same_few_hosts_whoever_is_asked() -> None:
+    near = hosts(60, "north")
+    answer = told(near + hosts(9, "south"))
+    assert len(answer) == TOLD_NEAR + SPARES
+    assert set(told(near[::-1])) == set(answer[:TOLD_NEAR])
+    lost = answer[0]
+    left = [host for host in near if host.address != lost]
+    assert len(set(told(left)) & set(answer)) == TOLD_NEAR - 1, "the others stay"
+
+
+def test_more_hosts_are_told_as_the_load_rises() -> None:
+    near = [attrs.evolve(host, requests_per_s=10) for host in hosts(40, "north")]
+    assert len(told(near)) == 40, "ten a second are too much for each, so all are needed"
+    near = [attrs.evolve(host, requests_per_s=6) for host in hosts(40, "north")]
+    assert len(told(near)) == 30
+
+
+def test_hosts_that_are_cut_off_are_not_told_unless_that_is_most_of_them() -> None:
+    near = hosts(12, "north")
+    cut = [attrs.evolve(host, is_cut_off=True) for host in near[:5]]
+    answer = told(cut + near[5:])
+    assert not {host.address for host in cut} & set(answer)
+    assert len(answer) == 7, "these are too few to keep their hall's callers, but there is no other"
+    all_cut = [attrs.evolve(host, is_cut_off=True) for host in near]
+    assert len(told(all_cut)) == 12
--- a/tests/unit/test_endpoint_book.py
+++ b/tests/unit/test_endpoint_book.py
@@ -118,3 +118,46 @@
     assert chosen(book, Wish("a")) == "b", "not even for a warm cache"
     book.hear_loads({"b": 8})
     assert chosen(book) == "a"
+
+
+def test_a_long_history_is_not_read_again_for_a_few_requests_of_few_slots() -> None:
+    book = book_of(entry("a", slots=6), entry("b", slots=6))
+    book.hear_loads({"b": 5})
+    assert chosen(book, Wish("b", kept_tokens=6000)) == "b", "reading it takes longer than waiting"
+    assert chosen(book, Wish("b", kept_tokens=1500)) == "a"
+    book.hear_loads({"b": 7})
+    assert chosen(book, Wish("b", kept_tokens=6000)) == "a"
+
+
+def test_a_turn_whose_engine_is_too_busy_goes_where_its_shared_part_is() -> None:
+    names = [f"{number}" for number in range(6)]
+    book = book_of(*(entry(name, slots=6) for name in names))
+    gathering = chosen(book, Wish(shared_part="rules", shared_tokens=2500))
+    assert gathering is not None
+    busy = next(name for name in names if name != gathering)
+    book.hear_loads({busy: 9, gathering: 2})
+    assert chosen(book, Wish(busy, "rules", 4000, 2500)) == gathering
+
+
+def test_figures_of_another_hall_move_work_only_where_they_differ_by_more_than_their_delay() -> (
+    None
+):
+    book = book_of(entry("a", slots=6), entry("b", "south", slots=6))
+    book.hear_loads({"a": 2})
+    assert chosen(book) == "a"
+    book.hear_loads({"a": 3})
+    assert chosen(book) == "b"
+
+
+def test_two_complaints_keep_work_from_an_endpoint_that_looks_free_because_it_fails_at_once() -> (
+    None
+):
+    book = book_of(*(entry(name, slots=6) for name in "abc"))
+    belief = book.find("a")
+    assert belief is not None
+    belief.complaints = 2
+    book.hear_loads({"b": 4, "c": 4})
+    assert chosen(book) == "b"
+    assert chosen(book, Wish("a", kept_tokens=9000)) == "b"
+    book.hear_loads({"b": 11, "c": 11})
+    assert chosen(book) == "a", "where no other has room, it is tried all the same"
