--- a/Makefile
+++ b/Makefile
@@ -3,7 +3,7 @@
 VENV := .venv
 BIN := $(VENV)/bin
 
-.PHONY: demo test soak days bench capacity generate clean format
+.PHONY: demo test soak days dense bench capacity generate clean format
 
 $(VENV)/installed: pyproject.toml
 	test -x $(BIN)/python || $(PYTHON) -m venv $(VENV)
@@ -29,6 +29,11 @@
 days:
 	bash tests/data/days/play.sh
 
+# Draws days whose faults overlap operations, for `make days` or the bench itself.
+FIRST ?= 1
+dense: $(VENV)/installed
+	$(BIN)/python -m tests.dense.days --days 20 --first $(FIRST) --into build/dense
+
 bench: $(VENV)/installed
 	$(BIN)/bayhinge bench path
 	$(BIN)/bayhinge bench recovery
--- /dev/null
+++ b/tests/dense/__init__.py
@@ -0,0 +1,1 @@
+"""Days whose faults overlap operations: see :mod:`tests.dense.days`."""
