bayhinge losses: where requests lost their time, from the hosts' logs alone

By windows: served, slow (over three times the median of the service), seconds lost beyond the usual, no answer, programs met, and which hosts, disks, endpoints and the store went meanwhile; then sums by cause. No phases yet: lines of served requests tell one time each.

--- a/src/bayhinge/_internal/cli/tool/logs.py
+++ b/src/bayhinge/_internal/cli/tool/logs.py
@@ -14,7 +14,7 @@
         identifier: the id of an attempt, or of a program.
         files: the logs of one or many hosts, in any order.
     """
-    found = trace(identifier, read_lines(_texts(files)))
+    found = trace(identifier, read_lines(texts_of(files)))
     if not found:
         print(
             f"no line names '{identifier}'; it may have reached another host, "
@@ -26,7 +26,8 @@
         print(mark, line)
 
 
-def _texts(files: tuple[Path, ...]) -> Iterator[bytes]:
+def texts_of(files: tuple[Path, ...]) -> Iterator[bytes]:
+    """Yields the lines of files, one after the other."""
     for file in files:
         with file.open("rb") as lines:
             yield from lines
--- a/src/bayhinge/_internal/cli/tool/main.py
+++ b/src/bayhinge/_internal/cli/tool/main.py
@@ -37,6 +37,9 @@
 app.command(
     f"{_COMMANDS}.logs:logs", name="logs", help="Trace a request through the logs of hosts."
 )
+app.command(
+    f"{_COMMANDS}.losses:losses", name="losses", help="Tell where requests lost their time."
+)
 app.command(f"{_COMMANDS}.stats:stats", name="stats", help="Print counters and latencies.")
 app.command(f"{_COMMANDS}.hosts:hosts", name="hosts", help="List the living hosts.")
 app.command(
