--- a/tests/dense/days.py
+++ b/tests/dense/days.py
@@ -84,8 +84,11 @@
 }
 
 
-def dense_day(seed: int) -> DenseDay:
-    """Draws one day; the same seed draws the same day."""
+def dense_day(seed: int, without: frozenset[str] = frozenset()) -> DenseDay:
+    """Draws one day; the same seed draws the same day.
+
+    ``without`` names kinds that a site does not know: its contracts leave some out.
+    """
     draw = random.Random(seed)
     plan: list[Entry] = []
     faults: list[Entry] = []
@@ -93,13 +96,14 @@
         kind = draw.choice(list(OPERATIONS))
         at = draw.uniform(FIRST_S, LENGTH_S)
         plan.append(Entry(at, {"kind": kind, **OPERATIONS[kind](draw)}))
-        faults += _faults_about(at, draw)
+        faults += _faults_about(at, draw, without)
     return DenseDay(seed, tuple(plan), tuple(faults))
 
 
-def _faults_about(at: float, draw: random.Random) -> Iterator[Entry]:
+def _faults_about(at: float, draw: random.Random, without: frozenset[str]) -> Iterator[Entry]:
     """Draws faults that meet an operation; now and then the same one strikes twice."""
-    for kind in draw.sample(list(FAULTS), draw.randint(1, 3)):
+    known = [kind for kind in FAULTS if kind not in without]
+    for kind in draw.sample(known, draw.randint(1, 3)):
         fields = {"kind": kind, **FAULTS[kind](draw)}
         begins = at + draw.choice(NEARNESS_S)
         yield Entry(begins, fields)
@@ -126,10 +130,12 @@
     parser.add_argument("--days", type=int, default=20, help="how many days to draw")
     parser.add_argument("--first", type=int, default=1, help="the first seed")
     parser.add_argument("--into", type=Path, required=True, help="the folder to write them into")
+    parser.add_argument("--without", nargs="*", default=[], help="kinds that the site lacks")
     options = parser.parse_args()
     options.into.mkdir(parents=True, exist_ok=True)
     for seed in range(options.first, options.first + options.days):
-        (options.into / f"dense-{seed}.toml").write_text(dense_day(seed).toml())
+        day = dense_day(seed, frozenset(options.without))
+        (options.into / f"dense-{seed}.toml").write_text(day.toml())
     print(f"{options.days} days written, seeds {options.first} on")
     return 0
 
