--- /dev/null
+++ b/tests/dense/ablation.py
@@ -0,0 +1,164 @@
+"""``python -m tests.dense.ablation --help``: what each mechanism is worth on one day.
+
+Plays one day with all mechanisms, and with each of them off in turn, on a copy of the repository
+that this makes and changes: the repository itself is left alone. Prints one row a play; a mechanism
+whose row is no worse than the spread of the first rows is a candidate for removal.
+"""
+
+import argparse
+import re
+import shutil
+import subprocess
+from collections.abc import Iterator
+from pathlib import Path
+
+import attrs
+
+ROOT = Path(__file__).parents[2]
+INTERNAL = Path("src/bayhinge/_internal")
+_ROW = re.compile(r"^\S+ +\d+/\d+ +\S+ +(?P<worth>-?[\d.]+) +(?P<served>[\d.]+) ", re.MULTILINE)
+
+
+class PieceMissingError(Exception):
+    """What a mechanism is taken out by is not in the code any more; mend the table."""
+
+
+@attrs.frozen
+class Edit:
+    """One change of one file: the text ``old``, which must be there, becomes ``new``."""
+
+    path: str
+    old: str
+    new: str
+
+    def apply(self, root: Path) -> None:
+        """Changes the file in a copy.
+
+        Raises:
+            PieceMissingError: the text is not there, or more than once.
+        """
+        path = root / INTERNAL / self.path
+        text = path.read_text()
+        if text.count(self.old) != 1:
+            raise PieceMissingError(
+                f"{self.path}: '{self.old}' stands {text.count(self.old)} times"
+            )
+        path.write_text(text.replace(self.old, self.new))
+
+
+WEIGHTS = "decisions/placement_weights.py"
+
+EDITS_BY_MECHANISM: dict[str, tuple[Edit, ...]] = {
+    "homes": (
+        Edit(
+            "services/gateway/placement.py",
+            "if home is not None and hall !=",
+            "if False and hall !=",
+        ),
+    ),
+    "complaints": (
+        Edit(WEIGHTS, "COMPLAINT_SHARE = 0.15", "COMPLAINT_SHARE = 0.0"),
+        Edit(WEIGHTS, "COMPLAINT_REQUESTS = 2.0", "COMPLAINT_REQUESTS = 0.0"),
+        Edit(WEIGHTS, "COMPLAINTS_BELIEVED = 2", "COMPLAINTS_BELIEVED = 1000"),
+    ),
+    "ejection": (
+        Edit("decisions/endpoint_book.py", "FIRST_EJECTION_S = 1.0", "FIRST_EJECTION_S = 0.0"),
+    ),
+    "doubt": (
+        Edit("decisions/answer_bounds.py", "TYPICAL_ANSWERS = 4.0", "TYPICAL_ANSWERS = 1e9"),
+        Edit("decisions/answer_bounds.py", "LEAST_UNHEARD_S = 0.1", "LEAST_UNHEARD_S = 1e9"),
+    ),
+    "own cache": (
+        Edit(WEIGHTS, "OWN_CACHE_SHARE = 0.3", "OWN_CACHE_SHARE = 0.0"),
+        Edit(
+            WEIGHTS,
+            "return max(OWN_CACHE_SHARE, _of(kept_tokens",
+            "return max(0.0, _of(0 * kept_tokens",
+        ),
+    ),
+    "shared parts": (
+        Edit("decisions/endpoint_book.py", "        if wish.shared_part:", "        if False:"),
+    ),
+    "whole requests": (
+        Edit(WEIGHTS, "TOKENS_A_REQUEST = 1000.0", "TOKENS_A_REQUEST = 1e9"),
+        Edit(WEIGHTS, "OTHER_HALL_REQUESTS = 2.0", "OTHER_HALL_REQUESTS = 0.0"),
+    ),
+    "own hall first": (
+        Edit(WEIGHTS, "OTHER_HALL_SHARE = 0.15", "OTHER_HALL_SHARE = 0.0"),
+        Edit(WEIGHTS, "OTHER_HALL_REQUESTS = 2.0", "OTHER_HALL_REQUESTS = 0.0"),
+    ),
+    "relays": (
+        Edit("services/gateway/disk_link.py", "        if relay is None:", "        if True:"),
+    ),
+    "cut hosts not told": (
+        Edit("decisions/disk_reach.py", "return len(self._silent_since_answer) >", "return 0 >"),
+    ),
+    "waits for disks": (Edit("services/gateway/turn_keeper.py", "OPEN_S = 0.45", "OPEN_S = 0.05"),),
+    "first news": (
+        Edit("services/gateway/first_news.py", "START_WAIT_S = 1.5", "START_WAIT_S = 0.0"),
+    ),
+}
+
+
+@attrs.frozen
+class Play:
+    """What one play came to."""
+
+    mechanism: str
+    worth: float | None
+    served: float | None
+
+    def __str__(self) -> str:
+        """Returns a row."""
+        if self.worth is None:
+            return f"{self.mechanism:20} did not end"
+        return f"{self.mechanism:20} worth {self.worth:.3f}  served {self.served:.3f}"
+
+
+def copy_without(mechanism: str, folder: Path) -> None:
+    """Makes the copy's sources those of the repository, without one mechanism ('' for none)."""
+    shutil.rmtree(folder / "src", ignore_errors=True)
+    shutil.copytree(ROOT / "src", folder / "src")
+    for edit in EDITS_BY_MECHANISM.get(mechanism, ()):
+        edit.apply(folder)
+
+
+def plays(options: argparse.Namespace) -> Iterator[Play]:
+    """Plays the day, once or more as it is, then once without each mechanism."""
+    names = options.only or list(EDITS_BY_MECHANISM)
+    for mechanism in [""] * options.spread + names:
+        copy_without(mechanism, options.copy)
+        why = (
+            f"Ablation: {f'without {mechanism}' if mechanism else 'all mechanisms'}, {options.day}"
+        )
+        command = [options.bench, "run", options.site, options.day, "--jobs", str(options.jobs)]
+        ended = subprocess.run(
+            [*command, *(["--seed", options.seed] if options.seed else []), "--why", why],
+            cwd=options.copy,
+            capture_output=True,
+            text=True,
+            check=False,
+        )
+        row = _ROW.search(ended.stdout)
+        worth, served = (float(row["worth"]), float(row["served"])) if row else (None, None)
+        yield Play(mechanism or "(all)", worth, served)
+
+
+def main() -> int:
+    """Plays and prints."""
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument("--bench", required=True, help="the users' bench")
+    parser.add_argument("--site", required=True)
+    parser.add_argument("--day", required=True, help="a day's name, or a file")
+    parser.add_argument("--seed", default="")
+    parser.add_argument("--copy", type=Path, required=True, help="a clone that may be changed")
+    parser.add_argument("--spread", type=int, default=2, help="plays with all mechanisms")
+    parser.add_argument("--jobs", type=int, default=2)
+    parser.add_argument("--only", nargs="*", default=[], help="mechanisms; all where none is named")
+    for play in plays(parser.parse_args()):
+        print(play, flush=True)
+    return 0
+
+
+if __name__ == "__main__":
+    raise SystemExit(main())
