--- a/Makefile
+++ b/Makefile
@@ -41,7 +41,7 @@
 	$(BIN)/bayhinge bench config
 
 capacity: $(VENV)/installed
-	$(BIN)/bayhinge bench capacity --write docs/CAPACITY.md
+	$(BIN)/bayhinge bench capacity --write docs/capacity-own-interface.md
 
 format: $(VENV)/installed
 	$(BIN)/ruff format .
--- a/src/bayhinge/_internal/bench/capacity.py
+++ b/src/bayhinge/_internal/bench/capacity.py
@@ -1,6 +1,6 @@
 """``bayhinge bench capacity``: works the target size out from slopes measured here.
 
-``make capacity`` runs it and rewrites ``docs/CAPACITY.md``.
+``make capacity`` runs it and rewrites ``docs/capacity-own-interface.md``.
 """
 
 import statistics
@@ -299,7 +299,7 @@
     slopes: list[Measured], needs: list[Need], recovery: RecoveryFigures, path: PathFigures
 ) -> Iterator[str]:
     today = datetime.now(UTC).date().isoformat()
-    yield "# Capacity at the target size"
+    yield "# Capacity of the product's own interface"
     yield ""
     yield f"Measured and written by `make capacity` on {today}; medians of {REPEATS}, and spread."
     yield "One machine, one process. The target: 350 nodes before 630 engines, 4,200 requests"
