A disk that is to be emptied stays while turns need it

Cause: a retiring disk left the set at once, whatever was left. With two of three disks left and two copies needed for each turn, its leaving kept every turn from ending for good.

Change: the set's rules let a disk leave only while enough remain to keep a turn; until then it goes on as a member, says so in the log, and tries again every 0.8 s. Two disks that are to be emptied together can't both leave.

--- a/src/bayhinge/_internal/decisions/disk_set_rules.py
+++ b/src/bayhinge/_internal/decisions/disk_set_rules.py
@@ -8,6 +8,8 @@
 from collections.abc import Collection, Mapping, Sequence
 from typing import Protocol, TypeVar
 
+from bayhinge._internal.decisions.disk_quorum import copies_needed
+
 DROP_AFTER_S = 3.0
 """A member that was silent for so long is dropped, if enough others are left. Cuts and
 freezes that last shorter leave the set alone; a dropped disk that returns joins anew."""
@@ -54,6 +56,18 @@
     return [member for member in members if member.host != newcomer.host] + [newcomer]
 
 
+def without_retired(members: Sequence[Member], host: str, tolerated: int) -> list[Member] | None:
+    """Returns the set without a disk that is to be emptied, or None where it has to stay.
+
+    It stays while fewer would be left than a turn must stand on: with one disk where two are
+    needed every turn would run and none could end. Leaving late is paid for; that is not.
+    """
+    others = [member for member in members if member.host != host]
+    if len(others) == len(members) or len(others) < copies_needed(tolerated):
+        return None
+    return others
+
+
 def without_silent(
     members: Sequence[Member], silent_s_by_host: Mapping[str, float], tolerated: int
 ) -> list[Member] | None:
--- a/src/bayhinge/_internal/services/disks/disk_host.py
+++ b/src/bayhinge/_internal/services/disks/disk_host.py
@@ -14,6 +14,7 @@
 from bayhinge._internal.decisions.disk_set_rules import (
     has_copied_enough,
     with_newcomer,
+    without_retired,
     without_silent,
 )
 from bayhinge._internal.exceptions import FrameError, PeerFailureError, PeerUnreachableError
@@ -40,6 +41,10 @@
 JOIN_PERIOD_S = 0.3
 """The same for a disk that waits to join the set."""
 
+LEAVE_PERIOD_S = 0.8
+"""Between two tries of a disk to leave a set that can't do without it; each is a call of the
+store, and another disk needs about as long to join."""
+
 DISK_SET_FILE = "disk-set"
 
 ENTRIES_AT_ONCE = 60
@@ -73,6 +78,7 @@
         self._read_hosts: set[str] = set()
         self._hosts_by_program: dict[str, set[str]] = {}
         self._silent_since_by_host: dict[str, float] = {}
+        self.is_retiring = False
         self.is_retired = False
 
     async def on_start(self) -> None:
@@ -128,7 +134,8 @@
             await self._copy_from_all()
             self._expire()
             if not self._is_member():
-                await self._join_if_copied()
+                if not self.is_retiring:
+                    await self._join_if_copied()
             else:
                 await self._drop_silent()
             pause_s = COPY_PERIOD_S if self._is_member() else JOIN_PERIOD_S
@@ -291,20 +298,31 @@
     async def retire(self) -> None:
         """Leaves the set and hands everything to the disks that stay."""
         eliot.log_message("disk.retiring", host=self.settings.host)
+        self.is_retiring = True
+        await self._leave_set()
         self.is_retired = True
-        self.take_disk_set(
-            await change_disk_set(
-                self._store,
-                lambda members: (
-                    [member for member in members if member.host != self.settings.host]
-                    if any(member.host == self.settings.host for member in members)
-                    else None
-                ),
-            )
-        )
         await _repeat_until_done(self._hand_over)
         eliot.log_message("disk.retired", host=self.settings.host, entries=self.turns.position)
 
+    async def _leave_set(self) -> None:
+        """Goes on until the set can do without this disk; it serves as a member until then."""
+        host, tolerated = self.settings.host, self.settings.tolerated_disks
+        has_said_so = False
+        while True:
+            self.take_disk_set(
+                await change_disk_set(
+                    self._store, lambda members: without_retired(members, host, tolerated)
+                )
+            )
+            if not any(member.host == host for member in self.disk_set.members):
+                return
+            if not has_said_so:
+                eliot.log_message(
+                    "disk.retirement_waits", host=host, members=len(self.disk_set.members)
+                )
+            has_said_so = True
+            await asyncio.sleep(LEAVE_PERIOD_S)
+
     async def _hand_over(self) -> bool:
         others = [m for m in self.disk_set.members if m.host != self.settings.host]
         whole = [member.host for member in others if await self._push_all(member)]
--- a/tests/unit/test_disk_rules.py
+++ b/tests/unit/test_disk_rules.py
@@ -14,6 +14,7 @@
     DROP_AFTER_S,
     has_copied_enough,
     with_newcomer,
+    without_retired,
     without_silent,
 )
 
@@ -139,3 +140,10 @@
     assert missing_allowed(3, 1) == 1
     assert missing_allowed(9, 2) == 2
     assert missing_allowed(1, 1) == 0
+
+
+def test_a_disk_leaves_only_a_set_that_can_keep_turns_without_it() -> None:
+    assert without_retired([A, B, C], "a", tolerated=1) == [B, C]
+    assert without_retired([A, B], "a", tolerated=1) is None, "each turn needs two copies"
+    assert without_retired([A, B, C], "a", tolerated=2) is None
+    assert without_retired([B, C, D], "a", tolerated=1) is None, "it has left already"
