--- a/src/bayhinge/_internal/decisions/caller_addresses.py
+++ b/src/bayhinge/_internal/decisions/caller_addresses.py
@@ -27,7 +27,8 @@
 
 REQUESTS_A_HOST = 8.0
 """Requests a second that are expected of one host before callers are told of more. One takes 4 ms
-of processor time, so that a host is at a thirtieth of a core, and a burst may treble it."""
+of processor time (a played day of 17,323 requests, starts taken off), so that a host is at a
+thirtieth of a core, and a burst may treble it."""
 
 
 @attrs.frozen
--- a/src/bayhinge/_internal/services/gateway/load_exchange.py
+++ b/src/bayhinge/_internal/services/gateway/load_exchange.py
@@ -4,7 +4,6 @@
 """
 
 import asyncio
-from collections.abc import Callable
 
 from mode import Service
 
@@ -12,6 +11,7 @@
 from bayhinge._internal.decisions.load_board import HostReport, LoadBoard
 from bayhinge._internal.exceptions import FrameError
 from bayhinge._internal.network.addresses import split_address
+from bayhinge._internal.network.datagrams import Datagrams
 from bayhinge._internal.network.frames import decode_message, encode_message
 from bayhinge._internal.services.gateway.hall_homes import HallHomes
 from bayhinge._internal.services.keep_running import keep_running
@@ -52,7 +52,7 @@
         """Opens the socket: the peer link's address, over UDP."""
         host, port = split_address(self._me.peer_address)
         self._transport, _ = await asyncio.get_running_loop().create_datagram_endpoint(
-            lambda: _Datagrams(self._take), local_addr=(host, port)
+            lambda: Datagrams(self._take), local_addr=(host, port)
         )
         self.add_future(keep_running("load reports", self._report_always))
         self.add_future(keep_running("hall loads", self._tell_homes))
@@ -209,11 +209,3 @@
         self._tables_by_hall[table.hall] = table, asyncio.get_running_loop().time()
         for instance in table.running_by_endpoint:
             self._granted_abroad.pop(instance, None)
-
-
-class _Datagrams(asyncio.DatagramProtocol):
-    def __init__(self, take: Callable[[bytes], None]) -> None:
-        self._take = take
-
-    def datagram_received(self, data: bytes, addr: object) -> None:
-        self._take(data)
--- a/src/bayhinge/_internal/services/gossip.py
+++ b/src/bayhinge/_internal/services/gossip.py
@@ -15,6 +15,7 @@
 from bayhinge._internal.exceptions import FrameError
 from bayhinge._internal.models.site_settings import SiteSettings
 from bayhinge._internal.network.addresses import split_address
+from bayhinge._internal.network.datagrams import Datagrams
 from bayhinge._internal.network.frames import decode_message, encode_message
 from bayhinge._internal.services.keep_running import keep_running
 from bayhinge._internal.wire.hosts.ttypes import Hello, HostPhase, HostRole
@@ -58,14 +59,6 @@
     heard_s: float
 
 
-class _Datagrams(asyncio.DatagramProtocol):
-    def __init__(self, take: Callable[[bytes], None]) -> None:
-        self._take = take
-
-    def datagram_received(self, data: bytes, addr: object) -> None:
-        self._take(data)
-
-
 class Gossip(Service):
     """Greets other hosts and remembers what they said."""
 
@@ -103,7 +96,7 @@
         loop = asyncio.get_running_loop()
         host, port = split_address(self._settings.gossip_address)
         self._transport, _ = await loop.create_datagram_endpoint(
-            lambda: _Datagrams(self._take), local_addr=(host, port)
+            lambda: Datagrams(self._take), local_addr=(host, port)
         )
         self.learn(f"{seed}:{self._settings.gossip_port}" for seed in self._settings.seeds)
         self.add_future(keep_running("hellos", self._run))
