--- a/tests/dense/ablation.py
+++ b/tests/dense/ablation.py
@@ -132,8 +132,10 @@
             f"Ablation: {f'without {mechanism}' if mechanism else 'all mechanisms'}, {options.day}"
         )
         command = [options.bench, "run", options.site, options.day, "--jobs", str(options.jobs)]
+        command += ["--seed", options.seed] if options.seed else []
+        command += ["--no-cpu"] if options.uncharged else []
         ended = subprocess.run(
-            [*command, *(["--seed", options.seed] if options.seed else []), "--why", why],
+            [*command, "--why", why],
             cwd=options.copy,
             capture_output=True,
             text=True,
@@ -153,6 +155,7 @@
     parser.add_argument("--seed", default="")
     parser.add_argument("--copy", type=Path, required=True, help="a clone that may be changed")
     parser.add_argument("--spread", type=int, default=2, help="plays with all mechanisms")
+    parser.add_argument("--uncharged", action="store_true", help="processor time is not counted")
     parser.add_argument("--jobs", type=int, default=2)
     parser.add_argument("--only", nargs="*", default=[], help="mechanisms; all where none is named")
     for play in plays(parser.parse_args()):
