--- a/src/bayhinge/coordination/store.py
+++ b/src/bayhinge/coordination/store.py
@@ -12,6 +12,7 @@
 
 import attrs
 
+from bayhinge.coordination.errors import StoreUnavailableError
 from bayhinge.coordination.store_contact import StoreContact
 
 MAX_VALUE_BYTES = 1_000_000
@@ -138,12 +139,22 @@
 
 
 async def list_all(store: ObjectStore, prefix: str) -> Listing:
-    """Reads every page under ``prefix``; the revision is the first page's."""
-    objects: list[StoredObject] = []
+    """Reads every page under ``prefix``; the revision is the first page's.
+
+    Raises:
+        StoreUnavailableError: a page says that more follows and tells nothing new: to go on would
+            be to ask without end, and to keep what comes.
+    """
+    object_by_key: dict[str, StoredObject] = {}
     page = await store.list(prefix)
     revision = page.revision
-    objects.extend(page.objects)
-    while page.more:
-        page = await store.list(prefix, after=objects[-1].key)
-        objects.extend(page.objects)
-    return Listing(tuple(objects), revision, more=False)
+    while True:
+        known = len(object_by_key)
+        object_by_key.update((stored.key, stored) for stored in page.objects)
+        if not page.more:
+            return Listing(tuple(object_by_key.values()), revision, more=False)
+        if len(object_by_key) == known:
+            raise StoreUnavailableError(
+                f"list {prefix}", "it says that more follows, but does not go on"
+            )
+        page = await store.list(prefix, after=page.objects[-1].key)
--- /dev/null
+++ b/tests/unit/test_store_pages.py
@@ -0,0 +1,63 @@
+"""Lists that come in pages, also from a store whose pages do not end."""
+
+import asyncio
+from collections.abc import AsyncIterator
+
+import pytest
+
+from bayhinge.coordination.errors import StoreUnavailableError
+from bayhinge.coordination.store import Change, Listing, ObjectStore, StoredObject, list_all
+
+
+class PagedStore(ObjectStore):
+    """Answers with the pages that it was given, the last one for good."""
+
+    def __init__(self, *pages: Listing) -> None:
+        self.pages = list(pages)
+        self.asked: list[str] = []
+
+    async def list(self, prefix: str, after: str = "", limit: int = 500) -> Listing:
+        self.asked.append(after)
+        assert len(self.asked) < 100, "it is asked without end"
+        return self.pages.pop(0) if len(self.pages) > 1 else self.pages[0]
+
+    async def get(self, key: str) -> StoredObject | None:
+        raise NotImplementedError
+
+    async def create(self, key: str, value: bytes) -> StoredObject:
+        raise NotImplementedError
+
+    async def update(self, key: str, value: bytes, version: int) -> StoredObject:
+        raise NotImplementedError
+
+    async def delete(self, key: str, version: int) -> None:
+        raise NotImplementedError
+
+    def watch(self, prefix: str, after_revision: int) -> AsyncIterator[Change]:
+        raise NotImplementedError
+
+
+def page(*names: str, more: bool = False, revision: int = 7) -> Listing:
+    return Listing(tuple(StoredObject(f"hosts/{one}", b"", 1) for one in names), revision, more)
+
+
+def test_pages_are_put_together() -> None:
+    store = PagedStore(page("a", "b", more=True), page("c", revision=9))
+    listing = asyncio.run(list_all(store, "hosts/"))
+    assert [stored.key for stored in listing.objects] == ["hosts/a", "hosts/b", "hosts/c"]
+    assert listing.revision == 7
+    assert store.asked == ["", "hosts/b"]
+
+
+@pytest.mark.parametrize(
+    "endless",
+    [
+        (page("a", "b", more=True),),
+        (page(more=True),),
+        (page("a", more=True), page(more=True)),
+        (page("c", more=True), page("b", more=True)),
+    ],
+)
+def test_pages_that_do_not_go_on_are_an_error_and_not_a_loop(endless: tuple[Listing, ...]) -> None:
+    with pytest.raises(StoreUnavailableError, match="does not go on"):
+        asyncio.run(list_all(PagedStore(*endless), "hosts/"))
