Addresses that were never heard do not slow a host's hellos down

Cause: the pause between two rounds of hellos grew with the number of known addresses, heard or not. The store keeps the addresses of replaced hosts; with 4,000 of them a host greeted every 20 s, fell silent to all others, and callers were not told of it.

Change: the pause counts hosts that were heard; addresses that never were get one place a round beside the others.

--- a/src/bayhinge/_internal/services/gossip.py
+++ b/src/bayhinge/_internal/services/gossip.py
@@ -39,6 +39,10 @@
 
 ALL_TARGETS = NEAR_TARGETS + FAR_TARGETS
 
+UNHEARD_TARGETS = 1
+"""Addresses that were told and never heard, that one round goes to. The store's list of hosts may
+hold thousands that are long gone: counted like hosts, they made a host greet every 20 s."""
+
 FRESH_CYCLES = 3
 """A host that is silent while it should have greeted so often is not counted on."""
 
@@ -156,7 +160,12 @@
         self._far_fresh_s = max(LEAST_FRESH_S, FRESH_CYCLES * far_rounds * period_s)
 
     def _period_s(self) -> float:
-        return PERIOD_S * max(1.0, len(self._last_heard_by_address) / PERIOD_HOSTS)
+        return PERIOD_S * max(1.0, len(self._heard_addresses()) / PERIOD_HOSTS)
+
+    def _heard_addresses(self) -> set[str]:
+        """Returns the addresses of hosts that were heard and are not forgotten yet."""
+        heard = {one.hello.gossip_address for one in self._heard_by_host.values()}
+        return heard & self._last_heard_by_address.keys()
 
     def say_now(self) -> None:
         """Sends a hello out of turn to the whole hall and some others: news should not wait."""
@@ -182,19 +191,30 @@
         self._set_fresh_times(len(near), len(far))
         near_count = min(len(near), max(NEAR_TARGETS, ALL_TARGETS - len(far)))
         self._send_to(
-            self._next_turns(near, near_count) + self._next_turns(far, ALL_TARGETS - near_count)
+            self._next_turns(near, near_count)
+            + self._next_turns(far, ALL_TARGETS - near_count)
+            + self._next_turns(self._unheard(), UNHEARD_TARGETS)
         )
 
+    def _unheard(self) -> list[str]:
+        """Returns the addresses that were told and never heard."""
+        heard = self._heard_addresses()
+        return [one for one in self._last_heard_by_address if one not in heard]
+
     def _by_distance(self) -> tuple[list[str], list[str]]:
-        """Returns the known addresses of the own hall, and all others."""
+        """Returns the addresses of heard hosts of the own hall, and of all others."""
+        heard_addresses = self._heard_addresses()
         near_addresses = {
             heard.hello.gossip_address
             for heard in self._heard_by_host.values()
             if heard.hello.hall == self._settings.hall
         }
         near = [one for one in self._last_heard_by_address if one in near_addresses]
-        far = [one for one in self._last_heard_by_address if one not in near_addresses]
-        return near, far
+        return near, [
+            one
+            for one in self._last_heard_by_address
+            if one in heard_addresses and one not in near_addresses
+        ]
 
     def _next_turns(self, addresses: list[str], count: int) -> list[str]:
         """Returns those addresses that were greeted longest ago."""
