--- a/src/bayhinge/_internal/services/key_follower.py
+++ b/src/bayhinge/_internal/services/key_follower.py
@@ -57,7 +57,7 @@
 
 FIRST_LIST_S = (0.5, 2.5)
 """When a host of a system that starts for the first time lists by itself, unless peers have told it
-of the objects before: 171 hosts that listed in one moment were half of a day's calls."""
+of the objects before: on a site of 36 entry hosts first lists and watches were 183 of 397 calls."""
 
 PEER_CALL_S = 0.5
 """Time for a peer's answer."""
