Known red: an event made of a cut one and the next run's first one

Why the older test of a cut first event was green: it read the numbers of events and not their bytes. It stays as it is.

--- a/tests/functional/test_resuming.py
+++ b/tests/functional/test_resuming.py
@@ -72,6 +72,45 @@
     run_site(tmp_path, scenario)
 
 
+CUTS = (1, 4, 5, 6, 12, -4, -1)
+"""Bytes of an event that still leave: within its first line, between lines, before its end."""
+
+
+@pytest.mark.parametrize(("breaks_after", "has"), [(0, None), (0, 1), (1, None), (1, 1), (2, None)])
+def test_each_event_is_one_that_a_run_made_whole(
+    tmp_path: Path, breaks_after: int, has: int | None
+) -> None:
+    """Callers saw events whose number read ``1id: 1``, or whose data began with another's.
+
+    An endpoint went down in the middle of the first event of its answer. Nothing had gone out to
+    the caller yet, another endpoint was asked for the same, and the answer ended as whole. What
+    was left of the cut event stood in front of the second endpoint's first one.
+
+    Evidence: all cuts within the first event of an answer fail (``breaks_after`` 0), whether it is
+    the stream's first one or the caller ``has`` some already; behind one whole event none does.
+    """
+
+    async def scenario(site: PlatformSite) -> None:
+        headers = {} if has is None else {"Last_Event_Id": str(has)}
+        for cut_at in CUTS:
+            for engine in site.engines:
+                engine.runs.clear()
+            trouble = EngineTroubles(
+                breaks_after=breaks_after, pause_s=0.02, cuts_events=True, cut_at=cut_at
+            )
+            hurt_first(site, trouble)
+            asking = asyncio.create_task(draft(site, **headers))
+            await heal_others_once_one_runs(site)
+            reply = await asking
+            assert reply.is_whole
+            made = {event for run in runs(site) for event in run.made}
+            events = [event + b"\n\n" for event in reply.body.split(b"\n\n")[:-1]]
+            assert [event for event in events if event not in made] == [], cut_at
+            assert ids(reply) == list(range((has or 0) + 1, 4)), cut_at
+
+    run_site(tmp_path, scenario)
+
+
 @pytest.mark.parametrize(("off_by", "is_whole"), [(-1, True), (1, False)])
 def test_a_run_that_begins_at_the_wrong_event_is_mended_or_left(
     tmp_path: Path, off_by: int, is_whole: bool
--- a/tests/lib/platform_engine.py
+++ b/tests/lib/platform_engine.py
@@ -11,7 +11,11 @@
 
 @attrs.define
 class Run:
-    """One request that was worked on."""
+    """One request that was worked on.
+
+    Attributes:
+        made: the events that left the engine whole, byte for byte.
+    """
 
     attempt: str
     method: str
@@ -19,6 +23,7 @@
     body: bytes
     headers: list[tuple[str, str]]
     was_cancelled: bool = False
+    made: list[bytes] = attrs.field(factory=list)
 
 
 @attrs.define
@@ -31,6 +36,7 @@
         loses_answers: so many requests run, and their connection is cut.
         pause_s: before the answer, and between events.
         cuts_events: a stream that breaks off does so in the middle of its next event.
+        cut_at: the bytes of that event that still leave; counted from its end where negative.
         silent_after: streams fall silent for good after so many events.
         resumes_off_by: a resumed stream begins so many events too late, or too early.
     """
@@ -40,6 +46,7 @@
     loses_answers: int = 0
     pause_s: float = 0.0
     cuts_events: bool = False
+    cut_at: int = -4
     silent_after: int | None = None
     resumes_off_by: int = 0
 
@@ -94,27 +101,30 @@
                 raise ConnectionResetError
             if not request.path.startswith(("/chat/", "/draft/")):
                 return web.Response(body=b"answer to " + body, headers=headers)
-            return await self._stream(request, headers)
+            return await self._stream(request, headers, run)
         except asyncio.CancelledError:
             run.was_cancelled = True
             raise
 
-    async def _stream(self, request: web.Request, headers: dict[str, str]) -> web.StreamResponse:
+    async def _stream(
+        self, request: web.Request, headers: dict[str, str], run: Run
+    ) -> web.StreamResponse:
         response = web.StreamResponse(headers=headers | {"Content-Type": "text/event-stream"})
         await response.prepare(request)
-        run = next(self._numbers)
+        stream = next(self._numbers)
         resumed = request.headers.get("Last-Event-Id")
         first = 1 if resumed is None else int(resumed) + 1 + self.troubles.resumes_off_by
         for given, number in enumerate(range(max(1, first), self.events + 1)):
-            event = f"id: {number}\ndata: r{run}e{number}\n\n".encode()
+            event = f"id: {number}\ndata: r{stream}e{number}\n\n".encode()
             if self.troubles.breaks_after is not None and given >= self.troubles.breaks_after:
                 if self.troubles.cuts_events:
-                    await response.write(event[:-4])
+                    await response.write(event[: self.troubles.cut_at])
                 assert request.transport is not None
                 request.transport.close()
                 raise ConnectionResetError
             if given == self.troubles.silent_after:
                 await asyncio.sleep(3600)
+            run.made.append(event)
             await response.write(event)
             await asyncio.sleep(self.troubles.pause_s)
         await response.write_eof()
