Sight: how much of an event a run left when it broke off

Cause looked for: answers with events that no endpoint made. The logs could not tell whether a run had left a part of an event behind when another one was asked. Change: cut_bytes on send.failed, and a count on the metrics page. No change of logic.

--- a/src/bayhinge/_internal/network/event_stream.py
+++ b/src/bayhinge/_internal/network/event_stream.py
@@ -57,6 +57,11 @@
         """Whether the last piece ended with an event's end."""
         return not self._rest.strip()
 
+    @property
+    def cut_bytes(self) -> int:
+        """Bytes of an event whose end has not come."""
+        return len(self._rest)
+
 
 def _read(block: bytes) -> StreamEvent | None:
     data: list[bytes] = []
--- a/src/bayhinge/_internal/network/stream_splice.py
+++ b/src/bayhinge/_internal/network/stream_splice.py
@@ -52,6 +52,11 @@
         """Whether the run's last piece ended with an event's end."""
         return self._reader.is_between_events
 
+    @property
+    def cut_bytes(self) -> int:
+        """Bytes that the run has given of an event whose end has not come."""
+        return self._reader.cut_bytes
+
     def start_run(self) -> None:
         """Begins the next run; the rest of an event that was cut is dropped."""
         self._reader = EventReader()
--- a/src/bayhinge/_internal/services/gateway/figures.py
+++ b/src/bayhinge/_internal/services/gateway/figures.py
@@ -30,6 +30,7 @@
         "peer_connections_left_silent_total": gateway.peers.left_silent,
         "endpoints_doubted_total": gateway.requests.sent.doubted,
         "requests_sent_again_total": gateway.requests.sent.again,
+        "streams_cut_in_an_event_total": gateway.requests.sent.cut,
         "streams_resumed_total": gateway.requests.sent.resumed,
         "placed_by_home_total": gateway.placer.counts.by_home,
         "placed_as_home_total": gateway.placer.counts.as_home,
--- a/src/bayhinge/_internal/services/gateway/sending.py
+++ b/src/bayhinge/_internal/services/gateway/sending.py
@@ -64,6 +64,11 @@
         """Whether another endpoint may be asked for what this one has not given."""
         return True
 
+    @property
+    def cut_bytes(self) -> int:
+        """Bytes of an event that the last run left without its end."""
+        return 0
+
     @abstractmethod
     async def deliver(
         self, answer: Answer, marks: AnswerMarks, may_repeat: bool, bounds: AnswerBounds
@@ -105,11 +110,13 @@
         doubted: endpoints that were not heard for too long while a request waited.
         again: requests that went to another endpoint after one that may have run them.
         resumed: those of them that went on behind an event.
+        cut: runs that broke off within an event.
     """
 
     doubted: int = 0
     again: int = 0
     resumed: int = 0
+    cut: int = 0
 
 
 class Sender:
@@ -171,6 +178,7 @@
                 self._note_not_taken(belief, sending, str(error))
             except BrokenAnswerError as error:
                 sending.ran += 1
+                self.counts.cut += sending.delivery.cut_bytes > 0
                 if isinstance(error, SilentEndpointError):
                     # What is kept open to it may be as dead as the connection that was used.
                     self._links.drop_idle(belief.entry.instance)
@@ -336,6 +344,7 @@
             load=round(belief.load, 2),
             sends_ran=sending.ran,
             sends_untaken=sending.untaken,
+            cut_bytes=sending.delivery.cut_bytes,
         )
 
 
--- a/src/bayhinge/_internal/services/gateway/stream_delivery.py
+++ b/src/bayhinge/_internal/services/gateway/stream_delivery.py
@@ -56,6 +56,11 @@
         """See :class:`Delivery`."""
         return self._splice is not None and self._splice.may_go_on
 
+    @property
+    def cut_bytes(self) -> int:
+        """See :class:`Delivery`."""
+        return 0 if self._splice is None else self._splice.cut_bytes
+
     async def deliver(
         self, answer: Answer, marks: AnswerMarks, may_repeat: bool, bounds: AnswerBounds
     ) -> None:
