Review: failing tests of what attempts leave behind (not mended)

Disks: a copy under way at a change of the set, a failed sync of a settlement takes the turn back, a tail that can't be cut, a small file written in part. Elsewhere: the beginning of a surplus answer stands in front of the next answer, a late list undoes a peer's news, log lines behind the loop's end, a line behind a cut one, the reason why an attempt ended.

--- /dev/null
+++ b/tests/unit/test_left_behind_disks.py
@@ -0,0 +1,144 @@
+"""What a failed write, or a copy that breaks off, leaves behind on a disk host."""
+
+import asyncio
+import os
+from pathlib import Path
+
+import attrs
+import pytest
+from bayhinge._internal.models.site_settings import SiteSettings
+from bayhinge._internal.network.frames import decode_message, encode_message
+from bayhinge._internal.services import methods
+from bayhinge._internal.services.disks.disk_host import DiskHost
+from bayhinge._internal.services.disks.turn_log import TurnLog, entry_key
+from bayhinge._internal.utils.durable_files import replace_synced
+from bayhinge._internal.wire.hosts import ttypes as wire
+from bayhinge._internal.wire.hosts.ttypes import EntryKind, TurnEntry
+from bayhinge.coordination.store import ObjectStore
+from tests.unit.test_turn_log import turn
+from typing import cast
+
+
+def refuse(*_: object) -> None:
+    raise OSError(5, "the disk failed")
+
+
+def test_a_failed_sync_of_what_a_turn_used_keeps_the_turn(
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """A caller leaves while its turn is made to last: the turn stands, and is settled behind.
+
+    The sync of the settlement fails. What it takes back is the turn, which an earlier sync kept.
+    """
+    log = TurnLog(tmp_path)
+    log.append([turn("a", None, b"said")])
+    log.sync()
+    log.append([TurnEntry(EntryKind.SETTLED, "a", "program", 3)])
+    with monkeypatch.context() as patch:
+        patch.setattr(os, "fdatasync", refuse)
+        with pytest.raises(OSError, match="the disk failed"):
+            log.sync()
+    assert log.has(entry_key(turn("a")))
+    assert log.ledger("program").settled_by_attempt == {"a": 3}
+    assert log.chain("a").missing is None
+
+
+def test_a_write_that_could_not_be_taken_back_spoils_nothing_behind_it(
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """A write ends short, and the disk also refuses to cut the file; the next write goes well."""
+    log = TurnLog(tmp_path)
+    log.append([turn("a", None, b"one")])
+    log.sync()
+    write = os.write
+    with monkeypatch.context() as patch:
+        patch.setattr(os, "write", lambda file, data: write(file, data[:20]))
+        patch.setattr(os, "ftruncate", refuse)
+        with pytest.raises(OSError, match="the disk failed"):
+            log.append([turn("b", None, b"two")])
+    log.append([turn("c", None, b"three")])
+    log.sync()
+    assert TurnLog(tmp_path).chain("c").text == b"three"
+    assert log.chain("c").text == b"three"
+
+
+def test_a_file_that_was_written_in_part_replaces_nothing(
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    path = tmp_path / "servers.objects"
+    replace_synced(path, b"old and whole")
+    write = os.write
+    with monkeypatch.context() as patch:
+        patch.setattr(os, "write", lambda file, data: write(file, data[:5]))
+        try:
+            replace_synced(path, b"new and whole")
+        except OSError:
+            pass
+    assert path.read_bytes() in {b"old and whole", b"new and whole"}
+
+
+SETTINGS = SiteSettings(
+    host="disk-1",
+    hall="north",
+    region="r",
+    ip="127.0.0.1",
+    region_by_hall={"north": "r"},
+    front_address="127.0.0.1:1",
+    ready_address="127.0.0.1:2",
+    directory_address="127.0.0.1:3",
+    gossip_port=4,
+    peer_port=5,
+    seeds=(),
+    data_folder="",
+    is_first_start=False,
+    tolerated_disks=1,
+    store_address="127.0.0.1:6",
+    address_keep_s=1.0,
+    grace_s=5.0,
+)
+
+
+def test_a_copy_under_way_at_a_change_of_the_set_reads_the_other_log_again(
+    tmp_path: Path,
+) -> None:
+    """A change of the set means to read the others' logs again: more may be kept here now.
+
+    The answer that was asked for before the change lacks what is kept here only since. It comes
+    behind the change, and its position puts the reading behind all that it left out.
+    """
+    other = wire.DiskMember("disk-2", 7, "127.0.0.2:5", "north")
+    before = [wire.DiskMember(f"disk-{n}", n, f"127.0.0.{n}:5", "north") for n in (3, 4)]
+
+    async def main() -> None:
+        host = DiskHost(
+            attrs.evolve(SETTINGS, data_folder=str(tmp_path)), cast(ObjectStore, None)
+        )
+        host.gossip.say_now = lambda: None  # type: ignore[method-assign]
+        host.take_disk_set(wire.DiskSet(1, [host.me, other, *before]))
+        may_answer = asyncio.Event()
+        asked: list[int] = []
+
+        async def call(address: str, method: str, payload: bytes) -> bytes | None:
+            if method == methods.ENTRIES:
+                entries = [turn("kept-here-now")]
+                return encode_message(wire.EntriesReply(entries))
+            query = decode_message(wire.KeysQuery(), payload)
+            asked.append(query.after)
+            if len(asked) == 1:
+                # Worked out under set 1, in which the program's places are elsewhere.
+                await may_answer.wait()
+                return encode_message(wire.KeysReply(7, 1, False, [], 1))
+            keys = [entry_key(turn("kept-here-now"))] if query.after == 0 else []
+            return encode_message(wire.KeysReply(7, 1, False, keys, 2))
+
+        host._call = call  # type: ignore[method-assign]
+        copying = asyncio.create_task(host._copy_from(other))
+        await asyncio.sleep(0)
+        host.take_disk_set(wire.DiskSet(2, [host.me, other]))
+        may_answer.set()
+        await copying
+        await host._copy_from(other)
+        host.turns.sync()
+        assert host.turns.has(entry_key(turn("kept-here-now"))), asked
+
+    asyncio.run(main())
--- /dev/null
+++ b/tests/unit/test_left_behind_elsewhere.py
@@ -0,0 +1,208 @@
+"""What attempts leave behind elsewhere: connections, lists of objects, log lines, calls."""
+
+import asyncio
+import os
+from collections.abc import AsyncGenerator
+
+import orjson
+import pytest
+from bayhinge._internal.network.frames import encode_message
+from bayhinge._internal.network.peers import Peers
+from bayhinge._internal.services.call_runner import _Progress
+from bayhinge._internal.services.key_follower import FollowListener, KeyFollower
+from bayhinge._internal.utils.log_output import LogOutput
+from bayhinge._internal.wire.hosts.ttypes import KnownObjects
+from bayhinge.coordination.store import Change, ChangePage, Listing, PollingStore, StoredObject
+from bayhinge.coordination.store_contact import StoreContact
+from tests.functional.test_endpoint_link import answer, ask, read_request, run
+from bayhinge._internal.network.endpoint_link import EndpointLinks
+
+
+@pytest.mark.parametrize("size", [1, 12, 17, 40])
+def test_the_beginning_of_a_surplus_answer_is_not_the_next_ones(size: int) -> None:
+    """The first answer is followed by a part of a surplus one; the connection is kept.
+
+    The next request's answer is read behind that part.
+    """
+    part = b"HTTP/1.1 200 OK\r\nBayhinge-Odd: 1\r\nX-Cut: "[:size]
+
+    async def wire(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        await read_request(reader)
+        writer.write(answer("a") + part)
+        await read_request(reader)
+        writer.write(answer("b", b"mine"))
+        await reader.read()
+
+    async def scenario(links: EndpointLinks, address: str) -> None:
+        connection, first = await ask(links, address)
+        assert await first.read_body() == b"body"
+        links.release(connection, None)
+        assert not connection.is_open
+
+    run(wire, scenario)
+
+
+def test_a_surplus_beginning_changes_no_head_of_the_next_answer() -> None:
+    part = b"HTTP/1.1 503 Full\r\nBayhinge-Not-Executed: 1\r\nX-Cut: "
+
+    async def wire(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        await read_request(reader)
+        writer.write(answer("a") + part)
+        await read_request(reader)
+        writer.write(answer("b", b"mine"))
+        await reader.read()
+
+    async def scenario(links: EndpointLinks, address: str) -> None:
+        connection, first = await ask(links, address)
+        await first.read_body()
+        links.release(connection, None)
+        try:
+            _, second = await ask(links, address)
+        except Exception:
+            return
+        names = {name for name, _ in second.headers}
+        assert (second.status, b"Bayhinge-Not-Executed" in names) == (200, False), second.headers
+
+    run(wire, scenario)
+
+
+class SlowList(PollingStore):
+    """Answers a list late, with what it held when it was asked."""
+
+    def __init__(self) -> None:
+        self._contact = StoreContact()
+        self.may_answer = asyncio.Event()
+
+    @property
+    def contact(self) -> StoreContact:
+        return self._contact
+
+    async def list(self, prefix: str, after: str = "", limit: int = 500) -> Listing:
+        await self.may_answer.wait()
+        return Listing((StoredObject("servers/old", b"old", 1),), 1, more=False)
+
+    async def poll(self, prefix: str, after_revision: int, wait_s: float) -> ChangePage:
+        await asyncio.sleep(wait_s)
+        return ChangePage((), after_revision)
+
+    async def get(self, key: str) -> StoredObject | None:
+        raise NotImplementedError
+
+    async def create(self, key: str, value: bytes) -> StoredObject:
+        raise NotImplementedError
+
+    async def update(self, key: str, value: bytes, version: int) -> StoredObject:
+        raise NotImplementedError
+
+    async def delete(self, key: str, version: int) -> None:
+        raise NotImplementedError
+
+
+class NewerPeer(Peers):
+    """Knows a later state."""
+
+    async def call(self, address: str, method: str, payload: bytes) -> bytes:
+        return encode_message(KnownObjects(5, {"servers/new": b"new"}, 5))
+
+    async def stream(
+        self, address: str, method: str, payload: bytes
+    ) -> AsyncGenerator[bytes, None]:
+        yield await self.call(address, method, payload)
+
+    async def close(self) -> None:
+        return
+
+
+class Memory(FollowListener):
+    def __init__(self) -> None:
+        self.states: list[set[str]] = []
+
+    def replace_all(self, value_by_key: dict[str, bytes], is_after_outage: bool) -> None:
+        self.states.append(set(value_by_key))
+
+    def apply(self, change: Change, is_after_outage: bool) -> None:
+        raise AssertionError
+
+
+def test_a_list_that_comes_late_does_not_undo_what_a_peer_told() -> None:
+    """The list was asked at revision 1; a peer tells of revision 5 before its answer is here.
+
+    The follower does not watch (others do), so nothing brings revision 5 again: it stands at the
+    old objects, and says that it knows all up to 5.
+    """
+
+    async def main() -> None:
+        store, memory = SlowList(), Memory()
+        follower = KeyFollower(store, "servers/", lambda: 0.05, memory, NewerPeer())
+        follower.should_poll = lambda: False
+        running = asyncio.create_task(follower.run())
+        await asyncio.sleep(0.02)
+        follower.hear(5, "peer")
+        await asyncio.sleep(0.1)
+        assert memory.states == [{"servers/new"}]
+        store.may_answer.set()
+        await asyncio.sleep(0.1)
+        follower.stop()
+        running.cancel()
+        known = follower.known()
+        assert known.complete_to == 5
+        assert set(known.value_by_key) == {"servers/new"}, memory.states
+
+    asyncio.run(main())
+
+
+def test_lines_behind_the_end_of_the_loop_are_written_once_there_is_room() -> None:
+    """The reader stalls until the loop has ended; the log still counts on the loop to go on."""
+    reading, writing = os.pipe()
+    log = LogOutput(writing)
+
+    async def main() -> None:
+        while not log._waiting:
+            log({"message_type": "request.refused", "text": "x" * 900})
+
+    asyncio.run(main())
+    os.set_blocking(reading, False)
+    while True:
+        try:
+            os.read(reading, 1 << 20)
+        except BlockingIOError:
+            break
+    log({"message_type": "host.stopped"})
+    data = os.read(reading, 1 << 20)
+    assert b"host.stopped" in data
+    os.close(reading)
+    os.close(writing)
+
+
+def test_a_line_behind_one_that_was_cut_stands_alone(monkeypatch: pytest.MonkeyPatch) -> None:
+    """A write takes a part of a line, the next one fails once, and then there is room again."""
+    reading, writing = os.pipe()
+    log = LogOutput(writing)
+    write, calls = os.write, 0
+
+    def odd_write(file: int, data: bytes) -> int:
+        nonlocal calls
+        calls += 1
+        if calls == 1:
+            return write(file, data[:10])
+        if calls == 2:
+            raise OSError(28, "no space left on device")
+        return write(file, data)
+
+    monkeypatch.setattr(os, "write", odd_write)
+    log({"message_type": "first"})
+    log({"message_type": "second"})
+    monkeypatch.undo()
+    lines = os.read(reading, 1 << 16).splitlines()
+    assert orjson.loads(lines[-1])["message_type"] == "second", lines
+    os.close(reading)
+    os.close(writing)
+
+
+def test_how_an_attempt_ended_does_not_outlive_it() -> None:
+    """Text, tool calls and usage are taken care of between attempts; the reason to end is not."""
+    progress = _Progress()
+    progress.begin_attempt()
+    progress.finish_reason = "length"
+    progress.begin_attempt()
+    assert progress.finish_reason == "stop"
