--- a/tests/unit/test_left_behind_disks.py
+++ b/tests/unit/test_left_behind_disks.py
@@ -1,11 +1,14 @@
 """What a failed write, or a copy that breaks off, leaves behind on a disk host."""
 
 import asyncio
+import contextlib
 import os
 from pathlib import Path
+from typing import cast
 
 import attrs
 import pytest
+
 from bayhinge._internal.models.site_settings import SiteSettings
 from bayhinge._internal.network.frames import decode_message, encode_message
 from bayhinge._internal.services import methods
@@ -16,7 +19,6 @@
 from bayhinge._internal.wire.hosts.ttypes import EntryKind, TurnEntry
 from bayhinge.coordination.store import ObjectStore
 from tests.unit.test_turn_log import turn
-from typing import cast
 
 
 def refuse(*_: object) -> None:
@@ -70,10 +72,8 @@
     write = os.write
     with monkeypatch.context() as patch:
         patch.setattr(os, "write", lambda file, data: write(file, data[:5]))
-        try:
+        with contextlib.suppress(OSError):
             replace_synced(path, b"new and whole")
-        except OSError:
-            pass
     assert path.read_bytes() in {b"old and whole", b"new and whole"}
 
 
@@ -110,9 +110,7 @@
     before = [wire.DiskMember(f"disk-{n}", n, f"127.0.0.{n}:5", "north") for n in (3, 4)]
 
     async def main() -> None:
-        host = DiskHost(
-            attrs.evolve(SETTINGS, data_folder=str(tmp_path)), cast(ObjectStore, None)
-        )
+        host = DiskHost(attrs.evolve(SETTINGS, data_folder=str(tmp_path)), cast(ObjectStore, None))
         host.gossip.say_now = lambda: None  # type: ignore[method-assign]
         host.take_disk_set(wire.DiskSet(1, [host.me, other, *before]))
         may_answer = asyncio.Event()
--- a/tests/unit/test_left_behind_elsewhere.py
+++ b/tests/unit/test_left_behind_elsewhere.py
@@ -3,19 +3,32 @@
 import asyncio
 import os
 from collections.abc import AsyncGenerator
+from random import Random
+from types import SimpleNamespace
+from typing import cast
 
 import orjson
 import pytest
+
+from bayhinge._internal.bench.world.virtual_time import LoopClock, run_virtual
+from bayhinge._internal.decisions.offers import Done, Outcome
+from bayhinge._internal.exceptions import PeerUnreachableError
+from bayhinge._internal.network.endpoint_link import EndpointLinks
 from bayhinge._internal.network.frames import encode_message
 from bayhinge._internal.network.peers import Peers
 from bayhinge._internal.services.call_runner import _Progress
+from bayhinge._internal.services.grants import GrantedEndpoint
 from bayhinge._internal.services.key_follower import FollowListener, KeyFollower
+from bayhinge._internal.services.queue_home import QueueHome
+from bayhinge._internal.services.remote_grants import RemoteGrants
 from bayhinge._internal.utils.log_output import LogOutput
 from bayhinge._internal.wire.hosts.ttypes import KnownObjects
+from bayhinge.coordination.config_feed import ConfigFeed, FeedTimes
+from bayhinge.coordination.membership import Membership
 from bayhinge.coordination.store import Change, ChangePage, Listing, PollingStore, StoredObject
 from bayhinge.coordination.store_contact import StoreContact
+from bayhinge_standins.object_store import MemoryObjects, MemoryObjectStore
 from tests.functional.test_endpoint_link import answer, ask, read_request, run
-from bayhinge._internal.network.endpoint_link import EndpointLinks
 
 
 @pytest.mark.parametrize("size", [1, 12, 17, 40])
@@ -206,3 +219,70 @@
     progress.finish_reason = "length"
     progress.begin_attempt()
     assert progress.finish_reason == "stop"
+
+
+def test_an_object_that_can_be_read_again_is_not_held_damaged_for_ever() -> None:
+    """One answer of the store is damaged, the next one is whole: the change is applied.
+
+    The host never says again that its configuration is current, until it starts anew.
+    """
+
+    async def scenario() -> None:
+        objects = MemoryObjects()
+        writer = ConfigFeed(
+            MemoryObjectStore(objects), "c", LoopClock(), Random(1).random, FeedTimes()
+        )
+        await writer.propose("kind", "name", "text", "author", 0)
+        (key,) = objects.objects_by_key
+        whole = objects.objects_by_key[key]
+        reader = ConfigFeed(
+            MemoryObjectStore(objects), "c", LoopClock(), Random(2).random, FeedTimes()
+        )
+        objects.objects_by_key[key] = StoredObject(key, whole.value[:5], whole.version)
+        await reader.step()
+        assert reader.corrupt_by_key
+        objects.objects_by_key[key] = whole
+        await reader.step()
+        assert reader.revision == 1
+        assert reader.corrupt_by_key == {}
+        assert reader.is_current()
+
+    run_virtual(scenario())
+
+
+class ForgetfulPeers(Peers):
+    """The connection breaks at the first call; later ones arrive."""
+
+    def __init__(self) -> None:
+        self.told: list[str] = []
+        self.calls = 0
+
+    async def call(self, address: str, method: str, payload: bytes) -> bytes:
+        self.calls += 1
+        if self.calls == 1:
+            raise PeerUnreachableError(address, "the connection broke", sent=True)
+        self.told.append(method)
+        return b""
+
+    async def stream(
+        self, address: str, method: str, payload: bytes
+    ) -> AsyncGenerator[bytes, None]:
+        yield await self.call(address, method, payload)
+
+    async def close(self) -> None:
+        return
+
+
+def test_the_end_of_a_grant_is_told_although_the_first_try_fails() -> None:
+    """Else the home counts the call as running until the owner's whole process is dead."""
+
+    async def scenario() -> None:
+        peers = ForgetfulPeers()
+        membership = SimpleNamespace(me=SimpleNamespace(peer_address="here"))
+        grants = RemoteGrants(cast(Membership, membership), cast(QueueHome, None), peers)
+        granted = GrantedEndpoint("g", "cell", "e-1", "e-1:1", 0.0, "there")
+        grants.done(granted, Done("g", Outcome.FINISHED))
+        await asyncio.sleep(60)
+        assert peers.told == ["done"]
+
+    run_virtual(scenario())
--- a/tests/unit/test_left_behind_streams.py
+++ b/tests/unit/test_left_behind_streams.py
@@ -4,6 +4,7 @@
 from typing import cast
 
 import pytest
+
 from bayhinge._internal.models.routed_requests import RoutedRequest
 from bayhinge._internal.network.endpoint_link import Answer, BrokenAnswerError
 from bayhinge._internal.network.routed_front import Exchange
--- /dev/null
+++ b/tests/unit/test_runs_of_every_kind.py
@@ -0,0 +1,132 @@
+"""Runs that end in every way that an endpoint knows, and what is recorded of them."""
+
+import asyncio
+from collections.abc import AsyncIterator
+from typing import cast
+
+import attrs
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from bayhinge._internal.decisions.answer_bounds import AnswerBounds
+from bayhinge._internal.models.routed_requests import AnswerMarks, RoutedRequest, TurnContext
+from bayhinge._internal.network.endpoint_link import Answer, BrokenAnswerError
+from bayhinge._internal.network.routed_front import Exchange
+from bayhinge._internal.platform.call_format import PlatformCallFormat
+from bayhinge._internal.services.gateway.stream_delivery import StreamDelivery
+from bayhinge._internal.services.gateway.turn_keeper import OpenTurn, TurnKeeper
+from tests.unit.test_stream_delivery import ROUTE, SIGNED, Caller, CutAnswer
+
+EVENTS = 4
+BEAT = b": beat\n\n"
+UNSIGNED = AnswerMarks("a", False, False, False, False, None)
+ENCODED = AnswerMarks("a", True, False, False, True, None)
+BOUNDS = AnswerBounds(1.0, True, 0.005)
+
+
+def data(number: int, run: int) -> bytes:
+    return b"r%de%d" % (run, number)
+
+
+def event(number: int, run: int) -> bytes:
+    end = b"\r\n" if (number + run) % 2 else b"\n"
+    lines = [b"id: %d" % number, b"data: " + data(number, run), b"", b""]
+    if number % 3 == 0:
+        lines.insert(0, b"bayhinge-weight-versions: 3")
+    return end.join(lines)
+
+
+@attrs.define
+class SilentAnswer(CutAnswer):
+    """Falls silent in place of breaking off."""
+
+    async def read_pieces(self) -> AsyncIterator[bytes]:
+        for piece in self.pieces:
+            yield piece
+        if self.breaks_off:
+            await asyncio.sleep(5)
+
+    async def read_body(self) -> bytes:
+        return b"no"
+
+
+@attrs.define
+class BodyAnswer(CutAnswer):
+    async def read_body(self) -> bytes:
+        return b"no"
+
+
+class Keeper:
+    def __init__(self) -> None:
+        self.closed: list[tuple[bytes, int, str]] = []
+
+    async def close(
+        self, turn: OpenTurn, text: bytes, tokens: int, endpoint: str, keep_s: float
+    ) -> None:
+        self.closed.append((text, tokens, endpoint))
+
+
+KINDS = ["cut", "cut", "cut", "silent", "status", "unsigned", "encoded"]
+Run = tuple[str, int, int, int]
+
+
+async def play(has: int | None, ends: list[Run]) -> tuple[Caller, StreamDelivery, Keeper]:
+    caller, keeper = Caller(), Keeper()
+    request = RoutedRequest("POST", "/x", "host", (), "a", resume_after=has, body=b"new")
+    turn = OpenTurn("a", TurnContext("p", None, 0, None), b"", "", 0)
+    delivery = StreamDelivery(
+        cast(Exchange, caller),
+        PlatformCallFormat(),
+        cast(TurnKeeper, keeper),
+        turn,
+        request,
+        3,
+        ROUTE,
+    )
+    for run, (kind, length, size, early) in enumerate([*ends, ("whole", 10_000, 5, 0)], start=1):
+        delivery.endpoint = f"e-{run}"
+        first = max(1, (delivery.resume_after or 0) + 1 - early)
+        text = b"".join(
+            BEAT * (number % 2) + event(number, run) for number in range(first, EVENTS + 1)
+        )
+        kept = text[:length]
+        pieces = [kept[start : start + size] for start in range(0, len(kept), size)]
+        form = SilentAnswer if kind == "silent" else BodyAnswer
+        answer = form(pieces, kind != "whole", status=503 if kind == "status" else 200)
+        marks = {"unsigned": UNSIGNED, "encoded": ENCODED}.get(kind, SIGNED)
+        try:
+            await delivery.deliver(cast(Answer, answer), marks, True, BOUNDS)
+        except BrokenAnswerError:
+            assert delivery.may_go_on
+        else:
+            break
+    return caller, delivery, keeper
+
+
+@settings(max_examples=400, deadline=None)
+@given(
+    st.none() | st.integers(0, EVENTS),
+    st.lists(
+        st.tuples(
+            st.sampled_from(KINDS), st.integers(0, 150), st.integers(1, 60), st.integers(0, 3)
+        ),
+        max_size=5,
+    ),
+)
+def test_the_caller_and_the_record_have_each_event_once_as_one_run_made_it(
+    has: int | None, ends: list[Run]
+) -> None:
+    caller, delivery, keeper = asyncio.run(play(has, ends))
+    assert caller.is_whole
+    rest = caller.body.replace(BEAT, b"")
+    said = b"new"
+    for number in range((has or 0) + 1, EVENTS + 1):
+        made = [run for run in range(1, len(ends) + 2) if rest.startswith(event(number, run))]
+        assert len(made) == 1, (number, rest)
+        rest = rest.removeprefix(event(number, made[0]))
+        said += data(number, made[0]) + b"\n"
+    assert rest == b""
+    ((text, tokens, endpoint),) = keeper.closed
+    assert text == said
+    assert tokens == 3 * (EVENTS - (has or 0)) == delivery.tokens_handed_out
+    assert endpoint == delivery.endpoint
