A gap in a resumed stream drops nothing that counts as passed on; a stream that can't go on is not asked for again

Change: a gap is told beside the events in front of it. The sender asks whether the stream may go on. The state machine's check of left out events is as it was, asked at the run's end as well.

--- a/src/bayhinge/_internal/services/gateway/sending.py
+++ b/src/bayhinge/_internal/services/gateway/sending.py
@@ -309,7 +309,8 @@
                 raise BrokenAnswerError("the connection ended behind another request's answer")
 
     def _give_up_unless_repeatable(self, sending: _Sending, error: BrokenAnswerError) -> None:
-        if sending.route.may_repeat and sending.ran < sending.route.max_endpoints:
+        may_repeat = sending.route.may_repeat and sending.delivery.may_go_on
+        if may_repeat and sending.ran < sending.route.max_endpoints:
             self.counts.again += 1
             self.counts.resumed += sending.delivery.resume_after is not None
             eliot.log_message(
--- a/src/bayhinge/_internal/services/gateway/stream_delivery.py
+++ b/src/bayhinge/_internal/services/gateway/stream_delivery.py
@@ -15,7 +15,7 @@
 from bayhinge._internal.network.endpoint_link import Answer, BrokenAnswerError, SilentEndpointError
 from bayhinge._internal.network.event_stream import EventReader, StreamEvent
 from bayhinge._internal.network.routed_front import Exchange
-from bayhinge._internal.network.stream_splice import Spliced, SpliceError, StreamSplice
+from bayhinge._internal.network.stream_splice import Spliced, StreamSplice
 from bayhinge._internal.services.gateway.outside import CallFormat
 from bayhinge._internal.services.gateway.sending import Delivery, is_success
 from bayhinge._internal.services.gateway.turn_keeper import OpenTurn, TurnKeeper
@@ -106,8 +106,7 @@
                 await self._pass_piece(answer, run.feed(piece))
             if not run.is_between_events:
                 raise BrokenAnswerError("the stream ended within an event")
-        except SpliceError as error:
-            raise BrokenAnswerError(error.why) from error
+            await self._pass_piece(answer, run.end())
         except BrokenAnswerError as error:
             error.cut_bytes = run.cut_bytes
             raise
@@ -115,12 +114,13 @@
             await self._begin(answer)
 
     async def _pass_piece(self, answer: Answer, spliced: Spliced) -> None:
-        if not spliced.text:
-            return
-        if not self._exchange.has_begun:
-            await self._begin(answer)
-        self._count(spliced.events)
-        await self._exchange.write(spliced.text)
+        if spliced.text:
+            if not self._exchange.has_begun:
+                await self._begin(answer)
+            self._count(spliced.events)
+            await self._exchange.write(spliced.text)
+        if spliced.gap is not None:
+            raise BrokenAnswerError(spliced.gap)
 
     async def _begin(self, answer: Answer) -> None:
         await self._exchange.begin(answer.status, self._calls.answer_headers(answer.headers))
