What an attempt leaves behind does not outlive it: surplus heads, torn tails, positions, lists

The parser is asked with an answer of our own before a connection is kept; * a position in another disk's log came back behind a change of the disk set, and what is kept here since was never copied; * a failed sync of what a turn used took back the turn, which an earlier sync had kept; * a write that could not be taken back stood in front of the next one; * a file that was written in part replaced a whole one; * a list that came late undid what a peer had told of a later state; * an object that could be read again stayed damaged for ever; the end of a grant was told once; the reason to end outlived its attempt; log lines stood behind a dropped one's beginning, or waited for a loop that had ended.

--- a/src/bayhinge/_internal/network/endpoint_link.py
+++ b/src/bayhinge/_internal/network/endpoint_link.py
@@ -47,6 +47,10 @@
 
 _INTERIM_STATUS = 200
 
+_PROBE_STATUS = 299
+_PROBE = b"HTTP/1.1 299 probe\r\nContent-Length: 0\r\n\r\n"
+"""An answer that no endpoint sends, fed to a parser to learn what it still holds."""
+
 
 class BrokenAnswerError(Exception):
     """There is no whole answer; ``why`` says how it broke.
@@ -227,6 +231,19 @@
         """Whether an answer came that nobody has read."""
         return bool(self._answers)
 
+    def is_between_answers(self) -> bool:
+        """Tells whether nothing of a further answer has come; leaves the parser at a beginning.
+
+        The parser keeps the beginning of a head to itself. On a connection that goes on with it,
+        the next answer's head would be read behind it: a request that had run was called not run
+        and ran again elsewhere (stand-in endpoint that sends half of a surplus head).
+        """
+        try:
+            messages, _, _ = self._answer_parser.feed_data(_PROBE)
+        except Exception:  # The parser raises errors of many kinds on odd bytes.
+            return False
+        return [message.code for message, _ in messages] == [_PROBE_STATUS]
+
     @property
     def is_sending(self) -> bool:
         """Whether bytes of the request still wait to be sent."""
@@ -295,8 +312,9 @@
 
     def release(self, connection: EndpointConnection, idle_s: float | None) -> None:
         """Takes a connection back whose answer was read to its end."""
-        if connection.has_surplus or connection.is_sending or not connection.is_open:
-            self.counts.dropped_with_surplus += connection.has_surplus
+        has_surplus = connection.has_surplus or not connection.is_between_answers()
+        if has_surplus or connection.is_sending or not connection.is_open:
+            self.counts.dropped_with_surplus += has_surplus
             connection.abort("not clean after its answer")
             return
         keep_s = IDLE_S if idle_s is None else idle_s * IDLE_SHARE
--- a/src/bayhinge/_internal/services/call_runner.py
+++ b/src/bayhinge/_internal/services/call_runner.py
@@ -56,6 +56,10 @@
     spend: int = 0
 
 
+FINISHED = "stop"
+"""Why an answer ends where its engine gives no other reason."""
+
+
 @attrs.define
 class _Progress:
     """What has happened to a call over all its attempts."""
@@ -64,7 +68,7 @@
     avoid: set[str] = attrs.field(factory=set)
     tool_calls: list[dict[str, object]] = attrs.field(factory=list)
     usage: Usage = attrs.field(factory=Usage)
-    finish_reason: str = "stop"
+    finish_reason: str = FINISHED
     tries: int = 0
     lost_tokens: int = 0
 
@@ -74,6 +78,7 @@
         self.tries += 1
         self.tool_calls.clear()
         self.usage = Usage()
+        self.finish_reason = FINISHED
 
 
 BeforeSend = Callable[[str, CallAttempt], Awaitable[None]]
@@ -313,7 +318,7 @@
             answer.status,
             answer.content_type,
             answer.body,
-            "stop",
+            FINISHED,
             Usage(),
             None,
             work.service,
--- a/src/bayhinge/_internal/services/disks/disk_host.py
+++ b/src/bayhinge/_internal/services/disks/disk_host.py
@@ -266,6 +266,10 @@
             lacking = [key for key in reply.keys if not self.turns.has(key)]
             if not await self._copy_entries(member, lacking):
                 return False
+            if self.disk_set.version != version:
+                # The answer left out what this disk keeps only since the change: a position that
+                # came back now would put the reading behind it for good.
+                return False
             self._position_by_generation[member.generation] = reply.position
             if not reply.more:
                 return True
--- a/src/bayhinge/_internal/services/disks/turn_log.py
+++ b/src/bayhinge/_internal/services/disks/turn_log.py
@@ -111,6 +111,7 @@
         self._synced_end = 0
         self._unsynced: list[TurnEntry] = []
         self.cut_bytes = 0
+        self._has_torn_tail = False
         for segment in sorted(self._segments_on_disk()):
             self._read_segment(segment)
         self.generation, self.is_fresh = self._read_generation()
@@ -262,6 +263,8 @@
         data = encode_message(entry)
         frame = _FRAME.pack(len(data), xxhash.xxh3_64_intdigest(data)) + data
         file = self._files_by_segment[self._segment]
+        if self._has_torn_tail:
+            self._drop_tail(file)
         try:
             written = os.write(file, frame)
         except OSError:
@@ -276,24 +279,40 @@
         self._index(key, entry, location)
 
     def _drop_tail(self, file: int) -> None:
-        """Takes a write back that was not whole, so that what follows can be read."""
+        """Takes a write back that was not whole, so that what follows can be read.
+
+        Raises:
+            OSError: the disk refused; nothing is written until it has taken it back.
+        """
+        self._has_torn_tail = True
         os.ftruncate(file, self._end)
         os.lseek(file, self._end, os.SEEK_SET)
+        self._has_torn_tail = False
 
     def _forget_unsynced(self) -> None:
         for entry in self._unsynced:
             # The key's place in the order of writing stays, for others have counted it.
             del self._location_by_key[entry_key(entry)]
-            ledger = self._ledger_by_program[entry.program]
-            if entry.kind == EntryKind.RESERVED:
-                ledger.open_by_attempt.pop(entry.attempt, None)
-            else:
-                ledger.settled_by_attempt.pop(entry.attempt, None)
-                self._turn_by_attempt.pop(entry.attempt, None)
+            self._forget(entry)
         self._unsynced.clear()
         self._end = self._synced_end
         self._drop_tail(self._files_by_segment[self._segment])
 
+    def _forget(self, entry: TurnEntry) -> None:
+        """Takes one entry back; what another one of its turn says, that was synced, stays."""
+        ledger = self._ledger_by_program[entry.program]
+        if entry.kind == EntryKind.RESERVED:
+            ledger.open_by_attempt.pop(entry.attempt, None)
+            return
+        if entry.kind == EntryKind.TURN:
+            self._turn_by_attempt.pop(entry.attempt, None)
+        others = (f"{kind}{entry.attempt}" for kind in (EntryKind.TURN, EntryKind.SETTLED))
+        kept = next(self.read_entries(others), None)
+        if kept is None:
+            ledger.settled_by_attempt.pop(entry.attempt, None)
+        else:
+            ledger.settled_by_attempt[entry.attempt] = kept.tokens
+
     def _index(self, key: str, entry: TurnEntry, location: Location) -> None:
         self._location_by_key[key] = location
         self._keys.append((key, entry.program))
@@ -336,6 +355,7 @@
         os.fsync(self._files_by_segment[segment])
         self._segment = segment
         self._end = self._synced_end = 0
+        self._has_torn_tail = False
 
     def _read_segment(self, segment: int) -> None:
         file = os.open(self._segment_path(segment), os.O_RDWR)
--- a/src/bayhinge/_internal/services/key_follower.py
+++ b/src/bayhinge/_internal/services/key_follower.py
@@ -222,6 +222,10 @@
         self._asked_s = asyncio.get_running_loop().time()
         listing = await list_all(self._store, self.prefix)
         self._note_success()
+        if listing.revision < self.complete_to:
+            # A peer has told of a later state while the list was under way.
+            self._cursor = self.complete_to
+            return
         self._cursor = listing.revision
         newest = max((stored.version for stored in listing.objects), default=0)
         value_by_key = {stored.key: stored.value for stored in listing.objects}
--- a/src/bayhinge/_internal/services/remote_grants.py
+++ b/src/bayhinge/_internal/services/remote_grants.py
@@ -3,6 +3,14 @@
 import asyncio
 import logging
 
+from tenacity import (
+    AsyncRetrying,
+    RetryError,
+    retry_if_exception_type,
+    stop_after_attempt,
+    wait_random_exponential,
+)
+
 from bayhinge._internal.decisions.offers import Done, Offer, Outcome
 from bayhinge._internal.exceptions import PeerFailureError, PeerUnreachableError
 from bayhinge._internal.models.refusals import (
@@ -23,6 +31,12 @@
 
 MAX_HOMES_TRIED = 3
 
+TELL_TRIES = 5
+TELL_LONGEST_PAUSE_S = 4.0
+"""A home that does not hear of a call's end counts it as running until this whole process is gone.
+The tries go on over some ten seconds: longer than a connection takes to be made anew, and than a
+home takes to be found dead, after which nobody needs to know."""
+
 
 class RemoteGrants(GrantSource):
     """Asks the home of a cell, found by rendezvous hashing over the serving hosts."""
@@ -107,9 +121,17 @@
         task.add_done_callback(self._background.discard)
 
     async def _send_quietly(self, address: str, method: str, payload: bytes) -> None:
+        tries = AsyncRetrying(
+            retry=retry_if_exception_type(PeerUnreachableError),
+            stop=stop_after_attempt(TELL_TRIES),
+            wait=wait_random_exponential(max=TELL_LONGEST_PAUSE_S),
+        )
         try:
-            await self._peers.call(address, method, payload)
-        except (PeerUnreachableError, PeerFailureError) as error:
+            await tries(self._peers.call, address, method, payload)
+        except RetryError as error:
+            why = error.last_attempt.exception()
+            logger.warning("%s was not told after %d tries: %s", method, TELL_TRIES, why)
+        except PeerFailureError as error:
             logger.info("%s was not told: %s", method, error)
 
 
--- a/src/bayhinge/_internal/utils/durable_files.py
+++ b/src/bayhinge/_internal/utils/durable_files.py
@@ -5,10 +5,16 @@
 
 
 def write_synced(path: Path, data: bytes) -> None:
-    """Writes a file that lasts; it is not whole if the power goes meanwhile."""
+    """Writes a file that lasts; it is not whole if the power goes meanwhile.
+
+    Raises:
+        OSError: the disk refused, or took a part of it.
+    """
     file = os.open(path, os.O_WRONLY | os.O_CREAT | os.O_TRUNC, 0o644)
     try:
-        os.write(file, data)
+        written = os.write(file, data)
+        if written != len(data):
+            raise OSError(f"only {written} of {len(data)} bytes of '{path.name}' were written")
         os.fsync(file)
     finally:
         os.close(file)
--- a/src/bayhinge/_internal/utils/log_output.py
+++ b/src/bayhinge/_internal/utils/log_output.py
@@ -63,7 +63,8 @@
         self.ordinary = LineBudget(ORDINARY_PER_SECOND)
         self._waiting: deque[bytes] = deque()
         self._waiting_bytes = 0
-        self._is_watching = False
+        self._watching: asyncio.AbstractEventLoop | None = None
+        self._is_within_line = False
         self.dropped = 0
         self._unreported = 0
         os.set_blocking(descriptor, False)
@@ -83,7 +84,7 @@
             self._unreported = 0
             self._enqueue(orjson.dumps(note, option=orjson.OPT_APPEND_NEWLINE))
         self._enqueue(line)
-        if not self._is_watching:
+        if not self._is_watched():
             self.flush()
 
     def _takes_ordinary(self) -> bool:
@@ -106,17 +107,24 @@
                 return
             except OSError:
                 # Nobody reads any more: what waits can't be delivered, and is counted.
-                self.dropped += len(self._waiting)
-                self._waiting.clear()
-                self._waiting_bytes = 0
+                self._drop_waiting()
                 break
             self._waiting_bytes -= written
+            self._is_within_line = written < len(line)
             if written < len(line):
                 self._waiting[0] = line[written:]
             else:
                 self._waiting.popleft()
         self._unwatch()
 
+    def _drop_waiting(self) -> None:
+        self.dropped += len(self._waiting)
+        self._waiting.clear()
+        self._waiting_bytes = 0
+        if self._is_within_line:
+            # The next line must not stand behind the beginning of one that was dropped.
+            self._enqueue(b"\n")
+
     def _enqueue(self, line: bytes) -> None:
         self._waiting.append(line)
         self._waiting_bytes += len(line)
@@ -127,11 +135,15 @@
         except RuntimeError:
             # Before and after the loop runs: the next line tries again.
             return
-        if not self._is_watching:
+        if not self._is_watched():
             loop.add_writer(self._descriptor, self.flush)
-            self._is_watching = True
+            self._watching = loop
 
     def _unwatch(self) -> None:
-        if self._is_watching:
-            asyncio.get_running_loop().remove_writer(self._descriptor)
-            self._is_watching = False
+        if self._is_watched() and self._watching is not None:
+            self._watching.remove_writer(self._descriptor)
+        self._watching = None
+
+    def _is_watched(self) -> bool:
+        """Whether a loop that still runs writes on as soon as there is room."""
+        return self._watching is not None and not self._watching.is_closed()
--- a/src/bayhinge/coordination/config_feed.py
+++ b/src/bayhinge/coordination/config_feed.py
@@ -234,6 +234,7 @@
             # Already applied, or a gap: the next step reads on from what is applied.
             return
         changed = self._decode(revision, data)
+        self.corrupt_by_key.pop(self._key(revision), None)
         self._objects_by_key[(changed.kind, changed.name)] = changed
         self._changes_by_revision[revision] = data
         self._revision = revision
