--- a/idl/hosts.thrift
+++ b/idl/hosts.thrift
@@ -19,7 +19,8 @@
 }
 
 // What a host tells the others a few times a second. `is_cut_off`: it reaches no disk but through
-// others; `requests_per_s`: what callers ask of it.
+// others; `requests_per_s`: what callers ask of it. `endpoints_known_to`: the store's revision up to
+// which it knows the endpoints, so that its figures of one that started again later are left out.
 struct Hello {
   1: required string host,
   2: required i64 incarnation,
@@ -37,10 +38,12 @@
   14: required bool store_fails,
   15: optional bool is_cut_off = false,
   16: optional i32 requests_per_s = 0,
+  17: optional i64 endpoints_known_to,
 }
 
 // RESERVED: tokens set aside before a turn runs. SETTLED: what it used in the end.
-// TURN: a whole turn, which settles its reservation as well.
+// TURN: a whole turn, which settles its reservation as well. `endpoint_born_ms`: which start of the
+// endpoint has read and said it, absent where that is not known.
 enum EntryKind { RESERVED = 1, SETTLED = 2, TURN = 3 }
 
 struct TurnEntry {
@@ -52,6 +55,7 @@
   6: optional binary text,
   7: optional string endpoint,
   8: optional double keep_s,
+  9: optional i64 endpoint_born_ms,
 }
 
 struct ReserveTurn {
@@ -68,6 +72,7 @@
   4: optional binary chain,
   5: optional string missing,
   6: optional string endpoint,
+  7: optional i64 endpoint_born_ms,
 }
 
 struct AppendEntries { 1: required list<TurnEntry> entries }
@@ -104,6 +109,7 @@
 
 // What one host has under way at the endpoints of one hall. `beat` orders what a start of the
 // host says; `last_grant` is the newest grant of the hall's home that is counted in here.
+// `endpoints_known_to` is as in a hello, here and below.
 struct HostLoads {
   1: required string host,
   2: required i64 incarnation,
@@ -111,6 +117,7 @@
   4: required i64 last_grant,
   5: required map<string, i32> running_by_endpoint,
   6: required list<string> resting,
+  7: optional i64 endpoints_known_to,
 }
 
 // What all hosts together have under way at the endpoints of one hall, as its home knows it.
@@ -120,12 +127,14 @@
   3: required i64 incarnation,
   4: required i64 beat,
   5: required map<string, i32> running_by_endpoint,
+  6: optional i64 endpoints_known_to,
 }
 
 // A datagram between entry hosts: one of the two.
 struct LoadNews { 1: optional HostLoads host, 2: optional HallLoads hall }
 
-// Asks a hall's home for an endpoint. `wished` holds the request's history, or is empty;
+// Asks a hall's home for an endpoint. `wished` holds the request's history, or is empty, and
+// `wished_born_ms` says which start of it, where that is known;
 // `avoid` names endpoints that the asking host will not send to. `kept_tokens` of the prompt
 // were read at `wished`, `shared_tokens` are those of `shared_part`.
 struct PlaceCall {
@@ -136,6 +145,7 @@
   5: required list<string> avoid,
   6: optional i32 kept_tokens = 0,
   7: optional i32 shared_tokens = 0,
+  8: optional i64 wished_born_ms,
 }
 
 // `endpoint` is empty where none is left. A host that is not the hall's home says which
--- a/src/bayhinge/_internal/bench/decisions/placing.py
+++ b/src/bayhinge/_internal/bench/decisions/placing.py
@@ -13,7 +13,7 @@
 import attrs
 
 from bayhinge._internal.decisions.endpoint_book import EndpointBelief, EndpointBook, Wish
-from bayhinge._internal.models.endpoint_entries import EndpointEntry
+from bayhinge._internal.models.endpoint_entries import EndpointEntry, EndpointStart
 from bayhinge_standins.engine_model import EngineModel, ModelRequest, ModelSpeed
 
 SERVICE = "llm"
@@ -163,7 +163,9 @@
     def _next_turn(self, program: PlayedProgram, now: float) -> None:
         load = self._load
         wished_hall = self._hall_by_engine.get(program.endpoint, program.hall)
-        wish = Wish(program.endpoint, program.shared, program.history, load.shared_tokens)
+        wish = Wish(
+            EndpointStart(program.endpoint), program.shared, program.history, load.shared_tokens
+        )
         belief = self._book_by_hall[wished_hall].choose(SERVICE, wish, (), now)
         assert belief is not None
         self._count(belief, wished_hall)
--- a/src/bayhinge/_internal/decisions/endpoint_book.py
+++ b/src/bayhinge/_internal/decisions/endpoint_book.py
@@ -1,11 +1,13 @@
 """What one host believes of endpoints, and which of them a request goes to. Pure."""
 
 from collections.abc import Iterable, Mapping
+from enum import StrEnum
 
 import attrs
 
 from bayhinge._internal.decisions import placement_weights as weights
-from bayhinge._internal.models.endpoint_entries import EndpointEntry
+from bayhinge._internal.decisions.start_revisions import StartRevisions
+from bayhinge._internal.models.endpoint_entries import EndpointEntry, EndpointStart
 from bayhinge.coordination.rendezvous import rank
 
 FIRST_EJECTION_S = 1.0
@@ -22,14 +24,27 @@
 answers lost stays below it, two in five failed requests soon pass it."""
 
 
-@attrs.define
+class EntryNews(StrEnum):
+    """What an entry has said."""
+
+    NOTHING = "nothing"
+    FOUND = "found"
+    CHANGED = "changed"
+    STARTED_AGAIN = "started_again"
+    OUTDATED = "outdated"
+
+
+@attrs.define(eq=False)
 class EndpointBelief:
-    """One endpoint: its entry, the work it has, and how it did lately.
+    """One start of an endpoint: its entry, the work it has, and how it did lately.
+
+    A later start has a belief of its own, and so nothing of this one is held for or against it.
 
     Attributes:
         failures: those of late, each success takes a part of them away.
         complaints: other hosts at which it failed a moment ago, as far as they were heard.
         is_doubtful: its entry has vanished, for a reason that is not known yet.
+        is_displaced: another endpoint has started at its address since.
     """
 
     entry: EndpointEntry
@@ -39,6 +54,7 @@
     complaints: int = 0
     ejected_until_s: float = 0.0
     is_doubtful: bool = False
+    is_displaced: bool = False
 
     @property
     def load(self) -> float:
@@ -50,29 +66,44 @@
         """The load, and what speaks against the endpoint in the same measure."""
         return self.load + weights.complaint(self.entry.slots) * self.complaints
 
+    def note_success(self) -> None:
+        """It gave a whole answer."""
+        self.failures *= FAILURE_DECAY
+        if self.failures <= TRUSTED_FAILURES:
+            self.ejected_until_s = 0.0
+
+    def note_failure(self, now_s: float) -> None:
+        """It could not be reached, or broke off."""
+        rest_s = min(LONGEST_EJECTION_S, FIRST_EJECTION_S * 2**self.failures)
+        self.failures += 1
+        self.ejected_until_s = now_s + rest_s
+
 
 @attrs.frozen
 class Wish:
     """What a request would like: the endpoint that holds its history, or shared parts.
 
     Attributes:
-        kept_tokens: those of the prompt that ``endpoint`` has read.
+        start: the start of an endpoint whose memory holds the history.
+        kept_tokens: those of the prompt that it has read.
         shared_tokens: those of ``shared_part``.
     """
 
-    endpoint: str = ""
+    start: EndpointStart = EndpointStart()
     shared_part: str = ""
     kept_tokens: int = 0
     shared_tokens: int = 0
 
 
 class EndpointBook:
-    """Every endpoint by its instance."""
+    """The newest start that is known of every endpoint."""
 
     def __init__(self, hall: str) -> None:
         """Takes the hall of this host."""
         self._hall = hall
         self._belief_by_instance: dict[str, EndpointBelief] = {}
+        self._gone_by_instance: dict[str, EndpointEntry] = {}
+        self.start_revisions = StartRevisions()
 
     def all(self) -> list[EndpointBelief]:
         """Returns every belief."""
@@ -82,20 +113,80 @@
         """Returns what is believed of one endpoint."""
         return self._belief_by_instance.get(instance)
 
-    def put(self, entry: EndpointEntry) -> bool:
-        """Takes an entry in; returns whether it says something new."""
-        belief = self._belief_by_instance.get(entry.instance)
-        if belief is None:
-            self._belief_by_instance[entry.instance] = EndpointBelief(entry)
-            return True
+    def find_start(self, start: EndpointStart) -> EndpointBelief | None:
+        """Returns what is believed of a start, or None where it is over or not known."""
+        belief = self._belief_by_instance.get(start.endpoint)
+        return belief if belief is not None and start.may_be(belief.entry.start) else None
+
+    def is_current(self, belief: EndpointBelief) -> bool:
+        """Whether a belief is of the endpoint's newest start that is known."""
+        return self._belief_by_instance.get(belief.entry.instance) is belief
+
+    def last_entry(self, instance: str) -> EndpointEntry | None:
+        """Returns the newest entry of an endpoint, also of one that is gone since a moment."""
+        belief = self._belief_by_instance.get(instance)
+        return self._gone_by_instance.get(instance) if belief is None else belief.entry
+
+    def forget_gone(self, start: EndpointStart) -> None:
+        """Forgets that an endpoint is gone: no entry of a former start can be late by so much."""
+        entry = self._gone_by_instance.get(start.endpoint)
+        if entry is not None and entry.start == start:
+            del self._gone_by_instance[start.endpoint]
+
+    def put(self, entry: EndpointEntry) -> EntryNews:
+        """Takes an entry in, unless it is of a start before the one that is known."""
+        instance = entry.instance
+        belief = self._belief_by_instance.get(instance)
+        known = self.last_entry(instance)
+        if known is not None and known.start.is_after(entry.start):
+            return EntryNews.OUTDATED
+        is_later = known is not None and entry.start.is_after(known.start)
+        if belief is None or is_later:
+            self._gone_by_instance.pop(instance, None)
+            self._belief_by_instance[instance] = EndpointBelief(entry)
+            self._judge_address(entry.address)
+            if known is not None:
+                self._judge_address(known.address)
+            return EntryNews.STARTED_AGAIN if is_later else EntryNews.FOUND
+        if entry.born_ms is None:
+            # An entry that does not say it is of the start that is known.
+            entry = attrs.evolve(entry, born_ms=belief.entry.born_ms)
         is_news = belief.entry != entry or belief.is_doubtful
-        belief.entry = entry
+        left_address, belief.entry = belief.entry.address, entry
         belief.is_doubtful = False
-        return is_news
+        if is_news:
+            self._judge_address(entry.address)
+            self._judge_address(left_address)
+        return EntryNews.CHANGED if is_news else EntryNews.NOTHING
 
     def remove(self, instance: str) -> bool:
         """Forgets an endpoint; returns whether it was known."""
-        return self._belief_by_instance.pop(instance, None) is not None
+        belief = self._belief_by_instance.pop(instance, None)
+        if belief is None:
+            return False
+        self.start_revisions.forget(instance)
+        if belief.entry.born_ms is not None:
+            self._gone_by_instance[instance] = belief.entry
+        self._judge_address(belief.entry.address)
+        return True
+
+    def displaced_at(self, address: str) -> list[EndpointBelief]:
+        """Returns the endpoints whose address is another's now."""
+        return [
+            belief
+            for belief in self._belief_by_instance.values()
+            if belief.is_displaced and belief.entry.address == address
+        ]
+
+    def _judge_address(self, address: str) -> None:
+        """Finds which endpoints at an address are displaced by others that started there since."""
+        there = [
+            belief
+            for belief in self._belief_by_instance.values()
+            if belief.entry.address == address
+        ]
+        for belief in there:
+            belief.is_displaced = any(other.entry.took_address_of(belief.entry) for other in there)
 
     def hear_loads(self, running_by_instance: Mapping[str, int]) -> None:
         """Takes the sum of what the other hosts have under way."""
@@ -110,23 +201,6 @@
             if belief.running_here
         }
 
-    def note_success(self, instance: str) -> None:
-        """An endpoint gave a whole answer."""
-        belief = self._belief_by_instance.get(instance)
-        if belief is not None:
-            belief.failures *= FAILURE_DECAY
-            if belief.failures <= TRUSTED_FAILURES:
-                belief.ejected_until_s = 0.0
-
-    def note_failure(self, instance: str, now_s: float) -> None:
-        """An endpoint could not be reached, or broke off."""
-        belief = self._belief_by_instance.get(instance)
-        if belief is None:
-            return
-        rest_s = min(LONGEST_EJECTION_S, FIRST_EJECTION_S * 2**belief.failures)
-        belief.failures += 1
-        belief.ejected_until_s = now_s + rest_s
-
     def resting(self, now_s: float) -> set[str]:
         """Returns the endpoints that failed here a moment ago."""
         return {
@@ -147,7 +221,9 @@
             and not belief.entry.is_leaving
             and belief.entry.instance not in passed_over
         ]
-        sure = [belief for belief in candidates if not belief.is_doubtful] or candidates
+        sure = [
+            belief for belief in candidates if not (belief.is_doubtful or belief.is_displaced)
+        ] or candidates
         well = [belief for belief in sure if belief.ejected_until_s <= now_s]
         trusted = [belief for belief in well if belief.complaints < weights.COMPLAINTS_BELIEVED]
         if any(belief.load < weights.ROOM for belief in trusted):
@@ -159,8 +235,9 @@
         if not candidates:
             return None
         least = min(candidates, key=self._cost)
+        holder = self.find_start(wish.start)
         for belief in candidates:
-            if belief.entry.instance == wish.endpoint:
+            if belief is holder:
                 slack = weights.own_cache(belief.entry.slots, wish.kept_tokens)
                 if belief.burden <= least.burden + slack:
                     return belief
--- a/src/bayhinge/_internal/decisions/load_board.py
+++ b/src/bayhinge/_internal/decisions/load_board.py
@@ -82,6 +82,21 @@
         self._running_by_endpoint[endpoint] += 1
         return loads.newest_grant
 
+    def forget_endpoint(self, endpoint: str) -> None:
+        """Drops all that was said and granted of an endpoint: it has started again."""
+        for loads in self._loads_by_host.values():
+            running = dict(loads.running_by_endpoint)
+            running.pop(endpoint, None)
+            loads.running_by_endpoint = running
+            loads.resting -= {endpoint}
+            loads.endpoint_by_grant = {
+                grant: granted
+                for grant, granted in loads.endpoint_by_grant.items()
+                if granted != endpoint
+            }
+        self._running_by_endpoint.pop(endpoint, None)
+        self._complaints_by_endpoint.pop(endpoint, None)
+
     def forget_silent(self, now_s: float) -> None:
         """Drops hosts that were not heard for ``KEEP_S``."""
         for host, loads in list(self._loads_by_host.items()):
--- a/src/bayhinge/_internal/network/endpoint_link.py
+++ b/src/bayhinge/_internal/network/endpoint_link.py
@@ -7,17 +7,25 @@
 
 import asyncio
 from collections import deque
-from collections.abc import AsyncIterator
 
 import attrs
 from aiohttp.base_protocol import BaseProtocol
 from aiohttp.client_exceptions import ClientPayloadError
-from aiohttp.http_exceptions import HttpProcessingError
-from aiohttp.http_parser import HttpResponseParser, RawResponseMessage
+from aiohttp.http_parser import HttpResponseParser
 from aiohttp.streams import StreamReader
 
-from bayhinge._internal.models.routed_requests import RawHeaders
+from bayhinge._internal.decisions.endpoint_starts import (
+    Contact,
+    NewStart,
+    is_surely_of,
+)
 from bayhinge._internal.network.addresses import split_address
+from bayhinge._internal.network.endpoint_answer import (
+    Answer,
+    BrokenAnswerError,
+    SilentEndpointError,
+    UnreachableError,
+)
 from bayhinge._internal.utils.silence import bound_silence
 
 READ_BUFFER_BYTES = 65_536
@@ -48,66 +56,20 @@
 _INTERIM_STATUS = 200
 
 
-class BrokenAnswerError(Exception):
-    """There is no whole answer; ``why`` says how it broke."""
-
-    def __init__(self, why: str) -> None:
-        """Takes the reason."""
-        super().__init__(why)
-        self.why = why
-
-
-class SilentEndpointError(BrokenAnswerError):
-    """There is no whole answer, because nothing came for longer than the endpoint may be silent."""
-
-
-class UnreachableError(Exception):
-    """There is no connection to the endpoint, so nothing was sent."""
-
-
-class Answer:
-    """The head of an answer, and its body as it comes."""
-
-    def __init__(self, message: RawResponseMessage, body: StreamReader) -> None:
-        """Takes the parser's message and the body's reader."""
-        self.status: int = message.code
-        self.reason: str = message.reason
-        self.headers: RawHeaders = message.raw_headers
-        self.closes_connection: bool = message.should_close
-        self._body = body
-
-    async def read_pieces(self) -> AsyncIterator[bytes]:
-        """Yields the body's bytes as they arrive.
-
-        Raises:
-            BrokenAnswerError: the body breaks off.
-        """
-        try:
-            while True:
-                piece = await self._body.readany()
-                if not piece:
-                    return
-                yield piece
-        except (ClientPayloadError, HttpProcessingError, ConnectionError) as error:
-            raise BrokenAnswerError(f"the body broke off: {error}") from error
-
-    async def read_body(self) -> bytes:
-        """Returns the whole body.
-
-        Raises:
-            BrokenAnswerError: the body breaks off.
-        """
-        return b"".join([piece async for piece in self.read_pieces()])
-
-
 class EndpointConnection(BaseProtocol):
     """One connection, which serves one request at a time."""
 
     def __init__(
-        self, loop: asyncio.AbstractEventLoop, key: str, heard_s_by_key: dict[str, float]
+        self,
+        loop: asyncio.AbstractEventLoop,
+        key: str,
+        address: str,
+        heard_s_by_key: dict[str, float],
     ) -> None:
-        """Takes the loop, the pool's key, and where to note that the endpoint was heard."""
+        """Takes the loop, the pool's key, where it leads, and where to note what was heard."""
         super().__init__(loop)
+        self.address = address
+        self._opened_s = self._heard_s = loop.time()
         self._answer_parser = HttpResponseParser(
             self,
             loop,
@@ -137,13 +99,14 @@
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Sets the socket up."""
         super().connection_made(transport)
+        self._opened_s = self._heard_s = self._loop.time()
         self._bound_silence(UNACKNOWLEDGED_S)
 
     def data_received(self, data: bytes) -> None:
         """Parses what came; bytes that nobody asked for end the connection."""
         if not self.is_open:
             return
-        self._heard_s_by_key[self.key] = self._loop.time()
+        self._heard_s = self._heard_s_by_key[self.key] = self._loop.time()
         if not self.is_busy:
             if data:
                 self.abort("bytes came that nobody asked for")
@@ -217,6 +180,11 @@
             self.transport.abort()
         self._wake()
 
+    @property
+    def contact(self) -> Contact:
+        """What it has seen of the endpoint."""
+        return Contact(self.address, self._opened_s, self._heard_s)
+
     @property
     def has_surplus(self) -> bool:
         """Whether an answer came that nobody has read."""
@@ -273,6 +241,9 @@
         idle = self._idle_by_key.get(key, [])
         while idle:
             connection = idle.pop()
+            if connection.address != address:
+                connection.abort("the endpoint is at another address now")
+                continue
             if connection.is_open and loop.time() < connection.usable_until:
                 self.counts.reused += 1
                 return connection
@@ -281,7 +252,9 @@
         try:
             async with asyncio.timeout(CONNECT_S):
                 _, connection = await loop.create_connection(
-                    lambda: EndpointConnection(loop, key, self._heard_s_by_key), host, port
+                    lambda: EndpointConnection(loop, key, address, self._heard_s_by_key),
+                    host,
+                    port,
                 )
         except (OSError, TimeoutError) as error:
             raise UnreachableError(str(error) or type(error).__name__) from error
@@ -308,6 +281,21 @@
         for connection in self._idle_by_key.pop(key, []):
             connection.abort("the endpoint is gone or silent")
 
+    def start_again(self, key: str, start: NewStart) -> int:
+        """Closes the idle connections that may lead to a former start; returns their number."""
+        idle = self._idle_by_key.pop(key, [])
+        kept = [connection for connection in idle if is_surely_of(connection.contact, start)]
+        for connection in idle:
+            if connection not in kept:
+                connection.abort("the endpoint has started again")
+        if kept:
+            self._idle_by_key[key] = kept
+        # What a former start said last is no word of this one.
+        heard_s = self._heard_s_by_key.get(key, 0.0)
+        if start.began_s is None or heard_s < start.began_s:
+            self._heard_s_by_key.pop(key, None)
+        return len(idle) - len(kept)
+
     def forget(self, key: str) -> None:
         """Forgets an endpoint that is gone."""
         self.drop_idle(key)
--- a/src/bayhinge/_internal/platform/object_reader.py
+++ b/src/bayhinge/_internal/platform/object_reader.py
@@ -31,6 +31,9 @@
 }
 """Endpoints that a request may be sent to where its route names no number."""
 
+MOST_MILLISECONDS = 2**63 - 1
+"""Largest moment that is taken: messages between hosts hold no larger number."""
+
 
 class PlatformObjectReader(ObjectReader):
     """See :class:`ObjectReader`."""
@@ -66,11 +69,18 @@
                 hall=str(spec["zone"]),
                 slots=int(spec["slots"]),
                 is_leaving=spec["state"] != "ready",
+                born_ms=_whole_number(spec.get("born")),
             )
         except (orjson.JSONDecodeError, KeyError, TypeError, ValueError) as error:
             raise UnreadableObjectError(key, (f"{key}: {error!r}",)) from error
 
 
+def _whole_number(value: Any) -> int | None:
+    """Returns a count as it is; what is absent, or no whole number of 64 bits, says nothing."""
+    is_number = isinstance(value, int) and not isinstance(value, bool)
+    return value if is_number and 0 <= value <= MOST_MILLISECONDS else None
+
+
 def _read_route(item: dict[str, Any], findings: list[str]) -> Route | None:
     name = item.get("name", "?")
     try:
--- a/src/bayhinge/_internal/services/disks/disk_answers.py
+++ b/src/bayhinge/_internal/services/disks/disk_answers.py
@@ -59,7 +59,9 @@
             reply.settled_by_attempt = ledger.settled_by_attempt
         if query.wants_chain and query.previous is not None:
             chain = turns.chain(query.previous)
-            reply.chain, reply.missing, reply.endpoint = chain.text, chain.missing, chain.endpoint
+            reply.chain, reply.missing = chain.text, chain.missing
+            reply.endpoint = chain.run_at.endpoint
+            reply.endpoint_born_ms = chain.run_at.born_ms
         return encode_message(reply)
 
     async def _append(self, payload: bytes) -> bytes:
--- a/src/bayhinge/_internal/services/disks/turn_log.py
+++ b/src/bayhinge/_internal/services/disks/turn_log.py
@@ -15,6 +15,7 @@
 import xxhash
 
 from bayhinge._internal.exceptions import FrameError
+from bayhinge._internal.models.endpoint_entries import EndpointStart
 from bayhinge._internal.network.frames import MessageReader, decode_message, encode_message
 from bayhinge._internal.utils.durable_files import write_synced
 from bayhinge._internal.wire.hosts.ttypes import EntryKind, TurnEntry
@@ -46,7 +47,7 @@
 
     location: Location
     previous: str | None
-    endpoint: str
+    run_at: EndpointStart
     program: str
 
 
@@ -83,7 +84,7 @@
     """A chain of turns as one disk has it; ``missing`` names a turn that it lacks."""
 
     text: bytes = b""
-    endpoint: str = ""
+    run_at: EndpointStart = EndpointStart()
     missing: str | None = None
 
 
@@ -104,6 +105,7 @@
         self._ledger_by_program: dict[str, ProgramLedger] = {}
         self._life_by_program: dict[str, ProgramLife] = {}
         self._keys_by_segment: dict[int, list[tuple[str, str]]] = {}
+        self._starts: dict[EndpointStart, EndpointStart] = {}
         self._dropped_keys = 0
         self._now_s = now_s
         self._segment = 0
@@ -122,16 +124,16 @@
     def chain(self, last: str) -> Chain:
         """Returns the texts of a chain, joined from the oldest on."""
         texts: list[bytes] = []
-        endpoint = ""
+        run_at = EndpointStart()
         attempt: str | None = last
         while attempt is not None:
             turn = self._turn_by_attempt.get(attempt)
             if turn is None:
                 return Chain(missing=attempt)
-            endpoint = endpoint or turn.endpoint
+            run_at = run_at if run_at.endpoint else turn.run_at
             texts.append(self._read(turn.location).text or b"")
             attempt = turn.previous
-        return Chain(b"".join(reversed(texts)), endpoint)
+        return Chain(b"".join(reversed(texts)), run_at)
 
     def ledger(self, program: str) -> ProgramLedger:
         """Returns what is known of a program's turns."""
@@ -212,6 +214,8 @@
                 break
             self._remove_segment(segment, keys)
             removed += 1
+        if removed:
+            self._starts = {turn.run_at: turn.run_at for turn in self._turn_by_attempt.values()}
         return removed
 
     def _living(self, now_s: float) -> set[str]:
@@ -308,10 +312,15 @@
         ledger.settled_by_attempt[entry.attempt] = entry.tokens
         if entry.kind == EntryKind.TURN:
             self._turn_by_attempt[entry.attempt] = KnownTurn(
-                location, entry.previous, entry.endpoint or "", entry.program
+                location, entry.previous, self._start_of(entry), entry.program
             )
             self._note_needs(entry)
 
+    def _start_of(self, entry: TurnEntry) -> EndpointStart:
+        """Returns the start that ran a turn; one object for all turns that it ran."""
+        start = EndpointStart(entry.endpoint or "", entry.endpoint_born_ms)
+        return self._starts.setdefault(start, start)
+
     def _note_needs(self, entry: TurnEntry) -> None:
         """A turn that goes on from another program's keeps that program alive."""
         previous = self._turn_by_attempt.get(entry.previous or "")
--- a/src/bayhinge/_internal/services/gateway/beliefs.py
+++ b/src/bayhinge/_internal/services/gateway/beliefs.py
@@ -4,10 +4,12 @@
 
 import eliot
 
-from bayhinge._internal.decisions.endpoint_book import EndpointBook
+from bayhinge._internal.decisions.endpoint_book import EndpointBook, EntryNews
 from bayhinge._internal.exceptions import UnreadableObjectError
+from bayhinge._internal.models.endpoint_entries import EndpointEntry
 from bayhinge._internal.models.routing import RoutingTable
 from bayhinge._internal.network.endpoint_link import EndpointLinks
+from bayhinge._internal.services.gateway.endpoint_restarts import EndpointRestarts
 from bayhinge._internal.services.gateway.first_news import FirstNews
 from bayhinge._internal.services.gateway.outside import ObjectReader
 from bayhinge._internal.services.key_follower import FollowListener
@@ -23,6 +25,11 @@
 three seconds after it. With the shorter time 6 to 20 endpoints were dropped for 0.2 to 0.5 s at
 each return (five played days of six, over all hosts of two small sites)."""
 
+GONE_KEEP_S = 60.0
+"""For so long the last start of an endpoint that is gone is remembered, so that an entry of an
+earlier one that comes late does not bring it back. Calls to the store that got no answer may be
+done seconds later, and news of peers are less than a second old."""
+
 
 class ConfigurationBelief(FollowListener):
     """The newest configuration that could be read; never an older one."""
@@ -65,11 +72,18 @@
 class EndpointBelief(FollowListener):
     """Keeps the endpoint book true to the platform's entries."""
 
-    def __init__(self, reader: ObjectReader, book: EndpointBook, links: EndpointLinks) -> None:
-        """Takes the decoder of entries, the book to keep, and the connections."""
+    def __init__(
+        self,
+        reader: ObjectReader,
+        book: EndpointBook,
+        links: EndpointLinks,
+        restarts: EndpointRestarts,
+    ) -> None:
+        """Takes the decoder of entries, the book to keep, the connections, and restarts' ends."""
         self._reader = reader
         self._book = book
         self._links = links
+        self._restarts = restarts
         self._missing_by_instance: dict[str, asyncio.TimerHandle] = {}
         self.news = FirstNews("endpoints")
 
@@ -96,17 +110,36 @@
         except UnreadableObjectError as error:
             eliot.log_message("endpoint.unreadable", key=key, findings=list(error.findings))
             return
+        known = self._book.last_entry(entry.instance)
+        news = self._book.put(entry)
+        if news is EntryNews.OUTDATED:
+            # Says nothing of the start that is known: its entry may well have vanished.
+            eliot.log_message("endpoint.outdated", endpoint=entry.instance, born_ms=entry.born_ms)
+            return
         timer = self._missing_by_instance.pop(entry.instance, None)
         if timer is not None:
             timer.cancel()
-        if self._book.put(entry):
-            eliot.log_message(
-                "endpoint.known",
-                endpoint=entry.instance,
-                service=entry.service,
-                address=entry.address,
-                is_leaving=entry.is_leaving,
-            )
+        if news is not EntryNews.NOTHING:
+            self._note_news(entry, news, known)
+
+    def _note_news(
+        self, entry: EndpointEntry, news: EntryNews, known: EndpointEntry | None
+    ) -> None:
+        newest = self._book.find(entry.instance)
+        assert newest is not None
+        if news is EntryNews.STARTED_AGAIN and known is not None:
+            self._restarts.start_again(newest, known)
+        if news is EntryNews.FOUND:
+            self._restarts.come_back(newest)
+        self._restarts.displace(newest)
+        eliot.log_message(
+            "endpoint.known",
+            endpoint=entry.instance,
+            service=entry.service,
+            address=entry.address,
+            is_leaving=entry.is_leaving,
+            born_ms=entry.born_ms,
+        )
 
     def _vanished(self, instance: str, is_after_outage: bool) -> None:
         belief = self._book.find(instance)
@@ -126,8 +159,10 @@
         self._remove(instance, "its entry vanished and did not come back")
 
     def _remove(self, instance: str, why: str) -> None:
-        if self._book.remove(instance):
+        known = self._book.last_entry(instance)
+        if known is not None and self._book.remove(instance):
             self._links.forget(instance)
+            asyncio.get_running_loop().call_later(GONE_KEEP_S, self._book.forget_gone, known.start)
             eliot.log_message("endpoint.gone", endpoint=instance, why=why)
 
 
--- a/src/bayhinge/_internal/services/gateway/gateway.py
+++ b/src/bayhinge/_internal/services/gateway/gateway.py
@@ -11,6 +11,7 @@
 from bayhinge._internal.decisions.caller_addresses import ReadyHost, addresses_for
 from bayhinge._internal.decisions.endpoint_book import EndpointBook
 from bayhinge._internal.decisions.request_rate import RequestRate
+from bayhinge._internal.decisions.start_revisions import StartRevisions
 from bayhinge._internal.decisions.watchers import (
     HallHost,
     WatchTurn,
@@ -29,11 +30,13 @@
 from bayhinge._internal.services.gateway.beliefs import ConfigurationBelief, EndpointBelief
 from bayhinge._internal.services.gateway.disk_directory import DiskDirectory
 from bayhinge._internal.services.gateway.disk_link import DiskLink
+from bayhinge._internal.services.gateway.endpoint_restarts import EndpointRestarts
 from bayhinge._internal.services.gateway.hall_homes import HallHomes
-from bayhinge._internal.services.gateway.load_exchange import LoadExchange
+from bayhinge._internal.services.gateway.load_exchange import LoadExchange, without
 from bayhinge._internal.services.gateway.outside import Platform
 from bayhinge._internal.services.gateway.placement import HomePlacer
 from bayhinge._internal.services.gateway.request_service import RequestService
+from bayhinge._internal.services.gateway.runs_under_way import RunsUnderWay
 from bayhinge._internal.services.gateway.sending import Sender
 from bayhinge._internal.services.gateway.turn_keeper import TurnKeeper
 from bayhinge._internal.services.gossip import Gossip
@@ -80,7 +83,9 @@
         self.links = EndpointLinks()
         self.book = EndpointBook(settings.hall)
         self.configuration = ConfigurationBelief(platform.objects)
-        endpoints = EndpointBelief(platform.objects, self.book, self.links)
+        runs = RunsUnderWay()
+        restarts = EndpointRestarts(self.book, self.links, runs, self._wall_clock.wall_ms)
+        endpoints = EndpointBelief(platform.objects, self.book, self.links, restarts)
         self.followers_by_prefix = {
             prefix: KeyFollower(
                 platform.store, prefix, partial(self._watch_wait, place), listener, self.peers
@@ -106,12 +111,16 @@
         self.keeper = TurnKeeper(self.disks, self.link, settings.tolerated_disks)
         self.homes = HallHomes(self.gossip)
         self.exchange = LoadExchange(self.gossip.me, self.book, self.homes)
+        objects = self.followers_by_prefix[platform.endpoints_prefix]
+        restarts.known_revision = lambda: objects.revision
+        restarts.forget_loads = self.exchange.forget_endpoint
+        self.exchange.endpoints_known_to = lambda: objects.known_to
         self.placer = HomePlacer(self.book, self.homes, self.exchange, self.peers, settings.hall)
         self.latencies = Latencies()
         self.requests = RequestService(
             self.configuration,
             platform.calls,
-            Sender(self.book, self.links, platform.calls, self.placer),
+            Sender(self.book, self.links, platform.calls, self.placer, runs),
             self.keeper,
             self.latencies,
             endpoints.news,
@@ -260,6 +269,7 @@
         if self.is_leaving:
             me.phase = wire.HostPhase.LEAVING
         me.running_by_endpoint = self.book.running_here()
+        me.endpoints_known_to = self.exchange.endpoints_known_to()
         me.disk_set_version = self.disks.disk_set.version
         me.revision_by_prefix = {
             prefix: follower.revision for prefix, follower in self.followers_by_prefix.items()
@@ -273,7 +283,8 @@
                 follower.hear(revision, hello.peer_address)
 
     def _sum_loads(self) -> None:
-        self.book.hear_loads(_sum_loads(self.gossip.fresh(wire.HostRole.ENTRY)))
+        hellos = self.gossip.fresh(wire.HostRole.ENTRY)
+        self.book.hear_loads(_sum_loads(hellos, self.book.start_revisions))
         self.homes.refresh()
         if self.homes.mine:
             # A home knows better, but for halls whose homes are silent.
@@ -289,10 +300,11 @@
             self._rate.note(self.requests.counts.taken, SWEEP_S)
 
 
-def _sum_loads(hellos: Iterable[wire.Hello]) -> dict[str, int]:
+def _sum_loads(hellos: Iterable[wire.Hello], revisions: StartRevisions) -> dict[str, int]:
     total: dict[str, int] = {}
     for hello in hellos:
-        for endpoint, running in hello.running_by_endpoint.items():
+        over = revisions.unheard_by(hello.endpoints_known_to)
+        for endpoint, running in without(hello.running_by_endpoint, over).items():
             total[endpoint] = total.get(endpoint, 0) + running
     return total
 
--- a/src/bayhinge/_internal/services/gateway/load_exchange.py
+++ b/src/bayhinge/_internal/services/gateway/load_exchange.py
@@ -4,6 +4,7 @@
 """
 
 import asyncio
+from collections.abc import Callable, Collection
 
 from mode import Service
 
@@ -46,6 +47,7 @@
         self._changed_halls: set[str] = set()
         self._busy_halls: set[str] = set()
         self._beat = 0
+        self.endpoints_known_to: Callable[[], int | None] = lambda: None
         self._transport: asyncio.DatagramTransport | None = None
 
     async def on_start(self) -> None:
@@ -83,6 +85,7 @@
                 for belief in self._book.all()
                 if belief.ejected_until_s > now and belief.entry.hall == hall
             ],
+            self.endpoints_known_to(),
         )
 
     def note_changed(self, belief: EndpointBelief) -> None:
@@ -113,15 +116,16 @@
     # ---- a home's figures ----
 
     def hear(self, loads: wire.HostLoads) -> None:
-        """Takes in what a host has under way."""
+        """Takes in what a host has under way, but at starts that are over."""
+        over = self._book.start_revisions.unheard_by(loads.endpoints_known_to)
         self._board.hear(
             HostReport(
                 loads.host,
                 loads.incarnation,
                 loads.beat,
                 loads.last_grant,
-                loads.running_by_endpoint,
-                frozenset(loads.resting),
+                without(loads.running_by_endpoint, over),
+                frozenset(loads.resting).difference(over),
             ),
             asyncio.get_running_loop().time(),
         )
@@ -138,6 +142,13 @@
         instance = belief.entry.instance
         self._granted_abroad[instance] = self._granted_abroad.get(instance, 0) + 1
 
+    def forget_endpoint(self, endpoint: str) -> None:
+        """Drops what was said and granted of an endpoint: it has started again."""
+        self._board.forget_endpoint(endpoint)
+        self._granted_abroad.pop(endpoint, None)
+        for table, _ in self._tables_by_hall.values():
+            table.running_by_endpoint.pop(endpoint, None)
+
     def refresh_book(self) -> None:
         """Puts a home's figures of other hosts' requests into the book."""
         now = asyncio.get_running_loop().time()
@@ -180,6 +191,7 @@
                 for belief in self._book.all()
                 if belief.entry.hall == self._me.hall
             },
+            self.endpoints_known_to(),
         )
         for home in self._homes.others():
             self._send(wire.LoadNews(hall=table), home.address)
@@ -206,6 +218,19 @@
         is_same_start = known is not None and known.incarnation == table.incarnation
         if known is not None and is_same_start and table.beat <= known.beat:
             return
+        over = self._book.start_revisions.unheard_by(table.endpoints_known_to)
+        table.running_by_endpoint = without(table.running_by_endpoint, over)
         self._tables_by_hall[table.hall] = table, asyncio.get_running_loop().time()
         for instance in table.running_by_endpoint:
             self._granted_abroad.pop(instance, None)
+
+
+def without(running_by_endpoint: dict[str, int], left_out: Collection[str]) -> dict[str, int]:
+    """Returns what is under way at all endpoints but some."""
+    if not left_out:
+        return running_by_endpoint
+    return {
+        endpoint: running
+        for endpoint, running in running_by_endpoint.items()
+        if endpoint not in left_out
+    }
--- a/src/bayhinge/_internal/services/gateway/placement.py
+++ b/src/bayhinge/_internal/services/gateway/placement.py
@@ -13,6 +13,7 @@
 
 from bayhinge._internal.decisions.endpoint_book import EndpointBelief, EndpointBook, Wish
 from bayhinge._internal.exceptions import FrameError, PeerFailureError, PeerUnreachableError
+from bayhinge._internal.models.endpoint_entries import EndpointStart
 from bayhinge._internal.network.frames import decode_message, encode_message
 from bayhinge._internal.network.peers import Peers
 from bayhinge._internal.services import methods
@@ -80,7 +81,7 @@
     async def place(self, service: str, wish: Wish, tried: Iterable[str]) -> EndpointBelief | None:
         """See :class:`Placer`."""
         passed_over = set(tried)
-        wished = self._book.find(wish.endpoint)
+        wished = self._book.find_start(wish.start)
         hall = self._hall if wished is None else wished.entry.hall
         home = self._homes.home_of(hall)
         if home is not None and hall != self._homes.mine:
@@ -102,9 +103,12 @@
             return wire.PlaceReply("", 0, None if home is None else home.host)
         self._exchange.hear(call.loads)
         self._exchange.refresh_book()
-        wish = Wish(call.wished, call.shared_part, call.kept_tokens, call.shared_tokens)
+        start = EndpointStart(call.wished, call.wished_born_ms)
+        wish = Wish(start, call.shared_part, call.kept_tokens, call.shared_tokens)
         now = asyncio.get_running_loop().time()
-        belief = self._book.choose(call.service_name, wish, call.avoid, now)
+        # The asking host would send to an address, and speak to a start, that are no more.
+        unheard = self._book.start_revisions.unheard_by(call.loads.endpoints_known_to)
+        belief = self._book.choose(call.service_name, wish, {*call.avoid, *unheard}, now)
         if belief is None:
             return wire.PlaceReply("", 0)
         grant = self._exchange.grant(call.loads.host, belief)
@@ -132,11 +136,12 @@
             call = wire.PlaceCall(
                 self._exchange.own_loads(home.hall),
                 service,
-                wish.endpoint,
+                wish.start.endpoint,
                 wish.shared_part,
                 sorted(avoid),
                 wish.kept_tokens,
                 wish.shared_tokens,
+                wish.start.born_ms,
             )
             reply = await self._call(home, call)
             if reply is None:
@@ -159,6 +164,7 @@
             or belief.entry.service != service
             or belief.entry.is_leaving
             or belief.is_doubtful
+            or belief.is_displaced
             or reply.endpoint in passed_over
         ):
             return None
--- a/src/bayhinge/_internal/services/gateway/request_service.py
+++ b/src/bayhinge/_internal/services/gateway/request_service.py
@@ -19,9 +19,10 @@
 from bayhinge._internal.models.routing import Route, RouteKind, RoutingTable
 from bayhinge._internal.network.routed_front import BodyTooLongError, Exchange, ExchangeHandler
 from bayhinge._internal.services.gateway.beliefs import ConfigurationBelief
+from bayhinge._internal.services.gateway.delivery import Delivery
 from bayhinge._internal.services.gateway.first_news import FirstNews, wait_until
 from bayhinge._internal.services.gateway.outside import CallFormat
-from bayhinge._internal.services.gateway.sending import RETRY_AFTER_S, Delivery, Sender
+from bayhinge._internal.services.gateway.sending import RETRY_AFTER_S, Sender
 from bayhinge._internal.services.gateway.stream_delivery import StreamDelivery
 from bayhinge._internal.services.gateway.turn_keeper import OpenTurn, TurnKeeper
 from bayhinge._internal.services.gateway.whole_delivery import WholeDelivery
--- a/src/bayhinge/_internal/services/gateway/sending.py
+++ b/src/bayhinge/_internal/services/gateway/sending.py
@@ -1,12 +1,10 @@
 """Sends a request to endpoints until one has answered or it must be given up."""
 
 import asyncio
-from abc import ABC, abstractmethod
 
 import attrs
 import eliot
 
-from bayhinge._internal import status_codes
 from bayhinge._internal.decisions.answer_bounds import (
     MOST_WAITS,
     AnswerBounds,
@@ -18,24 +16,27 @@
 from bayhinge._internal.models.refusals import CallAttempt, RefusalCode, RefusedError
 from bayhinge._internal.models.routed_requests import AnswerMarks, RoutedRequest
 from bayhinge._internal.models.routing import Route, RouteKind
-from bayhinge._internal.network.endpoint_link import (
+from bayhinge._internal.network.endpoint_answer import (
     Answer,
     BrokenAnswerError,
-    EndpointConnection,
-    EndpointLinks,
     SilentEndpointError,
     UnreachableError,
 )
+from bayhinge._internal.network.endpoint_link import EndpointConnection, EndpointLinks
+from bayhinge._internal.services.gateway.delivery import Delivery
 from bayhinge._internal.services.gateway.outside import CallFormat
 from bayhinge._internal.services.gateway.placement import OwnPlacer, Placer
+from bayhinge._internal.services.gateway.runs_under_way import (
+    WHY_OVER,
+    RunsUnderWay,
+    RunUnderWay,
+)
 from bayhinge._internal.services.gateway.turn_keeper import OpenTurn
+from bayhinge._internal.services.gateway.wishes import wish_of
 
 MOST_UNTAKEN_SENDS = 4
 """Endpoints that are asked although none has taken the request; each costs a round trip."""
 
-MOST_WEIGHED_TOKENS = 10_000_000
-"""A caller may name any number; more than the longest history changes no choice."""
-
 RETRY_AFTER_S = 0.3
 """When a request that no endpoint took should come again."""
 
@@ -44,42 +45,12 @@
     """The endpoint promises that the request did not run."""
 
 
-class Delivery(ABC):
-    """How one answer gets to the caller."""
-
-    def __init__(self) -> None:
-        """Starts with nothing delivered."""
-        self.outcome = ""
-        self.endpoint = ""
-        self.tokens_handed_out = 0
-        self.is_recorded = False
-
-    @property
-    def resume_after(self) -> int | None:
-        """The event behind which the next run goes on, or None where it begins anew."""
-        return None
-
-    @property
-    def may_go_on(self) -> bool:
-        """Whether another endpoint may be asked for what this one has not given."""
-        return True
-
-    @abstractmethod
-    async def deliver(
-        self, answer: Answer, marks: AnswerMarks, may_repeat: bool, bounds: AnswerBounds
-    ) -> None:
-        """Passes an answer on.
-
-        Raises:
-            BrokenAnswerError: it broke off; a part of it may have been passed on.
-        """
-
-
 @attrs.define
 class _Sending:
     """One request under way.
 
     Attributes:
+        tried: what was asked already. A later start of the same endpoint was not.
         ran: sends that may have run.
         untaken: sends of which it is sure that they did not run.
     """
@@ -92,7 +63,7 @@
     attempt: CallAttempt
     deadline_s: float
     delivery: Delivery
-    tried: list[str] = attrs.field(factory=list)
+    tried: list[Belief] = attrs.field(factory=list)
     ran: int = 0
     untaken: int = 0
 
@@ -121,13 +92,15 @@
         links: EndpointLinks,
         calls: CallFormat,
         placer: Placer | None = None,
+        runs: RunsUnderWay | None = None,
     ) -> None:
-        """Takes the endpoints, the connections, the format of calls, and who chooses."""
+        """Takes the endpoints, the connections, the format of calls, who chooses, and the runs."""
         self._book = book
         self._placer = placer or OwnPlacer(book)
         self._links = links
         self._calls = calls
         self.counts = SendCounts()
+        self._runs = runs or RunsUnderWay()
         self._usual_answer_s_by_service: dict[str, float] = {}
 
     async def send(
@@ -151,65 +124,72 @@
             route,
             request,
             body,
-            _wish(request, turn),
+            wish_of(request, turn),
             attempt,
             deadline_s,
             delivery,
         )
         while True:
-            belief = await self._next_endpoint(sending)
+            run = await self._next_run(sending)
             try:
-                await self._send_to(belief, sending)
+                await self._send_to(run, sending)
                 return
             except UnreachableError as error:
                 attempt.note_unsent()
                 sending.untaken += 1
-                self._note_failure(belief, sending, str(error))
+                self._note_failure(run, sending, str(error))
             except NotTakenError as error:
                 attempt.note_unsent()
                 sending.untaken += 1
-                self._note_not_taken(belief, sending, str(error))
+                self._log("send.not_taken", run, sending, str(error))
             except BrokenAnswerError as error:
                 sending.ran += 1
-                if isinstance(error, SilentEndpointError):
+                if isinstance(error, SilentEndpointError) and self._book.is_current(run.belief):
                     # What is kept open to it may be as dead as the connection that was used.
-                    self._links.drop_idle(belief.entry.instance)
-                self._note_failure(belief, sending, error.why)
+                    self._links.drop_idle(run.endpoint)
+                self._note_failure(run, sending, error.why)
                 self._give_up_unless_repeatable(sending, error)
 
-    async def _next_endpoint(self, sending: _Sending) -> Belief:
+    async def _next_run(self, sending: _Sending) -> RunUnderWay:
         belief = None
         if sending.untaken < MOST_UNTAKEN_SENDS:
-            belief = await self._placer.place(sending.service, sending.wish, sending.tried)
+            tried = self._still_tried(sending)
+            belief = await self._placer.place(sending.service, sending.wish, tried)
         if belief is None:
             code = RefusalCode.OUTCOME_UNKNOWN if sending.ran else RefusalCode.NO_ENDPOINT
             why = f"none of {len(sending.tried)} endpoint(s) of the service took the request"
             raise RefusedError(sending.attempt.refuse(code, why, retry_after_s=RETRY_AFTER_S))
-        sending.tried.append(belief.entry.instance)
-        return belief
-
-    async def _send_to(self, belief: Belief, sending: _Sending) -> None:
-        belief.running_here += 1
+        sending.tried.append(belief)
         sending.attempt.note_send()
+        return self._runs.begin(belief)
+
+    def _still_tried(self, sending: _Sending) -> list[str]:
+        """Returns the endpoints whose present starts were asked already."""
+        return [belief.entry.instance for belief in sending.tried if self._book.is_current(belief)]
+
+    async def _send_to(self, run: RunUnderWay, sending: _Sending) -> None:
         connection: EndpointConnection | None = None
         is_clean = False
         try:
-            connection = await self._links.acquire(belief.entry.instance, belief.entry.address)
-            answer, marks = await self._exchange(connection, belief, sending)
+            connection = await self._links.acquire(run.endpoint, run.belief.entry.address)
+            if run.is_over:
+                raise UnreachableError(WHY_OVER)
+            run.connection = connection
+            answer, marks = await self._exchange(connection, run, sending)
             is_clean = True
             self._keep_or_close(connection, answer, marks)
             if marks.not_run or marks.wrong_instance:
                 raise NotTakenError(f"status {answer.status}")
-            self._book.note_success(belief.entry.instance)
+            run.belief.note_success()
         finally:
-            belief.running_here -= 1
-            self._placer.note_ended(belief)
+            self._runs.end(run)
+            self._placer.note_ended(run.belief)
             if connection is not None and not is_clean:
                 # Also tells the endpoint to stop: the caller has left or the time is over.
                 connection.abort("given up")
 
     async def _exchange(
-        self, connection: EndpointConnection, belief: Belief, sending: _Sending
+        self, connection: EndpointConnection, run: RunUnderWay, sending: _Sending
     ) -> tuple[Answer, AnswerMarks]:
         """Sends, and reads the answer to its end; delivers it unless the request did not run."""
         request, route = sending.request, sending.route
@@ -223,18 +203,18 @@
         head = self._calls.request_head(
             request,
             len(sending.body),
-            belief.entry.instance,
+            run.endpoint,
             sending.deadline_s - loop.time(),
             route.urgency,
             sending.delivery.resume_after,
         )
         # A program asks for a turn again that failed, so a turn may end early as well.
         connection.send(head, sending.body, may_repeat or route.kind is RouteKind.STREAMING)
-        answer, marks = await self._answer_in_time(connection, belief, sending, bounds)
+        answer, marks = await self._answer_in_time(connection, run, sending, bounds)
         if marks.not_run or marks.wrong_instance:
             await answer.read_body()
             return answer, marks
-        sending.delivery.endpoint = belief.entry.instance
+        sending.delivery.run = run
         await sending.delivery.deliver(answer, marks, may_repeat, bounds)
         return answer, marks
 
@@ -249,7 +229,7 @@
     async def _answer_in_time(
         self,
         connection: EndpointConnection,
-        belief: Belief,
+        run: RunUnderWay,
         sending: _Sending,
         bounds: AnswerBounds,
     ) -> tuple[Answer, AnswerMarks]:
@@ -258,7 +238,6 @@
         Raises:
             SilentEndpointError: it said nothing for too long, and another one may be asked.
         """
-        instance = belief.entry.instance
         sent_s = asyncio.get_running_loop().time()
         waits = 0
         while True:
@@ -269,13 +248,13 @@
                 return answer, marks
             except TimeoutError:
                 waits += 1
-            is_heard = self._links.was_heard_since(instance, sent_s)
+            is_heard = self._links.was_heard_since(run.endpoint, sent_s)
             should_leave = waits >= MOST_WAITS or not is_heard
             if should_leave and bounds.may_leave and self._has_other(sending):
                 raise SilentEndpointError(f"no answer for {waits * bounds.unheard_s:.3f} s")
             if waits == 1 and not is_heard:
                 self.counts.doubted += 1
-                self._note_failure(belief, sending, f"not heard for {bounds.unheard_s:.3f} s")
+                self._note_failure(run, sending, f"not heard for {bounds.unheard_s:.3f} s")
 
     def _note_answer(self, service: str, sent_s: float) -> None:
         took_s = asyncio.get_running_loop().time() - sent_s
@@ -285,7 +264,8 @@
     def _has_other(self, sending: _Sending) -> bool:
         """Whether an endpoint is left that was not asked yet."""
         now = asyncio.get_running_loop().time()
-        return self._book.choose(sending.service, sending.wish, sending.tried, now) is not None
+        tried = self._still_tried(sending)
+        return self._book.choose(sending.service, sending.wish, tried, now) is not None
 
     async def _own_answer(
         self, connection: EndpointConnection, attempt: str
@@ -320,40 +300,17 @@
             sending.attempt.refuse(RefusalCode.OUTCOME_UNKNOWN, error.why)
         ) from error
 
-    def _note_failure(self, belief: Belief, sending: _Sending, why: str) -> None:
-        self._book.note_failure(belief.entry.instance, asyncio.get_running_loop().time())
-        self._log("send.failed", belief, sending, why)
-
-    def _note_not_taken(self, belief: Belief, sending: _Sending, why: str) -> None:
-        self._log("send.not_taken", belief, sending, why)
+    def _note_failure(self, run: RunUnderWay, sending: _Sending, why: str) -> None:
+        run.belief.note_failure(asyncio.get_running_loop().time())
+        self._log("send.failed", run, sending, why)
 
-    def _log(self, what: str, belief: Belief, sending: _Sending, why: str) -> None:
+    def _log(self, what: str, run: RunUnderWay, sending: _Sending, why: str) -> None:
         eliot.log_message(
             what,
             attempt=sending.request.attempt,
-            endpoint=belief.entry.instance,
+            endpoint=run.endpoint,
             why=why,
-            load=round(belief.load, 2),
+            load=round(run.belief.load, 2),
             sends_ran=sending.ran,
             sends_untaken=sending.untaken,
         )
-
-
-def _wish(request: RoutedRequest, turn: OpenTurn | None) -> Wish:
-    shared = request.parts[0] if len(request.parts) > 1 else None
-    endpoint = "" if turn is None else turn.endpoint
-    kept_tokens = 0
-    if turn is not None and turn.history:
-        tokens = sum(part.tokens for part in request.parts)
-        kept_tokens = tokens * len(turn.history) // (len(turn.history) + len(request.body))
-    return Wish(
-        endpoint,
-        request.affinity or "" if shared is None else shared.name,
-        min(MOST_WEIGHED_TOKENS, kept_tokens),
-        0 if shared is None else min(MOST_WEIGHED_TOKENS, shared.tokens),
-    )
-
-
-def is_success(status: int) -> bool:
-    """Tells whether a status says that the request was served."""
-    return status_codes.HTTP_OK <= status < status_codes.HTTP_MULTIPLE_CHOICES
--- a/src/bayhinge/_internal/services/gateway/stream_delivery.py
+++ b/src/bayhinge/_internal/services/gateway/stream_delivery.py
@@ -12,12 +12,16 @@
 from bayhinge._internal.decisions.answer_bounds import AnswerBounds
 from bayhinge._internal.models.routed_requests import AnswerMarks, RoutedRequest
 from bayhinge._internal.models.routing import Route
-from bayhinge._internal.network.endpoint_link import Answer, BrokenAnswerError, SilentEndpointError
+from bayhinge._internal.network.endpoint_answer import (
+    Answer,
+    BrokenAnswerError,
+    SilentEndpointError,
+)
 from bayhinge._internal.network.event_stream import EventReader, StreamEvent
 from bayhinge._internal.network.routed_front import Exchange
 from bayhinge._internal.network.stream_splice import SpliceError, StreamSplice
+from bayhinge._internal.services.gateway.delivery import Delivery, is_success
 from bayhinge._internal.services.gateway.outside import CallFormat
-from bayhinge._internal.services.gateway.sending import Delivery, is_success
 from bayhinge._internal.services.gateway.turn_keeper import OpenTurn, TurnKeeper
 
 
@@ -133,7 +137,7 @@
             self._turn,
             self._new_input + said,
             self.tokens_handed_out,
-            self.endpoint,
+            self.start,
             self._route.keep_turns_s,
         )
         self.is_recorded = True
--- a/src/bayhinge/_internal/services/gateway/turn_keeper.py
+++ b/src/bayhinge/_internal/services/gateway/turn_keeper.py
@@ -18,6 +18,7 @@
     reservations_needed,
 )
 from bayhinge._internal.exceptions import FrameError
+from bayhinge._internal.models.endpoint_entries import EndpointStart
 from bayhinge._internal.models.refusals import (
     Figure,
     RefusalCode,
@@ -56,7 +57,7 @@
 
     Attributes:
         history: the texts of the chain, from the oldest on.
-        endpoint: the engine of the turn before, or empty.
+        read_at: the start of an engine that ran the turn before, and so has read the history.
         reserved: tokens set aside, or 0 where the program has no budget.
         is_kept: what is said will be asked for again; otherwise only its tokens are counted.
     """
@@ -64,7 +65,7 @@
     attempt: str
     context: TurnContext
     history: bytes
-    endpoint: str
+    read_at: EndpointStart
     reserved: int
     is_kept: bool = True
 
@@ -88,7 +89,7 @@
         if not is_kept:
             context = attrs.evolve(context, previous=None)
         reserved = context.most_tokens if context.token_budget is not None else 0
-        turn = OpenTurn(attempt, context, b"", "", reserved, is_kept)
+        turn = OpenTurn(attempt, context, b"", EndpointStart(), reserved, is_kept)
         self._refuse_hopeless(turn)
         replies = await self._reserve(attempt, context, reserved)
         try:
@@ -100,7 +101,7 @@
         return turn
 
     async def close(
-        self, turn: OpenTurn, text: bytes, tokens: int, endpoint: str, keep_s: float
+        self, turn: OpenTurn, text: bytes, tokens: int, run_at: EndpointStart, keep_s: float
     ) -> None:
         """Makes a whole turn last on enough disks; goes on until it does."""
         entry = wire.TurnEntry(
@@ -110,8 +111,9 @@
             tokens,
             turn.context.previous,
             text,
-            endpoint,
+            run_at.endpoint,
             keep_s,
+            run_at.born_ms,
         )
         message = encode_message(wire.AppendEntries([entry]))
         generation_by_host: dict[str, int] = {}
@@ -181,7 +183,7 @@
             replies = await self._first_replies(tasks, needed, context)
         except asyncio.CancelledError:
             # The caller left: what the disks have taken meanwhile must not stay set aside.
-            self.settle(OpenTurn(attempt, context, b"", "", reserved), 0)
+            self.settle(OpenTurn(attempt, context, b"", EndpointStart(), reserved), 0)
             raise
         finally:
             is_decided.set()
@@ -194,7 +196,7 @@
             needed=needed,
             disk_set_version=self._directory.disk_set.version,
         )
-        self.settle(OpenTurn(attempt, context, b"", "", reserved), 0)
+        self.settle(OpenTurn(attempt, context, b"", EndpointStart(), reserved), 0)
         raise _too_few_disks(len(replies), needed)
 
     async def _reserve_at(
@@ -251,7 +253,7 @@
             return
         for reply in replies:
             if reply.chain is not None and reply.missing is None:
-                turn.history, turn.endpoint = reply.chain, reply.endpoint or ""
+                turn.history, turn.read_at = reply.chain, _read_at(reply)
                 return
         message = encode_message(wire.ReserveTurn(None, turn.context.previous, True))
         # Its own disks first; then all, for a program may go on from another one's turn.
@@ -261,7 +263,7 @@
         ):
             async for _, reply in self._ask(disks, methods.RESERVE, message, wire.ReserveReply):
                 if reply.missing is None and reply.chain is not None:
-                    turn.history, turn.endpoint = reply.chain, reply.endpoint or ""
+                    turn.history, turn.read_at = reply.chain, _read_at(reply)
                     return
         await self._assemble(turn)
 
@@ -271,7 +273,8 @@
         attempt = turn.context.previous
         while attempt is not None:
             entry = await self._find_turn(attempt, is_first=not texts)
-            turn.endpoint = turn.endpoint or entry.endpoint or ""
+            if not turn.read_at.endpoint:
+                turn.read_at = EndpointStart(entry.endpoint or "", entry.endpoint_born_ms)
             texts.append(entry.text or b"")
             attempt = entry.previous
         turn.history = b"".join(reversed(texts))
@@ -342,6 +345,10 @@
         return task
 
 
+def _read_at(reply: wire.ReserveReply) -> EndpointStart:
+    return EndpointStart(reply.endpoint or "", reply.endpoint_born_ms)
+
+
 def _budget_exceeded(turn: OpenTurn, budget: int, committed: int) -> RefusedError:
     return RefusedError(
         refuse_unaccepted(
--- a/src/bayhinge/_internal/services/gateway/whole_delivery.py
+++ b/src/bayhinge/_internal/services/gateway/whole_delivery.py
@@ -3,10 +3,10 @@
 from bayhinge._internal import status_codes
 from bayhinge._internal.decisions.answer_bounds import AnswerBounds
 from bayhinge._internal.models.routed_requests import AnswerMarks
-from bayhinge._internal.network.endpoint_link import Answer, BrokenAnswerError
+from bayhinge._internal.network.endpoint_answer import Answer, BrokenAnswerError
 from bayhinge._internal.network.routed_front import Exchange
+from bayhinge._internal.services.gateway.delivery import Delivery, is_success
 from bayhinge._internal.services.gateway.outside import CallFormat
-from bayhinge._internal.services.gateway.sending import Delivery, is_success
 
 
 class WholeDelivery(Delivery):
--- /dev/null
+++ b/src/bayhinge/_internal/services/gateway/wishes.py
@@ -0,0 +1,25 @@
+"""What a request would like of the endpoint that it goes to."""
+
+from bayhinge._internal.decisions.endpoint_book import Wish
+from bayhinge._internal.models.endpoint_entries import EndpointStart
+from bayhinge._internal.models.routed_requests import RoutedRequest
+from bayhinge._internal.services.gateway.turn_keeper import OpenTurn
+
+MOST_WEIGHED_TOKENS = 10_000_000
+"""A caller may name any number; more than the longest history changes no choice."""
+
+
+def wish_of(request: RoutedRequest, turn: OpenTurn | None) -> Wish:
+    """Returns the wish of a request, and of its turn where it has one."""
+    shared = request.parts[0] if len(request.parts) > 1 else None
+    start = EndpointStart() if turn is None else turn.read_at
+    kept_tokens = 0
+    if turn is not None and turn.history:
+        tokens = sum(part.tokens for part in request.parts)
+        kept_tokens = tokens * len(turn.history) // (len(turn.history) + len(request.body))
+    return Wish(
+        start,
+        request.affinity or "" if shared is None else shared.name,
+        min(MOST_WEIGHED_TOKENS, kept_tokens),
+        0 if shared is None else min(MOST_WEIGHED_TOKENS, shared.tokens),
+    )
--- a/src/bayhinge/_internal/services/key_follower.py
+++ b/src/bayhinge/_internal/services/key_follower.py
@@ -175,6 +175,11 @@
         """Whether the last call that ended brought no answer."""
         return self.health.failing_since_s is not None
 
+    @property
+    def known_to(self) -> int:
+        """The store's revision up to which this host knows the objects."""
+        return max(self.revision, self.complete_to)
+
     def known(self) -> KnownObjects:
         """Returns what this host knows, for a peer."""
         return KnownObjects(
@@ -216,12 +221,17 @@
         return has_duty
 
     def _lacks(self, revision: int) -> bool:
-        return revision > max(self.revision, self.complete_to)
+        return revision > self.known_to
 
     async def _list(self) -> None:
         self._asked_s = asyncio.get_running_loop().time()
+        complete_before = self.complete_to
         listing = await list_all(self._store, self.prefix)
         self._note_success()
+        if complete_before < self.complete_to and listing.revision < self.complete_to:
+            # A peer told of more while the store's answer was on its way.
+            self._cursor = self.complete_to
+            return
         self._cursor = listing.revision
         newest = max((stored.version for stored in listing.objects), default=0)
         value_by_key = {stored.key: stored.value for stored in listing.objects}
--- a/src/bayhinge/_internal/wire/hosts/ttypes.py
+++ b/src/bayhinge/_internal/wire/hosts/ttypes.py
@@ -261,6 +261,7 @@
      - store_fails
      - is_cut_off
      - requests_per_s
+     - endpoints_known_to
 
     """
 
@@ -281,10 +282,11 @@
         'store_fails',
         'is_cut_off',
         'requests_per_s',
+        'endpoints_known_to',
     )
 
 
-    def __init__(self, host=None, incarnation=None, beat=None, role=None, phase=None, hall=None, gossip_address=None, peer_address=None, public_address=None, revision_by_prefix=None, running_by_endpoint=None, disk_set_version=None, known_addresses=None, store_fails=None, is_cut_off=False, requests_per_s=0,):
+    def __init__(self, host=None, incarnation=None, beat=None, role=None, phase=None, hall=None, gossip_address=None, peer_address=None, public_address=None, revision_by_prefix=None, running_by_endpoint=None, disk_set_version=None, known_addresses=None, store_fails=None, is_cut_off=False, requests_per_s=0, endpoints_known_to=None,):
         self.host = host
         self.incarnation = incarnation
         self.beat = beat
@@ -301,6 +303,7 @@
         self.store_fails = store_fails
         self.is_cut_off = is_cut_off
         self.requests_per_s = requests_per_s
+        self.endpoints_known_to = endpoints_known_to
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -408,6 +411,11 @@
                     self.requests_per_s = iprot.readI32()
                 else:
                     iprot.skip(ftype)
+            elif fid == 17:
+                if ftype == TType.I64:
+                    self.endpoints_known_to = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -493,6 +501,10 @@
             oprot.writeFieldBegin('requests_per_s', TType.I32, 16)
             oprot.writeI32(self.requests_per_s)
             oprot.writeFieldEnd()
+        if self.endpoints_known_to is not None:
+            oprot.writeFieldBegin('endpoints_known_to', TType.I64, 17)
+            oprot.writeI64(self.endpoints_known_to)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -557,6 +569,7 @@
      - text
      - endpoint
      - keep_s
+     - endpoint_born_ms
 
     """
 
@@ -569,10 +582,11 @@
         'text',
         'endpoint',
         'keep_s',
+        'endpoint_born_ms',
     )
 
 
-    def __init__(self, kind=None, attempt=None, program=None, tokens=None, previous=None, text=None, endpoint=None, keep_s=None,):
+    def __init__(self, kind=None, attempt=None, program=None, tokens=None, previous=None, text=None, endpoint=None, keep_s=None, endpoint_born_ms=None,):
         self.kind = kind
         self.attempt = attempt
         self.program = program
@@ -581,6 +595,7 @@
         self.text = text
         self.endpoint = endpoint
         self.keep_s = keep_s
+        self.endpoint_born_ms = endpoint_born_ms
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -631,6 +646,11 @@
                     self.keep_s = iprot.readDouble()
                 else:
                     iprot.skip(ftype)
+            elif fid == 9:
+                if ftype == TType.I64:
+                    self.endpoint_born_ms = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -673,6 +693,10 @@
             oprot.writeFieldBegin('keep_s', TType.DOUBLE, 8)
             oprot.writeDouble(self.keep_s)
             oprot.writeFieldEnd()
+        if self.endpoint_born_ms is not None:
+            oprot.writeFieldBegin('endpoint_born_ms', TType.I64, 9)
+            oprot.writeI64(self.endpoint_born_ms)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -810,6 +834,7 @@
      - chain
      - missing
      - endpoint
+     - endpoint_born_ms
 
     """
 
@@ -820,16 +845,18 @@
         'chain',
         'missing',
         'endpoint',
+        'endpoint_born_ms',
     )
 
 
-    def __init__(self, generation=None, open_by_attempt=None, settled_by_attempt=None, chain=None, missing=None, endpoint=None,):
+    def __init__(self, generation=None, open_by_attempt=None, settled_by_attempt=None, chain=None, missing=None, endpoint=None, endpoint_born_ms=None,):
         self.generation = generation
         self.open_by_attempt = open_by_attempt
         self.settled_by_attempt = settled_by_attempt
         self.chain = chain
         self.missing = missing
         self.endpoint = endpoint
+        self.endpoint_born_ms = endpoint_born_ms
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -882,6 +909,11 @@
                     self.endpoint = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
                 else:
                     iprot.skip(ftype)
+            elif fid == 7:
+                if ftype == TType.I64:
+                    self.endpoint_born_ms = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -924,6 +956,10 @@
             oprot.writeFieldBegin('endpoint', TType.STRING, 6)
             oprot.writeString(self.endpoint.encode('utf-8') if sys.version_info[0] == 2 else self.endpoint)
             oprot.writeFieldEnd()
+        if self.endpoint_born_ms is not None:
+            oprot.writeFieldBegin('endpoint_born_ms', TType.I64, 7)
+            oprot.writeI64(self.endpoint_born_ms)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -1869,6 +1905,7 @@
      - last_grant
      - running_by_endpoint
      - resting
+     - endpoints_known_to
 
     """
 
@@ -1879,16 +1916,18 @@
         'last_grant',
         'running_by_endpoint',
         'resting',
+        'endpoints_known_to',
     )
 
 
-    def __init__(self, host=None, incarnation=None, beat=None, last_grant=None, running_by_endpoint=None, resting=None,):
+    def __init__(self, host=None, incarnation=None, beat=None, last_grant=None, running_by_endpoint=None, resting=None, endpoints_known_to=None,):
         self.host = host
         self.incarnation = incarnation
         self.beat = beat
         self.last_grant = last_grant
         self.running_by_endpoint = running_by_endpoint
         self.resting = resting
+        self.endpoints_known_to = endpoints_known_to
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -1940,6 +1979,11 @@
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
+            elif fid == 7:
+                if ftype == TType.I64:
+                    self.endpoints_known_to = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -1981,6 +2025,10 @@
                 oprot.writeString(iter109.encode('utf-8') if sys.version_info[0] == 2 else iter109)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
+        if self.endpoints_known_to is not None:
+            oprot.writeFieldBegin('endpoints_known_to', TType.I64, 7)
+            oprot.writeI64(self.endpoints_known_to)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -2026,6 +2074,7 @@
      - incarnation
      - beat
      - running_by_endpoint
+     - endpoints_known_to
 
     """
 
@@ -2035,15 +2084,17 @@
         'incarnation',
         'beat',
         'running_by_endpoint',
+        'endpoints_known_to',
     )
 
 
-    def __init__(self, hall=None, host=None, incarnation=None, beat=None, running_by_endpoint=None,):
+    def __init__(self, hall=None, host=None, incarnation=None, beat=None, running_by_endpoint=None, endpoints_known_to=None,):
         self.hall = hall
         self.host = host
         self.incarnation = incarnation
         self.beat = beat
         self.running_by_endpoint = running_by_endpoint
+        self.endpoints_known_to = endpoints_known_to
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -2085,6 +2136,11 @@
                     iprot.readMapEnd()
                 else:
                     iprot.skip(ftype)
+            elif fid == 6:
+                if ftype == TType.I64:
+                    self.endpoints_known_to = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -2119,6 +2175,10 @@
                 oprot.writeI32(viter118)
             oprot.writeMapEnd()
             oprot.writeFieldEnd()
+        if self.endpoints_known_to is not None:
+            oprot.writeFieldBegin('endpoints_known_to', TType.I64, 6)
+            oprot.writeI64(self.endpoints_known_to)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -2246,6 +2306,7 @@
      - avoid
      - kept_tokens
      - shared_tokens
+     - wished_born_ms
 
     """
 
@@ -2257,10 +2318,11 @@
         'avoid',
         'kept_tokens',
         'shared_tokens',
+        'wished_born_ms',
     )
 
 
-    def __init__(self, loads=None, service_name=None, wished=None, shared_part=None, avoid=None, kept_tokens=0, shared_tokens=0,):
+    def __init__(self, loads=None, service_name=None, wished=None, shared_part=None, avoid=None, kept_tokens=0, shared_tokens=0, wished_born_ms=None,):
         self.loads = loads
         self.service_name = service_name
         self.wished = wished
@@ -2268,6 +2330,7 @@
         self.avoid = avoid
         self.kept_tokens = kept_tokens
         self.shared_tokens = shared_tokens
+        self.wished_born_ms = wished_born_ms
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -2319,6 +2382,11 @@
                     self.shared_tokens = iprot.readI32()
                 else:
                     iprot.skip(ftype)
+            elif fid == 8:
+                if ftype == TType.I64:
+                    self.wished_born_ms = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -2360,6 +2428,10 @@
             oprot.writeFieldBegin('shared_tokens', TType.I32, 7)
             oprot.writeI32(self.shared_tokens)
             oprot.writeFieldEnd()
+        if self.wished_born_ms is not None:
+            oprot.writeFieldBegin('wished_born_ms', TType.I64, 8)
+            oprot.writeI64(self.wished_born_ms)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -2522,6 +2594,7 @@
     (14, TType.BOOL, 'store_fails', None, None, ),  # 14
     (15, TType.BOOL, 'is_cut_off', None, False, ),  # 15
     (16, TType.I32, 'requests_per_s', None, 0, ),  # 16
+    (17, TType.I64, 'endpoints_known_to', None, None, ),  # 17
 )
 all_structs.append(TurnEntry)
 TurnEntry.thrift_spec = (
@@ -2534,6 +2607,7 @@
     (6, TType.STRING, 'text', 'BINARY', None, ),  # 6
     (7, TType.STRING, 'endpoint', 'UTF8', None, ),  # 7
     (8, TType.DOUBLE, 'keep_s', None, None, ),  # 8
+    (9, TType.I64, 'endpoint_born_ms', None, None, ),  # 9
 )
 all_structs.append(ReserveTurn)
 ReserveTurn.thrift_spec = (
@@ -2551,6 +2625,7 @@
     (4, TType.STRING, 'chain', 'BINARY', None, ),  # 4
     (5, TType.STRING, 'missing', 'UTF8', None, ),  # 5
     (6, TType.STRING, 'endpoint', 'UTF8', None, ),  # 6
+    (7, TType.I64, 'endpoint_born_ms', None, None, ),  # 7
 )
 all_structs.append(AppendEntries)
 AppendEntries.thrift_spec = (
@@ -2622,6 +2697,7 @@
     (4, TType.I64, 'last_grant', None, None, ),  # 4
     (5, TType.MAP, 'running_by_endpoint', (TType.STRING, 'UTF8', TType.I32, None, False), None, ),  # 5
     (6, TType.LIST, 'resting', (TType.STRING, 'UTF8', False), None, ),  # 6
+    (7, TType.I64, 'endpoints_known_to', None, None, ),  # 7
 )
 all_structs.append(HallLoads)
 HallLoads.thrift_spec = (
@@ -2631,6 +2707,7 @@
     (3, TType.I64, 'incarnation', None, None, ),  # 3
     (4, TType.I64, 'beat', None, None, ),  # 4
     (5, TType.MAP, 'running_by_endpoint', (TType.STRING, 'UTF8', TType.I32, None, False), None, ),  # 5
+    (6, TType.I64, 'endpoints_known_to', None, None, ),  # 6
 )
 all_structs.append(LoadNews)
 LoadNews.thrift_spec = (
@@ -2648,6 +2725,7 @@
     (5, TType.LIST, 'avoid', (TType.STRING, 'UTF8', False), None, ),  # 5
     (6, TType.I32, 'kept_tokens', None, 0, ),  # 6
     (7, TType.I32, 'shared_tokens', None, 0, ),  # 7
+    (8, TType.I64, 'wished_born_ms', None, None, ),  # 8
 )
 all_structs.append(PlaceReply)
 PlaceReply.thrift_spec = (
--- a/tests/functional/test_endpoint_link.py
+++ b/tests/functional/test_endpoint_link.py
@@ -6,13 +6,12 @@
 
 import pytest
 
-from bayhinge._internal.network.endpoint_link import (
+from bayhinge._internal.network.endpoint_answer import (
     Answer,
     BrokenAnswerError,
-    EndpointConnection,
-    EndpointLinks,
     UnreachableError,
 )
+from bayhinge._internal.network.endpoint_link import EndpointConnection, EndpointLinks
 
 pytestmark = pytest.mark.functional
 Wire = Callable[[asyncio.StreamReader, asyncio.StreamWriter], Awaitable[None]]
--- a/tests/functional/test_sending.py
+++ b/tests/functional/test_sending.py
@@ -11,9 +11,11 @@
 from bayhinge._internal.models.refusals import CallAttempt, RefusedError, RunState
 from bayhinge._internal.models.routed_requests import AnswerMarks, RoutedRequest
 from bayhinge._internal.models.routing import Route, RouteKind, ServiceShare
-from bayhinge._internal.network.endpoint_link import Answer, EndpointLinks
+from bayhinge._internal.network.endpoint_answer import Answer
+from bayhinge._internal.network.endpoint_link import EndpointLinks
 from bayhinge._internal.platform.call_format import PlatformCallFormat
-from bayhinge._internal.services.gateway.sending import Delivery, Sender
+from bayhinge._internal.services.gateway.delivery import Delivery
+from bayhinge._internal.services.gateway.sending import Sender
 
 pytestmark = pytest.mark.functional
 Wire = Callable[[asyncio.StreamReader, asyncio.StreamWriter], Awaitable[None]]
--- a/tests/lib/platform_engine.py
+++ b/tests/lib/platform_engine.py
@@ -2,11 +2,12 @@
 
 import asyncio
 import itertools
+import weakref
 
 import attrs
 from aiohttp import web
 
-from bayhinge_standins.http_service import StandinServer
+from bayhinge_standins.http_service import LOOPBACK, StandinServer
 
 
 @attrs.define
@@ -61,11 +62,17 @@
         self.events = events
         self.runs: list[Run] = []
         self.troubles = EngineTroubles()
+        self.born_ms: int | None = None
+        self._start = 0
+        self._start_by_connection: weakref.WeakKeyDictionary[object, int] = (
+            weakref.WeakKeyDictionary()
+        )
         self._numbers = itertools.count(1)
 
     def entry(self, state: str = "ready") -> dict[str, object]:
         """Returns the engine's entry in the platform's store."""
-        return {
+        born = {} if self.born_ms is None else {"born": self.born_ms}
+        return born | {
             "service": self.service,
             "address": f"127.0.0.1:{self.port}",
             "zone": "north",
@@ -76,10 +83,38 @@
             "seq": 1,
         }
 
+    async def restart(self, born_ms: int | None, moves: bool = False) -> None:
+        """Starts again under its id; connections to the former start stay open and say nothing.
+
+        Where it ``moves``, nobody listens at the former address.
+        """
+        self.born_ms = born_ms
+        self._start += 1
+        if moves:
+            assert self._runner is not None
+            for site in list(self._runner.sites):
+                await site.stop()
+            site = web.TCPSite(self._runner, LOOPBACK, 0)
+            await site.start()
+            self.port = self._runner.addresses[-1][1]
+
+    async def _start_of(self, request: web.Request) -> int:
+        """Returns the start that a connection leads to; waits for good if that is over."""
+        start = self._start_by_connection.setdefault(request.transport, self._start)
+        await self._live(start)
+        return start
+
+    async def _live(self, start: int, pause_s: float = 0.0) -> None:
+        """Pauses, and goes on only at the start that the request came to."""
+        await asyncio.sleep(pause_s)
+        if start != self._start:
+            await asyncio.sleep(3600)
+
     def add_routes(self, app: web.Application) -> None:
         app.router.add_route("*", "/{path:.*}", self._serve)
 
     async def _serve(self, request: web.Request) -> web.StreamResponse:
+        start = await self._start_of(request)
         attempt = request.headers["Bayhinge-Attempt-Id"]
         headers = {"Bayhinge-Attempt-Id": attempt}
         if request.headers.get("Bayhinge-Expect-Instance") != self.instance:
@@ -93,7 +128,7 @@
         self.runs.append(run)
         headers["Bayhinge-Server-Seal"] = f"seal-{self.instance}"
         try:
-            await asyncio.sleep(self.troubles.pause_s)
+            await self._live(start, self.troubles.pause_s)
             if self.troubles.loses_answers > 0:
                 self.troubles.loses_answers -= 1
                 assert request.transport is not None
@@ -101,13 +136,13 @@
                 raise ConnectionResetError
             if not request.path.startswith(("/chat/", "/draft/")):
                 return web.Response(body=b"answer to " + body, headers=headers)
-            return await self._stream(request, headers, run)
+            return await self._stream(request, headers, run, start)
         except asyncio.CancelledError:
             run.was_cancelled = True
             raise
 
     async def _stream(
-        self, request: web.Request, headers: dict[str, str], run: Run
+        self, request: web.Request, headers: dict[str, str], run: Run, start: int
     ) -> web.StreamResponse:
         response = web.StreamResponse(headers=headers | {"Content-Type": "text/event-stream"})
         await response.prepare(request)
@@ -126,6 +161,6 @@
                 await asyncio.sleep(3600)
             run.made.append(event)
             await response.write(event)
-            await asyncio.sleep(self.troubles.pause_s)
+            await self._live(start, self.troubles.pause_s)
         await response.write_eof()
         return response
--- a/tests/unit/test_endpoint_book.py
+++ b/tests/unit/test_endpoint_book.py
@@ -4,9 +4,10 @@
     FIRST_EJECTION_S,
     EndpointBelief,
     EndpointBook,
+    EntryNews,
     Wish,
 )
-from bayhinge._internal.models.endpoint_entries import EndpointEntry
+from bayhinge._internal.models.endpoint_entries import EndpointEntry, EndpointStart
 
 
 def entry(
@@ -22,6 +23,16 @@
     return book
 
 
+def at(instance: str, born_ms: int | None = None) -> EndpointStart:
+    return EndpointStart(instance, born_ms)
+
+
+def believed(book: EndpointBook, instance: str) -> EndpointBelief:
+    belief = book.find(instance)
+    assert belief is not None
+    return belief
+
+
 def chosen(book: EndpointBook, wish: Wish | None = None, tried: tuple[str, ...] = ()) -> str | None:
     belief: EndpointBelief | None = book.choose("app", wish or Wish(), tried, 100.0)
     return None if belief is None else belief.entry.instance
@@ -59,15 +70,15 @@
 
 def test_a_failure_rests_an_endpoint_unless_there_is_no_other() -> None:
     book = book_of(entry("a"), entry("b"))
-    book.note_failure("a", 100.0)
+    believed(book, "a").note_failure(100.0)
     assert chosen(book) == "b"
     assert chosen(book, tried=("b",)) == "a"
     belief = book.find("a")
     assert belief is not None
     assert belief.ejected_until_s == 100.0 + FIRST_EJECTION_S
-    book.note_failure("a", 100.0)
+    believed(book, "a").note_failure(100.0)
     assert belief.ejected_until_s == 100.0 + 2 * FIRST_EJECTION_S
-    book.note_success("a")
+    believed(book, "a").note_success()
     assert chosen(book) == "a"
 
 
@@ -78,16 +89,16 @@
     belief.is_doubtful = True
     assert chosen(book) == "b"
     assert chosen(book, tried=("b",)) == "a"
-    assert book.put(entry("a"))
+    assert book.put(entry("a")) is EntryNews.CHANGED
     assert chosen(book) == "a"
 
 
 def test_a_turn_goes_back_to_its_engine_unless_that_is_much_busier() -> None:
     book = book_of(entry("a"), entry("b"))
     book.hear_loads({"b": 1})
-    assert chosen(book, Wish(endpoint="b")) == "b"
+    assert chosen(book, Wish(at("b"))) == "b"
     book.hear_loads({"b": 5})
-    assert chosen(book, Wish(endpoint="b")) == "a"
+    assert chosen(book, Wish(at("b"))) == "a"
 
 
 def test_requests_with_one_shared_part_meet_at_one_engine() -> None:
@@ -100,12 +111,12 @@
 def test_successes_between_failures_do_not_end_the_rest_of_a_grey_endpoint() -> None:
     book = book_of(entry("a"), entry("b", "south"))
     for _ in range(4):
-        book.note_failure("a", 100.0)
-        book.note_failure("a", 100.0)
-        book.note_success("a")
+        believed(book, "a").note_failure(100.0)
+        believed(book, "a").note_failure(100.0)
+        believed(book, "a").note_success()
     assert chosen(book) == "b"
     for _ in range(19):
-        book.note_success("a")
+        believed(book, "a").note_success()
     assert chosen(book) == "a"
 
 
@@ -115,7 +126,7 @@
     assert belief is not None
     belief.complaints = 4
     assert chosen(book) == "b"
-    assert chosen(book, Wish("a")) == "b", "not even for a warm cache"
+    assert chosen(book, Wish(at("a"))) == "b", "not even for a warm cache"
     book.hear_loads({"b": 8})
     assert chosen(book) == "a"
 
@@ -123,10 +134,12 @@
 def test_a_long_history_is_not_read_again_for_a_few_requests_of_few_slots() -> None:
     book = book_of(entry("a", slots=6), entry("b", slots=6))
     book.hear_loads({"b": 5})
-    assert chosen(book, Wish("b", kept_tokens=6000)) == "b", "reading it takes longer than waiting"
-    assert chosen(book, Wish("b", kept_tokens=1500)) == "a"
+    assert chosen(book, Wish(at("b"), kept_tokens=6000)) == "b", (
+        "reading it takes longer than waiting"
+    )
+    assert chosen(book, Wish(at("b"), kept_tokens=1500)) == "a"
     book.hear_loads({"b": 7})
-    assert chosen(book, Wish("b", kept_tokens=6000)) == "a"
+    assert chosen(book, Wish(at("b"), kept_tokens=6000)) == "a"
 
 
 def test_a_turn_whose_engine_is_too_busy_goes_where_its_shared_part_is() -> None:
@@ -136,7 +149,7 @@
     assert gathering is not None
     busy = next(name for name in names if name != gathering)
     book.hear_loads({busy: 9, gathering: 2})
-    assert chosen(book, Wish(busy, "rules", 4000, 2500)) == gathering
+    assert chosen(book, Wish(at(busy), "rules", 4000, 2500)) == gathering
 
 
 def test_figures_of_another_hall_move_work_only_where_they_differ_by_more_than_their_delay() -> (
@@ -158,6 +171,6 @@
     belief.complaints = 2
     book.hear_loads({"b": 4, "c": 4})
     assert chosen(book) == "b"
-    assert chosen(book, Wish("a", kept_tokens=9000)) == "b"
+    assert chosen(book, Wish(at("a"), kept_tokens=9000)) == "b"
     book.hear_loads({"b": 11, "c": 11})
     assert chosen(book) == "a", "where no other has room, it is tried all the same"
--- a/tests/unit/test_turn_log.py
+++ b/tests/unit/test_turn_log.py
@@ -7,6 +7,7 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
+from bayhinge._internal.models.endpoint_entries import EndpointStart
 from bayhinge._internal.services.disks import turn_log
 from bayhinge._internal.services.disks.turn_log import Chain, TurnLog, entry_key
 from bayhinge._internal.wire.hosts.ttypes import EntryKind, TurnEntry
@@ -25,7 +26,7 @@
 def test_a_chain_is_joined_from_the_oldest_turn_on(tmp_path: Path) -> None:
     log = TurnLog(tmp_path)
     log.append([turn("c", "b", b"three"), turn("a", None, b"one "), turn("b", "a", b"two ")])
-    assert log.chain("c") == Chain(b"one two three", "e-1")
+    assert log.chain("c") == Chain(b"one two three", EndpointStart("e-1"))
     assert log.chain("x") == Chain(missing="x")
     log.append([turn("z", "y", b"")])
     assert log.chain("z") == Chain(missing="y")
