--- /dev/null
+++ b/tests/functional/test_endpoint_restarts.py
@@ -0,0 +1,323 @@
+"""Endpoints that start again under their id, with real sockets.
+
+A former start is dark: its connections stay open, are acknowledged, and never bring anything.
+"""
+
+import asyncio
+import time
+from collections.abc import Awaitable, Callable
+from pathlib import Path
+
+import eliot
+import orjson
+import pytest
+
+from bayhinge._internal.decisions.endpoint_starts import CLOCK_SKEW_S
+from bayhinge._internal.models.endpoint_entries import EndpointStart
+from tests.lib.platform_engine import EngineTroubles, PlatformEngine
+from tests.lib.platform_site import PlatformSite, Reply, run_site
+
+pytestmark = pytest.mark.functional
+
+AT_ONCE_S = 0.7
+"""Time for the news to reach a host and for a request to end, or to be served elsewhere: watches
+pause for up to 0.2 s behind a change, and the others hear of it some tenths later."""
+
+CLEAR_S = CLOCK_SKEW_S + 0.15
+"""A start so long after something surely came after it."""
+
+LONG_S = 30.0
+
+
+def now_ms() -> int:
+    return int(time.time() * 1000)
+
+
+def announce(site: PlatformSite, endpoint: PlatformEngine) -> None:
+    site.store.put("servers", endpoint.instance, endpoint.entry())
+
+
+async def is_known(site: PlatformSite, endpoint: PlatformEngine) -> None:
+    """Waits until every entry host knows an endpoint's newest start and address."""
+
+    def known() -> bool:
+        entries = [
+            entry._gateway.book.last_entry(endpoint.instance)
+            for entry in site.entry_by_name.values()
+        ]
+        return all(
+            entry is not None
+            and entry.born_ms == endpoint.born_ms
+            and entry.address.endswith(f":{endpoint.port}")
+            for entry in entries
+        )
+
+    await site.until(known)
+
+
+async def with_starts(site: PlatformSite) -> None:
+    """All endpoints say since when they run."""
+    endpoints = [*site.engines, *site.services]
+    for endpoint in endpoints:
+        endpoint.born_ms = now_ms() - 60_000
+        announce(site, endpoint)
+    for endpoint in endpoints:
+        await is_known(site, endpoint)
+
+
+async def asked(endpoints: list[PlatformEngine]) -> PlatformEngine:
+    """Returns the endpoint that was asked; the others are well from now on."""
+    async with asyncio.timeout(2):
+        while not any(endpoint.runs for endpoint in endpoints):  # noqa: ASYNC110
+            await asyncio.sleep(0.01)
+    (found,) = [endpoint for endpoint in endpoints if endpoint.runs]
+    for endpoint in endpoints:
+        if endpoint is not found:
+            endpoint.troubles = EngineTroubles()
+    return found
+
+
+async def waiting_turn(site: PlatformSite) -> tuple[asyncio.Task[Reply], PlatformEngine]:
+    """Returns a turn that waits at an endpoint, and that endpoint."""
+    for engine in site.engines:
+        engine.troubles = EngineTroubles(pause_s=LONG_S)
+    waiting = asyncio.create_task(site.turn(b"hello", at="entry-0"))
+    engine = await asked(site.engines)
+    await asyncio.sleep(CLEAR_S)
+    engine.troubles = EngineTroubles()
+    return waiting, engine
+
+
+async def ended(waiting: asyncio.Task[Reply]) -> Reply:
+    """Returns an answer that must come at once."""
+    async with asyncio.timeout(AT_ONCE_S):
+        return await waiting
+
+
+async def turns_at_once(site: PlatformSite, count: int) -> list[int]:
+    """Returns the statuses of turns that come together, so that all endpoints are needed."""
+    for engine in site.engines:
+        engine.troubles = EngineTroubles(pause_s=0.1)
+    asked = (
+        site.turn(b"x", program=f"p{number}", at=f"entry-{number % 2}") for number in range(count)
+    )
+    return [reply.status for reply in await asyncio.gather(*asked)]
+
+
+def assert_may_have_run(reply: Reply) -> None:
+    assert reply.status == 502
+    assert orjson.loads(reply.body)["error"]["run_state"] == "may_have_run"
+    assert "Retry-After" not in reply.headers
+
+
+def play(tmp_path: Path, scenario: Callable[[PlatformSite], Awaitable[None]]) -> None:
+    async def main(site: PlatformSite) -> None:
+        await with_starts(site)
+        await scenario(site)
+
+    run_site(tmp_path, main)
+
+
+def test_a_turn_that_waits_at_a_former_start_ends_at_once_and_may_have_run(
+    tmp_path: Path,
+) -> None:
+    async def scenario(site: PlatformSite) -> None:
+        waiting, engine = await waiting_turn(site)
+        await engine.restart(now_ms())
+        announce(site, engine)
+        assert_may_have_run(await ended(waiting))
+        assert await turns_at_once(site, 4) == [200] * 4
+
+    play(tmp_path, scenario)
+
+
+def test_a_lookup_that_waits_at_a_former_start_goes_on_elsewhere_at_once(tmp_path: Path) -> None:
+    async def scenario(site: PlatformSite) -> None:
+        # Opens connections that are old by the time of the restart.
+        for service in site.services:
+            service.troubles = EngineTroubles(pause_s=0.1)
+        await asyncio.gather(*(site.ask("/look/x", method="GET") for _ in range(4)))
+        await asyncio.sleep(CLEAR_S)
+        for service in site.services:
+            service.runs.clear()
+            service.troubles = EngineTroubles(pause_s=LONG_S)
+        waiting = asyncio.create_task(site.ask("/look/x", method="GET"))
+        service = await asked(site.services)
+        began_s = asyncio.get_running_loop().time()
+        await service.restart(now_ms())
+        service.troubles = EngineTroubles()
+        announce(site, service)
+        assert (await waiting).status == 200
+        # Twice its objective would pass until a silent endpoint is left.
+        assert asyncio.get_running_loop().time() - began_s < AT_ONCE_S
+
+    play(tmp_path, scenario)
+
+
+def test_a_request_that_was_sent_to_the_new_start_before_its_news_goes_on(
+    tmp_path: Path,
+) -> None:
+    async def scenario(site: PlatformSite) -> None:
+        for engine in site.engines:
+            await engine.restart(now_ms())
+            engine.troubles = EngineTroubles(pause_s=0.3)
+        await asyncio.sleep(CLEAR_S)
+        waiting = asyncio.create_task(site.turn(b"hello"))
+        engine = await asked(site.engines)
+        for one in site.engines:
+            announce(site, one)
+        await is_known(site, engine)
+        book = site.entry_by_name["entry-0"]._gateway.book
+        belief = book.find(engine.instance)
+        assert belief is not None and belief.running_here == 1
+        reply = await waiting
+        assert (reply.status, reply.is_whole) == (200, True)
+        assert sum(len(one.runs) for one in site.engines) == 1
+        assert belief.running_here == 0
+        # The next turn knows where its history was read.
+        places = [
+            disk._disk.turns.chain(reply.attempt).run_at for disk in site.disk_by_name.values()
+        ]
+        assert EndpointStart(engine.instance, engine.born_ms) in places
+
+    play(tmp_path, scenario)
+
+
+def test_kept_connections_to_a_former_start_are_not_used_again(tmp_path: Path) -> None:
+    async def scenario(site: PlatformSite) -> None:
+        assert (await site.ask("/act/x", b"pay")).status == 200
+        service = await asked(site.services)
+        await asyncio.sleep(CLEAR_S)
+        await service.restart(now_ms())
+        announce(site, service)
+        await is_known(site, service)
+        for other in site.services:
+            if other is not service:
+                site.store.remove("servers", other.instance)
+                await site.until(
+                    lambda name=other.instance: all(  # type: ignore[misc]
+                        entry._gateway.book.find(name) is None
+                        for entry in site.entry_by_name.values()
+                    )
+                )
+        async with asyncio.timeout(AT_ONCE_S):
+            assert (await site.ask("/act/x", b"pay")).status == 200
+        assert len(service.runs) == 2
+
+    play(tmp_path, scenario)
+
+
+def test_the_same_id_at_another_address(tmp_path: Path) -> None:
+    async def scenario(site: PlatformSite) -> None:
+        waiting, engine = await waiting_turn(site)
+        await engine.restart(now_ms(), moves=True)
+        announce(site, engine)
+        assert_may_have_run(await ended(waiting))
+        await is_known(site, engine)
+        engine.runs.clear()
+        assert await turns_at_once(site, 8) == [200] * 8
+        assert engine.runs
+
+    play(tmp_path, scenario)
+
+
+def test_another_id_at_the_same_address(tmp_path: Path) -> None:
+    async def scenario(site: PlatformSite) -> None:
+        waiting, engine = await waiting_turn(site)
+        await engine.restart(now_ms())
+        former, engine.instance = engine.instance, "i-llm-9"
+        announce(site, engine)
+        assert_may_have_run(await ended(waiting))
+        assert await turns_at_once(site, 8) == [200] * 8
+        books = [entry._gateway.book for entry in site.entry_by_name.values()]
+        assert all(book.find(former) for book in books), "its entry has not gone yet"
+
+    play(tmp_path, scenario)
+
+
+def test_the_same_id_elsewhere_while_another_one_takes_its_address(tmp_path: Path) -> None:
+    async def scenario(site: PlatformSite) -> None:
+        waiting, engine = await waiting_turn(site)
+        left_port = engine.port
+        await engine.restart(now_ms(), moves=True)
+        newcomer = PlatformEngine("i-llm-9", "llm")
+        newcomer.port, newcomer.born_ms = left_port, now_ms() + 1
+        await newcomer.start()
+        site.engines.append(newcomer)
+        announce(site, newcomer)
+        assert_may_have_run(await ended(waiting))
+        announce(site, engine)
+        await is_known(site, engine)
+        assert await turns_at_once(site, 9) == [200] * 9
+        assert all(one.runs for one in site.engines)
+
+    play(tmp_path, scenario)
+
+
+def test_twice_within_a_heartbeat_and_then_an_entry_that_is_late(tmp_path: Path) -> None:
+    lines: list[dict[str, object]] = []
+
+    async def scenario(site: PlatformSite) -> None:
+        waiting, engine = await waiting_turn(site)
+        await engine.restart(now_ms(), moves=True)
+        between = engine.entry()
+        await engine.restart(now_ms() + 1, moves=True)
+        announce(site, engine)
+        assert_may_have_run(await ended(waiting))
+        await is_known(site, engine)
+        eliot.add_destinations(lines.append)
+        site.store.put("servers", engine.instance, between)
+        await site.until(lambda: _count(lines, "endpoint.outdated") >= 2)
+        await is_known(site, engine)
+        assert await turns_at_once(site, 6) == [200] * 6
+
+    try:
+        play(tmp_path, scenario)
+    finally:
+        eliot.remove_destination(lines.append)
+
+
+def _count(lines: list[dict[str, object]], kind: str) -> int:
+    return sum(line.get("message_type") == kind for line in lines)
+
+
+def test_a_restart_while_the_store_is_away(tmp_path: Path) -> None:
+    async def scenario(site: PlatformSite) -> None:
+        waiting, engine = await waiting_turn(site)
+        site.store.go_away()
+        await asyncio.sleep(0.3)
+        await engine.restart(now_ms(), moves=True)
+        # Nobody can know yet; what is not tied to it is served elsewhere.
+        assert await turns_at_once(site, 3) == [200] * 3
+        assert not waiting.done()
+        site.store.come_back()
+        announce(site, engine)
+        async with asyncio.timeout(2.5):
+            assert_may_have_run(await waiting)
+        await is_known(site, engine)
+        engine.runs.clear()
+        assert await turns_at_once(site, 6) == [200] * 6
+        assert engine.runs
+
+    play(tmp_path, scenario)
+
+
+def test_a_restart_says_what_became_of_its_runs(tmp_path: Path) -> None:
+    lines: list[dict[str, object]] = []
+
+    async def scenario(site: PlatformSite) -> None:
+        waiting, engine = await waiting_turn(site)
+        former_ms = engine.born_ms
+        await engine.restart(now_ms())
+        eliot.add_destinations(lines.append)
+        announce(site, engine)
+        await ended(waiting)
+        restarts = [line for line in lines if line.get("message_type") == "endpoint.restarted"]
+        assert {line["endpoint"] for line in restarts} == {engine.instance}
+        assert {line["former_born_ms"] for line in restarts} == {former_ms}
+        assert max(int(str(line["runs_over"])) for line in restarts) == 1
+
+    try:
+        play(tmp_path, scenario)
+    finally:
+        eliot.remove_destination(lines.append)
--- /dev/null
+++ b/tests/unit/test_endpoint_news.py
@@ -0,0 +1,282 @@
+"""Entries, lists and loads of other hosts that come late, crossed, or from a host behind."""
+
+import asyncio
+from collections.abc import AsyncGenerator
+
+import orjson
+
+from bayhinge._internal.bench.world.virtual_time import run_virtual
+from bayhinge._internal.decisions.endpoint_book import EndpointBelief as Belief
+from bayhinge._internal.decisions.endpoint_book import EndpointBook
+from bayhinge._internal.decisions.endpoint_starts import NewStart
+from bayhinge._internal.models.endpoint_entries import EndpointEntry
+from bayhinge._internal.network.endpoint_link import EndpointLinks
+from bayhinge._internal.network.frames import encode_message
+from bayhinge._internal.network.peers import Peers
+from bayhinge._internal.platform.object_reader import PlatformObjectReader
+from bayhinge._internal.services.gateway.beliefs import (
+    GONE_KEEP_S,
+    LAPSED_GRACE_S,
+    VANISHED_GRACE_S,
+    EndpointBelief,
+)
+from bayhinge._internal.services.gateway.endpoint_restarts import EndpointRestarts
+from bayhinge._internal.services.gateway.hall_homes import HallHomes
+from bayhinge._internal.services.gateway.load_exchange import LoadExchange
+from bayhinge._internal.services.gateway.runs_under_way import RunsUnderWay
+from bayhinge._internal.services.key_follower import FollowListener, KeyFollower
+from bayhinge._internal.wire.hosts import ttypes as wire
+from bayhinge.coordination.store import Change, Listing, StoredObject
+from tests.lib.silent_store import SilentStore, StoreTruth
+
+BORN_MS = 1_700_000_000_000
+KEY = "servers/a"
+
+
+def entry_value(born_ms: int | None, port: int = 80, state: str = "ready") -> bytes:
+    spec = {"service": "app", "address": f"10.0.0.1:{port}", "zone": "north", "slots": 4}
+    born = {} if born_ms is None else {"born": born_ms}
+    return orjson.dumps(spec | {"state": state} | born)
+
+
+class Host:
+    """What one host believes of endpoints."""
+
+    def __init__(self) -> None:
+        self.book = EndpointBook("north")
+        self.links = EndpointLinks()
+        self.runs = RunsUnderWay()
+        self.restarts = EndpointRestarts(self.book, self.links, self.runs, lambda: BORN_MS + 9_000)
+        self.listener = EndpointBelief(PlatformObjectReader(), self.book, self.links, self.restarts)
+
+    def hear(self, value: bytes | None, key: str = KEY, revision: int = 5) -> None:
+        self.listener.apply(Change(key, value, revision, revision), False)
+
+    def list(self, value_by_key: dict[str, bytes], is_after_outage: bool = False) -> None:
+        self.listener.replace_all(value_by_key, is_after_outage)
+
+    def believed(self) -> Belief:
+        belief = self.book.find("a")
+        assert belief is not None
+        return belief
+
+
+# ---- entries ----
+
+
+def test_a_former_starts_missing_entry_does_not_end_the_next_start() -> None:
+    async def scenario() -> None:
+        host = Host()
+        host.hear(entry_value(BORN_MS))
+        host.hear(None)
+        await asyncio.sleep(VANISHED_GRACE_S / 2)
+        host.hear(entry_value(BORN_MS + 1))
+        await asyncio.sleep(VANISHED_GRACE_S)
+        assert not host.believed().is_doubtful
+
+    run_virtual(scenario())
+
+
+def test_an_entry_that_is_late_does_not_keep_a_start_whose_entry_is_gone() -> None:
+    async def scenario() -> None:
+        host = Host()
+        host.hear(entry_value(BORN_MS + 1))
+        host.hear(None)
+        host.hear(entry_value(BORN_MS))
+        await asyncio.sleep(VANISHED_GRACE_S + 0.1)
+        assert host.book.find("a") is None
+        host.hear(entry_value(BORN_MS))
+        assert host.book.find("a") is None
+        await asyncio.sleep(GONE_KEEP_S)
+        host.hear(entry_value(BORN_MS))
+        assert host.book.find("a") is not None
+
+    run_virtual(scenario())
+
+
+def test_lists_after_an_outage_that_cross_lead_to_the_latest_start() -> None:
+    async def scenario() -> None:
+        first, second = Host(), Host()
+        old, new = {KEY: entry_value(BORN_MS)}, {KEY: entry_value(BORN_MS + 1, 81)}
+        for host in (first, second):
+            host.list(old)
+            # Lapsed in the outage, as far as the first list behind it knows.
+            host.list({}, is_after_outage=True)
+        first.list(new, is_after_outage=True)
+        first.list(old, is_after_outage=True)
+        second.list(old, is_after_outage=True)
+        second.list(new, is_after_outage=True)
+        await asyncio.sleep(LAPSED_GRACE_S + 0.1)
+        for host in (first, second):
+            assert host.believed().entry.address == "10.0.0.1:81"
+            assert host.believed().entry.born_ms == BORN_MS + 1
+
+    run_virtual(scenario())
+
+
+def test_an_endpoint_without_a_start_stays_the_same_through_all_its_entries() -> None:
+    async def scenario() -> None:
+        host = Host()
+        host.hear(entry_value(None))
+        belief = host.believed()
+        belief.failures = 2.0
+        host.hear(entry_value(None, 81))
+        host.list({KEY: entry_value(None, 82)})
+        assert host.believed() is belief
+        assert belief.failures == 2.0
+
+    run_virtual(scenario())
+
+
+def test_runs_are_counted_at_the_start_where_they_are() -> None:
+    async def scenario() -> None:
+        host = Host()
+        host.hear(entry_value(BORN_MS))
+        former = host.believed()
+        # Still opening its connection: it will reach whoever listens there.
+        run = host.runs.begin(former)
+        host.hear(entry_value(BORN_MS + 1))
+        assert (former.running_here, host.believed().running_here) == (0, 1)
+        host.hear(entry_value(BORN_MS + 2, 81))
+        assert run.is_over, "its connection leads to an address that was left"
+        assert host.believed().running_here == 0
+        host.runs.end(run)
+        assert host.believed().running_here == 0
+
+    run_virtual(scenario())
+
+
+def test_an_endpoint_that_lapsed_in_an_outage_has_its_runs_again() -> None:
+    async def scenario() -> None:
+        host = Host()
+        host.hear(entry_value(BORN_MS))
+        run = host.runs.begin(host.believed())
+        host.hear(None)
+        await asyncio.sleep(VANISHED_GRACE_S + 0.1)
+        assert host.book.find("a") is None
+        host.hear(entry_value(BORN_MS))
+        assert host.believed().running_here == 1
+        host.runs.end(run)
+        assert host.believed().running_here == 0
+
+    run_virtual(scenario())
+
+
+def test_what_a_former_start_said_last_is_no_word_of_the_next_one() -> None:
+    links = EndpointLinks()
+    links._heard_s_by_key["a"] = 10.0
+    links.start_again("a", NewStart("x", 9.0))
+    assert links.was_heard_since("a", 9.5), "that was the new start"
+    links.start_again("a", NewStart("x", 11.0))
+    assert not links.was_heard_since("a", 9.5)
+
+
+# ---- loads ----
+
+
+def exchange_of(host: Host) -> LoadExchange:
+    me = wire.Hello(host="me", hall="north", incarnation=1)
+    exchange = LoadExchange(me, host.book, HallHomes.__new__(HallHomes))
+    host.restarts.forget_loads = exchange.forget_endpoint
+    host.restarts.known_revision = lambda: 50
+    return exchange
+
+
+def loads(beat: int, known_to: int | None) -> wire.HostLoads:
+    return wire.HostLoads("other", 1, beat, 0, {"a": 3}, ["a"], known_to)
+
+
+def test_a_host_that_is_behind_says_nothing_of_the_next_start() -> None:
+    async def scenario() -> None:
+        host = Host()
+        exchange = exchange_of(host)
+        host.hear(entry_value(BORN_MS))
+        exchange.hear(loads(1, 40))
+        exchange.refresh_book()
+        assert (host.believed().running_at_peers, host.believed().complaints) == (3, 1)
+        host.hear(entry_value(BORN_MS + 1))
+        for beat, known_to, counts in ((2, 49, 0), (3, 50, 1), (4, None, 1)):
+            exchange.refresh_book()
+            exchange.hear(loads(beat, known_to))
+            exchange.refresh_book()
+            belief = host.believed()
+            assert (belief.running_at_peers, belief.complaints) == (3 * counts, counts)
+
+    run_virtual(scenario())
+
+
+def test_tables_and_grants_of_another_hall_end_with_the_start_they_speak_of() -> None:
+    async def scenario() -> None:
+        host = Host()
+        exchange = exchange_of(host)
+        host.book.put(EndpointEntry("a", "app", "10.0.0.1:80", "south", 4, False, BORN_MS))
+        exchange._hear_hall(wire.HallLoads("south", "home", 1, 1, {"a": 6}, 40))
+        exchange.note_abroad(host.believed())
+        exchange.refresh_book()
+        assert host.believed().running_at_peers == 7
+        host.book.put(EndpointEntry("a", "app", "10.0.0.1:80", "south", 4, False, BORN_MS + 1))
+        host.restarts.start_again(
+            host.believed(), EndpointEntry("a", "app", "10.0.0.1:80", "south", 4, False, BORN_MS)
+        )
+        exchange.refresh_book()
+        assert host.believed().running_at_peers == 0
+        exchange._hear_hall(wire.HallLoads("south", "home", 1, 2, {"a": 6}, 49))
+        exchange.refresh_book()
+        assert host.believed().running_at_peers == 0
+        exchange._hear_hall(wire.HallLoads("south", "home", 1, 3, {"a": 2}, 50))
+        exchange.refresh_book()
+        assert host.believed().running_at_peers == 2
+
+    run_virtual(scenario())
+
+
+# ---- lists that cross ----
+
+
+class Known(FollowListener):
+    """Keeps what it was told last."""
+
+    def __init__(self) -> None:
+        self.value_by_key: dict[str, bytes] = {}
+
+    def replace_all(self, value_by_key: dict[str, bytes], is_after_outage: bool) -> None:
+        self.value_by_key = dict(value_by_key)
+
+    def apply(self, change: Change, is_after_outage: bool) -> None:
+        return
+
+
+class OnePeer(Peers):
+    """A peer that knows the newest objects."""
+
+    async def stream(
+        self, address: str, method: str, payload: bytes
+    ) -> AsyncGenerator[bytes, None]:
+        yield encode_message(wire.KnownObjects(60, {KEY: b"new"}, 60))
+
+    async def close(self) -> None:
+        return
+
+
+class SlowListStore(SilentStore):
+    """A list takes as long as news of peers need to overtake it."""
+
+    async def list(self, prefix: str, after: str = "", limit: int = 500) -> Listing:
+        await asyncio.sleep(1.0)
+        return Listing((StoredObject(KEY, b"old", 50),), 50, more=False)
+
+
+def test_a_list_that_peers_have_overtaken_is_not_taken_in() -> None:
+    async def scenario() -> None:
+        listener = Known()
+        store = SlowListStore(StoreTruth("config/main"))
+        follower = KeyFollower(store, "servers/", lambda: 5.0, listener, OnePeer())
+        task = asyncio.create_task(follower.run())
+        await asyncio.sleep(0.5)
+        follower.hear(60, "peer")
+        await asyncio.sleep(1.0)
+        task.cancel()
+        assert listener.value_by_key == {KEY: b"new"}
+        assert follower.value_by_key == {KEY: b"new"}
+
+    run_virtual(scenario())
--- /dev/null
+++ b/tests/unit/test_start_messages.py
@@ -0,0 +1,51 @@
+"""Starts in messages between hosts: few bytes, and readable by hosts of before and after."""
+
+from typing import Any
+
+import pytest
+
+from bayhinge._internal.network.frames import decode_message, encode_message
+from bayhinge._internal.wire.hosts import ttypes as wire
+
+FIELD_BYTES = 11
+"""A field's type, its number and 64 bits."""
+
+LOADS = wire.HostLoads("h", 1, 2, 3, {"a": 4}, ["b"])
+HELLO = wire.Hello(
+    "h", 1, 2, wire.HostRole.ENTRY, wire.HostPhase.READY, "n", "g", "p", "f", {}, {}, 0, [], False
+)
+MESSAGES = [
+    (LOADS, "endpoints_known_to"),
+    (wire.HallLoads("n", "h", 1, 2, {"a": 4}), "endpoints_known_to"),
+    (HELLO, "endpoints_known_to"),
+    (wire.PlaceCall(LOADS, "app", "a", "", []), "wished_born_ms"),
+    (wire.TurnEntry(wire.EntryKind.TURN, "t", "p", 1, None, b"x", "a", 1.0), "endpoint_born_ms"),
+    (wire.ReserveReply(1, {}, {}, b"x", None, "a"), "endpoint_born_ms"),
+]
+
+
+class OlderHost:
+    """Reads and writes a message without its newest field."""
+
+    def __init__(self, message: Any) -> None:
+        kind = type(message)
+        self.kind = type(f"Old{kind.__name__}", (kind,), {"thrift_spec": kind.thrift_spec[:-1]})
+
+    def read(self, data: bytes) -> Any:
+        return decode_message(self.kind(), data)
+
+
+@pytest.mark.parametrize(("message", "field"), MESSAGES)
+def test_a_host_of_before_reads_what_one_of_now_says(message: Any, field: str) -> None:
+    bare = encode_message(message)
+    setattr(message, field, 1_700_000_000_000)
+    data = encode_message(message)
+    setattr(message, field, None)
+    assert len(data) == len(bare) + FIELD_BYTES
+    assert getattr(OlderHost(message).read(data), field) is None
+    assert encode_message(OlderHost(message).read(data)) == bare
+
+
+@pytest.mark.parametrize(("message", "field"), MESSAGES)
+def test_what_a_host_of_before_says_leaves_the_start_unknown(message: Any, field: str) -> None:
+    assert getattr(decode_message(type(message)(), encode_message(message)), field) is None
--- a/tests/unit/test_turn_log.py
+++ b/tests/unit/test_turn_log.py
@@ -32,6 +32,18 @@
     assert log.chain("z") == Chain(missing="y")
 
 
+def test_a_chain_names_the_start_that_ran_its_last_turn(tmp_path: Path) -> None:
+    log = TurnLog(tmp_path)
+    last = turn("b", "a", b"two")
+    last.endpoint_born_ms = 1_700_000_000_000
+    log.append([turn("a", None, b"one "), last])
+    start = EndpointStart("e-1", 1_700_000_000_000)
+    assert log.chain("b").run_at == start
+    assert log.chain("a").run_at == EndpointStart("e-1")
+    log.close()
+    assert TurnLog(tmp_path).chain("b").run_at == start
+
+
 def test_everything_synced_is_there_after_a_restart(tmp_path: Path) -> None:
     log = TurnLog(tmp_path)
     log.append([reserved("a", 40), reserved("b", 50), turn("a", None, b"one", tokens=7)])
