--- a/src/bayhinge/_internal/services/gateway/gateway.py
+++ b/src/bayhinge/_internal/services/gateway/gateway.py
@@ -2,7 +2,7 @@
 
 import asyncio
 import random
-from collections.abc import Awaitable, Callable, Iterable, Mapping
+from collections.abc import Awaitable, Callable, Mapping
 from functools import partial
 
 import eliot
@@ -11,7 +11,6 @@
 from bayhinge._internal.decisions.caller_addresses import ReadyHost, addresses_for
 from bayhinge._internal.decisions.endpoint_book import EndpointBook
 from bayhinge._internal.decisions.request_rate import RequestRate
-from bayhinge._internal.decisions.start_revisions import StartRevisions
 from bayhinge._internal.decisions.watchers import (
     HallHost,
     WatchTurn,
@@ -32,7 +31,7 @@
 from bayhinge._internal.services.gateway.disk_link import DiskLink
 from bayhinge._internal.services.gateway.endpoint_restarts import EndpointRestarts
 from bayhinge._internal.services.gateway.hall_homes import HallHomes
-from bayhinge._internal.services.gateway.load_exchange import LoadExchange, without
+from bayhinge._internal.services.gateway.load_exchange import LoadExchange, sum_loads
 from bayhinge._internal.services.gateway.outside import Platform
 from bayhinge._internal.services.gateway.placement import HomePlacer
 from bayhinge._internal.services.gateway.request_service import RequestService
@@ -284,7 +283,7 @@
 
     def _sum_loads(self) -> None:
         hellos = self.gossip.fresh(wire.HostRole.ENTRY)
-        self.book.hear_loads(_sum_loads(hellos, self.book.start_revisions))
+        self.book.hear_loads(sum_loads(hellos, self.book.start_revisions))
         self.homes.refresh()
         if self.homes.mine:
             # A home knows better, but for halls whose homes are silent.
@@ -300,15 +299,6 @@
             self._rate.note(self.requests.counts.taken, SWEEP_S)
 
 
-def _sum_loads(hellos: Iterable[wire.Hello], revisions: StartRevisions) -> dict[str, int]:
-    total: dict[str, int] = {}
-    for hello in hellos:
-        over = revisions.unheard_by(hello.endpoints_known_to)
-        for endpoint, running in without(hello.running_by_endpoint, over).items():
-            total[endpoint] = total.get(endpoint, 0) + running
-    return total
-
-
 class _PeerAnswers(AnsweringHandler):
     """What an entry host answers other hosts."""
 
--- a/src/bayhinge/_internal/services/gateway/load_exchange.py
+++ b/src/bayhinge/_internal/services/gateway/load_exchange.py
@@ -4,12 +4,13 @@
 """
 
 import asyncio
-from collections.abc import Callable, Collection
+from collections.abc import Callable, Collection, Iterable
 
 from mode import Service
 
 from bayhinge._internal.decisions.endpoint_book import EndpointBelief, EndpointBook
 from bayhinge._internal.decisions.load_board import HostReport, LoadBoard
+from bayhinge._internal.decisions.start_revisions import StartRevisions
 from bayhinge._internal.exceptions import FrameError
 from bayhinge._internal.network.addresses import split_address
 from bayhinge._internal.network.datagrams import Datagrams
@@ -234,3 +235,13 @@
         for endpoint, running in running_by_endpoint.items()
         if endpoint not in left_out
     }
+
+
+def sum_loads(hellos: Iterable[wire.Hello], revisions: StartRevisions) -> dict[str, int]:
+    """Returns what hosts say they have under way, but at starts that are over."""
+    total: dict[str, int] = {}
+    for hello in hellos:
+        over = revisions.unheard_by(hello.endpoints_known_to)
+        for endpoint, running in without(hello.running_by_endpoint, over).items():
+            total[endpoint] = total.get(endpoint, 0) + running
+    return total
--- a/tests/functional/test_endpoint_link.py
+++ b/tests/functional/test_endpoint_link.py
@@ -219,3 +219,24 @@
         assert links.counts.opened == 2
 
     run(wire, scenario)
+
+
+def test_a_connection_to_an_address_that_the_endpoint_left_is_not_used() -> None:
+    async def wire(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        while True:
+            await read_request(reader)
+            writer.write(answer("a"))
+
+    async def scenario(links: EndpointLinks, address: str) -> None:
+        other = await asyncio.start_server(wire, "127.0.0.1", 0)
+        kept, got = await ask(links, address)
+        await got.read_body()
+        links.release(kept, None)
+        port = other.sockets[0].getsockname()[1]
+        connection, got = await ask(links, f"127.0.0.1:{port}")
+        assert connection is not kept
+        assert not kept.is_open
+        await got.read_body()
+        other.close()
+
+    run(wire, scenario)
--- a/tests/functional/test_endpoint_restarts.py
+++ b/tests/functional/test_endpoint_restarts.py
@@ -6,12 +6,14 @@
 import asyncio
 import time
 from collections.abc import Awaitable, Callable
+from functools import partial
 from pathlib import Path
 
 import eliot
 import orjson
 import pytest
 
+from bayhinge._internal.decisions.endpoint_book import EndpointBook
 from bayhinge._internal.decisions.endpoint_starts import CLOCK_SKEW_S
 from bayhinge._internal.models.endpoint_entries import EndpointStart
 from tests.lib.platform_engine import EngineTroubles, PlatformEngine
@@ -77,6 +79,20 @@
     return found
 
 
+async def only_one_service(site: PlatformSite) -> None:
+    """Takes all plain services away but the first."""
+    while len(site.services) > 1:
+        other = site.services.pop()
+        site.store.remove("servers", other.instance)
+        await other.stop()
+        for entry in site.entry_by_name.values():
+            await site.until(partial(_is_unknown, entry._gateway.book, other.instance))
+
+
+def _is_unknown(book: EndpointBook, instance: str) -> bool:
+    return book.find(instance) is None
+
+
 async def waiting_turn(site: PlatformSite) -> tuple[asyncio.Task[Reply], PlatformEngine]:
     """Returns a turn that waits at an endpoint, and that endpoint."""
     for engine in site.engines:
@@ -126,6 +142,8 @@
         await engine.restart(now_ms())
         announce(site, engine)
         assert_may_have_run(await ended(waiting))
+        book = site.entry_by_name["entry-0"]._gateway.book
+        assert not book.resting(asyncio.get_running_loop().time()), "that was the former start"
         assert await turns_at_once(site, 4) == [200] * 4
 
     play(tmp_path, scenario)
@@ -154,6 +172,27 @@
     play(tmp_path, scenario)
 
 
+def test_the_next_start_may_be_asked_for_what_the_former_one_did_not_give(
+    tmp_path: Path,
+) -> None:
+    async def scenario(site: PlatformSite) -> None:
+        await only_one_service(site)
+        (service,) = site.services
+        assert (await site.ask("/look/x", method="GET")).status == 200
+        await asyncio.sleep(CLEAR_S)
+        service.runs.clear()
+        service.troubles = EngineTroubles(pause_s=LONG_S)
+        waiting = asyncio.create_task(site.ask("/look/x", method="GET"))
+        await asked(site.services)
+        await service.restart(now_ms())
+        service.troubles = EngineTroubles()
+        announce(site, service)
+        assert (await ended(waiting)).status == 200
+        assert len(service.runs) == 2
+
+    play(tmp_path, scenario)
+
+
 def test_a_request_that_was_sent_to_the_new_start_before_its_news_goes_on(
     tmp_path: Path,
 ) -> None:
@@ -191,15 +230,9 @@
         await service.restart(now_ms())
         announce(site, service)
         await is_known(site, service)
-        for other in site.services:
-            if other is not service:
-                site.store.remove("servers", other.instance)
-                await site.until(
-                    lambda name=other.instance: all(  # type: ignore[misc]
-                        entry._gateway.book.find(name) is None
-                        for entry in site.entry_by_name.values()
-                    )
-                )
+        site.services.remove(service)
+        site.services.insert(0, service)
+        await only_one_service(site)
         async with asyncio.timeout(AT_ONCE_S):
             assert (await site.ask("/act/x", b"pay")).status == 200
         assert len(service.runs) == 2
--- a/tests/unit/test_endpoint_news.py
+++ b/tests/unit/test_endpoint_news.py
@@ -9,6 +9,7 @@
 from bayhinge._internal.decisions.endpoint_book import EndpointBelief as Belief
 from bayhinge._internal.decisions.endpoint_book import EndpointBook
 from bayhinge._internal.decisions.endpoint_starts import NewStart
+from bayhinge._internal.decisions.start_revisions import StartRevisions
 from bayhinge._internal.models.endpoint_entries import EndpointEntry
 from bayhinge._internal.network.endpoint_link import EndpointLinks
 from bayhinge._internal.network.frames import encode_message
@@ -22,7 +23,8 @@
 )
 from bayhinge._internal.services.gateway.endpoint_restarts import EndpointRestarts
 from bayhinge._internal.services.gateway.hall_homes import HallHomes
-from bayhinge._internal.services.gateway.load_exchange import LoadExchange
+from bayhinge._internal.services.gateway.load_exchange import LoadExchange, sum_loads
+from bayhinge._internal.services.gateway.placement import HomePlacer
 from bayhinge._internal.services.gateway.runs_under_way import RunsUnderWay
 from bayhinge._internal.services.key_follower import FollowListener, KeyFollower
 from bayhinge._internal.wire.hosts import ttypes as wire
@@ -230,6 +232,69 @@
     run_virtual(scenario())
 
 
+def test_hellos_of_hosts_that_are_behind_are_left_out_of_the_sum() -> None:
+    revisions = StartRevisions()
+    revisions.note("a", 50)
+    hellos = [
+        wire.Hello(host=str(known_to), running_by_endpoint={"a": 2, "b": 1})
+        for known_to in (49, 50, None)
+    ]
+    for hello, known_to in zip(hellos, (49, 50, None), strict=True):
+        hello.endpoints_known_to = known_to
+    assert sum_loads(hellos, revisions) == {"a": 4, "b": 3}
+
+
+class AtHome(HallHomes):
+    """This host is the home of its hall."""
+
+    def __init__(self) -> None:
+        return
+
+    @property
+    def mine(self) -> str:
+        return "north"
+
+
+def placer_of(host: Host) -> HomePlacer:
+    return HomePlacer(host.book, AtHome(), exchange_of(host), OnePeer(), "north")
+
+
+def place_call(known_to: int | None, wished: str, born_ms: int | None) -> wire.PlaceCall:
+    own = wire.HostLoads("other", 1, 1, 0, {}, [], known_to)
+    return wire.PlaceCall(own, "app", wished, "", [], 20_000, 0, born_ms)
+
+
+def test_a_host_that_is_behind_is_not_sent_to_a_start_that_it_does_not_know() -> None:
+    async def scenario() -> None:
+        host = Host()
+        placer = placer_of(host)
+        host.hear(entry_value(BORN_MS))
+        host.hear(entry_value(BORN_MS, 90), "servers/b")
+        host.hear(entry_value(BORN_MS + 1, 81))
+        belief = host.book.find("b")
+        assert belief is not None
+        belief.running_here = 3
+        assert placer.answer(place_call(49, "", None)).endpoint == "b"
+        assert placer.answer(place_call(50, "", None)).endpoint == "a"
+
+    run_virtual(scenario())
+
+
+def test_a_home_knows_that_a_wished_start_is_over_before_the_asking_host_does() -> None:
+    async def scenario() -> None:
+        host = Host()
+        placer = placer_of(host)
+        host.hear(entry_value(BORN_MS + 1))
+        host.hear(entry_value(BORN_MS, 90), "servers/b")
+        belief = host.book.find("a")
+        assert belief is not None
+        belief.running_here = 2
+        assert placer.answer(place_call(50, "a", BORN_MS)).endpoint == "b"
+        assert placer.answer(place_call(50, "a", BORN_MS + 1)).endpoint == "a"
+
+    run_virtual(scenario())
+
+
 # ---- lists that cross ----
 
 
