--- a/tests/functional/test_endpoint_restarts.py
+++ b/tests/functional/test_endpoint_restarts.py
@@ -106,8 +106,9 @@
 
 async def ended(waiting: asyncio.Task[Reply]) -> Reply:
     """Returns an answer that must come at once."""
-    async with asyncio.timeout(AT_ONCE_S):
-        return await waiting
+    finished, _ = await asyncio.wait([waiting], timeout=AT_ONCE_S)
+    assert finished, "it still waits at a start that is over"
+    return await waiting
 
 
 async def turns_at_once(site: PlatformSite, count: int) -> list[int]:
@@ -233,8 +234,7 @@
         site.services.remove(service)
         site.services.insert(0, service)
         await only_one_service(site)
-        async with asyncio.timeout(AT_ONCE_S):
-            assert (await site.ask("/act/x", b"pay")).status == 200
+        assert (await ended(asyncio.create_task(site.ask("/act/x", b"pay")))).status == 200
         assert len(service.runs) == 2
 
     play(tmp_path, scenario)
@@ -325,8 +325,9 @@
         assert not waiting.done()
         site.store.come_back()
         announce(site, engine)
-        async with asyncio.timeout(2.5):
-            assert_may_have_run(await waiting)
+        await asyncio.wait([waiting], timeout=2.5)
+        assert waiting.done(), "it still waits at a start that is over"
+        assert_may_have_run(await waiting)
         await is_known(site, engine)
         engine.runs.clear()
         assert await turns_at_once(site, 6) == [200] * 6
--- a/tests/functional/test_sending.py
+++ b/tests/functional/test_sending.py
@@ -6,15 +6,17 @@
 import pytest
 
 from bayhinge._internal.decisions.answer_bounds import AnswerBounds
-from bayhinge._internal.decisions.endpoint_book import EndpointBook
+from bayhinge._internal.decisions.endpoint_book import EndpointBook, EntryNews
+from bayhinge._internal.decisions.endpoint_starts import NewStart
 from bayhinge._internal.models.endpoint_entries import EndpointEntry
 from bayhinge._internal.models.refusals import CallAttempt, RefusedError, RunState
 from bayhinge._internal.models.routed_requests import AnswerMarks, RoutedRequest
 from bayhinge._internal.models.routing import Route, RouteKind, ServiceShare
 from bayhinge._internal.network.endpoint_answer import Answer
-from bayhinge._internal.network.endpoint_link import EndpointLinks
+from bayhinge._internal.network.endpoint_link import EndpointConnection, EndpointLinks
 from bayhinge._internal.platform.call_format import PlatformCallFormat
 from bayhinge._internal.services.gateway.delivery import Delivery
+from bayhinge._internal.services.gateway.runs_under_way import RunsUnderWay
 from bayhinge._internal.services.gateway.sending import Sender
 
 pytestmark = pytest.mark.functional
@@ -113,3 +115,62 @@
     assert refused.refusal.run_state is RunState.NOT_RUN
     assert attempt.sends == 0
     assert (links.counts.opened, links.counts.reused) == (1, 1)
+
+
+class SlowLinks(EndpointLinks):
+    """The first connection is used only after a moment."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.asked = asyncio.Event()
+        self.may_go_on = asyncio.Event()
+
+    async def acquire(self, key: str, address: str) -> EndpointConnection:
+        connection = await super().acquire(key, address)
+        self.asked.set()
+        await self.may_go_on.wait()
+        return connection
+
+
+def test_nothing_is_sent_to_an_address_that_was_left_while_the_connection_came_up() -> None:
+    sent_to: list[str] = []
+
+    def wire(name: str) -> Wire:
+        async def serve(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+            await reader.readuntil(b"\r\n\r\npay")
+            sent_to.append(name)
+            writer.write(reply("200 OK", "mine", b"paid"))
+
+        return serve
+
+    async def main() -> tuple[Keep, CallAttempt]:
+        servers = [
+            await asyncio.start_server(wire(name), "127.0.0.1", 0) for name in ("left", "new")
+        ]
+        addresses = [f"127.0.0.1:{server.sockets[0].getsockname()[1]}" for server in servers]
+        book, links, runs = EndpointBook("north"), SlowLinks(), RunsUnderWay()
+        book.put(EndpointEntry("e-1", "app", addresses[0], "north", 4, False, 1_000))
+        sender = Sender(book, links, PlatformCallFormat(), runs=runs)
+        delivery, attempt = Keep(), CallAttempt()
+        limit_s = asyncio.get_running_loop().time() + 2
+        sending = asyncio.create_task(
+            sender.send("app", ROUTE, REQUEST, None, attempt, limit_s, delivery)
+        )
+        await links.asked.wait()
+        again = EndpointEntry("e-1", "app", addresses[1], "north", 4, False, 2_000)
+        assert book.put(again) is EntryNews.STARTED_AGAIN
+        newest = book.find("e-1")
+        assert newest is not None
+        assert runs.start_again(newest, NewStart(addresses[1], None)) == (1, 0)
+        links.may_go_on.set()
+        await sending
+        assert newest.running_here == 0
+        links.close()
+        for server in servers:
+            server.close()
+        return delivery, attempt
+
+    delivery, attempt = asyncio.run(main())
+    assert sent_to == ["new"]
+    assert delivery.body == b"paid"
+    assert attempt.sends == 1
