--- a/src/bayhinge/_internal/decisions/endpoint_starts.py
+++ b/src/bayhinge/_internal/decisions/endpoint_starts.py
@@ -55,8 +55,10 @@
         return True
     if start.began_s is None:
         return False
-    # What was heard since came from the new start, whatever the clocks say of the connection.
-    return max(contact.opened_s, contact.heard_s) < start.began_s - CLOCK_SKEW_S
+    if contact.heard_s > start.began_s + CLOCK_SKEW_S:
+        # Heard since, so it leads to the new start: the clocks differ by more than is usual.
+        return False
+    return contact.opened_s < start.began_s - CLOCK_SKEW_S
 
 
 def is_surely_of(contact: Contact, start: NewStart) -> bool:
--- a/tests/functional/test_endpoint_restarts.py
+++ b/tests/functional/test_endpoint_restarts.py
@@ -173,6 +173,31 @@
     play(tmp_path, scenario)
 
 
+def test_a_stream_that_a_former_start_left_in_its_middle_ends_at_once_and_not_whole(
+    tmp_path: Path,
+) -> None:
+    async def scenario(site: PlatformSite) -> None:
+        # The connection is older than the restart; what it brought last is not.
+        for engine in site.engines:
+            engine.troubles = EngineTroubles(pause_s=0.1)
+        await asyncio.gather(*(site.turn(b"x", program=f"q{number}") for number in range(4)))
+        await asyncio.sleep(CLEAR_S)
+        for engine in site.engines:
+            engine.runs.clear()
+            engine.troubles = EngineTroubles(silent_after=2)
+        waiting = asyncio.create_task(site.turn(b"hello"))
+        engine = await asked(site.engines)
+        await site.until(lambda: len(engine.runs[0].made) == 2)
+        await engine.restart(now_ms())
+        engine.troubles = EngineTroubles()
+        announce(site, engine)
+        reply = await ended(waiting)
+        assert (reply.status, reply.is_whole) == (200, False)
+        assert reply.body == b"".join(engine.runs[0].made)
+
+    play(tmp_path, scenario)
+
+
 def test_the_next_start_may_be_asked_for_what_the_former_one_did_not_give(
     tmp_path: Path,
 ) -> None:
