--- a/tests/unit/test_left_behind_streams.py
+++ b/tests/unit/test_left_behind_streams.py
@@ -6,7 +6,7 @@
 import pytest
 
 from bayhinge._internal.models.routed_requests import RoutedRequest
-from bayhinge._internal.network.endpoint_link import Answer, BrokenAnswerError
+from bayhinge._internal.network.endpoint_answer import Answer, BrokenAnswerError
 from bayhinge._internal.network.routed_front import Exchange
 from bayhinge._internal.platform.call_format import PlatformCallFormat
 from bayhinge._internal.services.gateway.stream_delivery import StreamDelivery
--- a/tests/unit/test_runs_of_every_kind.py
+++ b/tests/unit/test_runs_of_every_kind.py
@@ -9,10 +9,13 @@
 from hypothesis import strategies as st
 
 from bayhinge._internal.decisions.answer_bounds import AnswerBounds
+from bayhinge._internal.decisions.endpoint_book import EndpointBelief
+from bayhinge._internal.models.endpoint_entries import EndpointEntry, EndpointStart
 from bayhinge._internal.models.routed_requests import AnswerMarks, RoutedRequest, TurnContext
-from bayhinge._internal.network.endpoint_link import Answer, BrokenAnswerError
+from bayhinge._internal.network.endpoint_answer import Answer, BrokenAnswerError
 from bayhinge._internal.network.routed_front import Exchange
 from bayhinge._internal.platform.call_format import PlatformCallFormat
+from bayhinge._internal.services.gateway.runs_under_way import RunUnderWay
 from bayhinge._internal.services.gateway.stream_delivery import StreamDelivery
 from bayhinge._internal.services.gateway.turn_keeper import OpenTurn, TurnKeeper
 from tests.unit.test_stream_delivery import ROUTE, SIGNED, Caller, CutAnswer
@@ -58,12 +61,12 @@
 
 class Keeper:
     def __init__(self) -> None:
-        self.closed: list[tuple[bytes, int, str]] = []
+        self.closed: list[tuple[bytes, int, EndpointStart]] = []
 
     async def close(
-        self, turn: OpenTurn, text: bytes, tokens: int, endpoint: str, keep_s: float
+        self, turn: OpenTurn, text: bytes, tokens: int, start: EndpointStart, keep_s: float
     ) -> None:
-        self.closed.append((text, tokens, endpoint))
+        self.closed.append((text, tokens, start))
 
 
 KINDS = ["cut", "cut", "cut", "silent", "status", "unsigned", "encoded"]
@@ -73,7 +76,7 @@
 async def play(has: int | None, ends: list[Run]) -> tuple[Caller, StreamDelivery, Keeper]:
     caller, keeper = Caller(), Keeper()
     request = RoutedRequest("POST", "/x", "host", (), "a", resume_after=has, body=b"new")
-    turn = OpenTurn("a", TurnContext("p", None, 0, None), b"", "", 0)
+    turn = OpenTurn("a", TurnContext("p", None, 0, None), b"", EndpointStart(), 0)
     delivery = StreamDelivery(
         cast(Exchange, caller),
         PlatformCallFormat(),
@@ -84,7 +87,8 @@
         ROUTE,
     )
     for run, (kind, length, size, early) in enumerate([*ends, ("whole", 10_000, 5, 0)], start=1):
-        delivery.endpoint = f"e-{run}"
+        entry = EndpointEntry(f"e-{run}", "llm", "127.0.0.1:1", "north", 4, False, run)
+        delivery.run = RunUnderWay(EndpointBelief(entry))
         first = max(1, (delivery.resume_after or 0) + 1 - early)
         text = b"".join(
             BEAT * (number % 2) + event(number, run) for number in range(first, EVENTS + 1)
@@ -126,7 +130,7 @@
         rest = rest.removeprefix(event(number, made[0]))
         said += data(number, made[0]) + b"\n"
     assert rest == b""
-    ((text, tokens, endpoint),) = keeper.closed
+    ((text, tokens, start),) = keeper.closed
     assert text == said
     assert tokens == 3 * (EVENTS - (has or 0)) == delivery.tokens_handed_out
-    assert endpoint == delivery.endpoint
+    assert start == delivery.start
--- a/tests/unit/test_stream_delivery.py
+++ b/tests/unit/test_stream_delivery.py
@@ -11,7 +11,7 @@
 from bayhinge._internal.decisions.answer_bounds import AnswerBounds
 from bayhinge._internal.models.routed_requests import AnswerMarks, RawHeaders, RoutedRequest
 from bayhinge._internal.models.routing import Route, RouteKind, ServiceShare
-from bayhinge._internal.network.endpoint_link import Answer, BrokenAnswerError
+from bayhinge._internal.network.endpoint_answer import Answer, BrokenAnswerError
 from bayhinge._internal.network.routed_front import Exchange
 from bayhinge._internal.platform.call_format import PlatformCallFormat
 from bayhinge._internal.services.gateway.stream_delivery import StreamDelivery
