Objects of other writers are checked by type and range; the others hold

Cause: fields were cast, not checked.

Ruled out: msgspec (not in the environment, and attrs validators are loaded already, so they cost a host no memory); cattrs (casts by default, as before).

Change: forms of attrs classes with validators in platform/object_forms.py. An unreadable entry names no endpoint; over a good one it withdraws that, whose runs go on. A route that can't be read closes its place (503, not run), and the others hold. Where a place itself can't be read the whole configuration waits.

--- a/src/bayhinge/_internal/decisions/endpoint_book.py
+++ b/src/bayhinge/_internal/decisions/endpoint_book.py
@@ -93,6 +93,14 @@
         belief.is_doubtful = False
         return is_news
 
+    def withdraw(self, instance: str) -> bool:
+        """Gives an endpoint nothing new until its next entry; returns whether that is news."""
+        belief = self._belief_by_instance.get(instance)
+        if belief is None or belief.entry.is_leaving:
+            return False
+        belief.entry = attrs.evolve(belief.entry, is_leaving=True)
+        return True
+
     def remove(self, instance: str) -> bool:
         """Forgets an endpoint; returns whether it was known."""
         return self._belief_by_instance.pop(instance, None) is not None
--- a/src/bayhinge/_internal/models/routing.py
+++ b/src/bayhinge/_internal/models/routing.py
@@ -65,6 +65,20 @@
         return generator.choices([share.service for share in self.shares], weights)[0]
 
 
+@attrs.frozen
+class ClosedRoute:
+    """The place of a route that the operator wrote and that can't be read otherwise.
+
+    Its requests are refused as not run, with a time to come back: without it they would get the
+    404 of a place that was never there, or the service of a shorter prefix.
+    """
+
+    name: str
+    host: str
+    path_prefix: str
+    why: str
+
+
 @attrs.frozen
 class EngineTraits:
     """What the engines of a service have in common.
@@ -97,20 +111,23 @@
 
 @attrs.frozen
 class RoutingTable:
-    """One version of the whole configuration."""
+    """One version of the whole configuration; ``findings`` say what of it can't be read."""
 
     version: int
-    routes: tuple[Route, ...]
+    routes: tuple[Route | ClosedRoute, ...]
     services_by_name: dict[str, ServiceSpec]
     limits: FrontLimits
-    _route_by_place: dict[tuple[str, str], Route] = attrs.field(init=False, eq=False, repr=False)
+    findings: tuple[str, ...] = ()
+    _route_by_place: dict[tuple[str, str], Route | ClosedRoute] = attrs.field(
+        init=False, eq=False, repr=False
+    )
 
     @_route_by_place.default
-    def _index_routes(self) -> dict[tuple[str, str], Route]:
+    def _index_routes(self) -> dict[tuple[str, str], Route | ClosedRoute]:
         # Backwards, so that of two routes in one place the first one stays.
         return {(route.host, route.path_prefix): route for route in reversed(self.routes)}
 
-    def find(self, host: str, path: str) -> Route | None:
+    def find(self, host: str, path: str) -> Route | ClosedRoute | None:
         """Returns the route of ``host`` with the longest prefix of ``path``, or None.
 
         Prefixes end with a slash, so only the path's own slashes are tried: the time does not
--- a/src/bayhinge/_internal/platform/early_listening.py
+++ b/src/bayhinge/_internal/platform/early_listening.py
@@ -26,6 +26,6 @@
         for name in LISTENED:
             if addresses.get(name):
                 sockets.open(addresses[name])
-    except (OSError, ValueError, KeyError, TypeError, AttributeError) as error:
+    except (OSError, ArithmeticError, LookupError, ValueError, TypeError, AttributeError) as error:
         print(f"no early listening: {error!r}", file=sys.stderr)
     return sockets
--- a/src/bayhinge/_internal/platform/entry_program.py
+++ b/src/bayhinge/_internal/platform/entry_program.py
@@ -8,6 +8,7 @@
 from bayhinge._internal.platform.entry_calls import EntryCalls
 from bayhinge._internal.platform.object_reader import PlatformObjectReader
 from bayhinge._internal.platform.objects_api import (
+    CONFIGURATION_KEY,
     CONFIGURATION_KIND,
     ENDPOINTS_KIND,
     PlatformObjects,
@@ -35,6 +36,7 @@
                 PlatformCallFormat(),
                 PlatformObjectReader(),
                 f"{CONFIGURATION_KIND}/",
+                CONFIGURATION_KEY,
                 f"{ENDPOINTS_KIND}/",
             ),
             sockets,
--- a/src/bayhinge/_internal/platform/object_reader.py
+++ b/src/bayhinge/_internal/platform/object_reader.py
@@ -1,5 +1,6 @@
 """Decodes the platform's objects: the configuration, and the entries of endpoints."""
 
+import re
 from typing import Any
 
 import orjson
@@ -7,6 +8,7 @@
 from bayhinge._internal.exceptions import UnreadableObjectError
 from bayhinge._internal.models.endpoint_entries import EndpointEntry
 from bayhinge._internal.models.routing import (
+    ClosedRoute,
     EngineTraits,
     FrontLimits,
     Route,
@@ -15,8 +17,10 @@
     ServiceShare,
     ServiceSpec,
 )
-from bayhinge._internal.platform.objects_api import CONFIGURATION_KIND
+from bayhinge._internal.platform import object_forms as forms
+from bayhinge._internal.platform.objects_api import CONFIGURATION_KEY
 from bayhinge._internal.services.gateway.outside import ObjectReader
+from bayhinge._internal.utils.checked_fields import SHOWN, OddTableError, read_form
 
 KIND_BY_NAME = {
     "idempotent": RouteKind.IDEMPOTENT,
@@ -31,92 +35,141 @@
 }
 """Endpoints that a request may be sent to where its route names no number."""
 
+_ID = re.compile(r"[\x21-\x7e]{1,256}")
+"""An endpoint's id: it goes out in a header, so it has no blank, no line feed and ASCII alone."""
+
 
 class PlatformObjectReader(ObjectReader):
     """See :class:`ObjectReader`."""
 
     def read_configuration(self, value: bytes) -> RoutingTable:
         """See :class:`ObjectReader`."""
-        key = f"{CONFIGURATION_KIND}/main"
+        key = CONFIGURATION_KEY
         try:
-            spec = orjson.loads(value)
-            version = int(spec["version"])
-        except (orjson.JSONDecodeError, KeyError, TypeError, ValueError) as error:
-            raise UnreadableObjectError(key, (f"{key}: {error!r}",)) from error
-        findings: list[str] = []
-        routes = [_read_route(item, findings) for item in spec.get("routes", [])]
-        services = [_read_service(item, findings) for item in spec.get("services", [])]
-        if findings:
-            raise UnreadableObjectError(key, tuple(findings))
-        return RoutingTable(
-            version,
-            tuple(route for route in routes if route is not None),
-            {service.name: service for service in services if service is not None},
-            _read_limits(spec.get("limits", {})),
-        )
+            whole = read_form(forms.ConfigurationForm, orjson.loads(value))
+            return _ConfigurationReading(whole).table()
+        except ValueError as error:
+            raise UnreadableObjectError(key, (f"{key}: {error}",)) from error
 
     def read_endpoint(self, key: str, value: bytes) -> EndpointEntry:
         """See :class:`ObjectReader`."""
+        instance = key.partition("/")[2]
+        if _ID.fullmatch(instance) is None:
+            raise UnreadableObjectError(key, ("its name can't be an endpoint's id",))
         try:
-            spec = orjson.loads(value)
-            return EndpointEntry(
-                instance=key.rpartition("/")[2],
-                service=str(spec["service"]),
-                address=str(spec["address"]),
-                hall=str(spec["zone"]),
-                slots=int(spec["slots"]),
-                is_leaving=spec["state"] != "ready",
-            )
-        except (orjson.JSONDecodeError, KeyError, TypeError, ValueError) as error:
-            raise UnreadableObjectError(key, (f"{key}: {error!r}",)) from error
-
-
-def _read_route(item: dict[str, Any], findings: list[str]) -> Route | None:
-    name = item.get("name", "?")
-    try:
-        kind = KIND_BY_NAME[item["route_kind"]]
-        shares = tuple(
-            ServiceShare(str(share["service"]), float(share["weight"]))
-            for share in item.get("split") or [{"service": item["service"], "weight": 1}]
-        )
-        return Route(
-            name=name,
-            host=str(item["host"]).lower(),
-            path_prefix=str(item["path_prefix"]),
-            kind=kind,
-            shares=shares,
-            timeout_s=float(item["timeout_ms"]) / 1000,
-            objective_s=float(item.get("slo_ms", item["timeout_ms"])) / 1000,
-            urgency=int(item.get("priority", 5)),
-            max_endpoints=int(item.get("attempts") or DEFAULT_ATTEMPTS_BY_KIND[kind]),
-            keeps_turns=bool(item.get("retained", False)),
-            keep_turns_s=float(item.get("retention_s") or 0.0),
-            is_resumable=kind is RouteKind.STREAMING and bool(item.get("resumable", False)),
-            pause_s=_seconds(item.get("gap_slo_ms")),
+            form = read_form(forms.EntryForm, orjson.loads(value))
+        except ValueError as error:
+            raise UnreadableObjectError(key, (str(error),)) from error
+        return EndpointEntry(
+            instance=instance,
+            service=form.service,
+            address=form.address,
+            hall=form.zone,
+            slots=form.slots,
+            is_leaving=form.state == forms.DRAINING,
         )
-    except (KeyError, TypeError, ValueError) as error:
-        findings.append(f"route '{name}': {error!r}")
-        return None
 
 
-def _seconds(milliseconds: Any) -> float | None:
-    return None if milliseconds is None else float(milliseconds) / 1000
+class _ConfigurationReading:
+    """One configuration under way: what can be read of it, and what is wrong with the rest."""
 
+    def __init__(self, whole: forms.ConfigurationForm) -> None:
+        self._whole = whole
+        self._findings: list[str] = []
+        self._services_by_name: dict[str, ServiceSpec] = {}
+        self._odd_services: set[str] = set()
 
-def _read_service(item: dict[str, Any], findings: list[str]) -> ServiceSpec | None:
-    name = item.get("name", "?")
-    try:
-        engine = item.get("engine_kind")
-        traits = None
-        if engine:
-            traits = EngineTraits(
-                int(engine["slots"]), int(engine["kv_capacity"]), int(engine["chunk_tokens"])
-            )
-        return ServiceSpec(str(item["name"]), int(item.get("max_conns", 0)), traits)
-    except (KeyError, TypeError, ValueError) as error:
-        findings.append(f"service '{name}': {error!r}")
-        return None
+    def table(self) -> RoutingTable:
+        """Returns the table.
 
+        Raises:
+            OddTableError: the place of a route can't be read, so nobody may say what it covers.
+        """
+        for item in self._whole.services:
+            self._take_service(item)
+        routes = tuple(self._route(item) for item in self._whole.routes)
+        return RoutingTable(
+            self._whole.version,
+            routes,
+            self._services_by_name,
+            self._limits(),
+            tuple(self._findings),
+        )
 
-def _read_limits(item: dict[str, Any]) -> FrontLimits:
-    return FrontLimits(int(item.get("max_body_bytes", FrontLimits().body_bytes)))
+    def _take_service(self, item: Any) -> None:
+        name = item.get("name") if isinstance(item, dict) else None
+        if not isinstance(name, str) or not name:
+            self._findings.append("a service without a name")
+            return
+        try:
+            self._services_by_name[name] = _service(name, item)
+        except OddTableError as error:
+            self._findings.append(f"service '{name[:SHOWN]}': {error}")
+            self._odd_services.add(name)
+
+    def _route(self, item: Any) -> Route | ClosedRoute:
+        name = str(item.get("name", "?"))[:SHOWN] if isinstance(item, dict) else "?"
+        try:
+            place = read_form(forms.PlaceForm, item)
+        except OddTableError as error:
+            raise OddTableError(f"route '{name}': {error}") from error
+        host = place.host.lower()
+        try:
+            route = self._read_route(name, host, place.path_prefix, item)
+        except OddTableError as error:
+            self._findings.append(f"route '{name}': {error}")
+            return ClosedRoute(name, host, place.path_prefix, str(error))
+        return route
+
+    def _read_route(self, name: str, host: str, path_prefix: str, item: Any) -> Route:
+        form = read_form(forms.RouteForm, item)
+        kind = KIND_BY_NAME.get(form.route_kind)
+        if kind is None:
+            # Running once at most is safe for every kind, and better than no answer.
+            kind = RouteKind.AT_MOST_ONCE
+            self._findings.append(f"route '{name}': '{form.route_kind[:SHOWN]}' is taken as {kind}")
+        slo_ms = form.timeout_ms if form.slo_ms is None else form.slo_ms
+        return Route(
+            name=name,
+            host=host,
+            path_prefix=path_prefix,
+            kind=kind,
+            shares=self._shares(form),
+            timeout_s=form.timeout_ms / 1000,
+            objective_s=slo_ms / 1000,
+            urgency=form.priority,
+            max_endpoints=form.attempts or DEFAULT_ATTEMPTS_BY_KIND[kind],
+            keeps_turns=form.retained,
+            keep_turns_s=float(form.retention_s or 0.0),
+            is_resumable=kind is RouteKind.STREAMING and form.resumable,
+            pause_s=None if form.gap_slo_ms is None else form.gap_slo_ms / 1000,
+        )
+
+    def _shares(self, form: forms.RouteForm) -> tuple[ServiceShare, ...]:
+        split = form.split or [{"service": form.service, "weight": 1}]
+        read = [read_form(forms.ShareForm, share) for share in split]
+        if not any(share.weight for share in read):
+            raise OddTableError("no share of 'split' has a weight")
+        odd = sorted(self._odd_services.intersection(share.service for share in read))
+        if odd:
+            raise OddTableError(f"its service '{odd[0]}' can't be read")
+        return tuple(ServiceShare(share.service, float(share.weight)) for share in read)
+
+    def _limits(self) -> FrontLimits:
+        if self._whole.limits is None:
+            return FrontLimits()
+        try:
+            form = read_form(forms.LimitsForm, self._whole.limits)
+        except OddTableError as error:
+            self._findings.append(f"limits: {error}")
+            return FrontLimits()
+        return FrontLimits() if form.max_body_bytes is None else FrontLimits(form.max_body_bytes)
+
+
+def _service(name: str, item: Any) -> ServiceSpec:
+    form = read_form(forms.ServiceForm, item)
+    traits = None
+    if form.engine_kind:
+        engine = read_form(forms.EngineForm, form.engine_kind)
+        traits = EngineTraits(engine.slots, int(engine.kv_capacity), engine.chunk_tokens)
+    return ServiceSpec(name, form.max_conns, traits)
--- a/src/bayhinge/_internal/platform/objects_api.py
+++ b/src/bayhinge/_internal/platform/objects_api.py
@@ -2,13 +2,21 @@
 
 A key is ``kind/name``. Objects of kinds that others write carry their ``spec`` as JSON;
 objects of the product's own kinds carry bytes, in base64.
+
+Others write objects too. One that can't be read is an object without bytes, so that its reader
+says so with its key; the objects beside it hold.
 """
 
 import base64
+import binascii
+import json
+from collections.abc import Iterable
 from typing import Any
+from urllib.parse import quote
 
 import aiohttp
 import attrs
+import eliot
 import orjson
 
 from bayhinge._internal import status_codes
@@ -39,10 +47,18 @@
 """When to come back after the store's rate was passed; the store names no time."""
 
 CONFIGURATION_KIND = "config"
+CONFIGURATION_KEY = f"{CONFIGURATION_KIND}/main"
 ENDPOINTS_KIND = "servers"
 RETIREMENTS_KIND = "retirements"
 FOREIGN_KINDS = frozenset({CONFIGURATION_KIND, ENDPOINTS_KIND, RETIREMENTS_KIND})
 
+UNREADABLE = b""
+"""What stands for the bytes of an object that can't be read; no object of ours is empty."""
+
+MOST_ENTRY_BYTES = 16_384
+"""Longest entry of an endpoint that is kept. They have some 250 bytes, the store takes 1 MB of any
+writer, and each host holds all of them."""
+
 
 @attrs.frozen
 class _Answer:
@@ -72,7 +88,7 @@
 
     async def get(self, key: str) -> StoredObject | None:
         """See :class:`ObjectStore`."""
-        answer = await self._call("GET", f"/{key}", f"get {key}")
+        answer = await self._call("GET", _path(key), f"get {key}")
         return None if answer.status == status_codes.HTTP_NOT_FOUND else _stored(key, answer.body)
 
     async def create(self, key: str, value: bytes) -> StoredObject:
@@ -93,7 +109,7 @@
             "metadata": {"name": name, "revision": version},
             "spec": _to_spec(kind, value),
         }
-        answer = await self._call("PUT", f"/{key}", f"update {key}", body)
+        answer = await self._call("PUT", _path(key), f"update {key}", body)
         if answer.status in {status_codes.HTTP_CONFLICT, status_codes.HTTP_NOT_FOUND}:
             raise VersionConflictError(key, version)
         return (
@@ -102,20 +118,20 @@
 
     async def delete(self, key: str, version: int) -> None:
         """See :class:`ObjectStore`."""
-        answer = await self._call("DELETE", f"/{key}?revision={version}", f"delete {key}")
+        answer = await self._call("DELETE", f"{_path(key)}?revision={version}", f"delete {key}")
         if answer.status in {status_codes.HTTP_CONFLICT, status_codes.HTTP_NOT_FOUND}:
             raise VersionConflictError(key, version)
 
     async def list(self, prefix: str, after: str = "", limit: int = 500) -> Listing:
         """See :class:`ObjectStore`; a prefix is a kind with a slash."""
         kind = prefix.rstrip("/")
-        query = f"?after={after.removeprefix(prefix)}" if after else ""
+        query = f"?after={quote(after.removeprefix(prefix), safe='')}" if after else ""
         answer = await self._call("GET", f"/{kind}{query}", f"list {prefix}")
         body = answer.body
         try:
-            objects = tuple(_stored(_key(kind, item), item) for item in body["items"])
+            objects = _objects(kind, body["items"])
             return Listing(objects, int(body["timestamp"]), bool(body["has_more"]))
-        except (KeyError, TypeError, ValueError) as error:
+        except (KeyError, TypeError, ValueError, OverflowError) as error:
             raise _odd_answer(f"list {prefix}", error) from error
 
     async def poll(self, prefix: str, after_revision: int, wait_s: float) -> ChangePage:
@@ -128,8 +144,8 @@
             raise HistoryLostError(prefix, f"changes behind revision {after_revision} are gone")
         try:
             revision = int(answer.body["timestamp"])
-            changes = tuple(_change(kind, event) for event in answer.body["events"])
-        except (KeyError, TypeError, ValueError) as error:
+            changes = _changes(kind, answer.body["events"])
+        except (KeyError, TypeError, ValueError, OverflowError) as error:
             raise _odd_answer(what, error) from error
         return ChangePage(changes, revision)
 
@@ -141,7 +157,7 @@
         """
         _, _, name = key.partition("/")
         body = {"metadata": {"name": name}, "status": status}
-        await self._call("PUT", f"/{key}/status", f"status of {key}", body)
+        await self._call("PUT", f"{_path(key)}/status", f"status of {key}", body)
 
     async def _call(
         self,
@@ -163,11 +179,11 @@
             ) as response:
                 status = response.status
                 text = await response.read()
-            content = orjson.loads(text) if text else {}
+            content = _decoded(text) if text else {}
         except (aiohttp.ClientError, TimeoutError, OSError) as error:
             self._contact.note_failure(is_silent=isinstance(error, TimeoutError))
             raise StoreUnavailableError(what, str(error) or type(error).__name__) from error
-        except orjson.JSONDecodeError as error:
+        except (ValueError, RecursionError) as error:
             raise _odd_answer(what, error) from error
         self._note_status(status)
         return _checked(what, status, content)
@@ -193,24 +209,65 @@
     return StoreUnavailableError(what, f"an answer of unknown form: {error!r}")
 
 
-def _key(kind: str, item: dict[str, Any]) -> str:
-    return f"{kind}/{item['metadata']['name']}"
+def _decoded(text: bytes) -> Any:
+    """Decodes an answer, also where the text of one object in it is no text.
+
+    Raises:
+        ValueError: it is no JSON.
+        RecursionError: it is nested too deep.
+    """
+    try:
+        return orjson.loads(text)
+    except orjson.JSONDecodeError:
+        # The standard library also takes halves of surrogate pairs; so text that is none stays what
+        # can't be written again, and its object is one that can't be read.
+        return json.loads(text.decode("utf-8", "surrogateescape"))
 
 
-def _stored(key: str, item: dict[str, Any]) -> StoredObject:
-    kind = key.partition("/")[0]
+def _path(key: str) -> str:
+    kind, _, name = key.partition("/")
+    return f"/{kind}/{quote(name, safe='')}"
+
+
+def _objects(kind: str, items: Iterable[Any]) -> tuple[StoredObject, ...]:
+    found = [_object(kind, item) for item in items]
+    _tell_of_nameless(kind, found.count(None))
+    return tuple(stored for stored in found if stored is not None)
+
+
+def _tell_of_nameless(kind: str, count: int) -> None:
+    """Logs objects that were passed over: without a name there is nothing to keep them under."""
+    if count:
+        eliot.log_message("store.nameless_objects", kind=kind, count=count)
+
+
+def _object(kind: str, item: Any) -> StoredObject | None:
+    """Returns an object, or None where it has no name or no revision."""
     try:
-        return StoredObject(key, _from_spec(kind, item["spec"]), int(item["metadata"]["revision"]))
-    except (KeyError, TypeError, ValueError) as error:
-        raise _odd_answer(f"read {key}", error) from error
+        name, revision = item["metadata"]["name"], int(item["metadata"]["revision"])
+        # Half of a surrogate pair can't be written again.
+        key = f"{kind}/{name.encode().decode()}"
+    except (AttributeError, LookupError, TypeError, ValueError, OverflowError):
+        return None
+    return StoredObject(key, _from_spec(kind, item.get("spec")), revision)
 
 
-def _change(kind: str, event: dict[str, Any]) -> Change:
-    item = event["object"]
-    key = _key(kind, item)
-    revision = int(item["metadata"]["revision"])
-    value = None if event["deleted"] else _from_spec(kind, item["spec"])
-    return Change(key, value, revision, revision)
+def _stored(key: str, item: dict[str, Any]) -> StoredObject:
+    found = _object(key.partition("/")[0], item)
+    if found is None:
+        raise _odd_answer(f"read {key}", KeyError("metadata"))
+    return attrs.evolve(found, key=key)
+
+
+def _changes(kind: str, events: Iterable[Any]) -> tuple[Change, ...]:
+    tables = [event if isinstance(event, dict) else {} for event in events]
+    found = [(_object(kind, table.get("object")), bool(table.get("deleted"))) for table in tables]
+    _tell_of_nameless(kind, sum(stored is None for stored, _ in found))
+    return tuple(
+        Change(stored.key, None if is_gone else stored.value, stored.version, stored.version)
+        for stored, is_gone in found
+        if stored is not None
+    )
 
 
 def _to_spec(kind: str, value: bytes) -> Any:
@@ -218,4 +275,12 @@
 
 
 def _from_spec(kind: str, spec: Any) -> bytes:
-    return orjson.dumps(spec) if kind in FOREIGN_KINDS else base64.b64decode(spec)
+    """Returns an object's bytes; :data:`UNREADABLE` where there are none."""
+    try:
+        if kind not in FOREIGN_KINDS:
+            return base64.b64decode(spec, validate=True)
+        value = orjson.dumps(spec)
+    except (TypeError, ValueError, binascii.Error):
+        return UNREADABLE
+    is_too_long = kind == ENDPOINTS_KIND and len(value) > MOST_ENTRY_BYTES
+    return UNREADABLE if is_too_long else value
--- a/src/bayhinge/_internal/platform/retirements.py
+++ b/src/bayhinge/_internal/platform/retirements.py
@@ -3,11 +3,14 @@
 import asyncio
 
 import eliot
+import orjson
 
+from bayhinge._internal.platform.object_forms import RetirementForm
 from bayhinge._internal.platform.objects_api import RETIREMENTS_KIND, PlatformObjects
 from bayhinge._internal.services.disks.disk_host import DiskHost
 from bayhinge._internal.services.keep_running import keep_running
 from bayhinge._internal.services.key_follower import FollowListener
+from bayhinge._internal.utils.checked_fields import read_form
 from bayhinge.coordination.errors import StoreError
 from bayhinge.coordination.store import Change
 
@@ -28,14 +31,24 @@
     def replace_all(self, value_by_key: dict[str, bytes], is_after_outage: bool) -> None:
         """See :class:`FollowListener`."""
         if self._key in value_by_key:
-            self._begin()
+            self._take(value_by_key[self._key])
 
     def apply(self, change: Change, is_after_outage: bool) -> None:
         """See :class:`FollowListener`."""
         if change.key == self._key and change.value is not None:
-            self._begin()
+            self._take(change.value)
 
-    def _begin(self) -> None:
+    def _take(self, value: bytes) -> None:
+        """Begins where the operator asks for it: any table does, whatever it says of the time.
+
+        Emptying takes as long as it takes, so its ``duration_s`` decides nothing. What is no table
+        was written by nobody who asks for anything: the disk stays.
+        """
+        try:
+            read_form(RetirementForm, orjson.loads(value))
+        except ValueError as error:
+            eliot.log_message("retirement.unreadable", key=self._key, why=str(error))
+            return
         if self._task is None:
             self._task = asyncio.ensure_future(keep_running("retire", self._retire))
 
--- a/src/bayhinge/_internal/platform/settings_file.py
+++ b/src/bayhinge/_internal/platform/settings_file.py
@@ -1,20 +1,39 @@
 """Reads a process's settings file (TOML) into :class:`SiteSettings`."""
 
 import tomllib
-from collections.abc import Callable, Mapping
+from collections.abc import Mapping
 from pathlib import Path
-from typing import Any, TypeVar
+from typing import Any
 
 import attrs
+from attrs import validators
 from expression import Error, Ok, Result
 
 from bayhinge._internal.models.findings import Finding, Place
 from bayhinge._internal.models.site_settings import SiteSettings
-
-Value = TypeVar("Value")
+from bayhinge._internal.utils.checked_fields import (
+    MOST_PORT,
+    SHOWN,
+    Check,
+    ipv4_with_port,
+    is_ipv4,
+    number,
+    text,
+    whole_number,
+)
 
 UNUSED_ADDRESS = ""
 
+PORTS = 2
+"""Ports that the settings name: the first and the last of a range."""
+
+
+@attrs.frozen
+class _Named:
+    """What a check calls a value by."""
+
+    name: str
+
 
 @attrs.define
 class _Fields:
@@ -24,9 +43,7 @@
     table: Mapping[str, Any]
     findings: list[Finding] = attrs.field(factory=list)
 
-    def take(
-        self, path: str, convert: Callable[[Any], Value], fallback: Value | None = None
-    ) -> Value:
+    def take(self, path: str, check: Check, fallback: Any = None) -> Any:
         """Returns a field by its dotted path; without a fallback it must be there."""
         value: Any = self.table
         for name in path.split("."):
@@ -36,34 +53,35 @@
         if value is None:
             if fallback is None:
                 self.findings.append(Finding(place, "the field is missing"))
-                return convert("0")
             return fallback
         try:
-            return convert(value)
+            check(None, _Named(key), value)
         except (TypeError, ValueError) as error:
-            self.findings.append(Finding(place, f"{value!r} can't be used: {error}"))
-            return convert("0")
-
-
-def _text(value: Any) -> str:
-    return str(value)
+            shown = repr(value)[:SHOWN]
+            self.findings.append(Finding(place, f"{shown} can't be used: {error.args[0]}"))
+            return fallback
+        return value
 
 
-def _texts(value: Any) -> tuple[str, ...]:
-    if not isinstance(value, list):
-        raise TypeError("it is not a list")
-    return tuple(str(item) for item in value)
+def _ipv4(_: Any, field: Any, value: Any) -> None:
+    if not isinstance(value, str) or not is_ipv4(value):
+        raise TypeError(f"'{field.name}' must be an IPv4 address")
 
 
-def _ports(value: Any) -> tuple[int, int]:
-    if value == "0":
-        return 0, 0
-    first, last = value
-    return int(first), int(last)
+def _ports(_: Any, field: Any, value: Any) -> None:
+    check = whole_number(1)
+    if not isinstance(value, list) or len(value) != PORTS:
+        raise TypeError(f"'{field.name}' must be the first and the last port")
+    for port in value:
+        check(None, field, port)
+    if not value[0] < value[1] <= MOST_PORT:
+        raise ValueError("two ports are needed, one for each kind of link")
 
 
-def _regions(value: Any) -> dict[str, str]:
-    return {str(hall): str(region) for hall, region in dict(value).items()}
+_ADDRESS_OR_NONE = validators.or_(ipv4_with_port, validators.in_((UNUSED_ADDRESS,)))
+_TEXTS = validators.deep_iterable(text(0), validators.instance_of(list))
+_REGIONS = validators.deep_mapping(text(), text(0), validators.instance_of(dict))
+_FLAG = validators.instance_of(bool)
 
 
 def read_settings(path: Path) -> Result[SiteSettings, tuple[Finding, ...]]:
@@ -79,28 +97,24 @@
 
 def _read(fields: _Fields) -> SiteSettings:
     take = fields.take
-    first_port, last_port = take("port_range", _ports)
-    if last_port <= first_port and not fields.findings:
-        place = Place(fields.file, key="port_range")
-        fields.findings.append(Finding(place, "two ports are needed, one for each kind of link"))
-    no_seeds: tuple[str, ...] = ()
-    seeds = take("seeds", _texts, no_seeds)
+    first_port = (take("port_range", _ports) or [0])[0]
+    seeds = take("seeds", _TEXTS, [])
     return SiteSettings(
-        host=take("node_name", _text),
-        hall=take("zone", _text),
-        region=take("region", _text),
-        ip=take("ip", _text),
-        region_by_hall=take("zones", _regions, {}),
-        front_address=take("listen.frontend", _text, UNUSED_ADDRESS),
-        ready_address=take("listen.ready", _text, UNUSED_ADDRESS),
-        directory_address=take("listen.directory", _text, UNUSED_ADDRESS),
+        host=take("node_name", text()),
+        hall=take("zone", text()),
+        region=take("region", text()),
+        ip=take("ip", _ipv4),
+        region_by_hall=take("zones", _REGIONS, {}),
+        front_address=take("listen.frontend", _ADDRESS_OR_NONE, UNUSED_ADDRESS),
+        ready_address=take("listen.ready", _ADDRESS_OR_NONE, UNUSED_ADDRESS),
+        directory_address=take("listen.directory", _ADDRESS_OR_NONE, UNUSED_ADDRESS),
         gossip_port=first_port,
         peer_port=first_port + 1,
         seeds=tuple(seed.rpartition(":")[0] for seed in seeds),
-        data_folder=take("data_dir", _text, ""),
-        is_first_start=take("bootstrap", bool, False),
-        tolerated_disks=take("fault_tolerance.machines", int, 1),
-        store_address=take("platform.address", _text),
-        address_keep_s=take("bounds.ttl_max_s", float, 5.0),
-        grace_s=take("bounds.grace_s", float, 8.0),
+        data_folder=take("data_dir", text(0), ""),
+        is_first_start=take("bootstrap", _FLAG, False),
+        tolerated_disks=take("fault_tolerance.machines", whole_number(0), 1),
+        store_address=take("platform.address", ipv4_with_port),
+        address_keep_s=float(take("bounds.ttl_max_s", number(0), 5.0)),
+        grace_s=float(take("bounds.grace_s", number(0), 8.0)),
     )
--- a/src/bayhinge/_internal/services/disk_sets.py
+++ b/src/bayhinge/_internal/services/disk_sets.py
@@ -6,7 +6,9 @@
 
 import eliot
 
+from bayhinge._internal.exceptions import FrameError
 from bayhinge._internal.network.frames import decode_message, encode_message
+from bayhinge._internal.utils.checked_fields import SHOWN, is_ipv4_with_port
 from bayhinge._internal.wire.hosts.ttypes import DiskMember, DiskSet
 from bayhinge.coordination.errors import (
     AlreadyExistsError,
@@ -30,9 +32,31 @@
 
 
 async def read_disk_set(store: ObjectStore) -> DiskSet | None:
-    """Returns the newest set, or None where there is none yet."""
+    """Returns the newest set, or None where there is none yet.
+
+    Raises:
+        StoreError: the store gave none that can be read.
+    """
     stored = await store.get(DISK_SET_KEY)
-    return None if stored is None else decode_message(DiskSet(), stored.value)
+    return None if stored is None else _decoded(stored.value)
+
+
+def _decoded(value: bytes) -> DiskSet:
+    """Decodes a set that stands in the store.
+
+    Raises:
+        StoreUnavailableError: it can't be read. Nobody may take it for no set and write another
+            one over it: turns are on the disks of the set that was there.
+    """
+    what = f"read {DISK_SET_KEY}"
+    try:
+        disk_set = decode_message(DiskSet(), value)
+    except FrameError as error:
+        raise StoreUnavailableError(what, str(error)) from error
+    odd = [one.address for one in disk_set.members if not is_ipv4_with_port(one.address)]
+    if odd:
+        raise StoreUnavailableError(what, f"'{odd[0][:SHOWN]}' is no address of a disk")
+    return disk_set
 
 
 async def change_disk_set(store: ObjectStore, change: Change) -> DiskSet:
@@ -60,7 +84,7 @@
 
 async def _try_change(store: ObjectStore, change: Change) -> DiskSet:
     stored = await store.get(DISK_SET_KEY)
-    current = DiskSet(0, []) if stored is None else decode_message(DiskSet(), stored.value)
+    current = DiskSet(0, []) if stored is None else _decoded(stored.value)
     members = change(list(current.members))
     if members is None:
         return current
--- a/src/bayhinge/_internal/services/gateway/beliefs.py
+++ b/src/bayhinge/_internal/services/gateway/beliefs.py
@@ -10,6 +10,7 @@
 from bayhinge._internal.network.endpoint_link import EndpointLinks
 from bayhinge._internal.services.gateway.first_news import FirstNews
 from bayhinge._internal.services.gateway.outside import ObjectReader
+from bayhinge._internal.services.gateway.unreadable import SHOWN_FINDINGS, UnreadableObjects
 from bayhinge._internal.services.key_follower import FollowListener
 from bayhinge.coordination.store import Change
 
@@ -27,28 +28,32 @@
 class ConfigurationBelief(FollowListener):
     """The newest configuration that could be read; never an older one."""
 
-    def __init__(self, reader: ObjectReader) -> None:
-        """Takes the decoder of configurations."""
+    def __init__(self, reader: ObjectReader, key: str) -> None:
+        """Takes the decoder of configurations, and the key of the one that counts."""
         self._reader = reader
+        self._key = key
+        self.unreadable = UnreadableObjects("configuration.unreadable")
         self.table: RoutingTable | None = None
         self.news = FirstNews("configuration")
 
     def replace_all(self, value_by_key: dict[str, bytes], is_after_outage: bool) -> None:
         """See :class:`FollowListener`."""
-        for value in value_by_key.values():
+        value = value_by_key.get(self._key)
+        if value is not None:
             self._take(value)
 
     def apply(self, change: Change, is_after_outage: bool) -> None:
         """See :class:`FollowListener`."""
-        if change.value is not None:
+        if change.key == self._key and change.value is not None:
             self._take(change.value)
 
     def _take(self, value: bytes) -> None:
         try:
             table = self._reader.read_configuration(value)
         except UnreadableObjectError as error:
-            eliot.log_message("configuration.unreadable", findings=list(error.findings))
+            self.unreadable.note(error)
             return
+        self.unreadable.clear(self._key)
         if self.table is not None and table.version <= self.table.version:
             return
         before = 0 if self.table is None else self.table.version
@@ -60,6 +65,13 @@
             before=before,
             routes=len(table.routes),
         )
+        if table.findings:
+            eliot.log_message(
+                "configuration.read_in_part",
+                version=table.version,
+                findings=list(table.findings[:SHOWN_FINDINGS]),
+                further_findings=max(0, len(table.findings) - SHOWN_FINDINGS),
+            )
 
 
 class EndpointBelief(FollowListener):
@@ -72,6 +84,7 @@
         self._links = links
         self._missing_by_instance: dict[str, asyncio.TimerHandle] = {}
         self.news = FirstNews("endpoints")
+        self.unreadable = UnreadableObjects("endpoint.unreadable")
 
     def replace_all(self, value_by_key: dict[str, bytes], is_after_outage: bool) -> None:
         """See :class:`FollowListener`."""
@@ -79,6 +92,7 @@
         for belief in self._book.all():
             if belief.entry.instance not in instances:
                 self._vanished(belief.entry.instance, is_after_outage)
+        self.unreadable.keep_only(set(value_by_key))
         for key, value in value_by_key.items():
             self._put(key, value)
         self.news.note()
@@ -86,6 +100,7 @@
     def apply(self, change: Change, is_after_outage: bool) -> None:
         """See :class:`FollowListener`."""
         if change.value is None:
+            self.unreadable.clear(change.key)
             self._vanished(_instance(change.key), is_after_outage)
         else:
             self._put(change.key, change.value)
@@ -94,8 +109,10 @@
         try:
             entry = self._reader.read_endpoint(key, value)
         except UnreadableObjectError as error:
-            eliot.log_message("endpoint.unreadable", key=key, findings=list(error.findings))
+            self.unreadable.note(error)
+            self._withdraw(_instance(key))
             return
+        self.unreadable.clear(key)
         timer = self._missing_by_instance.pop(entry.instance, None)
         if timer is not None:
             timer.cancel()
@@ -108,6 +125,15 @@
                 is_leaving=entry.is_leaving,
             )
 
+    def _withdraw(self, instance: str) -> None:
+        """Sends nothing new to an endpoint whose entry can't be read any more; its runs go on.
+
+        Not even as a last resort, as where an entry vanished: this one is there, and names nobody.
+        """
+        if self._book.withdraw(instance):
+            self._links.drop_idle(instance)
+            eliot.log_message("endpoint.withdrawn", endpoint=instance)
+
     def _vanished(self, instance: str, is_after_outage: bool) -> None:
         belief = self._book.find(instance)
         if belief is None or instance in self._missing_by_instance:
@@ -132,4 +158,5 @@
 
 
 def _instance(key: str) -> str:
-    return key.rpartition("/")[2]
+    # From the front: a name may hold slashes, and must not pass for another one.
+    return key.partition("/")[2]
--- a/src/bayhinge/_internal/services/gateway/gateway.py
+++ b/src/bayhinge/_internal/services/gateway/gateway.py
@@ -79,8 +79,8 @@
         self.gossip = Gossip(settings, wire.HostRole.ENTRY)
         self.links = EndpointLinks()
         self.book = EndpointBook(settings.hall)
-        self.configuration = ConfigurationBelief(platform.objects)
-        endpoints = EndpointBelief(platform.objects, self.book, self.links)
+        self.configuration = ConfigurationBelief(platform.objects, platform.configuration_key)
+        self.endpoints = EndpointBelief(platform.objects, self.book, self.links)
         self.followers_by_prefix = {
             prefix: KeyFollower(
                 platform.store, prefix, partial(self._watch_wait, place), listener, self.peers
@@ -88,7 +88,7 @@
             for place, (prefix, listener) in enumerate(
                 (
                     (platform.configuration_prefix, self.configuration),
-                    (platform.endpoints_prefix, endpoints),
+                    (platform.endpoints_prefix, self.endpoints),
                 )
             )
         }
@@ -114,7 +114,7 @@
             Sender(self.book, self.links, platform.calls, self.placer),
             self.keeper,
             self.latencies,
-            endpoints.news,
+            self.endpoints.news,
             self.disks.news,
         )
         self.front = RoutedFront(settings.front_address, self.requests, sockets)
--- a/src/bayhinge/_internal/services/gateway/outside.py
+++ b/src/bayhinge/_internal/services/gateway/outside.py
@@ -50,10 +50,10 @@
 
     @abstractmethod
     def read_configuration(self, value: bytes) -> RoutingTable:
-        """Decodes a configuration.
+        """Decodes a configuration; what of it can't be read is closed, and told in its findings.
 
         Raises:
-            UnreadableObjectError: it can't be used; the findings say where and why.
+            UnreadableObjectError: it can't be used at all; the findings say where and why.
         """
 
     @abstractmethod
@@ -70,7 +70,8 @@
     """The platform as the product sees it.
 
     Attributes:
-        configuration_prefix: where the configuration stands in the store.
+        configuration_prefix: where configurations stand in the store.
+        configuration_key: the one of them that counts.
         endpoints_prefix: where endpoints enter themselves.
     """
 
@@ -78,4 +79,5 @@
     calls: CallFormat
     objects: ObjectReader
     configuration_prefix: str
+    configuration_key: str
     endpoints_prefix: str
--- a/src/bayhinge/_internal/services/gateway/request_service.py
+++ b/src/bayhinge/_internal/services/gateway/request_service.py
@@ -16,7 +16,7 @@
     refuse_unaccepted,
 )
 from bayhinge._internal.models.routed_requests import RequestField, RoutedRequest
-from bayhinge._internal.models.routing import Route, RouteKind, RoutingTable
+from bayhinge._internal.models.routing import ClosedRoute, Route, RouteKind, RoutingTable
 from bayhinge._internal.network.routed_front import BodyTooLongError, Exchange, ExchangeHandler
 from bayhinge._internal.services.gateway.beliefs import ConfigurationBelief
 from bayhinge._internal.services.gateway.first_news import FirstNews, wait_until
@@ -121,6 +121,14 @@
                     f"no route leads to {request.host}{request.path}",
                 )
             )
+        if isinstance(route, ClosedRoute):
+            raise RefusedError(
+                refuse_unaccepted(
+                    RefusalCode.CONFIG_UNKNOWN,
+                    f"route '{route.name}' can't be read: {route.why}",
+                    retry_after_s=NO_CONFIGURATION_RETRY_S,
+                )
+            )
         patience_s = min(request.patience_s or route.timeout_s, route.timeout_s)
         deadline_s = exchange.began_s + patience_s
         attempt = CallAttempt()
--- a/src/bayhinge/_internal/services/gossip.py
+++ b/src/bayhinge/_internal/services/gossip.py
@@ -10,6 +10,7 @@
 from collections.abc import Callable, Iterable
 
 import attrs
+import eliot
 from mode import Service
 
 from bayhinge._internal.exceptions import FrameError
@@ -18,6 +19,8 @@
 from bayhinge._internal.network.datagrams import Datagrams
 from bayhinge._internal.network.frames import decode_message, encode_message
 from bayhinge._internal.services.keep_running import keep_running
+from bayhinge._internal.utils.checked_fields import is_ipv4_with_port
+from bayhinge._internal.utils.log_output import LineBudget
 from bayhinge._internal.wire.hosts.ttypes import Hello, HostPhase, HostRole
 
 PERIOD_S = 0.3
@@ -51,6 +54,9 @@
 FORGET_S = 60.0
 """An address that was silent for so long is not greeted any more."""
 
+ODD_LINES_PER_S = 1
+"""Lines about addresses that are none; hellos come several times a second."""
+
 MOST_KNOWN = 4
 """Addresses that a hello names, drawn anew each time."""
 
@@ -89,6 +95,7 @@
         self._heard_by_host: dict[str, HeardHost] = {}
         self._last_heard_by_address: dict[str, float] = {}
         self._greeted_by_address: dict[str, int] = {}
+        self._odd_lines = LineBudget(ODD_LINES_PER_S)
         self._near_fresh_s = self._far_fresh_s = LEAST_FRESH_S
         self._transport: asyncio.DatagramTransport | None = None
         self.on_hello: Callable[[Hello], None] = lambda hello: None
@@ -113,12 +120,17 @@
     def learn(self, addresses: Iterable[str]) -> None:
         """Takes addresses of hosts that may be up."""
         now = asyncio.get_running_loop().time()
-        fresh = [
+        told = [
             address
             for address in addresses
             if address != self._settings.gossip_address
             and address not in self._last_heard_by_address
         ]
+        # One that can't be sent to would end each round of hellos, and go on to other hosts.
+        fresh = [address for address in told if is_ipv4_with_port(address)]
+        if len(fresh) < len(told) and self._odd_lines.takes(now):
+            odd = len(told) - len(fresh)
+            eliot.log_message("hosts.odd_addresses", count=odd, untold=self._odd_lines.thinned)
         for address in fresh:
             self._last_heard_by_address[address] = now
         if fresh:
--- a/src/bayhinge/_internal/services/host_registry.py
+++ b/src/bayhinge/_internal/services/host_registry.py
@@ -38,7 +38,9 @@
             try:
                 if not gossip.knows_others():
                     listing = await list_all(self._store, HOSTS_PREFIX)
-                    gossip.learn(stored.value.decode() for stored in listing.objects)
+                    gossip.learn(
+                        stored.value.decode("ascii", "replace") for stored in listing.objects
+                    )
                 if is_wanted():
                     await self._write(f"{HOSTS_PREFIX}{self._settings.host}")
                 return
--- a/src/bayhinge/coordination/config_feed.py
+++ b/src/bayhinge/coordination/config_feed.py
@@ -80,6 +80,7 @@
         self._heard_revision = 0
         self._confirmed_at: float | None = None
         self._wake = asyncio.Event()
+        # Also objects under odd names: they are shown, and hold no change up.
         self.corrupt_by_key: dict[str, CorruptObjectError] = {}
         self.on_change: Callable[[ConfigObject], None] = lambda changed: None
 
@@ -148,17 +149,24 @@
                 continue
 
     async def step(self) -> None:
-        """Reads the changes that follow the applied revision."""
+        """Reads the changes that follow the applied revision.
+
+        Raises:
+            StoreError: the store did not answer, or its list does not go on.
+        """
+        after = self._key(self._revision) if self._revision else ""
         while True:
-            after = self._key(self._revision) if self._revision else ""
             page = await self._store.list(f"{self._prefix}/", after=after)
             for stored in page.objects:
                 self._apply_stored(stored)
-            if not page.more or self.corrupt_by_key:
+            if self._key(self._revision + 1) in self.corrupt_by_key:
+                # What can't be read can't be vouched for; operators see it in `config status`.
+                return
+            if not page.more or not page.objects:
                 break
-        if self.corrupt_by_key:
-            # What can't be read can't be vouched for; operators see it in `config status`.
-            return
+            if page.objects[-1].key <= after:
+                raise StoreUnavailableError(f"list {self._prefix}", "it does not go on")
+            after = page.objects[-1].key
         # A lagging answer must not vouch for a revision that was already heard of.
         if self._revision >= self._heard_revision:
             self._confirm()
@@ -221,9 +229,10 @@
     def _apply_stored(self, stored: StoredObject) -> None:
         text = stored.key.rpartition("/")[2]
         try:
-            if len(text) != REVISION_DIGITS or not text.isdigit():
+            if len(text) != REVISION_DIGITS or not (text.isascii() and text.isdigit()):
                 raise CorruptObjectError(stored.key, "its name is no revision, so it is not ours")
             self._apply(int(text), stored.value)
+            self.corrupt_by_key.pop(stored.key, None)
         except CorruptObjectError as error:
             if stored.key not in self.corrupt_by_key:
                 logger.error("%s", error)
--- a/tests/functional/test_platform_store.py
+++ b/tests/functional/test_platform_store.py
@@ -21,12 +21,46 @@
     StoreUnavailableError,
     VersionConflictError,
 )
-from bayhinge.coordination.store import Change, list_all
+from bayhinge.coordination.store import Change, StoredObject, list_all
 from tests.lib.platform_store import PlatformStoreServer
 
 pytestmark = pytest.mark.functional
 
 
+ODD_BODIES = (
+    b"[]",
+    b"5",
+    b"null",
+    b"{",
+    b"\xff",
+    b'{"items":5,"events":5,"has_more":false,"timestamp":1}',
+    b'{"items":null,"events":null,"has_more":false,"timestamp":1}',
+    b'{"items":[],"events":[],"has_more":false,"timestamp":"x"}',
+    b'{"items":[],"events":[],"has_more":false,"timestamp":Infinity}',
+    b'{"items":[],"events":[],"has_more":false,"timestamp":null}',
+    b"[" * 100_000,
+)
+
+GOOD_OBJECT = b'{"metadata":{"name":"i-good","revision":7},"spec":{"slots":4}}'
+
+ODD_OBJECTS = (
+    b"null",
+    b"[1]",
+    b'"x"',
+    b"{}",
+    b'{"metadata":null,"spec":{}}',
+    b'{"metadata":{"name":5,"revision":7},"spec":{}}',
+    b'{"metadata":{"name":"i-1","revision":null},"spec":{}}',
+    b'{"metadata":{"name":"i-1","revision":1e999},"spec":{}}',
+    b'{"metadata":{"name":"i-1"},"spec":{}}',
+    b'{"metadata":{"name":"\\ud800","revision":7},"spec":{}}',
+    b'{"metadata":{"name":"i-1","revision":7},"spec":{"service":"\xff\xfe"}}',
+    b'{"metadata":{"name":"i-1","revision":7},"spec":{"service":"\\ud800"}}',
+    b'{"metadata":{"name":"i-1","revision":7},"spec":' + b"[" * 300 + b"]" * 300 + b"}",
+    b'{"metadata":{"name":"i-1","revision":7},"spec":"' + b"x" * 20_000 + b'"}',
+)
+
+
 def run(scenario: Callable[[PlatformStoreServer, PlatformObjects], Awaitable[None]]) -> None:
     async def main() -> None:
         server = PlatformStoreServer()
@@ -125,8 +159,61 @@
         server._objects["things", "odd"] = {"metadata": {}, "spec": "%%%", "status": None}
         with pytest.raises(StoreUnavailableError):
             await store.get("things/odd")
-        with pytest.raises(StoreUnavailableError):
-            await store.list("things/")
+        for body in ODD_BODIES:
+            server.troubles.says = body
+            with pytest.raises(StoreUnavailableError):
+                await store.list("things/")
+            with pytest.raises(StoreUnavailableError):
+                await store.poll("things/", 5, 0.1)
+
+    run(scenario)
+
+
+def test_an_odd_object_hides_no_other_one() -> None:
+    """Also one whose text is none, or that can't be written again, in a list and in a watch."""
+
+    async def scenario(server: PlatformStoreServer, store: PlatformObjects) -> None:
+        for odd in ODD_OBJECTS:
+            told = b"%s,%s" % (odd, GOOD_OBJECT)
+            server.troubles.says = b'{"items":[%s],"has_more":false,"timestamp":9}' % told
+            listing = await store.list("servers/")
+            assert StoredObject("servers/i-good", b'{"slots":4}', 7) in listing.objects, odd
+            assert all(one.value == b"" for one in listing.objects[:-1]), odd
+            events = b",".join(b'{"deleted":false,"object":%s}' % one for one in (odd, GOOD_OBJECT))
+            server.troubles.says = b'{"events":[%s],"timestamp":9}' % events
+            page = await store.poll("servers/", 5, 0.1)
+            assert page.changes[-1] == Change("servers/i-good", b'{"slots":4}', 7, 7), odd
+            assert all(one.value == b"" for one in page.changes[:-1]), odd
+            assert page.revision == 9
+
+    run(scenario)
+
+
+def test_an_odd_object_of_our_own_kinds_hides_no_other_one() -> None:
+    async def scenario(server: PlatformStoreServer, store: PlatformObjects) -> None:
+        for number, odd in enumerate(("%%%", None, 5, {"a": 1}, "Zm9v!", "é")):
+            server.put("things", f"a-{number}", odd)
+        await store.create("things/b", b"well")
+        listing = await store.list("things/")
+        assert [one.value for one in listing.objects] == [b""] * 6 + [b"well"]
+
+    run(scenario)
+
+
+def test_pages_go_on_behind_any_name() -> None:
+    names = ["a&after=z", "a/b", "a?b#c", "a b+c%41", "aé", "a" * 2000, "a%2Fb", "a..", 'a"b']
+
+    async def scenario(server: PlatformStoreServer, store: PlatformObjects) -> None:
+        # Each of them ends a page once, so that the next one is asked for behind it.
+        for name in names:
+            for number in range(19):
+                server.put("servers", f"0{number:02d}", {})
+            server.put("servers", name, {})
+            server.put("servers", "\u4e00 last", {})
+            listing = await list_all(store, "servers/")
+            keys = [one.key for one in listing.objects]
+            assert keys[-2:] == [f"servers/{name}", "servers/\u4e00 last"], name
+            server.remove("servers", name)
 
     run(scenario)
 
--- a/tests/lib/platform_store.py
+++ b/tests/lib/platform_store.py
@@ -20,6 +20,7 @@
         loses_answers: writes are done, and their connection is cut.
         refuses_with: every call gets this status.
         hangs_watches: a watch hears nothing until its wait is over.
+        says: every call is answered with these bytes.
     """
 
     down: bool = False
@@ -27,6 +28,7 @@
     loses_answers: bool = False
     refuses_with: int = 0
     hangs_watches: bool = False
+    says: bytes = b""
 
 
 class PlatformStoreServer(StandinServer):
@@ -106,6 +108,8 @@
             await asyncio.sleep(60)
         if troubles.down:
             return self._cut(request)
+        if troubles.says:
+            return web.Response(body=troubles.says, content_type="application/json")
         if troubles.refuses_with:
             return web.Response(status=troubles.refuses_with)
         response: web.StreamResponse = await handler(request)
