--- a/tests/unit/test_odd_objects.py
+++ b/tests/unit/test_odd_objects.py
@@ -263,6 +263,22 @@
     assert f"{kind}/i-well" in {change.key for change in changes}
 
 
+@FUZZ
+@given(st.binary(max_size=60))
+def test_an_object_whose_text_is_none_hides_no_other_one(data: bytes) -> None:
+    raw = bytes(byte for byte in data if byte >= 0x20 and byte not in b'"\\')
+    odd = b'{"metadata":{"name":"i-odd","revision":1},"spec":{"service":"%s"}}' % raw
+    well = b'{"metadata":{"name":"i-well","revision":2},"spec":{"slots":4}}'
+    content = objects_api._decoded(b'{"items":[%s,%s]}' % (odd, well))
+    found = objects_api._objects("servers", content["items"])
+    assert [stored.key for stored in found] == ["servers/i-odd", "servers/i-well"]
+    assert found[1].value == b'{"slots":4}'
+    try:
+        raw.decode()
+    except UnicodeDecodeError:
+        assert found[0].value == objects_api.UNREADABLE
+
+
 # ---- the configuration ----
 
 
