--- a/src/bayhinge/_internal/services/gateway/gateway.py
+++ b/src/bayhinge/_internal/services/gateway/gateway.py
@@ -104,7 +104,7 @@
         )
         self.link = DiskLink(self.disks, self.gossip, self.peers)
         self.keeper = TurnKeeper(self.disks, self.link, settings.tolerated_disks)
-        self.homes = HallHomes(self.gossip)
+        self.homes = HallHomes(self.gossip, settings.region_by_hall)
         self.exchange = LoadExchange(self.gossip.me, self.book, self.homes)
         self.placer = HomePlacer(self.book, self.homes, self.exchange, self.peers, settings.hall)
         self.latencies = Latencies()
--- a/src/bayhinge/_internal/services/gateway/hall_homes.py
+++ b/src/bayhinge/_internal/services/gateway/hall_homes.py
@@ -5,6 +5,7 @@
 """
 
 import asyncio
+from collections.abc import Iterable
 
 import attrs
 import eliot
@@ -16,6 +17,11 @@
 SUSPECT_S = 1.0
 """A home that did not answer is passed over for so long at least, and until it is heard again."""
 
+EMPTY_AFTER_S = 10.0
+"""A hall of the settings of which no host was heard for so long is told of. Restarts of a small
+hall's hosts take some seconds; on large sites hosts of other halls are heard more seldom, but each
+hall has more of them."""
+
 
 @attrs.frozen
 class Home:
@@ -33,9 +39,12 @@
 class HallHomes:
     """The homes of all halls."""
 
-    def __init__(self, gossip: Gossip) -> None:
-        """Takes what is heard of hosts."""
+    def __init__(self, gossip: Gossip, halls: Iterable[str] = ()) -> None:
+        """Takes what is heard of hosts, and the halls that the settings name."""
         self._gossip = gossip
+        self._halls = sorted(set(halls) - {gossip.me.hall})
+        self._heard_s_by_hall: dict[str, float] = {}
+        self._empty_halls: set[str] = set()
         self._home_by_hall: dict[str, Home] = {}
         self._suspect_since_by_host: dict[str, float] = {}
 
@@ -57,10 +66,10 @@
     def refresh(self) -> None:
         """Works out every home anew from the hosts that are heard."""
         me = self._gossip.me
+        heard = self._gossip.fresh(wire.HostRole.ENTRY)
+        self._tell_of_empty_halls({hello.hall for hello in heard})
         hello_by_host = {
-            hello.host: hello
-            for hello in (*self._gossip.fresh(wire.HostRole.ENTRY), me)
-            if hello.phase == wire.HostPhase.READY
+            hello.host: hello for hello in (*heard, me) if hello.phase == wire.HostPhase.READY
         }
         hosts_by_hall: dict[str, list[str]] = {}
         for hello in hello_by_host.values():
@@ -82,6 +91,21 @@
                 heard=len(hosts_by_hall.get(me.hall, [])),
             )
 
+    def _tell_of_empty_halls(self, heard: set[str]) -> None:
+        """Logs halls without hosts: their callers and endpoints are served from other halls."""
+        now = _now()
+        for hall in self._halls:
+            if hall in heard:
+                self._heard_s_by_hall[hall] = now
+                if hall in self._empty_halls:
+                    self._empty_halls.discard(hall)
+                    eliot.log_message("hall.has_hosts", hall=hall)
+            elif hall not in self._empty_halls:
+                since_s = self._heard_s_by_hall.setdefault(hall, now)
+                if now - since_s >= EMPTY_AFTER_S:
+                    self._empty_halls.add(hall)
+                    eliot.log_message("hall.without_hosts", hall=hall, since_s=EMPTY_AFTER_S)
+
     def suspect(self, home: Home, why: str) -> None:
         """A home did not answer."""
         eliot.log_message("home.silent", hall=home.hall, home=home.host, why=why)
--- /dev/null
+++ b/tests/functional/test_odd_sites.py
@@ -0,0 +1,92 @@
+"""Sites that are set up oddly: a hall without hosts, hosts whose only seed is themselves."""
+
+import asyncio
+from collections.abc import Iterator
+from pathlib import Path
+from typing import Any
+
+import eliot
+import pytest
+
+from bayhinge._internal.services.gateway import hall_homes
+from tests.lib.platform_engine import PlatformEngine
+from tests.lib.platform_site import PlatformSite, run_site
+
+pytestmark = pytest.mark.functional
+
+
+@pytest.fixture
+def lines() -> Iterator[list[dict[str, Any]]]:
+    found: list[dict[str, Any]] = []
+    eliot.add_destinations(found.append)
+    yield found
+    eliot.remove_destination(found.append)
+
+
+def told(lines: list[dict[str, Any]], line: str) -> list[dict[str, Any]]:
+    return [message for message in lines if message["message_type"] == line]
+
+
+def test_a_hall_without_hosts_is_told_of_once_and_its_endpoints_are_used(
+    tmp_path: Path, lines: list[dict[str, Any]], monkeypatch: pytest.MonkeyPatch
+) -> None:
+    monkeypatch.setattr(hall_homes, "EMPTY_AFTER_S", 1.0)
+
+    async def scenario(site: PlatformSite) -> None:
+        # The settings name a hall that has an endpoint and no host; another one has neither.
+        far = PlatformEngine("i-far", "app")
+        await far.start()
+        site.services.append(far)
+        site.store.put("servers", "i-far", far.entry() | {"zone": "west"})
+        for other in site.services[:2]:
+            site.store.remove("servers", other.instance)
+        await asyncio.sleep(3.0)
+        for entry in site.entry_by_name:
+            assert (await site.ask("/act/x", at=entry)).status == 200
+        assert len(far.runs) == 2
+        assert len(await site.resolve(hall="west")) == 2
+        empty = told(lines, "hall.without_hosts")
+        assert sorted(line["hall"] for line in empty) == ["east", "east", "west", "west"]
+
+    run_site(tmp_path, scenario, halls=("north", "south", "west", "east"))
+    assert not told(lines, "duty.failed")
+
+
+def test_a_hall_that_loses_its_hosts_is_told_of_and_told_of_when_one_is_back(
+    tmp_path: Path, lines: list[dict[str, Any]], monkeypatch: pytest.MonkeyPatch
+) -> None:
+    monkeypatch.setattr(hall_homes, "EMPTY_AFTER_S", 1.0)
+
+    async def scenario(site: PlatformSite) -> None:
+        await asyncio.sleep(1.5)
+        assert not told(lines, "hall.without_hosts")
+        await site.crash_entry("entry-1")
+        await site.until(lambda: len(told(lines, "hall.without_hosts")) == 1, 10.0)
+        await site.start_entry("entry-1")
+        await site.until(lambda: len(told(lines, "hall.has_hosts")) == 1)
+        assert told(lines, "hall.has_hosts")[0]["hall"] == "south"
+        assert (await site.ask("/act/x")).status == 200
+
+    run_site(tmp_path, scenario)
+
+
+def test_hosts_whose_only_seed_is_themselves_find_each_other_through_the_store(
+    tmp_path: Path, lines: list[dict[str, Any]]
+) -> None:
+    async def scenario(site: PlatformSite) -> None:
+        names = [f"entry-{number}" for number in range(2, 5)]
+
+        async def start(name: str) -> None:
+            site.seeds = f'["{site.ip(name)}:8144"]'
+            await site.start_entry(name)
+
+        await asyncio.gather(*(start(name) for name in names))
+        gossips = [site.entry_by_name[name]._gateway.gossip for name in names]
+        await site.until(lambda: all(gossip.knows_others() for gossip in gossips), 12.0)
+        for name in names:
+            assert (await site.ask("/act/x", at=name)).status == 200
+        own = told(lines, "hosts.seeds_are_this_host")
+        assert {line["host"] for line in own} == set(names)
+
+    run_site(tmp_path, scenario, entries=0, disks=0)
+    assert not told(lines, "duty.failed")
--- a/tests/lib/platform_data.py
+++ b/tests/lib/platform_data.py
@@ -89,6 +89,7 @@
     data_folder: str = "",
     first_start: bool = True,
     seeds: str = '["10.1.0.38:8144","10.2.0.40:8144"]',
+    halls: tuple[str, ...] = ("north", "south"),
 ) -> str:
     """Returns a settings file."""
     data = f'data_dir = "{data_folder}"\n' if data_folder else ""
@@ -98,6 +99,7 @@
         else f'frontend = "{ip}:{front_port}"\nready = "{ip}:{front_port + 1}"\n'
         f'directory = "{ip}:{front_port + 2}"\n'
     )
+    zones = "\n".join(f'{hall} = "land"' for hall in halls)
     return f"""
 node_name = "{host}"
 role = "any"
@@ -109,8 +111,7 @@
 bootstrap = {str(first_start).lower()}
 {data}a_field_of_tomorrow = 1
 [zones]
-north = "land"
-south = "land"
+{zones}
 [listen]
 {listen}
 [fault_tolerance]
--- a/tests/lib/platform_site.py
+++ b/tests/lib/platform_site.py
@@ -44,7 +44,14 @@
 class PlatformSite:
     """Starts everything; hosts are told apart by loopback addresses, as machines are by theirs."""
 
-    def __init__(self, folder: Path, entries: int = 2, disks: int = 3) -> None:
+    def __init__(
+        self,
+        folder: Path,
+        entries: int = 2,
+        disks: int = 3,
+        halls: tuple[str, ...] = ("north", "south"),
+    ) -> None:
+        self._halls = halls
         self._folder = folder
         # Suites that run side by side, and soaks, must not meet.
         self._net = f"127.{next(_sites) % 100 + 100}.{os.getpid() % 250 + 1}"
@@ -88,6 +95,10 @@
 
     # ---- hosts ----
 
+    def ip(self, name: str) -> str:
+        """Returns the address of an entry host."""
+        return f"{self._net}.{10 + int(name.rpartition('-')[2])}"
+
     def _settings(self, name: str, first_start: bool, data_folder: str) -> SiteSettings:
         number = int(name.rpartition("-")[2])
         first = 110 if data_folder else 10
@@ -101,6 +112,7 @@
                 data_folder=data_folder,
                 first_start=first_start,
                 seeds=self.seeds,
+                halls=self._halls,
             )
         )
         return read_settings(path).ok
@@ -225,11 +237,12 @@
     scenario: Callable[[PlatformSite], Awaitable[Any]],
     entries: int = 2,
     disks: int = 3,
+    halls: tuple[str, ...] = ("north", "south"),
 ) -> None:
     """Starts a site, plays a scenario and stops the site."""
 
     async def main() -> None:
-        site = PlatformSite(folder, entries, disks)
+        site = PlatformSite(folder, entries, disks, halls)
         try:
             async with asyncio.timeout(40):
                 await site.start()
