--- a/tests/functional/test_clock_jumps.py
+++ b/tests/functional/test_clock_jumps.py
@@ -1,27 +1,23 @@
 """The time of day may jump by hours, on one host and not on another; no decision may rest on it."""
 
 import asyncio
-import itertools
 import time
 from pathlib import Path
 
 import orjson
 import pytest
 
+from bayhinge._internal.services.disks import turn_log
+from tests.lib.jumping_clock import jump
 from tests.lib.platform_data import CONFIGURATION
 from tests.lib.platform_site import PlatformSite, run_site
 
 pytestmark = pytest.mark.functional
 
-JUMPS_S = (0.0, 3600.0, -86_400.0, 7.0, -0.5)
-
 
 @pytest.fixture
 def odd_clock(monkeypatch: pytest.MonkeyPatch) -> None:
-    true_time_s, true_time_ns = time.time, time.time_ns
-    jumps = itertools.cycle(JUMPS_S)
-    monkeypatch.setattr(time, "time", lambda: true_time_s() + next(jumps))
-    monkeypatch.setattr(time, "time_ns", lambda: true_time_ns() + int(next(jumps) * 1e9))
+    jump(monkeypatch)
 
 
 @pytest.mark.usefixtures("odd_clock")
@@ -58,3 +54,42 @@
         assert len(staying.runs) >= 6
 
     run_site(tmp_path, scenario)
+
+
+@pytest.mark.usefixtures("odd_clock")
+def test_what_disks_keep_does_not_expire_by_the_time_of_day(
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    # A segment is removed as a whole, so each has one turn or two.
+    monkeypatch.setattr(turn_log, "SEGMENT_BYTES", 200)
+
+    async def scenario(site: PlatformSite) -> None:
+        first = await site.turn(b"one ", program="p-1")
+        for number in range(6):
+            assert (await site.turn(b"x" * 200, program=f"q-{number}")).status == 200
+        # Disks look for what has expired every second or so.
+        await asyncio.sleep(4.0)
+        second = await site.turn(b"two ", first, program="p-1")
+        assert (second.status, second.is_whole) == (200, True)
+
+    run_site(tmp_path, scenario)
+
+
+@pytest.mark.usefixtures("odd_clock")
+def test_connections_are_kept_and_a_planned_stop_cuts_nothing(tmp_path: Path) -> None:
+    async def scenario(site: PlatformSite) -> None:
+        links = site.entry_by_name["entry-0"]._gateway.links
+        for _ in range(20):
+            assert (await site.ask("/act/x")).status == 200
+        assert links.counts.reused >= 15
+        for engine in site.engines:
+            engine.troubles.pause_s = 0.8
+        asking = asyncio.create_task(site.turn(b"long ", at="entry-0"))
+        await site.until(lambda: any(engine.runs for engine in site.engines))
+        program = site.entry_by_name.pop("entry-0")
+        began_s = time.monotonic()
+        await program.stop()
+        assert (await asking).is_whole
+        assert 3.0 <= time.monotonic() - began_s <= 7.0
+
+    run_site(tmp_path, scenario)
--- /dev/null
+++ b/tests/unit/test_jumping_clocks.py
@@ -0,0 +1,223 @@
+"""The time of day jumps at each reading, and each duration is what it was."""
+
+import asyncio
+import random
+from collections.abc import Callable
+from pathlib import Path
+from typing import Any, cast
+
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+
+from bayhinge._internal.bench.world.virtual_time import run_virtual
+from bayhinge._internal.decisions.endpoint_book import EndpointBook
+from bayhinge._internal.decisions.watchers import (
+    LEAST_WAIT_S,
+    WATCH_PERIOD_S,
+    WatchTurn,
+    wait_until_turn,
+)
+from bayhinge._internal.models.site_settings import SiteSettings
+from bayhinge._internal.network.frames import encode_message
+from bayhinge._internal.network.peers import Peers
+from bayhinge._internal.platform.settings_file import read_settings
+from bayhinge._internal.services import key_follower
+from bayhinge._internal.services.gateway.disk_directory import SUSPECT_S, DiskDirectory
+from bayhinge._internal.services.gateway.hall_homes import SUSPECT_S as HOME_SUSPECT_S
+from bayhinge._internal.services.gateway.hall_homes import HallHomes
+from bayhinge._internal.services.gateway.load_exchange import LoadExchange
+from bayhinge._internal.services.gossip import LEAST_FRESH_S, Gossip
+from bayhinge._internal.services.key_follower import KeyFollower
+from bayhinge._internal.wire.hosts.ttypes import DiskMember, Hello, HostLoads, HostPhase, HostRole
+from bayhinge.coordination.clock import SystemClock
+from bayhinge.coordination.config_feed import ConfigFeed, FeedTimes
+from bayhinge.coordination.lease import Lease
+from bayhinge.coordination.store import PollingStore
+from bayhinge.coordination.store_contact import StoreContact
+from bayhinge_standins.object_store import MemoryObjects, MemoryObjectStore
+from tests.lib.jumping_clock import JUMPS_S, jump
+from tests.lib.platform_data import settings_text
+
+pytestmark = pytest.mark.usefixtures("odd_clock")
+
+ENDPOINT = "i-1"
+
+
+@pytest.fixture
+def odd_clock(monkeypatch: pytest.MonkeyPatch) -> None:
+    jump(monkeypatch)
+
+
+@pytest.fixture
+def site(tmp_path: Path) -> SiteSettings:
+    path = tmp_path / "local.toml"
+    path.write_text(settings_text("edge-1", "10.1.0.38"))
+    settings: SiteSettings = read_settings(path).ok
+    return settings
+
+
+def always(expected: bool, ask: Callable[[], bool]) -> None:
+    """Asks so often that each jump comes twice."""
+    assert [ask() for _ in range(2 * len(JUMPS_S))] == [expected] * (2 * len(JUMPS_S))
+
+
+def heard(gossip: Gossip, host: str, beat: int = 1) -> None:
+    address = f"10.1.0.{40 + len(host)}:7380"
+    hello = Hello(
+        host,
+        1,
+        beat,
+        HostRole.ENTRY,
+        HostPhase.READY,
+        "north",
+        address,
+        address,
+        address,
+        {},
+        {},
+        0,
+        [],
+        False,
+    )
+    gossip._take(encode_message(hello))
+
+
+def test_a_lease_is_held_for_its_time() -> None:
+    async def scenario() -> None:
+        store = MemoryObjectStore(MemoryObjects())
+        lease = Lease(store, "lease", "a~1", random.Random(1).random, 6.0)
+        other = Lease(store, "lease", "b~1", random.Random(2).random, 6.0)
+        for _ in range(5):
+            await lease.step()
+            always(True, lease.is_held)
+            await other.step()
+            always(False, other.is_held)
+            await asyncio.sleep(1.0)
+        await asyncio.sleep(6.0)
+        always(False, lease.is_held)
+
+    run_virtual(scenario())
+
+
+def test_a_configuration_is_vouched_for_for_its_time() -> None:
+    async def scenario() -> None:
+        store = MemoryObjectStore(MemoryObjects())
+        feed = ConfigFeed(store, "c", SystemClock(), random.Random(1).random, FeedTimes())
+        await feed.step()
+        await asyncio.sleep(29.0)
+        always(True, feed.is_current)
+        await asyncio.sleep(2.0)
+        always(False, feed.is_current)
+
+    run_virtual(scenario())
+
+
+def test_a_disk_that_failed_is_doubted_for_its_time(site: SiteSettings) -> None:
+    async def scenario() -> None:
+        store = MemoryObjectStore(MemoryObjects())
+        directory = DiskDirectory(site, store, cast(Peers, None), list)
+        member = DiskMember("disk-1", 1, "10.1.0.50:7381", "north")
+        directory.note_failure(member, "silent")
+        await asyncio.sleep(SUSPECT_S * 0.9)
+        always(True, lambda: directory.is_suspect(member))
+        await asyncio.sleep(SUSPECT_S * 0.2)
+        always(False, lambda: directory.is_suspect(member))
+
+    run_virtual(scenario())
+
+
+def test_a_host_counts_as_heard_for_its_time(site: SiteSettings) -> None:
+    async def scenario() -> None:
+        gossip = Gossip(site, HostRole.ENTRY)
+        heard(gossip, "edge-2")
+        await asyncio.sleep(LEAST_FRESH_S * 0.9)
+        always(True, lambda: bool(gossip.fresh(HostRole.ENTRY)))
+        always(True, lambda: bool(gossip.heard_within(HostRole.ENTRY, 3.5)))
+        gossip._forget_silent()
+        assert gossip._heard_addresses()
+        await asyncio.sleep(2.5)
+        always(False, lambda: bool(gossip.fresh(HostRole.ENTRY)))
+        always(False, lambda: bool(gossip.heard_within(HostRole.ENTRY, 3.5)))
+
+    run_virtual(scenario())
+
+
+def test_a_silent_home_is_passed_over_for_its_time(site: SiteSettings) -> None:
+    async def scenario() -> None:
+        gossip = Gossip(site, HostRole.ENTRY)
+        homes = HallHomes(gossip)
+        heard(gossip, "edge-2")
+        homes.refresh()
+        home = homes.home_of("north")
+        assert home is not None
+        homes.suspect(home, "no answer")
+        await asyncio.sleep(HOME_SUSPECT_S * 0.9)
+        heard(gossip, "edge-2", beat=2)
+        always(True, lambda: homes._is_suspect(home.host))
+        await asyncio.sleep(HOME_SUSPECT_S * 0.2)
+        heard(gossip, "edge-2", beat=3)
+        always(False, lambda: homes._is_suspect(home.host))
+
+    run_virtual(scenario())
+
+
+def test_loads_of_a_host_count_for_their_time(site: SiteSettings) -> None:
+    async def scenario() -> None:
+        gossip = Gossip(site, HostRole.ENTRY)
+        book = EndpointBook("north")
+        exchange = LoadExchange(gossip.me, book, HallHomes(gossip))
+        loads = HostLoads("edge-2", 1, 1, 0, {ENDPOINT: 3}, [])
+
+        def counted() -> bool:
+            exchange.refresh_book()
+            return bool(exchange._board.running_by_endpoint().get(ENDPOINT))
+
+        exchange.hear(loads)
+        await asyncio.sleep(1.8)
+        always(True, counted)
+        await asyncio.sleep(0.4)
+        always(False, counted)
+
+    run_virtual(scenario())
+
+
+class SilentStore:
+    """What a follower needs of a store that it never asks."""
+
+    def __init__(self) -> None:
+        self.contact = StoreContact()
+
+
+def test_an_outage_is_over_for_its_time() -> None:
+    async def scenario() -> None:
+        store = SilentStore()
+        follower = KeyFollower(
+            cast(PollingStore, store), "servers/", lambda: 5.0, cast(Any, None), cast(Peers, None)
+        )
+        always(False, follower._is_after_outage)
+        store.contact.note_failure(is_silent=True)
+        await asyncio.sleep(5.0)
+        store.contact.note_answer()
+        assert store.contact.returned_s == asyncio.get_running_loop().time()
+        await asyncio.sleep(key_follower.AFTER_OUTAGE_S * 0.9)
+        always(True, follower._is_after_outage)
+        await asyncio.sleep(key_follower.AFTER_OUTAGE_S * 0.2)
+        always(False, follower._is_after_outage)
+
+    run_virtual(scenario())
+
+
+@given(
+    st.integers(0, 7),
+    st.integers(1, 8),
+    st.integers(0, 3),
+    st.integers(0, 1),
+    st.floats(-1e12, 1e12, allow_nan=False),
+)
+def test_a_watch_waits_no_longer_whatever_the_time_of_day(
+    hall: int, halls: int, watcher: int, prefix: int, now_s: float
+) -> None:
+    turn = WatchTurn(hall % halls, halls, watcher, prefix, 2)
+    wait_s = wait_until_turn(turn, now_s)
+    assert LEAST_WAIT_S <= wait_s <= WATCH_PERIOD_S + LEAST_WAIT_S
