--- a/src/bayhinge/_internal/decisions/endpoint_book.py
+++ b/src/bayhinge/_internal/decisions/endpoint_book.py
@@ -159,6 +159,14 @@
             self._judge_address(left_address)
         return EntryNews.CHANGED if is_news else EntryNews.NOTHING
 
+    def withdraw(self, instance: str) -> bool:
+        """Gives an endpoint nothing new until its next entry; returns whether that is news."""
+        belief = self._belief_by_instance.get(instance)
+        if belief is None or belief.entry.is_leaving:
+            return False
+        belief.entry = attrs.evolve(belief.entry, is_leaving=True)
+        return True
+
     def remove(self, instance: str) -> bool:
         """Forgets an endpoint; returns whether it was known."""
         belief = self._belief_by_instance.pop(instance, None)
--- a/src/bayhinge/_internal/platform/retirements.py
+++ b/src/bayhinge/_internal/platform/retirements.py
@@ -3,6 +3,7 @@
 import asyncio
 
 import eliot
+import orjson
 
 from bayhinge._internal.platform.objects_api import RETIREMENTS_KIND, PlatformObjects
 from bayhinge._internal.services.disks.disk_host import DiskHost
@@ -28,14 +29,22 @@
     def replace_all(self, value_by_key: dict[str, bytes], is_after_outage: bool) -> None:
         """See :class:`FollowListener`."""
         if self._key in value_by_key:
-            self._begin()
+            self._take(value_by_key[self._key])
 
     def apply(self, change: Change, is_after_outage: bool) -> None:
         """See :class:`FollowListener`."""
         if change.key == self._key and change.value is not None:
-            self._begin()
+            self._take(change.value)
 
-    def _begin(self) -> None:
+    def _take(self, value: bytes) -> None:
+        """Begins where the operator asks for it: any table does, whatever it says of the time.
+
+        Emptying takes as long as it takes, so its ``duration_s`` decides nothing. What is no table
+        was written by nobody who asks for anything: the disk stays.
+        """
+        if not _is_table(value):
+            eliot.log_message("retirement.unreadable", key=self._key, why="it is no table")
+            return
         if self._task is None:
             self._task = asyncio.ensure_future(keep_running("retire", self._retire))
 
@@ -52,3 +61,10 @@
             except StoreError as error:
                 eliot.log_message("retirement.not_reported", state=state, why=str(error))
                 await asyncio.sleep(RETRY_S)
+
+
+def _is_table(value: bytes) -> bool:
+    try:
+        return isinstance(orjson.loads(value), dict)
+    except orjson.JSONDecodeError:
+        return False
--- a/src/bayhinge/_internal/services/gateway/gateway.py
+++ b/src/bayhinge/_internal/services/gateway/gateway.py
@@ -81,10 +81,10 @@
         self.gossip = Gossip(settings, wire.HostRole.ENTRY)
         self.links = EndpointLinks()
         self.book = EndpointBook(settings.hall)
-        self.configuration = ConfigurationBelief(platform.objects)
+        self.configuration = ConfigurationBelief(platform.objects, platform.configuration_key)
         runs = RunsUnderWay()
         restarts = EndpointRestarts(self.book, self.links, runs, self._wall_clock.wall_ms)
-        endpoints = EndpointBelief(platform.objects, self.book, self.links, restarts)
+        self.endpoints = EndpointBelief(platform.objects, self.book, self.links, restarts)
         self.followers_by_prefix = {
             prefix: KeyFollower(
                 platform.store, prefix, partial(self._watch_wait, place), listener, self.peers
@@ -92,7 +92,7 @@
             for place, (prefix, listener) in enumerate(
                 (
                     (platform.configuration_prefix, self.configuration),
-                    (platform.endpoints_prefix, endpoints),
+                    (platform.endpoints_prefix, self.endpoints),
                 )
             )
         }
@@ -108,7 +108,7 @@
         )
         self.link = DiskLink(self.disks, self.gossip, self.peers)
         self.keeper = TurnKeeper(self.disks, self.link, settings.tolerated_disks)
-        self.homes = HallHomes(self.gossip)
+        self.homes = HallHomes(self.gossip, settings.region_by_hall)
         self.exchange = LoadExchange(self.gossip.me, self.book, self.homes)
         objects = self.followers_by_prefix[platform.endpoints_prefix]
         restarts.known_revision = lambda: objects.revision
@@ -122,7 +122,7 @@
             Sender(self.book, self.links, platform.calls, self.placer, runs),
             self.keeper,
             self.latencies,
-            endpoints.news,
+            self.endpoints.news,
             self.disks.news,
         )
         self.front = RoutedFront(settings.front_address, self.requests, sockets)
--- a/tests/unit/test_endpoint_news.py
+++ b/tests/unit/test_endpoint_news.py
@@ -36,7 +36,15 @@
 
 
 def entry_value(born_ms: int | None, port: int = 80, state: str = "ready") -> bytes:
-    spec = {"service": "app", "address": f"10.0.0.1:{port}", "zone": "north", "slots": 4}
+    spec: dict[str, object] = {
+        "service": "app",
+        "address": f"10.0.0.1:{port}",
+        "zone": "north",
+        "version": "v1",
+        "slots": 4,
+        "cold_left_ms": 0,
+        "seq": 1,
+    }
     born = {} if born_ms is None else {"born": born_ms}
     return orjson.dumps(spec | {"state": state} | born)
 
--- a/tests/unit/test_endpoint_starts.py
+++ b/tests/unit/test_endpoint_starts.py
@@ -24,6 +24,7 @@
 )
 from bayhinge._internal.decisions.load_board import HostReport, LoadBoard
 from bayhinge._internal.decisions.start_revisions import StartRevisions
+from bayhinge._internal.exceptions import UnreadableObjectError
 from bayhinge._internal.models.endpoint_entries import EndpointEntry, EndpointStart
 from bayhinge._internal.platform.object_reader import PlatformObjectReader
 
@@ -58,30 +59,32 @@
 # ---- the edge ----
 
 
-@pytest.mark.parametrize(
-    ("said", "born_ms"),
-    [
-        (BORN_MS, BORN_MS),
-        (0, 0),
-        (None, None),
-        (True, None),
-        (1.5, None),
-        ("1700000000000", None),
-        (-1, None),
-        (2**63, None),
-    ],
-)
-def test_the_moment_of_a_start_is_a_whole_number_or_unknown(
-    said: object, born_ms: int | None
-) -> None:
-    spec = {"service": "app", "address": "10.0.0.1:80", "zone": "north", "slots": 4}
-    value = orjson.dumps(spec | {"state": "ready", "born": said})
+ENTRY: dict[str, object] = {
+    "service": "app",
+    "address": "10.0.0.1:80",
+    "zone": "north",
+    "version": "v1",
+    "slots": 4,
+    "state": "ready",
+    "cold_left_ms": 0,
+    "seq": 1,
+}
+
+
+@pytest.mark.parametrize(("said", "born_ms"), [(BORN_MS, BORN_MS), (1, 1), (0, None)])
+def test_the_moment_of_a_start_is_a_whole_number_or_unknown(said: int, born_ms: int | None) -> None:
+    value = orjson.dumps(ENTRY | {"born": said})
     assert PlatformObjectReader().read_endpoint("servers/a", value).born_ms == born_ms
 
 
+@pytest.mark.parametrize("said", [None, True, 1.5, "1700000000000", -1, 2**63])
+def test_an_entry_whose_moment_is_of_another_type_names_no_endpoint(said: object) -> None:
+    with pytest.raises(UnreadableObjectError, match="born"):
+        PlatformObjectReader().read_endpoint("servers/a", orjson.dumps(ENTRY | {"born": said}))
+
+
 def test_an_entry_that_says_no_start_has_an_unknown_one() -> None:
-    spec = {"service": "app", "address": "10.0.0.1:80", "zone": "north", "slots": 4}
-    value = orjson.dumps(spec | {"state": "ready"})
+    value = orjson.dumps(ENTRY)
     assert PlatformObjectReader().read_endpoint("servers/a", value).start == EndpointStart("a")
 
 
