The soak compares streams byte by byte with the runs that made them; endpoints start again

Endpoints crash in the middle of their streams and start again under their ids (here, elsewhere, behind a cut, twice, at each other's addresses), cut events, and others write odd entries for them; what odd entries point at must never be asked. Half of the callers use a host that stops until its process is gone. Some sites have 9 or 10 hosts.

--- a/tests/lib/platform_engine.py
+++ b/tests/lib/platform_engine.py
@@ -15,6 +15,8 @@
 
     Attributes:
         made: the events that left the engine whole, byte for byte.
+        cut: what left of an event in whose middle it broke off.
+        number: runs of all engines are counted in the order in which they began.
     """
 
     attempt: str
@@ -24,6 +26,8 @@
     headers: list[tuple[str, str]]
     was_cancelled: bool = False
     made: list[bytes] = attrs.field(factory=list)
+    cut: bytes = b""
+    number: int = attrs.field(factory=itertools.count(1).__next__)
 
 
 @attrs.define
@@ -76,6 +80,10 @@
             "seq": 1,
         }
 
+    def event(self, stream: int, number: int) -> bytes:
+        """Returns one event of one of its streams, as it goes out."""
+        return f"id: {number}\ndata: r{stream}e{number}\n\n".encode()
+
     def add_routes(self, app: web.Application) -> None:
         app.router.add_route("*", "/{path:.*}", self._serve)
 
@@ -115,10 +123,11 @@
         resumed = request.headers.get("Last-Event-Id")
         first = 1 if resumed is None else int(resumed) + 1 + self.troubles.resumes_off_by
         for given, number in enumerate(range(max(1, first), self.events + 1)):
-            event = f"id: {number}\ndata: r{stream}e{number}\n\n".encode()
+            event = self.event(stream, number)
             if self.troubles.breaks_after is not None and given >= self.troubles.breaks_after:
                 if self.troubles.cuts_events:
-                    await response.write(event[: self.troubles.cut_at])
+                    run.cut = event[: self.troubles.cut_at]
+                    await response.write(run.cut)
                 assert request.transport is not None
                 request.transport.close()
                 raise ConnectionResetError
--- a/tests/soak/callers.py
+++ b/tests/soak/callers.py
@@ -9,6 +9,7 @@
 
 from tests.soak.daemons import Daemon
 from tests.soak.ledger import Draft, Ledger, Sent
+from tests.soak.stream_check import said_in, split_events
 
 CALL_S = 3.0
 MOST_TOKENS = 30
@@ -17,21 +18,29 @@
 
 @attrs.define
 class Callers:
-    """Plays programs until it is told to stop."""
+    """Plays programs until it is told to stop.
+
+    Some callers leave a host as soon as they may know that it stops; others use it, and their
+    connections to it, until its process is gone.
+    """
 
     entries: list[Daemon]
     ledger: Ledger
     source: random.Random
     is_stopping: bool = False
     served_turns: int = 0
+    _staying: set[str] = attrs.field(factory=set)
     _numbers: "itertools.count[int]" = attrs.field(factory=itertools.count)
 
-    async def play(self, session: aiohttp.ClientSession, name: str) -> None:
-        """Plays one program after the other."""
-        for number in itertools.count():
-            if self.is_stopping:
-                return
-            await self._program(session, f"{name}-{number}")
+    async def play(self, name: str, stays: bool) -> None:
+        """Plays one program after the other, over connections of its own."""
+        if stays:
+            self._staying.add(name)
+        async with aiohttp.ClientSession() as session:
+            for number in itertools.count():
+                if self.is_stopping:
+                    return
+                await self._program(session, f"{name}-{number}")
 
     async def _program(self, session: aiohttp.ClientSession, program: str) -> None:
         budget = self.source.choice([60, 200, 100_000])
@@ -42,9 +51,7 @@
             sent = await self._turn(session, program, text, history, previous, budget)
             if sent is None or self.is_stopping:
                 return
-            said = b"".join(
-                line[6:] + b"\n" for line in sent.answer.split(b"\n") if line.startswith(b"data: ")
-            )
+            said = said_in(split_events(sent.answer)[0])
             history, previous = history + text + said, sent.attempt
             self.served_turns += 1
             if self.source.random() < 0.5:
@@ -73,6 +80,7 @@
         for _ in range(TRIES):
             sent = self._new("turn", text, program)
             sent.expected_body = history + text
+            sent.previous = previous
             await self._send(session, sent, "/chat/x", headers)
             if sent.status == 200 and sent.is_whole:
                 return sent
@@ -93,12 +101,13 @@
         self.ledger.drafts.append(draft)
         for _ in range(TRIES):
             sent = self._new("draft", f"draft of {program}".encode(), program)
+            sent.after = draft.last_event_id
             await self._send(session, sent, "/draft/x", headers)
             draft.take(sent)
             if draft.is_whole or sent.status == 402 or self.is_stopping:
                 return
             if draft.event_ids:
-                headers["Last-Event-Id"] = str(draft.event_ids[-1])
+                headers["Last-Event-Id"] = str(draft.last_event_id)
             await asyncio.sleep(self.source.uniform(0.1, 0.4))
 
     async def _tool(self, session: aiohttp.ClientSession, program: str) -> None:
@@ -108,7 +117,10 @@
 
     def _new(self, kind: str, body: bytes, program: str) -> Sent:
         # A caller keeps off hosts that it knows to be gone, as the platform's callers do.
-        well = [entry for entry in self.entries if not entry.is_hurt] or self.entries
+        stays = program.rpartition("-")[0] in self._staying
+        well = [
+            entry for entry in self.entries if not entry.is_hurt and (stays or not entry.is_leaving)
+        ] or self.entries
         entry = self.source.choice(well)
         sent = Sent(f"s{next(self._numbers):07d}", kind, entry.name, body, program=program)
         self.ledger.sent_by_attempt[sent.attempt] = sent
@@ -120,6 +132,7 @@
         entry = next(entry for entry in self.entries if entry.name == sent.at)
         starts = entry.starts
         sent.was_excused = entry.is_hurt
+        sent.was_leaving = entry.is_leaving
         every = {
             "Host": "desk.example",
             "Bayhinge-Attempt-Id": sent.attempt,
@@ -140,4 +153,6 @@
             pass
         sent.answer = b"".join(pieces)
         sent.is_ended = True
-        sent.was_excused = sent.was_excused or entry.is_hurt or entry.starts != starts
+        sent.was_leaving = sent.was_leaving or entry.is_leaving
+        is_gone = entry.is_hurt or entry.starts != starts
+        sent.was_excused = sent.was_excused or (is_gone and not sent.was_leaving)
--- a/tests/soak/daemons.py
+++ b/tests/soak/daemons.py
@@ -21,7 +21,8 @@
     """One host: its settings, its process, and whether it may be counted on.
 
     ``is_hurt`` is set while a fault of its own is under way, and stays set after a kill
-    until the host is back.
+    until the host is back; ``is_leaving`` from when all callers may know of a planned stop until
+    the process is gone.
     """
 
     name: str
@@ -31,6 +32,7 @@
     settings: str
     process: asyncio.subprocess.Process | None = None
     is_hurt: bool = False
+    is_leaving: bool = False
     starts: int = 0
 
     @property
--- /dev/null
+++ b/tests/soak/endpoint_faults.py
@@ -0,0 +1,145 @@
+"""Faults of endpoints: they break off, leave, start again; others write odd entries for them."""
+
+import asyncio
+import itertools
+import random
+from collections.abc import Awaitable, Callable
+
+import attrs
+
+from tests.lib.platform_store import PlatformStoreServer
+from tests.soak.endpoints import Endpoint, NeverToUse
+from tests.soak.odd_entries import odd_entry
+from tests.soak.proxy import Proxy, Trouble
+
+EVENT_CUTS = (1, 4, 5, 6, 12, -9, -4, -2, -1)
+"""Where an event is cut: in its first line, between lines, before its end."""
+
+
+@attrs.define
+class EndpointFaults:
+    """Each kind, and a series of each that runs beside the others."""
+
+    source: random.Random
+    store: PlatformStoreServer
+    endpoints: list[Endpoint]
+    never: NeverToUse
+    said: Callable[[str], None]
+    _numbers: "itertools.count[int]" = attrs.field(factory=lambda: itertools.count(1))
+    _lock_by_endpoint: dict[Endpoint, asyncio.Lock] = attrs.field(factory=dict)
+
+    def __attrs_post_init__(self) -> None:
+        """Starts, and odd entries, of one endpoint come one after the other."""
+        self._lock_by_endpoint = {endpoint: asyncio.Lock() for endpoint in self.endpoints}
+
+    def series(self) -> list[Callable[[], Awaitable[None]]]:
+        """Returns the kinds; each is played again and again."""
+        return [
+            self.trouble_engine,
+            self.break_streams,
+            self.start_again,
+            self.exchange_addresses,
+            self.write_odd_entry,
+        ]
+
+    async def trouble_engine(self) -> None:
+        """The way to one endpoint, or the endpoint itself."""
+        endpoint = self.source.choice(self.endpoints)
+        engine, proxy = endpoint.engine, endpoint.proxy
+        kind = self.source.choice(["reset", "delay", "full", "lost", "leaves"])
+        self.said(f"{engine.instance} {kind}")
+        if kind in {"reset", "delay"}:
+            proxy.set_trouble(Trouble(kind))
+            await asyncio.sleep(self.source.uniform(0.3, 2.0))
+            proxy.set_trouble(Trouble.NONE)
+        elif kind == "full":
+            engine.troubles.full = self.source.randint(1, 10)
+        elif kind == "lost":
+            engine.troubles.loses_answers = self.source.randint(1, 4)
+        else:
+            async with self._lock_by_endpoint[endpoint]:
+                self.store.remove("servers", engine.instance)
+                await asyncio.sleep(self.source.uniform(0.5, 3.0))
+                self.store.put("servers", engine.instance, endpoint.entry())
+
+    async def break_streams(self) -> None:
+        """Streams of one endpoint, or of all, break off; mostly in the middle of an event."""
+        chosen = self.source.choice([self.endpoints, [self.source.choice(self.endpoints)]])
+        self.said(f"streams break off at {len(chosen)} endpoint(s)")
+        for endpoint in chosen:
+            troubles = endpoint.engine.troubles
+            troubles.breaks_after = self.source.randint(0, 2)
+            troubles.cuts_events = self.source.random() < 0.8
+            troubles.cut_at = self.source.choice(EVENT_CUTS)
+        await asyncio.sleep(self.source.uniform(0.2, 1.0))
+        for endpoint in chosen:
+            endpoint.engine.troubles.breaks_after = None
+
+    async def start_again(self) -> None:
+        """An endpoint crashes in the middle of its streams and starts again, once or twice."""
+        endpoint = self.source.choice(self.endpoints)
+        async with self._lock_by_endpoint[endpoint]:
+            for _ in range(self.source.choice((1, 1, 2))):
+                kind = self.source.choice(["here", "elsewhere", "behind a cut"])
+                self.said(f"{endpoint.engine.instance} starts again {kind}")
+                if kind == "behind a cut":
+                    await self._start_again_behind_a_cut(endpoint)
+                else:
+                    await self._start_again(endpoint, moves=kind == "elsewhere")
+
+    async def _start_again(self, endpoint: Endpoint, moves: bool) -> None:
+        await endpoint.engine.crash()
+        await asyncio.sleep(self.source.choice((0.0, 0.1, 1.0)))
+        former = endpoint.proxy
+        if moves:
+            endpoint.proxy = Proxy("127.0.0.1", 0)
+            await endpoint.proxy.start()
+        await endpoint.start_again()
+        # Its entry comes at once, or after the hosts have found it by themselves.
+        await asyncio.sleep(self.source.choice((0.0, 0.0, 0.5)))
+        self.store.put("servers", endpoint.engine.instance, endpoint.entry())
+        if moves:
+            await former.stop()
+
+    async def _start_again_behind_a_cut(self, endpoint: Endpoint) -> None:
+        """Hosts hear nothing of its end: what was open stays open, and says nothing more."""
+        endpoint.proxy.set_trouble(Trouble.SILENT)
+        endpoint.proxy.silence_open_connections()
+        await endpoint.engine.crash()
+        await endpoint.start_again()
+        if self.source.random() < 0.5:
+            self.store.put("servers", endpoint.engine.instance, endpoint.entry())
+        await asyncio.sleep(self.source.uniform(0.2, 2.0))
+        endpoint.proxy.set_trouble(Trouble.NONE)
+        self.store.put("servers", endpoint.engine.instance, endpoint.entry())
+
+    async def exchange_addresses(self) -> None:
+        """Two endpoints start again, each at the other's address: of its service, or another."""
+        one, other = self.source.sample(self.endpoints, 2)
+        first, second = sorted((one, other), key=self.endpoints.index)
+        async with self._lock_by_endpoint[first], self._lock_by_endpoint[second]:
+            self.said(f"{one.engine.instance} and {other.engine.instance} exchange addresses")
+            await asyncio.gather(one.engine.crash(), other.engine.crash())
+            one.proxy, other.proxy = other.proxy, one.proxy
+            await asyncio.gather(one.start_again(), other.start_again())
+            for endpoint in (one, other):
+                await asyncio.sleep(self.source.choice((0.0, 0.3)))
+                self.store.put("servers", endpoint.engine.instance, endpoint.entry())
+
+    async def write_odd_entry(self) -> None:
+        """An entry that names no endpoint: a new one, or over a good one, which comes back."""
+        endpoint = self.source.choice(self.endpoints)
+        good = endpoint.engine.entry() | {"address": f"127.0.0.1:{self.never.port}"}
+        spec = odd_entry(good, self.source)
+        if self.source.random() < 0.5:
+            name = f"i-odd-{next(self._numbers)}"
+            self.said(f"odd entry {name}: {spec}")
+            self.store.put("servers", name, spec)
+            await asyncio.sleep(self.source.uniform(0.2, 3.0))
+            self.store.remove("servers", name)
+            return
+        async with self._lock_by_endpoint[endpoint]:
+            self.said(f"odd entry over {endpoint.engine.instance}: {spec}")
+            self.store.put("servers", endpoint.engine.instance, spec)
+            await asyncio.sleep(self.source.uniform(0.2, 2.0))
+            self.store.put("servers", endpoint.engine.instance, endpoint.entry())
--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -10,9 +10,9 @@
 import attrs
 
 from tests.lib.platform_data import CONFIGURATION
-from tests.lib.platform_engine import PlatformEngine
 from tests.lib.platform_store import PlatformStoreServer
 from tests.soak.daemons import Daemon
+from tests.soak.endpoints import Endpoint
 from tests.soak.proxy import Proxy, Trouble
 
 CATCH_UP_S = 2.5
@@ -37,8 +37,7 @@
     source: random.Random
     store: PlatformStoreServer
     store_proxies: list[Proxy]
-    engine_proxies: list[Proxy]
-    engines: list[PlatformEngine]
+    endpoints: list[Endpoint]
     entries: list[Daemon]
     disks: list[Daemon]
     said: Callable[[str], None]
@@ -51,11 +50,10 @@
     entry_lock: asyncio.Lock = attrs.field(factory=asyncio.Lock)
 
     def series(self) -> list[Callable[[], Awaitable[None]]]:
-        """Returns the kinds; each is played again and again."""
+        """Returns the kinds that strike hosts and the store; each is played again and again."""
         return [
             self.trouble_store,
             self.change_behind_outage,
-            self.trouble_engine,
             self.hurt_disk,
             self.hurt_entry,
             self.stop_entry,
@@ -135,7 +133,7 @@
 
     async def silence_connections(self) -> None:
         """Open connections to the store and to endpoints fall silent for good."""
-        proxies = [*self.store_proxies, *self.engine_proxies]
+        proxies = [*self.store_proxies, *(endpoint.proxy for endpoint in self.endpoints)]
         chosen = [proxy for proxy in proxies if self.source.random() < 0.6]
         self.said(f"open connections of {len(chosen)} of {len(proxies)} ways fall silent")
         async with self._store_trouble():
@@ -143,30 +141,6 @@
                 proxy.silence_open_connections()
         await asyncio.sleep(self.source.uniform(1.0, 3.0))
 
-    async def trouble_engine(self) -> None:
-        """The way to one endpoint, or the endpoint itself."""
-        number = self.source.randrange(len(self.engines))
-        engine, proxy = self.engines[number], self.engine_proxies[number]
-        kind = self.source.choice(["reset", "delay", "full", "lost", "breaks", "leaves"])
-        self.said(f"{engine.instance} {kind}")
-        if kind in {"reset", "delay"}:
-            proxy.set_trouble(Trouble(kind))
-            await asyncio.sleep(self.source.uniform(0.3, 2.0))
-            proxy.set_trouble(Trouble.NONE)
-        elif kind == "full":
-            engine.troubles.full = self.source.randint(1, 10)
-        elif kind == "lost":
-            engine.troubles.loses_answers = self.source.randint(1, 4)
-        elif kind == "breaks":
-            engine.troubles.breaks_after = self.source.randint(0, 2)
-            await asyncio.sleep(self.source.uniform(0.2, 1.0))
-            engine.troubles.breaks_after = None
-        else:
-            self.store.remove("servers", engine.instance)
-            await asyncio.sleep(self.source.uniform(0.5, 3.0))
-            entry = engine.entry() | {"address": f"127.0.0.1:{proxy.port}"}
-            self.store.put("servers", engine.instance, entry)
-
     async def hurt_disk(self) -> None:
         """One disk at a time is killed, frozen, wiped, or refuses writes."""
         async with self.disk_lock:
@@ -217,10 +191,13 @@
             entry = self.source.choice(self.entries)
             self.said(f"{entry.name} planned stop")
             stopping = asyncio.ensure_future(entry.stop())
-            # Callers learn within a second that it leaves; until then they go on using it.
+            # Callers learn within a second that it leaves; until then all of them go on using it,
+            # and some do until the process is gone.
             await asyncio.sleep(1.0)
-            entry.is_hurt = True
+            entry.is_leaving = True
             await stopping
+            entry.is_hurt = True
+            entry.is_leaving = False
             await entry.start()
             await entry.until_listening()
             await asyncio.sleep(1.5)
--- /dev/null
+++ b/tests/soak/odd_entries.py
@@ -0,0 +1,47 @@
+"""Entries as other writers may leave them: none of them names an endpoint to use."""
+
+import random
+from collections.abc import Callable
+from typing import Any
+
+Spec = dict[str, object]
+
+FIELDS = ("service", "address", "slots", "state")
+"""Fields without which, or with another type of which, an entry names no endpoint."""
+
+OTHER_TYPES: tuple[Any, ...] = (None, True, 7.5, -1, [], {"a": 1}, ["ready"])
+
+
+def _missing(spec: Spec, draw: random.Random) -> Any:
+    field = draw.choice(FIELDS)
+    return {name: value for name, value in spec.items() if name != field}
+
+
+def _of_another_type(spec: Spec, draw: random.Random) -> Any:
+    return spec | {draw.choice(FIELDS): draw.choice(OTHER_TYPES)}
+
+
+def _of_an_unknown_state(spec: Spec, draw: random.Random) -> Any:
+    return spec | {"state": draw.choice(("resting", "READY", "", "drained"))}
+
+
+def _of_an_unknown_service(spec: Spec, draw: random.Random) -> Any:
+    return spec | {"service": draw.choice(("nobody", "", "llm2"))}
+
+
+def _no_entry(spec: Spec, draw: random.Random) -> Any:
+    return draw.choice(({}, [], None, 5, True, "ready", "\x00\ufffd{", [spec]))
+
+
+FORMS: tuple[Callable[[Spec, random.Random], Any], ...] = (
+    _missing,
+    _of_another_type,
+    _of_an_unknown_state,
+    _of_an_unknown_service,
+    _no_entry,
+)
+
+
+def odd_entry(good: Spec, draw: random.Random) -> Any:
+    """Returns a good entry made odd in one way."""
+    return draw.choice(FORMS)(good, draw)
--- a/tests/soak/run.py
+++ b/tests/soak/run.py
@@ -12,17 +12,20 @@
 import attrs
 
 from tests.lib.platform_data import CONFIGURATION
-from tests.lib.platform_engine import PlatformEngine
 from tests.lib.platform_store import PlatformStoreServer
 from tests.soak.callers import Callers
 from tests.soak.daemons import START_S, Daemon, disk_daemon, entry_daemon
+from tests.soak.endpoint_faults import EndpointFaults
+from tests.soak.endpoints import Endpoint, NeverToUse, start_endpoint
 from tests.soak.faults import Faults
 from tests.soak.ledger import Ledger
 from tests.soak.proxy import Proxy, Trouble
 
 HALLS = ("north", "south", "north")
-ENTRIES = 3
-DISKS = 3
+SIZES = ((3, 3), (3, 3), (3, 3), (3, 3), (7, 3), (4, 5))
+"""Entry and disk hosts of a site, one is drawn; a process has some 35 MB."""
+
+ENDPOINTS = (("i-llm-1", "llm"), ("i-llm-2", "llm"), ("i-app-1", "app"), ("i-app-2", "app"))
 CALLERS = 6
 RECOVERY_S = 6.0
 """Time after the last fault within which every host must serve again."""
@@ -49,14 +52,10 @@
         self._folder = folder
         self._source = random.Random(seed)
         self._store = PlatformStoreServer()
-        self._engines = [
-            PlatformEngine("i-llm-1", "llm"),
-            PlatformEngine("i-llm-2", "llm"),
-            PlatformEngine("i-app-1", "app"),
-            PlatformEngine("i-app-2", "app"),
-        ]
+        self._size = random.Random(f"size {seed}").choice(SIZES)
+        self._endpoints: list[Endpoint] = []
+        self._never = NeverToUse()
         self._net = net
-        self._engine_proxies: list[Proxy] = []
         self._store_proxies: list[Proxy] = []
         self._entries: list[Daemon] = []
         self._disks: list[Daemon] = []
@@ -68,16 +67,16 @@
         callers = Callers(self._entries, ledger, self._source)
         try:
             await self._start()
-            async with aiohttp.ClientSession() as session:
-                playing = [
-                    asyncio.create_task(callers.play(session, f"p{number}"))
-                    for number in range(CALLERS)
-                ]
-                ledger.problems += await self._hurt()
-                ledger.problems += await self._recovers(callers)
-                callers.is_stopping = True
-                await asyncio.gather(*playing)
-            problems = ledger.check(self._engines)
+            playing = [
+                asyncio.create_task(callers.play(f"p{number}", stays=number % 2 == 1))
+                for number in range(CALLERS)
+            ]
+            ledger.problems += await self._hurt()
+            ledger.problems += await self._recovers(callers)
+            callers.is_stopping = True
+            await asyncio.gather(*playing)
+            problems = ledger.check([endpoint.engine for endpoint in self._endpoints])
+            problems += [f"asked for by an odd entry: {what}" for what in self._never.asked]
             problems += self._failed_alone()
         finally:
             await self._end()
@@ -92,23 +91,21 @@
 
     async def _start(self) -> None:
         await self._store.start()
-        for engine in self._engines:
-            await engine.start()
-            engine.troubles.pause_s = 0.01
-            proxy = Proxy("127.0.0.1", engine.port)
-            await proxy.start()
-            self._engine_proxies.append(proxy)
-            entry = engine.entry() | {"address": f"127.0.0.1:{proxy.port}"}
-            self._store.put("servers", engine.instance, entry)
+        await self._never.start()
+        for instance, service in ENDPOINTS:
+            endpoint = await start_endpoint(instance, service)
+            self._endpoints.append(endpoint)
+            self._store.put("servers", instance, endpoint.entry())
         self._store.put("config", "main", CONFIGURATION)
         seeds = f'["{self._net}.10:8144","{self._net}.11:8144"]'
-        for number in range(DISKS):
+        entries, disks = self._size
+        for number in range(disks):
             address = await self._store_proxy()
-            hall = HALLS[number]
+            hall = HALLS[number % len(HALLS)]
             self._disks.append(disk_daemon(self._folder, self._net, number, address, hall, seeds))
-        for number in range(ENTRIES):
+        for number in range(entries):
             address = await self._store_proxy()
-            hall = HALLS[number]
+            hall = HALLS[number % len(HALLS)]
             self._entries.append(
                 entry_daemon(self._folder, self._net, number, address, hall, seeds)
             )
@@ -140,14 +137,17 @@
             self._source,
             self._store,
             self._store_proxies,
-            self._engine_proxies,
-            self._engines,
+            self._endpoints,
             self._entries,
             self._disks,
             self._say,
         )
+        of_endpoints = EndpointFaults(
+            self._source, self._store, self._endpoints, self._never, self._say
+        )
         limit_s = time.monotonic() + self._seconds
-        kinds = self._source.sample(faults.series(), k=self._source.randint(2, 4))
+        kinds = self._source.sample(faults.series(), k=self._source.randint(1, 3))
+        kinds += self._source.sample(of_endpoints.series(), k=self._source.randint(1, 3))
 
         async def repeat(kind) -> None:  # type: ignore[no-untyped-def]
             while time.monotonic() < limit_s:
@@ -159,7 +159,7 @@
 
     async def _recovers(self, callers: Callers) -> list[str]:
         """After the last fault every host is ready, and turns are served again."""
-        for proxy in (*self._store_proxies, *self._engine_proxies):
+        for proxy in self._proxies():
             proxy.set_trouble(Trouble.NONE)
         before = callers.served_turns
         limit_s = time.monotonic() + RECOVERY_S
@@ -169,6 +169,9 @@
             await asyncio.sleep(0.2)
         return [f"not recovered {RECOVERY_S} s after the last fault"]
 
+    def _proxies(self) -> list[Proxy]:
+        return [*self._store_proxies, *(endpoint.proxy for endpoint in self._endpoints)]
+
     def _failed_alone(self) -> list[str]:
         """A process must not end by itself."""
         return [
@@ -184,10 +187,11 @@
         for daemon in (*self._entries, *self._disks):
             if daemon.process is not None and daemon.process.returncode is None:
                 await daemon.kill()
-        for proxy in (*self._store_proxies, *self._engine_proxies):
+        for proxy in self._proxies():
             await proxy.stop()
-        for engine in self._engines:
-            await engine.stop()
+        for endpoint in self._endpoints:
+            await endpoint.engine.stop()
+        await self._never.stop()
         await self._store.stop()
 
 
