--- a/tests/soak/endpoint_faults.py
+++ b/tests/soak/endpoint_faults.py
@@ -15,6 +15,9 @@
 EVENT_CUTS = (1, 4, 5, 6, 12, -9, -4, -2, -1)
 """Where an event is cut: in its first line, between lines, before its end."""
 
+STREAMING = "llm"
+"""The service whose endpoints answer with streams."""
+
 
 @attrs.define
 class EndpointFaults:
@@ -63,17 +66,26 @@
                 self.store.put("servers", engine.instance, endpoint.entry())
 
     async def break_streams(self) -> None:
-        """Streams of one endpoint, or of all, break off; mostly in the middle of an event."""
-        chosen = self.source.choice([self.endpoints, [self.source.choice(self.endpoints)]])
+        """Streams of one endpoint, or of all, break off; mostly in the middle of an event.
+
+        Now and then an endpoint that goes on with a stream gives an event again.
+        """
+        streaming = [one for one in self.endpoints if one.engine.service == STREAMING]
+        one = self.source.choice(streaming)
+        chosen = self.source.choice([streaming, [one], [one]])
         self.said(f"streams break off at {len(chosen)} endpoint(s)")
         for endpoint in chosen:
             troubles = endpoint.engine.troubles
             troubles.breaks_after = self.source.randint(0, 2)
             troubles.cuts_events = self.source.random() < 0.8
             troubles.cut_at = self.source.choice(EVENT_CUTS)
+        for endpoint in streaming:
+            endpoint.engine.troubles.resumes_off_by = self.source.choice((0, 0, -1))
         await asyncio.sleep(self.source.uniform(0.2, 1.0))
         for endpoint in chosen:
             endpoint.engine.troubles.breaks_after = None
+        for endpoint in streaming:
+            endpoint.engine.troubles.resumes_off_by = 0
 
     async def start_again(self) -> None:
         """An endpoint crashes in the middle of its streams and starts again, once or twice."""
--- a/tests/soak/run.py
+++ b/tests/soak/run.py
@@ -147,7 +147,7 @@
         )
         limit_s = time.monotonic() + self._seconds
         kinds = self._source.sample(faults.series(), k=self._source.randint(1, 3))
-        kinds += self._source.sample(of_endpoints.series(), k=self._source.randint(1, 3))
+        kinds += self._source.sample(of_endpoints.series(), k=self._source.randint(2, 4))
 
         async def repeat(kind) -> None:  # type: ignore[no-untyped-def]
             while time.monotonic() < limit_s:
