--- a/tests/lib/platform_engine.py
+++ b/tests/lib/platform_engine.py
@@ -16,6 +16,8 @@
 
     Attributes:
         made: the events that left the engine whole, byte for byte.
+        cut: what left of an event in whose middle it broke off.
+        number: runs of all engines are counted in the order in which they began.
     """
 
     attempt: str
@@ -25,6 +27,8 @@
     headers: list[tuple[str, str]]
     was_cancelled: bool = False
     made: list[bytes] = attrs.field(factory=list)
+    cut: bytes = b""
+    number: int = attrs.field(factory=itertools.count(1).__next__)
 
 
 @attrs.define
@@ -38,6 +42,7 @@
         pause_s: before the answer, and between events.
         cuts_events: a stream that breaks off does so in the middle of its next event.
         cut_at: the bytes of that event that still leave; counted from its end where negative.
+        ends_well: an answer that was cut in an event ends as a whole one does.
         silent_after: streams fall silent for good after so many events.
         resumes_off_by: a resumed stream begins so many events too late, or too early.
     """
@@ -48,6 +53,7 @@
     pause_s: float = 0.0
     cuts_events: bool = False
     cut_at: int = -4
+    ends_well: bool = False
     silent_after: int | None = None
     resumes_off_by: int = 0
 
@@ -83,6 +89,10 @@
             "seq": 1,
         }
 
+    def event(self, stream: int, number: int) -> bytes:
+        """Returns one event of one of its streams, as it goes out."""
+        return f"id: {number}\ndata: r{stream}e{number}\n\n".encode()
+
     async def restart(self, born_ms: int | None, moves: bool = False) -> None:
         """Starts again under its id; connections to the former start stay open and say nothing.
 
@@ -150,10 +160,13 @@
         resumed = request.headers.get("Last-Event-Id")
         first = 1 if resumed is None else int(resumed) + 1 + self.troubles.resumes_off_by
         for given, number in enumerate(range(max(1, first), self.events + 1)):
-            event = f"id: {number}\ndata: r{stream}e{number}\n\n".encode()
+            event = self.event(stream, number)
             if self.troubles.breaks_after is not None and given >= self.troubles.breaks_after:
                 if self.troubles.cuts_events:
-                    await response.write(event[: self.troubles.cut_at])
+                    run.cut = event[: self.troubles.cut_at]
+                    await response.write(run.cut)
+                    if self.troubles.ends_well:
+                        break
                 assert request.transport is not None
                 request.transport.close()
                 raise ConnectionResetError
