Hosts of a hall tell each other whom they heard, so all tell callers of the same few

Cause: at 195 hosts a host hears each other one of its hall every 6.8 s and lists those of the last 3.5 s, so each names another half of the hall: callers are spread over all 35 hosts where 20 were meant, and connections to endpoints are used again less. Ruled out: more hellos (bytes beyond 4 KB a second a host). Change: hellos within a hall bear the ages of what their sender heard or was told, 6 bytes a host; ages only grow. A host that leaves is never listed by hearsay, one of another hall neither.

--- a/idl/hosts.thrift
+++ b/idl/hosts.thrift
@@ -37,6 +37,9 @@
   14: required bool store_fails,
   15: optional bool is_cut_off = false,
   16: optional i32 requests_per_s = 0,
+  // Hosts of the hall: when somebody last heard each say that it takes callers. By the low 32 bits
+  // of the incarnation, in hundredths of a second before this hello.
+  17: optional map<i32, i16> age_by_start,
 }
 
 // RESERVED: tokens set aside before a turn runs. SETTLED: what it used in the end.
--- a/src/bayhinge/_internal/services/gateway/gateway.py
+++ b/src/bayhinge/_internal/services/gateway/gateway.py
@@ -52,8 +52,8 @@
 """How long callers may keep an answer about addresses; some keep it three times as long."""
 
 LISTED_S = 3.5
-"""Callers are told of hosts that were heard so lately. Hosts of the own hall greet every 1.2 s on
-a site of 80 hosts; those of other halls are heard by turns, so some are always missing there."""
+"""Callers are told of hosts that were heard so lately, in the own hall by anybody of it; those of
+other halls are heard by turns, so some are always missing there."""
 
 STOP_MARGIN_S = 1.2
 """Part of the grace time that is left for closing when requests are still running."""
@@ -189,11 +189,7 @@
 
     def addresses(self, hall: str, region: str) -> list[str]:
         """Returns the public addresses of ready hosts, those near a caller first."""
-        ready = [
-            hello
-            for hello in self.gossip.heard_within(wire.HostRole.ENTRY, LISTED_S)
-            if hello.phase == wire.HostPhase.READY
-        ]
+        ready = self.gossip.taking_callers(LISTED_S)
         if self.is_ready:
             ready.append(self.gossip.me)
         regions = self.settings.region_by_hall
--- a/src/bayhinge/_internal/services/gossip.py
+++ b/src/bayhinge/_internal/services/gossip.py
@@ -5,13 +5,15 @@
 """
 
 import asyncio
+import copy
 import math
 import random
-from collections.abc import Callable, Iterable
+from collections.abc import Callable, Iterable, Mapping, Sequence
 
 import attrs
 from mode import Service
 
+from bayhinge._internal.decisions.sightings import Sightings, start_of
 from bayhinge._internal.exceptions import FrameError
 from bayhinge._internal.models.site_settings import SiteSettings
 from bayhinge._internal.network.addresses import split_address
@@ -90,6 +92,7 @@
         self._last_heard_by_address: dict[str, float] = {}
         self._greeted_by_address: dict[str, int] = {}
         self._near_fresh_s = self._far_fresh_s = LEAST_FRESH_S
+        self._sightings = Sightings()
         self._transport: asyncio.DatagramTransport | None = None
         self.on_hello: Callable[[Hello], None] = lambda hello: None
         self.on_round: Callable[[], None] = lambda: None
@@ -137,15 +140,35 @@
             and heard.heard_s >= (near_since_s if heard.hello.hall == own_hall else far_since_s)
         ]
 
-    def heard_within(self, role: HostRole, seconds: float) -> list[Hello]:
-        """Returns the newest hellos of hosts that were heard in the last ``seconds``."""
+    def taking_callers(self, seconds: float) -> list[Hello]:
+        """Returns the hellos of entry hosts that take callers, as they said within ``seconds``.
+
+        Those of the own hall may have said it to any host of the hall.
+        """
         since_s = asyncio.get_running_loop().time() - seconds
+        newest = [
+            self._newest(heard)
+            for heard in self._heard_by_host.values()
+            if heard.hello.role == HostRole.ENTRY
+        ]
         return [
             heard.hello
-            for heard in self._heard_by_host.values()
-            if heard.hello.role == role and heard.heard_s >= since_s
+            for heard in newest
+            if heard.hello.phase == HostPhase.READY and heard.heard_s >= since_s
         ]
 
+    def _newest(self, heard: HeardHost) -> HeardHost:
+        """Returns what is known of a host by its own hello, and by later ones that others heard."""
+        seen_s = self._sightings.seen_s(start_of(heard.hello.incarnation))
+        # A host that leaves does not come back, whatever others heard before it said so.
+        if seen_s <= heard.heard_s or heard.hello.phase == HostPhase.LEAVING:
+            return heard
+        if heard.hello.phase == HostPhase.READY and not heard.hello.is_cut_off:
+            return HeardHost(heard.hello, seen_s)
+        hello = copy.copy(heard.hello)
+        hello.phase, hello.is_cut_off = HostPhase.READY, False
+        return HeardHost(hello, seen_s)
+
     def heard_s(self, host: str) -> float:
         """Returns when a host was last heard, on the loop's clock; 0 if it never was."""
         heard = self._heard_by_host.get(host)
@@ -190,9 +213,10 @@
         near, far = self._by_distance()
         self._set_fresh_times(len(near), len(far))
         near_count = min(len(near), max(NEAR_TARGETS, ALL_TARGETS - len(far)))
+        ages = self._sightings.ages(asyncio.get_running_loop().time())
+        self._send_to(self._next_turns(near, near_count), ages)
         self._send_to(
-            self._next_turns(near, near_count)
-            + self._next_turns(far, ALL_TARGETS - near_count)
+            self._next_turns(far, ALL_TARGETS - near_count)
             + self._next_turns(self._unheard(), UNHEARD_TARGETS)
         )
 
@@ -223,13 +247,17 @@
             self._greeted_by_address[address] = self.me.beat
         return chosen
 
-    def _send_to(self, addresses: Iterable[str]) -> None:
-        if self._transport is None or self._transport.is_closing():
+    def _send_to(
+        self, addresses: Sequence[str], age_by_start: Mapping[int, int] | None = None
+    ) -> None:
+        if not addresses or self._transport is None or self._transport.is_closing():
             return
         self.me.beat += 1
         self.describe(self.me)
         known = list(self._last_heard_by_address)
         self.me.known_addresses = random.sample(known, min(MOST_KNOWN, len(known)))
+        # What was heard in a hall is of use there alone, and bytes between halls are paid for.
+        self.me.age_by_start = age_by_start
         data = encode_message(self.me)
         for address in addresses:
             self._transport.sendto(data, split_address(address))
@@ -256,7 +284,22 @@
             return
         self._heard_by_host[hello.host] = HeardHost(hello, now)
         self._last_heard_by_address[hello.gossip_address] = now
+        self._note_sightings(hello, now)
         self.learn(hello.known_addresses)
         if not is_same_start:
             self._send_to([hello.gossip_address])
         self.on_hello(hello)
+
+    def _note_sightings(self, hello: Hello, now_s: float) -> None:
+        """Takes in who takes callers in this hall, by the sender's word."""
+        if hello.hall != self._settings.hall:
+            return
+        if hello.age_by_start is not None:
+            self._sightings.hear(hello.age_by_start, now_s)
+        if hello.role != HostRole.ENTRY:
+            return
+        start = start_of(hello.incarnation)
+        if hello.phase == HostPhase.READY and not hello.is_cut_off:
+            self._sightings.see(start, now_s)
+        else:
+            self._sightings.leave(start)
--- a/src/bayhinge/_internal/wire/hosts/ttypes.py
+++ b/src/bayhinge/_internal/wire/hosts/ttypes.py
@@ -261,6 +261,7 @@
      - store_fails
      - is_cut_off
      - requests_per_s
+     - age_by_start
 
     """
 
@@ -281,10 +282,11 @@
         'store_fails',
         'is_cut_off',
         'requests_per_s',
+        'age_by_start',
     )
 
 
-    def __init__(self, host=None, incarnation=None, beat=None, role=None, phase=None, hall=None, gossip_address=None, peer_address=None, public_address=None, revision_by_prefix=None, running_by_endpoint=None, disk_set_version=None, known_addresses=None, store_fails=None, is_cut_off=False, requests_per_s=0,):
+    def __init__(self, host=None, incarnation=None, beat=None, role=None, phase=None, hall=None, gossip_address=None, peer_address=None, public_address=None, revision_by_prefix=None, running_by_endpoint=None, disk_set_version=None, known_addresses=None, store_fails=None, is_cut_off=False, requests_per_s=0, age_by_start=None,):
         self.host = host
         self.incarnation = incarnation
         self.beat = beat
@@ -301,6 +303,7 @@
         self.store_fails = store_fails
         self.is_cut_off = is_cut_off
         self.requests_per_s = requests_per_s
+        self.age_by_start = age_by_start
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -408,6 +411,17 @@
                     self.requests_per_s = iprot.readI32()
                 else:
                     iprot.skip(ftype)
+            elif fid == 17:
+                if ftype == TType.MAP:
+                    self.age_by_start = {}
+                    (_ktype28, _vtype29, _size27) = iprot.readMapBegin()
+                    for _i31 in range(_size27):
+                        _key32 = iprot.readI32()
+                        _val33 = iprot.readI16()
+                        self.age_by_start[_key32] = _val33
+                    iprot.readMapEnd()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -493,6 +507,14 @@
             oprot.writeFieldBegin('requests_per_s', TType.I32, 16)
             oprot.writeI32(self.requests_per_s)
             oprot.writeFieldEnd()
+        if self.age_by_start is not None:
+            oprot.writeFieldBegin('age_by_start', TType.MAP, 17)
+            oprot.writeMapBegin(TType.I32, TType.I16, len(self.age_by_start))
+            for kiter34, viter35 in self.age_by_start.items():
+                oprot.writeI32(kiter34)
+                oprot.writeI16(viter35)
+            oprot.writeMapEnd()
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -2522,6 +2544,7 @@
     (14, TType.BOOL, 'store_fails', None, None, ),  # 14
     (15, TType.BOOL, 'is_cut_off', None, False, ),  # 15
     (16, TType.I32, 'requests_per_s', None, 0, ),  # 16
+    (17, TType.MAP, 'age_by_start', (TType.I32, None, TType.I16, None, False), None, ),  # 17
 )
 all_structs.append(TurnEntry)
 TurnEntry.thrift_spec = (
--- /dev/null
+++ b/tests/unit/test_hellos.py
@@ -0,0 +1,135 @@
+"""Who takes callers, by a host's own ears and by those of its hall."""
+
+import asyncio
+
+import pytest
+
+from bayhinge._internal.decisions.sightings import AGES_A_SECOND, start_of
+from bayhinge._internal.network.frames import decode_message, encode_message
+from bayhinge._internal.platform.settings_file import read_settings
+from bayhinge._internal.services.gossip import Gossip
+from bayhinge._internal.wire.hosts.ttypes import Hello, HostPhase, HostRole
+from tests.lib.platform_data import settings_text
+
+LISTED_S = 0.05
+
+
+class Listener:
+    """A host of the hall "north" that hears what a test says; nothing is sent."""
+
+    def __init__(self, folder: object) -> None:
+        path = folder / "host.toml"  # type: ignore[operator]
+        text = settings_text(
+            "me",
+            "127.0.0.1",
+            hall="north",
+            platform="127.0.0.1:1",
+            data_folder="",
+            first_start=False,
+            seeds="[]",
+        )
+        path.write_text(text)
+        self.gossip = Gossip(read_settings(path).ok, HostRole.ENTRY)
+
+    def hear(
+        self,
+        host: str,
+        phase: HostPhase,
+        ages: dict[int, int] | None = None,
+        *,
+        beat: int = 1,
+        hall: str = "north",
+        is_cut_off: bool = False,
+    ) -> None:
+        hello = Hello(
+            host,
+            (1 << 40) + len(host),
+            beat,
+            HostRole.ENTRY,
+            phase,
+            hall,
+            f"127.0.0.1:{len(host)}",
+            "",
+            host,
+            {},
+            {},
+            0,
+            [],
+            False,
+            is_cut_off,
+            0,
+            ages,
+        )
+        self.gossip._take(encode_message(hello))
+
+    def listed(self) -> set[str]:
+        return {hello.host for hello in self.gossip.taking_callers(LISTED_S)}
+
+
+START = start_of((1 << 40) + len("b"))
+
+
+@pytest.fixture
+def listener(tmp_path: object) -> Listener:
+    return Listener(tmp_path)
+
+
+def test_a_host_is_listed_while_another_one_hears_it(listener: Listener) -> None:
+    async def main() -> None:
+        listener.hear("b", HostPhase.READY)
+        assert listener.listed() == {"b"}
+        await asyncio.sleep(LISTED_S * 1.5)
+        assert listener.listed() == set()
+        listener.hear("cc", HostPhase.STARTING, {START: 0})
+        assert listener.listed() == {"b"}
+        await asyncio.sleep(LISTED_S * 1.5)
+        assert listener.listed() == set(), "nobody has heard it since"
+
+    asyncio.run(main())
+
+
+def test_a_host_that_started_or_was_cut_off_is_listed_when_others_hear_it_well(
+    listener: Listener,
+) -> None:
+    async def main() -> None:
+        listener.hear("b", HostPhase.READY, is_cut_off=True)
+        assert [hello.is_cut_off for hello in listener.gossip.taking_callers(LISTED_S)] == [True]
+        await asyncio.sleep(0.01)
+        listener.hear("cc", HostPhase.STARTING, {START: 0})
+        assert [hello.is_cut_off for hello in listener.gossip.taking_callers(LISTED_S)] == [False]
+        listener.hear("b", HostPhase.STARTING, beat=2)
+        assert listener.listed() == set()
+        await asyncio.sleep(0.01)
+        listener.hear("cc", HostPhase.STARTING, {START: 0}, beat=2)
+        assert listener.listed() == {"b"}
+
+    asyncio.run(main())
+
+
+def test_a_host_that_leaves_is_not_listed_whatever_others_heard(listener: Listener) -> None:
+    async def main() -> None:
+        listener.hear("b", HostPhase.LEAVING)
+        await asyncio.sleep(0.01)
+        listener.hear("cc", HostPhase.STARTING, {START: 0})
+        assert listener.listed() == set()
+
+    asyncio.run(main())
+
+
+def test_another_hall_says_nothing_of_this_ones_hosts(listener: Listener) -> None:
+    async def main() -> None:
+        listener.hear("b", HostPhase.READY)
+        await asyncio.sleep(LISTED_S * 1.5)
+        listener.hear("cc", HostPhase.STARTING, {START: 0}, hall="south")
+        assert listener.listed() == set()
+
+    asyncio.run(main())
+
+
+def test_hellos_bear_what_was_heard_and_stay_short() -> None:
+    ages = {start_of(number << 20): 3 * AGES_A_SECOND for number in range(40)}
+    hello = Hello("h", 1, 1, 1, 2, "n", "", "", "", {}, {}, 0, [], False, False, 0, ages)
+    data = encode_message(hello)
+    assert decode_message(Hello(), data).age_by_start == ages
+    bare = Hello("h", 1, 1, 1, 2, "n", "", "", "", {}, {}, 0, [], False, False, 0)
+    assert len(data) - len(encode_message(bare)) <= 6 * len(ages) + 10
--- /dev/null
+++ b/tests/unit/test_sightings.py
@@ -0,0 +1,134 @@
+"""Hosts of a hall tell each other whom they heard: all know the same hosts, silent ones leave."""
+
+import random
+
+from bayhinge._internal.decisions.caller_addresses import TOLD_NEAR, ReadyHost, addresses_for
+from bayhinge._internal.decisions.sightings import (
+    AGES_A_SECOND,
+    LONGEST_AGE_S,
+    Sightings,
+    start_of,
+)
+from bayhinge._internal.services.gateway.gateway import LISTED_S
+from bayhinge._internal.services.gossip import NEAR_TARGETS, PERIOD_HOSTS, PERIOD_S
+
+HALL_HOSTS = 35
+SITE_HOSTS = 195
+"""A site of five halls."""
+
+
+class Hall:
+    """Hosts that greet each other by turns in virtual time, as on a large site."""
+
+    def __init__(self, tells_ages: bool) -> None:
+        self.tells_ages = tells_ages
+        self.random = random.Random(5)
+        self.period_s = PERIOD_S * SITE_HOSTS / PERIOD_HOSTS
+        self.sightings = [Sightings() for _ in range(HALL_HOSTS)]
+        self.turns = [
+            self.random.sample(
+                [other for other in range(HALL_HOSTS) if other != host], HALL_HOSTS - 1
+            )
+            for host in range(HALL_HOSTS)
+        ]
+        self.next_s = [self.random.uniform(0, self.period_s) for _ in range(HALL_HOSTS)]
+        self.silent: set[int] = set()
+
+    def play(self, until_s: float) -> None:
+        while (now_s := min(self.next_s)) < until_s:
+            host = self.next_s.index(now_s)
+            self.next_s[host] = now_s + self.period_s * self.random.uniform(0.8, 1.2)
+            if host in self.silent:
+                continue
+            turns = self.turns[host]
+            for other in turns[:NEAR_TARGETS]:
+                if self.tells_ages:
+                    self.sightings[other].hear(self.sightings[host].ages(now_s), now_s)
+                self.sightings[other].see(host, now_s)
+            self.turns[host] = turns[NEAR_TARGETS:] + turns[:NEAR_TARGETS]
+
+    def listed(self, host: int, now_s: float) -> set[int]:
+        seen = self.sightings[host].seen_s
+        return {o for o in range(HALL_HOSTS) if o == host or seen(o) >= now_s - LISTED_S}
+
+    def told(self, host: int, now_s: float) -> set[str]:
+        ready = [ReadyHost(f"host-{other}", "north", "") for other in self.listed(host, now_s)]
+        return set(addresses_for(ready, "north", "", self.random))
+
+
+def figures(tells_ages: bool) -> tuple[float, int, float]:
+    """Plays 60 s.
+
+    Returns the share of a hall that a host lists, hosts that callers are told of by anybody,
+    and the share of the told ones that everybody names.
+    """
+    hall = Hall(tells_ages)
+    listed: list[int] = []
+    told: list[int] = []
+    shared: list[float] = []
+    for second in range(20, 60):
+        hall.play(second)
+        answers = [hall.told(host, second) for host in range(HALL_HOSTS)]
+        listed += [len(hall.listed(host, second)) for host in range(HALL_HOSTS)]
+        everybody = set().union(*answers)
+        told.append(len(everybody))
+        shared.append(len(everybody.intersection(*answers)) / TOLD_NEAR)
+    return (
+        sum(listed) / len(listed) / HALL_HOSTS,
+        max(told),
+        sum(shared) / len(shared),
+    )
+
+
+def test_all_hosts_of_a_large_hall_tell_callers_of_the_same_few() -> None:
+    known, told, shared = figures(tells_ages=False)
+    print("by their own ears", known, told, shared)
+    assert known < 0.6
+    assert told == HALL_HOSTS
+    assert shared < 0.1
+    known, told, shared = figures(tells_ages=True)
+    print("by all ears", known, told, shared)
+    assert known > 0.97
+    assert told <= TOLD_NEAR + 5
+    assert shared > 0.8
+
+
+def test_hosts_that_fall_silent_leave_every_list_in_time() -> None:
+    hall = Hall(tells_ages=True)
+    hall.play(30.0)
+    hall.silent = set(range(17))
+    hall.play(30.0 + LISTED_S)
+    for host in range(17, HALL_HOSTS):
+        assert not hall.listed(host, 30.0 + LISTED_S) & hall.silent
+
+
+def test_ages_only_grow_on_their_way() -> None:
+    first, second = Sightings(), Sightings()
+    first.see(7, 10.0)
+    second.hear(first.ages(11.0), 11.5)
+    assert second.seen_s(7) == 10.5, "half a second on the way"
+    first.hear(second.ages(12.0), 12.0)
+    assert first.seen_s(7) == 10.5
+    first.hear({7: 5 * AGES_A_SECOND}, 12.0)
+    assert first.seen_s(7) == 10.5, "older news change nothing"
+    assert first.ages(10.5 + LONGEST_AGE_S + 0.1) == {}
+
+
+def test_bad_ages_are_never_in_the_future() -> None:
+    sightings = Sightings()
+    sightings.hear({1: -32768}, 5.0)
+    assert sightings.seen_s(1) == 5.0
+
+
+def test_a_host_that_takes_no_callers_is_forgotten() -> None:
+    sightings = Sightings()
+    sightings.see(1, 5.0)
+    sightings.leave(1)
+    assert sightings.ages(5.0) == {}
+    sightings.leave(1)
+
+
+def test_starts_are_told_by_the_low_bits_of_their_incarnation() -> None:
+    assert start_of(5) == 5
+    assert start_of((1 << 61) + 5) == 5
+    assert start_of((1 << 32) - 1) == -1
