Store: entry hosts of a first start wait for hellos about the disks; watches of many halls wait longer

Hypotheses: at first start every entry host reads the disk set after 0.25 s and then twice a second until there is one (8 hosts, no disk yet, 0.6 s: 8 reads; 2 now); with five halls ten hosts watch, and the ends of their watches come more often (0.3 s) than the 0.5 s that outages need. Now the period grows with the halls above three: 0.5 s between two ends on every larger site. Ruled out by reckoning: longer first pauses of disks that join (24 disks: 100 calls, 83 at best).

--- a/src/bayhinge/_internal/decisions/watchers.py
+++ b/src/bayhinge/_internal/decisions/watchers.py
@@ -20,6 +20,9 @@
 of the site ends every 0.5 s; each end is one call of the store, which is paid for: a quiet day of a
 small site has 222 calls with waits of 5 s that are not spread, some 262 with a period of 5 s."""
 
+PERIOD_HALLS = 3
+"""Sites of more halls have more watchers, and watch longer: ends come as often all the same."""
+
 LEAST_WAIT_S = 0.25
 """A watch that would end sooner waits for its next turn: it has just asked."""
 
@@ -65,6 +68,11 @@
     prefix: int
     prefixes: int
 
+    @property
+    def period_s(self) -> float:
+        """Time between two ends of one watch."""
+        return WATCH_PERIOD_S * max(1.0, self.halls / PERIOD_HALLS)
+
     @property
     def phase(self) -> float:
         """When in the period the watch ends, from 0 to 1.
@@ -83,5 +91,5 @@
     ``now_s`` is the time of day. Hosts whose clocks differ have ends that are spread less well,
     and nothing else.
     """
-    wait_s = (turn.phase * WATCH_PERIOD_S - now_s) % WATCH_PERIOD_S
-    return wait_s if wait_s >= LEAST_WAIT_S else wait_s + WATCH_PERIOD_S
+    wait_s = (turn.phase * turn.period_s - now_s) % turn.period_s
+    return wait_s if wait_s >= LEAST_WAIT_S else wait_s + turn.period_s
--- a/src/bayhinge/_internal/services/gateway/disk_directory.py
+++ b/src/bayhinge/_internal/services/gateway/disk_directory.py
@@ -1,6 +1,7 @@
 """Which disks count, and which of them answer, as one entry host sees it."""
 
 import asyncio
+import contextlib
 import random
 from collections.abc import Callable, Iterable
 
@@ -23,7 +24,8 @@
 """A disk that failed is asked last for so long; it is asked in the background all the same."""
 
 PEER_PATIENCE_S = 0.25
-"""Time for a hello to tell of the set before the store is asked."""
+"""Time for a hello to tell of the set before the store is asked; longer where the whole system
+starts for the first time, since disks tell of the set as soon as there is one."""
 
 FETCH_S = 0.5
 RETRY_S = 0.5
@@ -53,6 +55,8 @@
         self._peers = peers
         self._suspect_until_by_host: dict[str, float] = {}
         self._is_fetching = False
+        self.first_ask_s = PEER_PATIENCE_S
+        self._is_told = asyncio.Event()
         self.disk_set = DiskSet(0, [])
         self.reach = DiskReach(settings.tolerated_disks)
         self.news = FirstNews("disks")
@@ -60,7 +64,9 @@
 
     async def load(self) -> None:
         """Reads the set from the store; goes on until there is one or a peer told of one."""
-        await asyncio.sleep(PEER_PATIENCE_S)
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(self.first_ask_s):
+                await self._is_told.wait()
         while not self.disk_set.members:
             try:
                 disk_set = await read_disk_set(self._store)
@@ -98,6 +104,7 @@
             return
         self.disk_set = disk_set
         if disk_set.members:
+            self._is_told.set()
             self.news.note()
         self.on_change(disk_set)
         eliot.log_message(
--- a/src/bayhinge/_internal/services/gateway/gateway.py
+++ b/src/bayhinge/_internal/services/gateway/gateway.py
@@ -102,6 +102,7 @@
             self.peers,
             lambda: self.gossip.fresh(wire.HostRole.DISK),
         )
+        self.disks.first_ask_s += self._first_list_s()
         self.link = DiskLink(self.disks, self.gossip, self.peers)
         self.keeper = TurnKeeper(self.disks, self.link, settings.tolerated_disks)
         self.homes = HallHomes(self.gossip)
--- a/tests/unit/test_watchers.py
+++ b/tests/unit/test_watchers.py
@@ -346,3 +346,17 @@
         return took_s
 
     assert run_virtual(scenario()) <= FIRST_LIST_S[1] + 0.1
+
+
+@pytest.mark.parametrize("halls", [1, 3, 5, 8])
+def test_ends_of_watches_come_as_often_on_every_size_of_site_and_cost_no_more(halls: int) -> None:
+    moments: list[float] = []
+    for hall, watcher, prefix in itertools.product(range(halls), range(2), range(2)):
+        now_s = 1000.0
+        while now_s < 1060.0:
+            now_s += wait_until_turn(WatchTurn(hall, halls, watcher, prefix, 2), now_s)
+            moments.append(now_s)
+    moments.sort()
+    assert len(moments) <= 60 / 0.5 + 2 * 4 * halls, "two a second, and the last ones"
+    gaps = [later - sooner for sooner, later in itertools.pairwise(moments)]
+    assert max(gaps) <= 1.5 / min(halls, 3) + 1e-6
