--- a/src/bayhinge/_internal/decisions/caller_addresses.py
+++ b/src/bayhinge/_internal/decisions/caller_addresses.py
@@ -29,10 +29,10 @@
 and 0.10 with 10 (played in virtual time, connections kept for 8 s). The loss of every third of so
 many leaves enough, and a spare."""
 
-REQUESTS_A_HOST = 8.0
+REQUESTS_A_HOST = 12.0
 """Requests a second that are expected of one host before callers are told of more. One takes 4 ms
 of processor time (a played day of 17,323 requests, starts taken off), so that a host is at a
-thirtieth of a core, and a burst may treble it."""
+twentieth of a core, and a burst may treble it. Each host that is added opens its own connections."""
 
 
 @attrs.frozen
