A host that stood still tells nothing on of the hellos that waited for it

A frozen host reads hellos of seconds as new; told on, these would keep hosts that fell silent meanwhile on every list of the hall.

--- a/src/bayhinge/_internal/decisions/caller_addresses.py
+++ b/src/bayhinge/_internal/decisions/caller_addresses.py
@@ -32,7 +32,7 @@
 REQUESTS_A_HOST = 12.0
 """Requests a second that are expected of one host before callers are told of more. One takes 4 ms
 of processor time (a played day of 17,323 requests, starts taken off), so that a host is at a
-twentieth of a core, and a burst may treble it. Each host that is added opens its own connections."""
+twentieth of a core, and a burst may treble it. Each further host opens its own connections."""
 
 
 @attrs.frozen
--- a/src/bayhinge/_internal/services/gossip.py
+++ b/src/bayhinge/_internal/services/gossip.py
@@ -50,6 +50,13 @@
 
 LEAST_FRESH_S = 1.5
 
+STALL_S = 1.0
+"""A round that is late by more: the host stood still, and hellos waited for it meanwhile."""
+
+AFTER_STALL_S = 0.5
+"""For so long after it, hellos may have waited. What they say is not told on, as it would keep hosts
+that went silent meanwhile on the lists of the whole hall."""
+
 FORGET_S = 60.0
 """An address that was silent for so long is not greeted any more."""
 
@@ -93,6 +100,7 @@
         self._greeted_by_address: dict[str, int] = {}
         self._near_fresh_s = self._far_fresh_s = LEAST_FRESH_S
         self._sightings = Sightings()
+        self._stalled_until_s = 0.0
         self._transport: asyncio.DatagramTransport | None = None
         self.on_hello: Callable[[Hello], None] = lambda hello: None
         self.on_round: Callable[[], None] = lambda: None
@@ -206,7 +214,15 @@
             self._send_round()
             self.on_round()
             period_s = FIRST_PERIOD_S if loop.time() < first_until_s else self._period_s()
-            await asyncio.sleep(period_s * random.uniform(0.8, 1.2))
+            pause_s = period_s * random.uniform(0.8, 1.2)
+            due_s = loop.time() + pause_s
+            await asyncio.sleep(pause_s)
+            self._note_lateness(loop.time() - due_s)
+
+    def _note_lateness(self, late_s: float) -> None:
+        if late_s > STALL_S:
+            self._sightings = Sightings()
+            self._stalled_until_s = asyncio.get_running_loop().time() + AFTER_STALL_S
 
     def _send_round(self) -> None:
         self._forget_silent()
@@ -292,7 +308,7 @@
 
     def _note_sightings(self, hello: Hello, now_s: float) -> None:
         """Takes in who takes callers in this hall, by the sender's word."""
-        if hello.hall != self._settings.hall:
+        if hello.hall != self._settings.hall or now_s < self._stalled_until_s:
             return
         if hello.age_by_start is not None:
             self._sightings.hear(hello.age_by_start, now_s)
--- a/tests/unit/test_hellos.py
+++ b/tests/unit/test_hellos.py
@@ -119,6 +119,24 @@
     asyncio.run(main())
 
 
+def test_a_host_that_stood_still_tells_nothing_on_of_what_waited_for_it(
+    listener: Listener,
+) -> None:
+    async def main() -> None:
+        listener.hear("b", HostPhase.READY)
+        listener.gossip._note_lateness(gossip.STALL_S / 2)
+        now_s = asyncio.get_running_loop().time()
+        assert START in listener.gossip._sightings.ages(now_s)
+        listener.gossip._note_lateness(gossip.STALL_S * 2)
+        listener.hear("cc", HostPhase.READY, {START: 0})
+        assert listener.gossip._sightings.ages(now_s) == {}
+        listener.gossip._stalled_until_s = now_s
+        listener.hear("cc", HostPhase.READY, {START: 0}, beat=2)
+        assert START in listener.gossip._sightings.ages(now_s)
+
+    asyncio.run(main())
+
+
 def test_another_hall_says_nothing_of_this_ones_hosts(listener: Listener) -> None:
     async def main() -> None:
         listener.hear("b", HostPhase.READY)
