--- a/src/bayhinge/_internal/services/gossip.py
+++ b/src/bayhinge/_internal/services/gossip.py
@@ -54,7 +54,7 @@
 """A round that is late by more: the host stood still, and hellos waited for it meanwhile."""
 
 AFTER_STALL_S = 0.5
-"""For so long after it, hellos may have waited. What they say is not told on, as it would keep hosts
+"""For so long after it, hellos may have waited. What they say is not told on: it would keep hosts
 that went silent meanwhile on the lists of the whole hall."""
 
 FORGET_S = 60.0
