--- a/idl/hosts.thrift
+++ b/idl/hosts.thrift
@@ -39,9 +39,9 @@
   16: optional i32 requests_per_s = 0,
   // Hosts of the hall: when somebody last heard each say that it takes callers. By the low 32 bits
   // of the incarnation, in hundredths of a second before this hello.
-  17: optional map<i32, i16> age_by_start,
+  18: optional map<i32, i16> age_by_start,
   // Callers of its own hall are told of it.
-  18: optional bool is_told = false,
+  19: optional bool is_told = false,
 }
 
 // RESERVED: tokens set aside before a turn runs. SETTLED: what it used in the end.
@@ -142,7 +142,7 @@
   6: optional i32 kept_tokens = 0,
   7: optional i32 shared_tokens = 0,
   // Endpoints to which the asking host has a connection that is free.
-  8: optional list<string> connected,
+  9: optional list<string> connected,
 }
 
 // `endpoint` is empty where none is left. A host that is not the hall's home says which
--- a/src/bayhinge/_internal/wire/hosts/ttypes.py
+++ b/src/bayhinge/_internal/wire/hosts/ttypes.py
@@ -414,7 +414,7 @@
                     self.requests_per_s = iprot.readI32()
                 else:
                     iprot.skip(ftype)
-            elif fid == 17:
+            elif fid == 18:
                 if ftype == TType.MAP:
                     self.age_by_start = {}
                     (_ktype28, _vtype29, _size27) = iprot.readMapBegin()
@@ -425,7 +425,7 @@
                     iprot.readMapEnd()
                 else:
                     iprot.skip(ftype)
-            elif fid == 18:
+            elif fid == 19:
                 if ftype == TType.BOOL:
                     self.is_told = iprot.readBool()
                 else:
@@ -516,7 +516,7 @@
             oprot.writeI32(self.requests_per_s)
             oprot.writeFieldEnd()
         if self.age_by_start is not None:
-            oprot.writeFieldBegin('age_by_start', TType.MAP, 17)
+            oprot.writeFieldBegin('age_by_start', TType.MAP, 18)
             oprot.writeMapBegin(TType.I32, TType.I16, len(self.age_by_start))
             for kiter34, viter35 in self.age_by_start.items():
                 oprot.writeI32(kiter34)
@@ -524,7 +524,7 @@
             oprot.writeMapEnd()
             oprot.writeFieldEnd()
         if self.is_told is not None:
-            oprot.writeFieldBegin('is_told', TType.BOOL, 18)
+            oprot.writeFieldBegin('is_told', TType.BOOL, 19)
             oprot.writeBool(self.is_told)
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -2356,7 +2356,7 @@
                     self.shared_tokens = iprot.readI32()
                 else:
                     iprot.skip(ftype)
-            elif fid == 8:
+            elif fid == 9:
                 if ftype == TType.LIST:
                     self.connected = []
                     (_etype129, _size126) = iprot.readListBegin()
@@ -2408,7 +2408,7 @@
             oprot.writeI32(self.shared_tokens)
             oprot.writeFieldEnd()
         if self.connected is not None:
-            oprot.writeFieldBegin('connected', TType.LIST, 8)
+            oprot.writeFieldBegin('connected', TType.LIST, 9)
             oprot.writeListBegin(TType.STRING, len(self.connected))
             for iter132 in self.connected:
                 oprot.writeString(iter132.encode('utf-8') if sys.version_info[0] == 2 else iter132)
@@ -2576,8 +2576,9 @@
     (14, TType.BOOL, 'store_fails', None, None, ),  # 14
     (15, TType.BOOL, 'is_cut_off', None, False, ),  # 15
     (16, TType.I32, 'requests_per_s', None, 0, ),  # 16
-    (17, TType.MAP, 'age_by_start', (TType.I32, None, TType.I16, None, False), None, ),  # 17
-    (18, TType.BOOL, 'is_told', None, False, ),  # 18
+    None,  # 17
+    (18, TType.MAP, 'age_by_start', (TType.I32, None, TType.I16, None, False), None, ),  # 18
+    (19, TType.BOOL, 'is_told', None, False, ),  # 19
 )
 all_structs.append(TurnEntry)
 TurnEntry.thrift_spec = (
@@ -2704,7 +2705,8 @@
     (5, TType.LIST, 'avoid', (TType.STRING, 'UTF8', False), None, ),  # 5
     (6, TType.I32, 'kept_tokens', None, 0, ),  # 6
     (7, TType.I32, 'shared_tokens', None, 0, ),  # 7
-    (8, TType.LIST, 'connected', (TType.STRING, 'UTF8', False), None, ),  # 8
+    None,  # 8
+    (9, TType.LIST, 'connected', (TType.STRING, 'UTF8', False), None, ),  # 9
 )
 all_structs.append(PlaceReply)
 PlaceReply.thrift_spec = (
