--- a/idl/hosts.thrift
+++ b/idl/hosts.thrift
@@ -39,6 +39,11 @@
   15: optional bool is_cut_off = false,
   16: optional i32 requests_per_s = 0,
   17: optional i64 endpoints_known_to,
+  // Hosts of the hall: when somebody last heard each say that it takes callers. By the low 32 bits
+  // of the incarnation, in hundredths of a second before this hello.
+  18: optional map<i32, i16> age_by_start,
+  // Callers of its own hall are told of it.
+  19: optional bool is_told = false,
 }
 
 // RESERVED: tokens set aside before a turn runs. SETTLED: what it used in the end.
@@ -146,6 +151,8 @@
   6: optional i32 kept_tokens = 0,
   7: optional i32 shared_tokens = 0,
   8: optional i64 wished_born_ms,
+  // Endpoints to which the asking host has a connection that is free.
+  9: optional list<string> connected,
 }
 
 // `endpoint` is empty where none is left. A host that is not the hall's home says which
--- a/src/bayhinge/_internal/decisions/endpoint_book.py
+++ b/src/bayhinge/_internal/decisions/endpoint_book.py
@@ -87,12 +87,14 @@
         start: the start of an endpoint whose memory holds the history.
         kept_tokens: those of the prompt that it has read.
         shared_tokens: those of ``shared_part``.
+        connected: endpoints to which the asking host has a connection that is free.
     """
 
     start: EndpointStart = EndpointStart()
     shared_part: str = ""
     kept_tokens: int = 0
     shared_tokens: int = 0
+    connected: frozenset[str] = frozenset()
 
 
 class EndpointBook:
@@ -242,7 +244,15 @@
     def _best(self, candidates: list[EndpointBelief], wish: Wish) -> EndpointBelief | None:
         if not candidates:
             return None
-        least = min(candidates, key=self._cost)
+        # Of endpoints that are equal, one that is connected saves a new connection.
+        least = min(
+            candidates,
+            key=lambda belief: (
+                self._cost(belief),
+                belief.entry.instance not in wish.connected,
+                belief.entry.instance,
+            ),
+        )
         holder = self.find_start(wish.start)
         for belief in candidates:
             if belief is holder:
@@ -267,7 +277,7 @@
         names = [belief.entry.instance for belief in near or candidates]
         return [self._belief_by_instance[name] for name in rank(shared_part, names)]
 
-    def _cost(self, belief: EndpointBelief) -> tuple[float, str]:
+    def _cost(self, belief: EndpointBelief) -> float:
         is_near = belief.entry.hall == self._hall
         away = 0.0 if is_near else weights.other_hall(belief.entry.slots)
-        return belief.burden + away, belief.entry.instance
+        return belief.burden + away
--- a/src/bayhinge/_internal/services/gateway/gateway.py
+++ b/src/bayhinge/_internal/services/gateway/gateway.py
@@ -8,7 +8,7 @@
 import eliot
 from mode import Service
 
-from bayhinge._internal.decisions.caller_addresses import ReadyHost, addresses_for
+from bayhinge._internal.decisions.caller_addresses import ReadyHost, addresses_for, sending
 from bayhinge._internal.decisions.endpoint_book import EndpointBook
 from bayhinge._internal.decisions.request_rate import RequestRate
 from bayhinge._internal.decisions.watchers import (
@@ -53,10 +53,6 @@
 ADDRESS_KEEP_S = 1.0
 """How long callers may keep an answer about addresses; some keep it three times as long."""
 
-LISTED_S = 3.5
-"""Callers are told of hosts that were heard so lately. Hosts of the own hall greet every 1.2 s on
-a site of 80 hosts; those of other halls are heard by turns, so some are always missing there."""
-
 STOP_MARGIN_S = 1.2
 """Part of the grace time that is left for closing when requests are still running."""
 
@@ -106,6 +102,7 @@
             self.peers,
             lambda: self.gossip.fresh(wire.HostRole.DISK),
         )
+        self.disks.first_ask_s += self._first_list_s()
         self.link = DiskLink(self.disks, self.gossip, self.peers)
         self.keeper = TurnKeeper(self.disks, self.link, settings.tolerated_disks)
         self.homes = HallHomes(self.gossip, settings.region_by_hall)
@@ -197,25 +194,24 @@
 
     def addresses(self, hall: str, region: str) -> list[str]:
         """Returns the public addresses of ready hosts, those near a caller first."""
-        ready = [
-            hello
-            for hello in self.gossip.heard_within(wire.HostRole.ENTRY, LISTED_S)
-            if hello.phase == wire.HostPhase.READY
-        ]
+        return addresses_for(self._ready_hosts(), hall, region, self._random)
+
+    def _ready_hosts(self) -> list[ReadyHost]:
+        ready = self.gossip.taking_callers()
         if self.is_ready:
             ready.append(self.gossip.me)
         regions = self.settings.region_by_hall
-        hosts = [
+        return [
             ReadyHost(
                 hello.public_address,
                 hello.hall,
                 regions.get(hello.hall, ""),
                 hello.requests_per_s,
                 hello.is_cut_off,
+                hello.is_told,
             )
             for hello in ready
         ]
-        return addresses_for(hosts, hall, region, self._random)
 
     # ---- hellos ----
 
@@ -267,6 +263,8 @@
         me.phase = wire.HostPhase.READY if self.is_ready else wire.HostPhase.STARTING
         if self.is_leaving:
             me.phase = wire.HostPhase.LEAVING
+        near = [host for host in self._ready_hosts() if host.hall == me.hall]
+        me.is_told = me.public_address in sending(near, me.hall)
         me.running_by_endpoint = self.book.running_here()
         me.endpoints_known_to = self.exchange.endpoints_known_to()
         me.disk_set_version = self.disks.disk_set.version
--- a/src/bayhinge/_internal/services/gateway/placement.py
+++ b/src/bayhinge/_internal/services/gateway/placement.py
@@ -103,8 +103,13 @@
             return wire.PlaceReply("", 0, None if home is None else home.host)
         self._exchange.hear(call.loads)
         self._exchange.refresh_book()
-        start = EndpointStart(call.wished, call.wished_born_ms)
-        wish = Wish(start, call.shared_part, call.kept_tokens, call.shared_tokens)
+        wish = Wish(
+            EndpointStart(call.wished, call.wished_born_ms),
+            call.shared_part,
+            call.kept_tokens,
+            call.shared_tokens,
+            frozenset(call.connected or ()),
+        )
         now = asyncio.get_running_loop().time()
         # The asking host would send to an address, and speak to a start, that are no more.
         unheard = self._book.start_revisions.unheard_by(call.loads.endpoints_known_to)
@@ -142,6 +147,7 @@
                 wish.kept_tokens,
                 wish.shared_tokens,
                 wish.start.born_ms,
+                self._connected(home, service, wish),
             )
             reply = await self._call(home, call)
             if reply is None:
@@ -154,6 +160,17 @@
             home = other
         return None
 
+    def _connected(self, home: Home, service: str, wish: Wish) -> list[str]:
+        """Returns those of the connected endpoints that the home may choose."""
+        beliefs = [self._book.find(instance) for instance in wish.connected]
+        return [
+            belief.entry.instance
+            for belief in beliefs
+            if belief is not None
+            and belief.entry.hall == home.hall
+            and belief.entry.service == service
+        ]
+
     def _take(
         self, reply: wire.PlaceReply, home: Home, service: str, passed_over: set[str]
     ) -> EndpointBelief | None:
--- a/src/bayhinge/_internal/services/gateway/sending.py
+++ b/src/bayhinge/_internal/services/gateway/sending.py
@@ -157,7 +157,8 @@
         belief = None
         if sending.untaken < MOST_UNTAKEN_SENDS:
             tried = self._still_tried(sending)
-            belief = await self._placer.place(sending.service, sending.wish, tried)
+            wish = attrs.evolve(sending.wish, connected=self._links.connected())
+            belief = await self._placer.place(sending.service, wish, tried)
         if belief is None:
             code = RefusalCode.OUTCOME_UNKNOWN if sending.ran else RefusalCode.NO_ENDPOINT
             why = f"none of {len(sending.tried)} endpoint(s) of the service took the request"
--- a/src/bayhinge/_internal/wire/hosts/ttypes.py
+++ b/src/bayhinge/_internal/wire/hosts/ttypes.py
@@ -262,6 +262,8 @@
      - is_cut_off
      - requests_per_s
      - endpoints_known_to
+     - age_by_start
+     - is_told
 
     """
 
@@ -283,10 +285,12 @@
         'is_cut_off',
         'requests_per_s',
         'endpoints_known_to',
+        'age_by_start',
+        'is_told',
     )
 
 
-    def __init__(self, host=None, incarnation=None, beat=None, role=None, phase=None, hall=None, gossip_address=None, peer_address=None, public_address=None, revision_by_prefix=None, running_by_endpoint=None, disk_set_version=None, known_addresses=None, store_fails=None, is_cut_off=False, requests_per_s=0, endpoints_known_to=None,):
+    def __init__(self, host=None, incarnation=None, beat=None, role=None, phase=None, hall=None, gossip_address=None, peer_address=None, public_address=None, revision_by_prefix=None, running_by_endpoint=None, disk_set_version=None, known_addresses=None, store_fails=None, is_cut_off=False, requests_per_s=0, endpoints_known_to=None, age_by_start=None, is_told=False,):
         self.host = host
         self.incarnation = incarnation
         self.beat = beat
@@ -304,6 +308,8 @@
         self.is_cut_off = is_cut_off
         self.requests_per_s = requests_per_s
         self.endpoints_known_to = endpoints_known_to
+        self.age_by_start = age_by_start
+        self.is_told = is_told
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -416,6 +422,22 @@
                     self.endpoints_known_to = iprot.readI64()
                 else:
                     iprot.skip(ftype)
+            elif fid == 18:
+                if ftype == TType.MAP:
+                    self.age_by_start = {}
+                    (_ktype28, _vtype29, _size27) = iprot.readMapBegin()
+                    for _i31 in range(_size27):
+                        _key32 = iprot.readI32()
+                        _val33 = iprot.readI16()
+                        self.age_by_start[_key32] = _val33
+                    iprot.readMapEnd()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 19:
+                if ftype == TType.BOOL:
+                    self.is_told = iprot.readBool()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -465,17 +487,17 @@
         if self.revision_by_prefix is not None:
             oprot.writeFieldBegin('revision_by_prefix', TType.MAP, 10)
             oprot.writeMapBegin(TType.STRING, TType.I64, len(self.revision_by_prefix))
-            for kiter27, viter28 in self.revision_by_prefix.items():
-                oprot.writeString(kiter27.encode('utf-8') if sys.version_info[0] == 2 else kiter27)
-                oprot.writeI64(viter28)
+            for kiter34, viter35 in self.revision_by_prefix.items():
+                oprot.writeString(kiter34.encode('utf-8') if sys.version_info[0] == 2 else kiter34)
+                oprot.writeI64(viter35)
             oprot.writeMapEnd()
             oprot.writeFieldEnd()
         if self.running_by_endpoint is not None:
             oprot.writeFieldBegin('running_by_endpoint', TType.MAP, 11)
             oprot.writeMapBegin(TType.STRING, TType.I32, len(self.running_by_endpoint))
-            for kiter29, viter30 in self.running_by_endpoint.items():
-                oprot.writeString(kiter29.encode('utf-8') if sys.version_info[0] == 2 else kiter29)
-                oprot.writeI32(viter30)
+            for kiter36, viter37 in self.running_by_endpoint.items():
+                oprot.writeString(kiter36.encode('utf-8') if sys.version_info[0] == 2 else kiter36)
+                oprot.writeI32(viter37)
             oprot.writeMapEnd()
             oprot.writeFieldEnd()
         if self.disk_set_version is not None:
@@ -485,8 +507,8 @@
         if self.known_addresses is not None:
             oprot.writeFieldBegin('known_addresses', TType.LIST, 13)
             oprot.writeListBegin(TType.STRING, len(self.known_addresses))
-            for iter31 in self.known_addresses:
-                oprot.writeString(iter31.encode('utf-8') if sys.version_info[0] == 2 else iter31)
+            for iter38 in self.known_addresses:
+                oprot.writeString(iter38.encode('utf-8') if sys.version_info[0] == 2 else iter38)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.store_fails is not None:
@@ -505,6 +527,18 @@
             oprot.writeFieldBegin('endpoints_known_to', TType.I64, 17)
             oprot.writeI64(self.endpoints_known_to)
             oprot.writeFieldEnd()
+        if self.age_by_start is not None:
+            oprot.writeFieldBegin('age_by_start', TType.MAP, 18)
+            oprot.writeMapBegin(TType.I32, TType.I16, len(self.age_by_start))
+            for kiter39, viter40 in self.age_by_start.items():
+                oprot.writeI32(kiter39)
+                oprot.writeI16(viter40)
+            oprot.writeMapEnd()
+            oprot.writeFieldEnd()
+        if self.is_told is not None:
+            oprot.writeFieldBegin('is_told', TType.BOOL, 19)
+            oprot.writeBool(self.is_told)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -875,22 +909,22 @@
             elif fid == 2:
                 if ftype == TType.MAP:
                     self.open_by_attempt = {}
-                    (_ktype33, _vtype34, _size32) = iprot.readMapBegin()
-                    for _i36 in range(_size32):
-                        _key37 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
-                        _val38 = iprot.readI64()
-                        self.open_by_attempt[_key37] = _val38
+                    (_ktype42, _vtype43, _size41) = iprot.readMapBegin()
+                    for _i45 in range(_size41):
+                        _key46 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        _val47 = iprot.readI64()
+                        self.open_by_attempt[_key46] = _val47
                     iprot.readMapEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 3:
                 if ftype == TType.MAP:
                     self.settled_by_attempt = {}
-                    (_ktype40, _vtype41, _size39) = iprot.readMapBegin()
-                    for _i43 in range(_size39):
-                        _key44 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
-                        _val45 = iprot.readI64()
-                        self.settled_by_attempt[_key44] = _val45
+                    (_ktype49, _vtype50, _size48) = iprot.readMapBegin()
+                    for _i52 in range(_size48):
+                        _key53 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        _val54 = iprot.readI64()
+                        self.settled_by_attempt[_key53] = _val54
                     iprot.readMapEnd()
                 else:
                     iprot.skip(ftype)
@@ -931,17 +965,17 @@
         if self.open_by_attempt is not None:
             oprot.writeFieldBegin('open_by_attempt', TType.MAP, 2)
             oprot.writeMapBegin(TType.STRING, TType.I64, len(self.open_by_attempt))
-            for kiter46, viter47 in self.open_by_attempt.items():
-                oprot.writeString(kiter46.encode('utf-8') if sys.version_info[0] == 2 else kiter46)
-                oprot.writeI64(viter47)
+            for kiter55, viter56 in self.open_by_attempt.items():
+                oprot.writeString(kiter55.encode('utf-8') if sys.version_info[0] == 2 else kiter55)
+                oprot.writeI64(viter56)
             oprot.writeMapEnd()
             oprot.writeFieldEnd()
         if self.settled_by_attempt is not None:
             oprot.writeFieldBegin('settled_by_attempt', TType.MAP, 3)
             oprot.writeMapBegin(TType.STRING, TType.I64, len(self.settled_by_attempt))
-            for kiter48, viter49 in self.settled_by_attempt.items():
-                oprot.writeString(kiter48.encode('utf-8') if sys.version_info[0] == 2 else kiter48)
-                oprot.writeI64(viter49)
+            for kiter57, viter58 in self.settled_by_attempt.items():
+                oprot.writeString(kiter57.encode('utf-8') if sys.version_info[0] == 2 else kiter57)
+                oprot.writeI64(viter58)
             oprot.writeMapEnd()
             oprot.writeFieldEnd()
         if self.chain is not None:
@@ -1018,11 +1052,11 @@
             if fid == 1:
                 if ftype == TType.LIST:
                     self.entries = []
-                    (_etype53, _size50) = iprot.readListBegin()
-                    for _i54 in range(_size50):
-                        _elem55 = TurnEntry()
-                        _elem55.read(iprot)
-                        self.entries.append(_elem55)
+                    (_etype62, _size59) = iprot.readListBegin()
+                    for _i63 in range(_size59):
+                        _elem64 = TurnEntry()
+                        _elem64.read(iprot)
+                        self.entries.append(_elem64)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -1039,8 +1073,8 @@
         if self.entries is not None:
             oprot.writeFieldBegin('entries', TType.LIST, 1)
             oprot.writeListBegin(TType.STRUCT, len(self.entries))
-            for iter56 in self.entries:
-                iter56.write(oprot)
+            for iter65 in self.entries:
+                iter65.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -1293,10 +1327,10 @@
             elif fid == 4:
                 if ftype == TType.LIST:
                     self.keys = []
-                    (_etype60, _size57) = iprot.readListBegin()
-                    for _i61 in range(_size57):
-                        _elem62 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
-                        self.keys.append(_elem62)
+                    (_etype69, _size66) = iprot.readListBegin()
+                    for _i70 in range(_size66):
+                        _elem71 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        self.keys.append(_elem71)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -1330,8 +1364,8 @@
         if self.keys is not None:
             oprot.writeFieldBegin('keys', TType.LIST, 4)
             oprot.writeListBegin(TType.STRING, len(self.keys))
-            for iter63 in self.keys:
-                oprot.writeString(iter63.encode('utf-8') if sys.version_info[0] == 2 else iter63)
+            for iter72 in self.keys:
+                oprot.writeString(iter72.encode('utf-8') if sys.version_info[0] == 2 else iter72)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.disk_set_version is not None:
@@ -1400,10 +1434,10 @@
             if fid == 1:
                 if ftype == TType.LIST:
                     self.keys = []
-                    (_etype67, _size64) = iprot.readListBegin()
-                    for _i68 in range(_size64):
-                        _elem69 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
-                        self.keys.append(_elem69)
+                    (_etype76, _size73) = iprot.readListBegin()
+                    for _i77 in range(_size73):
+                        _elem78 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        self.keys.append(_elem78)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -1420,8 +1454,8 @@
         if self.keys is not None:
             oprot.writeFieldBegin('keys', TType.LIST, 1)
             oprot.writeListBegin(TType.STRING, len(self.keys))
-            for iter70 in self.keys:
-                oprot.writeString(iter70.encode('utf-8') if sys.version_info[0] == 2 else iter70)
+            for iter79 in self.keys:
+                oprot.writeString(iter79.encode('utf-8') if sys.version_info[0] == 2 else iter79)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -1478,11 +1512,11 @@
             if fid == 1:
                 if ftype == TType.LIST:
                     self.entries = []
-                    (_etype74, _size71) = iprot.readListBegin()
-                    for _i75 in range(_size71):
-                        _elem76 = TurnEntry()
-                        _elem76.read(iprot)
-                        self.entries.append(_elem76)
+                    (_etype83, _size80) = iprot.readListBegin()
+                    for _i84 in range(_size80):
+                        _elem85 = TurnEntry()
+                        _elem85.read(iprot)
+                        self.entries.append(_elem85)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -1499,8 +1533,8 @@
         if self.entries is not None:
             oprot.writeFieldBegin('entries', TType.LIST, 1)
             oprot.writeListBegin(TType.STRUCT, len(self.entries))
-            for iter77 in self.entries:
-                iter77.write(oprot)
+            for iter86 in self.entries:
+                iter86.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -1557,10 +1591,10 @@
             if fid == 1:
                 if ftype == TType.LIST:
                     self.keys = []
-                    (_etype81, _size78) = iprot.readListBegin()
-                    for _i82 in range(_size78):
-                        _elem83 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
-                        self.keys.append(_elem83)
+                    (_etype90, _size87) = iprot.readListBegin()
+                    for _i91 in range(_size87):
+                        _elem92 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        self.keys.append(_elem92)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -1577,8 +1611,8 @@
         if self.keys is not None:
             oprot.writeFieldBegin('keys', TType.LIST, 1)
             oprot.writeListBegin(TType.STRING, len(self.keys))
-            for iter84 in self.keys:
-                oprot.writeString(iter84.encode('utf-8') if sys.version_info[0] == 2 else iter84)
+            for iter93 in self.keys:
+                oprot.writeString(iter93.encode('utf-8') if sys.version_info[0] == 2 else iter93)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -1649,11 +1683,11 @@
             elif fid == 2:
                 if ftype == TType.MAP:
                     self.value_by_key = {}
-                    (_ktype86, _vtype87, _size85) = iprot.readMapBegin()
-                    for _i89 in range(_size85):
-                        _key90 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
-                        _val91 = iprot.readBinary()
-                        self.value_by_key[_key90] = _val91
+                    (_ktype95, _vtype96, _size94) = iprot.readMapBegin()
+                    for _i98 in range(_size94):
+                        _key99 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        _val100 = iprot.readBinary()
+                        self.value_by_key[_key99] = _val100
                     iprot.readMapEnd()
                 else:
                     iprot.skip(ftype)
@@ -1684,9 +1718,9 @@
         if self.value_by_key is not None:
             oprot.writeFieldBegin('value_by_key', TType.MAP, 2)
             oprot.writeMapBegin(TType.STRING, TType.STRING, len(self.value_by_key))
-            for kiter92, viter93 in self.value_by_key.items():
-                oprot.writeString(kiter92.encode('utf-8') if sys.version_info[0] == 2 else kiter92)
-                oprot.writeBinary(viter93)
+            for kiter101, viter102 in self.value_by_key.items():
+                oprot.writeString(kiter101.encode('utf-8') if sys.version_info[0] == 2 else kiter101)
+                oprot.writeBinary(viter102)
             oprot.writeMapEnd()
             oprot.writeFieldEnd()
         if self.complete_to is not None:
@@ -1961,21 +1995,21 @@
             elif fid == 5:
                 if ftype == TType.MAP:
                     self.running_by_endpoint = {}
-                    (_ktype95, _vtype96, _size94) = iprot.readMapBegin()
-                    for _i98 in range(_size94):
-                        _key99 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
-                        _val100 = iprot.readI32()
-                        self.running_by_endpoint[_key99] = _val100
+                    (_ktype104, _vtype105, _size103) = iprot.readMapBegin()
+                    for _i107 in range(_size103):
+                        _key108 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        _val109 = iprot.readI32()
+                        self.running_by_endpoint[_key108] = _val109
                     iprot.readMapEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 6:
                 if ftype == TType.LIST:
                     self.resting = []
-                    (_etype104, _size101) = iprot.readListBegin()
-                    for _i105 in range(_size101):
-                        _elem106 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
-                        self.resting.append(_elem106)
+                    (_etype113, _size110) = iprot.readListBegin()
+                    for _i114 in range(_size110):
+                        _elem115 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        self.resting.append(_elem115)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -2013,16 +2047,16 @@
         if self.running_by_endpoint is not None:
             oprot.writeFieldBegin('running_by_endpoint', TType.MAP, 5)
             oprot.writeMapBegin(TType.STRING, TType.I32, len(self.running_by_endpoint))
-            for kiter107, viter108 in self.running_by_endpoint.items():
-                oprot.writeString(kiter107.encode('utf-8') if sys.version_info[0] == 2 else kiter107)
-                oprot.writeI32(viter108)
+            for kiter116, viter117 in self.running_by_endpoint.items():
+                oprot.writeString(kiter116.encode('utf-8') if sys.version_info[0] == 2 else kiter116)
+                oprot.writeI32(viter117)
             oprot.writeMapEnd()
             oprot.writeFieldEnd()
         if self.resting is not None:
             oprot.writeFieldBegin('resting', TType.LIST, 6)
             oprot.writeListBegin(TType.STRING, len(self.resting))
-            for iter109 in self.resting:
-                oprot.writeString(iter109.encode('utf-8') if sys.version_info[0] == 2 else iter109)
+            for iter118 in self.resting:
+                oprot.writeString(iter118.encode('utf-8') if sys.version_info[0] == 2 else iter118)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.endpoints_known_to is not None:
@@ -2128,11 +2162,11 @@
             elif fid == 5:
                 if ftype == TType.MAP:
                     self.running_by_endpoint = {}
-                    (_ktype111, _vtype112, _size110) = iprot.readMapBegin()
-                    for _i114 in range(_size110):
-                        _key115 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
-                        _val116 = iprot.readI32()
-                        self.running_by_endpoint[_key115] = _val116
+                    (_ktype120, _vtype121, _size119) = iprot.readMapBegin()
+                    for _i123 in range(_size119):
+                        _key124 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        _val125 = iprot.readI32()
+                        self.running_by_endpoint[_key124] = _val125
                     iprot.readMapEnd()
                 else:
                     iprot.skip(ftype)
@@ -2170,9 +2204,9 @@
         if self.running_by_endpoint is not None:
             oprot.writeFieldBegin('running_by_endpoint', TType.MAP, 5)
             oprot.writeMapBegin(TType.STRING, TType.I32, len(self.running_by_endpoint))
-            for kiter117, viter118 in self.running_by_endpoint.items():
-                oprot.writeString(kiter117.encode('utf-8') if sys.version_info[0] == 2 else kiter117)
-                oprot.writeI32(viter118)
+            for kiter126, viter127 in self.running_by_endpoint.items():
+                oprot.writeString(kiter126.encode('utf-8') if sys.version_info[0] == 2 else kiter126)
+                oprot.writeI32(viter127)
             oprot.writeMapEnd()
             oprot.writeFieldEnd()
         if self.endpoints_known_to is not None:
@@ -2307,6 +2341,7 @@
      - kept_tokens
      - shared_tokens
      - wished_born_ms
+     - connected
 
     """
 
@@ -2319,10 +2354,11 @@
         'kept_tokens',
         'shared_tokens',
         'wished_born_ms',
+        'connected',
     )
 
 
-    def __init__(self, loads=None, service_name=None, wished=None, shared_part=None, avoid=None, kept_tokens=0, shared_tokens=0, wished_born_ms=None,):
+    def __init__(self, loads=None, service_name=None, wished=None, shared_part=None, avoid=None, kept_tokens=0, shared_tokens=0, wished_born_ms=None, connected=None,):
         self.loads = loads
         self.service_name = service_name
         self.wished = wished
@@ -2331,6 +2367,7 @@
         self.kept_tokens = kept_tokens
         self.shared_tokens = shared_tokens
         self.wished_born_ms = wished_born_ms
+        self.connected = connected
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -2365,10 +2402,10 @@
             elif fid == 5:
                 if ftype == TType.LIST:
                     self.avoid = []
-                    (_etype122, _size119) = iprot.readListBegin()
-                    for _i123 in range(_size119):
-                        _elem124 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
-                        self.avoid.append(_elem124)
+                    (_etype131, _size128) = iprot.readListBegin()
+                    for _i132 in range(_size128):
+                        _elem133 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        self.avoid.append(_elem133)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -2387,6 +2424,16 @@
                     self.wished_born_ms = iprot.readI64()
                 else:
                     iprot.skip(ftype)
+            elif fid == 9:
+                if ftype == TType.LIST:
+                    self.connected = []
+                    (_etype137, _size134) = iprot.readListBegin()
+                    for _i138 in range(_size134):
+                        _elem139 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        self.connected.append(_elem139)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -2416,8 +2463,8 @@
         if self.avoid is not None:
             oprot.writeFieldBegin('avoid', TType.LIST, 5)
             oprot.writeListBegin(TType.STRING, len(self.avoid))
-            for iter125 in self.avoid:
-                oprot.writeString(iter125.encode('utf-8') if sys.version_info[0] == 2 else iter125)
+            for iter140 in self.avoid:
+                oprot.writeString(iter140.encode('utf-8') if sys.version_info[0] == 2 else iter140)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.kept_tokens is not None:
@@ -2432,6 +2479,13 @@
             oprot.writeFieldBegin('wished_born_ms', TType.I64, 8)
             oprot.writeI64(self.wished_born_ms)
             oprot.writeFieldEnd()
+        if self.connected is not None:
+            oprot.writeFieldBegin('connected', TType.LIST, 9)
+            oprot.writeListBegin(TType.STRING, len(self.connected))
+            for iter141 in self.connected:
+                oprot.writeString(iter141.encode('utf-8') if sys.version_info[0] == 2 else iter141)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -2595,6 +2649,8 @@
     (15, TType.BOOL, 'is_cut_off', None, False, ),  # 15
     (16, TType.I32, 'requests_per_s', None, 0, ),  # 16
     (17, TType.I64, 'endpoints_known_to', None, None, ),  # 17
+    (18, TType.MAP, 'age_by_start', (TType.I32, None, TType.I16, None, False), None, ),  # 18
+    (19, TType.BOOL, 'is_told', None, False, ),  # 19
 )
 all_structs.append(TurnEntry)
 TurnEntry.thrift_spec = (
@@ -2726,6 +2782,7 @@
     (6, TType.I32, 'kept_tokens', None, 0, ),  # 6
     (7, TType.I32, 'shared_tokens', None, 0, ),  # 7
     (8, TType.I64, 'wished_born_ms', None, None, ),  # 8
+    (9, TType.LIST, 'connected', (TType.STRING, 'UTF8', False), None, ),  # 9
 )
 all_structs.append(PlaceReply)
 PlaceReply.thrift_spec = (
