--- a/src/bayhinge/_internal/services/gateway/sending.py
+++ b/src/bayhinge/_internal/services/gateway/sending.py
@@ -11,7 +11,6 @@
     bounds_of,
     usual_answer_s,
 )
-from bayhinge._internal.decisions.endpoint_book import EndpointBelief as Belief
 from bayhinge._internal.decisions.endpoint_book import EndpointBook, Wish
 from bayhinge._internal.models.refusals import CallAttempt, RefusalCode, RefusedError
 from bayhinge._internal.models.routed_requests import AnswerMarks, RoutedRequest
@@ -63,7 +62,7 @@
     attempt: CallAttempt
     deadline_s: float
     delivery: Delivery
-    tried: list[Belief] = attrs.field(factory=list)
+    tried: list[RunUnderWay] = attrs.field(factory=list)
     ran: int = 0
     untaken: int = 0
 
@@ -159,13 +158,18 @@
             code = RefusalCode.OUTCOME_UNKNOWN if sending.ran else RefusalCode.NO_ENDPOINT
             why = f"none of {len(sending.tried)} endpoint(s) of the service took the request"
             raise RefusedError(sending.attempt.refuse(code, why, retry_after_s=RETRY_AFTER_S))
-        sending.tried.append(belief)
         sending.attempt.note_send()
-        return self._runs.begin(belief)
+        run = self._runs.begin(belief)
+        sending.tried.append(run)
+        return run
 
     def _still_tried(self, sending: _Sending) -> list[str]:
         """Returns the endpoints whose present starts were asked already."""
-        return [belief.entry.instance for belief in sending.tried if self._book.is_current(belief)]
+        return [
+            run.endpoint
+            for run in sending.tried
+            if self._book.find_start(run.belief.entry.start) is not None
+        ]
 
     async def _send_to(self, run: RunUnderWay, sending: _Sending) -> None:
         connection: EndpointConnection | None = None
--- a/tests/functional/test_sending.py
+++ b/tests/functional/test_sending.py
@@ -174,3 +174,52 @@
     assert sent_to == ["new"]
     assert delivery.body == b"paid"
     assert attempt.sends == 1
+
+
+def test_a_start_that_a_request_was_found_to_be_at_is_not_asked_again() -> None:
+    route = Route(
+        "r", "h", "/", RouteKind.IDEMPOTENT, (ServiceShare("app", 1),), 2.0, 1.0, 0, max_endpoints=2
+    )
+
+    async def main() -> tuple[int, RefusedError | None]:
+        asked = 0
+        is_asked, may_close = asyncio.Event(), asyncio.Event()
+
+        async def wire(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+            nonlocal asked
+            await reader.readuntil(b"\r\n\r\npay")
+            asked += 1
+            is_asked.set()
+            await may_close.wait()
+            writer.close()
+
+        server = await asyncio.start_server(wire, "127.0.0.1", 0)
+        address = f"127.0.0.1:{server.sockets[0].getsockname()[1]}"
+        book, links, runs = EndpointBook("north"), EndpointLinks(), RunsUnderWay()
+        book.put(EndpointEntry("e-1", "app", address, "north", 4, False, 1_000))
+        sender = Sender(book, links, PlatformCallFormat(), runs=runs)
+        limit_s = asyncio.get_running_loop().time() + 2
+        sending = asyncio.create_task(
+            sender.send("app", route, REQUEST, None, CallAttempt(), limit_s, Keep())
+        )
+        await is_asked.wait()
+        book.put(EndpointEntry("e-1", "app", address, "north", 4, False, 2_000))
+        newest = book.find("e-1")
+        assert newest is not None
+        # Sent since the restart, as far as can be told: it is at the new start already.
+        assert runs.start_again(newest, NewStart(address, None)) == (0, 1)
+        may_close.set()
+        refused = None
+        try:
+            await sending
+        except RefusedError as error:
+            refused = error
+        assert newest.failures == 1
+        links.close()
+        server.close()
+        return asked, refused
+
+    asked, refused = asyncio.run(main())
+    assert asked == 1
+    assert refused is not None
+    assert refused.refusal.run_state is RunState.MAY_HAVE_RUN
