A null in the configuration is as if the field were not there

Cause: with the checks, a null in 'retained', 'resumable', 'priority' or 'max_conns' closed a route; the code before took null for false in the first two. In an entry 'born' null stays unreadable, as the users' page says that it is always a whole number.

--- a/src/bayhinge/_internal/platform/object_forms.py
+++ b/src/bayhinge/_internal/platform/object_forms.py
@@ -19,7 +19,7 @@
 READY = "ready"
 DRAINING = "draining"
 
-_FLAG = validators.instance_of(bool)
+_FLAG = validators.optional(validators.instance_of(bool))
 
 
 def _optional_table(_: Any, field: Any, value: Any) -> None:
@@ -69,18 +69,18 @@
 
 @attrs.frozen(slots=False, eq=False, repr=False)
 class RouteForm:
-    """What a route says besides its place."""
+    """What a route says besides its place; null is as if the field were not there."""
 
     route_kind: str = attrs.field(validator=text())
     timeout_ms: float = attrs.field(validator=number(0, is_above=True))
     slo_ms: float | None = attrs.field(
         default=None, validator=validators.optional(number(0, is_above=True))
     )
-    priority: int = attrs.field(default=5, validator=whole_number(0))
+    priority: int | None = attrs.field(default=None, validator=validators.optional(whole_number(0)))
     attempts: int | None = attrs.field(default=None, validator=validators.optional(whole_number(0)))
-    retained: bool = attrs.field(default=False, validator=_FLAG)
+    retained: bool | None = attrs.field(default=None, validator=_FLAG)
     retention_s: float | None = attrs.field(default=None, validator=validators.optional(number(0)))
-    resumable: bool = attrs.field(default=False, validator=_FLAG)
+    resumable: bool | None = attrs.field(default=None, validator=_FLAG)
     gap_slo_ms: float | None = attrs.field(
         default=None, validator=validators.optional(number(0, is_above=True))
     )
@@ -98,9 +98,11 @@
 
 @attrs.frozen(slots=False, eq=False, repr=False)
 class ServiceForm:
-    """A service of the configuration; an empty ``engine_kind`` is none."""
+    """A service of the configuration; null is as if the field were not there."""
 
-    max_conns: int = attrs.field(default=0, validator=whole_number(0))
+    max_conns: int | None = attrs.field(
+        default=None, validator=validators.optional(whole_number(0))
+    )
     engine_kind: dict[str, Any] | None = attrs.field(default=None, validator=_optional_table)
 
 
--- a/src/bayhinge/_internal/platform/object_reader.py
+++ b/src/bayhinge/_internal/platform/object_reader.py
@@ -35,6 +35,9 @@
 }
 """Endpoints that a request may be sent to where its route names no number."""
 
+USUAL_URGENCY = 5
+"""Urgency of a route that names none: the middle of 0 to 9, as engines take it."""
+
 _ID = re.compile(r"[\x21-\x7e]{1,256}")
 """An endpoint's id: it goes out in a header, so it has no blank, no line feed and ASCII alone."""
 
@@ -137,11 +140,11 @@
             shares=self._shares(form),
             timeout_s=form.timeout_ms / 1000,
             objective_s=slo_ms / 1000,
-            urgency=form.priority,
+            urgency=USUAL_URGENCY if form.priority is None else form.priority,
             max_endpoints=form.attempts or DEFAULT_ATTEMPTS_BY_KIND[kind],
-            keeps_turns=form.retained,
+            keeps_turns=bool(form.retained),
             keep_turns_s=float(form.retention_s or 0.0),
-            is_resumable=kind is RouteKind.STREAMING and form.resumable,
+            is_resumable=kind is RouteKind.STREAMING and bool(form.resumable),
             pause_s=None if form.gap_slo_ms is None else form.gap_slo_ms / 1000,
         )
 
@@ -172,4 +175,4 @@
     if form.engine_kind:
         engine = read_form(forms.EngineForm, form.engine_kind)
         traits = EngineTraits(engine.slots, int(engine.kv_capacity), engine.chunk_tokens)
-    return ServiceSpec(name, form.max_conns, traits)
+    return ServiceSpec(name, form.max_conns or 0, traits)
--- a/tests/unit/test_odd_objects.py
+++ b/tests/unit/test_odd_objects.py
@@ -326,6 +326,20 @@
         assert isinstance(table.find("desk.example", path), Route), path
 
 
+def test_what_a_configuration_may_leave_out_may_be_null() -> None:
+    nulls = dict.fromkeys(
+        ("slo_ms", "priority", "attempts", "retained", "retention_s", "resumable", "gap_slo_ms")
+    )
+    table = READER.read_configuration(odd_route(0, split=None, **nulls))
+    route = table.find("desk.example", "/chat/1")
+    assert isinstance(route, Route), table.findings
+    assert (route.urgency, route.keeps_turns, route.is_resumable) == (5, False, False)
+    assert (route.objective_s, route.max_endpoints, route.pause_s) == (5.0, 1, None)
+    services = [{"name": "llm", "max_conns": None, "engine_kind": None}, {"name": "app"}]
+    table = READER.read_configuration(odd_configuration(services=services, limits=None))
+    assert (table.findings, set(table.services_by_name)) == ((), {"llm", "app"})
+
+
 def test_a_kind_of_route_that_is_not_known_runs_once_at_most() -> None:
     table = READER.read_configuration(odd_route(0, route_kind="sideways", of_tomorrow=[1]))
     route = table.find("desk.example", "/chat/1")
