--- a/idl/hosts.thrift
+++ b/idl/hosts.thrift
@@ -12,10 +12,12 @@
   4: required string hall,
 }
 
-// Which disks count. Changed by conditional writes to the object store alone.
+// Which disks count. Changed by conditional writes to the object store alone. `previous`: the
+// members of the version before.
 struct DiskSet {
   1: required i64 version,
   2: required list<DiskMember> members,
+  3: optional list<DiskMember> previous,
 }
 
 // What a host tells the others a few times a second. `is_cut_off`: it reaches no disk but through
@@ -54,10 +56,16 @@
   8: optional double keep_s,
 }
 
+// What a disk says to a reservation. The set of disks must be the same at both; a disk whose share
+// of programs has grown takes none of theirs before it has caught up.
+enum FenceVerdict { TAKEN = 1, HOST_IS_BEHIND = 2, DISK_IS_BEHIND = 3, NOT_YET = 4 }
+
+// `disk_set_version` is the asking host's.
 struct ReserveTurn {
   1: optional TurnEntry reservation,
   2: optional string previous,
   3: required bool wants_chain,
+  4: optional i64 disk_set_version,
 }
 
 // The maps hold the program's turns: open ones at their most, settled ones at what they used.
@@ -68,6 +76,7 @@
   4: optional binary chain,
   5: optional string missing,
   6: optional string endpoint,
+  7: optional FenceVerdict verdict = FenceVerdict.TAKEN,
 }
 
 struct AppendEntries { 1: required list<TurnEntry> entries }
@@ -82,9 +91,10 @@
   3: required bool more,
   4: required list<string> keys,
   5: required i64 disk_set_version,
+  6: optional bool has_caught_up = true,
 }
 struct EntriesQuery { 1: required list<string> keys }
-struct EntriesReply { 1: required list<TurnEntry> entries }
+struct EntriesReply { 1: required list<TurnEntry> entries, 2: optional i64 disk_set_version = 0 }
 
 struct LackingReply { 1: required list<string> keys }
 
--- a/src/bayhinge/_internal/decisions/disk_quorum.py
+++ b/src/bayhinge/_internal/decisions/disk_quorum.py
@@ -14,8 +14,11 @@
 
 
 def reservations_needed(members: int, tolerated: int) -> int:
-    """Returns the number of disks of the set that must take a reservation."""
-    return max(members - tolerated, members // 2 + 1)
+    """Returns the number of disks of the set that must take a reservation.
+
+    In a set that has shrunk below ``2 * tolerated + 1`` a majority alone could be lost whole.
+    """
+    return max(members - tolerated, members // 2 + 1, min(members, tolerated + 1))
 
 
 def committed_tokens(
--- a/src/bayhinge/_internal/wire/hosts/ttypes.py
+++ b/src/bayhinge/_internal/wire/hosts/ttypes.py
@@ -37,6 +37,14 @@
 
 
 
+class FenceVerdict(IntEnum):
+    TAKEN = 1
+    HOST_IS_BEHIND = 2
+    DISK_IS_BEHIND = 3
+    NOT_YET = 4
+
+
+
 class DiskMember(object):
     """
     Attributes:
@@ -154,18 +162,21 @@
     Attributes:
      - version
      - members
+     - previous
 
     """
 
     __slots__ = (
         'version',
         'members',
+        'previous',
     )
 
 
-    def __init__(self, version=None, members=None,):
+    def __init__(self, version=None, members=None, previous=None,):
         self.version = version
         self.members = members
+        self.previous = previous
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -192,6 +203,17 @@
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.LIST:
+                    self.previous = []
+                    (_etype9, _size6) = iprot.readListBegin()
+                    for _i10 in range(_size6):
+                        _elem11 = DiskMember()
+                        _elem11.read(iprot)
+                        self.previous.append(_elem11)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -209,8 +231,15 @@
         if self.members is not None:
             oprot.writeFieldBegin('members', TType.LIST, 2)
             oprot.writeListBegin(TType.STRUCT, len(self.members))
-            for iter6 in self.members:
-                iter6.write(oprot)
+            for iter12 in self.members:
+                iter12.write(oprot)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        if self.previous is not None:
+            oprot.writeFieldBegin('previous', TType.LIST, 3)
+            oprot.writeListBegin(TType.STRUCT, len(self.previous))
+            for iter13 in self.previous:
+                iter13.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -359,22 +388,22 @@
             elif fid == 10:
                 if ftype == TType.MAP:
                     self.revision_by_prefix = {}
-                    (_ktype8, _vtype9, _size7) = iprot.readMapBegin()
-                    for _i11 in range(_size7):
-                        _key12 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
-                        _val13 = iprot.readI64()
-                        self.revision_by_prefix[_key12] = _val13
+                    (_ktype15, _vtype16, _size14) = iprot.readMapBegin()
+                    for _i18 in range(_size14):
+                        _key19 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        _val20 = iprot.readI64()
+                        self.revision_by_prefix[_key19] = _val20
                     iprot.readMapEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 11:
                 if ftype == TType.MAP:
                     self.running_by_endpoint = {}
-                    (_ktype15, _vtype16, _size14) = iprot.readMapBegin()
-                    for _i18 in range(_size14):
-                        _key19 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
-                        _val20 = iprot.readI32()
-                        self.running_by_endpoint[_key19] = _val20
+                    (_ktype22, _vtype23, _size21) = iprot.readMapBegin()
+                    for _i25 in range(_size21):
+                        _key26 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        _val27 = iprot.readI32()
+                        self.running_by_endpoint[_key26] = _val27
                     iprot.readMapEnd()
                 else:
                     iprot.skip(ftype)
@@ -386,10 +415,10 @@
             elif fid == 13:
                 if ftype == TType.LIST:
                     self.known_addresses = []
-                    (_etype24, _size21) = iprot.readListBegin()
-                    for _i25 in range(_size21):
-                        _elem26 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
-                        self.known_addresses.append(_elem26)
+                    (_etype31, _size28) = iprot.readListBegin()
+                    for _i32 in range(_size28):
+                        _elem33 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        self.known_addresses.append(_elem33)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -457,17 +486,17 @@
         if self.revision_by_prefix is not None:
             oprot.writeFieldBegin('revision_by_prefix', TType.MAP, 10)
             oprot.writeMapBegin(TType.STRING, TType.I64, len(self.revision_by_prefix))
-            for kiter27, viter28 in self.revision_by_prefix.items():
-                oprot.writeString(kiter27.encode('utf-8') if sys.version_info[0] == 2 else kiter27)
-                oprot.writeI64(viter28)
+            for kiter34, viter35 in self.revision_by_prefix.items():
+                oprot.writeString(kiter34.encode('utf-8') if sys.version_info[0] == 2 else kiter34)
+                oprot.writeI64(viter35)
             oprot.writeMapEnd()
             oprot.writeFieldEnd()
         if self.running_by_endpoint is not None:
             oprot.writeFieldBegin('running_by_endpoint', TType.MAP, 11)
             oprot.writeMapBegin(TType.STRING, TType.I32, len(self.running_by_endpoint))
-            for kiter29, viter30 in self.running_by_endpoint.items():
-                oprot.writeString(kiter29.encode('utf-8') if sys.version_info[0] == 2 else kiter29)
-                oprot.writeI32(viter30)
+            for kiter36, viter37 in self.running_by_endpoint.items():
+                oprot.writeString(kiter36.encode('utf-8') if sys.version_info[0] == 2 else kiter36)
+                oprot.writeI32(viter37)
             oprot.writeMapEnd()
             oprot.writeFieldEnd()
         if self.disk_set_version is not None:
@@ -477,8 +506,8 @@
         if self.known_addresses is not None:
             oprot.writeFieldBegin('known_addresses', TType.LIST, 13)
             oprot.writeListBegin(TType.STRING, len(self.known_addresses))
-            for iter31 in self.known_addresses:
-                oprot.writeString(iter31.encode('utf-8') if sys.version_info[0] == 2 else iter31)
+            for iter38 in self.known_addresses:
+                oprot.writeString(iter38.encode('utf-8') if sys.version_info[0] == 2 else iter38)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.store_fails is not None:
@@ -712,6 +741,7 @@
      - reservation
      - previous
      - wants_chain
+     - disk_set_version
 
     """
 
@@ -719,13 +749,15 @@
         'reservation',
         'previous',
         'wants_chain',
+        'disk_set_version',
     )
 
 
-    def __init__(self, reservation=None, previous=None, wants_chain=None,):
+    def __init__(self, reservation=None, previous=None, wants_chain=None, disk_set_version=None,):
         self.reservation = reservation
         self.previous = previous
         self.wants_chain = wants_chain
+        self.disk_set_version = disk_set_version
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -752,6 +784,11 @@
                     self.wants_chain = iprot.readBool()
                 else:
                     iprot.skip(ftype)
+            elif fid == 4:
+                if ftype == TType.I64:
+                    self.disk_set_version = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -774,6 +811,10 @@
             oprot.writeFieldBegin('wants_chain', TType.BOOL, 3)
             oprot.writeBool(self.wants_chain)
             oprot.writeFieldEnd()
+        if self.disk_set_version is not None:
+            oprot.writeFieldBegin('disk_set_version', TType.I64, 4)
+            oprot.writeI64(self.disk_set_version)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -810,6 +851,7 @@
      - chain
      - missing
      - endpoint
+     - verdict
 
     """
 
@@ -820,16 +862,18 @@
         'chain',
         'missing',
         'endpoint',
+        'verdict',
     )
 
 
-    def __init__(self, generation=None, open_by_attempt=None, settled_by_attempt=None, chain=None, missing=None, endpoint=None,):
+    def __init__(self, generation=None, open_by_attempt=None, settled_by_attempt=None, chain=None, missing=None, endpoint=None, verdict=    FenceVerdict.TAKEN,):
         self.generation = generation
         self.open_by_attempt = open_by_attempt
         self.settled_by_attempt = settled_by_attempt
         self.chain = chain
         self.missing = missing
         self.endpoint = endpoint
+        self.verdict = verdict
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -848,22 +892,22 @@
             elif fid == 2:
                 if ftype == TType.MAP:
                     self.open_by_attempt = {}
-                    (_ktype33, _vtype34, _size32) = iprot.readMapBegin()
-                    for _i36 in range(_size32):
-                        _key37 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
-                        _val38 = iprot.readI64()
-                        self.open_by_attempt[_key37] = _val38
+                    (_ktype40, _vtype41, _size39) = iprot.readMapBegin()
+                    for _i43 in range(_size39):
+                        _key44 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        _val45 = iprot.readI64()
+                        self.open_by_attempt[_key44] = _val45
                     iprot.readMapEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 3:
                 if ftype == TType.MAP:
                     self.settled_by_attempt = {}
-                    (_ktype40, _vtype41, _size39) = iprot.readMapBegin()
-                    for _i43 in range(_size39):
-                        _key44 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
-                        _val45 = iprot.readI64()
-                        self.settled_by_attempt[_key44] = _val45
+                    (_ktype47, _vtype48, _size46) = iprot.readMapBegin()
+                    for _i50 in range(_size46):
+                        _key51 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        _val52 = iprot.readI64()
+                        self.settled_by_attempt[_key51] = _val52
                     iprot.readMapEnd()
                 else:
                     iprot.skip(ftype)
@@ -882,6 +926,11 @@
                     self.endpoint = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
                 else:
                     iprot.skip(ftype)
+            elif fid == 7:
+                if ftype == TType.I32:
+                    self.verdict = FenceVerdict(iprot.readI32()).name
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -899,17 +948,17 @@
         if self.open_by_attempt is not None:
             oprot.writeFieldBegin('open_by_attempt', TType.MAP, 2)
             oprot.writeMapBegin(TType.STRING, TType.I64, len(self.open_by_attempt))
-            for kiter46, viter47 in self.open_by_attempt.items():
-                oprot.writeString(kiter46.encode('utf-8') if sys.version_info[0] == 2 else kiter46)
-                oprot.writeI64(viter47)
+            for kiter53, viter54 in self.open_by_attempt.items():
+                oprot.writeString(kiter53.encode('utf-8') if sys.version_info[0] == 2 else kiter53)
+                oprot.writeI64(viter54)
             oprot.writeMapEnd()
             oprot.writeFieldEnd()
         if self.settled_by_attempt is not None:
             oprot.writeFieldBegin('settled_by_attempt', TType.MAP, 3)
             oprot.writeMapBegin(TType.STRING, TType.I64, len(self.settled_by_attempt))
-            for kiter48, viter49 in self.settled_by_attempt.items():
-                oprot.writeString(kiter48.encode('utf-8') if sys.version_info[0] == 2 else kiter48)
-                oprot.writeI64(viter49)
+            for kiter55, viter56 in self.settled_by_attempt.items():
+                oprot.writeString(kiter55.encode('utf-8') if sys.version_info[0] == 2 else kiter55)
+                oprot.writeI64(viter56)
             oprot.writeMapEnd()
             oprot.writeFieldEnd()
         if self.chain is not None:
@@ -924,6 +973,10 @@
             oprot.writeFieldBegin('endpoint', TType.STRING, 6)
             oprot.writeString(self.endpoint.encode('utf-8') if sys.version_info[0] == 2 else self.endpoint)
             oprot.writeFieldEnd()
+        if self.verdict is not None:
+            oprot.writeFieldBegin('verdict', TType.I32, 7)
+            oprot.writeI32(FenceVerdict[self.verdict].value)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -982,11 +1035,11 @@
             if fid == 1:
                 if ftype == TType.LIST:
                     self.entries = []
-                    (_etype53, _size50) = iprot.readListBegin()
-                    for _i54 in range(_size50):
-                        _elem55 = TurnEntry()
-                        _elem55.read(iprot)
-                        self.entries.append(_elem55)
+                    (_etype60, _size57) = iprot.readListBegin()
+                    for _i61 in range(_size57):
+                        _elem62 = TurnEntry()
+                        _elem62.read(iprot)
+                        self.entries.append(_elem62)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -1003,8 +1056,8 @@
         if self.entries is not None:
             oprot.writeFieldBegin('entries', TType.LIST, 1)
             oprot.writeListBegin(TType.STRUCT, len(self.entries))
-            for iter56 in self.entries:
-                iter56.write(oprot)
+            for iter63 in self.entries:
+                iter63.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -1211,6 +1264,7 @@
      - more
      - keys
      - disk_set_version
+     - has_caught_up
 
     """
 
@@ -1220,15 +1274,17 @@
         'more',
         'keys',
         'disk_set_version',
+        'has_caught_up',
     )
 
 
-    def __init__(self, generation=None, position=None, more=None, keys=None, disk_set_version=None,):
+    def __init__(self, generation=None, position=None, more=None, keys=None, disk_set_version=None, has_caught_up=True,):
         self.generation = generation
         self.position = position
         self.more = more
         self.keys = keys
         self.disk_set_version = disk_set_version
+        self.has_caught_up = has_caught_up
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -1257,10 +1313,10 @@
             elif fid == 4:
                 if ftype == TType.LIST:
                     self.keys = []
-                    (_etype60, _size57) = iprot.readListBegin()
-                    for _i61 in range(_size57):
-                        _elem62 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
-                        self.keys.append(_elem62)
+                    (_etype67, _size64) = iprot.readListBegin()
+                    for _i68 in range(_size64):
+                        _elem69 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        self.keys.append(_elem69)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -1269,6 +1325,11 @@
                     self.disk_set_version = iprot.readI64()
                 else:
                     iprot.skip(ftype)
+            elif fid == 6:
+                if ftype == TType.BOOL:
+                    self.has_caught_up = iprot.readBool()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -1294,14 +1355,18 @@
         if self.keys is not None:
             oprot.writeFieldBegin('keys', TType.LIST, 4)
             oprot.writeListBegin(TType.STRING, len(self.keys))
-            for iter63 in self.keys:
-                oprot.writeString(iter63.encode('utf-8') if sys.version_info[0] == 2 else iter63)
+            for iter70 in self.keys:
+                oprot.writeString(iter70.encode('utf-8') if sys.version_info[0] == 2 else iter70)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.disk_set_version is not None:
             oprot.writeFieldBegin('disk_set_version', TType.I64, 5)
             oprot.writeI64(self.disk_set_version)
             oprot.writeFieldEnd()
+        if self.has_caught_up is not None:
+            oprot.writeFieldBegin('has_caught_up', TType.BOOL, 6)
+            oprot.writeBool(self.has_caught_up)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -1364,10 +1429,10 @@
             if fid == 1:
                 if ftype == TType.LIST:
                     self.keys = []
-                    (_etype67, _size64) = iprot.readListBegin()
-                    for _i68 in range(_size64):
-                        _elem69 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
-                        self.keys.append(_elem69)
+                    (_etype74, _size71) = iprot.readListBegin()
+                    for _i75 in range(_size71):
+                        _elem76 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        self.keys.append(_elem76)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -1384,8 +1449,8 @@
         if self.keys is not None:
             oprot.writeFieldBegin('keys', TType.LIST, 1)
             oprot.writeListBegin(TType.STRING, len(self.keys))
-            for iter70 in self.keys:
-                oprot.writeString(iter70.encode('utf-8') if sys.version_info[0] == 2 else iter70)
+            for iter77 in self.keys:
+                oprot.writeString(iter77.encode('utf-8') if sys.version_info[0] == 2 else iter77)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -1419,16 +1484,19 @@
     """
     Attributes:
      - entries
+     - disk_set_version
 
     """
 
     __slots__ = (
         'entries',
+        'disk_set_version',
     )
 
 
-    def __init__(self, entries=None,):
+    def __init__(self, entries=None, disk_set_version=0,):
         self.entries = entries
+        self.disk_set_version = disk_set_version
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -1442,14 +1510,19 @@
             if fid == 1:
                 if ftype == TType.LIST:
                     self.entries = []
-                    (_etype74, _size71) = iprot.readListBegin()
-                    for _i75 in range(_size71):
-                        _elem76 = TurnEntry()
-                        _elem76.read(iprot)
-                        self.entries.append(_elem76)
+                    (_etype81, _size78) = iprot.readListBegin()
+                    for _i82 in range(_size78):
+                        _elem83 = TurnEntry()
+                        _elem83.read(iprot)
+                        self.entries.append(_elem83)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.I64:
+                    self.disk_set_version = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -1463,10 +1536,14 @@
         if self.entries is not None:
             oprot.writeFieldBegin('entries', TType.LIST, 1)
             oprot.writeListBegin(TType.STRUCT, len(self.entries))
-            for iter77 in self.entries:
-                iter77.write(oprot)
+            for iter84 in self.entries:
+                iter84.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
+        if self.disk_set_version is not None:
+            oprot.writeFieldBegin('disk_set_version', TType.I64, 2)
+            oprot.writeI64(self.disk_set_version)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -1521,10 +1598,10 @@
             if fid == 1:
                 if ftype == TType.LIST:
                     self.keys = []
-                    (_etype81, _size78) = iprot.readListBegin()
-                    for _i82 in range(_size78):
-                        _elem83 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
-                        self.keys.append(_elem83)
+                    (_etype88, _size85) = iprot.readListBegin()
+                    for _i89 in range(_size85):
+                        _elem90 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        self.keys.append(_elem90)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -1541,8 +1618,8 @@
         if self.keys is not None:
             oprot.writeFieldBegin('keys', TType.LIST, 1)
             oprot.writeListBegin(TType.STRING, len(self.keys))
-            for iter84 in self.keys:
-                oprot.writeString(iter84.encode('utf-8') if sys.version_info[0] == 2 else iter84)
+            for iter91 in self.keys:
+                oprot.writeString(iter91.encode('utf-8') if sys.version_info[0] == 2 else iter91)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -1613,11 +1690,11 @@
             elif fid == 2:
                 if ftype == TType.MAP:
                     self.value_by_key = {}
-                    (_ktype86, _vtype87, _size85) = iprot.readMapBegin()
-                    for _i89 in range(_size85):
-                        _key90 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
-                        _val91 = iprot.readBinary()
-                        self.value_by_key[_key90] = _val91
+                    (_ktype93, _vtype94, _size92) = iprot.readMapBegin()
+                    for _i96 in range(_size92):
+                        _key97 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        _val98 = iprot.readBinary()
+                        self.value_by_key[_key97] = _val98
                     iprot.readMapEnd()
                 else:
                     iprot.skip(ftype)
@@ -1648,9 +1725,9 @@
         if self.value_by_key is not None:
             oprot.writeFieldBegin('value_by_key', TType.MAP, 2)
             oprot.writeMapBegin(TType.STRING, TType.STRING, len(self.value_by_key))
-            for kiter92, viter93 in self.value_by_key.items():
-                oprot.writeString(kiter92.encode('utf-8') if sys.version_info[0] == 2 else kiter92)
-                oprot.writeBinary(viter93)
+            for kiter99, viter100 in self.value_by_key.items():
+                oprot.writeString(kiter99.encode('utf-8') if sys.version_info[0] == 2 else kiter99)
+                oprot.writeBinary(viter100)
             oprot.writeMapEnd()
             oprot.writeFieldEnd()
         if self.complete_to is not None:
@@ -1922,21 +1999,21 @@
             elif fid == 5:
                 if ftype == TType.MAP:
                     self.running_by_endpoint = {}
-                    (_ktype95, _vtype96, _size94) = iprot.readMapBegin()
-                    for _i98 in range(_size94):
-                        _key99 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
-                        _val100 = iprot.readI32()
-                        self.running_by_endpoint[_key99] = _val100
+                    (_ktype102, _vtype103, _size101) = iprot.readMapBegin()
+                    for _i105 in range(_size101):
+                        _key106 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        _val107 = iprot.readI32()
+                        self.running_by_endpoint[_key106] = _val107
                     iprot.readMapEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 6:
                 if ftype == TType.LIST:
                     self.resting = []
-                    (_etype104, _size101) = iprot.readListBegin()
-                    for _i105 in range(_size101):
-                        _elem106 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
-                        self.resting.append(_elem106)
+                    (_etype111, _size108) = iprot.readListBegin()
+                    for _i112 in range(_size108):
+                        _elem113 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        self.resting.append(_elem113)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -1969,16 +2046,16 @@
         if self.running_by_endpoint is not None:
             oprot.writeFieldBegin('running_by_endpoint', TType.MAP, 5)
             oprot.writeMapBegin(TType.STRING, TType.I32, len(self.running_by_endpoint))
-            for kiter107, viter108 in self.running_by_endpoint.items():
-                oprot.writeString(kiter107.encode('utf-8') if sys.version_info[0] == 2 else kiter107)
-                oprot.writeI32(viter108)
+            for kiter114, viter115 in self.running_by_endpoint.items():
+                oprot.writeString(kiter114.encode('utf-8') if sys.version_info[0] == 2 else kiter114)
+                oprot.writeI32(viter115)
             oprot.writeMapEnd()
             oprot.writeFieldEnd()
         if self.resting is not None:
             oprot.writeFieldBegin('resting', TType.LIST, 6)
             oprot.writeListBegin(TType.STRING, len(self.resting))
-            for iter109 in self.resting:
-                oprot.writeString(iter109.encode('utf-8') if sys.version_info[0] == 2 else iter109)
+            for iter116 in self.resting:
+                oprot.writeString(iter116.encode('utf-8') if sys.version_info[0] == 2 else iter116)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -2077,11 +2154,11 @@
             elif fid == 5:
                 if ftype == TType.MAP:
                     self.running_by_endpoint = {}
-                    (_ktype111, _vtype112, _size110) = iprot.readMapBegin()
-                    for _i114 in range(_size110):
-                        _key115 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
-                        _val116 = iprot.readI32()
-                        self.running_by_endpoint[_key115] = _val116
+                    (_ktype118, _vtype119, _size117) = iprot.readMapBegin()
+                    for _i121 in range(_size117):
+                        _key122 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        _val123 = iprot.readI32()
+                        self.running_by_endpoint[_key122] = _val123
                     iprot.readMapEnd()
                 else:
                     iprot.skip(ftype)
@@ -2114,9 +2191,9 @@
         if self.running_by_endpoint is not None:
             oprot.writeFieldBegin('running_by_endpoint', TType.MAP, 5)
             oprot.writeMapBegin(TType.STRING, TType.I32, len(self.running_by_endpoint))
-            for kiter117, viter118 in self.running_by_endpoint.items():
-                oprot.writeString(kiter117.encode('utf-8') if sys.version_info[0] == 2 else kiter117)
-                oprot.writeI32(viter118)
+            for kiter124, viter125 in self.running_by_endpoint.items():
+                oprot.writeString(kiter124.encode('utf-8') if sys.version_info[0] == 2 else kiter124)
+                oprot.writeI32(viter125)
             oprot.writeMapEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -2302,10 +2379,10 @@
             elif fid == 5:
                 if ftype == TType.LIST:
                     self.avoid = []
-                    (_etype122, _size119) = iprot.readListBegin()
-                    for _i123 in range(_size119):
-                        _elem124 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
-                        self.avoid.append(_elem124)
+                    (_etype129, _size126) = iprot.readListBegin()
+                    for _i130 in range(_size126):
+                        _elem131 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        self.avoid.append(_elem131)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -2348,8 +2425,8 @@
         if self.avoid is not None:
             oprot.writeFieldBegin('avoid', TType.LIST, 5)
             oprot.writeListBegin(TType.STRING, len(self.avoid))
-            for iter125 in self.avoid:
-                oprot.writeString(iter125.encode('utf-8') if sys.version_info[0] == 2 else iter125)
+            for iter132 in self.avoid:
+                oprot.writeString(iter132.encode('utf-8') if sys.version_info[0] == 2 else iter132)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.kept_tokens is not None:
@@ -2502,6 +2579,7 @@
     None,  # 0
     (1, TType.I64, 'version', None, None, ),  # 1
     (2, TType.LIST, 'members', (TType.STRUCT, [DiskMember, None], False), None, ),  # 2
+    (3, TType.LIST, 'previous', (TType.STRUCT, [DiskMember, None], False), None, ),  # 3
 )
 all_structs.append(Hello)
 Hello.thrift_spec = (
@@ -2541,6 +2619,7 @@
     (1, TType.STRUCT, 'reservation', [TurnEntry, None], None, ),  # 1
     (2, TType.STRING, 'previous', 'UTF8', None, ),  # 2
     (3, TType.BOOL, 'wants_chain', None, None, ),  # 3
+    (4, TType.I64, 'disk_set_version', None, None, ),  # 4
 )
 all_structs.append(ReserveReply)
 ReserveReply.thrift_spec = (
@@ -2551,6 +2630,7 @@
     (4, TType.STRING, 'chain', 'BINARY', None, ),  # 4
     (5, TType.STRING, 'missing', 'UTF8', None, ),  # 5
     (6, TType.STRING, 'endpoint', 'UTF8', None, ),  # 6
+    (7, TType.I32, 'verdict', None,     FenceVerdict.TAKEN, ),  # 7
 )
 all_structs.append(AppendEntries)
 AppendEntries.thrift_spec = (
@@ -2577,6 +2657,7 @@
     (3, TType.BOOL, 'more', None, None, ),  # 3
     (4, TType.LIST, 'keys', (TType.STRING, 'UTF8', False), None, ),  # 4
     (5, TType.I64, 'disk_set_version', None, None, ),  # 5
+    (6, TType.BOOL, 'has_caught_up', None, True, ),  # 6
 )
 all_structs.append(EntriesQuery)
 EntriesQuery.thrift_spec = (
@@ -2587,6 +2668,7 @@
 EntriesReply.thrift_spec = (
     None,  # 0
     (1, TType.LIST, 'entries', (TType.STRUCT, [TurnEntry, None], False), None, ),  # 1
+    (2, TType.I64, 'disk_set_version', None, 0, ),  # 2
 )
 all_structs.append(LackingReply)
 LackingReply.thrift_spec = (
