--- a/src/bayhinge/_internal/decisions/disk_fence.py
+++ b/src/bayhinge/_internal/decisions/disk_fence.py
@@ -26,10 +26,11 @@
 from bayhinge._internal.decisions.disk_placement import places_of
 from bayhinge._internal.decisions.disk_quorum import reservations_needed
 
-CATCH_UP_LIMIT_S = 8.0
-"""A disk that knows a version for so long counts as caught up. A cut or a freeze of a counted disk
-lasts less on the users' sites (3 to 6 s); one that goes on for longer costs more turns than the
-meeting of two reservations over two versions, which takes two changes and a cut at once."""
+CATCH_UP_LIMIT_S = 3.0
+"""A disk that knows a version for so long counts as caught up. Members that are silent for so long
+are dropped (:data:`~bayhinge._internal.decisions.disk_set_rules.DROP_AFTER_S`). What is given up is
+one case: a disk that was replaced lives on behind a cut, with another member and a host that have
+not heard of it for all that time."""
 
 
 class Member(Protocol):
--- a/src/bayhinge/_internal/services/disks/disk_host.py
+++ b/src/bayhinge/_internal/services/disks/disk_host.py
@@ -85,7 +85,7 @@
         self._hosts_by_program: dict[str, set[str]] = {}
         self._silent_since_by_host: dict[str, float] = {}
         self._set_changed = asyncio.Event()
-        self.fence = SetFence(settings.tolerated_disks)
+        self.fence = SetFence(settings.tolerated_disks, Path(settings.data_folder))
         self.is_retiring = False
         self.is_retired = False
 
--- a/tests/functional/test_platform_hosts.py
+++ b/tests/functional/test_platform_hosts.py
@@ -212,7 +212,8 @@
                 == host.disk_set.version
             )
         )
-        # Now another one may go.
+        # Now another one may go: a newcomer counts once it has read the others under the new set.
+        await site.until(lambda: host.fence.has_caught_up)
         await site.stop_disk("disk-1")
         assert (await site.turn(b"three", second)).status == 200
 
--- a/tests/lib/platform_site.py
+++ b/tests/lib/platform_site.py
@@ -74,6 +74,11 @@
                 for entry in self.entry_by_name.values()
             )
         )
+        # Within a second of a first start, long before callers come.
+        await self.until(
+            lambda: all(disk._disk.fence.has_caught_up for disk in self.disk_by_name.values()),
+            limit_s=2.0,
+        )
 
     async def stop(self) -> None:
         await self.session.close()
--- a/tests/unit/test_set_fence.py
+++ b/tests/unit/test_set_fence.py
@@ -117,5 +117,25 @@
     play(tmp_path, scenario)
 
 
+def test_what_it_has_caught_up_with_outlives_a_start(tmp_path: Path) -> None:
+    changed: list[wire.DiskSet] = []
+
+    async def before(host: DiskHost, ask: Ask) -> None:
+        changed.append(wire.DiskSet(2, [*OTHERS[:2], host.me], OTHERS))
+        host.take_disk_set(changed[0])
+        host.fence.note_read(OTHERS[0], 2, True)
+        host.fence.note_read(OTHERS[1], 2, True)
+        assert await ask(2) == TAKEN
+
+    async def after(host: DiskHost, ask: Ask) -> None:
+        host.fence.take(changed[0], host.me)
+        assert host.fence.has_caught_up
+        host.take_disk_set(wire.DiskSet(3, changed[0].members, OTHERS))
+        assert not host.fence.has_caught_up
+
+    play(tmp_path, before)
+    play(tmp_path, after)
+
+
 def member_of(member: wire.DiskMember, generation: int) -> wire.DiskMember:
     return wire.DiskMember(member.host, generation, member.address, member.hall)
