--- a/src/bayhinge/_internal/wire/hosts/ttypes.py
+++ b/src/bayhinge/_internal/wire/hosts/ttypes.py
@@ -37,6 +37,14 @@
 
 
 
+class FenceVerdict(IntEnum):
+    TAKEN = 1
+    HOST_IS_BEHIND = 2
+    DISK_IS_BEHIND = 3
+    NOT_YET = 4
+
+
+
 class DiskMember(object):
     """
     Attributes:
@@ -154,18 +162,21 @@
     Attributes:
      - version
      - members
+     - previous
 
     """
 
     __slots__ = (
         'version',
         'members',
+        'previous',
     )
 
 
-    def __init__(self, version=None, members=None,):
+    def __init__(self, version=None, members=None, previous=None,):
         self.version = version
         self.members = members
+        self.previous = previous
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -192,6 +203,17 @@
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.LIST:
+                    self.previous = []
+                    (_etype9, _size6) = iprot.readListBegin()
+                    for _i10 in range(_size6):
+                        _elem11 = DiskMember()
+                        _elem11.read(iprot)
+                        self.previous.append(_elem11)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -209,8 +231,15 @@
         if self.members is not None:
             oprot.writeFieldBegin('members', TType.LIST, 2)
             oprot.writeListBegin(TType.STRUCT, len(self.members))
-            for iter6 in self.members:
-                iter6.write(oprot)
+            for iter12 in self.members:
+                iter12.write(oprot)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        if self.previous is not None:
+            oprot.writeFieldBegin('previous', TType.LIST, 3)
+            oprot.writeListBegin(TType.STRUCT, len(self.previous))
+            for iter13 in self.previous:
+                iter13.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -368,22 +397,22 @@
             elif fid == 10:
                 if ftype == TType.MAP:
                     self.revision_by_prefix = {}
-                    (_ktype8, _vtype9, _size7) = iprot.readMapBegin()
-                    for _i11 in range(_size7):
-                        _key12 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
-                        _val13 = iprot.readI64()
-                        self.revision_by_prefix[_key12] = _val13
+                    (_ktype15, _vtype16, _size14) = iprot.readMapBegin()
+                    for _i18 in range(_size14):
+                        _key19 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        _val20 = iprot.readI64()
+                        self.revision_by_prefix[_key19] = _val20
                     iprot.readMapEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 11:
                 if ftype == TType.MAP:
                     self.running_by_endpoint = {}
-                    (_ktype15, _vtype16, _size14) = iprot.readMapBegin()
-                    for _i18 in range(_size14):
-                        _key19 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
-                        _val20 = iprot.readI32()
-                        self.running_by_endpoint[_key19] = _val20
+                    (_ktype22, _vtype23, _size21) = iprot.readMapBegin()
+                    for _i25 in range(_size21):
+                        _key26 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        _val27 = iprot.readI32()
+                        self.running_by_endpoint[_key26] = _val27
                     iprot.readMapEnd()
                 else:
                     iprot.skip(ftype)
@@ -395,10 +424,10 @@
             elif fid == 13:
                 if ftype == TType.LIST:
                     self.known_addresses = []
-                    (_etype24, _size21) = iprot.readListBegin()
-                    for _i25 in range(_size21):
-                        _elem26 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
-                        self.known_addresses.append(_elem26)
+                    (_etype31, _size28) = iprot.readListBegin()
+                    for _i32 in range(_size28):
+                        _elem33 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        self.known_addresses.append(_elem33)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -425,11 +454,11 @@
             elif fid == 18:
                 if ftype == TType.MAP:
                     self.age_by_start = {}
-                    (_ktype28, _vtype29, _size27) = iprot.readMapBegin()
-                    for _i31 in range(_size27):
-                        _key32 = iprot.readI32()
-                        _val33 = iprot.readI16()
-                        self.age_by_start[_key32] = _val33
+                    (_ktype35, _vtype36, _size34) = iprot.readMapBegin()
+                    for _i38 in range(_size34):
+                        _key39 = iprot.readI32()
+                        _val40 = iprot.readI16()
+                        self.age_by_start[_key39] = _val40
                     iprot.readMapEnd()
                 else:
                     iprot.skip(ftype)
@@ -487,17 +516,17 @@
         if self.revision_by_prefix is not None:
             oprot.writeFieldBegin('revision_by_prefix', TType.MAP, 10)
             oprot.writeMapBegin(TType.STRING, TType.I64, len(self.revision_by_prefix))
-            for kiter34, viter35 in self.revision_by_prefix.items():
-                oprot.writeString(kiter34.encode('utf-8') if sys.version_info[0] == 2 else kiter34)
-                oprot.writeI64(viter35)
+            for kiter41, viter42 in self.revision_by_prefix.items():
+                oprot.writeString(kiter41.encode('utf-8') if sys.version_info[0] == 2 else kiter41)
+                oprot.writeI64(viter42)
             oprot.writeMapEnd()
             oprot.writeFieldEnd()
         if self.running_by_endpoint is not None:
             oprot.writeFieldBegin('running_by_endpoint', TType.MAP, 11)
             oprot.writeMapBegin(TType.STRING, TType.I32, len(self.running_by_endpoint))
-            for kiter36, viter37 in self.running_by_endpoint.items():
-                oprot.writeString(kiter36.encode('utf-8') if sys.version_info[0] == 2 else kiter36)
-                oprot.writeI32(viter37)
+            for kiter43, viter44 in self.running_by_endpoint.items():
+                oprot.writeString(kiter43.encode('utf-8') if sys.version_info[0] == 2 else kiter43)
+                oprot.writeI32(viter44)
             oprot.writeMapEnd()
             oprot.writeFieldEnd()
         if self.disk_set_version is not None:
@@ -507,8 +536,8 @@
         if self.known_addresses is not None:
             oprot.writeFieldBegin('known_addresses', TType.LIST, 13)
             oprot.writeListBegin(TType.STRING, len(self.known_addresses))
-            for iter38 in self.known_addresses:
-                oprot.writeString(iter38.encode('utf-8') if sys.version_info[0] == 2 else iter38)
+            for iter45 in self.known_addresses:
+                oprot.writeString(iter45.encode('utf-8') if sys.version_info[0] == 2 else iter45)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.store_fails is not None:
@@ -530,9 +559,9 @@
         if self.age_by_start is not None:
             oprot.writeFieldBegin('age_by_start', TType.MAP, 18)
             oprot.writeMapBegin(TType.I32, TType.I16, len(self.age_by_start))
-            for kiter39, viter40 in self.age_by_start.items():
-                oprot.writeI32(kiter39)
-                oprot.writeI16(viter40)
+            for kiter46, viter47 in self.age_by_start.items():
+                oprot.writeI32(kiter46)
+                oprot.writeI16(viter47)
             oprot.writeMapEnd()
             oprot.writeFieldEnd()
         if self.is_told is not None:
@@ -770,6 +799,7 @@
      - reservation
      - previous
      - wants_chain
+     - disk_set_version
 
     """
 
@@ -777,13 +807,15 @@
         'reservation',
         'previous',
         'wants_chain',
+        'disk_set_version',
     )
 
 
-    def __init__(self, reservation=None, previous=None, wants_chain=None,):
+    def __init__(self, reservation=None, previous=None, wants_chain=None, disk_set_version=None,):
         self.reservation = reservation
         self.previous = previous
         self.wants_chain = wants_chain
+        self.disk_set_version = disk_set_version
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -810,6 +842,11 @@
                     self.wants_chain = iprot.readBool()
                 else:
                     iprot.skip(ftype)
+            elif fid == 4:
+                if ftype == TType.I64:
+                    self.disk_set_version = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -832,6 +869,10 @@
             oprot.writeFieldBegin('wants_chain', TType.BOOL, 3)
             oprot.writeBool(self.wants_chain)
             oprot.writeFieldEnd()
+        if self.disk_set_version is not None:
+            oprot.writeFieldBegin('disk_set_version', TType.I64, 4)
+            oprot.writeI64(self.disk_set_version)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -869,6 +910,7 @@
      - missing
      - endpoint
      - endpoint_born_ms
+     - verdict
 
     """
 
@@ -880,10 +922,11 @@
         'missing',
         'endpoint',
         'endpoint_born_ms',
+        'verdict',
     )
 
 
-    def __init__(self, generation=None, open_by_attempt=None, settled_by_attempt=None, chain=None, missing=None, endpoint=None, endpoint_born_ms=None,):
+    def __init__(self, generation=None, open_by_attempt=None, settled_by_attempt=None, chain=None, missing=None, endpoint=None, endpoint_born_ms=None, verdict=    FenceVerdict.TAKEN,):
         self.generation = generation
         self.open_by_attempt = open_by_attempt
         self.settled_by_attempt = settled_by_attempt
@@ -891,6 +934,7 @@
         self.missing = missing
         self.endpoint = endpoint
         self.endpoint_born_ms = endpoint_born_ms
+        self.verdict = verdict
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -909,22 +953,22 @@
             elif fid == 2:
                 if ftype == TType.MAP:
                     self.open_by_attempt = {}
-                    (_ktype42, _vtype43, _size41) = iprot.readMapBegin()
-                    for _i45 in range(_size41):
-                        _key46 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
-                        _val47 = iprot.readI64()
-                        self.open_by_attempt[_key46] = _val47
+                    (_ktype49, _vtype50, _size48) = iprot.readMapBegin()
+                    for _i52 in range(_size48):
+                        _key53 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        _val54 = iprot.readI64()
+                        self.open_by_attempt[_key53] = _val54
                     iprot.readMapEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 3:
                 if ftype == TType.MAP:
                     self.settled_by_attempt = {}
-                    (_ktype49, _vtype50, _size48) = iprot.readMapBegin()
-                    for _i52 in range(_size48):
-                        _key53 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
-                        _val54 = iprot.readI64()
-                        self.settled_by_attempt[_key53] = _val54
+                    (_ktype56, _vtype57, _size55) = iprot.readMapBegin()
+                    for _i59 in range(_size55):
+                        _key60 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        _val61 = iprot.readI64()
+                        self.settled_by_attempt[_key60] = _val61
                     iprot.readMapEnd()
                 else:
                     iprot.skip(ftype)
@@ -948,6 +992,11 @@
                     self.endpoint_born_ms = iprot.readI64()
                 else:
                     iprot.skip(ftype)
+            elif fid == 8:
+                if ftype == TType.I32:
+                    self.verdict = FenceVerdict(iprot.readI32()).name
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -965,17 +1014,17 @@
         if self.open_by_attempt is not None:
             oprot.writeFieldBegin('open_by_attempt', TType.MAP, 2)
             oprot.writeMapBegin(TType.STRING, TType.I64, len(self.open_by_attempt))
-            for kiter55, viter56 in self.open_by_attempt.items():
-                oprot.writeString(kiter55.encode('utf-8') if sys.version_info[0] == 2 else kiter55)
-                oprot.writeI64(viter56)
+            for kiter62, viter63 in self.open_by_attempt.items():
+                oprot.writeString(kiter62.encode('utf-8') if sys.version_info[0] == 2 else kiter62)
+                oprot.writeI64(viter63)
             oprot.writeMapEnd()
             oprot.writeFieldEnd()
         if self.settled_by_attempt is not None:
             oprot.writeFieldBegin('settled_by_attempt', TType.MAP, 3)
             oprot.writeMapBegin(TType.STRING, TType.I64, len(self.settled_by_attempt))
-            for kiter57, viter58 in self.settled_by_attempt.items():
-                oprot.writeString(kiter57.encode('utf-8') if sys.version_info[0] == 2 else kiter57)
-                oprot.writeI64(viter58)
+            for kiter64, viter65 in self.settled_by_attempt.items():
+                oprot.writeString(kiter64.encode('utf-8') if sys.version_info[0] == 2 else kiter64)
+                oprot.writeI64(viter65)
             oprot.writeMapEnd()
             oprot.writeFieldEnd()
         if self.chain is not None:
@@ -994,6 +1043,10 @@
             oprot.writeFieldBegin('endpoint_born_ms', TType.I64, 7)
             oprot.writeI64(self.endpoint_born_ms)
             oprot.writeFieldEnd()
+        if self.verdict is not None:
+            oprot.writeFieldBegin('verdict', TType.I32, 8)
+            oprot.writeI32(FenceVerdict[self.verdict].value)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -1052,11 +1105,11 @@
             if fid == 1:
                 if ftype == TType.LIST:
                     self.entries = []
-                    (_etype62, _size59) = iprot.readListBegin()
-                    for _i63 in range(_size59):
-                        _elem64 = TurnEntry()
-                        _elem64.read(iprot)
-                        self.entries.append(_elem64)
+                    (_etype69, _size66) = iprot.readListBegin()
+                    for _i70 in range(_size66):
+                        _elem71 = TurnEntry()
+                        _elem71.read(iprot)
+                        self.entries.append(_elem71)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -1073,8 +1126,8 @@
         if self.entries is not None:
             oprot.writeFieldBegin('entries', TType.LIST, 1)
             oprot.writeListBegin(TType.STRUCT, len(self.entries))
-            for iter65 in self.entries:
-                iter65.write(oprot)
+            for iter72 in self.entries:
+                iter72.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -1281,6 +1334,7 @@
      - more
      - keys
      - disk_set_version
+     - has_caught_up
 
     """
 
@@ -1290,15 +1344,17 @@
         'more',
         'keys',
         'disk_set_version',
+        'has_caught_up',
     )
 
 
-    def __init__(self, generation=None, position=None, more=None, keys=None, disk_set_version=None,):
+    def __init__(self, generation=None, position=None, more=None, keys=None, disk_set_version=None, has_caught_up=True,):
         self.generation = generation
         self.position = position
         self.more = more
         self.keys = keys
         self.disk_set_version = disk_set_version
+        self.has_caught_up = has_caught_up
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -1327,10 +1383,10 @@
             elif fid == 4:
                 if ftype == TType.LIST:
                     self.keys = []
-                    (_etype69, _size66) = iprot.readListBegin()
-                    for _i70 in range(_size66):
-                        _elem71 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
-                        self.keys.append(_elem71)
+                    (_etype76, _size73) = iprot.readListBegin()
+                    for _i77 in range(_size73):
+                        _elem78 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        self.keys.append(_elem78)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -1339,6 +1395,11 @@
                     self.disk_set_version = iprot.readI64()
                 else:
                     iprot.skip(ftype)
+            elif fid == 6:
+                if ftype == TType.BOOL:
+                    self.has_caught_up = iprot.readBool()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -1364,14 +1425,18 @@
         if self.keys is not None:
             oprot.writeFieldBegin('keys', TType.LIST, 4)
             oprot.writeListBegin(TType.STRING, len(self.keys))
-            for iter72 in self.keys:
-                oprot.writeString(iter72.encode('utf-8') if sys.version_info[0] == 2 else iter72)
+            for iter79 in self.keys:
+                oprot.writeString(iter79.encode('utf-8') if sys.version_info[0] == 2 else iter79)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.disk_set_version is not None:
             oprot.writeFieldBegin('disk_set_version', TType.I64, 5)
             oprot.writeI64(self.disk_set_version)
             oprot.writeFieldEnd()
+        if self.has_caught_up is not None:
+            oprot.writeFieldBegin('has_caught_up', TType.BOOL, 6)
+            oprot.writeBool(self.has_caught_up)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -1434,10 +1499,10 @@
             if fid == 1:
                 if ftype == TType.LIST:
                     self.keys = []
-                    (_etype76, _size73) = iprot.readListBegin()
-                    for _i77 in range(_size73):
-                        _elem78 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
-                        self.keys.append(_elem78)
+                    (_etype83, _size80) = iprot.readListBegin()
+                    for _i84 in range(_size80):
+                        _elem85 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        self.keys.append(_elem85)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -1454,8 +1519,8 @@
         if self.keys is not None:
             oprot.writeFieldBegin('keys', TType.LIST, 1)
             oprot.writeListBegin(TType.STRING, len(self.keys))
-            for iter79 in self.keys:
-                oprot.writeString(iter79.encode('utf-8') if sys.version_info[0] == 2 else iter79)
+            for iter86 in self.keys:
+                oprot.writeString(iter86.encode('utf-8') if sys.version_info[0] == 2 else iter86)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -1489,16 +1554,19 @@
     """
     Attributes:
      - entries
+     - disk_set_version
 
     """
 
     __slots__ = (
         'entries',
+        'disk_set_version',
     )
 
 
-    def __init__(self, entries=None,):
+    def __init__(self, entries=None, disk_set_version=0,):
         self.entries = entries
+        self.disk_set_version = disk_set_version
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -1512,14 +1580,19 @@
             if fid == 1:
                 if ftype == TType.LIST:
                     self.entries = []
-                    (_etype83, _size80) = iprot.readListBegin()
-                    for _i84 in range(_size80):
-                        _elem85 = TurnEntry()
-                        _elem85.read(iprot)
-                        self.entries.append(_elem85)
+                    (_etype90, _size87) = iprot.readListBegin()
+                    for _i91 in range(_size87):
+                        _elem92 = TurnEntry()
+                        _elem92.read(iprot)
+                        self.entries.append(_elem92)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.I64:
+                    self.disk_set_version = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -1533,10 +1606,14 @@
         if self.entries is not None:
             oprot.writeFieldBegin('entries', TType.LIST, 1)
             oprot.writeListBegin(TType.STRUCT, len(self.entries))
-            for iter86 in self.entries:
-                iter86.write(oprot)
+            for iter93 in self.entries:
+                iter93.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
+        if self.disk_set_version is not None:
+            oprot.writeFieldBegin('disk_set_version', TType.I64, 2)
+            oprot.writeI64(self.disk_set_version)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -1591,10 +1668,10 @@
             if fid == 1:
                 if ftype == TType.LIST:
                     self.keys = []
-                    (_etype90, _size87) = iprot.readListBegin()
-                    for _i91 in range(_size87):
-                        _elem92 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
-                        self.keys.append(_elem92)
+                    (_etype97, _size94) = iprot.readListBegin()
+                    for _i98 in range(_size94):
+                        _elem99 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        self.keys.append(_elem99)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -1611,8 +1688,8 @@
         if self.keys is not None:
             oprot.writeFieldBegin('keys', TType.LIST, 1)
             oprot.writeListBegin(TType.STRING, len(self.keys))
-            for iter93 in self.keys:
-                oprot.writeString(iter93.encode('utf-8') if sys.version_info[0] == 2 else iter93)
+            for iter100 in self.keys:
+                oprot.writeString(iter100.encode('utf-8') if sys.version_info[0] == 2 else iter100)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -1683,11 +1760,11 @@
             elif fid == 2:
                 if ftype == TType.MAP:
                     self.value_by_key = {}
-                    (_ktype95, _vtype96, _size94) = iprot.readMapBegin()
-                    for _i98 in range(_size94):
-                        _key99 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
-                        _val100 = iprot.readBinary()
-                        self.value_by_key[_key99] = _val100
+                    (_ktype102, _vtype103, _size101) = iprot.readMapBegin()
+                    for _i105 in range(_size101):
+                        _key106 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        _val107 = iprot.readBinary()
+                        self.value_by_key[_key106] = _val107
                     iprot.readMapEnd()
                 else:
                     iprot.skip(ftype)
@@ -1718,9 +1795,9 @@
         if self.value_by_key is not None:
             oprot.writeFieldBegin('value_by_key', TType.MAP, 2)
             oprot.writeMapBegin(TType.STRING, TType.STRING, len(self.value_by_key))
-            for kiter101, viter102 in self.value_by_key.items():
-                oprot.writeString(kiter101.encode('utf-8') if sys.version_info[0] == 2 else kiter101)
-                oprot.writeBinary(viter102)
+            for kiter108, viter109 in self.value_by_key.items():
+                oprot.writeString(kiter108.encode('utf-8') if sys.version_info[0] == 2 else kiter108)
+                oprot.writeBinary(viter109)
             oprot.writeMapEnd()
             oprot.writeFieldEnd()
         if self.complete_to is not None:
@@ -1995,21 +2072,21 @@
             elif fid == 5:
                 if ftype == TType.MAP:
                     self.running_by_endpoint = {}
-                    (_ktype104, _vtype105, _size103) = iprot.readMapBegin()
-                    for _i107 in range(_size103):
-                        _key108 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
-                        _val109 = iprot.readI32()
-                        self.running_by_endpoint[_key108] = _val109
+                    (_ktype111, _vtype112, _size110) = iprot.readMapBegin()
+                    for _i114 in range(_size110):
+                        _key115 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        _val116 = iprot.readI32()
+                        self.running_by_endpoint[_key115] = _val116
                     iprot.readMapEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 6:
                 if ftype == TType.LIST:
                     self.resting = []
-                    (_etype113, _size110) = iprot.readListBegin()
-                    for _i114 in range(_size110):
-                        _elem115 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
-                        self.resting.append(_elem115)
+                    (_etype120, _size117) = iprot.readListBegin()
+                    for _i121 in range(_size117):
+                        _elem122 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        self.resting.append(_elem122)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -2047,16 +2124,16 @@
         if self.running_by_endpoint is not None:
             oprot.writeFieldBegin('running_by_endpoint', TType.MAP, 5)
             oprot.writeMapBegin(TType.STRING, TType.I32, len(self.running_by_endpoint))
-            for kiter116, viter117 in self.running_by_endpoint.items():
-                oprot.writeString(kiter116.encode('utf-8') if sys.version_info[0] == 2 else kiter116)
-                oprot.writeI32(viter117)
+            for kiter123, viter124 in self.running_by_endpoint.items():
+                oprot.writeString(kiter123.encode('utf-8') if sys.version_info[0] == 2 else kiter123)
+                oprot.writeI32(viter124)
             oprot.writeMapEnd()
             oprot.writeFieldEnd()
         if self.resting is not None:
             oprot.writeFieldBegin('resting', TType.LIST, 6)
             oprot.writeListBegin(TType.STRING, len(self.resting))
-            for iter118 in self.resting:
-                oprot.writeString(iter118.encode('utf-8') if sys.version_info[0] == 2 else iter118)
+            for iter125 in self.resting:
+                oprot.writeString(iter125.encode('utf-8') if sys.version_info[0] == 2 else iter125)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.endpoints_known_to is not None:
@@ -2162,11 +2239,11 @@
             elif fid == 5:
                 if ftype == TType.MAP:
                     self.running_by_endpoint = {}
-                    (_ktype120, _vtype121, _size119) = iprot.readMapBegin()
-                    for _i123 in range(_size119):
-                        _key124 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
-                        _val125 = iprot.readI32()
-                        self.running_by_endpoint[_key124] = _val125
+                    (_ktype127, _vtype128, _size126) = iprot.readMapBegin()
+                    for _i130 in range(_size126):
+                        _key131 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        _val132 = iprot.readI32()
+                        self.running_by_endpoint[_key131] = _val132
                     iprot.readMapEnd()
                 else:
                     iprot.skip(ftype)
@@ -2204,9 +2281,9 @@
         if self.running_by_endpoint is not None:
             oprot.writeFieldBegin('running_by_endpoint', TType.MAP, 5)
             oprot.writeMapBegin(TType.STRING, TType.I32, len(self.running_by_endpoint))
-            for kiter126, viter127 in self.running_by_endpoint.items():
-                oprot.writeString(kiter126.encode('utf-8') if sys.version_info[0] == 2 else kiter126)
-                oprot.writeI32(viter127)
+            for kiter133, viter134 in self.running_by_endpoint.items():
+                oprot.writeString(kiter133.encode('utf-8') if sys.version_info[0] == 2 else kiter133)
+                oprot.writeI32(viter134)
             oprot.writeMapEnd()
             oprot.writeFieldEnd()
         if self.endpoints_known_to is not None:
@@ -2402,10 +2479,10 @@
             elif fid == 5:
                 if ftype == TType.LIST:
                     self.avoid = []
-                    (_etype131, _size128) = iprot.readListBegin()
-                    for _i132 in range(_size128):
-                        _elem133 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
-                        self.avoid.append(_elem133)
+                    (_etype138, _size135) = iprot.readListBegin()
+                    for _i139 in range(_size135):
+                        _elem140 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        self.avoid.append(_elem140)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -2427,10 +2504,10 @@
             elif fid == 9:
                 if ftype == TType.LIST:
                     self.connected = []
-                    (_etype137, _size134) = iprot.readListBegin()
-                    for _i138 in range(_size134):
-                        _elem139 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
-                        self.connected.append(_elem139)
+                    (_etype144, _size141) = iprot.readListBegin()
+                    for _i145 in range(_size141):
+                        _elem146 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        self.connected.append(_elem146)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -2463,8 +2540,8 @@
         if self.avoid is not None:
             oprot.writeFieldBegin('avoid', TType.LIST, 5)
             oprot.writeListBegin(TType.STRING, len(self.avoid))
-            for iter140 in self.avoid:
-                oprot.writeString(iter140.encode('utf-8') if sys.version_info[0] == 2 else iter140)
+            for iter147 in self.avoid:
+                oprot.writeString(iter147.encode('utf-8') if sys.version_info[0] == 2 else iter147)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.kept_tokens is not None:
@@ -2482,8 +2559,8 @@
         if self.connected is not None:
             oprot.writeFieldBegin('connected', TType.LIST, 9)
             oprot.writeListBegin(TType.STRING, len(self.connected))
-            for iter141 in self.connected:
-                oprot.writeString(iter141.encode('utf-8') if sys.version_info[0] == 2 else iter141)
+            for iter148 in self.connected:
+                oprot.writeString(iter148.encode('utf-8') if sys.version_info[0] == 2 else iter148)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -2628,6 +2705,7 @@
     None,  # 0
     (1, TType.I64, 'version', None, None, ),  # 1
     (2, TType.LIST, 'members', (TType.STRUCT, [DiskMember, None], False), None, ),  # 2
+    (3, TType.LIST, 'previous', (TType.STRUCT, [DiskMember, None], False), None, ),  # 3
 )
 all_structs.append(Hello)
 Hello.thrift_spec = (
@@ -2671,6 +2749,7 @@
     (1, TType.STRUCT, 'reservation', [TurnEntry, None], None, ),  # 1
     (2, TType.STRING, 'previous', 'UTF8', None, ),  # 2
     (3, TType.BOOL, 'wants_chain', None, None, ),  # 3
+    (4, TType.I64, 'disk_set_version', None, None, ),  # 4
 )
 all_structs.append(ReserveReply)
 ReserveReply.thrift_spec = (
@@ -2682,6 +2761,7 @@
     (5, TType.STRING, 'missing', 'UTF8', None, ),  # 5
     (6, TType.STRING, 'endpoint', 'UTF8', None, ),  # 6
     (7, TType.I64, 'endpoint_born_ms', None, None, ),  # 7
+    (8, TType.I32, 'verdict', None,     FenceVerdict.TAKEN, ),  # 8
 )
 all_structs.append(AppendEntries)
 AppendEntries.thrift_spec = (
@@ -2708,6 +2788,7 @@
     (3, TType.BOOL, 'more', None, None, ),  # 3
     (4, TType.LIST, 'keys', (TType.STRING, 'UTF8', False), None, ),  # 4
     (5, TType.I64, 'disk_set_version', None, None, ),  # 5
+    (6, TType.BOOL, 'has_caught_up', None, True, ),  # 6
 )
 all_structs.append(EntriesQuery)
 EntriesQuery.thrift_spec = (
@@ -2718,6 +2799,7 @@
 EntriesReply.thrift_spec = (
     None,  # 0
     (1, TType.LIST, 'entries', (TType.STRUCT, [TurnEntry, None], False), None, ),  # 1
+    (2, TType.I64, 'disk_set_version', None, 0, ),  # 2
 )
 all_structs.append(LackingReply)
 LackingReply.thrift_spec = (
