A disk that is to be emptied stays while the others could not bear a loss

Ruled out: copying ahead of the leaving (the others have the copies by then: they read each other every 0.8 s; what is missing is a disk that answers). Change: for half of the time that the request allows, the disk leaves only a set that bears a loss without it; then one that keeps turns, as before. Test: a disk is lost right behind the request: 503 before, served now; the disk is empty in time.

--- a/src/bayhinge/_internal/decisions/disk_set_rules.py
+++ b/src/bayhinge/_internal/decisions/disk_set_rules.py
@@ -29,6 +29,11 @@
         ...
 
 
+STAY_SHARE = 0.5
+"""Part of the time allowed for emptying a disk in which it stays for the others' sake: a lost disk is
+back in the set within one to three seconds, and eight to ten are allowed on the users' sites."""
+
+
 Member = TypeVar("Member", bound=MemberLike)
 
 
@@ -56,18 +61,32 @@
     return [member for member in members if member.host != newcomer.host] + [newcomer]
 
 
-def without_retired(members: Sequence[Member], host: str, tolerated: int) -> list[Member] | None:
+def without_retired(
+    members: Sequence[Member], host: str, tolerated: int, may_wait: bool = False
+) -> list[Member] | None:
     """Returns the set without a disk that is to be emptied, or None where it has to stay.
 
     It stays while fewer would be left than a turn must stand on: with one disk where two are
     needed every turn would run and none could end. Leaving late is paid for; that is not.
+
+    While it ``may_wait`` it stays as well where the others could not bear the loss of one: a disk
+    that was lost meanwhile comes back, or a new one comes.
     """
     others = [member for member in members if member.host != host]
-    if len(others) == len(members) or len(others) < copies_needed(tolerated):
+    least = 2 * tolerated + 1 if may_wait else copies_needed(tolerated)
+    if len(others) == len(members) or len(others) < least:
         return None
     return others
 
 
+def stay_s(allowed_s: float) -> float:
+    """Returns how long a disk that is to be emptied may wait for others, in seconds.
+
+    The rest of the time is for leaving and for a last copy, with a store that may be away.
+    """
+    return STAY_SHARE * max(0.0, allowed_s)
+
+
 def without_silent(
     members: Sequence[Member], silent_s_by_host: Mapping[str, float], tolerated: int
 ) -> list[Member] | None:
--- a/src/bayhinge/_internal/platform/retirements.py
+++ b/src/bayhinge/_internal/platform/retirements.py
@@ -1,6 +1,7 @@
 """The platform's requests to empty a disk host, and what it is told of them."""
 
 import asyncio
+from functools import partial
 
 import eliot
 import orjson
@@ -12,6 +13,9 @@
 from bayhinge.coordination.errors import StoreError
 from bayhinge.coordination.store import Change
 
+MOST_ALLOWED_S = 60.0
+"""A longer time is taken as this one: a disk that waits for others does so within a minute."""
+
 RETRY_S = 0.4
 """Pause after the store did not take a status."""
 
@@ -39,18 +43,21 @@
     def _take(self, value: bytes) -> None:
         """Begins where the operator asks for it: any table does, whatever it says of the time.
 
-        Emptying takes as long as it takes, so its ``duration_s`` decides nothing. What is no table
-        was written by nobody who asks for anything: the disk stays.
+        A ``duration_s`` that can't be read allows no waiting. What is no table was written by
+        nobody who asks for anything: the disk stays.
         """
-        if not _is_table(value):
+        allowed_s = _allowed_s(value)
+        if allowed_s is None:
             eliot.log_message("retirement.unreadable", key=self._key, why="it is no table")
             return
         if self._task is None:
-            self._task = asyncio.ensure_future(keep_running("retire", self._retire))
+            self._task = asyncio.ensure_future(
+                keep_running("retire", partial(self._retire, allowed_s))
+            )
 
-    async def _retire(self) -> None:
+    async def _retire(self, allowed_s: float) -> None:
         await self._report("in_progress")
-        await self._disk.retire()
+        await self._disk.retire(allowed_s)
         await self._report("completed")
 
     async def _report(self, state: str) -> None:
@@ -63,8 +70,15 @@
                 await asyncio.sleep(RETRY_S)
 
 
-def _is_table(value: bytes) -> bool:
+def _allowed_s(value: bytes) -> float | None:
+    """Returns the time that a request allows, 0 where it says none; None where it is no request."""
     try:
-        return isinstance(orjson.loads(value), dict)
+        spec = orjson.loads(value)
     except orjson.JSONDecodeError:
-        return False
+        return None
+    if not isinstance(spec, dict):
+        return None
+    allowed_s = spec.get("duration_s")
+    if not isinstance(allowed_s, int | float) or isinstance(allowed_s, bool):
+        return 0.0
+    return min(MOST_ALLOWED_S, max(0.0, float(allowed_s)))
--- a/src/bayhinge/_internal/services/disks/disk_host.py
+++ b/src/bayhinge/_internal/services/disks/disk_host.py
@@ -5,6 +5,7 @@
 import random
 import time
 from collections.abc import Awaitable, Callable, Coroutine, Iterable
+from functools import partial
 from pathlib import Path
 from typing import Any
 
@@ -14,6 +15,7 @@
 from bayhinge._internal.decisions.disk_placement import missing_allowed, places_of
 from bayhinge._internal.decisions.disk_set_rules import (
     has_copied_enough,
+    stay_s,
     with_newcomer,
     without_retired,
     without_silent,
@@ -328,26 +330,28 @@
 
     # ---- leaving ----
 
-    async def retire(self) -> None:
-        """Leaves the set and hands everything to the disks that stay."""
-        eliot.log_message("disk.retiring", host=self.settings.host)
+    async def retire(self, allowed_s: float = 0.0) -> None:
+        """Leaves the set and hands everything to the disks that stay.
+
+        ``allowed_s`` is the time that may pass until it is empty, in seconds.
+        """
+        eliot.log_message("disk.retiring", host=self.settings.host, allowed_s=allowed_s)
         self.is_retiring = True
-        await self._leave_set()
+        await self._leave_set(asyncio.get_running_loop().time() + stay_s(allowed_s))
         self.is_retired = True
         await _repeat_until_done(self._hand_over)
         eliot.log_message("disk.retired", host=self.settings.host, entries=self.turns.position)
 
-    async def _leave_set(self) -> None:
+    async def _leave_set(self, stay_until_s: float) -> None:
         """Goes on until the set can do without this disk; it serves as a member until then."""
+        loop = asyncio.get_running_loop()
         host, tolerated = self.settings.host, self.settings.tolerated_disks
         has_said_so = False
         while True:
+            may_wait = loop.time() < stay_until_s
             if self.fence.has_settled:
-                self.take_disk_set(
-                    await change_disk_set(
-                        self._store, lambda members: without_retired(members, host, tolerated)
-                    )
-                )
+                change = partial(without_retired, host=host, tolerated=tolerated, may_wait=may_wait)
+                self.take_disk_set(await change_disk_set(self._store, change))
             if not any(member.host == host for member in self.disk_set.members):
                 return
             if not has_said_so:
--- a/tests/functional/test_retirement.py
+++ b/tests/functional/test_retirement.py
@@ -57,3 +57,28 @@
         assert (second.status, second.is_whole) == (200, True)
 
     run_site(tmp_path, scenario)
+
+
+def test_a_disk_that_is_to_be_emptied_serves_while_another_one_is_lost(tmp_path: Path) -> None:
+    """The disk had left a twentieth of a second after it was asked, with five seconds allowed.
+
+    Another disk was lost right behind that: one was left where each turn needs two, and turns were
+    refused until the lost one was back.
+    """
+
+    async def scenario(site: PlatformSite) -> None:
+        first = await site.turn(b"one ")
+        site.retire("disk-1")
+        await site.until(lambda: site.store.status("retirements", "disk-1") == IN_PROGRESS)
+        await asyncio.sleep(0.5)
+        await site.stop_disk("disk-2")
+        second = await asyncio.wait_for(site.turn(b"two ", first), 3.0)
+        assert (second.status, second.is_whole) == (200, True)
+        fresh = await site.start_disk("disk-2", first_start=False, generation=1)
+        await site.until(lambda: site.store.status("retirements", "disk-1") == COMPLETED)
+        assert fresh._disk.turns.chain(second.attempt).missing is None
+        await site.stop_disk("disk-1")
+        third = await asyncio.wait_for(site.turn(b"three ", second), 3.0)
+        assert (third.status, third.is_whole) == (200, True)
+
+    run_site(tmp_path, scenario)
