--- a/src/bayhinge/_internal/decisions/disk_set_rules.py
+++ b/src/bayhinge/_internal/decisions/disk_set_rules.py
@@ -30,8 +30,8 @@
 
 
 STAY_SHARE = 0.5
-"""Part of the time allowed for emptying a disk in which it stays for the others' sake: a lost disk is
-back in the set within one to three seconds, and eight to ten are allowed on the users' sites."""
+"""Part of the time allowed for emptying a disk in which it stays for the others' sake: a lost disk
+is back in the set within one to three seconds, and eight to ten are allowed on the users' sites."""
 
 
 Member = TypeVar("Member", bound=MemberLike)
