--- a/tests/soak/endpoint_faults.py
+++ b/tests/soak/endpoint_faults.py
@@ -146,13 +146,13 @@
         spec = odd_entry(good, self.source)
         if self.source.random() < 0.5:
             name = f"i-odd-{next(self._numbers)}"
-            self.said(f"odd entry {name}: {spec}")
+            self.said(f"odd entry {name}: {spec!r}")
             self.store.put("servers", name, spec)
             await asyncio.sleep(self.source.uniform(0.2, 3.0))
             self.store.remove("servers", name)
             return
         async with self._lock_by_endpoint[endpoint]:
-            self.said(f"odd entry over {endpoint.engine.instance}: {spec}")
+            self.said(f"odd entry over {endpoint.engine.instance}: {spec!r}")
             self.store.put("servers", endpoint.engine.instance, spec)
             await asyncio.sleep(self.source.uniform(0.2, 2.0))
             self.store.put("servers", endpoint.engine.instance, endpoint.entry())
--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -26,6 +26,9 @@
 CHECK_S = 8.0
 """A check of the configuration is left where troubles go on for so long."""
 
+APPLY_S = 2.0
+"""A version is in force so long after the store has taken it."""
+
 METRICS_PORT = 9464
 VERSION_LINE = "bayhinge_configuration_version "
 
@@ -54,6 +57,8 @@
         return [
             self.trouble_store,
             self.change_behind_outage,
+            self.change_in_series,
+            self.reload_settings,
             self.hurt_disk,
             self.hurt_entry,
             self.stop_entry,
@@ -96,6 +101,25 @@
             self.said(f"version {self.version}")
             await self._check_configuration(self.version)
 
+    async def change_in_series(self) -> None:
+        """Versions follow each other sooner than any of them is in force."""
+        async with self.store_lock:
+            for _ in range(self.source.randint(2, 6)):
+                self.version += 1
+                self.store.put("config", "main", CONFIGURATION | {"version": self.version})
+                await asyncio.sleep(self.source.choice((0.0, 0.05, 0.5)))
+            self.said(f"a series of versions up to {self.version}")
+            await asyncio.sleep(APPLY_S)
+            await self._check_configuration(self.version)
+
+    async def reload_settings(self) -> None:
+        """Some hosts are told to read their settings again, whatever they are doing."""
+        hosts = [host for host in (*self.entries, *self.disks) if not host.is_hurt]
+        chosen = [host for host in hosts if self.source.random() < 0.5]
+        self.said(f"{len(chosen)} hosts read their settings again")
+        for host in chosen:
+            host.send(signal.SIGHUP)
+
     async def _check_configuration(self, version: int) -> None:
         """Every host in touch must have the version in force."""
         loop = asyncio.get_running_loop()
--- a/tests/soak/mutants.py
+++ b/tests/soak/mutants.py
@@ -19,8 +19,8 @@
 from tests.dense.ablation import ROOT, Edit
 
 _FIRST_PROBLEM = re.compile(r"PROBLEMS\n *(?P<problem>.+)$", re.MULTILINE)
-SEED_LIMIT_S = 90.0
-"""A seed of 6 s of faults takes 10 to 20 s beside other work; a mutant may hang its hosts."""
+SEED_LIMIT_S = 120.0
+"""A seed of 40 s of faults takes 50 to 60 s beside other work; a mutant may hang its hosts."""
 
 QUORUM = "decisions/disk_quorum.py"
 
