--- a/tests/soak/mutants.py
+++ b/tests/soak/mutants.py
@@ -40,7 +40,11 @@
         ),
     ),
     "reservations meet on a disk": (
-        Edit(QUORUM, "return max(members - tolerated, members // 2 + 1)", "return 1"),
+        Edit(
+            QUORUM,
+            "return max(members - tolerated, members // 2 + 1",
+            "return min(1, members - tolerated, members // 2 + 1",
+        ),
     ),
     "turns have two copies": (Edit(QUORUM, "return tolerated + 1", "return 1"),),
     "turns that are still open are counted": (
