--- a/src/bayhinge/_internal/utils/running_time.py
+++ b/src/bayhinge/_internal/utils/running_time.py
@@ -4,6 +4,8 @@
 from collections.abc import AsyncIterator
 from contextlib import asynccontextmanager
 
+import attrs
+
 STEPS = 8
 """Parts of a bound. However long the loop stands still, one part is used up by it, and the loop
 turns at least so often before the bound ends: an answer that waits in the socket is read and handed
@@ -21,20 +23,32 @@
     Raises:
         TimeoutError: the bound has ended.
     """
-    loop = asyncio.get_running_loop()
-    part_s = limit_s / STEPS
-
     async with asyncio.timeout(None) as bound:
-
-        def note_part(parts_left: int) -> None:
-            nonlocal timer
-            if parts_left:
-                timer = loop.call_later(part_s, note_part, parts_left - 1)
-            else:
-                bound.reschedule(loop.time())
-
-        timer = loop.call_later(part_s, note_part, STEPS - 1)
+        parts = _Parts(bound, limit_s / STEPS)
+        parts.begin_next()
         try:
             yield
         finally:
-            timer.cancel()
+            parts.stop()
+
+
+@attrs.define
+class _Parts:
+    """What is left of a bound; the next part begins when this loop has noticed the last one's end."""
+
+    _bound: asyncio.Timeout
+    _part_s: float
+    _left: int = STEPS
+    _timer: asyncio.TimerHandle | None = None
+
+    def begin_next(self) -> None:
+        loop = asyncio.get_running_loop()
+        if self._left:
+            self._left -= 1
+            self._timer = loop.call_later(self._part_s, self.begin_next)
+        else:
+            self._bound.reschedule(loop.time())
+
+    def stop(self) -> None:
+        if self._timer is not None:
+            self._timer.cancel()
--- a/tests/unit/test_running_time.py
+++ b/tests/unit/test_running_time.py
@@ -26,7 +26,7 @@
 
         def stand_still() -> None:
             far.send(b"answer")
-            time.sleep(STANDS_STILL_S)  # noqa: ASYNC251 - it plays a process that gets no time
+            time.sleep(STANDS_STILL_S)
 
         loop.call_later(LIMIT_S / 10, stand_still)
         answers: asyncio.Queue[bytes] = asyncio.Queue()
