--- a/src/bayhinge/_internal/utils/running_time.py
+++ b/src/bayhinge/_internal/utils/running_time.py
@@ -34,7 +34,7 @@
 
 @attrs.define
 class _Parts:
-    """What is left of a bound; the next part begins when this loop has noticed the last one's end."""
+    """What is left of a bound; a part begins when this loop has noticed the last one's end."""
 
     _bound: asyncio.Timeout
     _part_s: float
