A host that stood still doubts no endpoint for it

Cause: the bound after which an endpoint that was not heard is doubted ran on while the host itself stood still, so endpoints counted as failing whose answers lay in its sockets, and others were told so. Change: the bound counts running time, as that of a hall's home does.

--- a/src/bayhinge/_internal/services/gateway/sending.py
+++ b/src/bayhinge/_internal/services/gateway/sending.py
@@ -32,6 +32,7 @@
 )
 from bayhinge._internal.services.gateway.turn_keeper import OpenTurn
 from bayhinge._internal.services.gateway.wishes import wish_of
+from bayhinge._internal.utils.running_time import running_timeout
 
 MOST_UNTAKEN_SENDS = 4
 """Endpoints that are asked although none has taken the request; each costs a round trip."""
@@ -250,7 +251,8 @@
         waits = 0
         while True:
             try:
-                async with asyncio.timeout(bounds.unheard_s):
+                # What came while this host stood still is read before anybody is doubted.
+                async with running_timeout(bounds.unheard_s):
                     answer, marks = await self._own_answer(connection, sending.request.attempt)
                 self._note_answer(sending.service, sent_s)
                 return answer, marks
--- a/tests/functional/test_silent_endpoints.py
+++ b/tests/functional/test_silent_endpoints.py
@@ -1,6 +1,7 @@
 """Endpoints that take requests and say nothing: doubted early, left where that is allowed."""
 
 import asyncio
+import time
 from pathlib import Path
 
 import pytest
@@ -76,3 +77,23 @@
         await asyncio.gather(waiting, return_exceptions=True)
 
     run_site(tmp_path, scenario)
+
+
+def test_a_host_that_stood_still_doubts_no_endpoint_for_it(tmp_path: Path) -> None:
+    """All stand still together here, so that the answers come right behind the stall."""
+
+    async def scenario(site: PlatformSite) -> None:
+        for service in site.services:
+            service.troubles = EngineTroubles(pause_s=0.02)
+        gateway = site.entry_by_name["entry-0"]._gateway
+        for _ in range(3):
+            assert (await site.ask("/look/x", method="GET")).status == 200
+        bound_s = UNHEARD_OBJECTIVES * LOOK_OBJECTIVE_S
+        asking = [asyncio.create_task(site.ask("/look/x", method="GET")) for _ in range(6)]
+        await asyncio.sleep(0.01)
+        asyncio.get_running_loop().call_soon(time.sleep, bound_s + 0.1)
+        assert [reply.status for reply in await asyncio.gather(*asking)] == [200] * 6
+        assert gateway.requests.sent.doubted == 0
+        assert all(belief.failures == 0 for belief in gateway.book.all())
+
+    run_site(tmp_path, scenario)
