turn_keeper is split: asking, reserving, histories, refusals

Change: moves only. disk_asker asks several disks at once and keeps what runs in the background; turn_reservations sets tokens aside and gives them back; turn_histories fetches what was said before; turn_refusals says why a turn is not opened, with the two times that belong to it; open_turn has the record that all of them share. turn_keeper opens and closes turns with these. Imports go one way: open_turn, turn_refusals, disk_asker, then reservations and histories, then the keeper. Names that other modules now use lost their leading underscore.

Ruled out: a change of behaviour. The syntax trees of all functions before and after differ in names of the callee, in the constructors, and in settle, which the keeper passes on; nothing else.

Tests: no assert changed. Import paths: OPEN_S in functional/test_silent_connections, OpenTurn in unit/test_runs_of_every_kind.

Conclusion: the same code in named parts.

--- /dev/null
+++ b/src/bayhinge/_internal/services/gateway/disk_asker.py
@@ -0,0 +1,66 @@
+"""Asks several disks at once, and goes on without those that don't answer."""
+
+import asyncio
+from collections.abc import AsyncIterator, Coroutine
+from typing import Any, TypeVar
+
+from bayhinge._internal.exceptions import FrameError
+from bayhinge._internal.network.frames import decode_message
+from bayhinge._internal.services.gateway.disk_directory import DiskDirectory
+from bayhinge._internal.services.gateway.disk_link import DiskLink, DiskUnreachableError
+from bayhinge._internal.wire.hosts import ttypes as wire
+
+Reply = TypeVar("Reply")
+
+
+class DiskAsker:
+    """One entry host's questions to the disks, and what of them runs in the background."""
+
+    def __init__(self, directory: DiskDirectory, link: DiskLink) -> None:
+        """Takes who the disks are, and the way there."""
+        self._directory = directory
+        self._link = link
+        self._tasks: set[asyncio.Task[Any]] = set()
+
+    async def drain(self, limit_s: float) -> None:
+        """Waits for what runs in the background."""
+        if self._tasks:
+            await asyncio.wait(self._tasks, timeout=limit_s)
+
+    async def ask(
+        self,
+        members: list[wire.DiskMember],
+        method: str,
+        message: bytes,
+        kind: type[Reply],
+    ) -> AsyncIterator[tuple[wire.DiskMember, Reply]]:
+        """Yields answers as they come; calls that are not waited for go on in the background."""
+        member_by_task = {
+            self.start(self.call(member, method, message, kind())): member for member in members
+        }
+        waiting = set(member_by_task)
+        while waiting:
+            finished, waiting = await asyncio.wait(waiting, return_when=asyncio.FIRST_COMPLETED)
+            for task in finished:
+                reply = task.result()
+                if reply is not None:
+                    yield member_by_task[task], reply
+
+    async def call(
+        self, member: wire.DiskMember, method: str, message: bytes, empty: Reply
+    ) -> Reply | None:
+        """Returns one disk's answer; None where there is none, or none that can be read."""
+        try:
+            return decode_message(empty, await self._link.call(member, method, message))
+        except DiskUnreachableError:
+            return None
+        except FrameError as error:
+            self._directory.note_failure(member, str(error))
+            return None
+
+    def start(self, work: Coroutine[Any, Any, Reply]) -> asyncio.Task[Reply]:
+        """Runs work in the background; :meth:`drain` waits for it."""
+        task = asyncio.get_running_loop().create_task(work)
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+        return task
--- a/src/bayhinge/_internal/services/gateway/request_service.py
+++ b/src/bayhinge/_internal/services/gateway/request_service.py
@@ -21,10 +21,11 @@
 from bayhinge._internal.services.gateway.beliefs import ConfigurationBelief
 from bayhinge._internal.services.gateway.delivery import Delivery
 from bayhinge._internal.services.gateway.first_news import FirstNews, wait_until
+from bayhinge._internal.services.gateway.open_turn import OpenTurn
 from bayhinge._internal.services.gateway.outside import CallFormat
 from bayhinge._internal.services.gateway.sending import RETRY_AFTER_S, Sender
 from bayhinge._internal.services.gateway.stream_delivery import StreamDelivery
-from bayhinge._internal.services.gateway.turn_keeper import OpenTurn, TurnKeeper
+from bayhinge._internal.services.gateway.turn_keeper import TurnKeeper
 from bayhinge._internal.services.gateway.whole_delivery import WholeDelivery
 from bayhinge._internal.services.latencies import Latencies
 
--- a/src/bayhinge/_internal/services/gateway/sending.py
+++ b/src/bayhinge/_internal/services/gateway/sending.py
@@ -23,6 +23,7 @@
 )
 from bayhinge._internal.network.endpoint_link import EndpointConnection, EndpointLinks
 from bayhinge._internal.services.gateway.delivery import Delivery
+from bayhinge._internal.services.gateway.open_turn import OpenTurn
 from bayhinge._internal.services.gateway.outside import CallFormat
 from bayhinge._internal.services.gateway.placement import OwnPlacer, Placer
 from bayhinge._internal.services.gateway.runs_under_way import (
@@ -30,7 +31,6 @@
     RunsUnderWay,
     RunUnderWay,
 )
-from bayhinge._internal.services.gateway.turn_keeper import OpenTurn
 from bayhinge._internal.services.gateway.wishes import wish_of
 
 MOST_UNTAKEN_SENDS = 4
--- a/src/bayhinge/_internal/services/gateway/stream_delivery.py
+++ b/src/bayhinge/_internal/services/gateway/stream_delivery.py
@@ -21,8 +21,9 @@
 from bayhinge._internal.network.routed_front import Exchange
 from bayhinge._internal.network.stream_splice import Spliced, StreamSplice
 from bayhinge._internal.services.gateway.delivery import Delivery, is_success
+from bayhinge._internal.services.gateway.open_turn import OpenTurn
 from bayhinge._internal.services.gateway.outside import CallFormat
-from bayhinge._internal.services.gateway.turn_keeper import OpenTurn, TurnKeeper
+from bayhinge._internal.services.gateway.turn_keeper import TurnKeeper
 
 
 class StreamDelivery(Delivery):
--- /dev/null
+++ b/src/bayhinge/_internal/services/gateway/turn_histories.py
@@ -0,0 +1,101 @@
+"""Fetches what was said before a turn, from whichever disks have it."""
+
+import asyncio
+
+from bayhinge._internal.models.endpoint_entries import EndpointStart
+from bayhinge._internal.models.refusals import (
+    Figure,
+    RefusalCode,
+    RefusedError,
+    refuse_unaccepted,
+)
+from bayhinge._internal.network.frames import encode_message
+from bayhinge._internal.services import methods
+from bayhinge._internal.services.gateway.disk_asker import DiskAsker
+from bayhinge._internal.services.gateway.disk_directory import DiskDirectory
+from bayhinge._internal.services.gateway.open_turn import OpenTurn
+from bayhinge._internal.services.gateway.turn_refusals import OPEN_S, too_few_disks
+from bayhinge._internal.wire.hosts import ttypes as wire
+
+
+class TurnHistories:
+    """One entry host's way to the texts of earlier turns."""
+
+    def __init__(self, asker: DiskAsker, directory: DiskDirectory) -> None:
+        """Takes the way to ask disks, and who they are."""
+        self._asker = asker
+        self._directory = directory
+
+    async def add(self, turn: OpenTurn, replies: list[wire.ReserveReply]) -> None:
+        """Gives the turn the texts before it, from the replies to its reservation if they do.
+
+        Raises:
+            RefusedError: there is no such turn, or too few disks answer.
+        """
+        if turn.context.previous is None:
+            return
+        for reply in replies:
+            if reply.chain is not None and reply.missing is None:
+                turn.history, turn.read_at = reply.chain, _read_at(reply)
+                return
+        message = encode_message(wire.ReserveTurn(None, turn.context.previous, True))
+        # Its own disks first; then all, for a program may go on from another one's turn.
+        for disks in (
+            self._directory.places(turn.context.program)[1:],
+            self._directory.nearest_first(),
+        ):
+            async for _, reply in self._asker.ask(
+                disks, methods.RESERVE, message, wire.ReserveReply
+            ):
+                if reply.missing is None and reply.chain is not None:
+                    turn.history, turn.read_at = reply.chain, _read_at(reply)
+                    return
+        await self._assemble(turn)
+
+    async def _assemble(self, turn: OpenTurn) -> None:
+        """Puts a chain together from several disks, where no asked one has it whole."""
+        texts: list[bytes] = []
+        attempt = turn.context.previous
+        while attempt is not None:
+            entry = await self._find_turn(attempt, is_first=not texts)
+            if not turn.read_at.endpoint:
+                turn.read_at = EndpointStart(entry.endpoint or "", entry.endpoint_born_ms)
+            texts.append(entry.text or b"")
+            attempt = entry.previous
+        turn.history = b"".join(reversed(texts))
+
+    async def _find_turn(self, attempt: str, is_first: bool) -> wire.TurnEntry:
+        key = f"{wire.EntryKind.TURN}{attempt}"
+        version = self._directory.disk_set.version
+        # Also disks outside the set: a copy may have been synced on one that was about to join.
+        members = self._directory.writable()
+        message = encode_message(wire.EntriesQuery([key]))
+        answered = 0
+        newest = version
+        try:
+            async with asyncio.timeout(OPEN_S):
+                async for _, reply in self._asker.ask(
+                    members, methods.ENTRIES, message, wire.EntriesReply
+                ):
+                    answered += 1
+                    newest = max(newest, reply.disk_set_version or 0)
+                    if reply.entries:
+                        entry: wire.TurnEntry = reply.entries[0]
+                        return entry
+        except TimeoutError:
+            pass
+        # Only where every disk has said so is it sure that there is no such turn, and only where
+        # none of them knows of other disks.
+        if is_first and members and answered == len(members) and newest == version:
+            raise RefusedError(
+                refuse_unaccepted(
+                    RefusalCode.NOT_RECORDED,
+                    f"there is no turn '{attempt}'",
+                    Figure("disks_asked", answered),
+                )
+            )
+        raise too_few_disks(answered, len(members))
+
+
+def _read_at(reply: wire.ReserveReply) -> EndpointStart:
+    return EndpointStart(reply.endpoint or "", reply.endpoint_born_ms)
--- /dev/null
+++ b/src/bayhinge/_internal/services/gateway/turn_reservations.py
@@ -0,0 +1,170 @@
+"""Sets a turn's tokens aside on enough disks before it runs, and gives them back.
+
+What one set of disks has taken counts under one version of the set, so a reservation is asked
+for anew where the disks know a newer one.
+"""
+
+import asyncio
+
+import eliot
+
+from bayhinge._internal.decisions.disk_quorum import reservations_needed
+from bayhinge._internal.models.endpoint_entries import EndpointStart
+from bayhinge._internal.models.routed_requests import TurnContext
+from bayhinge._internal.network.frames import encode_message
+from bayhinge._internal.services import methods
+from bayhinge._internal.services.gateway.disk_asker import DiskAsker
+from bayhinge._internal.services.gateway.disk_directory import DiskDirectory
+from bayhinge._internal.services.gateway.open_turn import OpenTurn
+from bayhinge._internal.services.gateway.turn_refusals import OPEN_S, too_few_disks
+from bayhinge._internal.wire.hosts import ttypes as wire
+
+HISTORY_HEDGE_S = 0.06
+"""Time that the nearest disk's history is waited for once enough disks have answered."""
+
+REOPEN_PAUSE_S = 0.1
+"""Between two tries to reach a disk that refused at once: one that restarts is back within a
+second, and a caller has few tries."""
+
+
+class TurnReservations:
+    """One entry host's reservations."""
+
+    def __init__(self, asker: DiskAsker, directory: DiskDirectory, tolerated: int) -> None:
+        """Takes the way to ask disks, who they are, and how many may be lost at once."""
+        self._asker = asker
+        self._directory = directory
+        self._tolerated = tolerated
+
+    async def reserve(
+        self, attempt: str, context: TurnContext, reserved: int
+    ) -> list[wire.ReserveReply]:
+        """Sets the turn's tokens aside on enough disks; returns what those know of the program.
+
+        Raises:
+            RefusedError: too few disks answer.
+        """
+        if reserved == 0 and context.previous is None:
+            return []
+        entry = wire.TurnEntry(wire.EntryKind.RESERVED, attempt, context.program, reserved)
+        reservation = entry if reserved else None
+        limit_s = asyncio.get_running_loop().time() + OPEN_S
+        try:
+            while True:
+                # A quorum counts under one version of the set; where the disks know a newer one it
+                # is asked for anew. What a disk has taken already it does not take twice.
+                version = self._directory.disk_set.version
+                needed, replies = await self._reserve_once(reservation, context, version, limit_s)
+                if len(replies) >= needed:
+                    return replies
+                if self._directory.disk_set.version == version:
+                    break
+        except asyncio.CancelledError:
+            # The caller left: what the disks have taken meanwhile must not stay set aside.
+            self.settle(OpenTurn(attempt, context, b"", EndpointStart(), reserved), 0)
+            raise
+        eliot.log_message(
+            "turn.too_few_disks",
+            attempt=attempt,
+            answered=len(replies),
+            needed=needed,
+            disk_set_version=self._directory.disk_set.version,
+        )
+        self.settle(OpenTurn(attempt, context, b"", EndpointStart(), reserved), 0)
+        raise too_few_disks(len(replies), needed)
+
+    async def _reserve_once(
+        self,
+        reservation: wire.TurnEntry | None,
+        context: TurnContext,
+        version: int,
+        limit_s: float,
+    ) -> tuple[int, list[wire.ReserveReply]]:
+        """Asks under one version of the set; returns how many replies are needed, and those."""
+        members = self._directory.places(context.program)
+        needed = 1
+        if reservation is not None:
+            needed = reservations_needed(len(members), self._tolerated)
+        is_decided = asyncio.Event()
+        tasks = [
+            self._asker.start(
+                self._reserve_at(
+                    member,
+                    encode_message(
+                        wire.ReserveTurn(
+                            reservation, context.previous, member is members[0], version
+                        )
+                    ),
+                    is_decided,
+                )
+            )
+            for member in members
+        ]
+        try:
+            return needed, await self._first_replies(tasks, needed, context, version, limit_s)
+        finally:
+            is_decided.set()
+
+    async def _reserve_at(
+        self, member: wire.DiskMember, message: bytes, is_decided: asyncio.Event
+    ) -> wire.ReserveReply | None:
+        """Asks one disk, again where it can't be reached, until the turn needs it no more.
+
+        Returns None where the turn has been decided, or the set of disks has changed.
+        """
+        version = self._directory.disk_set.version
+        while True:
+            reply = await self._asker.call(member, methods.RESERVE, message, wire.ReserveReply())
+            if reply is not None and reply.verdict == wire.FenceVerdict.TAKEN:
+                return reply
+            if is_decided.is_set():
+                return None
+            if reply is None or not await self._meets(member, reply, version):
+                await asyncio.sleep(REOPEN_PAUSE_S)
+            if self._directory.disk_set.version != version:
+                return None
+
+    async def _meets(self, member: wire.DiskMember, reply: wire.ReserveReply, version: int) -> bool:
+        """Tells the set to whichever is behind, host or disk; returns whether it helped."""
+        if reply.verdict == wire.FenceVerdict.HOST_IS_BEHIND:
+            await self._directory.fetch(member.address)
+            return self._directory.disk_set.version != version
+        if reply.verdict == wire.FenceVerdict.DISK_IS_BEHIND:
+            newest = encode_message(self._directory.disk_set)
+            known = await self._asker.call(member, methods.DISK_SET, newest, wire.DiskSet())
+            return known is not None and known.version >= version
+        return False
+
+    async def _first_replies(
+        self,
+        tasks: list[asyncio.Task[wire.ReserveReply | None]],
+        needed: int,
+        context: TurnContext,
+        version: int,
+        limit_s: float,
+    ) -> list[wire.ReserveReply]:
+        """Waits for enough replies, and a moment longer for the one that has the history."""
+        loop = asyncio.get_running_loop()
+        waiting = set(tasks)
+        replies: list[wire.ReserveReply] = []
+        while waiting and loop.time() < limit_s:
+            finished, waiting = await asyncio.wait(
+                waiting, timeout=limit_s - loop.time(), return_when=asyncio.FIRST_COMPLETED
+            )
+            replies += [reply for task in finished if (reply := task.result()) is not None]
+            if self._directory.disk_set.version != version and len(replies) < needed:
+                break
+            if len(replies) >= needed:
+                if context.previous is None or tasks[0].done():
+                    break
+                limit_s = min(limit_s, loop.time() + HISTORY_HEDGE_S)
+        return replies
+
+    def settle(self, turn: OpenTurn, tokens: int) -> None:
+        """Says in the background what a turn without a whole answer has used."""
+        if turn.reserved == 0:
+            return
+        entry = wire.TurnEntry(wire.EntryKind.SETTLED, turn.attempt, turn.context.program, tokens)
+        message = encode_message(wire.AppendEntries([entry]))
+        for member in self._directory.places(turn.context.program):
+            self._asker.start(self._asker.call(member, methods.APPEND, message, wire.AppendReply()))
--- a/src/bayhinge/_internal/services/gateway/wishes.py
+++ b/src/bayhinge/_internal/services/gateway/wishes.py
@@ -3,7 +3,7 @@
 from bayhinge._internal.decisions.endpoint_book import Wish
 from bayhinge._internal.models.endpoint_entries import EndpointStart
 from bayhinge._internal.models.routed_requests import RoutedRequest
-from bayhinge._internal.services.gateway.turn_keeper import OpenTurn
+from bayhinge._internal.services.gateway.open_turn import OpenTurn
 
 MOST_WEIGHED_TOKENS = 10_000_000
 """A caller may name any number; more than the longest history changes no choice."""
--- a/tests/functional/test_silent_connections.py
+++ b/tests/functional/test_silent_connections.py
@@ -11,7 +11,7 @@
 from bayhinge._internal.network.peer_client import PeerClient
 from bayhinge._internal.network.peer_server import PeerServer
 from bayhinge._internal.network.peers import AnsweringHandler
-from bayhinge._internal.services.gateway.turn_keeper import OPEN_S
+from bayhinge._internal.services.gateway.turn_refusals import OPEN_S
 from bayhinge.coordination.clock import HybridClock, SystemClock
 from tests.lib.platform_data import CONFIGURATION
 from tests.lib.platform_engine import EngineTroubles, PlatformEngine
--- a/tests/unit/test_runs_of_every_kind.py
+++ b/tests/unit/test_runs_of_every_kind.py
@@ -15,9 +15,10 @@
 from bayhinge._internal.network.endpoint_answer import Answer, BrokenAnswerError
 from bayhinge._internal.network.routed_front import Exchange
 from bayhinge._internal.platform.call_format import PlatformCallFormat
+from bayhinge._internal.services.gateway.open_turn import OpenTurn
 from bayhinge._internal.services.gateway.runs_under_way import RunUnderWay
 from bayhinge._internal.services.gateway.stream_delivery import StreamDelivery
-from bayhinge._internal.services.gateway.turn_keeper import OpenTurn, TurnKeeper
+from bayhinge._internal.services.gateway.turn_keeper import TurnKeeper
 from tests.unit.test_stream_delivery import ROUTE, SIGNED, Caller, CutAnswer
 
 EVENTS = 4
