disk_host is split: what a disk knows, its answers, how it is emptied

Cause: disk_host.py (420 lines) kept the disk's state, joined, copied, left the set and called others; disk_answers.py needed its state and so imported it for types, while disk_host imported disk_answers: a circle.

Change: moves only. disk_state has what a disk host keeps and knows, which both need (entries, set of disks, who keeps what, calls to others); disk_retirement empties a disk; copy_limits has the period and sizes that copying and emptying share. disk_answers takes a DiskState, and DiskHost is one: it joins, copies and drops who is silent.

Ruled out: a change of behaviour. The syntax trees of all functions before and after differ in the name of the attribute that leads to the disk, in call (was _call), in the constructors and in retire, which passes on; nothing else.

Tests: no assert changed. Patch target: unit/test_left_behind_disks replaces host.call, was host._call.

Conclusion: the same code in named parts, imports one way.

--- a/src/bayhinge/_internal/services/disks/disk_answers.py
+++ b/src/bayhinge/_internal/services/disks/disk_answers.py
@@ -1,7 +1,7 @@
 """What a disk host answers to entry hosts and to other disk hosts."""
 
 from collections.abc import Callable, Coroutine
-from typing import TYPE_CHECKING, Any
+from typing import Any
 
 import eliot
 
@@ -11,11 +11,10 @@
 from bayhinge._internal.network.frames import decode_message, encode_message
 from bayhinge._internal.network.peers import AnsweringHandler
 from bayhinge._internal.services import methods
+from bayhinge._internal.services.disks.copy_limits import KEYS_AT_ONCE
+from bayhinge._internal.services.disks.disk_state import DiskState
 from bayhinge._internal.wire.hosts import ttypes as wire
 
-if TYPE_CHECKING:
-    from bayhinge._internal.services.disks.disk_host import DiskHost
-
 VERDICTS = {
     Verdict.TAKEN: wire.FenceVerdict.TAKEN,
     Verdict.HOST_IS_BEHIND: wire.FenceVerdict.HOST_IS_BEHIND,
@@ -23,16 +22,13 @@
     Verdict.NOT_YET: wire.FenceVerdict.NOT_YET,
 }
 
-KEYS_AT_ONCE = 2000
-"""Keys of one answer: some 80 KB."""
-
 
 class DiskAnswers(AnsweringHandler):
     """What a disk host answers."""
 
-    def __init__(self, host: "DiskHost") -> None:
-        """Takes the host whose disk is asked."""
-        self._host = host
+    def __init__(self, disk: DiskState) -> None:
+        """Takes the disk that is asked."""
+        self._disk = disk
         self._handlers: dict[str, Callable[[bytes], Coroutine[Any, Any, bytes]]] = {
             methods.RESERVE: self._reserve,
             methods.APPEND: self._append,
@@ -57,14 +53,14 @@
 
     async def _reserve(self, payload: bytes) -> bytes:
         query = decode_message(wire.ReserveTurn(), payload)
-        turns = self._host.turns
+        turns = self._disk.turns
         reply = wire.ReserveReply(turns.generation, {}, {})
         if query.reservation is not None:
             self._refuse_if_retired()
             reply.verdict = self._verdict(query)
             if reply.verdict != wire.FenceVerdict.TAKEN:
                 return encode_message(reply)
-            await self._host.write([query.reservation])
+            await self._disk.write([query.reservation])
             # The set may have changed while the disk was at it; what it reads now counts.
             reply.verdict = self._verdict(query)
             ledger = turns.ledger(query.reservation.program)
@@ -82,7 +78,7 @@
         if version is None:
             # A host of an earlier release; it counts its quorum as it always did.
             return wire.FenceVerdict.TAKEN
-        return VERDICTS[self._host.fence.verdict(query.reservation.program, version)]
+        return VERDICTS[self._disk.fence.verdict(query.reservation.program, version)]
 
     async def _append(self, payload: bytes) -> bytes:
         self._refuse_if_retired()
@@ -90,46 +86,46 @@
         if all(entry.kind == wire.EntryKind.SETTLED for entry in entries):
             # Where it is lost the turn counts at its most, which is safe: no sync of its own, three
             # syncs a turn over three disks in place of six.
-            self._host.turns.append(entries)
+            self._disk.turns.append(entries)
         else:
-            await self._host.write(entries)
-        return encode_message(wire.AppendReply(self._host.turns.generation))
+            await self._disk.write(entries)
+        return encode_message(wire.AppendReply(self._disk.turns.generation))
 
     async def _keys(self, payload: bytes) -> bytes:
         query = decode_message(wire.KeysQuery(), payload)
-        turns = self._host.turns
+        turns = self._disk.turns
         after = query.after if query.generation == turns.generation else 0
         written = turns.keys_after(after, KEYS_AT_ONCE)
         position = max(after, turns.first_position) + len(written)
         more = position < turns.position
-        keys = self._host.keys_kept_by(query.asker, written)
-        version = self._host.disk_set.version
-        caught_up = self._host.fence.has_caught_up
+        keys = self._disk.keys_kept_by(query.asker, written)
+        version = self._disk.disk_set.version
+        caught_up = self._disk.fence.has_caught_up
         return encode_message(
             wire.KeysReply(turns.generation, position, more, keys, version, caught_up)
         )
 
     async def _entries(self, payload: bytes) -> bytes:
         query = decode_message(wire.EntriesQuery(), payload)
-        entries = list(self._host.turns.read_entries(query.keys))
-        return encode_message(wire.EntriesReply(entries, self._host.disk_set.version))
+        entries = list(self._disk.turns.read_entries(query.keys))
+        return encode_message(wire.EntriesReply(entries, self._disk.disk_set.version))
 
     async def _lacking(self, payload: bytes) -> bytes:
         query = decode_message(wire.EntriesQuery(), payload)
-        turns = self._host.turns
+        turns = self._disk.turns
         return encode_message(wire.LackingReply([k for k in query.keys if not turns.has(k)]))
 
     async def _disk_set(self, payload: bytes) -> bytes:
         if payload:
             # A host that is ahead tells of the set, so that its reservation need not wait.
-            self._host.take_disk_set(decode_message(wire.DiskSet(), payload))
-        return encode_message(self._host.disk_set)
+            self._disk.take_disk_set(decode_message(wire.DiskSet(), payload))
+        return encode_message(self._disk.disk_set)
 
     async def _objects(self, payload: bytes) -> bytes:
         prefix = decode_message(wire.ObjectsQuery(), payload).prefix
-        return encode_message(self._host.objects.known(prefix))
+        return encode_message(self._disk.objects.known(prefix))
 
     def _refuse_if_retired(self) -> None:
-        if self._host.is_retired:
+        if self._disk.is_retired:
             why = "this disk is being emptied; ask the other disks of the set"
             raise RefusedError(refuse_unaccepted(RefusalCode.HOST_LEAVING, why))
--- /dev/null
+++ b/src/bayhinge/_internal/services/disks/disk_retirement.py
@@ -0,0 +1,102 @@
+"""How a disk host is emptied: it leaves the set, and hands what it has to the disks that stay."""
+
+import asyncio
+from collections.abc import Awaitable, Callable
+from functools import partial
+
+import eliot
+
+from bayhinge._internal.decisions.disk_placement import missing_allowed
+from bayhinge._internal.decisions.disk_set_rules import stay_s, without_retired
+from bayhinge._internal.network.frames import decode_message, encode_message
+from bayhinge._internal.services import methods
+from bayhinge._internal.services.disk_sets import change_disk_set
+from bayhinge._internal.services.disks.copy_limits import (
+    COPY_PERIOD_S,
+    ENTRIES_AT_ONCE,
+    KEYS_AT_ONCE,
+)
+from bayhinge._internal.services.disks.disk_state import DiskState
+from bayhinge._internal.wire.hosts import ttypes as wire
+from bayhinge.coordination.store import ObjectStore
+
+LEAVE_PERIOD_S = 0.8
+"""Between two tries of a disk to leave a set that can't do without it; each is a call of the
+store, and another disk needs about as long to join."""
+
+
+class DiskRetirement:
+    """One disk's way out of the set."""
+
+    def __init__(self, disk: DiskState, store: ObjectStore) -> None:
+        """Takes the disk and the platform's store, which has the set."""
+        self._disk = disk
+        self._store = store
+
+    async def run(self, allowed_s: float = 0.0) -> None:
+        """Leaves the set and hands everything to the disks that stay.
+
+        ``allowed_s`` is the time that may pass until it is empty, in seconds.
+        """
+        eliot.log_message("disk.retiring", host=self._disk.settings.host, allowed_s=allowed_s)
+        self._disk.is_retiring = True
+        await self._leave_set(asyncio.get_running_loop().time() + stay_s(allowed_s))
+        self._disk.is_retired = True
+        await _repeat_until_done(self._hand_over)
+        eliot.log_message(
+            "disk.retired", host=self._disk.settings.host, entries=self._disk.turns.position
+        )
+
+    async def _leave_set(self, stay_until_s: float) -> None:
+        """Goes on until the set can do without this disk; it serves as a member until then."""
+        loop = asyncio.get_running_loop()
+        host, tolerated = self._disk.settings.host, self._disk.settings.tolerated_disks
+        has_said_so = False
+        while True:
+            may_wait = loop.time() < stay_until_s
+            if self._disk.fence.has_settled:
+                change = partial(without_retired, host=host, tolerated=tolerated, may_wait=may_wait)
+                self._disk.take_disk_set(await change_disk_set(self._store, change))
+            if not any(member.host == host for member in self._disk.disk_set.members):
+                return
+            if not has_said_so:
+                eliot.log_message(
+                    "disk.retirement_waits", host=host, members=len(self._disk.disk_set.members)
+                )
+            has_said_so = True
+            await asyncio.sleep(LEAVE_PERIOD_S)
+
+    async def _hand_over(self) -> bool:
+        others = [m for m in self._disk.disk_set.members if m.host != self._disk.settings.host]
+        whole = [member.host for member in others if await self._push_all(member)]
+        allowed = missing_allowed(len(others), self._disk.settings.tolerated_disks)
+        return bool(whole) and len(others) - len(whole) <= allowed
+
+    async def _push_all(self, member: wire.DiskMember) -> bool:
+        keys = self._disk.keys_kept_by(
+            member, self._disk.turns.keys_after(0, self._disk.turns.position)
+        )
+        for start in range(0, len(keys), KEYS_AT_ONCE):
+            query = wire.EntriesQuery(keys[start : start + KEYS_AT_ONCE])
+            answer = await self._disk.call(member.address, methods.LACKING, encode_message(query))
+            if answer is None:
+                return False
+            lacking = decode_message(wire.LackingReply(), answer).keys
+            if not await self._push(member, lacking):
+                return False
+        return True
+
+    async def _push(self, member: wire.DiskMember, keys: list[str]) -> bool:
+        for start in range(0, len(keys), ENTRIES_AT_ONCE):
+            entries = list(self._disk.turns.read_entries(keys[start : start + ENTRIES_AT_ONCE]))
+            message = encode_message(wire.AppendEntries(entries))
+            if await self._disk.call(member.address, methods.APPEND, message) is None:
+                return False
+        return True
+
+
+async def _repeat_until_done(step: Callable[[], Awaitable[bool]]) -> None:
+    while True:
+        if await step():
+            return
+        await asyncio.sleep(COPY_PERIOD_S / 2)
--- a/tests/unit/test_left_behind_disks.py
+++ b/tests/unit/test_left_behind_disks.py
@@ -129,7 +129,7 @@
             keys = [entry_key(turn("kept-here-now"))] if query.after == 0 else []
             return encode_message(wire.KeysReply(7, 1, False, keys, 2))
 
-        host._call = call  # type: ignore[method-assign]
+        host.call = call  # type: ignore[method-assign]
         copying = asyncio.create_task(host._copy_from(other))
         await asyncio.sleep(0)
         host.take_disk_set(wire.DiskSet(2, [host.me, other]))
