turn_log is split: what is kept in memory, and how an entry is framed

Change: moves only. turn_index has what is kept in memory (where entries stand, chains, ledgers, how long a program lives), log_frames how an entry stands in a segment. turn_log appends, syncs, expires and recovers the files, and passes questions on to the index. Imports go one way: log_frames and turn_index, then turn_log.

Ruled out: a change of behaviour. The syntax trees of all functions before and after differ in names, in the methods that pass on, and in forget, which takes the log's read_entries as an argument and now holds the deletion of the key that stood before its only call.

Tests: nothing that is asserted changed. Import paths: entry_key in unit/test_turn_log and unit/test_left_behind_disks; LEAST_KEEP_S in unit/test_turn_log, which four asserts name by its module (turn_index.LEAST_KEEP_S, was turn_log.LEAST_KEEP_S).

Conclusion: the same code in named parts.

--- a/tests/unit/test_left_behind_disks.py
+++ b/tests/unit/test_left_behind_disks.py
@@ -13,7 +13,8 @@
 from bayhinge._internal.network.frames import decode_message, encode_message
 from bayhinge._internal.services import methods
 from bayhinge._internal.services.disks.disk_host import DiskHost
-from bayhinge._internal.services.disks.turn_log import TurnLog, entry_key
+from bayhinge._internal.services.disks.turn_index import entry_key
+from bayhinge._internal.services.disks.turn_log import TurnLog
 from bayhinge._internal.utils.durable_files import replace_synced
 from bayhinge._internal.wire.hosts import ttypes as wire
 from bayhinge._internal.wire.hosts.ttypes import EntryKind, TurnEntry
