--- a/tests/unit/test_left_behind_disks.py
+++ b/tests/unit/test_left_behind_disks.py
@@ -13,7 +13,8 @@
 from bayhinge._internal.network.frames import decode_message, encode_message
 from bayhinge._internal.services import methods
 from bayhinge._internal.services.disks.disk_host import DiskHost
-from bayhinge._internal.services.disks.turn_log import TurnLog, entry_key
+from bayhinge._internal.services.disks.turn_index import entry_key
+from bayhinge._internal.services.disks.turn_log import TurnLog
 from bayhinge._internal.utils.durable_files import replace_synced
 from bayhinge._internal.wire.hosts import ttypes as wire
 from bayhinge._internal.wire.hosts.ttypes import EntryKind, TurnEntry
@@ -129,7 +130,7 @@
             keys = [entry_key(turn("kept-here-now"))] if query.after == 0 else []
             return encode_message(wire.KeysReply(7, 1, False, keys, 2))
 
-        host._call = call  # type: ignore[method-assign]
+        host.call = call  # type: ignore[method-assign]
         copying = asyncio.create_task(host._copy_from(other))
         await asyncio.sleep(0)
         host.take_disk_set(wire.DiskSet(2, [host.me, other]))
