A test that fails: a silence between two watches of entries hides the configuration

A change wakes every watch of entries at once, and each pauses for 0.2 to 0.8 s before its next call. A silence of the store within these pauses leaves only the watches of the configuration hung. Entries' next watches come behind it, are answered well and tell nothing, so only ends of the configuration's watches count; those fill one half of the period and leave the other half empty.

The silent store of tests holds objects under several keys for it.

--- a/tests/lib/silent_store.py
+++ b/tests/lib/silent_store.py
@@ -25,17 +25,24 @@
 
 @attrs.define
 class StoreTruth:
-    """What the store holds: one object, and whether it answers."""
+    """What the store holds: one object and others beside it, and whether it answers.
+
+    All share one revision, as they do in the platform's store.
+    """
 
     key: str
     revision: int = 1
     is_away: bool = False
     outages: int = 0
     changed: asyncio.Event = attrs.field(factory=asyncio.Event)
+    revision_by_key: dict[str, int] = attrs.field(
+        default=attrs.Factory(lambda self: {self.key: self.revision}, takes_self=True)
+    )
 
-    def put(self) -> None:
-        """Writes the object anew."""
+    def put(self, key: str | None = None) -> None:
+        """Writes an object anew: the one, or another one."""
         self.revision += 1
+        self.revision_by_key[key or self.key] = self.revision
         self.changed.set()
         self.changed = asyncio.Event()
 
@@ -46,9 +53,13 @@
     def come_back(self) -> None:
         self.is_away = False
 
-    @property
-    def value(self) -> bytes:
-        return str(self.revision).encode()
+    def under(self, prefix: str, after_revision: int = 0) -> tuple[StoredObject, ...]:
+        """Returns the objects under a prefix that were written behind a revision."""
+        return tuple(
+            StoredObject(key, str(revision).encode(), revision)
+            for key, revision in self.revision_by_key.items()
+            if key.startswith(prefix) and revision > after_revision
+        )
 
 
 class SilentStore(PollingStore):
@@ -72,15 +83,12 @@
         )
 
     async def _read(self, prefix: str) -> Listing:
-        truth = self._truth
-        found = truth.key.startswith(prefix)
-        objects = (StoredObject(truth.key, truth.value, truth.revision),) if found else ()
-        return Listing(objects, truth.revision, more=False)
+        return Listing(self._truth.under(prefix), self._truth.revision, more=False)
 
     async def _wait(self, prefix: str, after_revision: int, wait_s: float) -> ChangePage:
         truth = self._truth
         until_s = asyncio.get_running_loop().time() + wait_s
-        while truth.revision <= after_revision or not truth.key.startswith(prefix):
+        while not (found := truth.under(prefix, after_revision)):
             rest_s = until_s - asyncio.get_running_loop().time()
             if rest_s <= 0:
                 return ChangePage((), truth.revision)
@@ -89,8 +97,8 @@
                     await truth.changed.wait()
             except TimeoutError:
                 continue
-        change = Change(truth.key, truth.value, truth.revision, truth.revision)
-        return ChangePage((change,), truth.revision)
+        changes = tuple(Change(one.key, one.value, one.version, one.version) for one in found)
+        return ChangePage(changes, truth.revision)
 
     async def _bounded(self, call: Awaitable[Answer], bound_s: float) -> Answer:
         self.calls += 1
--- a/tests/unit/test_watchers.py
+++ b/tests/unit/test_watchers.py
@@ -212,7 +212,8 @@
 
     def knows_all(self) -> bool:
         hosts = self.ways.followers_by_address.values()
-        return all(host["config/"].revision >= self.truth.revision for host in hosts)
+        newest = self.truth.revision_by_key[self.truth.key]
+        return all(host["config/"].revision >= newest for host in hosts)
 
     async def seconds_until_known(self) -> float:
         loop = asyncio.get_running_loop()
@@ -287,6 +288,44 @@
     assert worst_s <= bound_s
 
 
+def longest_until_known(
+    halls: int, hosts_per_hall: int, away_s: float, entry_before_s: float, down: int = 0
+) -> float:
+    """Returns the longest time to a change behind a silence that began soon after an entry's.
+
+    The entry's change wakes the watches of entries, and each of them pauses before its next call:
+    that call comes when the store is back, and says nothing of the silence.
+    """
+
+    async def scenario(begins_after_s: float) -> float:
+        site = WatchingSite(halls, hosts_per_hall)
+        await asyncio.sleep(7.0 + begins_after_s)
+        for task in site.tasks[: down * len(PREFIXES)]:
+            task.cancel()
+        site.truth.put("servers/one")
+        await asyncio.sleep(entry_before_s)
+        site.truth.go_away()
+        await asyncio.sleep(away_s)
+        site.truth.come_back()
+        site.truth.put()
+        took_s = await site.seconds_until_known()
+        site.stop()
+        return took_s
+
+    moments = [number * WATCH_PERIOD_S / 60 for number in range(60)]
+    return max(run_virtual(scenario(moment)) for moment in moments)
+
+
+@pytest.mark.parametrize("halls", [1, 2, 3])
+@pytest.mark.parametrize("away_s", [0.05, 0.15])
+def test_a_silence_between_two_watches_of_entries_hides_no_configuration(
+    halls: int, away_s: float
+) -> None:
+    took_s = longest_until_known(halls, WATCHERS_PER_HALL, away_s, entry_before_s=0.02)
+    ends = halls * WATCHERS_PER_HALL
+    assert took_s <= WATCH_PERIOD_S / ends + LEAST_WAIT_S + WAIT_MARGIN_S + PEER_PATIENCE_S + 0.1
+
+
 def test_a_quiet_site_asks_as_often_as_its_watches_end() -> None:
     async def scenario() -> int:
         site = WatchingSite(3, 3)
