A host that stood still waits on for disks, streams and connections

Cause: bounds on answers counted the time in which the host itself stood still. A timer that is overdue then fires in the turn in which the answer is read, or before the question has left.

Cost to callers before: a turn refused as having too few disks where the host stood still for 0.45 s before its question left; a turn that is kept not found; each open resumable stream left after three of its pauses (0.3 s), its endpoint doubted and its idle connections dropped; an endpoint counted as failed after 0.6 s within a connect; a relayed call where 0.1 s went by before the question left.

Change: RunningBound, as running_timeout over several waits, for turns and calls to disks; running_timeout for the look for a turn, pauses of streams, and connects.

Ruled out: answers to a turn that wait in the sockets were taken before, since asyncio.wait looks once more when it wakes.

--- a/src/bayhinge/_internal/network/endpoint_link.py
+++ b/src/bayhinge/_internal/network/endpoint_link.py
@@ -26,6 +26,7 @@
     SilentEndpointError,
     UnreachableError,
 )
+from bayhinge._internal.utils.running_time import running_timeout
 from bayhinge._internal.utils.silence import bound_silence
 
 READ_BUFFER_BYTES = 65_536
@@ -267,7 +268,7 @@
             connection.abort("idle for too long")
         host, port = split_address(address)
         try:
-            async with asyncio.timeout(CONNECT_S):
+            async with running_timeout(CONNECT_S):
                 _, connection = await loop.create_connection(
                     lambda: EndpointConnection(loop, key, address, self._heard_s_by_key),
                     host,
--- a/src/bayhinge/_internal/network/peer_client.py
+++ b/src/bayhinge/_internal/network/peer_client.py
@@ -9,6 +9,7 @@
 from bayhinge._internal.network.addresses import split_address
 from bayhinge._internal.network.peer_link import PeerLink
 from bayhinge._internal.network.peers import Peers
+from bayhinge._internal.utils.running_time import running_timeout
 from bayhinge._internal.wire.frames.ttypes import Frame, FrameKind
 from bayhinge.coordination.clock import HybridClock
 
@@ -101,7 +102,7 @@
     async def _connect(self, address: str) -> "_ClientLink":
         host, port = split_address(address)
         try:
-            async with asyncio.timeout(self._connect_s):
+            async with running_timeout(self._connect_s):
                 _, link = await asyncio.get_running_loop().create_connection(
                     lambda: _ClientLink(self._clock), host, port
                 )
--- a/src/bayhinge/_internal/services/gateway/disk_link.py
+++ b/src/bayhinge/_internal/services/gateway/disk_link.py
@@ -17,6 +17,7 @@
 from bayhinge._internal.services import methods
 from bayhinge._internal.services.gateway.disk_directory import DiskDirectory
 from bayhinge._internal.services.gossip import Gossip
+from bayhinge._internal.utils.running_time import RunningBound
 from bayhinge._internal.wire.hosts import ttypes as wire
 
 ANSWER_S = 1.2
@@ -127,13 +128,10 @@
 
     async def first_answer(self, limit_s: float) -> bytes | None:
         """Returns the first answer; None where the time ends before it, or every way has failed."""
-        loop = asyncio.get_running_loop()
-        end_s = loop.time() + limit_s
+        bound = RunningBound(limit_s)
         waiting = {*self.straight, *self.around}
-        while waiting and loop.time() < end_s:
-            finished, waiting = await asyncio.wait(
-                waiting, timeout=end_s - loop.time(), return_when=asyncio.FIRST_COMPLETED
-            )
+        while waiting and bound.left_s > 0:
+            finished, waiting = await bound.first_of(waiting)
             for way in finished:
                 if _has_answered(way):
                     return way.result()
--- a/src/bayhinge/_internal/services/gateway/stream_delivery.py
+++ b/src/bayhinge/_internal/services/gateway/stream_delivery.py
@@ -5,7 +5,6 @@
 bytes go out as they come.
 """
 
-import asyncio
 from collections.abc import AsyncIterator
 
 from bayhinge._internal import status_codes
@@ -23,6 +22,7 @@
 from bayhinge._internal.services.gateway.delivery import Delivery, is_success
 from bayhinge._internal.services.gateway.outside import CallFormat
 from bayhinge._internal.services.gateway.turn_keeper import OpenTurn, TurnKeeper
+from bayhinge._internal.utils.running_time import running_timeout
 
 
 class StreamDelivery(Delivery):
@@ -162,7 +162,7 @@
     pieces = answer.read_pieces()
     while True:
         try:
-            async with asyncio.timeout(bounds.pause_s):
+            async with running_timeout(bounds.pause_s):
                 piece = await anext(pieces, b"")
         except TimeoutError:
             raise SilentEndpointError(f"no event for {bounds.pause_s:.3f} s") from None
--- a/src/bayhinge/_internal/services/gateway/turn_keeper.py
+++ b/src/bayhinge/_internal/services/gateway/turn_keeper.py
@@ -30,6 +30,7 @@
 from bayhinge._internal.services import methods
 from bayhinge._internal.services.gateway.disk_directory import DiskDirectory
 from bayhinge._internal.services.gateway.disk_link import DiskLink, DiskUnreachableError
+from bayhinge._internal.utils.running_time import RunningBound, running_timeout
 from bayhinge._internal.wire.hosts import ttypes as wire
 
 OPEN_S = 0.45
@@ -164,13 +165,13 @@
             return []
         entry = wire.TurnEntry(wire.EntryKind.RESERVED, attempt, context.program, reserved)
         reservation = entry if reserved else None
-        limit_s = asyncio.get_running_loop().time() + OPEN_S
+        bound = RunningBound(OPEN_S)
         try:
             while True:
                 # A quorum counts under one version of the set; where the disks know a newer one it
                 # is asked for anew. What a disk has taken already it does not take twice.
                 version = self._directory.disk_set.version
-                needed, replies = await self._reserve_once(reservation, context, version, limit_s)
+                needed, replies = await self._reserve_once(reservation, context, version, bound)
                 if len(replies) >= needed:
                     return replies
                 if self._directory.disk_set.version == version:
@@ -194,7 +195,7 @@
         reservation: wire.TurnEntry | None,
         context: TurnContext,
         version: int,
-        limit_s: float,
+        bound: RunningBound,
     ) -> tuple[int, list[wire.ReserveReply]]:
         """Asks under one version of the set; returns how many replies are needed, and those."""
         members = self._directory.places(context.program)
@@ -217,7 +218,7 @@
             for member in members
         ]
         try:
-            return needed, await self._first_replies(tasks, needed, context, version, limit_s)
+            return needed, await self._first_replies(tasks, needed, context, version, bound)
         finally:
             is_decided.set()
 
@@ -257,23 +258,23 @@
         needed: int,
         context: TurnContext,
         version: int,
-        limit_s: float,
+        bound: RunningBound,
     ) -> list[wire.ReserveReply]:
         """Waits for enough replies, and a moment longer for the one that has the history."""
-        loop = asyncio.get_running_loop()
         waiting = set(tasks)
         replies: list[wire.ReserveReply] = []
-        while waiting and loop.time() < limit_s:
-            finished, waiting = await asyncio.wait(
-                waiting, timeout=limit_s - loop.time(), return_when=asyncio.FIRST_COMPLETED
-            )
+        has_enough = False
+        while waiting and bound.left_s > 0:
+            finished, waiting = await bound.first_of(waiting)
             replies += [reply for task in finished if (reply := task.result()) is not None]
             if self._directory.disk_set.version != version and len(replies) < needed:
                 break
             if len(replies) >= needed:
                 if context.previous is None or tasks[0].done():
                     break
-                limit_s = min(limit_s, loop.time() + HISTORY_HEDGE_S)
+                if not has_enough:
+                    bound = RunningBound(min(bound.left_s, HISTORY_HEDGE_S))
+                has_enough = True
         return replies
 
     def _refuse_hopeless(self, turn: OpenTurn) -> None:
@@ -333,7 +334,7 @@
         answered = 0
         newest = version
         try:
-            async with asyncio.timeout(OPEN_S):
+            async with running_timeout(OPEN_S):
                 async for _, reply in self._ask(
                     members, methods.ENTRIES, message, wire.EntriesReply
                 ):
--- a/src/bayhinge/_internal/utils/running_time.py
+++ b/src/bayhinge/_internal/utils/running_time.py
@@ -1,11 +1,14 @@
 """Bounds that count only the time in which this process could have noticed an answer."""
 
 import asyncio
-from collections.abc import AsyncIterator
+from collections.abc import AsyncIterator, Iterable
 from contextlib import asynccontextmanager
+from typing import TypeVar
 
 import attrs
 
+Result = TypeVar("Result")
+
 STEPS = 8
 """Parts of a bound. However long the loop stands still, one part is used up by it, and the loop
 turns at least so often before the bound ends: an answer that waits in the socket is read and handed
@@ -13,8 +16,8 @@
 
 
 @asynccontextmanager
-async def running_timeout(limit_s: float) -> AsyncIterator[None]:
-    """Bounds what runs inside to ``limit_s`` seconds of this loop's running time.
+async def running_timeout(limit_s: float | None) -> AsyncIterator[None]:
+    """Bounds what runs inside to ``limit_s`` seconds of this loop's running time; None is no bound.
 
     A timer that is overdue fires in the turn in which an answer is read, before the answer is
     handed on. With an ordinary bound, a process that stood still for longer than the bound takes
@@ -23,6 +26,9 @@
     Raises:
         TimeoutError: the bound has ended.
     """
+    if limit_s is None:
+        yield
+        return
     async with asyncio.timeout(None) as bound:
         parts = _Parts(bound, limit_s / STEPS)
         parts.begin_next()
@@ -52,3 +58,33 @@
     def stop(self) -> None:
         if self._timer is not None:
             self._timer.cancel()
+
+
+class RunningBound:
+    """A bound on several waits after each other, as that of :func:`running_timeout`.
+
+    Attributes:
+        left_s: what is left of it, in seconds of this loop's running time.
+    """
+
+    def __init__(self, limit_s: float) -> None:
+        """Takes the bound in seconds."""
+        self.left_s = limit_s
+        self._part_s = limit_s / STEPS
+
+    async def first_of(
+        self, waiting: Iterable[asyncio.Task[Result]]
+    ) -> tuple[set[asyncio.Task[Result]], set[asyncio.Task[Result]]]:
+        """Waits until one has finished or the bound ends; returns the finished, and the others."""
+        loop = asyncio.get_running_loop()
+        finished: set[asyncio.Task[Result]] = set()
+        left = set(waiting)
+        while self.left_s > 0 and not finished:
+            began_s = loop.time()
+            finished, left = await asyncio.wait(
+                left,
+                timeout=min(self._part_s, self.left_s),
+                return_when=asyncio.FIRST_COMPLETED,
+            )
+            self.left_s -= min(loop.time() - began_s, self._part_s)
+        return finished, left
--- a/tests/unit/test_running_time.py
+++ b/tests/unit/test_running_time.py
@@ -11,7 +11,7 @@
 
 import pytest
 
-from bayhinge._internal.utils.running_time import STEPS, running_timeout
+from bayhinge._internal.utils.running_time import STEPS, RunningBound, running_timeout
 
 LIMIT_S = 0.04
 STANDS_STILL_S = 0.1
@@ -81,3 +81,45 @@
         await asyncio.sleep(2 * LIMIT_S)
 
     asyncio.run(scenario())
+
+
+def test_a_bound_on_several_waits_ends_once_for_all_of_them() -> None:
+    async def scenario() -> tuple[int, float]:
+        loop = asyncio.get_running_loop()
+        bound = RunningBound(LIMIT_S)
+        waiting = {asyncio.ensure_future(asyncio.sleep(LIMIT_S * part)) for part in (0.25, 0.5, 9)}
+        began_s = loop.time()
+        ended = 0
+        while bound.left_s > 0:
+            finished, waiting = await bound.first_of(waiting)
+            ended += len(finished)
+        for task in waiting:
+            task.cancel()
+        return ended, loop.time() - began_s
+
+    ended, took_s = asyncio.run(scenario())
+    assert ended == 2
+    assert took_s >= LIMIT_S - 0.001
+
+
+def test_standing_still_uses_up_one_part_of_a_bound_on_several_waits() -> None:
+    async def scenario() -> float:
+        loop = asyncio.get_running_loop()
+        never = asyncio.ensure_future(asyncio.Event().wait())
+        loop.call_later(LIMIT_S / 10, time.sleep, STANDS_STILL_S)
+        began_s = loop.time()
+        finished, waiting = await RunningBound(LIMIT_S).first_of({never})
+        assert (finished, waiting) == (set(), {never})
+        never.cancel()
+        return loop.time() - began_s
+
+    took_s = asyncio.run(scenario())
+    assert took_s >= STANDS_STILL_S + LIMIT_S * (STEPS - 2) / STEPS
+
+
+def test_no_bound_never_ends() -> None:
+    async def scenario() -> None:
+        async with running_timeout(None):
+            await asyncio.sleep(LIMIT_S)
+
+    asyncio.run(scenario())
