--- a/src/bayhinge/_internal/services/gateway/turn_histories.py
+++ b/src/bayhinge/_internal/services/gateway/turn_histories.py
@@ -1,7 +1,5 @@
 """Fetches what was said before a turn, from whichever disks have it."""
 
-import asyncio
-
 from bayhinge._internal.models.endpoint_entries import EndpointStart
 from bayhinge._internal.models.refusals import (
     Figure,
@@ -15,6 +13,7 @@
 from bayhinge._internal.services.gateway.disk_directory import DiskDirectory
 from bayhinge._internal.services.gateway.open_turn import OpenTurn
 from bayhinge._internal.services.gateway.turn_refusals import OPEN_S, too_few_disks
+from bayhinge._internal.utils.running_time import running_timeout
 from bayhinge._internal.wire.hosts import ttypes as wire
 
 
@@ -73,7 +72,7 @@
         answered = 0
         newest = version
         try:
-            async with asyncio.timeout(OPEN_S):
+            async with running_timeout(OPEN_S):
                 async for _, reply in self._asker.ask(
                     members, methods.ENTRIES, message, wire.EntriesReply
                 ):
