logs trace: from an id to its cause, clocks told, and a page of log events

Cause: the trace held every line in memory, showed a program without the sends of its requests (these name the attempt alone), and left it to the reader which line explains a refusal. Lines of disks., home., hall. and peer. were not taken for changes of belief, so disks.cut_off was never shown. Ruled out: a median as the difference of two clocks: on one machine it gave 0.2 s where the ways of the news spread from -0.3 to 0.3 s; so the spread is told, and a difference only where all of it has one sign. No call is logged at both its ends, so nothing exact exists. Change: three passes over the files; each refusal and broken end with what may explain it, also the lines of disks and homes that were taken for silent, and news that came too late (since_s, waited_s); a table of explanations for every refusal code; a page of all lines read from the source's calls of eliot.log_message, with a test that the committed page is that of the code. Tests: calls of test_log_trace.py take .lines of the result and a list; nothing was taken out.

--- a/src/bayhinge/_internal/cli/tool/logs.py
+++ b/src/bayhinge/_internal/cli/tool/logs.py
@@ -1,33 +1,50 @@
-"""``bayhinge logs ID FILE...``: what the logs say of a request or a program."""
+"""``bayhinge logs``: from an id to its cause, and which lines there are."""
 
-from collections.abc import Iterator
 from pathlib import Path
 
+import cyclopts
+
 from bayhinge._internal import status_codes
-from bayhinge._internal.queries.log_trace import read_lines, trace
+from bayhinge._internal.queries.log_events import log_events_page
+from bayhinge._internal.queries.log_files import LogFiles
+from bayhinge._internal.queries.tracing import trace as trace_of
+from bayhinge._internal.queries.tracing import trace_lines
+
+app = cyclopts.App(name="logs", help="Trace a request through the logs of hosts.")
+
 
+@app.command
+@app.default
+def trace(identifier: str, *files: Path) -> None:
+    """Prints the lines about an id in the order of time, and what they say of the cause.
 
-def logs(identifier: str, *files: Path) -> None:
-    """Prints the lines about a request, and what its host came to believe just before.
+    ``bayhinge logs ID FILE...`` does the same.
 
     Args:
         identifier: the id of an attempt, or of a program.
         files: the logs of one or many hosts, in any order.
     """
-    found = trace(identifier, read_lines(texts_of(files)))
-    if not found:
+    found = trace_of(identifier, LogFiles(files))
+    if not found.lines:
         print(
             f"no line names '{identifier}'; it may have reached another host, "
             "or was an ordinary success that was thinned"
         )
         raise SystemExit(status_codes.EXIT_NOT_FOUND)
-    for line in found:
-        mark = ">" if line.names(identifier) else " "
-        print(mark, line)
+    for line in trace_lines(found):
+        print(line)
 
 
-def texts_of(files: tuple[Path, ...]) -> Iterator[bytes]:
-    """Yields the lines of files, one after the other."""
-    for file in files:
-        with file.open("rb") as lines:
-            yield from lines
+@app.command
+def events(*, write: Path | None = None) -> None:
+    """Prints every type of line that hosts write, with its fields, as Markdown.
+
+    Args:
+        write: write it to this file instead.
+    """
+    page = log_events_page()
+    if write is None:
+        print(page, end="")
+        return
+    write.write_text(page, encoding="utf-8")
+    print(f"written: {write}")
--- a/src/bayhinge/_internal/cli/tool/main.py
+++ b/src/bayhinge/_internal/cli/tool/main.py
@@ -34,9 +34,7 @@
     help="Print the events of all hosts in one order.",
 )
 app.command(f"{_COMMANDS}.explain:explain", name="explain", help="Tell one program's story.")
-app.command(
-    f"{_COMMANDS}.logs:logs", name="logs", help="Trace a request through the logs of hosts."
-)
+app.command(f"{_COMMANDS}.logs:app", name="logs", help="Trace a request through the logs of hosts.")
 app.command(
     f"{_COMMANDS}.losses:losses", name="losses", help="Tell where requests lost their time."
 )
--- a/src/bayhinge/_internal/queries/log_trace.py
+++ b/src/bayhinge/_internal/queries/log_trace.py
@@ -1,4 +1,4 @@
-"""From a request's id to its cause: reads the logs of many hosts.
+"""Reads log lines of hosts.
 
 A line is a JSON object; whatever stands before it (a time, the name of a host) is passed
 over, so that logs may be read as a platform collected them.
@@ -18,7 +18,11 @@
     "configuration.",
     "endpoint.",
     "disk.",
+    "disks.",
     "disk_set.",
+    "home.",
+    "hall.",
+    "peer.",
     "host.",
     "settings.",
     "log.",
@@ -70,18 +74,3 @@
                 str(fields["message_type"]),
                 rest,
             )
-
-
-def trace(identifier: str, lines: Iterable[LogLine]) -> list[LogLine]:
-    """Returns a request's or a program's lines, and the beliefs that changed before them."""
-    ordered = sorted(lines, key=lambda line: line.at_s)
-    own = [line for line in ordered if line.names(identifier)]
-    if not own:
-        return []
-    hosts = {line.host for line in own}
-    first_s, last_s = own[0].at_s - CONTEXT_S, own[-1].at_s
-    return [
-        line
-        for line in ordered
-        if line in own or (line.is_belief and line.host in hosts and first_s <= line.at_s <= last_s)
-    ]
--- a/src/bayhinge/_internal/queries/losses/summing.py
+++ b/src/bayhinge/_internal/queries/losses/summing.py
@@ -2,9 +2,9 @@
 
 Both looks are linear in the lines, and keep what is reported: windows, programs that lost
 something, and the lines of trouble of single requests. 200,000 lines (44 MB) of 60 hosts, one
-request in twenty with trouble (``python -m tests.lib.made_log 200000 FOLDER``), took 3.9 to 4.7 s
+request in twenty with trouble (``python -m tests.lib.made_log 200000 FOLDER``), took 3.9 to 5.1 s
 beside other work on all cores, and 38 MB of memory at most, 16 MB of it before the first line; the
-page took 1.5 to 1.8 s more and 83 MB, most of it matplotlib's.
+page took 1.0 to 1.8 s more and 83 MB, most of it matplotlib's.
 """
 
 import re
--- /dev/null
+++ b/tests/unit/test_log_events.py
@@ -0,0 +1,90 @@
+"""The page of log events is made from the code, and the committed page is that of the code."""
+
+from pathlib import Path
+
+import pytest
+
+from bayhinge._internal.cli.tool.logs import events
+from bayhinge._internal.models.refusals import RefusalCode
+from bayhinge._internal.queries.log_events import LogEvent, events_of, log_events_page
+
+PAGE = Path(__file__).parents[2] / "docs" / "operators" / "log-events.md"
+
+
+def read(text: str) -> dict[str, LogEvent]:
+    return {event.what: event for event in events_of({"some/module.py": text})}
+
+
+def test_a_type_comes_with_its_fields_and_its_writer() -> None:
+    text = """
+class Writer:
+    \"\"\"Writes things. And more.\"\"\"
+
+    def write(self):
+        eliot.log_message("thing.went", who=1, why=2)
+"""
+    event = read(text)["thing.went"]
+    assert event.fields == ("who", "why")
+    assert event.writers == ("some/module.py: Writer.write",)
+
+
+def test_one_call_may_write_either_of_two_types() -> None:
+    text = """
+def note(is_away):
+    eliot.log_message("thing.went" if is_away else "thing.came", who=1)
+"""
+    assert set(read(text)) == {"thing.went", "thing.came"}
+
+
+def test_a_type_that_is_an_argument_is_found_at_the_callers() -> None:
+    text = """
+class Writer:
+    def went(self):
+        self._log("thing.went", 1)
+
+    def came(self):
+        self._log(who=2, what="thing.came")
+
+    def _log(self, what, who):
+        eliot.log_message(what, who=who)
+"""
+    assert {what: event.fields for what, event in read(text).items()} == {
+        "thing.went": ("who",),
+        "thing.came": ("who",),
+    }
+
+
+def test_a_type_that_an_object_was_made_with_is_found_where_it_is_made() -> None:
+    text = """
+class Told:
+    def __init__(self, line):
+        self._line = line
+
+    def note(self):
+        eliot.log_message(self._line, key=1)
+
+told = Told("thing.unreadable")
+"""
+    assert read(text)["thing.unreadable"].fields == ("key",)
+
+
+def test_a_type_that_can_not_be_worked_out_is_an_error() -> None:
+    with pytest.raises(ValueError, match=r"some/module\.py:2"):
+        read("\neliot.log_message(odd(), key=1)")
+
+
+def test_every_type_that_is_named_in_the_code_is_on_the_page() -> None:
+    page = log_events_page()
+    for what in ("request.served", "send.failed", "endpoint.unreadable", "store.fails_again"):
+        assert f"| `{what}` |" in page
+    for code in RefusalCode:
+        assert f"| `{code.value}` |" in page
+
+
+def test_the_committed_page_is_that_of_the_code() -> None:
+    assert PAGE.read_text(encoding="utf-8") == log_events_page()
+
+
+def test_the_tool_writes_the_page(tmp_path: Path) -> None:
+    events(write=tmp_path / "page.md")
+    assert (tmp_path / "page.md").read_text(encoding="utf-8") == log_events_page()
--- a/tests/unit/test_log_sizes.py
+++ b/tests/unit/test_log_sizes.py
@@ -8,6 +8,7 @@
 
 from bayhinge._internal.queries.log_files import LogFiles
 from bayhinge._internal.queries.losses import losses_of
+from bayhinge._internal.queries.tracing import trace
 from tests.lib.made_log import write_log
 
 SHORT, LONG = 4_000, 16_000
@@ -28,7 +29,11 @@
     return losses_of(LogFiles(files), 2.0)
 
 
-@pytest.mark.parametrize("read", [sum_losses])
+def trace_one(files: Sequence[Path]) -> object:
+    return trace(f"{50:016x}", LogFiles(files))
+
+
+@pytest.mark.parametrize("read", [sum_losses, trace_one])
 def test_ordinary_lines_are_not_kept(
     tmp_path: Path, read: Callable[[Sequence[Path]], object]
 ) -> None:
--- a/tests/unit/test_log_trace.py
+++ b/tests/unit/test_log_trace.py
@@ -1,8 +1,19 @@
 """A request's lines are found in the logs of many hosts, with what was believed before."""
 
+from pathlib import Path
+
 import orjson
+import pytest
+
+from bayhinge._internal import status_codes
+from bayhinge._internal.cli.tool.main import app
+from bayhinge._internal.models.refusals import RefusalCode
+from bayhinge._internal.queries.log_files import LogFiles
+from bayhinge._internal.queries.log_trace import read_lines
+from bayhinge._internal.queries.refusal_causes import EXPLANATION_BY_CODE
+from bayhinge._internal.queries.tracing import Trace, trace, trace_lines
 
-from bayhinge._internal.queries.log_trace import read_lines, trace
+FILES = sorted((Path(__file__).parents[1] / "data" / "losses").glob("*.log"))
 
 
 def line(at_s: float, host: str, what: str, **fields: object) -> bytes:
@@ -21,8 +32,16 @@
 ]
 
 
+def found_in(identifier: str, texts: list[bytes] = LOGS) -> Trace:
+    return trace(identifier, list(read_lines(texts)))
+
+
+def told(found: Trace) -> str:
+    return "\n".join(trace_lines(found))
+
+
 def test_a_request_comes_with_its_hosts_beliefs_before_it() -> None:
-    found = trace("a1", read_lines(LOGS))
+    found = found_in("a1").lines
     assert [(each.host, each.what) for each in found] == [
         ("entry-1", "disk.silent"),
         ("entry-1", "request.refused"),
@@ -31,9 +50,153 @@
 
 
 def test_a_program_comes_with_all_its_requests() -> None:
-    attempts = [each.fields.get("attempt") for each in trace("p", read_lines(LOGS))]
+    attempts = [each.fields.get("attempt") for each in found_in("p").lines]
     assert attempts == [None, "a1", "a2"]
 
 
 def test_an_unknown_id_finds_nothing() -> None:
-    assert trace("a9", read_lines(LOGS)) == []
+    assert found_in("a9").lines == []
+
+
+def test_a_program_comes_with_the_sends_of_its_requests() -> None:
+    sent = line(101.5, "entry-1", "send.failed", attempt="a1", endpoint="e-1", why="reset")
+    assert "send.failed" in [each.what for each in found_in("p", [sent, *LOGS]).lines]
+
+
+def test_a_refusal_is_followed_to_the_disk_that_could_not_write() -> None:
+    found = trace("a-30", LogFiles(FILES))
+    assert [(each.host, each.what) for each in found.lines] == [
+        ("disk-1", "disk.refused"),
+        ("entry-1", "disk.silent"),
+        ("entry-1", "turn.too_few_disks"),
+        ("entry-1", "request.refused"),
+        ("disk-1", "disk.started"),
+    ]
+    text = told(found)
+    assert "cause of a-30: store_unavailable, not_run: too few disks answered" in text
+    assert "<- disk.silent on entry-1 0.20 s before (disk=disk-1): no answer in time" in text
+    assert "<- disk.refused on disk-1 0.40 s before: no space left" in text
+
+
+def test_lines_are_in_the_order_of_time_whatever_the_order_of_files() -> None:
+    times = [each.at_s for each in trace("lost-1", LogFiles(FILES[::-1])).lines]
+    assert times == sorted(times)
+
+
+def test_other_hosts_that_say_the_same_are_named() -> None:
+    assert "also said by entry-2" in told(found_in("a1", [*LOGS, refused("store_unavailable")]))
+
+
+def refused(code: str) -> bytes:
+    return line(102.1, "entry-1", "request.refused", attempt="a1", program="p", code=code)
+
+
+def test_what_nothing_explains_is_said_so() -> None:
+    text = told(found_in("a1", [refused("no_endpoint")]))
+    assert "no line of these files explains it" in text
+
+
+def test_an_answer_that_broke_off_names_the_endpoint_that_failed() -> None:
+    logs = [
+        line(1.0, "entry-1", "send.failed", attempt="b", endpoint="e-1", why="reset"),
+        line(1.1, "entry-2", "endpoint.gone", endpoint="e-1", why="its entry vanished"),
+        line(1.2, "entry-1", "request.ended", attempt="b", outcome="broken_off", why="reset"),
+    ]
+    found = found_in("b", logs)
+    assert [each.host for each in found.lines] == ["entry-1", "entry-2", "entry-1"]
+    text = told(found)
+    assert "cause of b: broken_off: reset" in text
+    assert "<- send.failed on entry-1 0.20 s before (endpoint=e-1): reset" in text
+    assert "<- endpoint.gone on entry-2 0.10 s before (endpoint=e-1): its entry vanished" in text
+
+
+def test_news_of_an_asked_endpoint_that_came_too_late_explains() -> None:
+    logs = [
+        line(1.0, "entry-1", "send.not_taken", attempt="b", endpoint="e-1", why="status 421"),
+        line(1.1, "entry-1", "request.refused", attempt="b", code="no_endpoint", why="none took"),
+        line(2.0, "entry-1", "store.lost", prefix="servers/", waited_s=1.5, why="no answer"),
+        line(3.0, "entry-1", "store.lost", prefix="config/", waited_s=0.5, why="no answer"),
+        line(3.5, "entry-1", "endpoint.restarted", endpoint="e-1", since_s=3.0),
+        line(3.6, "entry-1", "endpoint.restarted", endpoint="e-2", since_s=3.0),
+        line(4.0, "entry-1", "endpoint.restarted", endpoint="e-1", since_s=0.5),
+    ]
+    text = told(found_in("b", logs))
+    assert "<- endpoint.restarted on entry-1 2.40 s after (endpoint=e-1)" in text
+    assert "<- store.lost on entry-1 0.90 s after (prefix=servers/): no answer" in text
+    # What began after the refusal explains nothing.
+    assert "config/" not in text
+    assert "2.90 s after" not in text
+    assert "e-2" not in text
+
+
+def test_a_home_that_is_named_without_trouble_brings_no_lines_of_its_own() -> None:
+    logs = [
+        line(0.9, "entry-1", "home.changed", hall="north", home="entry-2"),
+        line(0.9, "entry-2", "home.changed", hall="north", home="entry-2"),
+        line(1.1, "entry-1", "request.refused", attempt="b", code="no_endpoint", why="none took"),
+    ]
+    assert [each.host for each in found_in("b", logs).lines] == ["entry-1", "entry-1"]
+
+
+@pytest.mark.parametrize("code", list(RefusalCode))
+def test_every_refusal_has_lines_that_may_explain_it_or_needs_none(code: RefusalCode) -> None:
+    explanation = EXPLANATION_BY_CODE[code]
+    assert explanation.meaning
+    found = found_in("a1", [refused(code.value)])
+    assert f"cause of a1: {code.value}" in told(found)
+    assert explanation.meaning in told(found)
+
+
+def clocks(*texts: bytes) -> str:
+    own = line(50.0, "entry-1", "request.refused", attempt="c", code="no_endpoint")
+    sent = line(49.9, "entry-1", "send.failed", attempt="c", endpoint="e-1", why="reset")
+    other = line(49.95, "entry-2", "endpoint.gone", endpoint="e-1", why="its entry vanished")
+    return told(found_in("c", [sent, other, own, *texts]))
+
+
+def shared(at_s: float, host: str, version: int) -> bytes:
+    return line(at_s, host, "configuration.in_force", version=version)
+
+
+def test_the_difference_of_clocks_is_told_from_news_that_both_hosts_wrote() -> None:
+    told_by = clocks(
+        *(shared(10.0 + number, "entry-1", number) for number in range(3)),
+        *(shared(12.0 + number + number / 100, "entry-2", number) for number in range(3)),
+    )
+    assert "entry-2 seems ahead of entry-1, the same news stands 2.000 to 2.020 s later" in told_by
+    assert "(3 lines of both" in told_by
+
+
+def test_news_that_came_first_to_either_host_shows_no_difference() -> None:
+    text = clocks(
+        *(shared(10.0 + number, "entry-1", number) for number in range(2)),
+        shared(9.9, "entry-2", 0),
+        shared(11.2, "entry-2", 1),
+    )
+    assert "no difference shows, the same news stands -0.100 to 0.200 s later" in text
+
+
+def test_a_host_that_has_just_started_hears_old_news_which_tells_nothing_of_clocks() -> None:
+    start = line(60.0, "entry-2", "host.started", hall="north")
+    text = clocks(shared(10.0, "entry-1", 1), start, shared(60.1, "entry-2", 1))
+    assert "entry-2 against entry-1: unknown" in text
+
+
+def test_without_shared_lines_the_difference_of_clocks_is_unknown() -> None:
+    assert "entry-2 against entry-1: unknown, no line is of both" in clocks()
+
+
+def test_the_lines_of_one_host_have_one_clock() -> None:
+    assert "one host's clock" in told(found_in("a1"))
+
+
+@pytest.mark.parametrize("words", [["logs"], ["logs", "trace"]])
+def test_the_tool_traces_and_says_where_no_line_names_an_id(
+    words: list[str], capsys: pytest.CaptureFixture[str]
+) -> None:
+    files = [str(file) for file in FILES]
+    app([*words, "a-30", *files], result_action="return_value")
+    assert "> 1005.200 entry-1 request.refused" in capsys.readouterr().out
+    with pytest.raises(SystemExit) as ended:
+        app([*words, "a-99", *files], result_action="return_value")
+    assert ended.value.code == status_codes.EXIT_NOT_FOUND
