--- a/src/bayhinge/_internal/queries/losses/models.py
+++ b/src/bayhinge/_internal/queries/losses/models.py
@@ -114,6 +114,7 @@
         kind: what became of it in the end.
         at_s: when its first trouble ended.
         lost_s: what its turns took beyond the usual, its failed tries, and the time between these.
+        usual_s: what its served tries that are counted here would usually have taken.
         s_by_phase: where the time of its late, failed and following tries went, the usual included.
         untimed: tries of which no line says how long they took.
     """
@@ -122,6 +123,7 @@
     kind: Kind
     at_s: float
     lost_s: float = 0.0
+    usual_s: float = 0.0
     s_by_phase: Counter[Phase] = attrs.field(factory=Counter)
     untimed: int = 0
     causes: Counter[Cause] = attrs.field(factory=Counter)
--- a/src/bayhinge/_internal/queries/losses/programs.py
+++ b/src/bayhinge/_internal/queries/losses/programs.py
@@ -110,6 +110,7 @@
     elif not follows_loss:
         # An ordinary turn, before any trouble.
         return
+    loss.usual_s += each.usual_s or 0.0
     _split(loss, each, each.took_s)
 
 
--- a/src/bayhinge/_internal/queries/losses/report.py
+++ b/src/bayhinge/_internal/queries/losses/report.py
@@ -79,7 +79,8 @@
     if program.untimed:
         tries = "try" if program.untimed == 1 else "tries"
         parts.append(f"{program.untimed} {tries} without a time")
-    return ", ".join(parts) or "no time told"
+    told = ", ".join(parts) or "no time told"
+    return f"{told}, against {program.usual_s:.2f} s usual" if program.usual_s else told
 
 
 def causes_text(program: ProgramLoss) -> str:
--- a/tests/unit/test_log_trace.py
+++ b/tests/unit/test_log_trace.py
@@ -58,6 +58,11 @@
     assert found_in("a9").lines == []
 
 
+def test_a_host_that_is_cut_from_the_disks_is_shown() -> None:
+    cut = line(101.5, "entry-1", "disks.cut_off")
+    assert "disks.cut_off" in [each.what for each in found_in("a1", [cut, *LOGS]).lines]
+
+
 def test_a_program_comes_with_the_sends_of_its_requests() -> None:
     sent = line(101.5, "entry-1", "send.failed", attempt="a1", endpoint="e-1", why="reset")
     assert "send.failed" in [each.what for each in found_in("p", [sent, *LOGS]).lines]
--- a/tests/unit/test_losses.py
+++ b/tests/unit/test_losses.py
@@ -98,6 +98,13 @@
     assert "usual of llm: 200 ms" in text
 
 
+def test_a_program_is_told_against_what_its_turns_usually_take(found: Losses) -> None:
+    assert program(found, "late-1").usual_s == pytest.approx(0.2)
+    assert "against 0.20 s usual" in "\n".join(report(found))
+    # Of a try without an answer nobody knows which service it was for.
+    assert program(found, "lost-1").usual_s == 0.0
+
+
 def test_a_late_turn_tells_its_failed_tries_and_what_no_line_splits(found: Losses) -> None:
     late = program(found, "late-1")
     assert late.kind is Kind.LATE
