--- a/tests/unit/test_watchers.py
+++ b/tests/unit/test_watchers.py
@@ -226,6 +226,13 @@
                     told = self.ways.followers_by_address[address][prefix]
                     told.hear(follower.revision, other)
 
+    def take_down(self, hosts: int) -> None:
+        """The first hosts do nothing any more."""
+        for task in self.tasks[: hosts * len(PREFIXES)]:
+            task.cancel()
+        for address in list(self.ways.followers_by_address)[:hosts]:
+            del self.ways.followers_by_address[address]
+
     def knows_all(self) -> bool:
         hosts = self.ways.followers_by_address.values()
         newest = self.truth.revision_by_key[self.truth.key]
@@ -316,8 +323,7 @@
     async def scenario(begins_after_s: float) -> float:
         site = WatchingSite(halls, hosts_per_hall)
         await asyncio.sleep(7.0 + begins_after_s)
-        for task in site.tasks[: down * len(PREFIXES)]:
-            task.cancel()
+        site.take_down(down)
         site.truth.put("servers/one")
         await asyncio.sleep(entry_before_s)
         site.truth.go_away()
@@ -342,6 +348,33 @@
     assert took_s <= WATCH_PERIOD_S / ends + LEAST_WAIT_S + WAIT_MARGIN_S + PEER_PATIENCE_S + 0.1
 
 
+@pytest.mark.parametrize(("halls", "down"), [(1, 0), (2, 0), (3, 0), (2, 1), (3, 1)])
+def test_ends_of_entries_watches_bring_the_configuration_too(halls: int, down: int) -> None:
+    took_s = longest_until_known(halls, WATCHERS_PER_HALL, 0.05, entry_before_s=0.02, down=down)
+    # A host that is down has two ends, which stand apart.
+    gap_s = WATCH_PERIOD_S / (halls * WATCHERS_PER_HALL * len(PREFIXES)) * (1 + down)
+    assert took_s <= gap_s + LEAST_WAIT_S + WAIT_MARGIN_S + PEER_PATIENCE_S + 0.1
+
+
+def test_ends_cost_a_call_more_at_most_while_entries_change() -> None:
+    async def scenario() -> int:
+        site = WatchingSite(3, 3)
+        await asyncio.sleep(7.0)
+
+        async def change() -> None:
+            while True:
+                site.truth.put("hosts/one")
+                await asyncio.sleep(0.1)
+
+        changing = asyncio.create_task(change())
+        calls = await site.calls_within(60.0)
+        changing.cancel()
+        return calls
+
+    watches = 3 * WATCHERS_PER_HALL * len(PREFIXES)
+    assert run_virtual(scenario()) <= 2 * watches * (60.0 / WATCH_PERIOD_S + 1)
+
+
 def test_a_quiet_site_asks_as_often_as_its_watches_end() -> None:
     async def scenario() -> int:
         site = WatchingSite(3, 3)
