An answer to one watch tells others of the process that they may hang

Cause: a watch that is younger than a silence is answered well, no call fails, and the process's other watch hangs on to its own end. But the answer bears the store's revision, over all prefixes: a watch that was sent before that was known either has no news of its own or hangs. Change: such a watch is sent anew, at each end of another without news, and with news where it has waited for 2 s.

--- a/src/bayhinge/_internal/services/key_follower.py
+++ b/src/bayhinge/_internal/services/key_follower.py
@@ -7,7 +7,9 @@
 A call that was under way when the store fell silent is never answered, also after its return, and
 so is one that is sent meanwhile. So a store that fails is asked by calls that do not wait, and a
 watch is sent anew once any call of the process shows that the store is back. Before, hosts asked a
-silent store with watches, which outlived its return by up to 6.7 s.
+silent store with watches, which outlived its return by up to 6.7 s. Where the process's other watch
+is younger than the silence, no call fails; its answer tells how far the store is, and a watch that
+was sent before that was known is sent anew.
 """
 
 import asyncio
@@ -52,6 +54,11 @@
 LISTEN_PERIOD_S = 0.6
 """How often a host without a watch looks whether it should have one."""
 
+RENEW_BEHIND_S = 2.0
+"""A watch that has waited for so long is sent anew when news of another one show that the store has
+gone on: it may hang. Sooner only at ends, which are rare: each call is paid for, and entries that
+change all the time would have every other watch sent anew as often."""
+
 AFTER_OUTAGE_S = 2.0
 """For so long after the store's return, what vanishes may have lapsed in the outage."""
 
@@ -112,6 +119,7 @@
         self._is_fetching = False
         self._is_stopped = False
         self._asked_s: float | None = None
+        self._asked_knowing = 0
         self._is_watching: bool | None = None
         self._returned_s = -math.inf
         self.revision = 0
@@ -124,6 +132,7 @@
         self.should_poll: Callable[[], bool] = lambda: True
         self.on_change: Callable[[], None] = lambda: None
         store.contact.on_return.append(self._renew)
+        store.contact.on_watched.append(self._renew_if_behind)
 
     async def run(self) -> None:
         """Follows until it is stopped or cancelled."""
@@ -208,6 +217,13 @@
         )
         poll.cancel()
 
+    def _renew_if_behind(self, has_news: bool) -> None:
+        """Sends a waiting call anew that was sent before the store was known to be so far."""
+        least_s = RENEW_BEHIND_S if has_news else 0.0
+        is_behind = self._asked_knowing < self._store.contact.revision
+        if is_behind and self.waiting_s() >= least_s:
+            self._renew()
+
     def _is_after_outage(self) -> bool:
         returned_s = max(self._returned_s, self._store.contact.returned_s)
         return asyncio.get_running_loop().time() - returned_s <= AFTER_OUTAGE_S
@@ -242,9 +258,11 @@
         if not is_probe:
             await asyncio.sleep(self._pause_s)
         self._asked_s = asyncio.get_running_loop().time()
+        self._asked_knowing = self._store.contact.revision
         wait_s = 0.0 if is_probe else self._wait()
         page = await self._store.poll(self.prefix, self._cursor, wait_s)
         self._note_success()
+        self._store.contact.note_watched(page.revision, has_news=bool(page.changes))
         self.heard_s = asyncio.get_running_loop().time()
         longer_s = min(LONGEST_PAUSE_S, max(FIRST_PAUSE_S, 2 * self._pause_s))
         self._pause_s = longer_s if page.changes else 0.0
--- a/src/bayhinge/coordination/store_contact.py
+++ b/src/bayhinge/coordination/store_contact.py
@@ -22,11 +22,15 @@
 
     Attributes:
         on_return: called after an answer that follows failures.
+        on_watched: called when a watch was answered, with whether it brought news.
+        revision: the newest revision of the store that any watch has told of.
         returned_s: when the last outage ended, on the loop's clock in seconds.
     """
 
     on_return: list[Callable[[], None]] = attrs.field(factory=list)
+    on_watched: list[Callable[[bool], None]] = attrs.field(factory=list)
     returned_s: float = -math.inf
+    revision: int = 0
     _failing_since_s: float | None = None
     _was_silent: bool = False
     _asker: object = None
@@ -72,3 +76,13 @@
         self._has_returned = asyncio.Event()
         for listener in self.on_return:
             listener()
+
+    def note_watched(self, revision: int, has_news: bool) -> None:
+        """A watch was answered; ``revision`` is the store's, over all prefixes.
+
+        Others that were sent before this revision was known may hang, though this one is well: it
+        may be younger than a silence.
+        """
+        self.revision = max(self.revision, revision)
+        for listener in self.on_watched:
+            listener(has_news)
