Failing tests: a host that stood still misses answers of disks and peers

A host stays cut off from the disks for another try; the newest set of disks and objects that a peer has are not taken; a disk misses another one, which begins its silence.

--- a/tests/unit/test_stalls.py
+++ b/tests/unit/test_stalls.py
@@ -21,17 +21,26 @@
 from bayhinge._internal.network.frames import decode_message, encode_message
 from bayhinge._internal.network.peer_client import PeerClient
 from bayhinge._internal.network.peer_server import PeerServer
-from bayhinge._internal.network.peers import AnsweringHandler
+from bayhinge._internal.network.peers import AnsweringHandler, Peers
 from bayhinge._internal.services import methods
-from bayhinge._internal.services.gateway import disk_link, turn_keeper
+from bayhinge._internal.services.disks import disk_host
+from bayhinge._internal.services.disks.disk_host import DiskHost
+from bayhinge._internal.services.gateway import disk_directory, disk_link, turn_keeper
 from bayhinge._internal.services.gateway.disk_directory import DiskDirectory
 from bayhinge._internal.services.gateway.disk_link import DiskLink
 from bayhinge._internal.services.gateway.stream_delivery import _pieces
 from bayhinge._internal.services.gateway.turn_keeper import TurnKeeper
 from bayhinge._internal.services.gossip import Gossip
+from bayhinge._internal.services.key_follower import (
+    LISTENER_PATIENCE_S,
+    PEER_CALL_S,
+    FollowListener,
+    KeyFollower,
+)
 from bayhinge._internal.wire.hosts import ttypes as wire
 from bayhinge.coordination.clock import HybridClock, SystemClock
-from bayhinge.coordination.store import ObjectStore
+from bayhinge.coordination.store import Change, ObjectStore, PollingStore
+from bayhinge.coordination.store_contact import StoreContact
 
 ANSWERS_AFTER_S = 0.02
 """A peer's time to answer."""
@@ -60,6 +69,10 @@
         if method == methods.ENTRIES:
             entry = wire.TurnEntry(wire.EntryKind.TURN, "a0", "p", 3, None, TEXT)
             return encode_message(wire.EntriesReply([entry]))
+        if method == methods.DISK_SET:
+            return encode_message(wire.DiskSet(2, [wire.DiskMember("disk-0", 1, "", "north")]))
+        if method == methods.OBJECTS:
+            return encode_message(wire.KnownObjects(5, {}, 5, False))
         return payload
 
 
@@ -112,6 +125,28 @@
     tolerated_disks: int = 1
 
 
+@attrs.define
+class Calling:
+    """Stands for a disk host that calls others."""
+
+    peers: Peers
+
+
+@attrs.define
+class Contacted:
+    """Stands for a store that nobody asks."""
+
+    contact: StoreContact = attrs.field(factory=StoreContact)
+
+
+class Ignoring(FollowListener):
+    def replace_all(self, value_by_key: dict[str, bytes], is_after_outage: bool) -> None:
+        return
+
+    def apply(self, change: Change, is_after_outage: bool) -> None:
+        return
+
+
 @attrs.define
 class Host:
     """The way of one host to three disks."""
@@ -251,6 +286,61 @@
     assert took_s >= disk_link.HEDGE_S + disk_link.ANSWER_S - 0.01
 
 
+@pytest.mark.parametrize("after_s", STALLS_AFTER_S)
+def test_a_host_that_stood_still_learns_that_it_reaches_disks_again(after_s: float) -> None:
+    async def scenario(host: Host) -> bool:
+        members = host.directory.disk_set.members
+        for member in members:
+            host.directory.note_failure(member, "cut off")
+        assert host.directory.reach.is_cut_off
+        stall_s = disk_directory.FETCH_S + 0.1
+        await stalled(host.directory._try_to_reach(members[0]), after_s, stall_s)
+        return host.directory.reach.is_cut_off
+
+    is_cut_off, _, _ = at_host(scenario)
+    assert not is_cut_off
+
+
+@pytest.mark.parametrize("after_s", STALLS_AFTER_S)
+def test_a_host_that_stood_still_has_the_set_of_disks_from_another_one(after_s: float) -> None:
+    async def scenario(host: Host) -> int:
+        address = host.directory.disk_set.members[0].address
+        stall_s = disk_directory.FETCH_S + 0.1
+        await stalled(host.directory.fetch(address), after_s, stall_s)
+        return cast(int, host.directory.disk_set.version)
+
+    version, _, _ = at_host(scenario)
+    assert version == 2
+
+
+@pytest.mark.parametrize("after_s", STALLS_AFTER_S)
+def test_a_disk_that_stood_still_does_not_miss_another_one(after_s: float) -> None:
+    async def scenario(host: Host) -> bytes | None:
+        disk = cast(DiskHost, Calling(host.client))
+        address = host.directory.disk_set.members[0].address
+        call = DiskHost._call(disk, address, "echo", b"x")
+        return await stalled(call, after_s, disk_host.CALL_S + 0.1)
+
+    answer, _, _ = at_host(scenario)
+    assert answer == b"x"
+
+
+@pytest.mark.parametrize("after_s", STALLS_AFTER_S)
+def test_a_host_that_stood_still_has_the_objects_from_a_peer(after_s: float) -> None:
+    async def scenario(host: Host) -> int:
+        address = host.directory.disk_set.members[0].address
+        store = cast(PollingStore, Contacted())
+        follower = KeyFollower(store, "config/", float, Ignoring(), host.client)
+        # Behind the pause in which several changes come together.
+        after_pause_s = LISTENER_PATIENCE_S + after_s
+        fetch = follower._fetch(5, address)
+        await stalled(fetch, after_pause_s, PEER_CALL_S + 0.1)
+        return follower.complete_to
+
+    complete_to, _, _ = at_host(scenario)
+    assert complete_to == 5
+
+
 # ---- endpoints ----
 
 PAUSE_S = 0.04
