A host that stood still takes answers of disks and peers that came meanwhile

Cause: as of the bounds on turns; FETCH_S (0.5 s) to disks, CALL_S (1 s) between disks and PEER_CALL_S (0.5 s) for a peer's objects counted the time in which the caller stood still.

Cost before: cut off for another 0.3 s, and told so to callers; the set of disks or the objects are fetched with the next hello; a disk begins to count another one's silence, of which 3 s drop it.

Change: running_timeout in four places.

--- a/src/bayhinge/_internal/services/disks/disk_host.py
+++ b/src/bayhinge/_internal/services/disks/disk_host.py
@@ -35,6 +35,7 @@
 from bayhinge._internal.services.host_registry import HostRegistry
 from bayhinge._internal.services.keep_running import keep_running
 from bayhinge._internal.utils.durable_files import replace_synced
+from bayhinge._internal.utils.running_time import running_timeout
 from bayhinge._internal.wire.hosts import ttypes as wire
 from bayhinge.coordination.clock import HybridClock, SystemClock
 from bayhinge.coordination.store import ObjectStore
@@ -391,7 +392,7 @@
 
     async def _call(self, address: str, method: str, payload: bytes) -> bytes | None:
         try:
-            async with asyncio.timeout(CALL_S):
+            async with running_timeout(CALL_S):
                 return await self.peers.call(address, method, payload)
         except (TimeoutError, PeerUnreachableError, PeerFailureError) as error:
             eliot.log_message(
--- a/src/bayhinge/_internal/services/gateway/disk_directory.py
+++ b/src/bayhinge/_internal/services/gateway/disk_directory.py
@@ -16,6 +16,7 @@
 from bayhinge._internal.services import methods
 from bayhinge._internal.services.disk_sets import read_disk_set
 from bayhinge._internal.services.gateway.first_news import FirstNews
+from bayhinge._internal.utils.running_time import running_timeout
 from bayhinge._internal.wire.hosts.ttypes import DiskMember, DiskSet, Hello
 from bayhinge.coordination.errors import StoreError
 from bayhinge.coordination.store import ObjectStore
@@ -91,7 +92,7 @@
 
     async def _try_to_reach(self, member: DiskMember) -> None:
         try:
-            async with asyncio.timeout(FETCH_S):
+            async with running_timeout(FETCH_S):
                 await self._peers.call(member.address, methods.DISK_SET, b"")
         except (TimeoutError, PeerUnreachableError, PeerFailureError) as error:
             self.note_failure(member, str(error) or "no answer in time")
@@ -175,7 +176,7 @@
     async def fetch(self, address: str) -> None:
         """Takes the set that another host knows; a failure is logged."""
         try:
-            async with asyncio.timeout(FETCH_S):
+            async with running_timeout(FETCH_S):
                 answer = await self._peers.call(address, methods.DISK_SET, b"")
             self.take(decode_message(DiskSet(), answer))
         except (TimeoutError, PeerUnreachableError, PeerFailureError, FrameError) as error:
--- a/src/bayhinge/_internal/services/key_follower.py
+++ b/src/bayhinge/_internal/services/key_follower.py
@@ -24,6 +24,7 @@
 from bayhinge._internal.network.frames import decode_message, encode_message
 from bayhinge._internal.network.peers import Peers
 from bayhinge._internal.services import methods
+from bayhinge._internal.utils.running_time import running_timeout
 from bayhinge._internal.wire.hosts.ttypes import KnownObjects, ObjectsQuery
 from bayhinge.coordination.errors import HistoryLostError, StoreError
 from bayhinge.coordination.store import Change, PollingStore, list_all
@@ -282,7 +283,7 @@
             if not self._lacks(revision):
                 return
             query = encode_message(ObjectsQuery(self.prefix))
-            async with asyncio.timeout(PEER_CALL_S):
+            async with running_timeout(PEER_CALL_S):
                 answer = await self._peers.call(peer_address, methods.OBJECTS, query)
             known = decode_message(KnownObjects(), answer)
         except (TimeoutError, PeerUnreachableError, PeerFailureError, FrameError) as error:
