The look-up past a silent connection is bounded in time that its process is to blame for

Cause of 1.36 s where 1.2 s are allowed: the process stood still.

Ruled out: a bound that grew with slow answers (0.800 s in each run); the second endpoint's connection silent as well (only one was open).

Change: charged_time leaves out the time in which the process was ready and got no processor, by the kernel's count; blocking calls and long computations count. The bound is 1.0 s in place of 1.2 s.

--- a/tests/functional/test_silent_connections.py
+++ b/tests/functional/test_silent_connections.py
@@ -13,6 +13,7 @@
 from bayhinge._internal.network.peers import AnsweringHandler
 from bayhinge._internal.services.gateway.turn_keeper import OPEN_S
 from bayhinge.coordination.clock import HybridClock, SystemClock
+from tests.lib.charged_time import charged_time
 from tests.lib.platform_data import CONFIGURATION
 from tests.lib.platform_engine import EngineTroubles, PlatformEngine
 from tests.lib.platform_site import PlatformSite, run_site
@@ -168,10 +169,9 @@
         for _ in range(4):
             assert (await site.ask("/look/x", method="GET")).status == 200
         assert silence_connections(endpoint_addresses(site.services)) >= 1
-        loop = asyncio.get_running_loop()
-        began = loop.time()
-        assert (await site.ask("/look/x", method="GET")).status == 200
-        assert loop.time() - began < 1.2
+        async with charged_time() as charged:
+            assert (await site.ask("/look/x", method="GET")).status == 200
+            assert charged.seconds < 1.0
 
     run_site(tmp_path, scenario)
 
