Failing test: a host that stood still judges who is there before it has read the hellos

Seen with 7 others that greeted on while it stood still for 2 s: 1 of 7 counts as heard in its first round, whose homes hold for 0.3 s until the next one.

--- a/tests/unit/test_stalls.py
+++ b/tests/unit/test_stalls.py
@@ -30,7 +30,7 @@
 from bayhinge._internal.services.gateway.disk_link import DiskLink
 from bayhinge._internal.services.gateway.stream_delivery import _pieces
 from bayhinge._internal.services.gateway.turn_keeper import TurnKeeper
-from bayhinge._internal.services.gossip import Gossip
+from bayhinge._internal.services.gossip import FIRST_S, LEAST_FRESH_S, Gossip
 from bayhinge._internal.services.key_follower import (
     LISTENER_PATIENCE_S,
     PEER_CALL_S,
@@ -341,6 +341,75 @@
     assert complete_to == 5
 
 
+# ---- hellos ----
+
+OTHERS = 7
+GOSSIP_PORT = 7399
+
+
+@attrs.define
+class GreetingSettings:
+    """What a host needs to greet others on loopback."""
+
+    host: str
+    ip: str
+    hall: str = "north"
+    seeds: tuple[str, ...] = ("127.88.0.1",)
+    gossip_port: int = GOSSIP_PORT
+    peer_address: str = "127.0.0.1:1"
+    front_address: str = "127.0.0.1:2"
+
+    @property
+    def gossip_address(self) -> str:
+        return f"{self.ip}:{self.gossip_port}"
+
+
+def greeting_host(number: int) -> Gossip:
+    settings = cast(SiteSettings, GreetingSettings(f"h{number}", f"127.88.0.{number + 1}"))
+    gossip = Gossip(settings, wire.HostRole.ENTRY)
+    gossip.me.phase = wire.HostPhase.READY
+    return gossip
+
+
+async def run_others(is_over: threading.Event) -> None:
+    others = [greeting_host(number) for number in range(1, OTHERS + 1)]
+    for gossip in others:
+        await gossip.start()
+    while not is_over.is_set():  # noqa: ASYNC110 - it is set in another thread
+        await asyncio.sleep(0.05)
+    for gossip in others:
+        await gossip.stop()
+
+
+def test_a_host_that_stood_still_reads_what_it_was_told_before_it_judges_who_is_there() -> None:
+    """Homes are worked out anew in each round of hellos, and hold until the next one."""
+
+    async def scenario() -> list[int]:
+        gossip = greeting_host(0)
+        await gossip.start()
+        async with asyncio.timeout(10):
+            while len(gossip.fresh(wire.HostRole.ENTRY)) < OTHERS:  # noqa: ASYNC110
+                await asyncio.sleep(0.02)
+        await asyncio.sleep(FIRST_S)
+        heard: list[int] = []
+        gossip.on_round = lambda: heard.append(len(gossip.fresh(wire.HostRole.ENTRY)))
+        time.sleep(LEAST_FRESH_S + 0.5)  # noqa: ASYNC251 - it plays a process that gets no time
+        await asyncio.sleep(0.5)
+        await gossip.stop()
+        return heard
+
+    is_over = threading.Event()
+    others = threading.Thread(target=lambda: asyncio.run(run_others(is_over)), daemon=True)
+    others.start()
+    try:
+        heard = asyncio.run(scenario())
+    finally:
+        is_over.set()
+        others.join(5)
+    assert heard
+    assert set(heard) == {OTHERS}
+
+
 # ---- endpoints ----
 
 PAUSE_S = 0.04
