--- a/src/bayhinge/_internal/services/disks/disk_state.py
+++ b/src/bayhinge/_internal/services/disks/disk_state.py
@@ -21,6 +21,7 @@
 from bayhinge._internal.services.disks.turn_log import TurnLog
 from bayhinge._internal.services.gossip import Gossip
 from bayhinge._internal.utils.durable_files import replace_synced
+from bayhinge._internal.utils.running_time import running_timeout
 from bayhinge._internal.wire.hosts import ttypes as wire
 
 DISK_SET_FILE = "disk-set"
@@ -118,7 +119,7 @@
     async def call(self, address: str, method: str, payload: bytes) -> bytes | None:
         """Returns another host's answer; None where there is none."""
         try:
-            async with asyncio.timeout(CALL_S):
+            async with running_timeout(CALL_S):
                 return await self.peers.call(address, method, payload)
         except (TimeoutError, PeerUnreachableError, PeerFailureError) as error:
             eliot.log_message(
--- a/tests/functional/test_soak.py
+++ b/tests/functional/test_soak.py
@@ -14,8 +14,8 @@
 SHORT_SEEDS = (1,)
 
 FAILED_ONCE: dict[int, str] = {
-    901: "events made of a cut one and the next run's first one; a version late behind a silence that "
-    "only watches of the configuration hung in",
+    901: "events made of a cut one and the next run's first one; a version late behind a silence "
+    "that only watches of the configuration hung in",
 }
 """Seeds that broke a promise, with the cause that was found."""
 
