--- a/tests/soak/run.py
+++ b/tests/soak/run.py
@@ -61,6 +61,7 @@
         self._disks: list[Daemon] = []
         self._story: list[str] = []
         self._began_s = time.monotonic()
+        self._say(f"started at {time.time():.2f} by the hosts' logs")
 
     async def play(self) -> Result:
         ledger = Ledger()
