--- a/tests/unit/test_stalls.py
+++ b/tests/unit/test_stalls.py
@@ -23,13 +23,14 @@
 from bayhinge._internal.network.peer_server import PeerServer
 from bayhinge._internal.network.peers import AnsweringHandler, Peers
 from bayhinge._internal.services import methods
-from bayhinge._internal.services.disks import disk_host
-from bayhinge._internal.services.disks.disk_host import DiskHost
-from bayhinge._internal.services.gateway import disk_directory, disk_link, turn_keeper
+from bayhinge._internal.services.disks import disk_state
+from bayhinge._internal.services.disks.disk_state import DiskState
+from bayhinge._internal.services.gateway import disk_directory, disk_link
 from bayhinge._internal.services.gateway.disk_directory import DiskDirectory
 from bayhinge._internal.services.gateway.disk_link import DiskLink
 from bayhinge._internal.services.gateway.stream_delivery import _pieces
 from bayhinge._internal.services.gateway.turn_keeper import TurnKeeper
+from bayhinge._internal.services.gateway.turn_refusals import OPEN_S
 from bayhinge._internal.services.gossip import FIRST_S, LEAST_FRESH_S, Gossip
 from bayhinge._internal.services.key_follower import (
     LISTENER_PATIENCE_S,
@@ -204,7 +205,7 @@
 def test_a_turn_is_not_refused_because_its_host_stood_still(after_s: float) -> None:
     async def scenario(host: Host) -> None:
         context = TurnContext("p", 100, 30, None)
-        await stalled(host.keeper.open("a1", context), after_s, turn_keeper.OPEN_S + 0.1)
+        await stalled(host.keeper.open("a1", context), after_s, OPEN_S + 0.1)
 
     at_host(scenario)
 
@@ -213,7 +214,7 @@
 def test_a_host_that_stood_still_waits_for_the_nearest_disks_history(after_s: float) -> None:
     async def scenario(host: Host) -> bytes:
         context = TurnContext("p", None, 30, "a0")
-        turn = await stalled(host.keeper.open("a1", context), after_s, turn_keeper.OPEN_S + 0.1)
+        turn = await stalled(host.keeper.open("a1", context), after_s, OPEN_S + 0.1)
         return turn.history
 
     history, disks, _ = at_host(scenario)
@@ -224,7 +225,7 @@
 @pytest.mark.parametrize("after_s", STALLS_AFTER_S)
 def test_a_turn_that_is_looked_for_is_found_by_a_host_that_stood_still(after_s: float) -> None:
     async def scenario(host: Host) -> bytes | None:
-        entry = await stalled(host.keeper._find_turn("a0", True), after_s, turn_keeper.OPEN_S + 0.1)
+        entry = await stalled(host.keeper._histories._find_turn("a0", True), after_s, OPEN_S + 0.1)
         return cast(bytes | None, entry.text)
 
     text, _, _ = at_host(scenario)
@@ -316,10 +317,10 @@
 @pytest.mark.parametrize("after_s", STALLS_AFTER_S)
 def test_a_disk_that_stood_still_does_not_miss_another_one(after_s: float) -> None:
     async def scenario(host: Host) -> bytes | None:
-        disk = cast(DiskHost, Calling(host.client))
+        disk = cast(DiskState, Calling(host.client))
         address = host.directory.disk_set.members[0].address
-        call = DiskHost._call(disk, address, "echo", b"x")
-        return await stalled(call, after_s, disk_host.CALL_S + 0.1)
+        call = DiskState.call(disk, address, "echo", b"x")
+        return await stalled(call, after_s, disk_state.CALL_S + 0.1)
 
     answer, _, _ = at_host(scenario)
     assert answer == b"x"
