Test code that stood twice has one place in tests/lib

Cause: tests took the delivery of a stream, a store that is only read, log lines and the endpoint that was asked from copies, or from one another's files. Change: cut_answers (answers that are cut, the caller, the delivery between them; five files used or copied it), read_only_store (the base of three stores), log_lines (two equal fixtures are one in conftest; three more places that listened), asked_endpoints (of the tests of restarts and of silent endpoints). Two set-ups of silent endpoints ask more than before: the endpoint that is asked is the only one (asserted), and one that is taken away is unknown to all hosts and not to the first alone; their limit of 6 s is kept. Lines of restarts are listened to until they are seen, not to the end of the site.

--- a/tests/functional/conftest.py
+++ b/tests/functional/conftest.py
@@ -14,10 +14,18 @@
 from bayhinge._internal.models.refusals import RefusalCode, RefusedError, RunState
 from bayhinge._internal.queries.sentences import describe
 from bayhinge.coordination.clock import stamp_to_ms
+from tests.lib.log_lines import Line, collected_lines
 
 Result = TypeVar("Result")
 
 
+@pytest.fixture
+def lines() -> Iterator[list[Line]]:
+    """What is logged while a test runs."""
+    with collected_lines() as found:
+        yield found
+
+
 @attrs.define
 class Stage:
     """A scenario's world, its loop, and the calls by the names that the text gives them."""
--- a/tests/functional/test_cut_streams.py
+++ b/tests/functional/test_cut_streams.py
@@ -3,7 +3,6 @@
 import asyncio
 import socket
 from collections.abc import Callable
-from typing import cast
 
 import pytest
 
@@ -12,12 +11,10 @@
 from bayhinge._internal.models.refusals import CallAttempt, RefusedError
 from bayhinge._internal.models.routed_requests import RoutedRequest
 from bayhinge._internal.network.endpoint_link import EndpointLinks
-from bayhinge._internal.network.routed_front import Exchange
 from bayhinge._internal.platform.call_format import PlatformCallFormat
 from bayhinge._internal.services.gateway.sending import Sender
 from bayhinge._internal.services.gateway.stream_delivery import StreamDelivery
-from bayhinge._internal.services.gateway.turn_keeper import TurnKeeper
-from tests.unit.test_stream_delivery import ROUTE, Caller
+from tests.lib.cut_answers import ROUTE, Caller, delivery_to
 
 pytestmark = pytest.mark.functional
 EVENTS = 3
@@ -79,15 +76,7 @@
         book.put(EndpointEntry(name, "llm", f"127.0.0.1:{port}", "north", 4, False))
     caller = Caller()
     request = RoutedRequest("GET", "/x", "host", (), "mine", resume_after=has)
-    delivery = StreamDelivery(
-        cast(Exchange, caller),
-        PlatformCallFormat(),
-        cast(TurnKeeper, None),
-        None,
-        request,
-        3,
-        ROUTE,
-    )
+    delivery = delivery_to(caller, request)
     limit_s = asyncio.get_running_loop().time() + 2
     sender = Sender(book, links, PlatformCallFormat())
     try:
--- a/tests/functional/test_endpoint_restarts.py
+++ b/tests/functional/test_endpoint_restarts.py
@@ -6,16 +6,15 @@
 import asyncio
 import time
 from collections.abc import Awaitable, Callable
-from functools import partial
 from pathlib import Path
 
-import eliot
 import orjson
 import pytest
 
-from bayhinge._internal.decisions.endpoint_book import EndpointBook
 from bayhinge._internal.decisions.endpoint_starts import CLOCK_SKEW_S
 from bayhinge._internal.models.endpoint_entries import EndpointStart
+from tests.lib.asked_endpoints import asked, only_one_service
+from tests.lib.log_lines import collected_lines, told
 from tests.lib.platform_engine import EngineTroubles, PlatformEngine
 from tests.lib.platform_site import PlatformSite, Reply, run_site
 
@@ -67,32 +66,6 @@
         await is_known(site, endpoint)
 
 
-async def asked(endpoints: list[PlatformEngine]) -> PlatformEngine:
-    """Returns the endpoint that was asked; the others are well from now on."""
-    async with asyncio.timeout(2):
-        while not any(endpoint.runs for endpoint in endpoints):  # noqa: ASYNC110
-            await asyncio.sleep(0.01)
-    (found,) = [endpoint for endpoint in endpoints if endpoint.runs]
-    for endpoint in endpoints:
-        if endpoint is not found:
-            endpoint.troubles = EngineTroubles()
-    return found
-
-
-async def only_one_service(site: PlatformSite) -> None:
-    """Takes all plain services away but the first."""
-    while len(site.services) > 1:
-        other = site.services.pop()
-        site.store.remove("servers", other.instance)
-        await other.stop()
-        for entry in site.entry_by_name.values():
-            await site.until(partial(_is_unknown, entry._gateway.book, other.instance))
-
-
-def _is_unknown(book: EndpointBook, instance: str) -> bool:
-    return book.find(instance) is None
-
-
 async def waiting_turn(site: PlatformSite) -> tuple[asyncio.Task[Reply], PlatformEngine]:
     """Returns a turn that waits at an endpoint, and that endpoint."""
     for engine in site.engines:
@@ -313,8 +286,6 @@
 
 
 def test_twice_within_a_heartbeat_and_then_an_entry_that_is_late(tmp_path: Path) -> None:
-    lines: list[dict[str, object]] = []
-
     async def scenario(site: PlatformSite) -> None:
         waiting, engine = await waiting_turn(site)
         await engine.restart(now_ms(), moves=True)
@@ -323,20 +294,13 @@
         announce(site, engine)
         assert_may_have_run(await ended(waiting))
         await is_known(site, engine)
-        eliot.add_destinations(lines.append)
-        site.store.put("servers", engine.instance, between)
-        await site.until(lambda: _count(lines, "endpoint.outdated") >= 2)
+        with collected_lines() as lines:
+            site.store.put("servers", engine.instance, between)
+            await site.until(lambda: len(told(lines, "endpoint.outdated")) >= 2)
         await is_known(site, engine)
         assert await turns_at_once(site, 6) == [200] * 6
 
-    try:
-        play(tmp_path, scenario)
-    finally:
-        eliot.remove_destination(lines.append)
-
-
-def _count(lines: list[dict[str, object]], kind: str) -> int:
-    return sum(line.get("message_type") == kind for line in lines)
+    play(tmp_path, scenario)
 
 
 def test_a_restart_while_the_store_is_away(tmp_path: Path) -> None:
@@ -362,21 +326,16 @@
 
 
 def test_a_restart_says_what_became_of_its_runs(tmp_path: Path) -> None:
-    lines: list[dict[str, object]] = []
-
     async def scenario(site: PlatformSite) -> None:
         waiting, engine = await waiting_turn(site)
         former_ms = engine.born_ms
         await engine.restart(now_ms())
-        eliot.add_destinations(lines.append)
-        announce(site, engine)
-        await ended(waiting)
-        restarts = [line for line in lines if line.get("message_type") == "endpoint.restarted"]
+        with collected_lines() as lines:
+            announce(site, engine)
+            await ended(waiting)
+        restarts = told(lines, "endpoint.restarted")
         assert {line["endpoint"] for line in restarts} == {engine.instance}
         assert {line["former_born_ms"] for line in restarts} == {former_ms}
         assert max(int(str(line["runs_over"])) for line in restarts) == 1
 
-    try:
-        play(tmp_path, scenario)
-    finally:
-        eliot.remove_destination(lines.append)
+    play(tmp_path, scenario)
--- a/tests/functional/test_left_behind_sends.py
+++ b/tests/functional/test_left_behind_sends.py
@@ -1,7 +1,6 @@
 """What is left of an answer on a kept connection, or of a stream, and the next send."""
 
 import asyncio
-from typing import cast
 
 import attrs
 import pytest
@@ -11,14 +10,11 @@
 from bayhinge._internal.models.refusals import CallAttempt, RefusedError, RunState
 from bayhinge._internal.models.routed_requests import RoutedRequest
 from bayhinge._internal.network.endpoint_link import EndpointLinks
-from bayhinge._internal.network.routed_front import Exchange
 from bayhinge._internal.platform.call_format import PlatformCallFormat
 from bayhinge._internal.services.gateway.sending import Sender
-from bayhinge._internal.services.gateway.stream_delivery import StreamDelivery
-from bayhinge._internal.services.gateway.turn_keeper import TurnKeeper
 from tests.functional.test_sending import REQUEST, Keep, reply, send
 from tests.functional.test_sending import ROUTE as ONCE
-from tests.unit.test_stream_delivery import ROUTE, Caller
+from tests.lib.cut_answers import ROUTE, Caller, delivery_to
 
 pytestmark = pytest.mark.functional
 
@@ -104,15 +100,7 @@
         for name in ("e-1", "e-2", "e-3"):
             book.put(EndpointEntry(name, "llm", f"127.0.0.1:{port}", "north", 4, False))
         request = RoutedRequest("GET", "/x", "host", (), "mine")
-        delivery = StreamDelivery(
-            cast(Exchange, Caller()),
-            PlatformCallFormat(),
-            cast(TurnKeeper, None),
-            None,
-            request,
-            3,
-            attrs.evolve(ROUTE, max_endpoints=3),
-        )
+        delivery = delivery_to(Caller(), request, attrs.evolve(ROUTE, max_endpoints=3))
         limit_s = asyncio.get_running_loop().time() + 2
         sender = Sender(book, links, PlatformCallFormat())
         route = attrs.evolve(ROUTE, max_endpoints=3)
--- a/tests/functional/test_odd_objects.py
+++ b/tests/functional/test_odd_objects.py
@@ -1,14 +1,13 @@
 """Whole sites whose store holds what other writers left: no host stops, and the others hold."""
 
 import asyncio
-from collections.abc import Iterator
 from pathlib import Path
 from typing import Any
 
-import eliot
 import orjson
 import pytest
 
+from tests.lib.log_lines import Line, told
 from tests.lib.odd_objects import ODD_ENTRY_BY_FORM
 from tests.lib.platform_data import CONFIGURATION
 from tests.lib.platform_engine import PlatformEngine
@@ -39,20 +38,13 @@
 )
 
 
-@pytest.fixture
-def lines() -> Iterator[list[dict[str, Any]]]:
-    found: list[dict[str, Any]] = []
-    eliot.add_destinations(found.append)
-    yield found
-    eliot.remove_destination(found.append)
-
-
-def told(lines: list[dict[str, Any]], line: str) -> list[dict[str, Any]]:
-    return [message for message in lines if message["message_type"] == line]
+def put_odd_addresses(site: PlatformSite) -> None:
+    for number, spec in enumerate(ODD_ADDRESSES):
+        site.store.put("hosts", f"a-{number}", spec)
 
 
 def test_odd_entries_cost_no_request_and_a_good_one_behind_them_counts(
-    tmp_path: Path, lines: list[dict[str, Any]]
+    tmp_path: Path, lines: list[Line]
 ) -> None:
     async def scenario(site: PlatformSite) -> None:
         for number, spec in enumerate(ODD_SPECS):
@@ -165,10 +157,9 @@
     run_site(tmp_path, scenario)
 
 
-def test_odd_addresses_of_hosts_stop_no_hello(tmp_path: Path, lines: list[dict[str, Any]]) -> None:
+def test_odd_addresses_of_hosts_stop_no_hello(tmp_path: Path, lines: list[Line]) -> None:
     async def scenario(site: PlatformSite) -> None:
-        for number, spec in enumerate(ODD_ADDRESSES):
-            site.store.put("hosts", f"a-{number}", spec)
+        put_odd_addresses(site)
         # Its own object is odd as well, and no seed tells it of any host.
         site.store.put("hosts", "entry-2", "%%%")
         entry = await site.start_entry("entry-2")
@@ -188,11 +179,10 @@
 
 
 def test_a_host_that_knows_no_other_one_reads_past_odd_addresses(
-    tmp_path: Path, lines: list[dict[str, Any]]
+    tmp_path: Path, lines: list[Line]
 ) -> None:
     async def scenario(site: PlatformSite) -> None:
-        for number, spec in enumerate(ODD_ADDRESSES):
-            site.store.put("hosts", f"a-{number}", spec)
+        put_odd_addresses(site)
         # Seeds that are nobody: only the store can tell it of the others.
         site.seeds = '["127.9.9.9:1"]'
         await site.start_entry("entry-2")
@@ -205,7 +195,7 @@
 
 @pytest.mark.parametrize("odd", ["%%%", None, "AAAA", "CwABAAAAA2FiYwA=", {"version": 99}])
 def test_an_odd_set_of_disks_is_no_set_and_turns_go_on(
-    tmp_path: Path, lines: list[dict[str, Any]], odd: Any
+    tmp_path: Path, lines: list[Line], odd: Any
 ) -> None:
     async def scenario(site: PlatformSite) -> None:
         first = await site.turn(b"one ")
@@ -240,7 +230,7 @@
     ],
 )
 def test_a_request_to_empty_a_disk_is_a_table_whatever_it_says_of_the_time(
-    tmp_path: Path, lines: list[dict[str, Any]], spec: Any, empties: bool
+    tmp_path: Path, lines: list[Line], spec: Any, empties: bool
 ) -> None:
     async def scenario(site: PlatformSite) -> None:
         site.store.put("retirements", "nobody", spec)
--- a/tests/functional/test_odd_sites.py
+++ b/tests/functional/test_odd_sites.py
@@ -1,34 +1,20 @@
 """Sites that are set up oddly: a hall without hosts, hosts whose only seed is themselves."""
 
 import asyncio
-from collections.abc import Iterator
 from pathlib import Path
-from typing import Any
 
-import eliot
 import pytest
 
 from bayhinge._internal.services.gateway import hall_homes
+from tests.lib.log_lines import Line, told
 from tests.lib.platform_engine import PlatformEngine
 from tests.lib.platform_site import PlatformSite, run_site
 
 pytestmark = pytest.mark.functional
 
 
-@pytest.fixture
-def lines() -> Iterator[list[dict[str, Any]]]:
-    found: list[dict[str, Any]] = []
-    eliot.add_destinations(found.append)
-    yield found
-    eliot.remove_destination(found.append)
-
-
-def told(lines: list[dict[str, Any]], line: str) -> list[dict[str, Any]]:
-    return [message for message in lines if message["message_type"] == line]
-
-
 def test_a_hall_without_hosts_is_told_of_once_and_its_endpoints_are_used(
-    tmp_path: Path, lines: list[dict[str, Any]], monkeypatch: pytest.MonkeyPatch
+    tmp_path: Path, lines: list[Line], monkeypatch: pytest.MonkeyPatch
 ) -> None:
     monkeypatch.setattr(hall_homes, "EMPTY_AFTER_S", 1.0)
 
@@ -53,7 +39,7 @@
 
 
 def test_a_hall_that_loses_its_hosts_is_told_of_and_told_of_when_one_is_back(
-    tmp_path: Path, lines: list[dict[str, Any]], monkeypatch: pytest.MonkeyPatch
+    tmp_path: Path, lines: list[Line], monkeypatch: pytest.MonkeyPatch
 ) -> None:
     monkeypatch.setattr(hall_homes, "EMPTY_AFTER_S", 1.0)
 
@@ -71,7 +57,7 @@
 
 
 def test_hosts_whose_only_seed_is_themselves_find_each_other_through_the_store(
-    tmp_path: Path, lines: list[dict[str, Any]]
+    tmp_path: Path, lines: list[Line]
 ) -> None:
     async def scenario(site: PlatformSite) -> None:
         names = [f"entry-{number}" for number in range(2, 5)]
--- a/tests/functional/test_silent_endpoints.py
+++ b/tests/functional/test_silent_endpoints.py
@@ -7,21 +7,16 @@
 import pytest
 
 from bayhinge._internal.decisions.answer_bounds import UNHEARD_OBJECTIVES
-from tests.lib.platform_engine import EngineTroubles, PlatformEngine
+from tests.lib.asked_endpoints import asked, only_one_service
+from tests.lib.platform_engine import EngineTroubles
 from tests.lib.platform_site import PlatformSite, run_site
 
 pytestmark = pytest.mark.functional
 
 LOOK_OBJECTIVE_S = 0.4
 CHAT_OBJECTIVE_S = 0.2
-
-
-async def mute_the_first_asked(site: PlatformSite, endpoints: list[PlatformEngine]) -> None:
-    """Whichever endpoint runs something keeps silent for good; the others are healed."""
-    await site.until(lambda: any(endpoint.runs for endpoint in endpoints))
-    for endpoint in endpoints:
-        if not endpoint.runs:
-            endpoint.troubles = EngineTroubles()
+ASKED_S = 6.0
+"""Time within which a request reaches an endpoint."""
 
 
 def test_a_lookup_leaves_an_endpoint_that_says_nothing(tmp_path: Path) -> None:
@@ -30,7 +25,7 @@
             service.troubles = EngineTroubles(pause_s=30.0)
         began = asyncio.get_running_loop().time()
         asking = asyncio.create_task(site.ask("/look/x", method="GET"))
-        await mute_the_first_asked(site, site.services)
+        await asked(site.services, ASKED_S)
         assert (await asking).status == 200
         took_s = asyncio.get_running_loop().time() - began
         assert took_s < UNHEARD_OBJECTIVES * LOOK_OBJECTIVE_S + 0.3
@@ -40,12 +35,7 @@
 
 def test_an_endpoint_that_is_slow_alone_is_waited_for(tmp_path: Path) -> None:
     async def scenario(site: PlatformSite) -> None:
-        gone = site.services.pop()
-        site.store.remove("servers", gone.instance)
-        await site.until(
-            lambda: site.entry_by_name["entry-0"]._gateway.book.find(gone.instance) is None
-        )
-        await gone.stop()
+        await only_one_service(site)
         site.services[0].troubles = EngineTroubles(pause_s=1.2)
         assert (await site.ask("/look/x", method="GET")).status == 200
         assert len(site.services[0].runs) == 1
@@ -60,8 +50,7 @@
         for engine in site.engines:
             engine.troubles = EngineTroubles(pause_s=30.0)
         waiting = asyncio.create_task(site.turn(b"hello"))
-        await mute_the_first_asked(site, site.engines)
-        (mute,) = [engine for engine in site.engines if engine.troubles.pause_s]
+        mute = await asked(site.engines, ASKED_S)
         await asyncio.sleep(UNHEARD_OBJECTIVES * CHAT_OBJECTIVE_S + 0.1)
         for engine in site.engines:
             if engine is not mute:
--- /dev/null
+++ b/tests/lib/cut_answers.py
@@ -0,0 +1,85 @@
+"""Answers of endpoints that break off, a caller, and the delivery between them."""
+
+from collections.abc import AsyncIterator
+from typing import cast
+
+import attrs
+
+from bayhinge._internal.decisions.answer_bounds import AnswerBounds
+from bayhinge._internal.models.routed_requests import AnswerMarks, RawHeaders, RoutedRequest
+from bayhinge._internal.models.routing import Route, RouteKind, ServiceShare
+from bayhinge._internal.network.endpoint_answer import BrokenAnswerError
+from bayhinge._internal.network.routed_front import Exchange
+from bayhinge._internal.platform.call_format import PlatformCallFormat
+from bayhinge._internal.services.gateway.stream_delivery import StreamDelivery
+from bayhinge._internal.services.gateway.turn_keeper import TurnKeeper
+
+TOKENS = 3
+"""Tokens that an event counts as."""
+
+ROUTE = Route(
+    "draft",
+    "host",
+    "/",
+    RouteKind.STREAMING,
+    (ServiceShare("llm", 1.0),),
+    timeout_s=1.0,
+    objective_s=1.0,
+    urgency=5,
+    max_endpoints=9,
+    is_resumable=True,
+)
+SIGNED = AnswerMarks("a", True, False, False, False, None)
+BOUNDS = AnswerBounds(unheard_s=1.0, pause_s=1.0, may_leave=True)
+
+
+def event(number: int, run: int) -> bytes:
+    return b"id: %d\ndata: r%de%d\n\n" % (number, run, number)
+
+
+@attrs.define
+class CutAnswer:
+    """An endpoint's answer that comes in pieces and may break off."""
+
+    pieces: list[bytes]
+    breaks_off: bool
+    status: int = 200
+    headers: RawHeaders = ()
+
+    async def read_pieces(self) -> AsyncIterator[bytes]:
+        for piece in self.pieces:
+            yield piece
+        if self.breaks_off:
+            raise BrokenAnswerError("cut")
+
+
+@attrs.define
+class Caller:
+    """Stands for the exchange with a caller."""
+
+    body: bytes = b""
+    has_begun: bool = False
+    is_whole: bool = False
+
+    async def begin(self, status: int, headers: RawHeaders) -> None:
+        assert not self.has_begun
+        self.has_begun = True
+
+    async def write(self, piece: bytes) -> None:
+        self.body += piece
+
+    async def finish(self) -> None:
+        self.is_whole = True
+
+
+def delivery_to(caller: Caller, request: RoutedRequest, route: Route = ROUTE) -> StreamDelivery:
+    """Returns what gives a caller the runs of a stream; no turn is kept of it."""
+    return StreamDelivery(
+        cast(Exchange, caller),
+        PlatformCallFormat(),
+        cast(TurnKeeper, None),
+        None,
+        request,
+        TOKENS,
+        route,
+    )
--- a/tests/lib/silent_store.py
+++ b/tests/lib/silent_store.py
@@ -15,6 +15,7 @@
     StoredObject,
 )
 from bayhinge.coordination.store_contact import StoreContact
+from tests.lib.read_only_store import ReadOnlyStore
 
 Answer = TypeVar("Answer")
 
@@ -62,7 +63,7 @@
         )
 
 
-class SilentStore(PollingStore):
+class SilentStore(ReadOnlyStore, PollingStore):
     """One process's client of the store; only reads."""
 
     def __init__(self, truth: StoreTruth) -> None:
@@ -115,15 +116,3 @@
             raise StoreUnavailableError("a call", "TimeoutError") from error
         self._contact.note_answer()
         return answer
-
-    async def get(self, key: str) -> StoredObject | None:
-        raise NotImplementedError
-
-    async def create(self, key: str, value: bytes) -> StoredObject:
-        raise NotImplementedError
-
-    async def update(self, key: str, value: bytes, version: int) -> StoredObject:
-        raise NotImplementedError
-
-    async def delete(self, key: str, version: int) -> None:
-        raise NotImplementedError
--- a/tests/unit/test_left_behind_elsewhere.py
+++ b/tests/unit/test_left_behind_elsewhere.py
@@ -28,16 +28,12 @@
 from bayhinge.coordination.store import Change, ChangePage, Listing, PollingStore, StoredObject
 from bayhinge.coordination.store_contact import StoreContact
 from bayhinge_standins.object_store import MemoryObjects, MemoryObjectStore
-from tests.functional.test_endpoint_link import answer, ask, read_request, run
+from tests.functional.test_endpoint_link import Wire, answer, ask, read_request, run
+from tests.lib.read_only_store import ReadOnlyStore
 
 
-@pytest.mark.parametrize("size", [1, 12, 17, 40])
-def test_the_beginning_of_a_surplus_answer_is_not_the_next_ones(size: int) -> None:
-    """The first answer is followed by a part of a surplus one; the connection is kept.
-
-    The next request's answer is read behind that part.
-    """
-    part = b"HTTP/1.1 200 OK\r\nBayhinge-Odd: 1\r\nX-Cut: "[:size]
+def wire_with_surplus(part: bytes) -> Wire:
+    """Returns an endpoint that sends a part of a surplus answer behind its first one."""
 
     async def wire(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
         await read_request(reader)
@@ -46,25 +42,29 @@
         writer.write(answer("b", b"mine"))
         await reader.read()
 
+    return wire
+
+
+@pytest.mark.parametrize("size", [1, 12, 17, 40])
+def test_the_beginning_of_a_surplus_answer_is_not_the_next_ones(size: int) -> None:
+    """The first answer is followed by a part of a surplus one; the connection is kept.
+
+    The next request's answer is read behind that part.
+    """
+    part = b"HTTP/1.1 200 OK\r\nBayhinge-Odd: 1\r\nX-Cut: "[:size]
+
     async def scenario(links: EndpointLinks, address: str) -> None:
         connection, first = await ask(links, address)
         assert await first.read_body() == b"body"
         links.release(connection, None)
         assert not connection.is_open
 
-    run(wire, scenario)
+    run(wire_with_surplus(part), scenario)
 
 
 def test_a_surplus_beginning_changes_no_head_of_the_next_answer() -> None:
     part = b"HTTP/1.1 503 Full\r\nBayhinge-Not-Executed: 1\r\nX-Cut: "
 
-    async def wire(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
-        await read_request(reader)
-        writer.write(answer("a") + part)
-        await read_request(reader)
-        writer.write(answer("b", b"mine"))
-        await reader.read()
-
     async def scenario(links: EndpointLinks, address: str) -> None:
         connection, first = await ask(links, address)
         await first.read_body()
@@ -76,10 +76,10 @@
         names = {name for name, _ in second.headers}
         assert (second.status, b"Bayhinge-Not-Executed" in names) == (200, False), second.headers
 
-    run(wire, scenario)
+    run(wire_with_surplus(part), scenario)
 
 
-class SlowList(PollingStore):
+class SlowList(ReadOnlyStore, PollingStore):
     """Answers a list late, with what it held when it was asked."""
 
     def __init__(self) -> None:
@@ -98,18 +98,6 @@
         await asyncio.sleep(wait_s)
         return ChangePage((), after_revision)
 
-    async def get(self, key: str) -> StoredObject | None:
-        raise NotImplementedError
-
-    async def create(self, key: str, value: bytes) -> StoredObject:
-        raise NotImplementedError
-
-    async def update(self, key: str, value: bytes, version: int) -> StoredObject:
-        raise NotImplementedError
-
-    async def delete(self, key: str, version: int) -> None:
-        raise NotImplementedError
-
 
 class NewerPeer(Peers):
     """Knows a later state."""
--- a/tests/unit/test_left_behind_streams.py
+++ b/tests/unit/test_left_behind_streams.py
@@ -7,26 +7,15 @@
 
 from bayhinge._internal.models.routed_requests import RoutedRequest
 from bayhinge._internal.network.endpoint_answer import Answer, BrokenAnswerError
-from bayhinge._internal.network.routed_front import Exchange
-from bayhinge._internal.platform.call_format import PlatformCallFormat
 from bayhinge._internal.services.gateway.stream_delivery import StreamDelivery
-from bayhinge._internal.services.gateway.turn_keeper import TurnKeeper
-from tests.unit.test_stream_delivery import BOUNDS, ROUTE, SIGNED, Caller, CutAnswer, event
+from tests.lib.cut_answers import BOUNDS, SIGNED, Caller, CutAnswer, delivery_to, event
 
 
 async def play(has: int | None, runs: list[CutAnswer]) -> tuple[Caller, list[str], StreamDelivery]:
     """Delivers run after run, as a sender does, until one is whole."""
     caller = Caller()
     request = RoutedRequest("POST", "/x", "host", (), "a", resume_after=has)
-    delivery = StreamDelivery(
-        cast(Exchange, caller),
-        PlatformCallFormat(),
-        cast(TurnKeeper, None),
-        None,
-        request,
-        3,
-        ROUTE,
-    )
+    delivery = delivery_to(caller, request)
     whys: list[str] = []
     for run in runs:
         try:
--- a/tests/unit/test_odd_objects.py
+++ b/tests/unit/test_odd_objects.py
@@ -4,7 +4,6 @@
 from collections.abc import Callable
 from typing import Any
 
-import eliot
 import orjson
 import pytest
 from hypothesis import given, settings
@@ -21,6 +20,7 @@
 from bayhinge._internal.services.gateway.endpoint_restarts import EndpointRestarts
 from bayhinge._internal.services.gateway.runs_under_way import RunsUnderWay
 from bayhinge.coordination.store import Change
+from tests.lib.log_lines import Line, collected_lines, told
 from tests.lib.odd_objects import (
     CLOSING_ROUTE_FIELDS_BY_FORM,
     ENTRY,
@@ -68,10 +68,10 @@
         links = EndpointLinks()
         restarts = EndpointRestarts(self.book, links, RunsUnderWay(), lambda: 0)
         self.belief = EndpointBelief(READER, self.book, links, restarts)
-        self.lines: list[dict[str, Any]] = []
+        self.lines: list[Line] = []
 
-    def told(self, line: str) -> list[dict[str, Any]]:
-        return [message for message in self.lines if message["message_type"] == line]
+    def told(self, kind: str) -> list[Line]:
+        return told(self.lines, kind)
 
     def chosen(self) -> str | None:
         found = self.book.choose("app", Wish(), (), 0.0)
@@ -84,11 +84,8 @@
 def watch(scenario: Callable[[Watched], None]) -> None:
     async def main() -> None:
         watched = Watched()
-        eliot.add_destinations(watched.lines.append)
-        try:
+        with collected_lines() as watched.lines:
             scenario(watched)
-        finally:
-            eliot.remove_destination(watched.lines.append)
 
     asyncio.run(main())
 
--- a/tests/unit/test_running_time.py
+++ b/tests/unit/test_running_time.py
@@ -8,6 +8,7 @@
 import asyncio
 import socket
 import time
+from collections.abc import Awaitable, Callable
 
 import pytest
 
@@ -60,20 +61,29 @@
     assert took_s >= LIMIT_S - 0.001
 
 
-def test_standing_still_uses_up_one_part_of_the_bound() -> None:
+def assert_standing_still_uses_up_one_part(wait: Callable[[], Awaitable[None]]) -> None:
+    """Waits in a loop that stands still past the bound soon after the wait has begun."""
+
     async def scenario() -> float:
         loop = asyncio.get_running_loop()
         loop.call_later(LIMIT_S / 10, time.sleep, STANDS_STILL_S)
         began_s = loop.time()
-        with pytest.raises(TimeoutError):
-            async with running_timeout(LIMIT_S):
-                await asyncio.Event().wait()
+        await wait()
         return loop.time() - began_s
 
     took_s = asyncio.run(scenario())
     assert took_s >= STANDS_STILL_S + LIMIT_S * (STEPS - 2) / STEPS
 
 
+def test_standing_still_uses_up_one_part_of_the_bound() -> None:
+    async def wait() -> None:
+        with pytest.raises(TimeoutError):
+            async with running_timeout(LIMIT_S):
+                await asyncio.Event().wait()
+
+    assert_standing_still_uses_up_one_part(wait)
+
+
 def test_what_ends_in_time_leaves_no_timer_behind() -> None:
     async def scenario() -> None:
         async with running_timeout(LIMIT_S):
@@ -103,18 +113,13 @@
 
 
 def test_standing_still_uses_up_one_part_of_a_bound_on_several_waits() -> None:
-    async def scenario() -> float:
-        loop = asyncio.get_running_loop()
+    async def wait() -> None:
         never = asyncio.ensure_future(asyncio.Event().wait())
-        loop.call_later(LIMIT_S / 10, time.sleep, STANDS_STILL_S)
-        began_s = loop.time()
         finished, waiting = await RunningBound(LIMIT_S).first_of({never})
         assert (finished, waiting) == (set(), {never})
         never.cancel()
-        return loop.time() - began_s
 
-    took_s = asyncio.run(scenario())
-    assert took_s >= STANDS_STILL_S + LIMIT_S * (STEPS - 2) / STEPS
+    assert_standing_still_uses_up_one_part(wait)
 
 
 def test_no_bound_never_ends() -> None:
--- a/tests/unit/test_runs_of_every_kind.py
+++ b/tests/unit/test_runs_of_every_kind.py
@@ -19,7 +19,7 @@
 from bayhinge._internal.services.gateway.runs_under_way import RunUnderWay
 from bayhinge._internal.services.gateway.stream_delivery import StreamDelivery
 from bayhinge._internal.services.gateway.turn_keeper import TurnKeeper
-from tests.unit.test_stream_delivery import ROUTE, SIGNED, Caller, CutAnswer
+from tests.lib.cut_answers import ROUTE, SIGNED, Caller, CutAnswer
 
 EVENTS = 4
 BEAT = b": beat\n\n"
--- a/tests/unit/test_store_pages.py
+++ b/tests/unit/test_store_pages.py
@@ -6,10 +6,11 @@
 import pytest
 
 from bayhinge.coordination.errors import StoreUnavailableError
-from bayhinge.coordination.store import Change, Listing, ObjectStore, StoredObject, list_all
+from bayhinge.coordination.store import Change, Listing, StoredObject, list_all
+from tests.lib.read_only_store import ReadOnlyStore
 
 
-class PagedStore(ObjectStore):
+class PagedStore(ReadOnlyStore):
     """Answers with the pages that it was given, the last one for good."""
 
     def __init__(self, *pages: Listing) -> None:
@@ -21,18 +22,6 @@
         assert len(self.asked) < 100, "it is asked without end"
         return self.pages.pop(0) if len(self.pages) > 1 else self.pages[0]
 
-    async def get(self, key: str) -> StoredObject | None:
-        raise NotImplementedError
-
-    async def create(self, key: str, value: bytes) -> StoredObject:
-        raise NotImplementedError
-
-    async def update(self, key: str, value: bytes, version: int) -> StoredObject:
-        raise NotImplementedError
-
-    async def delete(self, key: str, version: int) -> None:
-        raise NotImplementedError
-
     def watch(self, prefix: str, after_revision: int) -> AsyncIterator[Change]:
         raise NotImplementedError
 
--- a/tests/unit/test_stream_delivery.py
+++ b/tests/unit/test_stream_delivery.py
@@ -1,7 +1,6 @@
 """What a caller gets of a stream whose runs break off, wherever they do."""
 
 import asyncio
-from collections.abc import AsyncIterator
 from typing import cast
 
 import attrs
@@ -9,85 +8,29 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
-from bayhinge._internal.decisions.answer_bounds import AnswerBounds
-from bayhinge._internal.models.routed_requests import AnswerMarks, RawHeaders, RoutedRequest
-from bayhinge._internal.models.routing import Route, RouteKind, ServiceShare
+from bayhinge._internal.models.routed_requests import RoutedRequest
 from bayhinge._internal.network.endpoint_answer import Answer, BrokenAnswerError
-from bayhinge._internal.network.routed_front import Exchange
-from bayhinge._internal.platform.call_format import PlatformCallFormat
 from bayhinge._internal.services.gateway.stream_delivery import StreamDelivery
-from bayhinge._internal.services.gateway.turn_keeper import TurnKeeper
-
-EVENTS = 4
-TOKENS = 3
-ROUTE = Route(
-    "draft",
-    "host",
-    "/",
-    RouteKind.STREAMING,
-    (ServiceShare("llm", 1.0),),
-    timeout_s=1.0,
-    objective_s=1.0,
-    urgency=5,
-    max_endpoints=9,
-    is_resumable=True,
+from tests.lib.cut_answers import (
+    BOUNDS,
+    ROUTE,
+    SIGNED,
+    TOKENS,
+    Caller,
+    CutAnswer,
+    delivery_to,
+    event,
 )
-SIGNED = AnswerMarks("a", True, False, False, False, None)
-BOUNDS = AnswerBounds(unheard_s=1.0, pause_s=1.0, may_leave=True)
-
-
-def event(number: int, run: int) -> bytes:
-    return b"id: %d\ndata: r%de%d\n\n" % (number, run, number)
-
-
-@attrs.define
-class CutAnswer:
-    """An endpoint's answer that comes in pieces and may break off."""
-
-    pieces: list[bytes]
-    breaks_off: bool
-    status: int = 200
-    headers: RawHeaders = ()
 
-    async def read_pieces(self) -> AsyncIterator[bytes]:
-        for piece in self.pieces:
-            yield piece
-        if self.breaks_off:
-            raise BrokenAnswerError("cut")
-
-
-@attrs.define
-class Caller:
-    """Stands for the exchange with a caller."""
-
-    body: bytes = b""
-    has_begun: bool = False
-    is_whole: bool = False
-
-    async def begin(self, status: int, headers: RawHeaders) -> None:
-        assert not self.has_begun
-        self.has_begun = True
-
-    async def write(self, piece: bytes) -> None:
-        self.body += piece
-
-    async def finish(self) -> None:
-        self.is_whole = True
+EVENTS = 4
 
 
 def test_an_event_that_went_out_in_part_counts() -> None:
     """Streams that may not be resumed go out as they come, also the part of an event."""
 
     async def scenario() -> None:
-        delivery = StreamDelivery(
-            cast(Exchange, Caller()),
-            PlatformCallFormat(),
-            cast(TurnKeeper, None),
-            None,
-            RoutedRequest("POST", "/x", "host", (), "a"),
-            TOKENS,
-            attrs.evolve(ROUTE, is_resumable=False),
-        )
+        request = RoutedRequest("POST", "/x", "host", (), "a")
+        delivery = delivery_to(Caller(), request, attrs.evolve(ROUTE, is_resumable=False))
         answer = CutAnswer([event(1, 1), event(2, 1)[:-4]], breaks_off=True)
         with pytest.raises(BrokenAnswerError):
             await delivery.deliver(cast(Answer, answer), SIGNED, False, BOUNDS)
@@ -100,15 +43,7 @@
     """Plays runs that break off after so many bytes, in pieces of a size, and one that does not."""
     caller = Caller()
     request = RoutedRequest("POST", "/x", "host", (), "a", resume_after=has)
-    delivery = StreamDelivery(
-        cast(Exchange, caller),
-        PlatformCallFormat(),
-        cast(TurnKeeper, None),
-        None,
-        request,
-        TOKENS,
-        ROUTE,
-    )
+    delivery = delivery_to(caller, request)
     for run, (length, size) in enumerate([*cuts, (10_000, 7)], start=1):
         first = (delivery.resume_after or 0) + 1
         text = b"".join(event(number, run) for number in range(first, EVENTS + 1))
