The soak has kinds: short silences of the store beside entries that change

Change: what a soak plays is a plan (size and series); `--kind short-silences` and `short-silences-hurt` are two. The story tells silences to 0.01 s, and the last line how many versions were checked; nothing is checked less.

--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -29,6 +29,12 @@
 APPLY_S = 2.0
 """A version is in force so long after the store has taken it."""
 
+SHORT_SILENCE_S = (0.05, 0.6)
+"""A watch of entries pauses for 0.2 to 0.8 s behind a change, and notes no silence within that."""
+
+SOON_S = 0.5
+"""A change comes at most so long behind a short silence."""
+
 METRICS_PORT = 9464
 VERSION_LINE = "bayhinge_configuration_version "
 
@@ -48,6 +54,7 @@
     store_troubles: int = 0
     store_well_since_s: float = 0.0
     version: int = CONFIGURATION["version"]
+    checks: int = 0
     store_lock: asyncio.Lock = attrs.field(factory=asyncio.Lock)
     disk_lock: asyncio.Lock = attrs.field(factory=asyncio.Lock)
     entry_lock: asyncio.Lock = attrs.field(factory=asyncio.Lock)
@@ -89,13 +96,22 @@
 
     async def change_behind_outage(self) -> None:
         """The store answers nothing for a while; a change comes right behind."""
+        await self._change_behind((0.3, 9.0), 0.0)
+
+    async def change_behind_short_silence(self) -> None:
+        """The store answers nothing within the pause of some watches; a change comes soon."""
+        await self._change_behind(SHORT_SILENCE_S, SOON_S)
+
+    async def _change_behind(self, silence_s: tuple[float, float], soon_s: float) -> None:
         async with self.store_lock:
-            away_s = self.source.uniform(0.3, 9.0)
-            self.said(f"store away for {away_s:.1f} s")
+            away_s = self.source.uniform(*silence_s)
+            self.said(f"store away for {away_s:.2f} s")
             async with self._store_trouble():
                 self.store.go_away()
                 await asyncio.sleep(away_s)
                 self.store.come_back()
+            if soon_s:
+                await asyncio.sleep(self.source.uniform(0.0, soon_s))
             self.version += 1
             self.store.put("config", "main", CONFIGURATION | {"version": self.version})
             self.said(f"version {self.version}")
@@ -134,6 +150,7 @@
                 for entry in self.entries
                 if not entry.is_hurt and starts.get(entry.name) == entry.starts
             }
+        self.checks += 1
         for entry in self.entries:
             if entry.name not in starts:
                 continue
--- /dev/null
+++ b/tests/soak/plans.py
@@ -0,0 +1,73 @@
+"""What a soak plays: the size of its site, and the series of faults that run beside each other."""
+
+import random
+from abc import ABC, abstractmethod
+from collections.abc import Awaitable, Callable
+
+import attrs
+
+from tests.soak.endpoint_faults import EndpointFaults
+from tests.soak.faults import Faults
+
+Fault = Callable[[], Awaitable[None]]
+
+SIZES = ((3, 3), (3, 3), (3, 3), (3, 3), (7, 3), (4, 5))
+"""Entry and disk hosts of a site, one is drawn; a process has some 35 MB."""
+
+MANY_WATCHERS = (7, 3)
+"""Entry and disk hosts where two halls have several watchers each."""
+
+
+class Plan(ABC):
+    """One kind of soak."""
+
+    @abstractmethod
+    def size(self, seed: int) -> tuple[int, int]:
+        """Returns the numbers of entry and disk hosts."""
+
+    @abstractmethod
+    def series(
+        self, source: random.Random, faults: Faults, of_endpoints: EndpointFaults
+    ) -> list[Fault]:
+        """Returns the faults; each is played again and again."""
+
+
+class Overlapping(Plan):
+    """Some of all kinds of faults, drawn."""
+
+    def size(self, seed: int) -> tuple[int, int]:
+        return random.Random(f"size {seed}").choice(SIZES)
+
+    def series(
+        self, source: random.Random, faults: Faults, of_endpoints: EndpointFaults
+    ) -> list[Fault]:
+        kinds = source.sample(faults.series(), k=source.randint(1, 3))
+        return kinds + source.sample(of_endpoints.series(), k=source.randint(2, 4))
+
+
+@attrs.frozen
+class ShortSilences(Plan):
+    """Short silences of the store beside entries that change, so that some watches alone hang.
+
+    A draw of all kinds seldom brings these together.
+    """
+
+    hurts_entries: bool
+
+    def size(self, seed: int) -> tuple[int, int]:
+        return MANY_WATCHERS
+
+    def series(
+        self, source: random.Random, faults: Faults, of_endpoints: EndpointFaults
+    ) -> list[Fault]:
+        kinds: list[Fault] = [faults.change_behind_short_silence]
+        if self.hurts_entries:
+            kinds.append(faults.hurt_entry)
+        return [*kinds, *[of_endpoints.write_odd_entry] * 3, of_endpoints.start_again]
+
+
+PLAN_BY_KIND: dict[str, Plan] = {
+    "overlapping": Overlapping(),
+    "short-silences": ShortSilences(hurts_entries=False),
+    "short-silences-hurt": ShortSilences(hurts_entries=True),
+}
--- a/tests/soak/run.py
+++ b/tests/soak/run.py
@@ -19,12 +19,10 @@
 from tests.soak.endpoints import Endpoint, NeverToUse, start_endpoint
 from tests.soak.faults import Faults
 from tests.soak.ledger import Ledger
+from tests.soak.plans import PLAN_BY_KIND, Fault
 from tests.soak.proxy import Proxy, Trouble
 
 HALLS = ("north", "south", "north")
-SIZES = ((3, 3), (3, 3), (3, 3), (3, 3), (7, 3), (4, 5))
-"""Entry and disk hosts of a site, one is drawn; a process has some 35 MB."""
-
 ENDPOINTS = (("i-llm-1", "llm"), ("i-llm-2", "llm"), ("i-app-1", "app"), ("i-app-2", "app"))
 CALLERS = 6
 RECOVERY_S = 6.0
@@ -40,19 +38,21 @@
     story: list[str]
     requests: int
     served_turns: int
+    checks: int
     folder: Path
 
 
 class Soak:
     """One site of processes, played with one seed."""
 
-    def __init__(self, seed: int, seconds: float, folder: Path, net: str) -> None:
+    def __init__(self, seed: int, seconds: float, folder: Path, net: str, kind: str) -> None:
         self._seed = seed
+        self._plan = PLAN_BY_KIND[kind]
         self._seconds = seconds
         self._folder = folder
         self._source = random.Random(seed)
         self._store = PlatformStoreServer()
-        self._size = random.Random(f"size {seed}").choice(SIZES)
+        self._size = self._plan.size(seed)
         self._endpoints: list[Endpoint] = []
         self._never = NeverToUse()
         self._net = net
@@ -60,6 +60,7 @@
         self._entries: list[Daemon] = []
         self._disks: list[Daemon] = []
         self._story: list[str] = []
+        self._checks = 0
         self._began_s = time.monotonic()
         self._say(f"started at {time.time():.2f} by the hosts' logs")
 
@@ -87,6 +88,7 @@
             self._story,
             len(ledger.sent_by_attempt),
             callers.served_turns,
+            self._checks,
             self._folder,
         )
 
@@ -147,15 +149,15 @@
             self._source, self._store, self._endpoints, self._never, self._say
         )
         limit_s = time.monotonic() + self._seconds
-        kinds = self._source.sample(faults.series(), k=self._source.randint(1, 3))
-        kinds += self._source.sample(of_endpoints.series(), k=self._source.randint(2, 4))
+        series = self._plan.series(self._source, faults, of_endpoints)
 
-        async def repeat(kind) -> None:  # type: ignore[no-untyped-def]
+        async def repeat(fault: Fault) -> None:
             while time.monotonic() < limit_s:
                 await asyncio.sleep(self._source.uniform(0.1, 1.5))
-                await kind()
+                await fault()
 
-        await asyncio.gather(*(repeat(kind) for kind in kinds))
+        await asyncio.gather(*(repeat(fault) for fault in series))
+        self._checks = faults.checks
         return faults.problems
 
     async def _recovers(self, callers: Callers) -> list[str]:
@@ -196,9 +198,11 @@
         await self._store.stop()
 
 
-def play_seed(seed: int, seconds: float, folder: Path, net: str = "127.77.1") -> Result:
+def play_seed(
+    seed: int, seconds: float, folder: Path, net: str = "127.77.1", kind: str = "overlapping"
+) -> Result:
     """Plays one seed in a folder of its own."""
-    return asyncio.run(Soak(seed, seconds, folder, net).play())
+    return asyncio.run(Soak(seed, seconds, folder, net, kind).play())
 
 
 def main() -> int:
@@ -207,14 +211,16 @@
     parser.add_argument("--first", type=int, default=0, help="the first seed; 0 draws one")
     parser.add_argument("--seconds", type=float, default=20.0, help="faults of one soak")
     parser.add_argument("--net", default="127.77.1", help="the loopback net of the site's hosts")
+    parser.add_argument("--kind", choices=PLAN_BY_KIND, default="overlapping", help="the faults")
     options = parser.parse_args()
     first = options.first or random.SystemRandom().randrange(1, 1_000_000)
     failed = 0
     for seed in range(first, first + options.seeds):
         folder = Path(tempfile.mkdtemp(prefix=f"soak-{seed}-"))
-        result = play_seed(seed, options.seconds, folder, options.net)
+        result = play_seed(seed, options.seconds, folder, options.net, options.kind)
         verdict = "ok" if not result.problems else f"{len(result.problems)} PROBLEMS"
-        print(f"seed {seed}: {result.requests} requests, {result.served_turns} turns, {verdict}")
+        told = f"{result.requests} requests, {result.served_turns} turns, {result.checks} checks"
+        print(f"seed {seed}: {told} of versions, {verdict}")
         if result.problems:
             failed += 1
             print(*result.problems[:20], *result.story, f"logs: {result.folder}", sep="\n  ")
