A test for the drain of a planned stop

Cause: without its wait for what runs no test failed (platform hosts and rolling restart run): the turn of the existing test ends within the 3 s in which callers still know the host. Change: a turn of 4 s.

--- a/tests/functional/test_platform_hosts.py
+++ b/tests/functional/test_platform_hosts.py
@@ -397,6 +397,21 @@
     run_site(tmp_path, scenario)
 
 
+def test_a_planned_stop_waits_for_a_turn_that_outlasts_what_callers_know(tmp_path: Path) -> None:
+    """Callers keep an answer about addresses for 3 s; this turn takes 4 s of the 5 s it may."""
+
+    async def scenario(site: PlatformSite) -> None:
+        for engine in site.engines:
+            engine.troubles.pause_s = 1.0
+        asking = asyncio.create_task(site.turn(b"longer ", at="entry-0"))
+        await site.until(lambda: any(engine.runs for engine in site.engines))
+        await site.entry_by_name.pop("entry-0").stop()
+        reply = await asking
+        assert (reply.status, reply.is_whole) == (200, True)
+
+    run_site(tmp_path, scenario)
+
+
 def test_a_host_that_is_cut_from_the_disks_goes_through_a_peer(tmp_path: Path) -> None:
     async def scenario(site: PlatformSite) -> None:
         first = await site.turn(b"one ", at="entry-1")
