--- a/tests/soak/mutants.py
+++ b/tests/soak/mutants.py
@@ -136,6 +136,7 @@
     "turns that are still open are counted": ("tests/unit/test_disk_rules.py", *_FENCE),
     "turns are counted at all": ("tests/unit/test_disk_rules.py", *_FENCE, *_KEPT_TURNS),
     "watches are renewed at the store's return": (
+        "tests/unit/test_watchers.py",
         f"{_FUNCTIONAL}store_outages.py",
         f"{_FUNCTIONAL}darkened.py",
         f"{_FUNCTIONAL}platform_store.py",
--- a/tests/unit/test_disk_fence_drawn.py
+++ b/tests/unit/test_disk_fence_drawn.py
@@ -43,7 +43,7 @@
 """A change that met another one takes that one in first."""
 
 Start = tuple[int, int, int]
-STARTS: list[Start] = [(1, 3, 1), (1, 4, 0), (1, 5, 0), (2, 3, 0), (2, 5, 0), (2, 3, 0)]
+STARTS: list[Start] = [(1, 3, 1), (1, 4, 0), (1, 5, 0), (2, 3, 0), (2, 5, 0), (2, 4, 0)]
 """Disks that may be lost at once, members of the set, and disks beside it. Some have shrunk."""
 
 SETTINGS = settings(
