--- a/tests/soak/run.py
+++ b/tests/soak/run.py
@@ -6,6 +6,7 @@
 import sys
 import tempfile
 import time
+from collections.abc import Collection
 from pathlib import Path
 
 import aiohttp
@@ -45,7 +46,15 @@
 class Soak:
     """One site of processes, played with one seed."""
 
-    def __init__(self, seed: int, seconds: float, folder: Path, net: str, kind: str) -> None:
+    def __init__(
+        self,
+        seed: int,
+        seconds: float,
+        folder: Path,
+        net: str,
+        kind: str,
+        also: Collection[str] = (),
+    ) -> None:
         self._seed = seed
         self._plan = PLAN_BY_KIND[kind]
         self._seconds = seconds
@@ -56,6 +65,7 @@
         self._endpoints: list[Endpoint] = []
         self._never = NeverToUse()
         self._net = net
+        self._also = also
         self._store_proxies: list[Proxy] = []
         self._entries: list[Daemon] = []
         self._disks: list[Daemon] = []
@@ -151,6 +161,10 @@
         limit_s = time.monotonic() + self._seconds
         series = self._plan.series(self._source, faults, of_endpoints)
 
+        # What a guard is for must be played where its absence is looked for.
+        others = [one for one in faults.series() + of_endpoints.series() if one not in series]
+        series += [one for one in others if one.__name__ in self._also]
+
         async def repeat(fault: Fault) -> None:
             while time.monotonic() < limit_s:
                 await asyncio.sleep(self._source.uniform(0.1, 1.5))
@@ -199,10 +213,15 @@
 
 
 def play_seed(
-    seed: int, seconds: float, folder: Path, net: str = "127.77.1", kind: str = "overlapping"
+    seed: int,
+    seconds: float,
+    folder: Path,
+    net: str = "127.77.1",
+    kind: str = "overlapping",
+    also: Collection[str] = (),
 ) -> Result:
-    """Plays one seed in a folder of its own."""
-    return asyncio.run(Soak(seed, seconds, folder, net, kind).play())
+    """Plays one seed in a folder of its own; ``also`` names kinds of faults besides those drawn."""
+    return asyncio.run(Soak(seed, seconds, folder, net, kind, also).play())
 
 
 def main() -> int:
@@ -212,12 +231,13 @@
     parser.add_argument("--seconds", type=float, default=20.0, help="faults of one soak")
     parser.add_argument("--net", default="127.77.1", help="the loopback net of the site's hosts")
     parser.add_argument("--kind", choices=PLAN_BY_KIND, default="overlapping", help="the faults")
+    parser.add_argument("--also", nargs="*", default=[], help="kinds of faults to play in any case")
     options = parser.parse_args()
     first = options.first or random.SystemRandom().randrange(1, 1_000_000)
     failed = 0
     for seed in range(first, first + options.seeds):
         folder = Path(tempfile.mkdtemp(prefix=f"soak-{seed}-"))
-        result = play_seed(seed, options.seconds, folder, options.net, options.kind)
+        result = play_seed(seed, options.seconds, folder, options.net, options.kind, options.also)
         verdict = "ok" if not result.problems else f"{len(result.problems)} PROBLEMS"
         told = f"{result.requests} requests, {result.served_turns} turns, {result.checks} checks"
         print(f"seed {seed}: {told} of versions, {verdict}")
