--- a/tests/soak/mutants.py
+++ b/tests/soak/mutants.py
@@ -109,7 +109,9 @@
     ),
     "settle": (
         Edit(
-            "services/gateway/turn_keeper.py", "        if turn.reserved == 0:", "        if True:"
+            "services/gateway/turn_reservations.py",
+            "        if turn.reserved == 0:",
+            "        if True:",
         ),
     ),
 }
