--- a/src/bayhinge/_internal/services/disk_sets.py
+++ b/src/bayhinge/_internal/services/disk_sets.py
@@ -59,17 +59,23 @@
     return disk_set
 
 
-async def change_disk_set(store: ObjectStore, change: Change) -> DiskSet:
-    """Applies a change to the newest set until the store has taken it.
+async def change_disk_set(
+    store: ObjectStore, change: Change, settled_version: int | None = None
+) -> DiskSet:
+    """Applies a change to the newest set until the store has taken it; returns the newest set.
 
     ``change`` gets the members and returns the new ones, or None where nothing is to be
     done. It may be called again: another disk may have written meanwhile, or the answer
     to an earlier write was lost.
+
+    ``settled_version`` is the one that the asking disk has found settled. A newer set is left as it
+    is: nobody may have caught up with it, and of two changes on end what both of the disks that
+    left had taken is known to nobody who stays. None is for disks that begin a set.
     """
     conflicts = 0
     while True:
         try:
-            changed = await _try_change(store, change)
+            changed = await _try_change(store, change, settled_version)
         except (AlreadyExistsError, VersionConflictError):
             longest_s = min(LONGEST_BACKOFF_S, FIRST_BACKOFF_S * 2**conflicts)
             conflicts += 1
@@ -82,9 +88,11 @@
         return changed
 
 
-async def _try_change(store: ObjectStore, change: Change) -> DiskSet:
+async def _try_change(store: ObjectStore, change: Change, settled_version: int | None) -> DiskSet:
     stored = await store.get(DISK_SET_KEY)
     current = DiskSet(0, []) if stored is None else _decoded(stored.value)
+    if settled_version is not None and current.version > settled_version:
+        return current
     members = change(list(current.members))
     if members is None:
         return current
--- a/src/bayhinge/_internal/services/disks/disk_host.py
+++ b/src/bayhinge/_internal/services/disks/disk_host.py
@@ -132,9 +132,12 @@
             return
         if not self.fence.has_settled:
             return
+        version = self.disk_set.version
         self.take_disk_set(
-            await change_disk_set(self._store, lambda found: with_newcomer(found, self.me))
+            await change_disk_set(self._store, lambda found: with_newcomer(found, self.me), version)
         )
+        if not self._is_member():
+            return
         self.turns.mark_joined()
         eliot.log_message(
             "disk.joined", host=self.settings.host, disk_set_version=self.disk_set.version
@@ -151,7 +154,9 @@
         eliot.log_message("disk_set.dropping", silent_s=silent_s, version=self.disk_set.version)
         self.take_disk_set(
             await change_disk_set(
-                self._store, lambda found: without_silent(found, silent_s, tolerated)
+                self._store,
+                lambda found: without_silent(found, silent_s, tolerated),
+                self.disk_set.version,
             )
         )
 
--- a/src/bayhinge/_internal/services/disks/disk_retirement.py
+++ b/src/bayhinge/_internal/services/disks/disk_retirement.py
@@ -56,7 +56,8 @@
             may_wait = loop.time() < stay_until_s
             if self._disk.fence.has_settled:
                 change = partial(without_retired, host=host, tolerated=tolerated, may_wait=may_wait)
-                self._disk.take_disk_set(await change_disk_set(self._store, change))
+                version = self._disk.disk_set.version
+                self._disk.take_disk_set(await change_disk_set(self._store, change, version))
             if not any(member.host == host for member in self._disk.disk_set.members):
                 return
             if not has_said_so:
--- a/tests/unit/test_unheard_sets.py
+++ b/tests/unit/test_unheard_sets.py
@@ -7,43 +7,92 @@
 """
 
 import asyncio
+import contextlib
+from collections.abc import Awaitable, Callable
 from pathlib import Path
 
 import attrs
+import pytest
 
+from bayhinge._internal.decisions.disk_set_rules import DROP_AFTER_S
 from bayhinge._internal.network.frames import encode_message
 from bayhinge._internal.services.disk_sets import DISK_SET_KEY, read_disk_set
 from bayhinge._internal.services.disks.disk_host import DiskHost
 from bayhinge._internal.services.disks.disk_retirement import DiskRetirement
 from bayhinge._internal.wire.hosts import ttypes as wire
+from bayhinge.coordination.store import ObjectStore
 from bayhinge_standins.object_store import MemoryObjects, MemoryObjectStore
 from tests.unit.test_left_behind_disks import SETTINGS
 from tests.unit.test_set_fence import OTHERS
 
 
-def test_a_disk_does_not_leave_a_set_of_which_it_has_not_heard(tmp_path: Path) -> None:
-    """Two disks that leave at once: what both took would be known to nobody who stays."""
-
-    async def main() -> None:
-        store = MemoryObjectStore(MemoryObjects())
-        host = DiskHost(attrs.evolve(SETTINGS, data_folder=str(tmp_path)), store)
-        host.gossip.say_now = lambda: None  # type: ignore[method-assign]
-        members = [host.me, *OTHERS]
-        host.take_disk_set(wire.DiskSet(1, members, []))
-        host.fence.note_read(OTHERS[0], 1, True)
-        host.fence.note_read(OTHERS[1], 1, True)
-        host.fence.note_read(OTHERS[2], 1, True)
-        assert host.fence.has_settled
-        # Another one has left just now.
-        changed = wire.DiskSet(2, members[:-1], members)
-        await store.create(DISK_SET_KEY, encode_message(changed))
-        try:
-            async with asyncio.timeout(0.3):
-                await DiskRetirement(host, store)._leave_set(0.0)
-        except TimeoutError:
-            pass
-        stored = await read_disk_set(store)
-        assert stored is not None
-        assert stored.version == 2, "nobody has caught up with version 2"
-
-    asyncio.run(main())
+async def leave(host: DiskHost, store: ObjectStore) -> None:
+    with contextlib.suppress(TimeoutError):
+        async with asyncio.timeout(0.3):
+            await DiskRetirement(host, store)._leave_set(0.0)
+
+
+async def join(host: DiskHost, store: ObjectStore) -> None:
+    host._read_hosts = {member.host for member in OTHERS}
+    await host._join_if_copied()
+
+
+async def drop_one(host: DiskHost, store: ObjectStore) -> None:
+    host._silent_since_by_host = {
+        OTHERS[0].host: asyncio.get_running_loop().time() - 2 * DROP_AFTER_S
+    }
+    await host._drop_silent()
+
+
+async def set_after(
+    folder: Path,
+    change: Callable[[DiskHost, ObjectStore], Awaitable[None]],
+    is_member: bool,
+    is_heard: bool,
+) -> tuple[wire.DiskSet, DiskHost]:
+    """Changes a set that has settled, behind another one's change that was heard of or not."""
+    store = MemoryObjectStore(MemoryObjects())
+    host = DiskHost(attrs.evolve(SETTINGS, data_folder=str(folder)), store)
+    host.gossip.say_now = lambda: None  # type: ignore[method-assign]
+    members = [host.me, *OTHERS] if is_member else [*OTHERS]
+    changed = wire.DiskSet(
+        2, [*members, wire.DiskMember("disk-9", 99, "10.0.0.9:1", "east")], members
+    )
+    await store.create(DISK_SET_KEY, encode_message(changed))
+    known = changed if is_heard else wire.DiskSet(1, members, [])
+    host.take_disk_set(known)
+    for member in known.members:
+        if member.host != host.me.host:
+            host.fence.note_read(member, known.version, True)
+    assert host.fence.has_settled
+    await change(host, store)
+    stored = await read_disk_set(store)
+    assert stored is not None
+    return stored, host
+
+
+CHANGES = [(leave, True), (join, False), (drop_one, True)]
+
+
+@pytest.mark.parametrize(("change", "is_member"), CHANGES)
+def test_a_disk_does_not_change_a_set_of_which_it_has_not_heard(
+    tmp_path: Path,
+    change: Callable[[DiskHost, ObjectStore], Awaitable[None]],
+    is_member: bool,
+) -> None:
+    """It takes the newer one in, and waits until that has settled as well."""
+    stored, host = asyncio.run(set_after(tmp_path, change, is_member, is_heard=False))
+    assert stored.version == 2, "nobody has caught up with version 2"
+    assert host.disk_set.version == 2
+    assert host._is_member() == is_member
+
+
+@pytest.mark.parametrize(("change", "is_member"), CHANGES)
+def test_a_disk_changes_a_set_that_it_knows_to_have_settled(
+    tmp_path: Path,
+    change: Callable[[DiskHost, ObjectStore], Awaitable[None]],
+    is_member: bool,
+) -> None:
+    stored, host = asyncio.run(set_after(tmp_path, change, is_member, is_heard=True))
+    assert stored.version == 3
+    assert host.disk_set.version == 3
