Three long test files are split by what they test

Change, pure moves: - test_watchers.py keeps who watches and when watches end; test_news_after_outages.py has what counts as an outage and how soon news comes; test_store_calls.py has how often the store is called. They share tests/lib/watching_site.py. - test_stalls.py becomes test_stalls_peers.py, test_stalls_hellos.py and test_stalls_endpoints.py. They share tests/lib/disks_elsewhere.py. - test_platform_hosts.py becomes test_platform_requests.py, _turns.py, _objects.py and _stops.py. - The mutants' table of tests names all parts where it named the whole, so that each guard meets the same tests as before.

Conclusion: no assert, bound, seed, parametrization or test name changed.

--- a/tests/soak/mutants.py
+++ b/tests/soak/mutants.py
@@ -118,7 +118,9 @@
 
 _LEFT = "tests/unit/test_left_behind_"
 _FUNCTIONAL = "tests/functional/test_"
-_KEPT_TURNS = (f"{_FUNCTIONAL}platform_hosts.py",)
+_PLATFORM = tuple(
+    f"{_FUNCTIONAL}platform_{what}.py" for what in ("requests", "turns", "objects", "stops")
+)
 _FENCE = ("tests/unit/test_disk_fence.py", "tests/unit/test_set_fence.py")
 
 TESTS_BY_GUARD: dict[str, tuple[str, ...]] = {
@@ -126,19 +128,21 @@
         "tests/unit/test_routing.py",
         f"{_FUNCTIONAL}sending.py",
         f"{_FUNCTIONAL}routed_front.py",
-        f"{_FUNCTIONAL}platform_hosts.py",
+        *_PLATFORM,
     ),
     "a kept stream that ends within an event is broken": (
         "tests/unit/test_stream_delivery.py",
         f"{_LEFT}streams.py",
         f"{_FUNCTIONAL}cut_streams.py",
     ),
-    "reservations meet on a disk": ("tests/unit/test_disk_rules.py", *_FENCE, *_KEPT_TURNS),
-    "turns have two copies": ("tests/unit/test_disk_rules.py", *_FENCE, *_KEPT_TURNS),
+    "reservations meet on a disk": ("tests/unit/test_disk_rules.py", *_FENCE, *_PLATFORM),
+    "turns have two copies": ("tests/unit/test_disk_rules.py", *_FENCE, *_PLATFORM),
     "turns that are still open are counted": ("tests/unit/test_disk_rules.py", *_FENCE),
-    "turns are counted at all": ("tests/unit/test_disk_rules.py", *_FENCE, *_KEPT_TURNS),
+    "turns are counted at all": ("tests/unit/test_disk_rules.py", *_FENCE, *_PLATFORM),
     "watches are renewed at the store's return": (
         "tests/unit/test_watchers.py",
+        "tests/unit/test_news_after_outages.py",
+        "tests/unit/test_store_calls.py",
         f"{_FUNCTIONAL}store_outages.py",
         f"{_FUNCTIONAL}darkened.py",
         f"{_FUNCTIONAL}platform_store.py",
@@ -156,7 +160,7 @@
     "the reservation's second look": (
         "tests/unit/test_set_fence.py",
         f"{_LEFT}disks.py",
-        f"{_FUNCTIONAL}platform_hosts.py",
+        *_PLATFORM,
     ),
     "ejection": (
         "tests/unit/test_endpoint_book.py",
@@ -165,14 +169,14 @@
     ),
     "doubt": ("tests/unit/test_answer_bounds.py", f"{_FUNCTIONAL}silent_endpoints.py"),
     "lapsed entries": (
-        f"{_FUNCTIONAL}platform_hosts.py",
+        *_PLATFORM,
         f"{_LEFT}elsewhere.py",
         f"{_FUNCTIONAL}store_outages.py",
         f"{_FUNCTIONAL}darkened.py",
         f"{_FUNCTIONAL}platform_store.py",
     ),
-    "drain": (f"{_FUNCTIONAL}platform_hosts.py", f"{_FUNCTIONAL}rolling_restart.py"),
-    "settle": _KEPT_TURNS,
+    "drain": (*_PLATFORM, f"{_FUNCTIONAL}rolling_restart.py"),
+    "settle": _PLATFORM,
 }
 """Tests that should notice a guard's absence; a play of them is cheaper than one soak."""
 
--- /dev/null
+++ b/tests/unit/test_news_after_outages.py
@@ -0,0 +1,153 @@
+"""What counts as an outage of the store, and how soon a site has news behind one."""
+
+import asyncio
+
+import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from bayhinge._internal.bench.world.virtual_time import run_virtual
+from bayhinge._internal.decisions.watchers import LEAST_WAIT_S, WATCH_PERIOD_S, WATCHERS_PER_HALL
+from bayhinge._internal.services.key_follower import FIRST_PAUSE_S, PEER_PATIENCE_S
+from bayhinge.coordination.store_contact import StoreContact
+from tests.lib.silent_store import CALL_S, WAIT_MARGIN_S
+from tests.lib.watching_site import PREFIXES, WatchingSite
+
+LONGEST_RETRY_S = 0.75
+"""The longest pause between two calls to a store that fails."""
+
+
+# ---- what one process learns ----
+
+
+def test_only_the_first_answer_after_failures_is_a_return() -> None:
+    async def scenario() -> None:
+        returns: list[int] = []
+        contact = StoreContact(on_return=[lambda: returns.append(1)])
+        contact.note_answer()
+        assert returns == []
+        contact.note_failure(is_silent=False)
+        contact.note_failure(is_silent=False)
+        contact.note_answer()
+        contact.note_answer()
+        assert returns == [1]
+
+    run_virtual(scenario())
+
+
+@pytest.mark.parametrize(
+    ("is_silent", "lasts_s", "was_outage"),
+    [(False, 0.01, False), (False, 1.0, True), (True, 0.01, True)],
+)
+def test_a_cut_watch_is_no_outage(is_silent: bool, lasts_s: float, was_outage: bool) -> None:
+    async def scenario() -> bool:
+        contact = StoreContact()
+        contact.note_failure(is_silent)
+        await asyncio.sleep(lasts_s)
+        contact.note_answer()
+        return contact.returned_s == asyncio.get_running_loop().time()
+
+    assert run_virtual(scenario()) is was_outage
+
+
+# ---- a site ----
+
+
+@given(
+    halls=st.integers(1, 3),
+    hosts_per_hall=st.integers(1, 3),
+    begins_after_s=st.floats(0.0, 7.0),
+    away_s=st.floats(0.05, 14.0),
+    changes_after_s=st.floats(0.0, 0.5),
+)
+@settings(max_examples=60, deadline=None)
+def test_a_change_behind_any_outage_is_known_everywhere_in_time(
+    halls: int, hosts_per_hall: int, begins_after_s: float, away_s: float, changes_after_s: float
+) -> None:
+    async def scenario() -> float:
+        site = WatchingSite(halls, hosts_per_hall)
+        await asyncio.sleep(1.0)
+        # Wakes all watches in one moment, as operators do.
+        site.truth.put()
+        await site.seconds_until_known()
+        await asyncio.sleep(begins_after_s)
+        site.truth.go_away()
+        await asyncio.sleep(away_s)
+        site.truth.come_back()
+        await asyncio.sleep(changes_after_s)
+        site.truth.put()
+        took_s = await site.seconds_until_known()
+        site.stop()
+        return took_s
+
+    watches = halls * min(hosts_per_hall, WATCHERS_PER_HALL) * len(PREFIXES)
+    unnoticed_s = WATCH_PERIOD_S / watches + LEAST_WAIT_S + WAIT_MARGIN_S
+    noticed_s = CALL_S + LONGEST_RETRY_S
+    told_s = PEER_PATIENCE_S + 0.1
+    assert run_virtual(scenario()) <= max(unnoticed_s, noticed_s) + told_s
+
+
+def test_an_outage_within_all_watches_is_found_at_the_next_end() -> None:
+    async def scenario(begins_after_s: float) -> float:
+        site = WatchingSite(halls=3, hosts_per_hall=1)
+        await asyncio.sleep(7.0 + begins_after_s)
+        site.truth.go_away()
+        await asyncio.sleep(0.01)
+        site.truth.come_back()
+        site.truth.put()
+        took_s = await site.seconds_until_known()
+        site.stop()
+        return took_s
+
+    ends = 3 * len(PREFIXES)
+    bound_s = WATCH_PERIOD_S / ends + WAIT_MARGIN_S + PEER_PATIENCE_S + 0.1
+    moments = [number * WATCH_PERIOD_S / 40 for number in range(40)]
+    worst_s = max(run_virtual(scenario(moment)) for moment in moments)
+    assert worst_s <= bound_s
+
+
+def longest_until_known(
+    halls: int, hosts_per_hall: int, away_s: float, entry_before_s: float, down: int = 0
+) -> float:
+    """Returns the longest time to a change behind a silence that began soon after an entry's.
+
+    The entry's change wakes the watches of entries, and each of them pauses before its next call:
+    that call comes when the store is back, and says nothing of the silence.
+    """
+
+    async def scenario(begins_after_s: float) -> float:
+        site = WatchingSite(halls, hosts_per_hall)
+        await asyncio.sleep(7.0 + begins_after_s)
+        site.take_down(down)
+        site.truth.put("servers/one")
+        await asyncio.sleep(entry_before_s)
+        site.truth.go_away()
+        await asyncio.sleep(away_s)
+        site.truth.come_back()
+        site.truth.put()
+        took_s = await site.seconds_until_known()
+        site.stop()
+        return took_s
+
+    moments = [number * WATCH_PERIOD_S / 60 for number in range(60)]
+    return max(run_virtual(scenario(moment)) for moment in moments)
+
+
+@pytest.mark.parametrize("halls", [1, 2, 3])
+@pytest.mark.parametrize("away_s", [0.05, 0.15])
+def test_a_silence_between_two_watches_of_entries_hides_no_configuration(
+    halls: int, away_s: float
+) -> None:
+    took_s = longest_until_known(halls, WATCHERS_PER_HALL, away_s, entry_before_s=0.02)
+    ends = halls * WATCHERS_PER_HALL
+    assert took_s <= WATCH_PERIOD_S / ends + LEAST_WAIT_S + WAIT_MARGIN_S + PEER_PATIENCE_S + 0.1
+
+
+@pytest.mark.parametrize(("halls", "down"), [(1, 0), (2, 0), (3, 0), (2, 1), (3, 1)])
+def test_ends_of_entries_watches_bring_the_configuration_too(halls: int, down: int) -> None:
+    took_s = longest_until_known(halls, WATCHERS_PER_HALL, 0.05, entry_before_s=0.02, down=down)
+    # A host that is down has two ends, which stand apart.
+    gap_s = WATCH_PERIOD_S / (halls * WATCHERS_PER_HALL * len(PREFIXES)) * (1 + down)
+    # Turns within the pause after the entry's change, and right behind it, are passed over.
+    passed_over_s = FIRST_PAUSE_S + LEAST_WAIT_S
+    assert took_s <= gap_s + passed_over_s + WAIT_MARGIN_S + PEER_PATIENCE_S + 0.1
--- a/tests/unit/test_stalls.py
+++ b/tests/unit/test_stalls_peers.py
@@ -1,38 +1,29 @@
-"""A host that stood still finds what came for it meanwhile, and takes nobody for silent.
+"""A host that stood still finds what disks and other hosts sent it, and takes none for silent.
 
 Peers answer from a thread of their own, over real sockets, while the host's loop stands still.
 """
 
 import asyncio
-import os
-import threading
 import time
-from collections.abc import AsyncIterator, Awaitable, Callable, Iterator
-from contextlib import contextmanager
+from collections.abc import Awaitable, Callable
 from typing import TypeVar, cast
 
 import attrs
 import pytest
 
-from bayhinge._internal.decisions.answer_bounds import AnswerBounds
 from bayhinge._internal.models.routed_requests import TurnContext
 from bayhinge._internal.models.site_settings import SiteSettings
-from bayhinge._internal.network.endpoint_answer import Answer, SilentEndpointError
-from bayhinge._internal.network.endpoint_link import CONNECT_S, EndpointLinks
-from bayhinge._internal.network.frames import decode_message, encode_message
 from bayhinge._internal.network.peer_client import PeerClient
-from bayhinge._internal.network.peer_server import PeerServer
-from bayhinge._internal.network.peers import AnsweringHandler, Peers
+from bayhinge._internal.network.peers import Peers
 from bayhinge._internal.services import methods
 from bayhinge._internal.services.disks import disk_state
 from bayhinge._internal.services.disks.disk_state import DiskState
 from bayhinge._internal.services.gateway import disk_directory, disk_link
 from bayhinge._internal.services.gateway.disk_directory import DiskDirectory
 from bayhinge._internal.services.gateway.disk_link import DiskLink
-from bayhinge._internal.services.gateway.stream_delivery import _pieces
 from bayhinge._internal.services.gateway.turn_keeper import TurnKeeper
 from bayhinge._internal.services.gateway.turn_refusals import OPEN_S
-from bayhinge._internal.services.gossip import FIRST_S, LEAST_FRESH_S, Gossip
+from bayhinge._internal.services.gossip import Gossip
 from bayhinge._internal.services.key_follower import (
     LISTENER_PATIENCE_S,
     PEER_CALL_S,
@@ -43,65 +34,14 @@
 from bayhinge.coordination.clock import HybridClock, SystemClock
 from bayhinge.coordination.store import Change, ObjectStore, PollingStore
 from bayhinge.coordination.store_contact import StoreContact
-
-ANSWERS_AFTER_S = 0.02
-"""A peer's time to answer."""
+from tests.lib.disks_elsewhere import TEXT, Disk, disks_elsewhere
 
 STALLS_AFTER_S = (0.0, 0.005)
 """The host stands still before its question leaves, or soon after: the answer comes meanwhile."""
 
-TEXT = b"what was said before"
-
 Result = TypeVar("Result")
 
 
-class Disk(AnsweringHandler):
-    """Takes every reservation, and has each turn."""
-
-    def __init__(self) -> None:
-        self.calls: list[str] = []
-
-    async def answer(self, method: str, payload: bytes) -> bytes:
-        self.calls.append(method)
-        await asyncio.sleep(ANSWERS_AFTER_S)
-        if method == methods.RESERVE:
-            query = decode_message(wire.ReserveTurn(), payload)
-            chain = TEXT if query.previous and query.wants_chain else None
-            return encode_message(wire.ReserveReply(1, {}, {}, chain))
-        if method == methods.ENTRIES:
-            entry = wire.TurnEntry(wire.EntryKind.TURN, "a0", "p", 3, None, TEXT)
-            return encode_message(wire.EntriesReply([entry]))
-        if method == methods.DISK_SET:
-            return encode_message(wire.DiskSet(2, [wire.DiskMember("disk-0", 1, "", "north")]))
-        if method == methods.OBJECTS:
-            return encode_message(wire.KnownObjects(5, {}, 5, False))
-        return payload
-
-
-@contextmanager
-def disks_elsewhere(count: int) -> Iterator[tuple[list[str], list[Disk]]]:
-    """Runs peers in another thread, whose loop goes on while this one's stands still."""
-    loop = asyncio.new_event_loop()
-    thread = threading.Thread(target=loop.run_forever, daemon=True)
-    thread.start()
-    disks = [Disk() for _ in range(count)]
-    servers = [PeerServer("127.0.0.1:0", disk, HybridClock(SystemClock())) for disk in disks]
-    try:
-        yield (
-            [
-                asyncio.run_coroutine_threadsafe(server.start(), loop).result(5)
-                for server in servers
-            ],
-            disks,
-        )
-    finally:
-        for server in servers:
-            asyncio.run_coroutine_threadsafe(server.stop(), loop).result(5)
-        loop.call_soon_threadsafe(loop.stop)
-        thread.join(5)
-        loop.close()
-
-
 @attrs.define
 class Hearing:
     """Stands for the hellos: one other host, through which disks could be reached."""
@@ -343,160 +283,7 @@
     assert complete_to == 5
 
 
-# ---- hellos ----
-
-OTHERS = 7
-GOSSIP_PORT = 7399
-GREETING_NET = f"127.88.{os.getpid() % 250 + 1}"
-"""Suites that run side by side must not meet."""
-
-
-@attrs.define
-class GreetingSettings:
-    """What a host needs to greet others on loopback."""
-
-    host: str
-    ip: str
-    hall: str = "north"
-    seeds: tuple[str, ...] = (f"{GREETING_NET}.1",)
-    gossip_port: int = GOSSIP_PORT
-    peer_address: str = "127.0.0.1:1"
-    front_address: str = "127.0.0.1:2"
-
-    @property
-    def gossip_address(self) -> str:
-        return f"{self.ip}:{self.gossip_port}"
-
-
-def greeting_host(number: int) -> Gossip:
-    settings = cast(SiteSettings, GreetingSettings(f"h{number}", f"{GREETING_NET}.{number + 1}"))
-    gossip = Gossip(settings, wire.HostRole.ENTRY)
-    gossip.me.phase = wire.HostPhase.READY
-    return gossip
-
-
-async def run_others(is_over: threading.Event) -> None:
-    others = [greeting_host(number) for number in range(1, OTHERS + 1)]
-    for gossip in others:
-        await gossip.start()
-    while not is_over.is_set():  # noqa: ASYNC110 - it is set in another thread
-        await asyncio.sleep(0.05)
-    for gossip in others:
-        await gossip.stop()
-
-
-def test_a_host_that_stood_still_reads_what_it_was_told_before_it_judges_who_is_there() -> None:
-    """Homes are worked out anew in each round of hellos, and hold until the next one."""
-
-    async def scenario() -> list[int]:
-        gossip = greeting_host(0)
-        await gossip.start()
-        async with asyncio.timeout(10):
-            while len(gossip.fresh(wire.HostRole.ENTRY)) < OTHERS:  # noqa: ASYNC110
-                await asyncio.sleep(0.02)
-        await asyncio.sleep(FIRST_S)
-        heard: list[int] = []
-        gossip.on_round = lambda: heard.append(len(gossip.fresh(wire.HostRole.ENTRY)))
-        time.sleep(LEAST_FRESH_S + 0.5)  # noqa: ASYNC251 - it plays a process that gets no time
-        await asyncio.sleep(0.5)
-        await gossip.stop()
-        return heard
-
-    is_over = threading.Event()
-    others = threading.Thread(target=lambda: asyncio.run(run_others(is_over)), daemon=True)
-    others.start()
-    try:
-        heard = asyncio.run(scenario())
-    finally:
-        is_over.set()
-        others.join(5)
-    assert heard
-    assert set(heard) == {OTHERS}
-
-
-# ---- endpoints ----
-
-PAUSE_S = 0.04
-BOUNDS = AnswerBounds(unheard_s=1.0, may_leave=True, pause_s=PAUSE_S)
-
-
-@attrs.define
-class StreamedAnswer:
-    """An endpoint's answer whose pieces come over a real connection."""
-
-    reader: asyncio.StreamReader
-
-    async def read_pieces(self) -> AsyncIterator[bytes]:
-        while piece := await self.reader.read(100):
-            yield piece
-
-
-async def read_stream(events: int, stall_s: float) -> list[bytes]:
-    """Reads a stream whose events come every 5 ms from another thread."""
-
-    def send(far: "asyncio.Transport", left: int) -> None:
-        if left:
-            far.write(b"data: x\n\n")
-            elsewhere.call_later(0.005, send, far, left - 1)
-
-    class Far(asyncio.Protocol):
-        def connection_made(self, transport: asyncio.BaseTransport) -> None:
-            send(cast(asyncio.Transport, transport), events)
-
-    elsewhere = asyncio.new_event_loop()
-    thread = threading.Thread(target=elsewhere.run_forever, daemon=True)
-    thread.start()
-    serving = elsewhere.create_server(Far, "127.0.0.1", 0)
-    server = asyncio.run_coroutine_threadsafe(serving, elsewhere).result(5)
-    reader, writer = await asyncio.open_connection(*server.sockets[0].getsockname())
-    asyncio.get_running_loop().call_later(0.02, time.sleep, stall_s)
-    pieces: list[bytes] = []
-    try:
-        async for piece in _pieces(cast(Answer, StreamedAnswer(reader)), BOUNDS):
-            pieces.append(piece)
-            if b"".join(pieces).count(b"\n\n") == events:
-                break
-    finally:
-        writer.close()
-        elsewhere.call_soon_threadsafe(elsewhere.stop)
-        thread.join(5)
-        server.close()
-        elsewhere.close()
-    return pieces
-
-
-def test_a_stream_is_not_left_because_its_host_stood_still() -> None:
-    pieces = asyncio.run(read_stream(40, 3 * PAUSE_S))
-    assert b"".join(pieces).count(b"\n\n") == 40
-
-
-def test_a_stream_that_pauses_for_too_long_is_left() -> None:
-    class Pausing:
-        async def read_pieces(self) -> AsyncIterator[bytes]:
-            yield b"data: x\n\n"
-            await asyncio.sleep(5)
-            yield b"data: y\n\n"
-
-    async def scenario() -> float:
-        loop = asyncio.get_running_loop()
-        began_s = loop.time()
-        with pytest.raises(SilentEndpointError):
-            async for _ in _pieces(cast(Answer, Pausing()), BOUNDS):
-                pass
-        return loop.time() - began_s
-
-    assert asyncio.run(scenario()) >= PAUSE_S - 0.001
-
-
-def test_an_endpoint_is_reached_by_a_host_that_stood_still() -> None:
-    async def scenario(address: str) -> None:
-        links = EndpointLinks()
-        asyncio.get_running_loop().call_soon(time.sleep, CONNECT_S + 0.1)
-        connection = await links.acquire("i-1", address)
-        connection.abort("over")
-
-    with disks_elsewhere(1) as (addresses, _):
-        asyncio.run(scenario(addresses[0]))
+# ---- connecting ----
 
 
 def test_a_peer_is_reached_by_a_host_that_stood_still() -> None:
