--- a/tests/unit/test_news_after_outages.py
+++ b/tests/unit/test_news_after_outages.py
@@ -169,7 +169,7 @@
         for _ in range(4):
             site.truth.put()
             await asyncio.sleep(LONGEST_PAUSE_S)
-        # Other objects of the store change all the time: each watch's end shows that it has gone on.
+        # Other objects change all the time: each watch's end shows that the store has gone on.
         changing = asyncio.create_task(change_always(site, "hosts/one"))
         await asyncio.sleep(LONGEST_PAUSE_S + 1.5)
         site.truth.put()
