--- a/Makefile
+++ b/Makefile
@@ -25,14 +25,16 @@
 soak: $(VENV)/installed
 	$(BIN)/python -m tests.soak.run --seeds $(SEEDS)
 
-# Days of our own on the users' bench; says so where the bench is absent.
-days:
-	bash tests/data/days/play.sh
+# Days of our own (deploy/days) on the users' bench; says so where the bench is absent.
+days: $(VENV)/installed
+	$(BIN)/python -m tests.dense.play
 
-# Draws days whose faults overlap operations, for `make days` or the bench itself.
+# Draws days whose faults overlap operations and plays them; what breaks a rule is cut down and kept
+# in deploy/days. Says so where the bench is absent.
 FIRST ?= 1
 dense: $(VENV)/installed
 	$(BIN)/python -m tests.dense.days --days 20 --first $(FIRST) --into build/dense
+	$(BIN)/python -m tests.dense.hunt --days 20 --first $(FIRST)
 
 bench: $(VENV)/installed
 	$(BIN)/bayhinge bench path
--- a/tests/dense/days.py
+++ b/tests/dense/days.py
@@ -43,9 +43,26 @@
     plan: tuple[Entry, ...]
     faults: tuple[Entry, ...]
 
+    @property
+    def name(self) -> str:
+        """The day's name, and its file's."""
+        return f"dense-{self.seed}"
+
+    @property
+    def size(self) -> int:
+        """How many things happen."""
+        return len(self.plan) + len(self.faults)
+
+    def without(self, numbers: frozenset[int]) -> "DenseDay":
+        """Returns the day less some entries, which are counted over ``plan``, then ``faults``."""
+        plan = tuple(entry for at, entry in enumerate(self.plan) if at not in numbers)
+        first = len(self.plan)
+        faults = tuple(entry for at, entry in enumerate(self.faults, first) if at not in numbers)
+        return DenseDay(self.seed, plan, faults)
+
     def toml(self) -> str:
         """Returns the file's text."""
-        lines = [f'[[day]]\nname = "dense-{self.seed}"\nslot = "trouble"\nseed = {self.seed}']
+        lines = [f'[[day]]\nname = "{self.name}"\nslot = "trouble"\nseed = {self.seed}']
         for name, entries in (("plan", self.plan), ("faults", self.faults)):
             shown = "".join(f"  {entry.toml()},\n" for entry in entries)
             lines.append(f"{name} = [\n{shown}]")
@@ -76,7 +93,13 @@
     "node_cut": lambda draw: {"share": _share(draw), "for_s": _span(draw)},
     "core_cut": lambda draw: {"count": 1, "for_s": _span(draw), "how": "leader"},
     "answer_lost": lambda draw: {"share": 0.5, "x": 0.05, "for_s": _span(draw)},
-    "srv_crash": lambda draw: {"share": 0.17, "for_s": _span(draw), "how": "dark"},
+    "srv_crash": lambda draw: {
+        "share": 0.17,
+        "for_s": _span(draw),
+        "how": draw.choice(("", "dark")),
+    },
+    "srv_cut": lambda draw: {"share": 0.2, "for_s": _span(draw), "how": "reborn"},
+    "garble": lambda draw: {"service": "@s0", "share": 1.0, "x": 0.3, "for_s": _span(draw)},
     "srv_flap": lambda draw: {"share": 0.15, "gap_s": 1.4, "for_s": _span(draw)},
     "srv_slow": lambda draw: {"share": 0.16, "x": 5.0, "for_s": _span(draw)},
     "burst": lambda draw: {"x": draw.choice((1.4, 2.0)), "for_s": _span(draw)},
--- /dev/null
+++ b/tests/dense/hunt.py
@@ -0,0 +1,92 @@
+"""``python -m tests.dense.hunt --help``: plays drawn days, and keeps what breaks a rule.
+
+A day that breaks a rule is cut down to the shortest that still breaks one of the same rules, and
+written with its seed and a line for the cause into ``deploy/days``, where every hunt plays it.
+"""
+
+import argparse
+import os
+from pathlib import Path
+
+from tests.dense.bench import Bench, Played
+from tests.dense.cut_down import MOST_PLAYS, cut_down
+from tests.dense.days import DenseDay, dense_day
+
+ROOT = Path(__file__).parents[2]
+CASES = ROOT / "deploy/days"
+DRAWN = Path("build/dense")
+
+
+def case_text(day: DenseDay, found: Played, site: str, drawn_size: int) -> str:
+    """Returns a kept case: what it broke, where, from what it was cut down, and the day."""
+    rules = ", ".join(f"{rule} ({times})" for rule, times in sorted(found.broken_by_rule.items()))
+    return (
+        f"# Breaks {rules} on {Path(site).stem}. Drawn with seed {day.seed}, and cut down from\n"
+        f"# {drawn_size} to {day.size} entries by `python -m tests.dense.hunt`.\n"
+        f"# Cause: not traced yet.\n{day.toml()}"
+    )
+
+
+def hunt_one(bench: Bench, seed: int, without: set[str], most_plays: int = MOST_PLAYS) -> str:
+    """Plays one drawn day; returns a row, and keeps a case if it broke a rule.
+
+    Kinds that the site turns out to lack are added to ``without``.
+    """
+    day, found = _drawn_and_played(bench, seed, without)
+    if not found.broken_by_rule:
+        return f"{day.name}  {found}"
+    rules = found.broken_by_rule.keys()
+
+    def still_fails(shorter: DenseDay) -> bool:
+        return bool(rules & _played(bench, shorter, "cut down").broken_by_rule.keys())
+
+    shortest = cut_down(day, still_fails, most_plays)
+    path = CASES / f"{day.name}.toml"
+    path.write_text(case_text(shortest, found, bench.site, day.size))
+    return f"{day.name}  {found}; {day.size} entries cut down to {shortest.size}: {path}"
+
+
+def _drawn_and_played(bench: Bench, seed: int, without: set[str]) -> tuple[DenseDay, Played]:
+    while True:
+        day = dense_day(seed, frozenset(without))
+        found = _played(bench, day, "as drawn")
+        if not found.lacking or found.lacking in without:
+            return day, found
+        without.add(found.lacking)
+
+
+def _played(bench: Bench, day: DenseDay, how: str) -> Played:
+    folder = bench.root / DRAWN
+    folder.mkdir(parents=True, exist_ok=True)
+    path = folder / f"{day.name}.toml"
+    path.write_text(day.toml())
+    return bench.play(path, f"Dense day {day.seed}, {how}, {day.size} entries")
+
+
+def main() -> int:
+    """Plays and prints; 0 if no rule was broken."""
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument("--bench", default=os.environ.get("FLEETBENCH", ""), help="its program")
+    parser.add_argument("--site", default=os.environ.get("SITE", ""), help="a site file")
+    parser.add_argument("--days", type=int, default=20, help="how many days to draw")
+    parser.add_argument("--first", type=int, default=1, help="the first seed")
+    parser.add_argument("--jobs", type=int, default=2)
+    parser.add_argument("--root", type=Path, default=ROOT, help="the copy that is played")
+    parser.add_argument("--most-plays", type=int, default=MOST_PLAYS, help="to cut one day down")
+    options = parser.parse_args()
+    if not options.bench or not options.site:
+        print("dense: not played; set FLEETBENCH to the bench's program and SITE to a site file")
+        return 0
+    bench = Bench(options.bench, options.site, options.root, options.jobs)
+    without: set[str] = set()
+    broken = 0
+    for seed in range(options.first, options.first + options.days):
+        row = hunt_one(bench, seed, without, options.most_plays)
+        broken += "entries cut down" in row
+        print(row, flush=True)
+    print(f"{options.days} days, {broken} broke a rule; not known on this site: {sorted(without)}")
+    return 1 if broken else 0
+
+
+if __name__ == "__main__":
+    raise SystemExit(main())
