Whether callers are told of a host is worked out once a round

Cause: it was worked out for each hello that goes out, over all hosts that are known; 18% of an idle host's time in a profile of 45 hosts in one process. Before and after: 2.84 and 2.46 million calls of functions in 6 s (one profile each).

--- a/src/bayhinge/_internal/services/gateway/gateway.py
+++ b/src/bayhinge/_internal/services/gateway/gateway.py
@@ -147,6 +147,7 @@
         self._rate = RequestRate()
         self._random = random.Random()
         self.is_leaving = False
+        self._is_told = False
 
     async def on_start(self) -> None:
         """Listens, greets, and follows the platform's objects."""
@@ -291,8 +292,7 @@
         me.phase = wire.HostPhase.READY if self.is_ready else wire.HostPhase.STARTING
         if self.is_leaving:
             me.phase = wire.HostPhase.LEAVING
-        near = [host for host in self._ready_hosts() if host.hall == me.hall]
-        me.is_told = me.public_address in sending(near, me.hall)
+        me.is_told = self._is_told and self.is_ready
         me.running_by_endpoint = self.book.running_here()
         me.endpoints_known_to = self.exchange.endpoints_known_to()
         me.disk_set_version = self.disks.disk_set.version
@@ -307,7 +307,18 @@
             if follower is not None:
                 follower.hear(revision, hello.peer_address)
 
+    def _refresh_told(self) -> None:
+        """Works out whether callers of the own hall are told of this host.
+
+        Once a round and not for each hello: 45 idle hosts call 2.46 million functions in 6 s in place
+        of 2.84 million (one profile each).
+        """
+        me = self.gossip.me
+        near = [host for host in self._ready_hosts() if host.hall == me.hall]
+        self._is_told = me.public_address in sending(near, me.hall)
+
     def _sum_loads(self) -> None:
+        self._refresh_told()
         hellos = self.gossip.fresh(wire.HostRole.ENTRY)
         self.book.hear_loads(sum_loads(hellos, self.book.start_revisions))
         self.homes.refresh()
