Proofs: a pause that rounding makes nothing turned the loop without end; tests in virtual time; mutants

Cause: found by test_configuration_proofs, which hung: a proof that is due in 1e-17 s makes a pause that ends at once, in virtual time for ever. Change: a pause lasts 10 ms at least. Mutants of proofs, of the second look, of accounts of turns and of limits, each with the tests that should notice it.

--- a/src/bayhinge/_internal/services/gateway/configuration_proofs.py
+++ b/src/bayhinge/_internal/services/gateway/configuration_proofs.py
@@ -39,6 +39,9 @@
 PAUSE_S = 0.2
 """Between two looks of a host whose proof is due and that has nobody to ask."""
 
+LEAST_PAUSE_S = 0.01
+"""A pause that rounding makes shorter would be none, and the loop would turn without end."""
+
 PEER_ANSWER_S = 0.15
 """Time for a peer's answer: some thirty times an ordinary one between halls."""
 
@@ -161,7 +164,7 @@
                 continue
             due_s = self._bounds.renew_s - self.age_s
             if due_s > 0:
-                await self._pause(due_s)
+                await self._pause(max(due_s, LEAST_PAUSE_S))
             elif not await self._renew(self._bounds):
                 await self._pause(PAUSE_S * random.uniform(0.5, 1.5))
 
--- a/tests/soak/mutants.py
+++ b/tests/soak/mutants.py
@@ -17,6 +17,7 @@
 import attrs
 
 from tests.dense.ablation import ROOT, Edit
+from tests.soak.plans import PLAN_BY_KIND
 
 _FIRST_PROBLEM = re.compile(r"PROBLEMS\n *(?P<problem>.+)$", re.MULTILINE)
 SHOWN = 240
@@ -114,6 +115,42 @@
             "        if True:",
         ),
     ),
+    "proofs grow old": (Edit("decisions/proof_age.py", "ADMIT_SHARE = 0.94", "ADMIT_SHARE = 1e9"),),
+    "proofs count from the question": (
+        Edit(
+            "services/gateway/configuration_proofs.py",
+            "self._take(Proof(stored.version, asked_s))",
+            "self._take(Proof(stored.version, asyncio.get_running_loop().time()))",
+        ),
+    ),
+    "keys are looked at again before a send": (
+        Edit("services/gateway/sending.py", "        self._check(request)", "        pass"),
+    ),
+    "turns belong to an account": (
+        Edit(
+            "services/gateway/turn_histories.py",
+            "    if owner == turn.account or",
+            "    if True or owner == turn.account or",
+        ),
+    ),
+    "limits hold over all hosts": (
+        Edit(
+            "services/gateway/quotas.py",
+            "            if home == self._gossip.me.host:\n                return",
+            "            if True:\n                return",
+        ),
+    ),
+    "homes begin with little": (
+        Edit("decisions/quota_bucket.py", "FIRST_RATE_S = 0.3", "FIRST_RATE_S = 1e9"),
+        Edit("decisions/quota_bucket.py", "FIRST_SHARE = 0.25", "FIRST_SHARE = 1e9"),
+    ),
+    "unused rights are given back": (
+        Edit(
+            "services/gateway/request_service.py",
+            "            if attempt.run_state is RunState.NOT_RUN:",
+            "            if False:",
+        ),
+    ),
 }
 
 _LEFT = "tests/unit/test_left_behind_"
@@ -177,6 +214,13 @@
     ),
     "drain": (*_PLATFORM, f"{_FUNCTIONAL}rolling_restart.py"),
     "settle": _PLATFORM,
+    "proofs grow old": (f"{_FUNCTIONAL}accounts.py", "tests/unit/test_configuration_proofs.py"),
+    "proofs count from the question": ("tests/unit/test_configuration_proofs.py",),
+    "keys are looked at again before a send": (f"{_FUNCTIONAL}accounts.py",),
+    "turns belong to an account": (f"{_FUNCTIONAL}accounts.py",),
+    "limits hold over all hosts": (f"{_FUNCTIONAL}accounts.py",),
+    "homes begin with little": ("tests/unit/test_quota_bucket.py",),
+    "unused rights are given back": (f"{_FUNCTIONAL}accounts.py",),
 }
 """Tests that should notice a guard's absence; a play of them is cheaper than one soak."""
 
@@ -235,7 +279,7 @@
 
 def _play(folder: Path, seed: int, options: argparse.Namespace) -> str:
     command = [sys.executable, "-m", "tests.soak.run", "--seeds", "1", "--first", str(seed)]
-    command += ["--seconds", str(options.seconds), "--net", options.net]
+    command += ["--seconds", str(options.seconds), "--net", options.net, "--kind", options.kind]
     command += ["--also", *options.also] if options.also else []
     try:
         ended = subprocess.run(
@@ -273,6 +317,7 @@
     parser.add_argument("--most", type=int, default=50, help="seeds a guard")
     parser.add_argument("--seconds", type=float, default=6.0, help="faults of one soak")
     parser.add_argument("--net", default="127.76.1", help="the loopback net of the hosts")
+    parser.add_argument("--kind", choices=PLAN_BY_KIND, default="overlapping", help="the faults")
     parser.add_argument("--also", nargs="*", default=[], help="kinds of faults to play in any case")
     parser.add_argument(
         "--tests", action="store_true", help="run tests that should notice it, in place of soaks"
