--- a/src/bayhinge/_internal/models/routing.py
+++ b/src/bayhinge/_internal/models/routing.py
@@ -5,7 +5,7 @@
 
 import attrs
 
-from bayhinge._internal.models.account_keys import AccountTable
+from bayhinge._internal.models.account_keys import AccountTable, RoutedAccount
 
 
 class RouteKind(StrEnum):
@@ -61,6 +61,10 @@
         """Whether a request may run more than once."""
         return self.kind is RouteKind.IDEMPOTENT or self.is_resumable
 
+    def urgency_of(self, account: RoutedAccount | None) -> int:
+        """Returns how urgent an account's request is: the account's word goes before the route's."""
+        return self.urgency if account is None or account.urgency is None else account.urgency
+
     def choose_service(self, generator: random.Random) -> str:
         """Draws one of the route's services by weight."""
         if len(self.shares) == 1:
--- a/src/bayhinge/_internal/services/gateway/gateway.py
+++ b/src/bayhinge/_internal/services/gateway/gateway.py
@@ -19,15 +19,10 @@
     wait_until_turn,
     watchers_of,
 )
-from bayhinge._internal.exceptions import FrameError, PeerFailureError, PeerUnreachableError
-from bayhinge._internal.models.refusals import RefusalCode, RefusedError, refuse_unaccepted
 from bayhinge._internal.models.site_settings import SiteSettings
 from bayhinge._internal.network.endpoint_link import EndpointLinks
-from bayhinge._internal.network.frames import decode_message, encode_message
-from bayhinge._internal.network.peers import AnsweringHandler
 from bayhinge._internal.network.routed_front import RoutedFront
 from bayhinge._internal.network.tcp_peers import TcpPeerNetwork
-from bayhinge._internal.services import methods
 from bayhinge._internal.services.gateway.admission import Admission
 from bayhinge._internal.services.gateway.beliefs import ConfigurationBelief, EndpointBelief
 from bayhinge._internal.services.gateway.configuration_proofs import ConfigurationProofs
@@ -37,6 +32,7 @@
 from bayhinge._internal.services.gateway.hall_homes import HallHomes
 from bayhinge._internal.services.gateway.load_exchange import LoadExchange, sum_loads
 from bayhinge._internal.services.gateway.outside import Platform
+from bayhinge._internal.services.gateway.peer_answers import PeerAnswers
 from bayhinge._internal.services.gateway.placement import HomePlacer
 from bayhinge._internal.services.gateway.quotas import Quotas
 from bayhinge._internal.services.gateway.request_service import RequestService
@@ -78,7 +74,6 @@
         clock = HybridClock(self._wall_clock)
         network = TcpPeerNetwork(CONNECT_S)
         self.peers = network.connect(clock)
-        self._listener = network.listen(settings.peer_address, _PeerAnswers(self), clock)
         self.gossip = Gossip(settings, wire.HostRole.ENTRY)
         self.links = EndpointLinks()
         self.book = EndpointBook(settings.hall)
@@ -144,6 +139,15 @@
             self.disks.news,
         )
         self.front = RoutedFront(settings.front_address, self.requests, sockets)
+        answers = PeerAnswers(
+            self.followers_by_prefix,
+            self.placer,
+            self.proofs,
+            self.quotas,
+            self.disks,
+            self.peers,
+        )
+        self._listener = network.listen(settings.peer_address, answers, clock)
         self._rate = RequestRate()
         self._random = random.Random()
         self.is_leaving = False
@@ -335,44 +339,3 @@
             await asyncio.sleep(SWEEP_S)
             self.links.sweep()
             self._rate.note(self.requests.counts.taken, SWEEP_S)
-
-
-class _PeerAnswers(AnsweringHandler):
-    """What an entry host answers other hosts."""
-
-    def __init__(self, gateway: Gateway) -> None:
-        self._gateway = gateway
-
-    async def answer(self, method: str, payload: bytes) -> bytes:
-        """See :class:`AnsweringHandler`."""
-        if method == methods.OBJECTS:
-            prefix = decode_message(wire.ObjectsQuery(), payload).prefix
-            follower = self._gateway.followers_by_prefix.get(prefix)
-            if follower is None:
-                raise FrameError(f"objects under '{prefix}' are not followed here")
-            return encode_message(follower.known())
-        if method == methods.RELAY:
-            return await self._relay(decode_message(wire.RelayCall(), payload))
-        if method == methods.PLACE:
-            call = decode_message(wire.PlaceCall(), payload)
-            return encode_message(self._gateway.placer.answer(call))
-        if method == methods.PROOF:
-            return encode_message(self._gateway.proofs.answer())
-        if method == methods.QUOTA:
-            return encode_message(
-                self._gateway.quotas.answer(decode_message(wire.QuotaCall(), payload))
-            )
-        if method == methods.DISK_SET:
-            return encode_message(self._gateway.disks.disk_set)
-        raise FrameError(f"an entry host has no method '{method}'")
-
-    async def _relay(self, call: wire.RelayCall) -> bytes:
-        """Passes a call on to a disk that the caller can't reach."""
-        members = self._gateway.disks.disk_set.members
-        if call.address not in {member.address for member in members}:
-            raise FrameError(f"'{call.address}' is no disk of the set")
-        try:
-            return await self._gateway.peers.call(call.address, call.method, call.payload)
-        except (PeerUnreachableError, PeerFailureError) as error:
-            refusal = refuse_unaccepted(RefusalCode.STORE_UNAVAILABLE, str(error))
-            raise RefusedError(refusal) from error
--- /dev/null
+++ b/src/bayhinge/_internal/services/gateway/peer_answers.py
@@ -0,0 +1,82 @@
+"""What an entry host answers other hosts."""
+
+from collections.abc import Awaitable, Callable, Mapping
+
+from bayhinge._internal.exceptions import FrameError, PeerFailureError, PeerUnreachableError
+from bayhinge._internal.models.refusals import RefusalCode, RefusedError, refuse_unaccepted
+from bayhinge._internal.network.frames import decode_message, encode_message
+from bayhinge._internal.network.peers import AnsweringHandler, Peers
+from bayhinge._internal.services import methods
+from bayhinge._internal.services.gateway.configuration_proofs import ConfigurationProofs
+from bayhinge._internal.services.gateway.disk_directory import DiskDirectory
+from bayhinge._internal.services.gateway.placement import HomePlacer
+from bayhinge._internal.services.gateway.quotas import Quotas
+from bayhinge._internal.services.key_follower import KeyFollower
+from bayhinge._internal.wire.hosts import ttypes as wire
+
+
+class PeerAnswers(AnsweringHandler):
+    """Answers by the parts that know."""
+
+    def __init__(
+        self,
+        followers_by_prefix: Mapping[str, KeyFollower],
+        placer: HomePlacer,
+        proofs: ConfigurationProofs,
+        quotas: Quotas,
+        disks: DiskDirectory,
+        peers: Peers,
+    ) -> None:
+        """Takes the parts that are asked."""
+        self._followers_by_prefix = followers_by_prefix
+        self._placer = placer
+        self._proofs = proofs
+        self._quotas = quotas
+        self._disks = disks
+        self._peers = peers
+        self._answer_by_method: Mapping[str, Callable[[bytes], Awaitable[bytes]]] = {
+            methods.OBJECTS: self._objects,
+            methods.RELAY: self._relay,
+            methods.PLACE: self._place,
+            methods.PROOF: self._proof,
+            methods.QUOTA: self._quota,
+            methods.DISK_SET: self._disk_set,
+        }
+
+    async def answer(self, method: str, payload: bytes) -> bytes:
+        """See :class:`AnsweringHandler`."""
+        answer = self._answer_by_method.get(method)
+        if answer is None:
+            raise FrameError(f"an entry host has no method '{method}'")
+        return await answer(payload)
+
+    async def _objects(self, payload: bytes) -> bytes:
+        prefix = decode_message(wire.ObjectsQuery(), payload).prefix
+        follower = self._followers_by_prefix.get(prefix)
+        if follower is None:
+            raise FrameError(f"objects under '{prefix}' are not followed here")
+        return encode_message(follower.known())
+
+    async def _place(self, payload: bytes) -> bytes:
+        return encode_message(self._placer.answer(decode_message(wire.PlaceCall(), payload)))
+
+    async def _proof(self, payload: bytes) -> bytes:
+        return encode_message(self._proofs.answer())
+
+    async def _quota(self, payload: bytes) -> bytes:
+        return encode_message(self._quotas.answer(decode_message(wire.QuotaCall(), payload)))
+
+    async def _disk_set(self, payload: bytes) -> bytes:
+        return encode_message(self._disks.disk_set)
+
+    async def _relay(self, payload: bytes) -> bytes:
+        """Passes a call on to a disk that the caller can't reach."""
+        call = decode_message(wire.RelayCall(), payload)
+        members = self._disks.disk_set.members
+        if call.address not in {member.address for member in members}:
+            raise FrameError(f"'{call.address}' is no disk of the set")
+        try:
+            return await self._peers.call(call.address, call.method, call.payload)
+        except (PeerUnreachableError, PeerFailureError) as error:
+            refusal = refuse_unaccepted(RefusalCode.STORE_UNAVAILABLE, str(error))
+            raise RefusedError(refusal) from error
--- a/src/bayhinge/_internal/services/gateway/sending.py
+++ b/src/bayhinge/_internal/services/gateway/sending.py
@@ -43,12 +43,6 @@
 """When a request that no endpoint took should come again."""
 
 
-def urgency_of(route: Route, request: RoutedRequest) -> int:
-    """Returns how urgent a request is: its account's word goes before the route's."""
-    account = request.account
-    return route.urgency if account is None or account.urgency is None else account.urgency
-
-
 class NotTakenError(Exception):
     """The endpoint promises that the request did not run."""
 
@@ -236,7 +230,7 @@
             len(sending.body),
             run.endpoint,
             sending.deadline_s - loop.time(),
-            urgency_of(route, request),
+            route.urgency_of(request.account),
             sending.delivery.resume_after,
         )
         self._check(request)
