--- a/src/bayhinge/_internal/models/routing.py
+++ b/src/bayhinge/_internal/models/routing.py
@@ -62,7 +62,7 @@
         return self.kind is RouteKind.IDEMPOTENT or self.is_resumable
 
     def urgency_of(self, account: RoutedAccount | None) -> int:
-        """Returns how urgent an account's request is: the account's word goes before the route's."""
+        """Returns how urgent a request is: its account's word goes before the route's."""
         return self.urgency if account is None or account.urgency is None else account.urgency
 
     def choose_service(self, generator: random.Random) -> str:
