A host that can't read the newest configuration says so before it takes a right to send

Cause: read in the code: a proof that was young enough let a key in although the newest configuration could not be read; the second look at the send refused it all the same, so nothing ran, but a right to send and a reservation were taken before. Change: what was waited for is looked at again.

--- a/src/bayhinge/_internal/services/gateway/admission.py
+++ b/src/bayhinge/_internal/services/gateway/admission.py
@@ -62,8 +62,11 @@
             named = account if isinstance(account, RoutedAccount) else None
             return attrs.evolve(request, credentials=(), key_sha256=None, account=named)
         account = self._known(table, request)
-        if not self._is_sure and not await self._proofs.wait(request.attempt):
-            raise RefusedError(self._unproven())
+        if not self._is_sure:
+            await self._proofs.wait(request.attempt)
+            # A proof alone is not enough where the newest configuration can't be read.
+            if not self._is_sure:
+                raise RefusedError(self._unproven())
         newest = self._configuration.table
         if newest is not None and newest is not table:
             # The proof has brought a newer one.
--- a/src/bayhinge/_internal/services/gateway/configuration_proofs.py
+++ b/src/bayhinge/_internal/services/gateway/configuration_proofs.py
@@ -52,6 +52,9 @@
 FAILED_S = 1.0
 """For so long after a failed try, a host says that it does not reach the store."""
 
+HINT_S = 30.0
+"""Ages above this are told to nobody: such a proof helps no host."""
+
 NEAR_BEST_S = 0.2
 """Hints that are so close to the youngest count as equal, so that one host is not asked by all."""
 
@@ -264,9 +267,5 @@
             self._renewed = asyncio.Event()
 
 
-HINT_S = 30.0
-"""Ages above this are told to nobody: such a proof helps no host."""
-
-
 def _shown(age_s: float) -> float | None:
     return round(age_s, 3) if math.isfinite(age_s) else None
--- a/tests/functional/test_accounts.py
+++ b/tests/functional/test_accounts.py
@@ -184,6 +184,21 @@
     _play(tmp_path, scenario)
 
 
+def test_a_configuration_that_can_t_be_read_lets_no_key_in(tmp_path: Path) -> None:
+    async def scenario(site: PlatformSite) -> None:
+        site.store.put("config", "main", {"version": "odd", "tenants": 7})
+        gateways = [entry._gateway for entry in site.entry_by_name.values()]
+        await site.until(lambda: all(one.configuration.unreadable.now for one in gateways))
+        for at in site.entry_by_name:
+            reply = await site.ask("/look/x", at=at, Authorization=bearing(KEY_OF_DESK))
+            assert reply.status == 503
+            assert (await site.ask("/open/x", at=at)).status == 200
+        await _configure(site, DESK, OTHERS)
+        assert (await site.ask("/look/x", Authorization=bearing(KEY_OF_DESK))).status == 200
+
+    _play(tmp_path, scenario)
+
+
 def test_a_host_that_the_store_turns_away_goes_by_what_others_know(tmp_path: Path) -> None:
     async def scenario(site: PlatformSite) -> None:
         proofs = site.entry_by_name["entry-1"]._gateway.proofs
