--- a/src/bayhinge/_internal/cli/daemon.py
+++ b/src/bayhinge/_internal/cli/daemon.py
@@ -17,6 +17,7 @@
 from bayhinge._internal import status_codes
 from bayhinge._internal.models.settings import Settings, read_settings_file
 from bayhinge._internal.services.host import Host
+from bayhinge._internal.utils.event_loop import loop_factory
 
 logger = logging.getLogger(__name__)
 
@@ -41,7 +42,8 @@
         return status_codes.EXIT_OK
     _open_log(read.ok)
     logging.basicConfig(level=logging.INFO, stream=sys.stderr)
-    return asyncio.run(_serve(read.ok))
+    with asyncio.Runner(loop_factory=loop_factory()) as runner:
+        return runner.run(_serve(read.ok))
 
 
 def _open_log(settings: Settings) -> None:
--- a/src/bayhinge/_internal/platform/programs.py
+++ b/src/bayhinge/_internal/platform/programs.py
@@ -15,6 +15,7 @@
 from bayhinge._internal.models.site_settings import SiteSettings
 from bayhinge._internal.platform.early_listening import SETTINGS_VARIABLE
 from bayhinge._internal.platform.settings_file import read_settings
+from bayhinge._internal.utils.event_loop import loop_factory
 from bayhinge._internal.utils.log_output import LogOutput
 from bayhinge._internal.utils.prebound_sockets import PreboundSockets
 
@@ -76,5 +77,6 @@
             print(finding, file=sys.stderr)
         return status_codes.EXIT_INVALID_INPUT
     eliot.add_destinations(LogOutput(sys.stdout.fileno(), read.ok.host))
-    asyncio.run(_run(program(read.ok, sockets or PreboundSockets()), path))
+    with asyncio.Runner(loop_factory=loop_factory()) as runner:
+        runner.run(_run(program(read.ok, sockets or PreboundSockets()), path))
     return status_codes.EXIT_OK
