--- a/idl/hosts.thrift
+++ b/idl/hosts.thrift
@@ -51,6 +51,8 @@
   // Age of its freshness proof when this was sent, in milliseconds. Only a hint: a heartbeat may be
   // delayed anywhere, so the age of a proof is never derived from it.
   20: optional i32 proof_age_ms,
+  // Share of its memory budget that is used, in thousandths.
+  21: optional i32 memory_used,
 }
 
 // RESERVED: tokens reserved before a turn runs. SETTLED: the tokens that it used.
@@ -134,7 +136,8 @@
 // One host's requests in flight at the endpoints of one hall. `beat` orders the messages of one
 // incarnation of the host; `last_grant`: the newest of the hall coordinator's grants that is
 // counted here. `resting`: ejected endpoints. `endpoints_known_to`, here and below: as in a
-// heartbeat.
+// heartbeat. `relative_duration_by_endpoint`: in thousandths, the usual duration of requests at an
+// endpoint over that of its service, as learned by this host.
 struct HostLoads {
   1: required string host,
   2: required i64 incarnation,
@@ -143,9 +146,11 @@
   5: required map<string, i32> running_by_endpoint,
   6: required list<string> resting,
   7: optional i64 endpoints_known_to,
+  8: optional map<string, i32> relative_duration_by_endpoint,
 }
 
 // All hosts' requests in flight at the endpoints of one hall, as known to the hall coordinator.
+// `waiting_by_service`: requests that wait at the coordinator for a free place.
 struct HallLoads {
   1: required string hall,
   2: required string host,
@@ -153,6 +158,8 @@
   4: required i64 beat,
   5: required map<string, i32> running_by_endpoint,
   6: optional i64 endpoints_known_to,
+  7: optional map<string, i32> waiting_by_service,
+  8: optional map<string, i32> relative_duration_by_endpoint,
 }
 
 // A datagram between entry hosts; exactly one field is set.
@@ -161,7 +168,12 @@
 // Requests an endpoint from a hall coordinator. `wished`: the endpoint that has the request's
 // history in cache, or empty; `wished_born_ms`: its incarnation, if known. `avoid`: endpoints that
 // the requesting host will not send to. `kept_tokens`: prompt tokens in the cache of `wished`;
-// `shared_tokens`: tokens of `shared_part`.
+// `shared_tokens`: tokens of `shared_part`. `waited_ms`: how long the request has waited, here and at
+// earlier coordinators; `max_wait_ms`: how long the coordinator may keep the call unanswered while all
+// endpoints are full, 0 for an answer at once. `time_left_ms`: until the caller gives up;
+// `objective_left_ms`: until the latency objective is missed; `program_left_ms`: until the program
+// should be over. `caller_key`: hash of account, program and route, to recognize a caller that
+// returns after a refusal.
 struct PlaceCall {
   1: required HostLoads loads,
   2: required string service_name,
@@ -173,14 +185,29 @@
   8: optional i64 wished_born_ms,
   // Endpoints to which the requesting host has an idle connection.
   9: optional list<string> connected,
+  10: optional i32 waited_ms = 0,
+  11: optional i32 urgency = 5,
+  12: optional string account = "",
+  13: optional bool begins_program = false,
+  14: optional i32 time_left_ms,
+  15: optional i32 program_left_ms,
+  16: optional i32 max_wait_ms = 0,
+  17: optional i32 objective_left_ms,
+  18: optional i64 caller_key,
 }
 
 // `endpoint` is empty if none is available. A host that is not the hall coordinator grants nothing
-// and returns the coordinator in `home`.
+// and returns the coordinator in `home`. `is_waiting`: no place became free within `max_wait_ms`.
+// `retry_after_ms`: the request is to be refused; when its caller should retry. `expected_wait_ms`
+// and `waiting_ahead`: the figures behind that.
 struct PlaceReply {
   1: required string endpoint,
   2: required i64 grant,
   3: optional string home,
+  4: optional bool is_waiting = false,
+  5: optional i32 retry_after_ms,
+  6: optional i32 expected_wait_ms,
+  7: optional i32 waiting_ahead,
 }
 
 // Requests a host's freshness proof of the configuration.
--- a/src/bayhinge/_internal/models/refusals.py
+++ b/src/bayhinge/_internal/models/refusals.py
@@ -32,6 +32,8 @@
         CONFIG_UNKNOWN: the host can't confirm its configuration, or can't read the account.
         OWNER_UNREACHABLE: the host in charge of the program, its queue or its quota did not
             answer or has changed.
+        NO_PLACE: all endpoints of the service are full, and none would have a place in time.
+        HOST_MEMORY: the host's memory budget has no room for the request.
     """
 
     BAD_REQUEST = "bad_request"
@@ -51,6 +53,8 @@
     QUOTA_EXCEEDED = "quota_exceeded"
     PATIENCE_EXCEEDED = "patience_exceeded"
     NO_ENDPOINT = "no_endpoint"
+    NO_PLACE = "no_place"
+    HOST_MEMORY = "host_memory"
     ENDPOINT_FAILED = "endpoint_failed"
     OUTCOME_UNKNOWN = "outcome_unknown"
     STORE_UNAVAILABLE = "store_unavailable"
@@ -78,6 +82,8 @@
     RefusalCode.QUOTA_EXCEEDED: status_codes.HTTP_TOO_MANY_REQUESTS,
     RefusalCode.PATIENCE_EXCEEDED: status_codes.HTTP_TOO_MANY_REQUESTS,
     RefusalCode.NO_ENDPOINT: status_codes.HTTP_UNAVAILABLE,
+    RefusalCode.NO_PLACE: status_codes.HTTP_UNAVAILABLE,
+    RefusalCode.HOST_MEMORY: status_codes.HTTP_UNAVAILABLE,
     RefusalCode.ENDPOINT_FAILED: status_codes.HTTP_BAD_GATEWAY,
     RefusalCode.OUTCOME_UNKNOWN: status_codes.HTTP_BAD_GATEWAY,
     RefusalCode.STORE_UNAVAILABLE: status_codes.HTTP_UNAVAILABLE,
--- a/src/bayhinge/_internal/models/routed_requests.py
+++ b/src/bayhinge/_internal/models/routed_requests.py
@@ -58,6 +58,7 @@
         headers: the headers to forward, without hop-by-hop headers.
         attempt: the caller's id of this attempt.
         patience_s: how long the caller waits, in seconds.
+        program_left_s: time until the request's program should be over, in seconds, or None.
         turn: set on requests of agent programs.
         parts: the prompt's parts, in order.
         resume_after: the number of the last event that the caller received of an interrupted
@@ -75,6 +76,7 @@
     headers: RawHeaders
     attempt: str
     patience_s: float | None = None
+    program_left_s: float | None = None
     turn: TurnContext | None = None
     parts: tuple[PromptPart, ...] = ()
     affinity: str | None = None
--- a/src/bayhinge/_internal/platform/call_format.py
+++ b/src/bayhinge/_internal/platform/call_format.py
@@ -16,6 +16,7 @@
 
 ATTEMPT = b"bayhinge-attempt-id"
 DEADLINE = b"bayhinge-deadline-ms"
+PROGRAM_DEADLINE = b"bayhinge-program-deadline-ms"
 SIGNATURE = b"bayhinge-server-seal"
 NOT_RUN = b"bayhinge-not-executed"
 PREVIOUS = b"bayhinge-previous-turn"
@@ -85,6 +86,7 @@
         kept = tuple(header for header in headers if header[0].lower() not in dropped)
         credentials = tuple(header for header in headers if header[0].lower() == CREDENTIALS)
         deadline_ms = _parse_number(value_by_name.get(DEADLINE))
+        program_ms = _parse_number(value_by_name.get(PROGRAM_DEADLINE))
         host = value_by_name.get(b"host", b"").decode("latin-1")
         findings: list[HeaderFinding] = []
         return RoutedRequest(
@@ -94,6 +96,7 @@
             headers=tuple(header for header in kept if header[0].lower() != CREDENTIALS),
             attempt=attempt,
             patience_s=None if deadline_ms is None else deadline_ms / 1000,
+            program_left_s=None if program_ms is None else program_ms / 1000,
             turn=_parse_turn(value_by_name, findings),
             parts=_parse_prompt_parts(value_by_name.get(PARTS, b"")),
             affinity=value_by_name.get(AFFINITY, b"").decode("latin-1") or None,
--- a/src/bayhinge/_internal/wire/hosts/ttypes.py
+++ b/src/bayhinge/_internal/wire/hosts/ttypes.py
@@ -294,6 +294,7 @@
      - age_by_start
      - is_told
      - proof_age_ms
+     - memory_used
 
     """
 
@@ -318,10 +319,11 @@
         'age_by_start',
         'is_told',
         'proof_age_ms',
+        'memory_used',
     )
 
 
-    def __init__(self, host=None, incarnation=None, beat=None, role=None, phase=None, hall=None, gossip_address=None, peer_address=None, public_address=None, revision_by_prefix=None, running_by_endpoint=None, disk_set_version=None, known_addresses=None, store_fails=None, is_cut_off=False, requests_per_s=0, endpoints_known_to=None, age_by_start=None, is_told=False, proof_age_ms=None,):
+    def __init__(self, host=None, incarnation=None, beat=None, role=None, phase=None, hall=None, gossip_address=None, peer_address=None, public_address=None, revision_by_prefix=None, running_by_endpoint=None, disk_set_version=None, known_addresses=None, store_fails=None, is_cut_off=False, requests_per_s=0, endpoints_known_to=None, age_by_start=None, is_told=False, proof_age_ms=None, memory_used=None,):
         self.host = host
         self.incarnation = incarnation
         self.beat = beat
@@ -342,6 +344,7 @@
         self.age_by_start = age_by_start
         self.is_told = is_told
         self.proof_age_ms = proof_age_ms
+        self.memory_used = memory_used
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -475,6 +478,11 @@
                     self.proof_age_ms = iprot.readI32()
                 else:
                     iprot.skip(ftype)
+            elif fid == 21:
+                if ftype == TType.I32:
+                    self.memory_used = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -580,6 +588,10 @@
             oprot.writeFieldBegin('proof_age_ms', TType.I32, 20)
             oprot.writeI32(self.proof_age_ms)
             oprot.writeFieldEnd()
+        if self.memory_used is not None:
+            oprot.writeFieldBegin('memory_used', TType.I32, 21)
+            oprot.writeI32(self.memory_used)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -2053,6 +2065,7 @@
      - running_by_endpoint
      - resting
      - endpoints_known_to
+     - relative_duration_by_endpoint
 
     """
 
@@ -2064,10 +2077,11 @@
         'running_by_endpoint',
         'resting',
         'endpoints_known_to',
+        'relative_duration_by_endpoint',
     )
 
 
-    def __init__(self, host=None, incarnation=None, beat=None, last_grant=None, running_by_endpoint=None, resting=None, endpoints_known_to=None,):
+    def __init__(self, host=None, incarnation=None, beat=None, last_grant=None, running_by_endpoint=None, resting=None, endpoints_known_to=None, relative_duration_by_endpoint=None,):
         self.host = host
         self.incarnation = incarnation
         self.beat = beat
@@ -2075,6 +2089,7 @@
         self.running_by_endpoint = running_by_endpoint
         self.resting = resting
         self.endpoints_known_to = endpoints_known_to
+        self.relative_duration_by_endpoint = relative_duration_by_endpoint
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -2131,6 +2146,17 @@
                     self.endpoints_known_to = iprot.readI64()
                 else:
                     iprot.skip(ftype)
+            elif fid == 8:
+                if ftype == TType.MAP:
+                    self.relative_duration_by_endpoint = {}
+                    (_ktype124, _vtype125, _size123) = iprot.readMapBegin()
+                    for _i127 in range(_size123):
+                        _key128 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        _val129 = iprot.readI32()
+                        self.relative_duration_by_endpoint[_key128] = _val129
+                    iprot.readMapEnd()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -2160,22 +2186,30 @@
         if self.running_by_endpoint is not None:
             oprot.writeFieldBegin('running_by_endpoint', TType.MAP, 5)
             oprot.writeMapBegin(TType.STRING, TType.I32, len(self.running_by_endpoint))
-            for kiter123, viter124 in self.running_by_endpoint.items():
-                oprot.writeString(kiter123.encode('utf-8') if sys.version_info[0] == 2 else kiter123)
-                oprot.writeI32(viter124)
+            for kiter130, viter131 in self.running_by_endpoint.items():
+                oprot.writeString(kiter130.encode('utf-8') if sys.version_info[0] == 2 else kiter130)
+                oprot.writeI32(viter131)
             oprot.writeMapEnd()
             oprot.writeFieldEnd()
         if self.resting is not None:
             oprot.writeFieldBegin('resting', TType.LIST, 6)
             oprot.writeListBegin(TType.STRING, len(self.resting))
-            for iter125 in self.resting:
-                oprot.writeString(iter125.encode('utf-8') if sys.version_info[0] == 2 else iter125)
+            for iter132 in self.resting:
+                oprot.writeString(iter132.encode('utf-8') if sys.version_info[0] == 2 else iter132)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.endpoints_known_to is not None:
             oprot.writeFieldBegin('endpoints_known_to', TType.I64, 7)
             oprot.writeI64(self.endpoints_known_to)
             oprot.writeFieldEnd()
+        if self.relative_duration_by_endpoint is not None:
+            oprot.writeFieldBegin('relative_duration_by_endpoint', TType.MAP, 8)
+            oprot.writeMapBegin(TType.STRING, TType.I32, len(self.relative_duration_by_endpoint))
+            for kiter133, viter134 in self.relative_duration_by_endpoint.items():
+                oprot.writeString(kiter133.encode('utf-8') if sys.version_info[0] == 2 else kiter133)
+                oprot.writeI32(viter134)
+            oprot.writeMapEnd()
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -2222,6 +2256,8 @@
      - beat
      - running_by_endpoint
      - endpoints_known_to
+     - waiting_by_service
+     - relative_duration_by_endpoint
 
     """
 
@@ -2232,16 +2268,20 @@
         'beat',
         'running_by_endpoint',
         'endpoints_known_to',
+        'waiting_by_service',
+        'relative_duration_by_endpoint',
     )
 
 
-    def __init__(self, hall=None, host=None, incarnation=None, beat=None, running_by_endpoint=None, endpoints_known_to=None,):
+    def __init__(self, hall=None, host=None, incarnation=None, beat=None, running_by_endpoint=None, endpoints_known_to=None, waiting_by_service=None, relative_duration_by_endpoint=None,):
         self.hall = hall
         self.host = host
         self.incarnation = incarnation
         self.beat = beat
         self.running_by_endpoint = running_by_endpoint
         self.endpoints_known_to = endpoints_known_to
+        self.waiting_by_service = waiting_by_service
+        self.relative_duration_by_endpoint = relative_duration_by_endpoint
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -2275,11 +2315,11 @@
             elif fid == 5:
                 if ftype == TType.MAP:
                     self.running_by_endpoint = {}
-                    (_ktype127, _vtype128, _size126) = iprot.readMapBegin()
-                    for _i130 in range(_size126):
-                        _key131 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
-                        _val132 = iprot.readI32()
-                        self.running_by_endpoint[_key131] = _val132
+                    (_ktype136, _vtype137, _size135) = iprot.readMapBegin()
+                    for _i139 in range(_size135):
+                        _key140 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        _val141 = iprot.readI32()
+                        self.running_by_endpoint[_key140] = _val141
                     iprot.readMapEnd()
                 else:
                     iprot.skip(ftype)
@@ -2288,6 +2328,28 @@
                     self.endpoints_known_to = iprot.readI64()
                 else:
                     iprot.skip(ftype)
+            elif fid == 7:
+                if ftype == TType.MAP:
+                    self.waiting_by_service = {}
+                    (_ktype143, _vtype144, _size142) = iprot.readMapBegin()
+                    for _i146 in range(_size142):
+                        _key147 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        _val148 = iprot.readI32()
+                        self.waiting_by_service[_key147] = _val148
+                    iprot.readMapEnd()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 8:
+                if ftype == TType.MAP:
+                    self.relative_duration_by_endpoint = {}
+                    (_ktype150, _vtype151, _size149) = iprot.readMapBegin()
+                    for _i153 in range(_size149):
+                        _key154 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        _val155 = iprot.readI32()
+                        self.relative_duration_by_endpoint[_key154] = _val155
+                    iprot.readMapEnd()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -2317,15 +2379,31 @@
         if self.running_by_endpoint is not None:
             oprot.writeFieldBegin('running_by_endpoint', TType.MAP, 5)
             oprot.writeMapBegin(TType.STRING, TType.I32, len(self.running_by_endpoint))
-            for kiter133, viter134 in self.running_by_endpoint.items():
-                oprot.writeString(kiter133.encode('utf-8') if sys.version_info[0] == 2 else kiter133)
-                oprot.writeI32(viter134)
+            for kiter156, viter157 in self.running_by_endpoint.items():
+                oprot.writeString(kiter156.encode('utf-8') if sys.version_info[0] == 2 else kiter156)
+                oprot.writeI32(viter157)
             oprot.writeMapEnd()
             oprot.writeFieldEnd()
         if self.endpoints_known_to is not None:
             oprot.writeFieldBegin('endpoints_known_to', TType.I64, 6)
             oprot.writeI64(self.endpoints_known_to)
             oprot.writeFieldEnd()
+        if self.waiting_by_service is not None:
+            oprot.writeFieldBegin('waiting_by_service', TType.MAP, 7)
+            oprot.writeMapBegin(TType.STRING, TType.I32, len(self.waiting_by_service))
+            for kiter158, viter159 in self.waiting_by_service.items():
+                oprot.writeString(kiter158.encode('utf-8') if sys.version_info[0] == 2 else kiter158)
+                oprot.writeI32(viter159)
+            oprot.writeMapEnd()
+            oprot.writeFieldEnd()
+        if self.relative_duration_by_endpoint is not None:
+            oprot.writeFieldBegin('relative_duration_by_endpoint', TType.MAP, 8)
+            oprot.writeMapBegin(TType.STRING, TType.I32, len(self.relative_duration_by_endpoint))
+            for kiter160, viter161 in self.relative_duration_by_endpoint.items():
+                oprot.writeString(kiter160.encode('utf-8') if sys.version_info[0] == 2 else kiter160)
+                oprot.writeI32(viter161)
+            oprot.writeMapEnd()
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -2455,6 +2533,15 @@
      - shared_tokens
      - wished_born_ms
      - connected
+     - waited_ms
+     - urgency
+     - account
+     - begins_program
+     - time_left_ms
+     - program_left_ms
+     - max_wait_ms
+     - objective_left_ms
+     - caller_key
 
     """
 
@@ -2468,10 +2555,19 @@
         'shared_tokens',
         'wished_born_ms',
         'connected',
+        'waited_ms',
+        'urgency',
+        'account',
+        'begins_program',
+        'time_left_ms',
+        'program_left_ms',
+        'max_wait_ms',
+        'objective_left_ms',
+        'caller_key',
     )
 
 
-    def __init__(self, loads=None, service_name=None, wished=None, shared_part=None, avoid=None, kept_tokens=0, shared_tokens=0, wished_born_ms=None, connected=None,):
+    def __init__(self, loads=None, service_name=None, wished=None, shared_part=None, avoid=None, kept_tokens=0, shared_tokens=0, wished_born_ms=None, connected=None, waited_ms=0, urgency=5, account="", begins_program=False, time_left_ms=None, program_left_ms=None, max_wait_ms=0, objective_left_ms=None, caller_key=None,):
         self.loads = loads
         self.service_name = service_name
         self.wished = wished
@@ -2481,6 +2577,15 @@
         self.shared_tokens = shared_tokens
         self.wished_born_ms = wished_born_ms
         self.connected = connected
+        self.waited_ms = waited_ms
+        self.urgency = urgency
+        self.account = account
+        self.begins_program = begins_program
+        self.time_left_ms = time_left_ms
+        self.program_left_ms = program_left_ms
+        self.max_wait_ms = max_wait_ms
+        self.objective_left_ms = objective_left_ms
+        self.caller_key = caller_key
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -2515,10 +2620,10 @@
             elif fid == 5:
                 if ftype == TType.LIST:
                     self.avoid = []
-                    (_etype138, _size135) = iprot.readListBegin()
-                    for _i139 in range(_size135):
-                        _elem140 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
-                        self.avoid.append(_elem140)
+                    (_etype165, _size162) = iprot.readListBegin()
+                    for _i166 in range(_size162):
+                        _elem167 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        self.avoid.append(_elem167)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -2540,13 +2645,58 @@
             elif fid == 9:
                 if ftype == TType.LIST:
                     self.connected = []
-                    (_etype144, _size141) = iprot.readListBegin()
-                    for _i145 in range(_size141):
-                        _elem146 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
-                        self.connected.append(_elem146)
+                    (_etype171, _size168) = iprot.readListBegin()
+                    for _i172 in range(_size168):
+                        _elem173 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        self.connected.append(_elem173)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
+            elif fid == 10:
+                if ftype == TType.I32:
+                    self.waited_ms = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 11:
+                if ftype == TType.I32:
+                    self.urgency = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 12:
+                if ftype == TType.STRING:
+                    self.account = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 13:
+                if ftype == TType.BOOL:
+                    self.begins_program = iprot.readBool()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 14:
+                if ftype == TType.I32:
+                    self.time_left_ms = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 15:
+                if ftype == TType.I32:
+                    self.program_left_ms = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 16:
+                if ftype == TType.I32:
+                    self.max_wait_ms = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 17:
+                if ftype == TType.I32:
+                    self.objective_left_ms = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 18:
+                if ftype == TType.I64:
+                    self.caller_key = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -2576,8 +2726,8 @@
         if self.avoid is not None:
             oprot.writeFieldBegin('avoid', TType.LIST, 5)
             oprot.writeListBegin(TType.STRING, len(self.avoid))
-            for iter147 in self.avoid:
-                oprot.writeString(iter147.encode('utf-8') if sys.version_info[0] == 2 else iter147)
+            for iter174 in self.avoid:
+                oprot.writeString(iter174.encode('utf-8') if sys.version_info[0] == 2 else iter174)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.kept_tokens is not None:
@@ -2595,10 +2745,46 @@
         if self.connected is not None:
             oprot.writeFieldBegin('connected', TType.LIST, 9)
             oprot.writeListBegin(TType.STRING, len(self.connected))
-            for iter148 in self.connected:
-                oprot.writeString(iter148.encode('utf-8') if sys.version_info[0] == 2 else iter148)
+            for iter175 in self.connected:
+                oprot.writeString(iter175.encode('utf-8') if sys.version_info[0] == 2 else iter175)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
+        if self.waited_ms is not None:
+            oprot.writeFieldBegin('waited_ms', TType.I32, 10)
+            oprot.writeI32(self.waited_ms)
+            oprot.writeFieldEnd()
+        if self.urgency is not None:
+            oprot.writeFieldBegin('urgency', TType.I32, 11)
+            oprot.writeI32(self.urgency)
+            oprot.writeFieldEnd()
+        if self.account is not None:
+            oprot.writeFieldBegin('account', TType.STRING, 12)
+            oprot.writeString(self.account.encode('utf-8') if sys.version_info[0] == 2 else self.account)
+            oprot.writeFieldEnd()
+        if self.begins_program is not None:
+            oprot.writeFieldBegin('begins_program', TType.BOOL, 13)
+            oprot.writeBool(self.begins_program)
+            oprot.writeFieldEnd()
+        if self.time_left_ms is not None:
+            oprot.writeFieldBegin('time_left_ms', TType.I32, 14)
+            oprot.writeI32(self.time_left_ms)
+            oprot.writeFieldEnd()
+        if self.program_left_ms is not None:
+            oprot.writeFieldBegin('program_left_ms', TType.I32, 15)
+            oprot.writeI32(self.program_left_ms)
+            oprot.writeFieldEnd()
+        if self.max_wait_ms is not None:
+            oprot.writeFieldBegin('max_wait_ms', TType.I32, 16)
+            oprot.writeI32(self.max_wait_ms)
+            oprot.writeFieldEnd()
+        if self.objective_left_ms is not None:
+            oprot.writeFieldBegin('objective_left_ms', TType.I32, 17)
+            oprot.writeI32(self.objective_left_ms)
+            oprot.writeFieldEnd()
+        if self.caller_key is not None:
+            oprot.writeFieldBegin('caller_key', TType.I64, 18)
+            oprot.writeI64(self.caller_key)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -2640,6 +2826,10 @@
      - endpoint
      - grant
      - home
+     - is_waiting
+     - retry_after_ms
+     - expected_wait_ms
+     - waiting_ahead
 
     """
 
@@ -2647,13 +2837,21 @@
         'endpoint',
         'grant',
         'home',
+        'is_waiting',
+        'retry_after_ms',
+        'expected_wait_ms',
+        'waiting_ahead',
     )
 
 
-    def __init__(self, endpoint=None, grant=None, home=None,):
+    def __init__(self, endpoint=None, grant=None, home=None, is_waiting=False, retry_after_ms=None, expected_wait_ms=None, waiting_ahead=None,):
         self.endpoint = endpoint
         self.grant = grant
         self.home = home
+        self.is_waiting = is_waiting
+        self.retry_after_ms = retry_after_ms
+        self.expected_wait_ms = expected_wait_ms
+        self.waiting_ahead = waiting_ahead
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -2679,6 +2877,26 @@
                     self.home = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
                 else:
                     iprot.skip(ftype)
+            elif fid == 4:
+                if ftype == TType.BOOL:
+                    self.is_waiting = iprot.readBool()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 5:
+                if ftype == TType.I32:
+                    self.retry_after_ms = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 6:
+                if ftype == TType.I32:
+                    self.expected_wait_ms = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 7:
+                if ftype == TType.I32:
+                    self.waiting_ahead = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -2701,6 +2919,22 @@
             oprot.writeFieldBegin('home', TType.STRING, 3)
             oprot.writeString(self.home.encode('utf-8') if sys.version_info[0] == 2 else self.home)
             oprot.writeFieldEnd()
+        if self.is_waiting is not None:
+            oprot.writeFieldBegin('is_waiting', TType.BOOL, 4)
+            oprot.writeBool(self.is_waiting)
+            oprot.writeFieldEnd()
+        if self.retry_after_ms is not None:
+            oprot.writeFieldBegin('retry_after_ms', TType.I32, 5)
+            oprot.writeI32(self.retry_after_ms)
+            oprot.writeFieldEnd()
+        if self.expected_wait_ms is not None:
+            oprot.writeFieldBegin('expected_wait_ms', TType.I32, 6)
+            oprot.writeI32(self.expected_wait_ms)
+            oprot.writeFieldEnd()
+        if self.waiting_ahead is not None:
+            oprot.writeFieldBegin('waiting_ahead', TType.I32, 7)
+            oprot.writeI32(self.waiting_ahead)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -2963,10 +3197,10 @@
             elif fid == 8:
                 if ftype == TType.LIST:
                     self.silent = []
-                    (_etype152, _size149) = iprot.readListBegin()
-                    for _i153 in range(_size149):
-                        _elem154 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
-                        self.silent.append(_elem154)
+                    (_etype179, _size176) = iprot.readListBegin()
+                    for _i180 in range(_size176):
+                        _elem181 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        self.silent.append(_elem181)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -3011,8 +3245,8 @@
         if self.silent is not None:
             oprot.writeFieldBegin('silent', TType.LIST, 8)
             oprot.writeListBegin(TType.STRING, len(self.silent))
-            for iter155 in self.silent:
-                oprot.writeString(iter155.encode('utf-8') if sys.version_info[0] == 2 else iter155)
+            for iter182 in self.silent:
+                oprot.writeString(iter182.encode('utf-8') if sys.version_info[0] == 2 else iter182)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -3186,6 +3420,7 @@
     (18, TType.MAP, 'age_by_start', (TType.I32, None, TType.I16, None, False), None, ),  # 18
     (19, TType.BOOL, 'is_told', None, False, ),  # 19
     (20, TType.I32, 'proof_age_ms', None, None, ),  # 20
+    (21, TType.I32, 'memory_used', None, None, ),  # 21
 )
 all_structs.append(TurnEntry)
 TurnEntry.thrift_spec = (
@@ -3295,6 +3530,7 @@
     (5, TType.MAP, 'running_by_endpoint', (TType.STRING, 'UTF8', TType.I32, None, False), None, ),  # 5
     (6, TType.LIST, 'resting', (TType.STRING, 'UTF8', False), None, ),  # 6
     (7, TType.I64, 'endpoints_known_to', None, None, ),  # 7
+    (8, TType.MAP, 'relative_duration_by_endpoint', (TType.STRING, 'UTF8', TType.I32, None, False), None, ),  # 8
 )
 all_structs.append(HallLoads)
 HallLoads.thrift_spec = (
@@ -3305,6 +3541,8 @@
     (4, TType.I64, 'beat', None, None, ),  # 4
     (5, TType.MAP, 'running_by_endpoint', (TType.STRING, 'UTF8', TType.I32, None, False), None, ),  # 5
     (6, TType.I64, 'endpoints_known_to', None, None, ),  # 6
+    (7, TType.MAP, 'waiting_by_service', (TType.STRING, 'UTF8', TType.I32, None, False), None, ),  # 7
+    (8, TType.MAP, 'relative_duration_by_endpoint', (TType.STRING, 'UTF8', TType.I32, None, False), None, ),  # 8
 )
 all_structs.append(LoadNews)
 LoadNews.thrift_spec = (
@@ -3324,6 +3562,15 @@
     (7, TType.I32, 'shared_tokens', None, 0, ),  # 7
     (8, TType.I64, 'wished_born_ms', None, None, ),  # 8
     (9, TType.LIST, 'connected', (TType.STRING, 'UTF8', False), None, ),  # 9
+    (10, TType.I32, 'waited_ms', None, 0, ),  # 10
+    (11, TType.I32, 'urgency', None, 5, ),  # 11
+    (12, TType.STRING, 'account', 'UTF8', "", ),  # 12
+    (13, TType.BOOL, 'begins_program', None, False, ),  # 13
+    (14, TType.I32, 'time_left_ms', None, None, ),  # 14
+    (15, TType.I32, 'program_left_ms', None, None, ),  # 15
+    (16, TType.I32, 'max_wait_ms', None, 0, ),  # 16
+    (17, TType.I32, 'objective_left_ms', None, None, ),  # 17
+    (18, TType.I64, 'caller_key', None, None, ),  # 18
 )
 all_structs.append(PlaceReply)
 PlaceReply.thrift_spec = (
@@ -3331,6 +3578,10 @@
     (1, TType.STRING, 'endpoint', 'UTF8', None, ),  # 1
     (2, TType.I64, 'grant', None, None, ),  # 2
     (3, TType.STRING, 'home', 'UTF8', None, ),  # 3
+    (4, TType.BOOL, 'is_waiting', None, False, ),  # 4
+    (5, TType.I32, 'retry_after_ms', None, None, ),  # 5
+    (6, TType.I32, 'expected_wait_ms', None, None, ),  # 6
+    (7, TType.I32, 'waiting_ahead', None, None, ),  # 7
 )
 all_structs.append(ProofCall)
 ProofCall.thrift_spec = (
