Stub the parts of aiohttp that hosts do not use

WebSockets, multipart bodies, digest authentication, tracing and access logs are loaded by aiohttp's package, though hosts use its low-level server, its client for the store, and its parser only. Tracing alone builds some twenty attrs classes.

--- a/src/bayhinge/_internal/platform/unused_libraries.py
+++ b/src/bayhinge/_internal/platform/unused_libraries.py
@@ -30,6 +30,17 @@
     "urllib.request",
     "wsgiref",
     "wsgiref.simple_server",
+    # aiohttp: parts for WebSockets, multipart bodies, digest authentication, tracing and access
+    # logs.
+    "aiohttp._websocket.reader",
+    "aiohttp.client_middleware_digest_auth",
+    "aiohttp.client_ws",
+    "aiohttp.formdata",
+    "aiohttp.http_websocket",
+    "aiohttp.multipart",
+    "aiohttp.payload_streamer",
+    "aiohttp.tracing",
+    "aiohttp.web_log",
 )
 """Modules that libraries import for features which hosts do not use."""
 
