Stub eliot's log parser, pyrsistent and zope.interface

eliot loads them for reading logs and for checks of logger classes. It calls some of their functions while it is imported, so these do nothing until the libraries are loaded and raise an error afterwards. A test covers a failing destination and a logged traceback, which take other paths through eliot.

--- a/src/bayhinge/_internal/platform/__main__.py
+++ b/src/bayhinge/_internal/platform/__main__.py
@@ -9,7 +9,7 @@
     # Imported objects are never freed, so collecting garbage during imports only costs time.
     gc.disable()
     from bayhinge._internal.platform.unused_libraries import (
-        import_without_tls,
+        import_with_stubs,
         stub_unused_libraries,
     )
 
@@ -19,7 +19,7 @@
     # Listens before the slow imports, so that callers wait instead of being refused while many
     # hosts start at once, such as after a power loss.
     sockets = listen_early() if sys.argv[1:] == ["entry"] else None
-    import_without_tls()
+    import_with_stubs()
     from bayhinge._internal.platform.programs import run
 
     return run(sys.argv[1:], sockets)
--- a/src/bayhinge/_internal/platform/unused_libraries.py
+++ b/src/bayhinge/_internal/platform/unused_libraries.py
@@ -41,30 +41,61 @@
     "aiohttp.payload_streamer",
     "aiohttp.tracing",
     "aiohttp.web_log",
+    # eliot: its parser of logs and the data classes of that, and checks of logger classes.
+    "eliot.parse",
+    "pyrsistent",
+    "zope.interface",
 )
 """Modules that libraries import for features which hosts do not use."""
 
 _TLS_LIBRARY = "ssl"
 """Not used, since hosts speak plain HTTP only; aiohttp would load the CA certificates."""
 
+
+class UnusedLibraryError(AttributeError):
+    """A stubbed library was used."""
+
+    def __init__(self, name: str) -> None:
+        super().__init__(f"'{name}' is a stub in hosts on a platform; see unused_libraries.py")
+
+
+class _ImportTimeFunction:
+    """Stub of a function that a library calls while it is imported; later calls raise an error."""
+
+    is_importing = True
+
+    def __init__(self, name: str, result: object = None) -> None:
+        self._name = name
+        self._result = result
+
+    def __call__(self, *_: object, **__: object) -> object:
+        if not self.is_importing:
+            raise UnusedLibraryError(self._name)
+        return self._result
+
+
+def _same_class(decorated: type) -> type:
+    return decorated
+
+
 _VALUES_BY_NAME_BY_MODULE: Mapping[str, Mapping[str, object]] = {
+    "pyrsistent": {
+        name: _ImportTimeFunction(f"pyrsistent.{name}")
+        for name in ("field", "optional", "pmap_field", "pvector")
+    },
+    "zope.interface": {
+        "implementer": _ImportTimeFunction("zope.interface.implementer", _same_class)
+    },
     _TLS_LIBRARY: {"SSL_ERROR_WANT_READ": 2, "SSL_ERROR_WANT_WRITE": 3, "SSL_ERROR_SYSCALL": 5},
 }
 """Values that are needed while a library is imported, in place of stubs."""
 
 
-class UnusedLibraryError(AttributeError):
-    """A stubbed library was used."""
-
-
 class _StubType(type):
     """Type of the names of a stubbed library and of classes derived from them."""
 
     def __call__(cls, *_: object, **__: object) -> Any:
-        raise UnusedLibraryError(
-            f"'{cls.__module__}.{cls.__qualname__}' is a stub in hosts on a platform; "
-            "see unused_libraries.py"
-        )
+        raise UnusedLibraryError(f"{cls.__module__}.{cls.__qualname__}")
 
     def __getattr__(cls, name: str) -> Any:
         if name.startswith("__"):
@@ -99,15 +130,18 @@
         sys.modules.setdefault(name, _StubModule(name))
 
 
-def import_without_tls() -> None:
-    """Imports the libraries that work without ``ssl``, then registers a stub of it for the others.
+def import_with_stubs() -> None:
+    """Imports the libraries that must be loaded before the stubs are complete.
 
     asyncio and aiohttp support a Python without ``ssl`` and refuse TLS with an error of their own;
-    uvloop and prometheus_client do not, but only name what it contains.
+    uvloop and prometheus_client do not, but only name what it contains, so they get a stub. eliot
+    calls functions of stubs while it is imported.
     """
     # None makes an import raise ImportError.
     sys.modules.setdefault(_TLS_LIBRARY, None)  # type: ignore[arg-type]
     import aiohttp  # noqa: F401
+    import eliot  # noqa: F401
 
     if sys.modules[_TLS_LIBRARY] is None:
         sys.modules[_TLS_LIBRARY] = _StubModule(_TLS_LIBRARY)
+    _ImportTimeFunction.is_importing = False
--- a/tests/unit/test_start_imports.py
+++ b/tests/unit/test_start_imports.py
@@ -14,10 +14,10 @@
 START = """
 import sys
 from bayhinge._internal.platform.unused_libraries import (
-    _StubModule, import_without_tls, stub_unused_libraries
+    _StubModule, import_with_stubs, stub_unused_libraries
 )
 stub_unused_libraries()
-import_without_tls()
+import_with_stubs()
 import bayhinge._internal.platform.programs
 import bayhinge._internal.platform.{program}
 from bayhinge._internal.utils.event_loop import loop_factory
@@ -110,3 +110,30 @@
     assert lines[0] == "SSL is not supported."
     assert "SSL" in lines[1] or "ssl" in lines[1]
     assert "'ssl.create_default_context' is a stub" in lines[2]
+
+
+LOGGING = """
+import eliot, eliot._action
+messages = []
+def fail(message):
+    if message["message_type"] == "it.happened":
+        raise ValueError("full disk")
+eliot.add_destinations(fail, messages.append)
+eliot.log_message("it.happened", number=1)
+try:
+    raise KeyError("lost")
+except KeyError:
+    eliot.write_traceback()
+print(*(message["message_type"] for message in messages))
+try:
+    eliot._action.pvector()
+except AttributeError as error:
+    print(error)
+"""
+
+
+def test_logging_works_with_the_stubs_and_its_parser_does_not() -> None:
+    # What a destination raises and what write_traceback reads take other paths through eliot.
+    lines = run_python(START.format(program="entry_program") + LOGGING).splitlines()
+    assert lines[0] == "it.happened eliot:destination_failure eliot:traceback"
+    assert "'pyrsistent.pvector' is a stub" in lines[1]
