Stub logging configuration of mode, and collections of expression

mode loads logging.config, colorlog, decimal, difflib and pprint; expression loads its collections and effects. Hosts use mode's Service and expression's Result.

Imports of an entry host, medians of 20 runs by turns with the other steps, load average 14 to 17: 413 ms (407 to 445), 38.5 MB before; 396 ms (384 to 412), 36.8 MB after.

--- a/src/bayhinge/_internal/platform/unused_libraries.py
+++ b/src/bayhinge/_internal/platform/unused_libraries.py
@@ -10,9 +10,14 @@
 from typing import Any
 
 UNUSED = (
-    # mode: cron-like services; they load time zone data.
+    # mode: cron-like services, which load time zone data, and configuration of Python's logging.
+    "colorlog",
     "croniter",
     "croniter.croniter",
+    "decimal",
+    "difflib",
+    "logging.config",
+    "pprint",
     # aiohttp: proxies and credentials from the environment, multipart bodies, file names, parsing
     # of a content type or a date; prometheus_client: its own HTTP servers and its push client.
     "email.message",
@@ -45,6 +50,9 @@
     "eliot.parse",
     "pyrsistent",
     "zope.interface",
+    # expression: all but its core.
+    "expression.collections",
+    "expression.effect",
 )
 """Modules that libraries import for features which hosts do not use."""
 
@@ -79,6 +87,7 @@
 
 
 _VALUES_BY_NAME_BY_MODULE: Mapping[str, Mapping[str, object]] = {
+    "colorlog": {"default_log_colors": {}},
     "pyrsistent": {
         name: _ImportTimeFunction(f"pyrsistent.{name}")
         for name in ("field", "optional", "pmap_field", "pvector")
