--- a/src/bayhinge/_internal/platform/unused_libraries.py
+++ b/src/bayhinge/_internal/platform/unused_libraries.py
@@ -53,6 +53,8 @@
     # expression: all but its core.
     "expression.collections",
     "expression.effect",
+    # asyncio and uvloop: child processes.
+    "subprocess",
 )
 """Modules that libraries import for features which hosts do not use."""
 
@@ -92,6 +94,7 @@
         name: _ImportTimeFunction(f"pyrsistent.{name}")
         for name in ("field", "optional", "pmap_field", "pvector")
     },
+    "subprocess": {"PIPE": -1, "STDOUT": -2, "DEVNULL": -3},
     "zope.interface": {
         "implementer": _ImportTimeFunction("zope.interface.implementer", _same_class)
     },
