Use hashlib without OpenSSL

Hosts hash account keys only, for which hashlib has a version of its own. With ssl stubbed, hashlib was the last user of OpenSSL's library. A Python that is built without these hashes keeps OpenSSL.

--- a/src/bayhinge/_internal/platform/unused_libraries.py
+++ b/src/bayhinge/_internal/platform/unused_libraries.py
@@ -4,8 +4,10 @@
 them raises an error.
 """
 
+import contextlib
 import sys
 from collections.abc import Mapping
+from importlib import import_module
 from types import ModuleType
 from typing import Any
 
@@ -58,6 +60,12 @@
 )
 """Modules that libraries import for features which hosts do not use."""
 
+_OPENSSL_HASHES = "_hashlib"
+"""Not loaded, since hashlib has versions of its own for the few hashes that are used; OpenSSL costs
+time and memory to load."""
+
+_OWN_HASHES = ("_md5", "_sha1", "_sha256", "_sha512")
+
 _TLS_LIBRARY = "ssl"
 """Not used, since hosts speak plain HTTP only; aiohttp would load the CA certificates."""
 
@@ -140,6 +148,12 @@
     """Registers the stubs in ``sys.modules``; must be called before anything imports mode."""
     for name in UNUSED:
         sys.modules.setdefault(name, _StubModule(name))
+    with contextlib.suppress(ImportError):
+        # A Python may be built without them.
+        for name in _OWN_HASHES:
+            import_module(name)
+        # None makes an import raise ImportError, which hashlib and hmac handle.
+        sys.modules.setdefault(_OPENSSL_HASHES, None)  # type: ignore[arg-type]
 
 
 def import_with_stubs() -> None:
