Keep no cookies in HTTP sessions; stub calendar and pickle

Calls of the store do not depend on cookies. aiohttp's cookie jar loads pickle and calendar, and would read the date of a cookie with them, so sessions get aiohttp's jar that keeps nothing. A test sends two calls to a server that sets a cookie with a date.

--- a/src/bayhinge/_internal/platform/unused_libraries.py
+++ b/src/bayhinge/_internal/platform/unused_libraries.py
@@ -37,6 +37,9 @@
     "urllib.request",
     "wsgiref",
     "wsgiref.simple_server",
+    # aiohttp: storing cookies, see http_session.py.
+    "calendar",
+    "pickle",
     # aiohttp: parts for WebSockets, multipart bodies, digest authentication, tracing and access
     # logs.
     "aiohttp._websocket.reader",
@@ -97,6 +100,7 @@
 
 
 _VALUES_BY_NAME_BY_MODULE: Mapping[str, Mapping[str, object]] = {
+    "calendar": {"timegm": _ImportTimeFunction("calendar.timegm")},
     "colorlog": {"default_log_colors": {}},
     "pyrsistent": {
         name: _ImportTimeFunction(f"pyrsistent.{name}")
--- a/src/bayhinge/_internal/utils/http_session.py
+++ b/src/bayhinge/_internal/utils/http_session.py
@@ -58,8 +58,12 @@
 
 
 def open_session() -> aiohttp.ClientSession:
-    """Opens a session without a connection limit, since requests are queued elsewhere."""
+    """Opens a session without a connection limit, since requests are queued elsewhere.
+
+    It keeps no cookies: calls do not depend on earlier ones.
+    """
     return aiohttp.ClientSession(
+        cookie_jar=aiohttp.DummyCookieJar(),
         connector=aiohttp.TCPConnector(limit=0, socket_factory=_open_socket),
         middlewares=(_disable_retries,),
     )
--- a/tests/unit/test_start_imports.py
+++ b/tests/unit/test_start_imports.py
@@ -159,3 +159,33 @@
 def test_keys_have_the_same_digest_without_openssl() -> None:
     digest = hashlib.sha256(b"a key").hexdigest()
     assert run_python(START.format(program="entry_program") + KEYS) == f"{digest} True"
+
+
+COOKIES = """
+import asyncio
+from bayhinge._internal.utils.http_session import open_session
+HEAD = b"HTTP/1.1 200 OK\\r\\nContent-Length: 0\\r\\nConnection: close\\r\\n"
+DATE = b"Wed, 21 Oct 2099 07:28:00 GMT"
+async def answer(reader, writer):
+    request = await reader.readuntil(b"\\r\\n\\r\\n")
+    print(b"Cookie:" in request)
+    writer.write(HEAD + b"Set-Cookie: a=b; Expires=" + DATE + b"\\r\\n\\r\\n")
+    writer.close()
+async def main():
+    server = await asyncio.start_server(answer, "localhost", 0, family=2)
+    port = server.sockets[0].getsockname()[1]
+    async with open_session() as session:
+        for _ in range(2):
+            async with session.get(f"http://localhost:{port}/") as response:
+                print(response.status)
+    server.close()
+asyncio.run(main())
+"""
+
+
+def test_an_answer_may_set_a_cookie_which_is_not_kept() -> None:
+    # A cookie jar would read the date with a stubbed library.
+    script = START.format(program="entry_program") + COOKIES.replace(
+        "from aiohttp import web\n", ""
+    )
+    assert run_python(script).split() == ["False", "200", "False", "200"]
