--- a/src/bayhinge/_internal/platform/unused_libraries.py
+++ b/src/bayhinge/_internal/platform/unused_libraries.py
@@ -19,6 +19,7 @@
     "decimal",
     "difflib",
     "logging.config",
+    "mode.utils.graphs",
     "pprint",
     # aiohttp: proxies and credentials from the environment, multipart bodies, file names, parsing
     # of a content type or a date; prometheus_client: its own HTTP servers and its push client.
@@ -55,9 +56,15 @@
     "eliot.parse",
     "pyrsistent",
     "zope.interface",
-    # expression: all but its core.
+    # expression: all but its Result.
     "expression.collections",
+    "expression.core.aiotools",
+    "expression.core.builder",
+    "expression.core.fn",
+    "expression.core.mailbox",
+    "expression.core.try_",
     "expression.effect",
+    "expression.system",
     # asyncio and uvloop: child processes.
     "subprocess",
 )
