Build internal attrs classes without eq and repr

They are left out of 39 classes that are neither compared, hashed nor printed: calls of these methods were recorded in the unit tests and in 106 functional tests, and the comparisons in the modules that use the classes were read. Classes whose repr or equality a test checks are unchanged.

--- a/src/bayhinge/_internal/decisions/answer_timeouts.py
+++ b/src/bayhinge/_internal/decisions/answer_timeouts.py
@@ -26,7 +26,7 @@
 such gaps, so half of their time is left."""
 
 
-@attrs.frozen
+@attrs.frozen(eq=False, repr=False)
 class AnswerTimeouts:
     """Timeouts of one run.
 
--- a/src/bayhinge/_internal/decisions/caller_addresses.py
+++ b/src/bayhinge/_internal/decisions/caller_addresses.py
@@ -29,7 +29,7 @@
 treble the load; a request costs some 4 ms of processor time."""
 
 
-@attrs.frozen
+@attrs.frozen(eq=False, repr=False)
 class ReadyHost:
     """A host that accepts callers' requests.
 
--- a/src/bayhinge/_internal/decisions/disk_reachability.py
+++ b/src/bayhinge/_internal/decisions/disk_reachability.py
@@ -8,7 +8,7 @@
 import attrs
 
 
-@attrs.define
+@attrs.define(eq=False, repr=False)
 class DiskReachability:
     """Counts the disks that failed to answer directly since the last direct answer.
 
--- a/src/bayhinge/_internal/decisions/endpoint_incarnations.py
+++ b/src/bayhinge/_internal/decisions/endpoint_incarnations.py
@@ -12,7 +12,7 @@
 a larger one, runs of a former incarnation end by the silence timeouts."""
 
 
-@attrs.frozen
+@attrs.frozen(eq=False, repr=False)
 class ConnectionTimes:
     """Times of a connection to an endpoint, in seconds of this host's monotonic clock.
 
@@ -25,7 +25,7 @@
     last_received_s: float
 
 
-@attrs.frozen
+@attrs.frozen(eq=False, repr=False)
 class NewIncarnation:
     """A new incarnation at an address.
 
--- a/src/bayhinge/_internal/decisions/endpoint_table.py
+++ b/src/bayhinge/_internal/decisions/endpoint_table.py
@@ -34,7 +34,7 @@
     OUTDATED = "outdated"
 
 
-@attrs.define(eq=False)
+@attrs.define(eq=False, repr=False)
 class EndpointState:
     """State of one incarnation of an endpoint: its entry, load and recent failures.
 
@@ -79,7 +79,7 @@
         self.ejected_until_s = now_s + ejection_s
 
 
-@attrs.frozen
+@attrs.frozen(eq=False, repr=False)
 class PlacementPreference:
     """A request's preference for endpoints with its history or its shared part in cache.
 
--- a/src/bayhinge/_internal/decisions/freshness_proofs.py
+++ b/src/bayhinge/_internal/decisions/freshness_proofs.py
@@ -54,7 +54,7 @@
     return FreshnessProof(revision, asked_s - age_s)
 
 
-@attrs.frozen
+@attrs.frozen(eq=False, repr=False)
 class ProofBounds:
     """Limits on a proof's age, from the deployment's bound on revoked keys.
 
--- a/src/bayhinge/_internal/decisions/load_table.py
+++ b/src/bayhinge/_internal/decisions/load_table.py
@@ -13,7 +13,7 @@
 """A host's report expires after this time; busy hosts report twice a second."""
 
 
-@attrs.frozen
+@attrs.frozen(eq=False, repr=False)
 class HostLoadReport:
     """One host's load report.
 
@@ -32,7 +32,7 @@
     ejected: frozenset[str] = frozenset()
 
 
-@attrs.define
+@attrs.define(eq=False, repr=False)
 class _HostLoads:
     incarnation: int
     sequence: int = 0
--- a/src/bayhinge/_internal/decisions/quota_bucket.py
+++ b/src/bayhinge/_internal/decisions/quota_bucket.py
@@ -41,7 +41,7 @@
 """Requests a second; a lower limit counts as this in the retry delay."""
 
 
-@attrs.frozen
+@attrs.frozen(eq=False, repr=False)
 class QuotaMargin:
     """Tolerated excess over a limit within ``window_s`` seconds."""
 
--- a/src/bayhinge/_internal/decisions/request_rate.py
+++ b/src/bayhinge/_internal/decisions/request_rate.py
@@ -6,7 +6,7 @@
 """Share of a higher rate that is left after a second: half of a burst is forgotten after three."""
 
 
-@attrs.define
+@attrs.define(eq=False, repr=False)
 class RequestRate:
     """Requests a second, from a count that only rises."""
 
--- a/src/bayhinge/_internal/decisions/watchers.py
+++ b/src/bayhinge/_internal/decisions/watchers.py
@@ -51,7 +51,7 @@
     return [host for host in ranked if host in wanted]
 
 
-@attrs.frozen
+@attrs.frozen(eq=False, repr=False)
 class WatchSlot:
     """The time slot of one watch among those of a site.
 
--- a/src/bayhinge/_internal/models/routed_requests.py
+++ b/src/bayhinge/_internal/models/routed_requests.py
@@ -17,7 +17,7 @@
     RESUME = "resume"
 
 
-@attrs.frozen
+@attrs.frozen(eq=False, repr=False)
 class HeaderFinding:
     """An invalid request header; ``why`` names the header and the value."""
 
@@ -98,7 +98,7 @@
         return self.target.partition("?")[0]
 
 
-@attrs.frozen
+@attrs.frozen(eq=False, repr=False)
 class AnswerMetadata:
     """Metadata from the headers of an endpoint's answer.
 
--- a/src/bayhinge/_internal/models/site_settings.py
+++ b/src/bayhinge/_internal/models/site_settings.py
@@ -3,7 +3,7 @@
 import attrs
 
 
-@attrs.frozen
+@attrs.frozen(eq=False, repr=False)
 class SiteSettings:
     """Settings of one process of one host.
 
--- a/src/bayhinge/_internal/network/endpoint_connections.py
+++ b/src/bayhinge/_internal/network/endpoint_connections.py
@@ -233,7 +233,7 @@
             self._waiter.set_result(None)
 
 
-@attrs.define
+@attrs.define(eq=False, repr=False)
 class PoolCounters:
     """Counters of the pool since the start of the process."""
 
--- a/src/bayhinge/_internal/network/stream_splice.py
+++ b/src/bayhinge/_internal/network/stream_splice.py
@@ -10,7 +10,7 @@
 from bayhinge._internal.network.event_stream import EventReader, StreamEvent
 
 
-@attrs.frozen
+@attrs.frozen(eq=False, repr=False)
 class SplicedEvents:
     """The events to forward for one piece of a run, and their raw bytes.
 
--- a/src/bayhinge/_internal/platform/objects_api.py
+++ b/src/bayhinge/_internal/platform/objects_api.py
@@ -60,7 +60,7 @@
 each host holds all entries."""
 
 
-@attrs.frozen
+@attrs.frozen(eq=False, repr=False)
 class _Answer:
     status: int
     body: dict[str, Any]
--- a/src/bayhinge/_internal/platform/settings_file.py
+++ b/src/bayhinge/_internal/platform/settings_file.py
@@ -28,14 +28,14 @@
 """Length of the setting ``port_range``: the first and the last port."""
 
 
-@attrs.frozen
+@attrs.frozen(eq=False, repr=False)
 class _FieldName:
     """Stands for the attrs attribute that checks take the name from."""
 
     name: str
 
 
-@attrs.define
+@attrs.define(eq=False, repr=False)
 class _Fields:
     """Reads fields from nested tables and collects findings."""
 
--- a/src/bayhinge/_internal/services/disks/turn_index.py
+++ b/src/bayhinge/_internal/services/disks/turn_index.py
@@ -34,7 +34,7 @@
     account: str | None
 
 
-@attrs.define
+@attrs.define(eq=False, repr=False)
 class ProgramLifetime:
     """How long a program's entries are needed.
 
@@ -49,7 +49,7 @@
     needs: set[str] = attrs.field(factory=set)
 
 
-@attrs.define
+@attrs.define(eq=False, repr=False)
 class ProgramLedger:
     """Tokens of a program's turns by attempt: reserved for open ones, used for settled ones."""
 
--- a/src/bayhinge/_internal/services/gateway/active_runs.py
+++ b/src/bayhinge/_internal/services/gateway/active_runs.py
@@ -9,7 +9,7 @@
 ENDED_REASON = "the endpoint has restarted"
 
 
-@attrs.define(eq=False)
+@attrs.define(eq=False, repr=False)
 class ActiveRun:
     """One request at one incarnation of an endpoint.
 
--- a/src/bayhinge/_internal/services/gateway/configuration_proofs.py
+++ b/src/bayhinge/_internal/services/gateway/configuration_proofs.py
@@ -59,7 +59,7 @@
 """Announced ages this close to the lowest count as equal, which spreads the calls over peers."""
 
 
-@attrs.define
+@attrs.define(eq=False, repr=False)
 class ProofCounts:
     """Counts of renewals, and of requests that waited for a proof."""
 
--- a/src/bayhinge/_internal/services/gateway/disk_link.py
+++ b/src/bayhinge/_internal/services/gateway/disk_link.py
@@ -120,7 +120,7 @@
         return await self._peers.call(relay.peer_address, methods.RELAY, encode_message(call))
 
 
-@attrs.define
+@attrs.define(eq=False, repr=False)
 class _CallPaths:
     """The parallel attempts of one call, direct and relayed."""
 
--- a/src/bayhinge/_internal/services/gateway/open_turn.py
+++ b/src/bayhinge/_internal/services/gateway/open_turn.py
@@ -6,7 +6,7 @@
 from bayhinge._internal.models.routed_requests import TurnContext
 
 
-@attrs.define
+@attrs.define(eq=False, repr=False)
 class OpenTurn:
     """An open turn of a program.
 
--- a/src/bayhinge/_internal/services/gateway/placement.py
+++ b/src/bayhinge/_internal/services/gateway/placement.py
@@ -65,7 +65,7 @@
         """See :class:`Placer`."""
 
 
-@attrs.define
+@attrs.define(eq=False, repr=False)
 class PlacementCounts:
     """Requests by who placed them."""
 
--- a/src/bayhinge/_internal/services/gateway/platform_interface.py
+++ b/src/bayhinge/_internal/services/gateway/platform_interface.py
@@ -72,7 +72,7 @@
         """
 
 
-@attrs.frozen
+@attrs.frozen(eq=False, repr=False)
 class Platform:
     """The platform that a gateway runs on.
 
--- a/src/bayhinge/_internal/services/gateway/quotas.py
+++ b/src/bayhinge/_internal/services/gateway/quotas.py
@@ -49,7 +49,7 @@
 """Idle time after which a bucket is dropped; it is full by then, as a new one would be."""
 
 
-@attrs.define
+@attrs.define(eq=False, repr=False)
 class QuotaCounts:
     """Outcomes of requests of accounts with quotas."""
 
@@ -61,7 +61,7 @@
     answered: int = 0
 
 
-@attrs.define
+@attrs.define(eq=False, repr=False)
 class _AccountBucket:
     """One account's bucket at its coordinator.
 
--- a/src/bayhinge/_internal/services/gateway/request_sender.py
+++ b/src/bayhinge/_internal/services/gateway/request_sender.py
@@ -50,7 +50,7 @@
     """The endpoint rejected the request and guarantees that it did not run."""
 
 
-@attrs.define
+@attrs.define(eq=False, repr=False)
 class _SendState:
     """The sends of one request.
 
@@ -73,7 +73,7 @@
     rejected: int = 0
 
 
-@attrs.define
+@attrs.define(eq=False, repr=False)
 class SendCounts:
     """Counts of failures and retries after a request's first send.
 
--- a/src/bayhinge/_internal/services/gateway/request_service.py
+++ b/src/bayhinge/_internal/services/gateway/request_service.py
@@ -43,7 +43,7 @@
 NO_CONFIGURATION_RETRY_S = 0.5
 
 
-@attrs.define
+@attrs.define(eq=False, repr=False)
 class RequestCounts:
     """Counts of received requests, and of ended ones by outcome."""
 
--- a/src/bayhinge/_internal/services/gossip.py
+++ b/src/bayhinge/_internal/services/gossip.py
@@ -73,7 +73,7 @@
 """Known addresses in one heartbeat, a random sample each time."""
 
 
-@attrs.define
+@attrs.define(eq=False, repr=False)
 class ObservedHost:
     """The newest heartbeat of another host and when it was received, on the loop's clock."""
 
--- a/src/bayhinge/_internal/services/latencies.py
+++ b/src/bayhinge/_internal/services/latencies.py
@@ -11,7 +11,7 @@
 PERCENTILES = (50.0, 95.0, 99.0)
 
 
-@attrs.frozen
+@attrs.frozen(eq=False, repr=False)
 class LatencySummary:
     """Summary of one histogram: count, sum in seconds, and seconds by percentile."""
 
--- a/src/bayhinge/_internal/services/prefix_follower.py
+++ b/src/bayhinge/_internal/services/prefix_follower.py
@@ -82,7 +82,7 @@
         """Applies one change."""
 
 
-@attrs.define
+@attrs.define(eq=False, repr=False)
 class StoreHealth:
     """Since when this follower's calls have failed, on the loop's clock; None while they succeed.
 
--- a/src/bayhinge/_internal/utils/stall_tolerant_timeouts.py
+++ b/src/bayhinge/_internal/utils/stall_tolerant_timeouts.py
@@ -36,7 +36,7 @@
             slices.stop()
 
 
-@attrs.define
+@attrs.define(eq=False, repr=False)
 class _TimeoutSlices:
     """The remaining slices of a timeout; each starts when the loop sees the previous one end."""
 
--- a/src/bayhinge/coordination/store_availability.py
+++ b/src/bayhinge/coordination/store_availability.py
@@ -11,7 +11,7 @@
 connection, such as an interrupted watch. A timed-out call always counts as an outage."""
 
 
-@attrs.define
+@attrs.define(eq=False, repr=False)
 class StoreAvailability:
     """Outcomes of the calls of all clients of one store.
 
