--- a/src/bayhinge/_internal/platform/unused_libraries.py
+++ b/src/bayhinge/_internal/platform/unused_libraries.py
@@ -6,6 +6,7 @@
 
 import contextlib
 import sys
+import typing
 from collections.abc import Mapping
 from importlib import import_module
 from types import ModuleType
@@ -65,6 +66,8 @@
     "expression.core.try_",
     "expression.effect",
     "expression.system",
+    # expression: names that typing has as well.
+    "typing_extensions",
     # asyncio and uvloop: child processes.
     "subprocess",
 )
@@ -114,6 +117,10 @@
         for name in ("field", "optional", "pmap_field", "pvector")
     },
     "subprocess": {"PIPE": -1, "STDOUT": -2, "DEVNULL": -3},
+    "typing_extensions": {
+        name: getattr(typing, name)
+        for name in ("ParamSpec", "TypeVarTuple", "Unpack", "dataclass_transform")
+    },
     "zope.interface": {
         "implementer": _ImportTimeFunction("zope.interface.implementer", _same_class)
     },
