--- a/src/bayhinge/_internal/platform/programs.py
+++ b/src/bayhinge/_internal/platform/programs.py
@@ -6,6 +6,7 @@
 import signal
 import sys
 from collections.abc import Callable
+from importlib import import_module
 from pathlib import Path
 
 import eliot
@@ -60,6 +61,13 @@
     eliot.log_message("settings.reloaded", findings=findings)
 
 
+def import_program(arguments: list[str]) -> None:
+    """Imports the program named by the first argument, if there is one, and its event loop."""
+    if arguments and arguments[0] in PROGRAM_BY_NAME:
+        import_module(f"{__package__}.{arguments[0]}_program")
+        loop_factory()
+
+
 def run(arguments: list[str], sockets: PreboundSockets | None = None) -> int:
     """Runs the program named by the first argument; returns its exit status.
 
--- a/tests/lib/program_processes.py
+++ b/tests/lib/program_processes.py
@@ -12,7 +12,14 @@
 
 PROGRAM = "bayhinge._internal.platform"
 
-IMPORT_ERRORS = ("ImportError", "AttributeError", "NameError", "TypeError", "is a stub")
+IMPORT_ERRORS = (
+    "ImportError",
+    "AttributeError",
+    "NameError",
+    "TypeError",
+    "is a stub",
+    "whole libraries",
+)
 """What a program writes if it uses a module that is not loaded."""
 
 
