Hold requests at the coordinator until an endpoint has a place

Cause: a request was sent however full all endpoints were, so their own short queues decided who waits, and requests were refused after 4 rejected sends. Codes NO_PLACE and HOST_MEMORY are explained; waits have metrics and log lines. A grant that its host did not get is dropped with a report 0.2 s later. LoadTable.grant takes the time, which its tests now pass; the coordinator's answer is a coroutine, which test_endpoint_updates now awaits.

--- a/src/bayhinge/_internal/decisions/endpoint_table.py
+++ b/src/bayhinge/_internal/decisions/endpoint_table.py
@@ -1,6 +1,6 @@
 """One host's view of the endpoints, and the choice of one for a request. Pure."""
 
-from collections.abc import Iterable, Mapping
+from collections.abc import Callable, Iterable, Mapping
 from enum import StrEnum
 
 import attrs
@@ -56,6 +56,11 @@
     is_suspected: bool = False
     is_replaced: bool = False
 
+    @property
+    def in_flight(self) -> int:
+        """Requests in flight, of all hosts."""
+        return self.running_here + self.running_at_peers
+
     @property
     def load(self) -> float:
         """Requests in flight, as a share of the slots."""
@@ -97,6 +102,19 @@
     connected: frozenset[str] = frozenset()
 
 
+@attrs.frozen
+class FreeChoice:
+    """The result of a choice among endpoints with a free place.
+
+    Attributes:
+        state: the chosen endpoint, or None.
+        is_full: there are endpoints, but none has a free place.
+    """
+
+    state: EndpointState | None
+    is_full: bool = False
+
+
 class EndpointTable:
     """The state of the newest known incarnation of every endpoint."""
 
@@ -224,6 +242,34 @@
         self, service: str, preference: PlacementPreference, tried: Iterable[str], now_s: float
     ) -> EndpointState | None:
         """Returns the best endpoint of a service that is not in ``tried``, or None."""
+        return self._best(self._usable(service, tried, now_s), preference)
+
+    def choose_free(
+        self,
+        service: str,
+        preference: PlacementPreference,
+        tried: Iterable[str],
+        now_s: float,
+        limit: Callable[[EndpointState], int],
+    ) -> FreeChoice:
+        """Like ``choose``, but only among endpoints with fewer requests in flight than ``limit``.
+
+        An ejected endpoint is not used while a healthy one exists, even if that one is full.
+        """
+        usable = self._usable(service, tried, now_s)
+        free = [state for state in usable if state.in_flight < limit(state)]
+        return FreeChoice(self._best(free, preference), is_full=bool(usable) and not free)
+
+    def of_service(self, service: str) -> list[EndpointState]:
+        """Returns the endpoints of a service that are not leaving."""
+        return [
+            state
+            for state in self._state_by_instance.values()
+            if state.entry.service == service and not state.entry.is_leaving
+        ]
+
+    def _usable(self, service: str, tried: Iterable[str], now_s: float) -> list[EndpointState]:
+        """Returns the endpoints of a service that may get a request; none if all were tried."""
         excluded = set(tried)
         candidates = [
             state
@@ -242,7 +288,7 @@
         if any(state.load < weights.ROOM_LOAD for state in trusted):
             healthy = trusted
         # Where all are ejected, trying one is better than refusing the request.
-        return self._best(healthy or unsuspected, preference)
+        return healthy or unsuspected
 
     def _best(
         self, candidates: list[EndpointState], preference: PlacementPreference
--- a/src/bayhinge/_internal/decisions/load_table.py
+++ b/src/bayhinge/_internal/decisions/load_table.py
@@ -12,6 +12,10 @@
 REPORT_TIMEOUT_S = 2.0
 """A host's report expires after this time; busy hosts report twice a second."""
 
+LOST_GRANT_S = 0.2
+"""A grant that a report of its host does not include this long after it was made was lost, or its
+caller had left. Five times the timeout of a coordinator's answer."""
+
 
 @attrs.frozen
 class HostLoadReport:
@@ -40,6 +44,7 @@
     received_s: float = 0.0
     running_by_endpoint: Mapping[str, int] = attrs.field(factory=dict)
     endpoint_by_grant: dict[int, str] = attrs.field(factory=dict)
+    granted_s_by_grant: dict[int, float] = attrs.field(factory=dict)
     ejected: frozenset[str] = frozenset()
 
 
@@ -68,19 +73,34 @@
         self._failure_reports_by_endpoint.update(report.ejected)
         loads.ejected = report.ejected
         loads.sequence, loads.received_s = report.sequence, now_s
-        for grant in [grant for grant in loads.endpoint_by_grant if grant <= report.last_grant]:
-            self._running_by_endpoint[loads.endpoint_by_grant.pop(grant)] -= 1
+        for grant in list(loads.endpoint_by_grant):
+            is_lost = loads.granted_s_by_grant[grant] <= now_s - LOST_GRANT_S
+            if grant <= report.last_grant or is_lost:
+                self.revoke_grant(report.host, grant)
         # A new coordinator continues the grant numbers of the previous one.
         loads.newest_grant = max(loads.newest_grant, report.last_grant)
 
-    def grant(self, host: str, endpoint: str) -> int:
+    def has_report(self, host: str) -> bool:
+        """Returns whether a report of a host is known, so that it may get a grant."""
+        return host in self._loads_by_host
+
+    def grant(self, host: str, endpoint: str, now_s: float) -> int:
         """Counts a request that ``host`` (which has reported) will send; returns its number."""
         loads = self._loads_by_host[host]
         loads.newest_grant += 1
         loads.endpoint_by_grant[loads.newest_grant] = endpoint
+        loads.granted_s_by_grant[loads.newest_grant] = now_s
         self._running_by_endpoint[endpoint] += 1
         return loads.newest_grant
 
+    def revoke_grant(self, host: str, grant: int) -> None:
+        """Stops counting a grant; one that is not counted any more is ignored."""
+        loads = self._loads_by_host.get(host)
+        endpoint = None if loads is None else loads.endpoint_by_grant.pop(grant, None)
+        if loads is not None and endpoint is not None:
+            del loads.granted_s_by_grant[grant]
+            self._running_by_endpoint[endpoint] -= 1
+
     def forget_endpoint(self, endpoint: str) -> None:
         """Drops the reports and grants of an endpoint that has restarted."""
         for loads in self._loads_by_host.values():
@@ -93,6 +113,9 @@
                 for grant, granted in loads.endpoint_by_grant.items()
                 if granted != endpoint
             }
+            loads.granted_s_by_grant = {
+                grant: loads.granted_s_by_grant[grant] for grant in loads.endpoint_by_grant
+            }
         self._running_by_endpoint.pop(endpoint, None)
         self._failure_reports_by_endpoint.pop(endpoint, None)
 
--- a/src/bayhinge/_internal/queries/refusal_causes.py
+++ b/src/bayhinge/_internal/queries/refusal_causes.py
@@ -30,6 +30,7 @@
 HOSTS = ("host.", "home.", "hall.", "peer.")
 PROOFS = ("proof.", "request.waited_for_proof")
 QUOTAS = ("quota.",)
+PLACES = ("place.",)
 
 
 @attrs.frozen
@@ -79,12 +80,20 @@
         "The account exceeds its quota, which applies across all hosts.", (*QUOTAS, *CONFIGURATION)
     ),
     RefusalCode.PATIENCE_EXCEEDED: Explanation(
-        "The time limit expired before an answer arrived.", (*SENDS, *ENDPOINTS, *DISKS, *UPDATES)
+        "The time limit expired before an answer arrived.",
+        (*PLACES, *SENDS, *ENDPOINTS, *DISKS, *UPDATES),
     ),
     RefusalCode.NO_ENDPOINT: Explanation(
         "No endpoint of the service accepted the request, or none is known.",
         (*SENDS, *ENDPOINTS, *UPDATES),
     ),
+    RefusalCode.NO_PLACE: Explanation(
+        "All endpoints of the service were full, and none would have a place in the caller's time.",
+        (*PLACES, *SENDS, *ENDPOINTS, *HOSTS),
+    ),
+    RefusalCode.HOST_MEMORY: Explanation(
+        "The host's memory budget had no room for the request; other hosts may have some."
+    ),
     RefusalCode.ENDPOINT_FAILED: Explanation("The endpoint failed.", (*SENDS, *ENDPOINTS)),
     RefusalCode.OUTCOME_UNKNOWN: Explanation(
         "An endpoint may have run it without a complete answer, and it may not run twice.",
--- a/src/bayhinge/_internal/services/gateway/gateway.py
+++ b/src/bayhinge/_internal/services/gateway/gateway.py
@@ -140,6 +140,7 @@
         self.placer = CoordinatorPlacer(
             self.endpoint_table, self.coordinators, self.exchange, self.peers, settings.hall
         )
+        self.endpoints.on_change = self.placer.wake
         self.latencies = Latencies()
         self.requests = RequestService(
             self.configuration,
@@ -352,6 +353,7 @@
         if self.coordinators.coordinated_hall:
             # Reported loads are newer than heartbeats, which still count for silent halls.
             self.exchange.refresh_endpoint_table()
+        self.placer.handle_peer_loads()
 
     def _disks_changed(self, disk_set: wire.DiskSet) -> None:
         self.gossip.own_heartbeat.disk_set_version = disk_set.version
--- a/src/bayhinge/_internal/services/gateway/hall_coordinators.py
+++ b/src/bayhinge/_internal/services/gateway/hall_coordinators.py
@@ -34,7 +34,11 @@
 
 
 class HallCoordinators:
-    """The coordinators of all halls, as seen by one host."""
+    """The coordinators of all halls, as seen by one host.
+
+    Attributes:
+        ready_hosts: number of ready entry hosts of all halls, this one included.
+    """
 
     def __init__(self, gossip: Gossip, halls: Iterable[str] = ()) -> None:
         self._gossip = gossip
@@ -43,6 +47,7 @@
         self._empty_halls: set[str] = set()
         self._coordinator_by_hall: dict[str, HallCoordinator] = {}
         self._suspected = SuspectHosts(gossip.last_seen_s)
+        self.ready_hosts = 1
 
     def coordinator_of(self, hall: str) -> HallCoordinator | None:
         """Returns a hall's coordinator, or None if no ready host of the hall is known."""
@@ -73,6 +78,7 @@
             for heartbeat in (*live, me)
             if heartbeat.phase == wire.HostPhase.READY
         }
+        self.ready_hosts = max(1, len(heartbeat_by_host))
         hosts_by_hall: dict[str, list[str]] = {}
         for heartbeat in heartbeat_by_host.values():
             if not self._suspected.has(heartbeat.host):
--- a/src/bayhinge/_internal/services/gateway/load_exchange.py
+++ b/src/bayhinge/_internal/services/gateway/load_exchange.py
@@ -4,13 +4,18 @@
 """
 
 import asyncio
-from collections.abc import Callable, Collection, Iterable
+from collections.abc import Callable, Collection, Iterable, Mapping
 
 from mode import Service
 
 from bayhinge._internal.decisions.endpoint_table import EndpointState, EndpointTable
 from bayhinge._internal.decisions.incarnation_revisions import IncarnationRevisions
-from bayhinge._internal.decisions.load_table import HostLoadReport, LoadTable
+from bayhinge._internal.decisions.load_table import (
+    LOST_GRANT_S,
+    REPORT_TIMEOUT_S,
+    HostLoadReport,
+    LoadTable,
+)
 from bayhinge._internal.exceptions import FrameError
 from bayhinge._internal.network.addresses import split_address
 from bayhinge._internal.network.datagrams import DatagramReceiver
@@ -48,11 +53,14 @@
         self._load_table = LoadTable()
         self._tables_by_hall: dict[str, tuple[wire.HallLoads, float]] = {}
         self._remote_grants: dict[str, int] = {}
+        self._last_remote_grant_s: dict[str, float] = {}
         self.last_grant_by_hall: dict[str, int] = {}
         self._changed_halls: set[str] = set()
         self._busy_halls: set[str] = set()
         self._sequence = 0
         self.endpoints_known_to: Callable[[], int | None] = lambda: None
+        self.waiting_by_service: Callable[[], Mapping[str, int]] = dict
+        self.on_loads: Callable[[], None] = lambda: None
         self._transport: asyncio.DatagramTransport | None = None
 
     async def on_start(self) -> None:
@@ -99,6 +107,13 @@
             asyncio.get_running_loop().call_later(REPORT_DELAY_S, self._report_changed)
         self._changed_halls.add(state.entry.hall)
 
+    def mark_abandoned(self, hall: str) -> None:
+        """Schedules a report after a place call that was given up.
+
+        Its reply may have held a grant, which the coordinator counts until this report.
+        """
+        asyncio.get_running_loop().call_later(LOST_GRANT_S + REPORT_DELAY_S, self._report, hall)
+
     def _report_changed(self) -> None:
         halls, self._changed_halls = self._changed_halls, set()
         for hall in halls:
@@ -138,14 +153,52 @@
     def grant(self, host: str, state: EndpointState) -> int:
         """Counts a request that a host will send; returns 0 for an endpoint of another hall."""
         if state.entry.hall == self._own_heartbeat.hall:
-            return self._load_table.grant(host, state.entry.instance)
+            now = asyncio.get_running_loop().time()
+            state.running_at_peers += 1
+            return self._load_table.grant(host, state.entry.instance, now)
         self.record_remote_grant(state)
         return 0
 
+    def may_grant(self, host: str) -> bool:
+        """Returns whether a host's report is known, without which it can't get a grant."""
+        return self._load_table.has_report(host)
+
+    def revoke_grant(self, host: str, grant: int, state: EndpointState) -> None:
+        """Stops counting a grant whose caller left before it was sent to the host."""
+        if grant:
+            self._load_table.revoke_grant(host, grant)
+        elif self._remote_grants.get(state.entry.instance):
+            self._remote_grants[state.entry.instance] -= 1
+        self.refresh_endpoint_table()
+
     def record_remote_grant(self, state: EndpointState) -> None:
         """Counts a request for another hall until that hall's next table includes it."""
         instance = state.entry.instance
         self._remote_grants[instance] = self._remote_grants.get(instance, 0) + 1
+        self._last_remote_grant_s[instance] = asyncio.get_running_loop().time()
+        if self._fresh_table(state.entry.hall) is not None:
+            state.running_at_peers += 1
+
+    def remote_limit(self, state: EndpointState) -> int:
+        """Returns how many requests may be in flight at an endpoint of another hall.
+
+        Up to its slots, and none while that hall reports that its own requests wait. If no table
+        of that hall is fresh, heartbeats tell the load, without the newest grants of this host.
+        """
+        table = self._fresh_table(state.entry.hall)
+        if table is not None:
+            waiting = (table.waiting_by_service or {}).get(state.entry.service, 0)
+            return 0 if waiting else state.entry.slots
+        instance = state.entry.instance
+        since_s = asyncio.get_running_loop().time() - REPORT_TIMEOUT_S
+        if self._last_remote_grant_s.get(instance, since_s) <= since_s:
+            self._remote_grants.pop(instance, None)
+        return state.entry.slots - self._remote_grants.get(instance, 0)
+
+    def _fresh_table(self, hall: str) -> wire.HallLoads | None:
+        table, received_s = self._tables_by_hall.get(hall, (None, 0.0))
+        is_fresh = received_s >= asyncio.get_running_loop().time() - HALL_TABLE_KEEP_S
+        return table if is_fresh else None
 
     def forget_endpoint(self, endpoint: str) -> None:
         """Drops all counts of an endpoint that has restarted."""
@@ -199,6 +252,7 @@
                 if state.entry.hall == self._own_heartbeat.hall
             },
             self.endpoints_known_to(),
+            dict(self.waiting_by_service()),
         )
         for coordinator in self._coordinators.other_coordinators():
             self._send(wire.LoadNews(hall=table), coordinator.address)
@@ -219,6 +273,7 @@
             self.receive_loads(message.host)
         if message.hall is not None:
             self._receive_hall_table(message.hall)
+        self.on_loads()
 
     def _receive_hall_table(self, table: wire.HallLoads) -> None:
         known, _ = self._tables_by_hall.get(table.hall, (None, 0.0))
--- a/src/bayhinge/_internal/services/gateway/metrics.py
+++ b/src/bayhinge/_internal/services/gateway/metrics.py
@@ -32,6 +32,27 @@
     }
 
 
+def _place_gauges(gateway: Gateway) -> dict[str, float]:
+    """Returns the waits for places, of this host's requests and of those that it coordinates."""
+    placer = gateway.placer
+    waits = placer.wait_counts
+    return {
+        "placed_by_home_total": placer.counts.by_coordinator,
+        "placed_as_home_total": placer.counts.as_coordinator,
+        "placed_alone_total": placer.counts.local,
+        "place_waiting": waits.waiting,
+        "place_waited_total": waits.waited,
+        "place_waited_seconds_total": waits.waited_s,
+        "place_granted_after_wait_total": waits.granted,
+        "place_refused_as_predicted_total": waits.refused_as_predicted,
+        "place_refused_as_time_over_total": waits.refused_as_time_over,
+        "place_waiting_at_home": placer.hall_waiters.waiting,
+        "place_waiting_alone": placer.local_waiters.waiting,
+        "place_granted_after_wait_as_home_total": placer.hall_waiters.granted_after_wait,
+        "place_granted_after_wait_alone_total": placer.local_waiters.granted_after_wait,
+    }
+
+
 def _gauges(gateway: Gateway) -> dict[str, float]:
     table = gateway.configuration.table
     gauges: dict[str, float] = {
@@ -56,12 +77,10 @@
         "requests_sent_again_total": gateway.requests.send_counts.retried,
         "streams_cut_in_an_event_total": gateway.requests.send_counts.cut_in_event,
         "streams_resumed_total": gateway.requests.send_counts.resumed,
-        "placed_by_home_total": gateway.placer.counts.by_coordinator,
-        "placed_as_home_total": gateway.placer.counts.as_coordinator,
-        "placed_alone_total": gateway.placer.counts.local,
         "is_ready": gateway.is_ready,
         "is_leaving": gateway.is_leaving,
     }
+    gauges |= _place_gauges(gateway)
     if table is not None and table.accounts is not None:
         gauges |= _account_gauges(gateway, len(table.accounts.accounts))
     for outcome, count in gateway.requests.counts.ended_by_outcome.items():
--- a/src/bayhinge/_internal/services/gateway/peer_requests.py
+++ b/src/bayhinge/_internal/services/gateway/peer_requests.py
@@ -57,7 +57,7 @@
         return encode_message(follower.snapshot())
 
     async def _place(self, payload: bytes) -> bytes:
-        return encode_message(self._placer.answer(decode_message(wire.PlaceCall(), payload)))
+        return encode_message(await self._placer.answer(decode_message(wire.PlaceCall(), payload)))
 
     async def _proof(self, payload: bytes) -> bytes:
         return encode_message(self._proofs.answer())
--- a/src/bayhinge/_internal/services/gateway/placement.py
+++ b/src/bayhinge/_internal/services/gateway/placement.py
@@ -1,12 +1,13 @@
 """Places requests on endpoints, through a hall's coordinator or locally.
 
 A coordinator knows the running requests of all hosts at its hall's endpoints; a host alone knows
-those of others only with a delay of some tenths of a second. If no coordinator answers in time,
-the host places the request itself: coordinators improve placement but are never required.
+those of others only with a delay of some tenths of a second. A request waits at the coordinator
+until an endpoint has a place for it. If no coordinator answers in time, the host places the request
+itself, within its share: coordinators improve placement but are never required.
 """
 
 import asyncio
-from abc import ABC, abstractmethod
+import math
 from collections.abc import Iterable
 
 import attrs
@@ -16,53 +17,45 @@
     EndpointTable,
     PlacementPreference,
 )
-from bayhinge._internal.exceptions import FrameError, PeerFailureError, PeerUnreachableError
-from bayhinge._internal.models.endpoint_entries import EndpointIncarnation
-from bayhinge._internal.network.frames import decode_message, encode_message
+from bayhinge._internal.decisions.place_limits import PlaceLimits
+from bayhinge._internal.decisions.place_queue import PlaceQueue, PlaceRequest
+from bayhinge._internal.decisions.returning_callers import ReturningCallers
+from bayhinge._internal.decisions.wait_estimate import WaitEstimate
 from bayhinge._internal.network.peers import Peers
-from bayhinge._internal.services import methods
-from bayhinge._internal.services.gateway.hall_coordinators import HallCoordinator, HallCoordinators
-from bayhinge._internal.services.gateway.load_exchange import LoadExchange
-from bayhinge._internal.utils.stall_tolerant_timeouts import stall_tolerant_timeout
+from bayhinge._internal.services.gateway.coordinator_client import CoordinatorClient
+from bayhinge._internal.services.gateway.hall_coordinators import HallCoordinators
+from bayhinge._internal.services.gateway.load_exchange import (
+    REPORT_DELAY_S,
+    LoadExchange,
+)
+from bayhinge._internal.services.gateway.place_answers import PlaceAnswers
+from bayhinge._internal.services.gateway.place_demand import PlaceDemand
+from bayhinge._internal.services.gateway.place_views import HallPlaces, LocalShare
+from bayhinge._internal.services.gateway.place_waiters import (
+    MAX_POLL_S,
+    OwnRequester,
+    PlaceAsk,
+    PlaceOutcome,
+    PlaceWaiters,
+)
+from bayhinge._internal.services.gateway.place_waits import PlaceWait, WaitCounts
+from bayhinge._internal.services.gateway.placer import Placer
 from bayhinge._internal.wire.hosts import ttypes as wire
 
-ANSWER_S = 0.04
-"""Timeout for a coordinator's answer, about ten times an ordinary one between halls."""
-
-
-class Placer(ABC):
-    """Chooses the endpoint for a request."""
-
-    @abstractmethod
-    async def place(
-        self, service: str, preference: PlacementPreference, tried: Iterable[str]
-    ) -> EndpointState | None:
-        """Returns the endpoint to send to, or None if none is left.
-
-        The caller must count the request as running before it next yields to the event loop.
-        """
-
-    @abstractmethod
-    def record_end(self, state: EndpointState) -> None:
-        """Records that a request is no longer running at an endpoint."""
+MAX_FAILED_CALLS = 3
+"""Coordinators that one round asks if each fails to answer; then the host places by itself."""
 
+MIN_POLL_S = 0.05
+"""Shortest time between two rounds of a waiting request, if a coordinator replies sooner that it
+has to wait: a faulty one must not keep its hosts busy."""
 
-class LocalPlacer(Placer):
-    """Places requests with only this host's own view of endpoints."""
+RECENT_WAIT_S = 1.0
+"""For so long after a request of a service had to wait, the next ones offer to wait in their first
+call. Otherwise a first call asks for a reply at once, so that a silent coordinator delays a request
+that needs no wait by the answer timeout only."""
 
-    def __init__(self, endpoint_table: EndpointTable) -> None:
-        self._endpoint_table = endpoint_table
-
-    async def place(
-        self, service: str, preference: PlacementPreference, tried: Iterable[str]
-    ) -> EndpointState | None:
-        """See :class:`Placer`."""
-        return self._endpoint_table.choose(
-            service, preference, tried, asyncio.get_running_loop().time()
-        )
-
-    def record_end(self, state: EndpointState) -> None:
-        """See :class:`Placer`."""
+END_MARGIN_S = 0.02
+"""Part of a caller's time that is left for the refusal, so that it gets there before the end."""
 
 
 @attrs.define
@@ -75,7 +68,7 @@
 
 
 class CoordinatorPlacer(Placer):
-    """Asks the coordinator of a hall, and falls back to a local choice."""
+    """Asks the coordinator of a hall, and falls back to a choice within this host's share."""
 
     def __init__(
         self,
@@ -88,150 +81,190 @@
         self._endpoint_table = endpoint_table
         self._coordinators = coordinators
         self._exchange = exchange
-        self._peers = peers
         self._hall = hall
+        self._client = CoordinatorClient(endpoint_table, coordinators, exchange, peers)
+        self.limits = PlaceLimits()
+        self._estimate = WaitEstimate()
+        self._hall_queue = PlaceQueue()
+        self._local_queue = PlaceQueue()
+        self._share = LocalShare(endpoint_table, coordinators)
+        places = HallPlaces(endpoint_table, exchange, coordinators, self.limits, hall)
+        self.hall_waiters = PlaceWaiters(
+            places, self._hall_queue, self._estimate, ReturningCallers()
+        )
+        # A host alone refuses nothing ahead of time: the next coordinator may be a moment away.
+        self.local_waiters = PlaceWaiters(
+            self._share, self._local_queue, WaitEstimate(), ReturningCallers()
+        )
+        self._answers = PlaceAnswers(
+            endpoint_table, coordinators, exchange, self.hall_waiters, hall
+        )
+        self._last_wait_s_by_service: dict[str, float] = {}
         self.counts = PlacementCounts()
+        self.wait_counts = WaitCounts()
+        exchange.waiting_by_service = self.hall_waiters.waiting_by_service
+        exchange.on_loads = self.hall_waiters.wake
+
+    def wake(self) -> None:
+        """Grants places that a change of the endpoints may have freed."""
+        self.hall_waiters.wake()
+        self.local_waiters.wake()
+
+    def handle_peer_loads(self) -> None:
+        """Notes that the loads in the other hosts' heartbeats were applied."""
+        self._share.forget_views()
+        self.wake()
+
+    # ---- this host's requests ----
 
     async def place(
-        self, service: str, preference: PlacementPreference, tried: Iterable[str]
+        self,
+        service: str,
+        preference: PlacementPreference,
+        tried: Iterable[str],
+        demand: PlaceDemand,
     ) -> EndpointState | None:
         """See :class:`Placer`."""
         excluded = set(tried)
+        outcome = await self._ask_round(service, preference, excluded, demand)
+        if not outcome.is_waiting and outcome.retry_after_s is None:
+            # The usual case: a place was free, or there is no endpoint.
+            if outcome.state is None or self._is_usable(outcome.state):
+                return outcome.state
+            outcome = attrs.evolve(outcome, state=None, is_waiting=True)
+        with PlaceWait(service, demand, self.wait_counts, self._endpoint_table) as wait:
+            return await self._wait(wait, outcome, preference, excluded)
+
+    async def _wait(
+        self,
+        wait: PlaceWait,
+        outcome: PlaceOutcome,
+        preference: PlacementPreference,
+        excluded: set[str],
+    ) -> EndpointState | None:
+        """Asks again until a place is granted, the request is refused, or its time is over."""
+        began_s = _now()
+        while True:
+            wait.record_reply(outcome)
+            if outcome.retry_after_s is not None:
+                raise wait.refused()
+            if not outcome.is_waiting:
+                if outcome.state is None:
+                    return None
+                if self._is_usable(outcome.state):
+                    wait.record_grant()
+                    return outcome.state
+            self._last_wait_s_by_service[wait.service] = _now()
+            left_s = wait.demand.deadline_s - END_MARGIN_S - _now()
+            if left_s <= 0:
+                raise wait.time_over()
+            # The first reply asks for the wait, and needs no pause.
+            if wait.replies > 1:
+                await asyncio.sleep(min(left_s, max(0.0, began_s + MIN_POLL_S - _now())))
+            began_s = _now()
+            outcome = await self._ask_round(
+                wait.service, preference, excluded, wait.demand, max_wait_s=min(MAX_POLL_S, left_s)
+            )
+
+    async def _ask_round(
+        self,
+        service: str,
+        preference: PlacementPreference,
+        excluded: set[str],
+        demand: PlaceDemand,
+        max_wait_s: float | None = None,
+    ) -> PlaceOutcome:
+        """Asks the coordinator, its successors if it fails, and at last this host itself."""
         preferred = self._endpoint_table.find_incarnation(preference.incarnation)
         hall = self._hall if preferred is None else preferred.entry.hall
-        coordinator = self._coordinators.coordinator_of(hall)
-        if coordinator is not None and hall != self._coordinators.coordinated_hall:
-            state = await self._ask_coordinator(coordinator, service, preference, excluded)
-            if state is not None:
-                return state
-        return self._place_locally(service, preference, excluded)
+        if max_wait_s is None:
+            max_wait_s = self._first_wait_s(service, demand)
+        for _ in range(MAX_FAILED_CALLS):
+            coordinator = self._coordinators.coordinator_of(hall)
+            if coordinator is None or hall == self._coordinators.coordinated_hall:
+                break
+            began_s = _now()
+            outcome = await self._client.ask(
+                coordinator, service, preference, excluded, demand, max_wait_s
+            )
+            if outcome is not None and outcome.has_no_endpoint:
+                break
+            if outcome is not None:
+                if outcome.state is not None:
+                    self.counts.by_coordinator += 1
+                if not max_wait_s:
+                    self.limits.record_delay(REPORT_DELAY_S + _now() - began_s)
+                return outcome
+        return await self._place_here(service, preference, excluded, demand, max_wait_s)
+
+    def _first_wait_s(self, service: str, demand: PlaceDemand) -> float:
+        last_wait_s = self._last_wait_s_by_service.get(service, -math.inf)
+        now = _now()
+        if now - last_wait_s > RECENT_WAIT_S:
+            return 0.0
+        return max(0.0, min(MAX_POLL_S, demand.deadline_s - END_MARGIN_S - now))
+
+    async def _place_here(
+        self,
+        service: str,
+        preference: PlacementPreference,
+        excluded: set[str],
+        demand: PlaceDemand,
+        max_wait_s: float,
+    ) -> PlaceOutcome:
+        is_coordinator = bool(self._coordinators.coordinated_hall)
+        waiters = self.hall_waiters if is_coordinator else self.local_waiters
+        request = PlaceRequest(
+            0,
+            service,
+            demand.urgency,
+            demand.account,
+            demand.begins_program,
+            demand.arrived_s,
+            demand.deadline_s,
+            demand.objective_s,
+            demand.program_deadline_s,
+        )
+        ask = PlaceAsk(
+            request,
+            preference,
+            frozenset(excluded),
+            OwnRequester(),
+            max_wait_s,
+            demand.caller_key,
+        )
+        outcome = await waiters.place(ask)
+        state = outcome.state
+        if state is not None:
+            if is_coordinator:
+                self.counts.as_coordinator += 1
+            else:
+                self.counts.local += 1
+            if state.entry.hall != self._coordinators.coordinated_hall:
+                # The endpoint's coordinator did not grant this request, so report it.
+                self._exchange.mark_changed(state)
+        return outcome
+
+    def _is_usable(self, state: EndpointState) -> bool:
+        """Whether an endpoint may still get a request, after a wait in which it may have ended."""
+        return self._endpoint_table.is_current(state) and not state.entry.is_leaving
 
     def record_end(self, state: EndpointState) -> None:
         """See :class:`Placer`."""
         self._exchange.mark_changed(state)
+        self.wake()
 
-    # ---- as a coordinator ----
+    def record_duration(self, service: str, account: str, duration_s: float) -> None:
+        """See :class:`Placer`."""
+        self.limits.record_duration(service, duration_s)
+        self._estimate.record_duration(service, duration_s)
+        self._hall_queue.record_duration(service, account, duration_s)
+        self._local_queue.record_duration(service, account, duration_s)
 
-    def answer(self, call: wire.PlaceCall) -> wire.PlaceReply:
+    async def answer(self, call: wire.PlaceCall) -> wire.PlaceReply:
         """Places another host's request, as the coordinator of this hall."""
-        if not self._coordinators.coordinated_hall:
-            coordinator = self._coordinators.coordinator_of(self._hall)
-            return wire.PlaceReply("", 0, None if coordinator is None else coordinator.host)
-        self._exchange.receive_loads(call.loads)
-        self._exchange.refresh_endpoint_table()
-        preference = PlacementPreference(
-            EndpointIncarnation(call.wished, call.wished_born_ms),
-            call.shared_part,
-            call.kept_tokens,
-            call.shared_tokens,
-            frozenset(call.connected or ()),
-        )
-        now = asyncio.get_running_loop().time()
-        # The caller would use the old address of endpoints whose restart it does not know yet.
-        outdated = self._endpoint_table.incarnation_revisions.not_known_by(
-            call.loads.endpoints_known_to
-        )
-        state = self._endpoint_table.choose(
-            call.service_name, preference, {*call.avoid, *outdated}, now
-        )
-        if state is None:
-            return wire.PlaceReply("", 0)
-        grant = self._exchange.grant(call.loads.host, state)
-        return wire.PlaceReply(state.entry.instance, grant)
+        return await self._answers.answer(call)
 
-    def _place_locally(
-        self, service: str, preference: PlacementPreference, excluded: set[str]
-    ) -> EndpointState | None:
-        if self._coordinators.coordinated_hall:
-            self._exchange.refresh_endpoint_table()
-            self.counts.as_coordinator += 1
-        else:
-            self.counts.local += 1
-        state = self._endpoint_table.choose(
-            service, preference, excluded, asyncio.get_running_loop().time()
-        )
-        if state is not None and state.entry.hall != self._coordinators.coordinated_hall:
-            # The endpoint's coordinator did not grant this request, so report it.
-            self._exchange.mark_changed(state)
-        return state
 
-    async def _ask_coordinator(
-        self,
-        coordinator: HallCoordinator,
-        service: str,
-        preference: PlacementPreference,
-        excluded: set[str],
-    ) -> EndpointState | None:
-        excluded_now = excluded | self._endpoint_table.ejected(asyncio.get_running_loop().time())
-        for _ in range(2):
-            call = wire.PlaceCall(
-                self._exchange.own_loads(coordinator.hall),
-                service,
-                preference.incarnation.endpoint,
-                preference.shared_part,
-                sorted(excluded_now),
-                preference.kept_tokens,
-                preference.shared_tokens,
-                preference.incarnation.born_ms,
-                self._connected(coordinator, service, preference),
-            )
-            reply = await self._call_coordinator(coordinator, call)
-            if reply is None:
-                return None
-            if reply.home is None:
-                return self._accept(reply, coordinator, service, excluded)
-            other = self._coordinators.follow_redirect(coordinator.hall, reply.home)
-            if other is None or other == coordinator:
-                return None
-            coordinator = other
-        return None
-
-    def _connected(
-        self, coordinator: HallCoordinator, service: str, preference: PlacementPreference
-    ) -> list[str]:
-        """Returns the connected endpoints that the coordinator may choose."""
-        states = [self._endpoint_table.find(instance) for instance in preference.connected]
-        return [
-            state.entry.instance
-            for state in states
-            if state is not None
-            and state.entry.hall == coordinator.hall
-            and state.entry.service == service
-        ]
-
-    def _accept(
-        self, reply: wire.PlaceReply, coordinator: HallCoordinator, service: str, excluded: set[str]
-    ) -> EndpointState | None:
-        """Returns a coordinator's choice, or None if this host knows that it is unusable."""
-        state = self._endpoint_table.find(reply.endpoint)
-        if (
-            state is None
-            or state.entry.service != service
-            or state.entry.is_leaving
-            or state.is_suspected
-            or state.is_replaced
-            or reply.endpoint in excluded
-        ):
-            return None
-        self.counts.by_coordinator += 1
-        if reply.grant:
-            newest = self._exchange.last_grant_by_hall.get(coordinator.hall, 0)
-            self._exchange.last_grant_by_hall[coordinator.hall] = max(newest, reply.grant)
-        else:
-            self._exchange.mark_changed(state)
-        return state
-
-    async def _call_coordinator(
-        self, coordinator: HallCoordinator, call: wire.PlaceCall
-    ) -> wire.PlaceReply | None:
-        try:
-            # Not asyncio.timeout(): a host that stalled would take the coordinator for silent.
-            async with stall_tolerant_timeout(ANSWER_S):
-                answer = await self._peers.call(
-                    coordinator.address, methods.PLACE, encode_message(call)
-                )
-            reply: wire.PlaceReply = decode_message(wire.PlaceReply(), answer)
-        except (TimeoutError, PeerUnreachableError, PeerFailureError, FrameError) as error:
-            self._coordinators.mark_suspected(coordinator, str(error) or "no answer in time")
-            return None
-        return reply
+def _now() -> float:
+    return asyncio.get_running_loop().time()
--- a/src/bayhinge/_internal/services/gateway/request_sender.py
+++ b/src/bayhinge/_internal/services/gateway/request_sender.py
@@ -12,7 +12,7 @@
     answer_timeouts_for,
     smoothed_answer_s,
 )
-from bayhinge._internal.decisions.endpoint_table import EndpointTable, PlacementPreference
+from bayhinge._internal.decisions.endpoint_table import EndpointState, EndpointTable
 from bayhinge._internal.models.refusals import Refusal, RefusalCode, RefusedError, SendRecord
 from bayhinge._internal.models.routed_requests import AnswerMetadata, RoutedRequest
 from bayhinge._internal.models.routing import Route, RouteKind
@@ -34,9 +34,11 @@
 from bayhinge._internal.services.gateway.admission import AdmissionRevokedError
 from bayhinge._internal.services.gateway.delivery import Delivery
 from bayhinge._internal.services.gateway.open_turn import OpenTurn
-from bayhinge._internal.services.gateway.placement import LocalPlacer, Placer
+from bayhinge._internal.services.gateway.place_demand import NoPlaceError, demand_of
 from bayhinge._internal.services.gateway.placement_preferences import preference_of
+from bayhinge._internal.services.gateway.placer import LocalPlacer, Placer
 from bayhinge._internal.services.gateway.platform_interface import CallFormat
+from bayhinge._internal.services.gateway.send_state import SendCounts, SendState
 from bayhinge._internal.utils.stall_tolerant_timeouts import stall_tolerant_timeout
 
 MAX_REJECTED_SENDS = 4
@@ -50,46 +52,6 @@
     """The endpoint rejected the request and guarantees that it did not run."""
 
 
-@attrs.define
-class _SendState:
-    """The sends of one request.
-
-    Attributes:
-        tried: runs so far; a later incarnation of the same endpoint counts as untried.
-        ran: number of sends that may have run.
-        rejected: number of sends that certainly did not run.
-    """
-
-    service: str
-    route: Route
-    request: RoutedRequest
-    body: bytes
-    preference: PlacementPreference
-    send_record: SendRecord
-    deadline_s: float
-    delivery: Delivery
-    tried: list[ActiveRun] = attrs.field(factory=list)
-    ran: int = 0
-    rejected: int = 0
-
-
-@attrs.define
-class SendCounts:
-    """Counts of failures and retries after a request's first send.
-
-    Attributes:
-        suspected: endpoints that were silent for too long while a request waited.
-        retried: requests sent again after an endpoint that may have run them.
-        resumed: retried requests that resumed a stream after an event.
-        cut_in_event: runs that broke off within an event.
-    """
-
-    suspected: int = 0
-    retried: int = 0
-    resumed: int = 0
-    cut_in_event: int = 0
-
-
 class RequestSender:
     """Sends requests to the endpoints that a placer chooses.
 
@@ -130,12 +92,13 @@
             RefusedError: no endpoint gave a deliverable answer.
         """
         body = request.body if turn is None else turn.history + request.body
-        send_state = _SendState(
+        send_state = SendState(
             service,
             route,
             request,
             body,
             preference_of(request, turn),
+            demand_of(route, request, deadline_s, asyncio.get_running_loop().time()),
             send_record,
             deadline_s,
             delivery,
@@ -167,32 +130,37 @@
                 self._record_failure(run, send_state, error.why, error.cut_bytes)
                 self._raise_unless_repeatable(send_state, error)
 
-    def _admission_refusal(self, send_state: _SendState, error: AdmissionRevokedError) -> Refusal:
+    def _admission_refusal(self, send_state: SendState, error: AdmissionRevokedError) -> Refusal:
         if send_state.ran:
             return send_state.send_record.refusal(RefusalCode.OUTCOME_UNKNOWN, error.why)
         retry_after_s = None if error.code is RefusalCode.UNAUTHORIZED else RETRY_AFTER_S
         return send_state.send_record.refusal(error.code, error.why, retry_after_s=retry_after_s)
 
-    async def _next_run(self, send_state: _SendState) -> ActiveRun:
+    async def _next_run(self, send_state: SendState) -> ActiveRun:
         state = None
         if send_state.rejected < MAX_REJECTED_SENDS:
-            tried = self._tried_endpoints(send_state)
-            preference = attrs.evolve(
-                send_state.preference, connected=self._connection_pool.connected_endpoints()
-            )
-            state = await self._placer.place(send_state.service, preference, tried)
+            state = await self._place(send_state)
         if state is None:
-            code = RefusalCode.OUTCOME_UNKNOWN if send_state.ran else RefusalCode.NO_ENDPOINT
-            why = f"none of {len(send_state.tried)} endpoint(s) of the service accepted the request"
-            raise RefusedError(
-                send_state.send_record.refusal(code, why, retry_after_s=RETRY_AFTER_S)
-            )
+            raise RefusedError(send_state.no_endpoint_refusal(RETRY_AFTER_S))
         send_state.send_record.record_send()
         run = self._runs.begin(state)
         send_state.tried.append(run)
         return run
 
-    def _tried_endpoints(self, send_state: _SendState) -> list[str]:
+    async def _place(self, send_state: SendState) -> EndpointState | None:
+        """Returns the endpoint for the next send, after a wait for a place, or None."""
+        tried = self._tried_endpoints(send_state)
+        preference = attrs.evolve(
+            send_state.preference, connected=self._connection_pool.connected_endpoints()
+        )
+        try:
+            return await self._placer.place(
+                send_state.service, preference, tried, send_state.demand
+            )
+        except NoPlaceError as error:
+            raise RefusedError(send_state.no_place_refusal(error)) from error
+
+    def _tried_endpoints(self, send_state: SendState) -> list[str]:
         """Returns the endpoints whose current incarnation was tried already."""
         return [
             run.endpoint
@@ -200,9 +168,10 @@
             if self._endpoint_table.find_incarnation(run.state.entry.incarnation) is not None
         ]
 
-    async def _send_to(self, run: ActiveRun, send_state: _SendState) -> None:
+    async def _send_to(self, run: ActiveRun, send_state: SendState) -> None:
         connection: EndpointConnection | None = None
         is_complete = False
+        began_s = asyncio.get_running_loop().time()
         try:
             connection = await self._connection_pool.acquire(run.endpoint, run.state.entry.address)
             if run.is_ended:
@@ -214,6 +183,10 @@
             if marks.not_run or marks.wrong_instance:
                 raise RequestRejectedError(f"status {answer.status}")
             run.state.record_success()
+            took_s = asyncio.get_running_loop().time() - began_s
+            self._placer.record_duration(
+                send_state.service, send_state.request.account_name, took_s
+            )
         finally:
             self._runs.end(run)
             self._placer.record_end(run.state)
@@ -222,7 +195,7 @@
                 connection.abort("given up")
 
     async def _exchange(
-        self, connection: EndpointConnection, run: ActiveRun, send_state: _SendState
+        self, connection: EndpointConnection, run: ActiveRun, send_state: SendState
     ) -> tuple[Answer, AnswerMetadata]:
         """Sends the request, and delivers the answer unless the endpoint rejected it."""
         request, route = send_state.request, send_state.route
@@ -264,7 +237,7 @@
         self,
         connection: EndpointConnection,
         run: ActiveRun,
-        send_state: _SendState,
+        send_state: SendState,
         bounds: AnswerTimeouts,
     ) -> tuple[Answer, AnswerMetadata]:
         """Returns the head of the answer; suspects an endpoint that is silent on all connections.
@@ -298,7 +271,7 @@
         previous_s = self._usual_answer_s_by_service.get(service)
         self._usual_answer_s_by_service[service] = smoothed_answer_s(previous_s, elapsed_s)
 
-    def _has_untried_endpoint(self, send_state: _SendState) -> bool:
+    def _has_untried_endpoint(self, send_state: SendState) -> bool:
         """Whether an untried endpoint is left."""
         now = asyncio.get_running_loop().time()
         tried = self._tried_endpoints(send_state)
@@ -325,9 +298,7 @@
             if answer.closes_connection:
                 raise IncompleteAnswerError("the connection closed after another request's answer")
 
-    def _raise_unless_repeatable(
-        self, send_state: _SendState, error: IncompleteAnswerError
-    ) -> None:
+    def _raise_unless_repeatable(self, send_state: SendState, error: IncompleteAnswerError) -> None:
         may_repeat = send_state.route.may_repeat and send_state.delivery.may_continue
         if may_repeat and send_state.ran < send_state.route.max_endpoints:
             self.counts.retried += 1
@@ -344,13 +315,13 @@
         ) from error
 
     def _record_failure(
-        self, run: ActiveRun, send_state: _SendState, why: str, cut_bytes: int = 0
+        self, run: ActiveRun, send_state: SendState, why: str, cut_bytes: int = 0
     ) -> None:
         run.state.record_failure(asyncio.get_running_loop().time())
         self._log("send.failed", run, send_state, why, cut_bytes)
 
     def _log(
-        self, event: str, run: ActiveRun, send_state: _SendState, why: str, cut_bytes: int = 0
+        self, event: str, run: ActiveRun, send_state: SendState, why: str, cut_bytes: int = 0
     ) -> None:
         eliot.log_message(
             event,
--- a/src/bayhinge/_internal/services/gateway/request_service.py
+++ b/src/bayhinge/_internal/services/gateway/request_service.py
@@ -25,6 +25,7 @@
 from bayhinge._internal.services.gateway.delivery import Delivery
 from bayhinge._internal.services.gateway.initial_sync import InitialSync, initial_sync_deadline
 from bayhinge._internal.services.gateway.open_turn import OpenTurn
+from bayhinge._internal.services.gateway.place_demand import begins_program
 from bayhinge._internal.services.gateway.platform_interface import CallFormat
 from bayhinge._internal.services.gateway.quotas import Quotas
 from bayhinge._internal.services.gateway.request_sender import RETRY_AFTER_S, RequestSender
@@ -166,7 +167,7 @@
         if account is None:
             yield
             return
-        await self._quotas.acquire(account, _begins_program(route, request))
+        await self._quotas.acquire(account, begins_program(route, request))
         try:
             yield
         finally:
@@ -290,12 +291,6 @@
         )
 
 
-def _begins_program(route: Route, request: RoutedRequest) -> bool:
-    """Returns whether a request is its program's first turn."""
-    context = request.turn
-    return route.retains_turns and context is not None and context.previous is None
-
-
 def _validate_head(route: Route, request: RoutedRequest) -> None:
     """Refuses a request with invalid headers.
 
--- /dev/null
+++ b/src/bayhinge/_internal/services/gateway/send_state.py
@@ -0,0 +1,69 @@
+"""The state of one request's sends, and the counts of all requests of a host."""
+
+import attrs
+
+from bayhinge._internal.decisions.endpoint_table import PlacementPreference
+from bayhinge._internal.models.refusals import Figure, Refusal, RefusalCode, SendRecord
+from bayhinge._internal.models.routed_requests import RoutedRequest
+from bayhinge._internal.models.routing import Route
+from bayhinge._internal.services.gateway.active_runs import ActiveRun
+from bayhinge._internal.services.gateway.delivery import Delivery
+from bayhinge._internal.services.gateway.place_demand import NoPlaceError, PlaceDemand
+
+
+@attrs.define
+class SendState:
+    """The sends of one request.
+
+    Attributes:
+        tried: runs so far; a later incarnation of the same endpoint counts as untried.
+        ran: number of sends that may have run.
+        rejected: number of sends that certainly did not run.
+    """
+
+    service: str
+    route: Route
+    request: RoutedRequest
+    body: bytes
+    preference: PlacementPreference
+    demand: PlaceDemand
+    send_record: SendRecord
+    deadline_s: float
+    delivery: Delivery
+    tried: list[ActiveRun] = attrs.field(factory=list)
+    ran: int = 0
+    rejected: int = 0
+
+    def no_endpoint_refusal(self, retry_after_s: float) -> Refusal:
+        """Returns the refusal of a request for which no endpoint is left."""
+        code = RefusalCode.OUTCOME_UNKNOWN if self.ran else RefusalCode.NO_ENDPOINT
+        why = f"none of {len(self.tried)} endpoint(s) of the service accepted the request"
+        return self.send_record.refusal(code, why, retry_after_s=retry_after_s)
+
+    def no_place_refusal(self, error: NoPlaceError) -> Refusal:
+        """Returns the refusal of a request that got no place in time."""
+        return self.send_record.refusal(
+            RefusalCode.OUTCOME_UNKNOWN if self.ran else RefusalCode.NO_PLACE,
+            str(error),
+            Figure("waited_s", round(error.waited_s, 3)),
+            Figure("expected_wait_s", round(error.expected_wait_s, 3)),
+            Figure("waiting_ahead", error.waiting_ahead),
+            retry_after_s=error.retry_after_s,
+        )
+
+
+@attrs.define
+class SendCounts:
+    """Counts of failures and retries after a request's first send.
+
+    Attributes:
+        suspected: endpoints that were silent for too long while a request waited.
+        retried: requests sent again after an endpoint that may have run them.
+        resumed: retried requests that resumed a stream after an event.
+        cut_in_event: runs that broke off within an event.
+    """
+
+    suspected: int = 0
+    retried: int = 0
+    resumed: int = 0
+    cut_in_event: int = 0
--- a/src/bayhinge/_internal/services/gateway/store_listeners.py
+++ b/src/bayhinge/_internal/services/gateway/store_listeners.py
@@ -112,6 +112,7 @@
         self._removal_timer_by_instance: dict[str, asyncio.TimerHandle] = {}
         self.initial_sync = InitialSync("endpoints")
         self.unreadable = UnreadableObjects("endpoint.unreadable")
+        self.on_change: Callable[[], None] = lambda: None
 
     def replace_all(self, value_by_key: dict[str, bytes], is_after_outage: bool) -> None:
         """See :class:`ObjectListener`."""
@@ -123,6 +124,7 @@
         for key, value in value_by_key.items():
             self._put(key, value)
         self.initial_sync.complete()
+        self.on_change()
 
     def apply(self, change: Change, is_after_outage: bool) -> None:
         """See :class:`ObjectListener`."""
@@ -131,6 +133,7 @@
             self._mark_missing(_instance(change.key), is_after_outage)
         else:
             self._put(change.key, change.value)
+        self.on_change()
 
     def _put(self, key: str, value: bytes) -> None:
         try:
@@ -205,6 +208,7 @@
                 REMOVED_ENTRY_KEEP_S, self._endpoint_table.forget_removed, previous.incarnation
             )
             eliot.log_message("endpoint.gone", endpoint=instance, why=why)
+            self.on_change()
 
 
 def _instance(key: str) -> str:
--- a/tests/unit/test_endpoint_incarnations.py
+++ b/tests/unit/test_endpoint_incarnations.py
@@ -349,8 +349,8 @@
     load_table.record_report(
         HostLoadReport("h", 1, 1, 0, {"a": 5, "b": 1}, frozenset({"a", "b"})), NOW_S
     )
-    grant = load_table.grant("h", "a")
-    load_table.grant("h", "b")
+    grant = load_table.grant("h", "a", NOW_S)
+    load_table.grant("h", "b", NOW_S)
     load_table.forget_endpoint("a")
     assert nonzero(load_table.running_by_endpoint()) == {"b": 2}
     assert nonzero(load_table.failure_reports_by_endpoint()) == {"b": 1}
--- a/tests/unit/test_endpoint_updates.py
+++ b/tests/unit/test_endpoint_updates.py
@@ -291,8 +291,8 @@
         state = host.endpoint_table.find("b")
         assert state is not None
         state.running_here = 3
-        assert placer.answer(place_call(49, "", None)).endpoint == "b"
-        assert placer.answer(place_call(50, "", None)).endpoint == "a"
+        assert (await placer.answer(place_call(49, "", None))).endpoint == "b"
+        assert (await placer.answer(place_call(50, "", None))).endpoint == "a"
 
     run_virtual(scenario())
 
@@ -306,8 +306,8 @@
         state = host.endpoint_table.find("a")
         assert state is not None
         state.running_here = 2
-        assert placer.answer(place_call(50, "a", BORN_MS)).endpoint == "b"
-        assert placer.answer(place_call(50, "a", BORN_MS + 1)).endpoint == "a"
+        assert (await placer.answer(place_call(50, "a", BORN_MS))).endpoint == "b"
+        assert (await placer.answer(place_call(50, "a", BORN_MS + 1))).endpoint == "a"
 
     run_virtual(scenario())
 
--- a/tests/unit/test_load_table.py
+++ b/tests/unit/test_load_table.py
@@ -22,7 +22,7 @@
 def test_a_grant_counts_once_before_and_after_the_host_reports_it() -> None:
     load_table = LoadTable()
     load_table.record_report(report("a", 1, {"e": 1}), 0.0)
-    grant = load_table.grant("a", "e")
+    grant = load_table.grant("a", "e", 0.0)
     assert nonzero_counts(load_table) == {"e": 2}
     load_table.record_report(report("a", 2, {"e": 1}, grant - 1), 0.1)
     assert nonzero_counts(load_table) == {"e": 2}, (
@@ -42,7 +42,7 @@
 def test_counts_of_a_silent_or_restarted_host_are_dropped() -> None:
     load_table = LoadTable()
     load_table.record_report(report("a", 7, {"e": 5}), 0.0)
-    load_table.grant("a", "f")
+    load_table.grant("a", "f", 0.0)
     load_table.record_report(report("b", 1, {"e": 1}), REPORT_TIMEOUT_S)
     load_table.record_report(report("a", 1, {"e": 2}, start=2), REPORT_TIMEOUT_S)
     assert nonzero_counts(load_table) == {"e": 3}
@@ -53,7 +53,7 @@
 def test_a_new_coordinator_continues_the_numbers_of_grants() -> None:
     load_table = LoadTable()
     load_table.record_report(report("a", 9, {}, grant=40), 0.0)
-    assert load_table.grant("a", "e") == 41
+    assert load_table.grant("a", "e", 0.0) == 41
     load_table.record_report(report("a", 10, {}, grant=40), 0.1)
     assert nonzero_counts(load_table) == {"e": 1}
 
@@ -89,7 +89,7 @@
     @rule(host=st.sampled_from(HOSTS), endpoint=st.sampled_from("ef"), is_lost=st.booleans())
     def place(self, host: str, endpoint: str, is_lost: bool) -> None:
         self.load_table.record_report(self._report(host), 0.0)
-        grant = self.load_table.grant(host, endpoint)
+        grant = self.load_table.grant(host, endpoint, 0.0)
         if not is_lost:
             self.last_grant[host] = grant
             self.running[host][endpoint] += 1
