--- a/src/bayhinge/_internal/services/gateway/coordinator_client.py
+++ b/src/bayhinge/_internal/services/gateway/coordinator_client.py
@@ -131,7 +131,7 @@
             return None
         finally:
             if reply is None:
-                self._exchange.mark_abandoned(coordinator.hall)
+                self._exchange.mark_abandoned(coordinator)
         return reply
 
     def _read(
@@ -162,7 +162,7 @@
             or reply.endpoint in excluded
         ):
             # Its place is free again with the next report.
-            self._exchange.mark_abandoned(coordinator.hall)
+            self._exchange.mark_abandoned(coordinator)
             return None
         if reply.grant:
             newest = self._exchange.last_grant_by_hall.get(coordinator.hall, 0)
--- a/src/bayhinge/_internal/services/gateway/gateway.py
+++ b/src/bayhinge/_internal/services/gateway/gateway.py
@@ -348,6 +348,7 @@
         self.endpoint_table.apply_peer_loads(
             sum_loads(heartbeats, self.endpoint_table.incarnation_revisions)
         )
+        self.exchange.handle_heartbeats(heartbeats)
         self.coordinators.refresh()
         self.quotas.refresh()
         if self.coordinators.coordinated_hall:
--- a/src/bayhinge/_internal/services/gateway/hall_coordinators.py
+++ b/src/bayhinge/_internal/services/gateway/hall_coordinators.py
@@ -38,6 +38,8 @@
 
     Attributes:
         ready_hosts: number of ready entry hosts of all halls, this one included.
+        is_isolated: this host suspects most of the other ready hosts of its hall. It may be the
+            only one that takes itself for the coordinator.
     """
 
     def __init__(self, gossip: Gossip, halls: Iterable[str] = ()) -> None:
@@ -48,6 +50,7 @@
         self._coordinator_by_hall: dict[str, HallCoordinator] = {}
         self._suspected = SuspectHosts(gossip.last_seen_s)
         self.ready_hosts = 1
+        self.is_isolated = False
 
     def coordinator_of(self, hall: str) -> HallCoordinator | None:
         """Returns a hall's coordinator, or None if no ready host of the hall is known."""
@@ -83,6 +86,9 @@
         for heartbeat in heartbeat_by_host.values():
             if not self._suspected.has(heartbeat.host):
                 hosts_by_hall.setdefault(heartbeat.hall, []).append(heartbeat.host)
+        others = sum(one.hall == me.hall for one in heartbeat_by_host.values()) - 1
+        trusted = len(hosts_by_hall.get(me.hall, [])) - 1
+        self.is_isolated = 2 * trusted < others
         before = self._coordinator_by_hall.get(me.hall)
         self._coordinator_by_hall = {}
         for hall, hosts in hosts_by_hall.items():
--- a/src/bayhinge/_internal/services/gateway/load_exchange.py
+++ b/src/bayhinge/_internal/services/gateway/load_exchange.py
@@ -20,7 +20,7 @@
 from bayhinge._internal.network.addresses import split_address
 from bayhinge._internal.network.datagrams import DatagramReceiver
 from bayhinge._internal.network.frames import decode_message, encode_message
-from bayhinge._internal.services.gateway.hall_coordinators import HallCoordinators
+from bayhinge._internal.services.gateway.hall_coordinators import HallCoordinator, HallCoordinators
 from bayhinge._internal.services.keep_running import keep_running
 from bayhinge._internal.wire.hosts import ttypes as wire
 
@@ -52,6 +52,7 @@
         self._coordinators = coordinators
         self._load_table = LoadTable()
         self._tables_by_hall: dict[str, tuple[wire.HallLoads, float]] = {}
+        self._heartbeat_loads: dict[str, Mapping[str, int]] = {}
         self._remote_grants: dict[str, int] = {}
         self._last_remote_grant_s: dict[str, float] = {}
         self.last_grant_by_hall: dict[str, int] = {}
@@ -107,12 +108,14 @@
             asyncio.get_running_loop().call_later(REPORT_DELAY_S, self._report_changed)
         self._changed_halls.add(state.entry.hall)
 
-    def mark_abandoned(self, hall: str) -> None:
+    def mark_abandoned(self, coordinator: HallCoordinator) -> None:
         """Schedules a report after a place call that was given up.
 
-        Its reply may have held a grant, which the coordinator counts until this report.
+        Its reply may have held a grant, which that coordinator counts until this report.
         """
-        asyncio.get_running_loop().call_later(LOST_GRANT_S + REPORT_DELAY_S, self._report, hall)
+        asyncio.get_running_loop().call_later(
+            LOST_GRANT_S + REPORT_DELAY_S, self._report_to, coordinator
+        )
 
     def _report_changed(self) -> None:
         halls, self._changed_halls = self._changed_halls, set()
@@ -130,8 +133,13 @@
 
     def _report(self, hall: str) -> None:
         coordinator = self._coordinators.coordinator_of(hall)
-        if coordinator is not None and coordinator.host != self._own_heartbeat.host:
-            self._send(wire.LoadNews(host=self.own_loads(hall)), coordinator.address)
+        if coordinator is not None:
+            self._report_to(coordinator)
+
+    def _report_to(self, coordinator: HallCoordinator) -> None:
+        if coordinator.host != self._own_heartbeat.host:
+            loads = self.own_loads(coordinator.hall)
+            self._send(wire.LoadNews(host=loads), coordinator.address)
 
     # ---- as a coordinator ----
 
@@ -204,14 +212,34 @@
         """Drops all counts of an endpoint that has restarted."""
         self._load_table.forget_endpoint(endpoint)
         self._remote_grants.pop(endpoint, None)
+        self._heartbeat_loads = {
+            host: excluding_endpoints(running_by_endpoint, {endpoint})
+            for host, running_by_endpoint in self._heartbeat_loads.items()
+        }
         for table, _ in self._tables_by_hall.values():
             table.running_by_endpoint.pop(endpoint, None)
 
+    def handle_heartbeats(self, heartbeats: Iterable[wire.Hello]) -> None:
+        """Keeps the loads of the heartbeats, for hosts that report to another coordinator."""
+        revisions = self._endpoint_table.incarnation_revisions
+        self._heartbeat_loads = {
+            heartbeat.host: excluding_endpoints(
+                heartbeat.running_by_endpoint, revisions.not_known_by(heartbeat.endpoints_known_to)
+            )
+            for heartbeat in heartbeats
+            if heartbeat.running_by_endpoint
+        }
+
     def refresh_endpoint_table(self) -> None:
         """Copies the counts of other hosts' requests to the endpoint table."""
         now = asyncio.get_running_loop().time()
         self._load_table.forget_silent(now)
         running = dict(self._load_table.running_by_endpoint())
+        for host, running_by_endpoint in self._heartbeat_loads.items():
+            # A host that has not reported to this coordinator yet, or takes another one for it.
+            if not self._load_table.has_report(host):
+                for instance, count in running_by_endpoint.items():
+                    running[instance] = running.get(instance, 0) + count
         failure_reports = self._load_table.failure_reports_by_endpoint()
         fresh_halls = {self._own_heartbeat.hall}
         for hall, (table, received_s) in self._tables_by_hall.items():
@@ -288,8 +316,8 @@
 
 
 def excluding_endpoints(
-    running_by_endpoint: dict[str, int], excluded: Collection[str]
-) -> dict[str, int]:
+    running_by_endpoint: Mapping[str, int], excluded: Collection[str]
+) -> Mapping[str, int]:
     """Returns the running requests of all endpoints except the excluded ones."""
     if not excluded:
         return running_by_endpoint
--- a/src/bayhinge/_internal/services/gateway/placement.py
+++ b/src/bayhinge/_internal/services/gateway/placement.py
@@ -212,7 +212,9 @@
         demand: PlaceDemand,
         max_wait_s: float,
     ) -> PlaceOutcome:
-        is_coordinator = bool(self._coordinators.coordinated_hall)
+        is_coordinator = (
+            bool(self._coordinators.coordinated_hall) and not self._coordinators.is_isolated
+        )
         waiters = self.hall_waiters if is_coordinator else self.local_waiters
         request = PlaceRequest(
             0,
--- a/tests/unit/test_load_table.py
+++ b/tests/unit/test_load_table.py
@@ -6,7 +6,12 @@
 from hypothesis import strategies as st
 from hypothesis.stateful import RuleBasedStateMachine, invariant, rule
 
-from bayhinge._internal.decisions.load_table import REPORT_TIMEOUT_S, HostLoadReport, LoadTable
+from bayhinge._internal.decisions.load_table import (
+    LOST_GRANT_S,
+    REPORT_TIMEOUT_S,
+    HostLoadReport,
+    LoadTable,
+)
 
 
 def report(
@@ -32,6 +37,31 @@
     assert nonzero_counts(load_table) == {"e": 2}
 
 
+def test_a_grant_that_later_reports_do_not_include_is_dropped() -> None:
+    load_table = LoadTable()
+    load_table.record_report(report("a", 1, {"e": 1}), 0.0)
+    grant = load_table.grant("a", "e", 0.0)
+    load_table.record_report(report("a", 2, {"e": 1}, grant - 1), LOST_GRANT_S / 2)
+    assert nonzero_counts(load_table) == {"e": 2}, "the grant may still be under way"
+    load_table.record_report(report("a", 3, {"e": 1}, grant - 1), LOST_GRANT_S)
+    assert nonzero_counts(load_table) == {"e": 1}
+    # A host that was only slow counts by its own report from then on.
+    load_table.record_report(report("a", 4, {"e": 2}, grant), LOST_GRANT_S)
+    assert nonzero_counts(load_table) == {"e": 2}
+
+
+def test_a_revoked_grant_is_not_counted_and_is_revoked_once() -> None:
+    load_table = LoadTable()
+    load_table.record_report(report("a", 1, {"e": 1}), 0.0)
+    grant = load_table.grant("a", "e", 0.0)
+    for _ in range(2):
+        load_table.revoke_grant("a", grant)
+        load_table.revoke_grant("unknown", grant)
+        assert nonzero_counts(load_table) == {"e": 1}
+    load_table.record_report(report("a", 2, {"e": 1}, grant), 0.1)
+    assert nonzero_counts(load_table) == {"e": 1}
+
+
 def test_an_outdated_report_is_ignored() -> None:
     load_table = LoadTable()
     load_table.record_report(report("a", 2, {"e": 5}), 0.0)
