Compare a wait for a place with its first prediction

Cause: a waiting request asks again five times a second; the prediction of its last call is nearly always right, so the estimate would never have learned its error.

--- a/src/bayhinge/_internal/services/gateway/place_answers.py
+++ b/src/bayhinge/_internal/services/gateway/place_answers.py
@@ -78,19 +78,19 @@
 
     def __init__(self, exchange: LoadExchange, host: str) -> None:
         self._exchange = exchange
-        self._host = host
+        self.name = host
 
     def may_get_grant(self) -> bool:
         """See :class:`Requester`."""
-        return self._exchange.may_grant(self._host)
+        return self._exchange.may_grant(self.name)
 
     def count(self, state: EndpointState) -> int:
         """See :class:`Requester`."""
-        return self._exchange.grant(self._host, state)
+        return self._exchange.grant(self.name, state)
 
     def revoke(self, state: EndpointState, grant: int) -> None:
         """See :class:`Requester`."""
-        self._exchange.revoke_grant(self._host, grant, state)
+        self._exchange.revoke_grant(self.name, grant, state)
 
 
 def _request_of(call: wire.PlaceCall, now_s: float) -> PlaceRequest:
--- a/src/bayhinge/_internal/services/gateway/place_waiters.py
+++ b/src/bayhinge/_internal/services/gateway/place_waiters.py
@@ -13,6 +13,7 @@
 import attrs
 
 from bayhinge._internal.decisions.endpoint_table import EndpointState, PlacementPreference
+from bayhinge._internal.decisions.first_predictions import FirstPredictions
 from bayhinge._internal.decisions.place_queue import PlaceQueue, PlaceRequest
 from bayhinge._internal.decisions.returning_callers import ReturningCallers
 from bayhinge._internal.decisions.wait_estimate import Refused, WaitEstimate
@@ -27,7 +28,13 @@
 
 
 class Requester(ABC):
-    """Who sends a request that got a place: this host or another one."""
+    """Who sends a request that got a place: this host or another one.
+
+    Attributes:
+        name: the other host, or empty.
+    """
+
+    name = ""
 
     def may_get_grant(self) -> bool:
         """Returns whether a grant to it can be counted."""
@@ -92,7 +99,7 @@
 @attrs.define(eq=False)
 class _Waiter:
     ask: PlaceAsk
-    began_s: float
+    asked_s: float
     outcome: "asyncio.Future[PlaceOutcome]"
     if_waiting: PlaceOutcome = PlaceOutcome(is_waiting=True)
 
@@ -111,6 +118,7 @@
         self._queue = queue
         self._estimate = estimate
         self._returning = returning
+        self._predictions = FirstPredictions()
         self._waiter_by_ticket: dict[int, _Waiter] = {}
         self._waiting_by_service: dict[str, int] = {}
         self._tickets = itertools.count(1)
@@ -139,10 +147,10 @@
         must count the request before it next yields to the event loop.
         """
         self._view.refresh()
-        now = _now()
+        now, asked_s = _now(), ask.request.arrived_s
         request = attrs.evolve(ask.request, ticket=next(self._tickets))
         if ask.caller_key is not None:
-            arrived_s = self._returning.arrival(ask.caller_key, request.arrived_s, now)
+            arrived_s = self._returning.arrival(ask.caller_key, asked_s, now)
             request = attrs.evolve(request, arrived_s=arrived_s)
         ask = attrs.evolve(ask, request=request)
         choice = self._view.choose(ask.request.service, ask.preference, ask.excluded)
@@ -150,12 +158,13 @@
             return NO_ENDPOINT
         if choice.state is not None and request.service not in self._waiting_by_service:
             self._queue.record_grant(request, now)
+            self._record_wait(ask, asked_s, now)
             grant = ask.requester.count(choice.state)
             return self._hand_over(ask, PlaceOutcome(choice.state, grant))
-        return await self._wait(ask, now)
+        return await self._wait(ask, now, asked_s)
 
-    async def _wait(self, ask: PlaceAsk, now: float) -> PlaceOutcome:
-        waiter = _Waiter(ask, now, asyncio.get_running_loop().create_future())
+    async def _wait(self, ask: PlaceAsk, now: float, asked_s: float) -> PlaceOutcome:
+        waiter = _Waiter(ask, asked_s, asyncio.get_running_loop().create_future())
         self._add(waiter)
         timer: asyncio.TimerHandle | None = None
         try:
@@ -193,6 +202,9 @@
                 expected_wait_s=verdict.expected_wait_s,
                 waiting_ahead=ahead,
             )
+        self._predictions.record_call(
+            _caller(waiter.ask), waiter.asked_s, verdict.expected_wait_s, now
+        )
         waiter.if_waiting = PlaceOutcome(
             is_waiting=True, expected_wait_s=verdict.expected_wait_s, waiting_ahead=ahead
         )
@@ -252,15 +264,17 @@
         request = waiter.ask.request
         grant = waiter.ask.requester.count(state)
         self._queue.record_grant(request, now)
-        if now > waiter.began_s:
+        self._record_wait(waiter.ask, waiter.asked_s, now)
+        self._end(waiter, PlaceOutcome(state, grant))
+
+    def _record_wait(self, ask: PlaceAsk, asked_s: float, now: float) -> None:
+        """Compares a wait that ends in a grant with its prediction, unless there was no wait."""
+        wait = self._predictions.find(_caller(ask), asked_s)
+        if wait is not None:
             self.granted_after_wait += 1
             self._estimate.record_grant(
-                request.service,
-                now - waiter.began_s,
-                waiter.if_waiting.expected_wait_s,
-                now,
+                ask.request.service, now - wait.began_s, wait.predicted_s, now
             )
-        self._end(waiter, PlaceOutcome(state, grant))
 
     def _end(self, waiter: _Waiter, outcome: PlaceOutcome) -> None:
         self._remove(waiter)
@@ -308,5 +322,9 @@
         state.running_here -= 1
 
 
+def _caller(ask: PlaceAsk) -> tuple[str, str, str]:
+    return ask.requester.name, ask.request.service, ask.request.account
+
+
 def _now() -> float:
     return asyncio.get_running_loop().time()
--- a/tests/unit/test_place_waits.py
+++ b/tests/unit/test_place_waits.py
@@ -472,3 +472,31 @@
         assert site.endpoint_by_name["es"].most_present <= 2 + OVERCOMMIT
 
     run_place_test(site, scenario)
+
+
+def test_a_wait_over_several_calls_is_compared_with_its_first_prediction(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    predictions = iter([3.0, 2.0, 1.0, 0.5, 0.1])
+    recorded: list[tuple[float, float]] = []
+    monkeypatch.setattr(
+        WaitEstimate, "verdict", lambda self, *arguments: Admitted(next(predictions))
+    )
+    monkeypatch.setattr(
+        WaitEstimate,
+        "record_grant",
+        lambda self, service, waited_s, predicted_s, now_s: recorded.append(
+            (waited_s, predicted_s)
+        ),
+    )
+    site = site_of(endpoint_count=1, slots=1, run_s=0.5)
+
+    async def scenario() -> None:
+        other = site.others(site.coordinator())[0]
+        await asyncio.gather(*(site.ask(other) for _ in range(3)))
+        [(waited_s, predicted_s)] = recorded
+        assert predicted_s == 3.0
+        assert waited_s == pytest.approx(0.5, abs=0.03)
+        assert site.host_by_name[site.coordinator()].placer.hall_waiters.granted_after_wait == 1
+
+    run_place_test(site, scenario)
