--- /dev/null
+++ b/tests/functional/test_places.py
@@ -0,0 +1,66 @@
+"""Requests beyond the slots of all endpoints, with real sockets: they wait, or are refused."""
+
+import asyncio
+from pathlib import Path
+
+import orjson
+import pytest
+
+from tests.lib.log_lines import collected_lines, lines_of_type
+from tests.lib.platform_site import PlatformSite, run_site
+
+pytestmark = pytest.mark.functional
+
+SLOTS = 8
+"""Slots of each of the two endpoints in their entries."""
+
+MAX_PLACES = 2 * SLOTS * 3 // 2
+"""Places of both: the slots, and an overcommit of at most half of them."""
+
+
+def running(site: PlatformSite) -> int:
+    return sum(len(service.runs) for service in site.services)
+
+
+def test_requests_beyond_the_slots_of_all_endpoints_wait_and_are_served(tmp_path: Path) -> None:
+    async def scenario(site: PlatformSite) -> None:
+        for service in site.services:
+            service.faults.pause_s = 0.3
+        asked = [
+            asyncio.ensure_future(site.ask("/act/x", b"pay", at=f"entry-{n % 2 * 2}"))
+            for n in range(40)
+        ]
+        await asyncio.sleep(0.25)
+        # Sent to the endpoints, more would wait in their own queues, where nobody orders them.
+        assert running(site) <= MAX_PLACES
+        assert {reply.status for reply in await asyncio.gather(*asked)} == {200}
+        assert running(site) == 40
+        counts = [entry._gateway.placer.wait_counts for entry in site.entry_by_name.values()]
+        assert sum(one.waited for one in counts) >= 40 - MAX_PLACES
+        assert sum(one.waiting for one in counts) == 0
+
+    run_site(tmp_path, scenario, entries=3)
+
+
+def test_a_request_without_a_place_in_its_time_is_refused_as_not_run(tmp_path: Path) -> None:
+    async def scenario(site: PlatformSite) -> None:
+        for service in site.services:
+            service.faults.pause_s = 3.0
+        asked = [asyncio.ensure_future(site.ask("/act/x", b"pay")) for _ in range(30)]
+        await asyncio.sleep(0.4)
+        ran = running(site)
+        with collected_lines() as lines:
+            reply = await site.ask("/act/x", b"pay", at="entry-1", Bayhinge_Deadline_Ms="500")
+        assert reply.status == 503
+        assert float(reply.headers["Retry-After"]) > 0
+        error = orjson.loads(reply.body)["error"]
+        assert (error["code"], error["run_state"]) == ("no_place", "not_run")
+        assert set(error["figures"]) == {"waited_s", "expected_wait_s", "waiting_ahead"}
+        assert running(site) == ran
+        [line] = lines_of_type(lines, "place.refused")
+        assert line["attempt"] == reply.attempt
+        for task in asked:
+            task.cancel()
+        await asyncio.gather(*asked, return_exceptions=True)
+
+    run_site(tmp_path, scenario, entries=2)
