Place a request that need not wait with less work

Cause: choose_free computed the limits of all endpoints, and each request copied its attrs objects. Change: the best endpoint is checked first; copies only where the age of a caller changes.

--- a/src/bayhinge/_internal/decisions/endpoint_table.py
+++ b/src/bayhinge/_internal/decisions/endpoint_table.py
@@ -257,8 +257,12 @@
         An ejected endpoint is not used while a healthy one exists, even if that one is full.
         """
         usable = self._usable(service, tried, now_s)
+        best = self._best(usable, preference)
+        if best is None or best.in_flight < limit(best):
+            # The usual case, without the limits of all the others.
+            return FreeChoice(best)
         free = [state for state in usable if state.in_flight < limit(state)]
-        return FreeChoice(self._best(free, preference), is_full=bool(usable) and not free)
+        return FreeChoice(self._best(free, preference), is_full=not free)
 
     def of_service(self, service: str) -> list[EndpointState]:
         """Returns the endpoints of a service that are not leaving."""
--- a/src/bayhinge/_internal/services/gateway/place_answers.py
+++ b/src/bayhinge/_internal/services/gateway/place_answers.py
@@ -53,7 +53,7 @@
         if call.time_left_ms is None:
             return self._answer_at_once(call, excluded)
         ask = PlaceAsk(
-            _request_of(call, _now()),
+            _request_of(call, self._waiters.new_ticket(), _now()),
             _preference_of(call),
             excluded,
             _OtherHost(self._exchange, call.loads.host),
@@ -93,12 +93,12 @@
         self._exchange.revoke_grant(self.name, grant, state)
 
 
-def _request_of(call: wire.PlaceCall, now_s: float) -> PlaceRequest:
-    """Returns a call's request on this host's clock; the ticket is set when it waits."""
+def _request_of(call: wire.PlaceCall, ticket: int, now_s: float) -> PlaceRequest:
+    """Returns a call's request on this host's clock."""
     deadline_s = now_s + call.time_left_ms / 1000
     objective_ms, program_ms = call.objective_left_ms, call.program_left_ms
     return PlaceRequest(
-        0,
+        ticket,
         call.service_name,
         call.urgency,
         call.account,
--- a/src/bayhinge/_internal/services/gateway/place_waiters.py
+++ b/src/bayhinge/_internal/services/gateway/place_waiters.py
@@ -49,12 +49,12 @@
         """Stops counting a granted place that the request did not take."""
 
 
-@attrs.frozen
+@attrs.define
 class PlaceAsk:
     """A request for a place.
 
     Attributes:
-        request: its position in the order; the ticket is set by :meth:`PlaceWaiters.place`.
+        request: decides its position in the order; see :meth:`PlaceWaiters.new_ticket`.
         max_wait_s: how long to wait for a place before the reply.
         caller_key: recognizes a caller that returns after a refusal, or None.
     """
@@ -130,6 +130,10 @@
         """The number of waiting requests."""
         return len(self._waiter_by_ticket)
 
+    def new_ticket(self) -> int:
+        """Returns the ticket of a new request."""
+        return next(self._tickets)
+
     def waiting_by_service(self) -> Mapping[str, int]:
         """Returns the number of waiting requests of each service that has any."""
         return self._waiting_by_service
@@ -148,12 +152,12 @@
         """
         self._view.refresh()
         now, asked_s = _now(), ask.request.arrived_s
-        request = attrs.evolve(ask.request, ticket=next(self._tickets))
         if ask.caller_key is not None:
             arrived_s = self._returning.arrival(ask.caller_key, asked_s, now)
-            request = attrs.evolve(request, arrived_s=arrived_s)
-        ask = attrs.evolve(ask, request=request)
-        choice = self._view.choose(ask.request.service, ask.preference, ask.excluded)
+            if arrived_s != asked_s:
+                ask.request = attrs.evolve(ask.request, arrived_s=arrived_s)
+        request = ask.request
+        choice = self._view.choose(request.service, ask.preference, ask.excluded)
         if choice.state is None and not choice.is_full:
             return NO_ENDPOINT
         if choice.state is not None and request.service not in self._waiting_by_service:
--- a/src/bayhinge/_internal/services/gateway/placement.py
+++ b/src/bayhinge/_internal/services/gateway/placement.py
@@ -217,7 +217,7 @@
         )
         waiters = self.hall_waiters if is_coordinator else self.local_waiters
         request = PlaceRequest(
-            0,
+            waiters.new_ticket(),
             service,
             demand.urgency,
             demand.account,
