--- a/tests/functional/test_places.py
+++ b/tests/functional/test_places.py
@@ -6,6 +6,7 @@
 import orjson
 import pytest
 
+from bayhinge._internal.services.gateway.metrics import entry_metrics
 from tests.lib.log_lines import collected_lines, lines_of_type
 from tests.lib.platform_site import PlatformSite, run_site
 
@@ -38,6 +39,12 @@
         counts = [entry._gateway.placer.wait_counts for entry in site.entry_by_name.values()]
         assert sum(one.waited for one in counts) >= 40 - MAX_PLACES
         assert sum(one.waiting for one in counts) == 0
+        waited = next(
+            one for one in site.entry_by_name.values() if one._gateway.placer.wait_counts.waited
+        )
+        page = entry_metrics(waited._gateway).decode()
+        for name in ("place_waiting", "place_waited_total", "place_refused_as_time_over_total"):
+            assert name in page
 
     run_site(tmp_path, scenario, entries=3)
 
