Do less work for each call that has to wait

Cause: each call of a waiting request refreshed the endpoint table, started a round of grants and compared all endpoints, although nothing had changed. Change: reports tell whether they changed a count; only then the table is refreshed and a round is run. sum_loads and excluding_endpoints move to load_sums.py, which test_endpoint_updates imports.

--- a/src/bayhinge/_internal/decisions/load_table.py
+++ b/src/bayhinge/_internal/decisions/load_table.py
@@ -56,16 +56,25 @@
         self._running_by_endpoint: Counter[str] = Counter()
         self._failure_reports_by_endpoint: Counter[str] = Counter()
 
-    def record_report(self, report: HostLoadReport, now_s: float) -> None:
-        """Applies a report, unless a newer one of the same incarnation is known."""
+    def record_report(self, report: HostLoadReport, now_s: float) -> bool:
+        """Applies a report, unless a newer one of the same incarnation is known.
+
+        Returns whether it has changed any count.
+        """
         loads = self._loads_by_host.get(report.host)
-        if loads is not None and loads.incarnation != report.incarnation:
+        is_restarted = loads is not None and loads.incarnation != report.incarnation
+        if is_restarted:
             self._forget(report.host)
             loads = None
         if loads is None:
             loads = self._loads_by_host[report.host] = _HostLoads(report.incarnation)
         if report.sequence <= loads.sequence:
-            return
+            return False
+        is_changed = (
+            is_restarted
+            or loads.running_by_endpoint != report.running_by_endpoint
+            or loads.ejected != report.ejected
+        )
         self._running_by_endpoint.subtract(loads.running_by_endpoint)
         self._running_by_endpoint.update(report.running_by_endpoint)
         loads.running_by_endpoint = report.running_by_endpoint
@@ -77,8 +86,10 @@
             is_lost = loads.granted_s_by_grant[grant] <= now_s - LOST_GRANT_S
             if grant <= report.last_grant or is_lost:
                 self.revoke_grant(report.host, grant)
+                is_changed = True
         # A new coordinator continues the grant numbers of the previous one.
         loads.newest_grant = max(loads.newest_grant, report.last_grant)
+        return is_changed
 
     def has_report(self, host: str) -> bool:
         """Returns whether a report of a host is known, so that it may get a grant."""
--- a/src/bayhinge/_internal/services/gateway/gateway.py
+++ b/src/bayhinge/_internal/services/gateway/gateway.py
@@ -34,7 +34,8 @@
 from bayhinge._internal.services.gateway.disk_link import DiskLink
 from bayhinge._internal.services.gateway.endpoint_restarts import EndpointRestarts
 from bayhinge._internal.services.gateway.hall_coordinators import HallCoordinators
-from bayhinge._internal.services.gateway.load_exchange import LoadExchange, sum_loads
+from bayhinge._internal.services.gateway.load_exchange import LoadExchange
+from bayhinge._internal.services.gateway.load_sums import sum_loads
 from bayhinge._internal.services.gateway.peer_requests import PeerRequestHandler
 from bayhinge._internal.services.gateway.placement import CoordinatorPlacer
 from bayhinge._internal.services.gateway.platform_interface import Platform
--- a/src/bayhinge/_internal/services/gateway/load_exchange.py
+++ b/src/bayhinge/_internal/services/gateway/load_exchange.py
@@ -4,12 +4,11 @@
 """
 
 import asyncio
-from collections.abc import Callable, Collection, Iterable, Mapping
+from collections.abc import Callable, Iterable, Mapping
 
 from mode import Service
 
 from bayhinge._internal.decisions.endpoint_table import EndpointState, EndpointTable
-from bayhinge._internal.decisions.incarnation_revisions import IncarnationRevisions
 from bayhinge._internal.decisions.load_table import (
     LOST_GRANT_S,
     REPORT_TIMEOUT_S,
@@ -21,6 +20,7 @@
 from bayhinge._internal.network.datagrams import DatagramReceiver
 from bayhinge._internal.network.frames import decode_message, encode_message
 from bayhinge._internal.services.gateway.hall_coordinators import HallCoordinator, HallCoordinators
+from bayhinge._internal.services.gateway.load_sums import excluding_endpoints
 from bayhinge._internal.services.keep_running import keep_running
 from bayhinge._internal.wire.hosts import ttypes as wire
 
@@ -36,6 +36,9 @@
 HALL_TABLE_KEEP_S = 1.0
 """Age above which another hall's table is ignored."""
 
+REFRESH_PERIOD_S = 0.05
+"""Interval after which reports and tables are checked for their age although no new one came."""
+
 
 class LoadExchange(Service):
     """Sends and receives the loads of endpoints for one host."""
@@ -59,6 +62,8 @@
         self._changed_halls: set[str] = set()
         self._busy_halls: set[str] = set()
         self._sequence = 0
+        self._is_changed = True
+        self._refreshed_s = 0.0
         self.endpoints_known_to: Callable[[], int | None] = lambda: None
         self.waiting_by_service: Callable[[], Mapping[str, int]] = dict
         self.on_loads: Callable[[], None] = lambda: None
@@ -143,10 +148,13 @@
 
     # ---- as a coordinator ----
 
-    def receive_loads(self, loads: wire.HostLoads) -> None:
-        """Applies a host's load report, except for endpoints whose restart it has not seen."""
+    def receive_loads(self, loads: wire.HostLoads) -> bool:
+        """Applies a host's load report, except for endpoints whose restart it has not seen.
+
+        Returns whether it has changed anything, unlike most reports of hosts that wait.
+        """
         stale = self._endpoint_table.incarnation_revisions.not_known_by(loads.endpoints_known_to)
-        self._load_table.record_report(
+        is_changed = self._load_table.record_report(
             HostLoadReport(
                 loads.host,
                 loads.incarnation,
@@ -157,6 +165,8 @@
             ),
             asyncio.get_running_loop().time(),
         )
+        self._is_changed = self._is_changed or is_changed
+        return is_changed
 
     def grant(self, host: str, state: EndpointState) -> int:
         """Counts a request that a host will send; returns 0 for an endpoint of another hall."""
@@ -210,6 +220,7 @@
 
     def forget_endpoint(self, endpoint: str) -> None:
         """Drops all counts of an endpoint that has restarted."""
+        self._is_changed = True
         self._load_table.forget_endpoint(endpoint)
         self._remote_grants.pop(endpoint, None)
         self._heartbeat_loads = {
@@ -230,9 +241,16 @@
             if heartbeat.running_by_endpoint
         }
 
+    def refresh_if_changed(self) -> None:
+        """Refreshes the endpoint table if a report came since, or some may have expired."""
+        now = asyncio.get_running_loop().time()
+        if self._is_changed or now - self._refreshed_s >= REFRESH_PERIOD_S:
+            self.refresh_endpoint_table()
+
     def refresh_endpoint_table(self) -> None:
         """Copies the counts of other hosts' requests to the endpoint table."""
-        now = asyncio.get_running_loop().time()
+        now = self._refreshed_s = asyncio.get_running_loop().time()
+        self._is_changed = False
         self._load_table.forget_silent(now)
         running = dict(self._load_table.running_by_endpoint())
         for host, running_by_endpoint in self._heartbeat_loads.items():
@@ -297,11 +315,11 @@
         except FrameError as error:
             self.log.warning("ignoring malformed load datagram: %s", error)
             return
-        if message.host is not None:
-            self.receive_loads(message.host)
+        is_changed = message.host is not None and self.receive_loads(message.host)
         if message.hall is not None:
             self._receive_hall_table(message.hall)
-        self.on_loads()
+        if is_changed or message.hall is not None:
+            self.on_loads()
 
     def _receive_hall_table(self, table: wire.HallLoads) -> None:
         known, _ = self._tables_by_hall.get(table.hall, (None, 0.0))
@@ -311,28 +329,6 @@
         stale = self._endpoint_table.incarnation_revisions.not_known_by(table.endpoints_known_to)
         table.running_by_endpoint = excluding_endpoints(table.running_by_endpoint, stale)
         self._tables_by_hall[table.hall] = table, asyncio.get_running_loop().time()
+        self._is_changed = True
         for instance in table.running_by_endpoint:
             self._remote_grants.pop(instance, None)
-
-
-def excluding_endpoints(
-    running_by_endpoint: Mapping[str, int], excluded: Collection[str]
-) -> Mapping[str, int]:
-    """Returns the running requests of all endpoints except the excluded ones."""
-    if not excluded:
-        return running_by_endpoint
-    return {
-        endpoint: running
-        for endpoint, running in running_by_endpoint.items()
-        if endpoint not in excluded
-    }
-
-
-def sum_loads(heartbeats: Iterable[wire.Hello], revisions: IncarnationRevisions) -> dict[str, int]:
-    """Sums the running requests in heartbeats, except where a host has not seen a restart."""
-    total: dict[str, int] = {}
-    for heartbeat in heartbeats:
-        stale = revisions.not_known_by(heartbeat.endpoints_known_to)
-        for endpoint, running in excluding_endpoints(heartbeat.running_by_endpoint, stale).items():
-            total[endpoint] = total.get(endpoint, 0) + running
-    return total
--- a/src/bayhinge/_internal/services/gateway/place_answers.py
+++ b/src/bayhinge/_internal/services/gateway/place_answers.py
@@ -43,8 +43,8 @@
         if not self._coordinators.coordinated_hall:
             coordinator = self._coordinators.coordinator_of(self._hall)
             return wire.PlaceReply("", 0, None if coordinator is None else coordinator.host)
-        self._exchange.receive_loads(call.loads)
-        self._waiters.wake()
+        if self._exchange.receive_loads(call.loads):
+            self._waiters.wake()
         # The caller would use the old address of endpoints whose restart it does not know yet.
         outdated = self._endpoint_table.incarnation_revisions.not_known_by(
             call.loads.endpoints_known_to
--- a/src/bayhinge/_internal/services/gateway/place_views.py
+++ b/src/bayhinge/_internal/services/gateway/place_views.py
@@ -66,7 +66,7 @@
 
     def refresh(self) -> None:
         """See :class:`PlaceView`."""
-        self._exchange.refresh_endpoint_table()
+        self._exchange.refresh_if_changed()
 
     def choose(
         self, service: str, preference: PlacementPreference, excluded: frozenset[str]
--- a/src/bayhinge/_internal/services/gateway/place_waiters.py
+++ b/src/bayhinge/_internal/services/gateway/place_waiters.py
@@ -157,22 +157,27 @@
             if arrived_s != asked_s:
                 ask.request = attrs.evolve(ask.request, arrived_s=arrived_s)
         request = ask.request
+        has_waiting = request.service in self._waiting_by_service
+        if has_waiting and not ask.excluded and not self._view.has_free(request.service):
+            return await self._wait(ask, now, asked_s, is_full=True)
         choice = self._view.choose(request.service, ask.preference, ask.excluded)
         if choice.state is None and not choice.is_full:
             return NO_ENDPOINT
-        if choice.state is not None and request.service not in self._waiting_by_service:
+        if choice.state is not None and not has_waiting:
             self._queue.record_grant(request, now)
             self._record_wait(ask, asked_s, now)
             grant = ask.requester.count(choice.state)
             return self._hand_over(ask, PlaceOutcome(choice.state, grant))
-        return await self._wait(ask, now, asked_s)
+        return await self._wait(ask, now, asked_s, choice.is_full)
 
-    async def _wait(self, ask: PlaceAsk, now: float, asked_s: float) -> PlaceOutcome:
+    async def _wait(self, ask: PlaceAsk, now: float, asked_s: float, is_full: bool) -> PlaceOutcome:
         waiter = _Waiter(ask, asked_s, asyncio.get_running_loop().create_future())
         self._add(waiter)
         timer: asyncio.TimerHandle | None = None
         try:
-            self._grant_free(ask.request.service)
+            if not is_full:
+                # A place is free, but others wait for the service.
+                self._grant_free(ask.request.service)
             if not waiter.outcome.done():
                 refusal = self._assess(waiter, now)
                 if refusal is not None:
--- a/tests/unit/test_endpoint_updates.py
+++ b/tests/unit/test_endpoint_updates.py
@@ -17,7 +17,8 @@
 from bayhinge._internal.services.gateway.active_runs import ActiveRuns
 from bayhinge._internal.services.gateway.endpoint_restarts import EndpointRestarts
 from bayhinge._internal.services.gateway.hall_coordinators import HallCoordinators
-from bayhinge._internal.services.gateway.load_exchange import LoadExchange, sum_loads
+from bayhinge._internal.services.gateway.load_exchange import LoadExchange
+from bayhinge._internal.services.gateway.load_sums import sum_loads
 from bayhinge._internal.services.gateway.placement import CoordinatorPlacer
 from bayhinge._internal.services.gateway.store_listeners import (
     MISSING_AFTER_OUTAGE_GRACE_S,
--- a/tests/unit/test_place_rounds.py
+++ b/tests/unit/test_place_rounds.py
@@ -6,10 +6,11 @@
 import asyncio
 from collections.abc import Awaitable, Callable
 
-from bayhinge._internal.decisions.endpoint_table import EndpointState
+from bayhinge._internal.decisions.endpoint_table import EndpointState, PlacementPreference
 from bayhinge._internal.decisions.load_table import REPORT_TIMEOUT_S
 from bayhinge._internal.services.gateway.hall_coordinators import HallCoordinator
 from bayhinge._internal.services.gateway.load_exchange import HALL_TABLE_KEEP_S
+from bayhinge._internal.services.gateway.place_demand import PlaceDemand
 from bayhinge._internal.wire.hosts import ttypes as wire
 from tests.lib.place_hosts import FakeEndpoint, PlaceHost, PlaceSite, run_virtual
 
@@ -76,6 +77,24 @@
     run_on_site(scenario)
 
 
+def test_a_request_that_has_tried_all_endpoints_does_not_wait_for_a_place() -> None:
+    async def scenario(site: PlaceSite) -> None:
+        host = coordinator_of(site)
+        await wait_when_full(site, host.name)
+        now = asyncio.get_running_loop().time()
+        for name in (host.name, "n0", "n1"):
+            placed = await site.host_by_name[name].placer.place(
+                "app",
+                PlacementPreference(),
+                ["e0"],
+                PlaceDemand("a", 5, "", False, now, now + 5, now + 5),
+            )
+            assert placed is None
+        assert asyncio.get_running_loop().time() - now < 0.02
+
+    run_on_site(scenario)
+
+
 def test_a_host_that_is_no_longer_coordinator_sends_its_callers_away() -> None:
     async def scenario(site: PlaceSite) -> None:
         former = coordinator_of(site)
