Test that a free place is granted without a delay or a refusal

Cause: two of 27 mutants made by hand survived the tests. Change: two tests in tests/unit/test_place_rounds.py.

--- a/tests/unit/test_place_rounds.py
+++ b/tests/unit/test_place_rounds.py
@@ -6,8 +6,11 @@
 import asyncio
 from collections.abc import Awaitable, Callable
 
+import pytest
+
 from bayhinge._internal.decisions.endpoint_table import EndpointState, PlacementPreference
 from bayhinge._internal.decisions.load_table import REPORT_TIMEOUT_S
+from bayhinge._internal.decisions.wait_estimate import Refused, WaitEstimate
 from bayhinge._internal.services.gateway.hall_coordinators import HallCoordinator
 from bayhinge._internal.services.gateway.load_exchange import HALL_TABLE_KEEP_S
 from bayhinge._internal.services.gateway.place_demand import PlaceDemand
@@ -95,6 +98,36 @@
     run_on_site(scenario)
 
 
+def test_a_place_call_that_reports_an_end_grants_the_place_at_once() -> None:
+    async def scenario(site: PlaceSite) -> None:
+        host = coordinator_of(site)
+        loads = wire.HostLoads("other", 1, 1, 0, {"e0": 2}, [])
+        host.exchange.receive_loads(loads)
+        waiting = asyncio.ensure_future(site.ask(host.name))
+        await asyncio.sleep(0.05)
+        assert host.placer.hall_waiters.waiting == 1
+        loads = wire.HostLoads("other", 1, 2, 0, {}, [])
+        await host.placer.answer(wire.PlaceCall(loads, "llm", "", "", [], time_left_ms=1000))
+        await asyncio.sleep(0.001)
+        assert host.placer.hall_waiters.waiting == 0
+        assert (await waiting).outcome == "served"
+
+    run_on_site(scenario)
+
+
+def test_nothing_is_refused_while_a_place_is_free(monkeypatch: pytest.MonkeyPatch) -> None:
+    async def scenario(site: PlaceSite) -> None:
+        host = coordinator_of(site)
+        waiting = await wait_when_full(site, host.name)
+        monkeypatch.setattr(WaitEstimate, "verdict", lambda self, *arguments: Refused(1.0, 9.0))
+        only_endpoint(host).running_here = 0
+        # No round has granted the free places yet when this request arrives.
+        assert (await site.ask(host.name)).outcome == "served"
+        assert (await waiting).outcome == "served"  # type: ignore[attr-defined]
+
+    run_on_site(scenario)
+
+
 def test_a_host_that_is_no_longer_coordinator_sends_its_callers_away() -> None:
     async def scenario(site: PlaceSite) -> None:
         former = coordinator_of(site)
