Count a request's duration in the queue that granted its place

Cause: a host corrected the counter of an account in its own queues also for requests that another coordinator had granted, whose expected duration these queues had never added. Change: Placer.record_end gets the demand and the duration; the queue of the grant is kept until then.

--- a/src/bayhinge/_internal/services/gateway/place_demand.py
+++ b/src/bayhinge/_internal/services/gateway/place_demand.py
@@ -7,11 +7,11 @@
 from bayhinge._internal.models.routing import Route
 
 
-@attrs.frozen
+@attrs.frozen(eq=False)
 class PlaceDemand:
-    """The properties of a request that decide when it gets a place.
+    """The properties of one request that decide when it gets a place.
 
-    All times are on the loop's clock.
+    Compared by identity, as a caller may use an attempt id twice. Times are on the loop's clock.
 
     Attributes:
         attempt: the request's id, for log lines.
--- a/src/bayhinge/_internal/services/gateway/placement.py
+++ b/src/bayhinge/_internal/services/gateway/placement.py
@@ -99,6 +99,7 @@
         self._answers = PlaceAnswers(
             endpoint_table, coordinators, exchange, self.hall_waiters, hall
         )
+        self._queue_by_demand: dict[PlaceDemand, PlaceQueue] = {}
         self._last_wait_s_by_service: dict[str, float] = {}
         self.counts = PlacementCounts()
         self.wait_counts = WaitCounts()
@@ -216,6 +217,7 @@
             bool(self._coordinators.coordinated_hall) and not self._coordinators.is_isolated
         )
         waiters = self.hall_waiters if is_coordinator else self.local_waiters
+        queue = self._hall_queue if is_coordinator else self._local_queue
         request = PlaceRequest(
             waiters.new_ticket(),
             service,
@@ -237,6 +239,9 @@
         )
         outcome = await waiters.place(ask)
         state = outcome.state
+        if state is not None and self._is_usable(state):
+            # Its duration counts where its grant was counted.
+            self._queue_by_demand[demand] = queue
         if state is not None:
             if is_coordinator:
                 self.counts.as_coordinator += 1
@@ -251,18 +256,18 @@
         """Whether an endpoint may still get a request, after a wait in which it may have ended."""
         return self._endpoint_table.is_current(state) and not state.entry.is_leaving
 
-    def record_end(self, state: EndpointState) -> None:
+    def record_end(self, state: EndpointState, demand: PlaceDemand, ran_s: float | None) -> None:
         """See :class:`Placer`."""
+        queue = self._queue_by_demand.pop(demand, None)
+        if ran_s is not None:
+            service = state.entry.service
+            self.limits.record_duration(service, ran_s)
+            self._estimate.record_duration(service, ran_s)
+            if queue is not None:
+                queue.record_duration(service, demand.account, ran_s)
         self._exchange.mark_changed(state)
         self.wake()
 
-    def record_duration(self, service: str, account: str, duration_s: float) -> None:
-        """See :class:`Placer`."""
-        self.limits.record_duration(service, duration_s)
-        self._estimate.record_duration(service, duration_s)
-        self._hall_queue.record_duration(service, account, duration_s)
-        self._local_queue.record_duration(service, account, duration_s)
-
     async def answer(self, call: wire.PlaceCall) -> wire.PlaceReply:
         """Places another host's request, as the coordinator of this hall."""
         return await self._answers.answer(call)
--- a/src/bayhinge/_internal/services/gateway/placer.py
+++ b/src/bayhinge/_internal/services/gateway/placer.py
@@ -32,12 +32,14 @@
         """
 
     @abstractmethod
-    def record_end(self, state: EndpointState) -> None:
-        """Records that a request is no longer running at an endpoint."""
+    def record_end(self, state: EndpointState, demand: PlaceDemand, ran_s: float | None) -> None:
+        """Records that a request is no longer running at an endpoint.
 
-    @abstractmethod
-    def record_duration(self, service: str, account: str, duration_s: float) -> None:
-        """Records how long a request that ran had its place, in seconds."""
+        Args:
+            state: the endpoint.
+            demand: that of the :meth:`place` call.
+            ran_s: how long it had its place, in seconds, or None if it did not run to its end.
+        """
 
 
 class LocalPlacer(Placer):
@@ -58,8 +60,5 @@
             service, preference, tried, asyncio.get_running_loop().time()
         )
 
-    def record_end(self, state: EndpointState) -> None:
-        """See :class:`Placer`."""
-
-    def record_duration(self, service: str, account: str, duration_s: float) -> None:
+    def record_end(self, state: EndpointState, demand: PlaceDemand, ran_s: float | None) -> None:
         """See :class:`Placer`."""
--- a/src/bayhinge/_internal/services/gateway/request_sender.py
+++ b/src/bayhinge/_internal/services/gateway/request_sender.py
@@ -171,6 +171,7 @@
     async def _send_to(self, run: ActiveRun, send_state: SendState) -> None:
         connection: EndpointConnection | None = None
         is_complete = False
+        ran_s: float | None = None
         began_s = asyncio.get_running_loop().time()
         try:
             connection = await self._connection_pool.acquire(run.endpoint, run.state.entry.address)
@@ -183,13 +184,10 @@
             if marks.not_run or marks.wrong_instance:
                 raise RequestRejectedError(f"status {answer.status}")
             run.state.record_success()
-            took_s = asyncio.get_running_loop().time() - began_s
-            self._placer.record_duration(
-                send_state.service, send_state.request.account_name, took_s
-            )
+            ran_s = asyncio.get_running_loop().time() - began_s
         finally:
             self._runs.end(run)
-            self._placer.record_end(run.state)
+            self._placer.record_end(run.state, send_state.demand, ran_s)
             if connection is not None and not is_complete:
                 # Also makes the endpoint stop if the caller left or the deadline passed.
                 connection.abort("given up")
--- a/tests/lib/place_hosts.py
+++ b/tests/lib/place_hosts.py
@@ -292,16 +292,17 @@
                 break
             state.running_here += 1
             result.sent_s = _now()
+            ran_s: float | None = None
             try:
                 if await self.endpoint_by_name[state.entry.instance].serve():
                     result.runs += 1
                     result.outcome = "served"
-                    host.placer.record_duration(SERVICE, account, _now() - result.sent_s)
+                    ran_s = _now() - result.sent_s
                 else:
                     tried.append(state.entry.instance)
             finally:
                 state.running_here -= 1
-                host.placer.record_end(state)
+                host.placer.record_end(state, demand, ran_s)
         result.ended_s = _now()
         return result
 
--- a/tests/unit/test_place_rounds.py
+++ b/tests/unit/test_place_rounds.py
@@ -10,6 +10,7 @@
 
 from bayhinge._internal.decisions.endpoint_table import EndpointState, PlacementPreference
 from bayhinge._internal.decisions.load_table import REPORT_TIMEOUT_S
+from bayhinge._internal.decisions.place_queue import PlaceQueue
 from bayhinge._internal.decisions.wait_estimate import Refused, WaitEstimate
 from bayhinge._internal.services.gateway.hall_coordinators import HallCoordinator
 from bayhinge._internal.services.gateway.load_exchange import HALL_TABLE_KEEP_S
@@ -128,6 +129,32 @@
     run_on_site(scenario)
 
 
+def test_a_duration_counts_in_the_queue_that_granted_the_place(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    recorded: list[tuple[PlaceQueue, str, float]] = []
+    monkeypatch.setattr(
+        PlaceQueue,
+        "record_duration",
+        lambda self, service, account, duration_s: recorded.append((self, account, duration_s)),
+    )
+
+    async def scenario(site: PlaceSite) -> None:
+        host = coordinator_of(site)
+        assert (await site.ask(host.name, account="desk")).outcome == "served"
+        [(queue, account, duration_s)] = recorded
+        assert (queue, account) == (host.placer._hall_queue, "desk")
+        assert duration_s == pytest.approx(0.1)
+        # The coordinator learns nothing of requests of other hosts.
+        other = next(name for name in ("n0", "n1", "n2") if name != host.name)
+        assert (await site.ask(other)).outcome == "served"
+        assert len(recorded) == 1
+        for each in site.host_by_name.values():
+            assert each.placer._queue_by_demand == {}
+
+    run_on_site(scenario)
+
+
 def test_a_host_that_is_no_longer_coordinator_sends_its_callers_away() -> None:
     async def scenario(site: PlaceSite) -> None:
         former = coordinator_of(site)
