Probe a coordinator in place of which another host asks

Cause: the successor of a dead coordinator noticed the death only by missing heartbeats, unless it had requests of its own, and referred all hosts to the dead one for up to 1.5 s; these used their share. Change: a host that is asked without being the coordinator probes that one, at most every 0.1 s. Figures: in virtual time the successor takes over within 0.05 s (test_place_rounds).

--- a/src/bayhinge/_internal/services/gateway/coordinator_client.py
+++ b/src/bayhinge/_internal/services/gateway/coordinator_client.py
@@ -68,6 +68,11 @@
             coordinator = other
         return NO_ENDPOINT
 
+    async def probe(self, coordinator: HallCoordinator) -> None:
+        """Suspects a coordinator if it does not answer a call that asks for nothing."""
+        loads = self._exchange.own_loads(coordinator.hall)
+        await self._send(coordinator, wire.PlaceCall(loads, "", "", "", []), 0.0)
+
     def _call(
         self,
         coordinator: HallCoordinator,
--- a/src/bayhinge/_internal/services/gateway/placement.py
+++ b/src/bayhinge/_internal/services/gateway/placement.py
@@ -54,6 +54,9 @@
 call. Otherwise a first call asks for a reply at once, so that a silent coordinator delays a request
 that needs no wait by the answer timeout only."""
 
+PROBE_PAUSE_S = 0.1
+"""Shortest time between two probes of the coordinator. Longer than the timeout of its answer."""
+
 END_MARGIN_S = 0.02
 """Part of a caller's time that is left for the refusal, so that it gets there before the end."""
 
@@ -101,6 +104,8 @@
         )
         self._queue_by_demand: dict[PlaceDemand, PlaceQueue] = {}
         self._last_wait_s_by_service: dict[str, float] = {}
+        self._probe: asyncio.Task[None] | None = None
+        self._probed_s = -math.inf
         self.counts = PlacementCounts()
         self.wait_counts = WaitCounts()
         exchange.waiting_by_service = self.hall_waiters.waiting_by_service
@@ -270,8 +275,21 @@
 
     async def answer(self, call: wire.PlaceCall) -> wire.PlaceReply:
         """Places another host's request, as the coordinator of this hall."""
+        if not self._coordinators.coordinated_hall:
+            self._probe_coordinator()
         return await self._answers.answer(call)
 
+    def _probe_coordinator(self) -> None:
+        """Probes the coordinator in place of which another host has asked this one.
+
+        The other host may have got no answer from it. Without requests of its own, this host would
+        notice that only by the missing heartbeats, and refer all hosts to a dead coordinator.
+        """
+        coordinator = self._coordinators.coordinator_of(self._hall)
+        if coordinator is not None and _now() - self._probed_s >= PROBE_PAUSE_S:
+            self._probed_s = _now()
+            self._probe = asyncio.get_running_loop().create_task(self._client.probe(coordinator))
+
 
 def _now() -> float:
     return asyncio.get_running_loop().time()
--- a/tests/unit/test_place_rounds.py
+++ b/tests/unit/test_place_rounds.py
@@ -16,6 +16,7 @@
 from bayhinge._internal.services.gateway.load_exchange import HALL_TABLE_KEEP_S
 from bayhinge._internal.services.gateway.place_demand import PlaceDemand
 from bayhinge._internal.wire.hosts import ttypes as wire
+from bayhinge.coordination.rendezvous import rank
 from tests.lib.place_hosts import FakeEndpoint, PlaceHost, PlaceSite, run_virtual
 
 
@@ -220,6 +221,37 @@
     run_on_site(scenario)
 
 
+def test_a_successor_without_requests_of_its_own_takes_over_when_it_is_asked() -> None:
+    async def scenario(site: PlaceSite) -> None:
+        killed = site.coordinator()
+        left = rank("home of north", [name for name in ("n0", "n1", "n2") if name != killed])
+        successor, other = (site.host_by_name[name] for name in left)
+        site.kill(killed)
+        asked = [asyncio.ensure_future(site.ask(other.name)) for _ in range(8)]
+        await asyncio.sleep(0.05)
+        assert successor.coordinators.coordinated_hall == "north"
+        await asyncio.gather(*asked)
+        assert other.placer.counts.by_coordinator >= 4
+
+    run_on_site(scenario)
+
+
+def test_a_probe_of_a_live_coordinator_changes_nothing() -> None:
+    async def scenario(site: PlaceSite) -> None:
+        coordinator = coordinator_of(site)
+        other = site.host_by_name[next(n for n in ("n0", "n1", "n2") if n != coordinator.name)]
+        for beat in range(1, 21):
+            loads = wire.HostLoads("x", 1, beat, 0, {}, [])
+            call = wire.PlaceCall(loads, "app", "", "", [], time_left_ms=1000)
+            assert (await other.placer.answer(call)).home == coordinator.name
+        await asyncio.sleep(0.05)
+        assert site.coordinator() == coordinator.name
+        assert site.calls[coordinator.name] == 1, "probes are paced"
+        assert coordinator.placer.hall_waiters.waiting == 0
+
+    run_on_site(scenario)
+
+
 def test_a_hall_tells_its_waiting_requests_and_gets_none_of_other_halls_meanwhile() -> None:
     async def scenario(site: PlaceSite) -> None:
         north = coordinator_of(site)
