--- a/src/bayhinge/_internal/services/gateway/gateway.py
+++ b/src/bayhinge/_internal/services/gateway/gateway.py
@@ -34,7 +34,8 @@
 from bayhinge._internal.services.gateway.disk_link import DiskLink
 from bayhinge._internal.services.gateway.endpoint_restarts import EndpointRestarts
 from bayhinge._internal.services.gateway.hall_coordinators import HallCoordinators
-from bayhinge._internal.services.gateway.load_exchange import LoadExchange, sum_loads
+from bayhinge._internal.services.gateway.load_exchange import LoadExchange
+from bayhinge._internal.services.gateway.load_sums import sum_loads
 from bayhinge._internal.services.gateway.peer_requests import PeerRequestHandler
 from bayhinge._internal.services.gateway.placement import CoordinatorPlacer
 from bayhinge._internal.services.gateway.platform_interface import Platform
@@ -140,6 +141,7 @@
         self.placer = CoordinatorPlacer(
             self.endpoint_table, self.coordinators, self.exchange, self.peers, settings.hall
         )
+        self.endpoints.on_change = self.placer.wake
         self.latencies = Latencies()
         self.requests = RequestService(
             self.configuration,
@@ -347,11 +349,13 @@
         self.endpoint_table.apply_peer_loads(
             sum_loads(heartbeats, self.endpoint_table.incarnation_revisions)
         )
+        self.exchange.handle_heartbeats(heartbeats)
         self.coordinators.refresh()
         self.quotas.refresh()
         if self.coordinators.coordinated_hall:
             # Reported loads are newer than heartbeats, which still count for silent halls.
             self.exchange.refresh_endpoint_table()
+        self.placer.handle_peer_loads()
 
     def _disks_changed(self, disk_set: wire.DiskSet) -> None:
         self.gossip.own_heartbeat.disk_set_version = disk_set.version
--- a/src/bayhinge/_internal/services/gateway/load_exchange.py
+++ b/src/bayhinge/_internal/services/gateway/load_exchange.py
@@ -4,18 +4,23 @@
 """
 
 import asyncio
-from collections.abc import Callable, Collection, Iterable
+from collections.abc import Callable, Iterable, Mapping
 
 from mode import Service
 
 from bayhinge._internal.decisions.endpoint_table import EndpointState, EndpointTable
-from bayhinge._internal.decisions.incarnation_revisions import IncarnationRevisions
-from bayhinge._internal.decisions.load_table import HostLoadReport, LoadTable
+from bayhinge._internal.decisions.load_table import (
+    LOST_GRANT_S,
+    REPORT_TIMEOUT_S,
+    HostLoadReport,
+    LoadTable,
+)
 from bayhinge._internal.exceptions import FrameError
 from bayhinge._internal.network.addresses import split_address
 from bayhinge._internal.network.datagrams import DatagramReceiver
 from bayhinge._internal.network.frames import decode_message, encode_message
-from bayhinge._internal.services.gateway.hall_coordinators import HallCoordinators
+from bayhinge._internal.services.gateway.hall_coordinators import HallCoordinator, HallCoordinators
+from bayhinge._internal.services.gateway.load_sums import excluding_endpoints
 from bayhinge._internal.services.keep_running import keep_running
 from bayhinge._internal.wire.hosts import ttypes as wire
 
@@ -31,6 +36,9 @@
 HALL_TABLE_KEEP_S = 1.0
 """Age above which another hall's table is ignored."""
 
+REFRESH_PERIOD_S = 0.05
+"""Interval after which reports and tables are checked for their age although no new one came."""
+
 
 class LoadExchange(Service):
     """Sends and receives the loads of endpoints for one host."""
@@ -47,12 +55,18 @@
         self._coordinators = coordinators
         self._load_table = LoadTable()
         self._tables_by_hall: dict[str, tuple[wire.HallLoads, float]] = {}
+        self._heartbeat_loads: dict[str, Mapping[str, int]] = {}
         self._remote_grants: dict[str, int] = {}
+        self._last_remote_grant_s: dict[str, float] = {}
         self.last_grant_by_hall: dict[str, int] = {}
         self._changed_halls: set[str] = set()
         self._busy_halls: set[str] = set()
         self._sequence = 0
+        self._is_changed = True
+        self._refreshed_s = 0.0
         self.endpoints_known_to: Callable[[], int | None] = lambda: None
+        self.waiting_by_service: Callable[[], Mapping[str, int]] = dict
+        self.on_loads: Callable[[], None] = lambda: None
         self._transport: asyncio.DatagramTransport | None = None
 
     async def on_start(self) -> None:
@@ -99,6 +113,15 @@
             asyncio.get_running_loop().call_later(REPORT_DELAY_S, self._report_changed)
         self._changed_halls.add(state.entry.hall)
 
+    def mark_abandoned(self, coordinator: HallCoordinator) -> None:
+        """Schedules a report after a place call that was given up.
+
+        Its reply may have held a grant, which that coordinator counts until this report.
+        """
+        asyncio.get_running_loop().call_later(
+            LOST_GRANT_S + REPORT_DELAY_S, self._report_to, coordinator
+        )
+
     def _report_changed(self) -> None:
         halls, self._changed_halls = self._changed_halls, set()
         for hall in halls:
@@ -115,15 +138,23 @@
 
     def _report(self, hall: str) -> None:
         coordinator = self._coordinators.coordinator_of(hall)
-        if coordinator is not None and coordinator.host != self._own_heartbeat.host:
-            self._send(wire.LoadNews(host=self.own_loads(hall)), coordinator.address)
+        if coordinator is not None:
+            self._report_to(coordinator)
+
+    def _report_to(self, coordinator: HallCoordinator) -> None:
+        if coordinator.host != self._own_heartbeat.host:
+            loads = self.own_loads(coordinator.hall)
+            self._send(wire.LoadNews(host=loads), coordinator.address)
 
     # ---- as a coordinator ----
 
-    def receive_loads(self, loads: wire.HostLoads) -> None:
-        """Applies a host's load report, except for endpoints whose restart it has not seen."""
+    def receive_loads(self, loads: wire.HostLoads) -> bool:
+        """Applies a host's load report, except for endpoints whose restart it has not seen.
+
+        Returns whether it has changed anything, unlike most reports of hosts that wait.
+        """
         stale = self._endpoint_table.incarnation_revisions.not_known_by(loads.endpoints_known_to)
-        self._load_table.record_report(
+        is_changed = self._load_table.record_report(
             HostLoadReport(
                 loads.host,
                 loads.incarnation,
@@ -134,31 +165,99 @@
             ),
             asyncio.get_running_loop().time(),
         )
+        self._is_changed = self._is_changed or is_changed
+        return is_changed
 
     def grant(self, host: str, state: EndpointState) -> int:
         """Counts a request that a host will send; returns 0 for an endpoint of another hall."""
         if state.entry.hall == self._own_heartbeat.hall:
-            return self._load_table.grant(host, state.entry.instance)
+            now = asyncio.get_running_loop().time()
+            state.running_at_peers += 1
+            return self._load_table.grant(host, state.entry.instance, now)
         self.record_remote_grant(state)
         return 0
 
+    def may_grant(self, host: str) -> bool:
+        """Returns whether a host's report is known, without which it can't get a grant."""
+        return self._load_table.has_report(host)
+
+    def revoke_grant(self, host: str, grant: int, state: EndpointState) -> None:
+        """Stops counting a grant whose caller left before it was sent to the host."""
+        if grant:
+            self._load_table.revoke_grant(host, grant)
+        elif self._remote_grants.get(state.entry.instance):
+            self._remote_grants[state.entry.instance] -= 1
+        self.refresh_endpoint_table()
+
     def record_remote_grant(self, state: EndpointState) -> None:
         """Counts a request for another hall until that hall's next table includes it."""
         instance = state.entry.instance
         self._remote_grants[instance] = self._remote_grants.get(instance, 0) + 1
+        self._last_remote_grant_s[instance] = asyncio.get_running_loop().time()
+        if self._fresh_table(state.entry.hall) is not None:
+            state.running_at_peers += 1
+
+    def remote_limit(self, state: EndpointState) -> int:
+        """Returns how many requests may be in flight at an endpoint of another hall.
+
+        Up to its slots, and none while that hall reports that its own requests wait. If no table
+        of that hall is fresh, heartbeats tell the load, without the newest grants of this host.
+        """
+        table = self._fresh_table(state.entry.hall)
+        if table is not None:
+            waiting = (table.waiting_by_service or {}).get(state.entry.service, 0)
+            return 0 if waiting else state.entry.slots
+        instance = state.entry.instance
+        since_s = asyncio.get_running_loop().time() - REPORT_TIMEOUT_S
+        if self._last_remote_grant_s.get(instance, since_s) <= since_s:
+            self._remote_grants.pop(instance, None)
+        return state.entry.slots - self._remote_grants.get(instance, 0)
+
+    def _fresh_table(self, hall: str) -> wire.HallLoads | None:
+        table, received_s = self._tables_by_hall.get(hall, (None, 0.0))
+        is_fresh = received_s >= asyncio.get_running_loop().time() - HALL_TABLE_KEEP_S
+        return table if is_fresh else None
 
     def forget_endpoint(self, endpoint: str) -> None:
         """Drops all counts of an endpoint that has restarted."""
+        self._is_changed = True
         self._load_table.forget_endpoint(endpoint)
         self._remote_grants.pop(endpoint, None)
+        self._heartbeat_loads = {
+            host: excluding_endpoints(running_by_endpoint, {endpoint})
+            for host, running_by_endpoint in self._heartbeat_loads.items()
+        }
         for table, _ in self._tables_by_hall.values():
             table.running_by_endpoint.pop(endpoint, None)
 
+    def handle_heartbeats(self, heartbeats: Iterable[wire.Hello]) -> None:
+        """Keeps the loads of the heartbeats, for hosts that report to another coordinator."""
+        revisions = self._endpoint_table.incarnation_revisions
+        self._heartbeat_loads = {
+            heartbeat.host: excluding_endpoints(
+                heartbeat.running_by_endpoint, revisions.not_known_by(heartbeat.endpoints_known_to)
+            )
+            for heartbeat in heartbeats
+            if heartbeat.running_by_endpoint
+        }
+
+    def refresh_if_changed(self) -> None:
+        """Refreshes the endpoint table if a report came since, or some may have expired."""
+        now = asyncio.get_running_loop().time()
+        if self._is_changed or now - self._refreshed_s >= REFRESH_PERIOD_S:
+            self.refresh_endpoint_table()
+
     def refresh_endpoint_table(self) -> None:
         """Copies the counts of other hosts' requests to the endpoint table."""
-        now = asyncio.get_running_loop().time()
+        now = self._refreshed_s = asyncio.get_running_loop().time()
+        self._is_changed = False
         self._load_table.forget_silent(now)
         running = dict(self._load_table.running_by_endpoint())
+        for host, running_by_endpoint in self._heartbeat_loads.items():
+            # A host that has not reported to this coordinator yet, or takes another one for it.
+            if not self._load_table.has_report(host):
+                for instance, count in running_by_endpoint.items():
+                    running[instance] = running.get(instance, 0) + count
         failure_reports = self._load_table.failure_reports_by_endpoint()
         fresh_halls = {self._own_heartbeat.hall}
         for hall, (table, received_s) in self._tables_by_hall.items():
@@ -199,6 +298,7 @@
                 if state.entry.hall == self._own_heartbeat.hall
             },
             self.endpoints_known_to(),
+            dict(self.waiting_by_service()),
         )
         for coordinator in self._coordinators.other_coordinators():
             self._send(wire.LoadNews(hall=table), coordinator.address)
@@ -215,10 +315,11 @@
         except FrameError as error:
             self.log.warning("ignoring malformed load datagram: %s", error)
             return
-        if message.host is not None:
-            self.receive_loads(message.host)
+        is_changed = message.host is not None and self.receive_loads(message.host)
         if message.hall is not None:
             self._receive_hall_table(message.hall)
+        if is_changed or message.hall is not None:
+            self.on_loads()
 
     def _receive_hall_table(self, table: wire.HallLoads) -> None:
         known, _ = self._tables_by_hall.get(table.hall, (None, 0.0))
@@ -228,28 +329,6 @@
         stale = self._endpoint_table.incarnation_revisions.not_known_by(table.endpoints_known_to)
         table.running_by_endpoint = excluding_endpoints(table.running_by_endpoint, stale)
         self._tables_by_hall[table.hall] = table, asyncio.get_running_loop().time()
+        self._is_changed = True
         for instance in table.running_by_endpoint:
             self._remote_grants.pop(instance, None)
-
-
-def excluding_endpoints(
-    running_by_endpoint: dict[str, int], excluded: Collection[str]
-) -> dict[str, int]:
-    """Returns the running requests of all endpoints except the excluded ones."""
-    if not excluded:
-        return running_by_endpoint
-    return {
-        endpoint: running
-        for endpoint, running in running_by_endpoint.items()
-        if endpoint not in excluded
-    }
-
-
-def sum_loads(heartbeats: Iterable[wire.Hello], revisions: IncarnationRevisions) -> dict[str, int]:
-    """Sums the running requests in heartbeats, except where a host has not seen a restart."""
-    total: dict[str, int] = {}
-    for heartbeat in heartbeats:
-        stale = revisions.not_known_by(heartbeat.endpoints_known_to)
-        for endpoint, running in excluding_endpoints(heartbeat.running_by_endpoint, stale).items():
-            total[endpoint] = total.get(endpoint, 0) + running
-    return total
