Memory budget: decisions, rooms and holders

A host has no bound on bodies, histories, answers and events, and a caller that does not read stops the host from reading its endpoint. This adds the budget (decisions/memory_budget.py), reading within it (network/memory_room.py), its carrying out (services/gateway/held_memory.py, unread_answer.py), a time limit for sending a body, and the heartbeat's and the metrics' figures.

--- a/src/bayhinge/_internal/decisions/caller_addresses.py
+++ b/src/bayhinge/_internal/decisions/caller_addresses.py
@@ -29,6 +29,11 @@
 treble the load; a request costs some 4 ms of processor time."""
 
 
+FULL_THOUSANDTHS = 900
+"""Part of its memory budget from which a host is nearly full. Heartbeats are about a second old, in
+which the remaining tenth is used up by a few long bodies."""
+
+
 @attrs.frozen
 class ReadyHost:
     """A host that accepts callers' requests.
@@ -36,6 +41,7 @@
     Attributes:
         requests_per_s: its current rate of callers' requests.
         is_partitioned: it can't reach the disks directly, and reaches them only through relays.
+        memory_used: part of its memory budget in use, in thousandths.
         is_advertised: its own hall's callers get its address, so it has connections to endpoints.
     """
 
@@ -45,6 +51,7 @@
     requests_per_s: int = 0
     is_partitioned: bool = False
     is_advertised: bool = False
+    memory_used: int = 0
 
 
 def addresses_for(
@@ -52,7 +59,7 @@
 ) -> list[str]:
     """Returns the addresses for a caller in ``hall``, the nearest first."""
     ordered = sorted(
-        _without_partitioned(list(hosts)),
+        _with_room(_without_partitioned(list(hosts))),
         key=lambda host: (host.hall != hall, host.region != region, host.address),
     )
     local = [host for host in ordered if host.hall == hall]
@@ -76,6 +83,12 @@
     return connected if 2 * len(connected) >= len(hosts) else hosts
 
 
+def _with_room(hosts: Sequence[ReadyHost]) -> Sequence[ReadyHost]:
+    """Leaves out hosts that are nearly full, unless most are: the others would then be overrun."""
+    with_room = [host for host in hosts if host.memory_used < FULL_THOUSANDTHS]
+    return with_room if 2 * len(with_room) >= len(hosts) else hosts
+
+
 def hosts_to_advertise(local: Sequence[ReadyHost], hall: str) -> list[str]:
     """Returns the hosts of a hall to advertise for its load; every host returns the same ones."""
     rate = sum(host.requests_per_s for host in local)
--- /dev/null
+++ b/src/bayhinge/_internal/decisions/memory_budget.py
@@ -0,0 +1,267 @@
+"""Divides a host's memory for requests among them, by urgency and size. Pure.
+
+All sizes are in bytes. A request may take room for itself (its body, history and bookkeeping) and
+for its answer (unread bytes and events to record). A reserve is kept for answers, because a
+request that ran must not be lost for lack of memory.
+
+A request may only grow to a fraction of the room that is free without it (dynamic thresholds,
+Choudhury and Hahne, "Dynamic queue length thresholds for shared-memory packet switches", 1998).
+The largest and least urgent requests therefore reach their bound first, while small ones still fit.
+"""
+
+from collections.abc import Iterator
+from enum import StrEnum
+
+import attrs
+
+URGENCY_SCALE = 4
+"""A request of urgency ``u`` needs free room for ``1 + u / URGENCY_SCALE`` times its size: once for
+the most urgent (0), and 3.25 times for the least urgent (9) of the usual levels."""
+
+ANSWER_FREE_MULTIPLE = 8
+"""An answer may grow to so many times the room that it leaves free. One answer alone can fill 8/9
+of the room before it is paused, and the rest remains for callers that read faster."""
+
+
+class MemoryHolder(StrEnum):
+    """What memory is held for."""
+
+    WAITING = "waiting_request"
+    BODY = "body"
+    HISTORY = "history"
+    ANSWER = "answer"
+    EVENTS = "events"
+
+
+ANSWER_HOLDERS = frozenset({MemoryHolder.ANSWER, MemoryHolder.EVENTS})
+
+
+@attrs.define(eq=False)
+class MemoryClaim:
+    """What one request holds and waits for.
+
+    Attributes:
+        urgency: 0 is the most urgent.
+        wanted: the holder and size that it waits for, or None.
+        arrived: the number of its last wait, in order of arrival.
+    """
+
+    urgency: int
+    bytes_by_holder: dict[MemoryHolder, int] = attrs.field(
+        factory=lambda: dict.fromkeys(MemoryHolder, 0)
+    )
+    wanted: tuple[MemoryHolder, int] | None = None
+    arrived: int = 0
+
+    @property
+    def request_bytes(self) -> int:
+        """Bytes held for the request itself."""
+        return sum(
+            size for holder, size in self.bytes_by_holder.items() if holder not in ANSWER_HOLDERS
+        )
+
+    @property
+    def answer_bytes(self) -> int:
+        """Bytes held for its answer."""
+        return sum(self.bytes_by_holder[holder] for holder in ANSWER_HOLDERS)
+
+    @property
+    def content_bytes(self) -> int:
+        """Bytes held of the request's body and history."""
+        return self.bytes_by_holder[MemoryHolder.BODY] + self.bytes_by_holder[MemoryHolder.HISTORY]
+
+
+@attrs.frozen
+class Settlement:
+    """The waiting claims that got their bytes, and those that are to be refused."""
+
+    granted: list[MemoryClaim] = attrs.field(factory=list)
+    refused: list[MemoryClaim] = attrs.field(factory=list)
+
+
+class MemoryBudget:
+    """One host's budget.
+
+    Attributes:
+        limit_bytes: the bound on the sum of all bytes held.
+        reserve_bytes: the part of it that requests can't take, only answers.
+        bytes_by_holder: what is held now.
+    """
+
+    def __init__(self, limit_bytes: int, reserve_bytes: int) -> None:
+        self.limit_bytes = limit_bytes
+        self.reserve_bytes = reserve_bytes
+        self.bytes_by_holder = dict.fromkeys(MemoryHolder, 0)
+        self._held_bytes = 0
+        self._request_bytes = 0
+        self._waiting: list[MemoryClaim] = []
+        self._arrivals = 0
+
+    @property
+    def held_bytes(self) -> int:
+        """The sum of all bytes held."""
+        return self._held_bytes
+
+    @property
+    def request_room_bytes(self) -> int:
+        """The bound on the bytes that requests hold, without their answers."""
+        return self.limit_bytes - self.reserve_bytes
+
+    @property
+    def free_request_bytes(self) -> int:
+        """The room that requests, not answers, have left."""
+        return min(
+            self.request_room_bytes - self._request_bytes, self.limit_bytes - self._held_bytes
+        )
+
+    @property
+    def waiting_count(self) -> int:
+        """The number of claims that wait."""
+        return len(self._waiting)
+
+    @property
+    def used_thousandths(self) -> int:
+        """How full the budget is, or the requests' part of it if that is fuller."""
+        return max(
+            1000 * self._held_bytes // self.limit_bytes,
+            1000 * self._request_bytes // max(1, self.request_room_bytes),
+        )
+
+    def try_acquire(self, claim: MemoryClaim, holder: MemoryHolder, size: int) -> bool:
+        """Acquires ``size`` bytes, unless they don't fit or another claim waits before this one."""
+        if self._waiting:
+            is_answer = holder in ANSWER_HOLDERS
+            key = _order_key(claim, holder, size)
+            if any(_waiting_key(other) <= key for other in self._in_order(is_answer)):
+                return False
+        if not self._fits(claim, holder, size):
+            return False
+        self._add(claim, holder, size)
+        return True
+
+    def release(self, claim: MemoryClaim, holder: MemoryHolder, size: int) -> None:
+        """Releases bytes that the claim holds; :meth:`settle` passes them on."""
+        if not 0 <= size <= claim.bytes_by_holder[holder]:
+            raise ValueError(f"{size} bytes of {holder} are not held")
+        self._add(claim, holder, -size)
+
+    def close(self, claim: MemoryClaim) -> None:
+        """Releases everything that a claim holds, and ends its wait."""
+        self.withdraw(claim)
+        for holder, size in claim.bytes_by_holder.items():
+            self._add(claim, holder, -size)
+
+    def enqueue(self, claim: MemoryClaim, holder: MemoryHolder, size: int) -> None:
+        """Makes a claim wait for bytes until :meth:`settle` returns it."""
+        self._arrivals += 1
+        claim.wanted = (holder, size)
+        claim.arrived = self._arrivals
+        self._waiting.append(claim)
+
+    def withdraw(self, claim: MemoryClaim) -> None:
+        """Ends a claim's wait, if it waits."""
+        if claim.wanted is not None:
+            claim.wanted = None
+            self._waiting.remove(claim)
+
+    def settle(self) -> Settlement:
+        """Gives free bytes to waiting claims in order; returns those whose wait has ended.
+
+        Requests wait by urgency, then size. Answers wait by size, so that reading continues last
+        for the caller with the most unread bytes.
+        """
+        settlement = Settlement()
+        if not self._waiting:
+            return settlement
+        for is_answer in (True, False):
+            for claim in list(self._in_order(is_answer)):
+                if not self._grant(claim):
+                    break
+                settlement.granted.append(claim)
+        settlement.refused.extend(self._refuse_stalled())
+        return settlement
+
+    def _grant(self, claim: MemoryClaim) -> bool:
+        assert claim.wanted is not None
+        holder, size = claim.wanted
+        # The first answer may use all that is free: others are larger, and would only wait on.
+        if not self._fits(claim, holder, size, is_first=True):
+            return False
+        self.withdraw(claim)
+        self._add(claim, holder, size)
+        return True
+
+    def _refuse_stalled(self) -> Iterator[MemoryClaim]:
+        """Ends the waits of the largest, least urgent requests if waiting can't free enough room.
+
+        Waiting requests hold what they have read so far. If that is more than half of the room,
+        or nobody else holds any, requests would block each other.
+        """
+        while True:
+            waiting = list(self._in_order(is_answer=False))
+            if not waiting:
+                return
+            held = sum(claim.content_bytes for claim in waiting)
+            # Answers beyond their reserve take room that they will free by themselves.
+            are_answers_within = self._held_bytes - self._request_bytes <= self.reserve_bytes
+            is_stalled = held >= self._content_bytes and are_answers_within
+            if not is_stalled and 2 * held <= self.request_room_bytes:
+                return
+            claim = max(
+                waiting,
+                key=lambda one: (one.urgency, one.request_bytes + _wanted(one), one.arrived),
+            )
+            self.withdraw(claim)
+            yield claim
+
+    @property
+    def _content_bytes(self) -> int:
+        return self.bytes_by_holder[MemoryHolder.BODY] + self.bytes_by_holder[MemoryHolder.HISTORY]
+
+    def _fits(
+        self, claim: MemoryClaim, holder: MemoryHolder, size: int, is_first: bool = False
+    ) -> bool:
+        free = self.limit_bytes - self._held_bytes
+        if size > free:
+            return False
+        if holder in ANSWER_HOLDERS:
+            own = claim.answer_bytes
+            return is_first or own + size <= ANSWER_FREE_MULTIPLE * (free - size)
+        if size > self.free_request_bytes:
+            return False
+        if self._content_bytes == claim.content_bytes:
+            # Otherwise a request larger than its fraction of an idle host's room would never run.
+            return True
+        own = claim.request_bytes
+        needed = (own + size) * (URGENCY_SCALE + claim.urgency)
+        return needed <= URGENCY_SCALE * (self.free_request_bytes + own)
+
+    def _add(self, claim: MemoryClaim, holder: MemoryHolder, size: int) -> None:
+        claim.bytes_by_holder[holder] += size
+        self.bytes_by_holder[holder] += size
+        self._held_bytes += size
+        if holder not in ANSWER_HOLDERS:
+            self._request_bytes += size
+
+    def _in_order(self, is_answer: bool) -> Iterator[MemoryClaim]:
+        kind = [
+            claim
+            for claim in self._waiting
+            if claim.wanted is not None and (claim.wanted[0] in ANSWER_HOLDERS) == is_answer
+        ]
+        return iter(sorted(kind, key=lambda claim: (*_waiting_key(claim), claim.arrived)))
+
+
+def _order_key(claim: MemoryClaim, holder: MemoryHolder, size: int) -> tuple[int, int]:
+    if holder in ANSWER_HOLDERS:
+        return 0, claim.answer_bytes + size
+    return claim.urgency, claim.request_bytes + size
+
+
+def _waiting_key(claim: MemoryClaim) -> tuple[int, int]:
+    assert claim.wanted is not None
+    return _order_key(claim, *claim.wanted)
+
+
+def _wanted(claim: MemoryClaim) -> int:
+    return 0 if claim.wanted is None else claim.wanted[1]
--- a/src/bayhinge/_internal/models/site_settings.py
+++ b/src/bayhinge/_internal/models/site_settings.py
@@ -22,6 +22,7 @@
         quota_window_s: quotas are enforced over any window of this length.
         quota_overage: fraction of a quota by which it may be exceeded.
         quota_slack: number of requests by which it may be exceeded in addition.
+        memory_bytes: the memory limit of this process, or None if the settings name none.
     """
 
     host: str
@@ -45,6 +46,7 @@
     quota_window_s: float = 1.0
     quota_overage: float = 0.0
     quota_slack: float = 0.0
+    memory_bytes: int | None = None
 
     @property
     def gossip_address(self) -> str:
--- a/src/bayhinge/_internal/network/endpoint_answer.py
+++ b/src/bayhinge/_internal/network/endpoint_answer.py
@@ -8,6 +8,7 @@
 from aiohttp.streams import StreamReader
 
 from bayhinge._internal.models.routed_requests import RawHeaders
+from bayhinge._internal.network.memory_room import UNBOUNDED_ROOM, MemoryRoom, read_whole
 
 
 class IncompleteAnswerError(Exception):
@@ -39,6 +40,8 @@
         self.reason: str = message.reason
         self.headers: RawHeaders = message.raw_headers
         self.closes_connection: bool = message.should_close
+        length = message.headers.get("Content-Length", "")
+        self._declared_bytes = int(length) if length.isdigit() else None
         self._body = body
 
     async def read_pieces(self) -> AsyncIterator[bytes]:
@@ -56,10 +59,24 @@
         except (ClientPayloadError, HttpProcessingError, ConnectionError) as error:
             raise IncompleteAnswerError(f"the body is incomplete: {error}") from error
 
-    async def read_body(self) -> bytes:
-        """Returns the whole body.
+    async def read_body(self, room: MemoryRoom = UNBOUNDED_ROOM) -> bytes:
+        """Returns the whole body, read only as far as there is room for it.
 
         Raises:
             IncompleteAnswerError: the body is incomplete.
         """
-        return b"".join([piece async for piece in self.read_pieces()])
+        if self._declared_bytes is not None and not self._body.at_eof():
+            await room.take(self._declared_bytes)
+        try:
+            return await read_whole(self._body, room, self._declared_bytes is not None)
+        except (ClientPayloadError, HttpProcessingError, ConnectionError) as error:
+            raise IncompleteAnswerError(f"the body is incomplete: {error}") from error
+
+    async def skip_body(self) -> None:
+        """Reads the body without keeping it.
+
+        Raises:
+            IncompleteAnswerError: the body is incomplete.
+        """
+        async for _ in self.read_pieces():
+            pass
--- a/src/bayhinge/_internal/network/endpoint_connections.py
+++ b/src/bayhinge/_internal/network/endpoint_connections.py
@@ -26,6 +26,7 @@
     IncompleteAnswerError,
     SilentEndpointError,
 )
+from bayhinge._internal.network.send_timer import SendTimer
 from bayhinge._internal.utils.silence import set_tcp_timeouts
 from bayhinge._internal.utils.stall_tolerant_timeouts import stall_tolerant_timeout
 
@@ -48,6 +49,10 @@
 TCP_USER_TIMEOUT_S = 3.0
 """TCP user timeout for non-retryable requests, which gain nothing from a shorter one."""
 
+LARGE_BODY_BYTES = 65_536
+"""Bodies from this size on are written separately from the head, which saves a copy of them, and
+have a time limit. Smaller ones fit into the kernel's send buffer."""
+
 RETRYABLE_TCP_USER_TIMEOUT_S = 0.6
 """TCP user timeout for requests that may be retried at another endpoint; the connection ends while
 callers, who wait for 1.2 s or more, are still waiting."""
@@ -95,6 +100,7 @@
         self._why_closed = ""
         self._user_timeout_s = 0.0
         self._timed_out = False
+        self._send_timer: SendTimer | None = None
 
     # ---- called by the transport ----
 
@@ -132,6 +138,7 @@
     def connection_lost(self, exc: BaseException | None) -> None:
         """Ends the answer in flight; a body without a length is complete only on a clean close."""
         super().connection_lost(exc)
+        self._stop_send_timer()
         self.is_open = False
         why = str(exc) if exc else "the endpoint closed the connection"
         self._why_closed = self._why_closed or why
@@ -164,7 +171,12 @@
         self.is_busy = True
         timeout_s = RETRYABLE_TCP_USER_TIMEOUT_S if is_retryable else TCP_USER_TIMEOUT_S
         self._set_tcp_timeouts(timeout_s)
-        self.transport.write(head + body)
+        self._stop_send_timer()
+        if len(body) < LARGE_BODY_BYTES:
+            self.transport.write(head + body)
+            return
+        self.transport.writelines((head, body))
+        self._send_timer = SendTimer(self.transport, len(head) + len(body), self.abort)
 
     async def next_answer(self) -> Answer:
         """Returns the next answer once its headers have arrived.
@@ -223,6 +235,11 @@
         if sock is not None:
             set_tcp_timeouts(sock, user_timeout_s)
 
+    def _stop_send_timer(self) -> None:
+        if self._send_timer is not None:
+            self._send_timer.stop()
+            self._send_timer = None
+
     def _fail_body(self, why: str) -> None:
         body = self._body
         if body is not None and not body.is_eof() and body.exception() is None:
--- a/src/bayhinge/_internal/network/routed_front.py
+++ b/src/bayhinge/_internal/network/routed_front.py
@@ -7,6 +7,7 @@
 import asyncio
 import contextlib
 from abc import ABC, abstractmethod
+from collections.abc import Callable
 
 from aiohttp.web_protocol import RequestHandler
 from aiohttp.web_request import BaseRequest
@@ -16,6 +17,13 @@
 from bayhinge._internal import status_codes
 from bayhinge._internal.models.routed_requests import RawHeaders
 from bayhinge._internal.network.addresses import split_address
+from bayhinge._internal.network.caller_watch import CallerWatch
+from bayhinge._internal.network.memory_room import (
+    UNBOUNDED_ROOM,
+    BodyTooLongError,
+    MemoryRoom,
+    read_whole,
+)
 from bayhinge._internal.utils.prebound_sockets import BACKLOG, PreboundSockets
 from bayhinge._internal.utils.silence import set_tcp_timeouts
 
@@ -26,14 +34,14 @@
 """TCP user timeout of callers' connections; their requests are then cancelled. Callers give up on a
 silent stream after the same time."""
 
+READ_BUFFER_BYTES = 32_768
+"""Buffer size of a request's body; reading from the caller is paused beyond twice as much.
+aiohttp's default is eight times as large, and would hold bytes that the budget has no room for."""
+
 KEEPALIVE_TIMEOUT_S = 75.0
 """Keep-alive timeout of callers' connections; longer than callers keep idle ones."""
 
 
-class BodyTooLongError(Exception):
-    """A request's body is longer than the limit."""
-
-
 class Exchange:
     """One request and the methods to answer it."""
 
@@ -42,6 +50,8 @@
         self._request = request
         self._closes = closes
         self._response: StreamResponse | None = None
+        self._is_buffered = False
+        self._watch: CallerWatch | None = None
         self.began_s = asyncio.get_running_loop().time()
 
     @property
@@ -68,20 +78,52 @@
         """Ends the connection after this answer."""
         self._closes = True
 
-    async def read_body(self, limit: int) -> bytes:
-        """Returns the whole body.
+    async def read_body(self, limit: int, room: MemoryRoom = UNBOUNDED_ROOM) -> bytes:
+        """Returns the whole body; of a body without room, no more is read from the connection.
+
+        Room for a declared length is taken before anything is read.
 
         Raises:
             BodyTooLongError: it is longer than ``limit`` bytes.
+            RefusedError: there is no room for it.
         """
-        pieces: list[bytes] = []
-        size = 0
-        async for piece in self._request.content.iter_any():
-            size += len(piece)
-            if size > limit:
+        declared = self._request.content_length
+        if declared is not None:
+            if declared > limit:
                 raise BodyTooLongError
-            pieces.append(piece)
-        return b"".join(pieces)
+            room.take_at_once(declared)
+        return await read_whole(self._request.content, room, declared is not None, limit)
+
+    @property
+    def unread_bytes(self) -> int:
+        """Bytes of the answer that the caller's connection has not taken yet."""
+        transport = self._request.transport
+        return 0 if transport is None else transport.get_write_buffer_size()
+
+    def buffer_writes(self, limit: int) -> None:
+        """Lets up to ``limit`` bytes of the answer wait in the connection's write buffer.
+
+        Writes then return at once; :meth:`finish` waits until the caller has read nearly all.
+        """
+        if self._request.transport is not None:
+            self._is_buffered = True
+            self._request.transport.set_write_buffer_limits(high=limit)
+
+    def watch_caller(self, on_check: Callable[[], None] = lambda: None) -> None:
+        """Keeps the connection while the caller reads slowly; see :class:`CallerWatch`."""
+        transport = self._request.transport
+        if transport is not None and self._watch is None:
+            self._watch = CallerWatch(transport, TCP_USER_TIMEOUT_S, on_check)
+
+    def expect_slow_reading(self) -> None:
+        """Tells that the caller has unread bytes in this process."""
+        if self._watch is not None:
+            self._watch.expect_slow_reading()
+
+    def end(self) -> bool:
+        """Stops watching the caller; returns whether its connection has a longer timeout."""
+        watch, self._watch = self._watch, None
+        return watch is not None and watch.stop()
 
     async def respond(self, status: int, headers: RawHeaders, body: bytes) -> None:
         """Sends a complete answer."""
@@ -103,6 +145,9 @@
     async def finish(self) -> None:
         """Ends a chunked answer."""
         assert self._response is not None
+        transport = self._request.transport
+        if self._is_buffered and transport is not None:
+            transport.set_write_buffer_limits()
         await self._response.write_eof()
 
     def abort(self) -> None:
@@ -150,6 +195,7 @@
         self._listener: asyncio.Server | None = None
         self.running = 0
         self._busy: set[RequestHandler] = set()
+        self._with_longer_timeout: set[RequestHandler] = set()
         self._idle = asyncio.Event()
         self._idle.set()
         self.closes_connections = False
@@ -166,6 +212,7 @@
             max_line_size=MAX_HEADER_BYTES,
             max_field_size=MAX_HEADER_BYTES,
             auto_decompress=False,
+            read_bufsize=READ_BUFFER_BYTES,
         )
         early = self._sockets.take(self._address)
         if early is None:
@@ -204,6 +251,7 @@
         exchange = Exchange(request, self.closes_connections)
         connection = request.protocol
         self._busy.add(connection)
+        self._restore_timeout(connection)
         self.running += 1
         self._idle.clear()
         try:
@@ -212,8 +260,19 @@
             # The caller disconnected while its answer was being written.
             exchange.abort()
         finally:
+            if exchange.end():
+                # Connections that have ended since are removed; few have such a timeout.
+                live = set() if self._server is None else set(self._server.connections)
+                self._with_longer_timeout = (self._with_longer_timeout | {connection}) & live
             self._busy.discard(connection)
             self.running -= 1
             if self.running == 0:
                 self._idle.set()
         return exchange._response or Response(status=status_codes.HTTP_SERVER_ERROR)
+
+    def _restore_timeout(self, connection: RequestHandler) -> None:
+        """Restores the timeout after an answer that a slow caller had not read in full."""
+        if connection in self._with_longer_timeout:
+            self._with_longer_timeout.discard(connection)
+            if connection.transport is not None:
+                set_tcp_timeouts(connection.transport.get_extra_info("socket"), TCP_USER_TIMEOUT_S)
--- a/src/bayhinge/_internal/platform/settings_file.py
+++ b/src/bayhinge/_internal/platform/settings_file.py
@@ -24,6 +24,9 @@
 
 NO_ADDRESS = ""
 
+BYTES_PER_MB = 2**20
+"""A megabyte in the settings, as the platform measures its processes."""
+
 PORT_RANGE_LENGTH = 2
 """Length of the setting ``port_range``: the first and the last port."""
 
@@ -99,6 +102,7 @@
     read = fields.read
     first_port = (read("port_range", _check_port_range) or [0])[0]
     seeds = read("seeds", _STRING_LIST, [])
+    memory_mb = read("limits.memory_mb", whole_number(0), 0)
     is_strict = read("bounds.revoke_strict", _FLAG, False)
     revoke_ms = read("bounds.revoke_ms", number(0, is_exclusive=True), 0) if is_strict else 0
     return SiteSettings(
@@ -123,4 +127,5 @@
         quota_window_s=float(read("bounds.quota_window_s", number(0), 1.0)),
         quota_overage=float(read("bounds.quota_overage", number(0), 0.0)),
         quota_slack=float(read("bounds.quota_slack", number(0), 0.0)),
+        memory_bytes=memory_mb * BYTES_PER_MB or None,
     )
--- a/src/bayhinge/_internal/services/gateway/gateway.py
+++ b/src/bayhinge/_internal/services/gateway/gateway.py
@@ -34,6 +34,7 @@
 from bayhinge._internal.services.gateway.disk_link import DiskLink
 from bayhinge._internal.services.gateway.endpoint_restarts import EndpointRestarts
 from bayhinge._internal.services.gateway.hall_coordinators import HallCoordinators
+from bayhinge._internal.services.gateway.held_memory import HeldMemory
 from bayhinge._internal.services.gateway.load_exchange import LoadExchange, sum_loads
 from bayhinge._internal.services.gateway.peer_requests import PeerRequestHandler
 from bayhinge._internal.services.gateway.placement import CoordinatorPlacer
@@ -52,6 +53,7 @@
 from bayhinge._internal.services.latencies import Latencies
 from bayhinge._internal.services.prefix_follower import FIRST_LIST_DELAY_S, PrefixFollower
 from bayhinge._internal.utils.prebound_sockets import PreboundSockets
+from bayhinge._internal.utils.process_memory import cgroup_limit_bytes, resident_bytes
 from bayhinge._internal.wire.hosts import ttypes as wire
 from bayhinge.coordination.clock import HybridClock, SystemClock
 
@@ -141,6 +143,7 @@
             self.endpoint_table, self.coordinators, self.exchange, self.peers, settings.hall
         )
         self.latencies = Latencies()
+        self.memory = HeldMemory()
         self.requests = RequestService(
             self.configuration,
             platform.calls,
@@ -158,6 +161,7 @@
             self.latencies,
             self.endpoints.initial_sync,
             self.disks.initial_sync,
+            self.memory,
         )
         self.front = RoutedFront(settings.front_address, self.requests, sockets)
         answers = PeerRequestHandler(
@@ -197,6 +201,8 @@
         }
         for name, duty in duty_by_name.items():
             self.add_future(keep_running(name, duty))
+        limit_bytes = self.settings.memory_bytes or cgroup_limit_bytes()
+        self.memory.start(limit_bytes, resident_bytes())
         eliot.log_message("host.started", host=self.settings.host, hall=self.settings.hall)
 
     async def on_stop(self) -> None:
@@ -257,6 +263,7 @@
                 heartbeat.requests_per_s,
                 heartbeat.is_cut_off,
                 heartbeat.is_told,
+                heartbeat.memory_used or 0,
             )
             for heartbeat in ready
         ]
@@ -317,6 +324,7 @@
         heartbeat.phase = wire.HostPhase.READY if self.is_ready else wire.HostPhase.STARTING
         if self.is_leaving:
             heartbeat.phase = wire.HostPhase.LEAVING
+        heartbeat.memory_used = self.memory.used_thousandths
         heartbeat.is_told = self._is_advertised and self.is_ready
         heartbeat.running_by_endpoint = self.endpoint_table.running_here()
         heartbeat.endpoints_known_to = self.exchange.endpoints_known_to()
--- a/src/bayhinge/_internal/services/gateway/metrics.py
+++ b/src/bayhinge/_internal/services/gateway/metrics.py
@@ -3,6 +3,7 @@
 import asyncio
 
 from bayhinge._internal.services.gateway.gateway import Gateway
+from bayhinge._internal.services.gateway.held_memory import HeldMemory
 from bayhinge._internal.services.metrics_page import metrics_page
 from bayhinge._internal.wire.hosts.ttypes import HostRole
 
@@ -32,6 +33,23 @@
     }
 
 
+def _memory_gauges(memory: HeldMemory) -> dict[str, float]:
+    budget = memory.budget
+    if budget is None:
+        return {}
+    return {
+        "memory_budget_bytes": budget.limit_bytes,
+        "memory_reserve_bytes": budget.reserve_bytes,
+        "memory_used_ratio": budget.used_thousandths / 1000,
+        "memory_waiting": budget.waiting_count,
+        "memory_refused_total": memory.counts.refused,
+        "memory_paused_total": memory.counts.paused,
+        "memory_paced_total": memory.counts.paced,
+    } | {
+        f"memory_held_bytes_{holder.value}": size for holder, size in budget.bytes_by_holder.items()
+    }
+
+
 def _gauges(gateway: Gateway) -> dict[str, float]:
     table = gateway.configuration.table
     gauges: dict[str, float] = {
@@ -64,6 +82,7 @@
     }
     if table is not None and table.accounts is not None:
         gauges |= _account_gauges(gateway, len(table.accounts.accounts))
+    gauges |= _memory_gauges(gateway.memory)
     for outcome, count in gateway.requests.counts.ended_by_outcome.items():
         gauges[f"requests_{outcome}_total"] = count
     now = asyncio.get_running_loop().time()
--- a/src/bayhinge/_internal/services/gateway/request_sender.py
+++ b/src/bayhinge/_internal/services/gateway/request_sender.py
@@ -130,12 +130,16 @@
             RefusedError: no endpoint gave a deliverable answer.
         """
         body = request.body if turn is None else turn.history + request.body
+        preference = preference_of(request, turn)
+        if turn is not None:
+            # It is part of the body now; its size is counted only once.
+            turn.history = b""
         send_state = _SendState(
             service,
             route,
             request,
             body,
-            preference_of(request, turn),
+            preference,
             send_record,
             deadline_s,
             delivery,
@@ -246,7 +250,7 @@
         connection.send(head, send_state.body, may_repeat or route.kind is RouteKind.STREAMING)
         answer, marks = await self._answer_in_time(connection, run, send_state, bounds)
         if marks.not_run or marks.wrong_instance:
-            await answer.read_body()
+            await answer.skip_body()
             return answer, marks
         send_state.delivery.run = run
         await send_state.delivery.deliver(answer, marks, may_repeat, bounds)
@@ -321,7 +325,7 @@
             eliot.log_message(
                 "answer.passed_over", attempt=attempt, found=marks.attempt, status=answer.status
             )
-            await answer.read_body()
+            await answer.skip_body()
             if answer.closes_connection:
                 raise IncompleteAnswerError("the connection closed after another request's answer")
 
--- a/src/bayhinge/_internal/services/gateway/request_service.py
+++ b/src/bayhinge/_internal/services/gateway/request_service.py
@@ -9,6 +9,7 @@
 import eliot
 
 from bayhinge._internal import status_codes
+from bayhinge._internal.decisions.memory_budget import MemoryHolder
 from bayhinge._internal.models.refusals import (
     Refusal,
     RefusalCode,
@@ -19,10 +20,12 @@
 )
 from bayhinge._internal.models.routed_requests import RequestField, RoutedRequest
 from bayhinge._internal.models.routing import InvalidRoute, Route, RouteKind, RoutingTable
-from bayhinge._internal.network.routed_front import BodyTooLongError, Exchange, ExchangeHandler
+from bayhinge._internal.network.memory_room import BodyTooLongError
+from bayhinge._internal.network.routed_front import Exchange, ExchangeHandler
 from bayhinge._internal.services.gateway.admission import Admission
 from bayhinge._internal.services.gateway.buffered_delivery import BufferedDelivery
 from bayhinge._internal.services.gateway.delivery import Delivery
+from bayhinge._internal.services.gateway.held_memory import HeldMemory, RequestMemory
 from bayhinge._internal.services.gateway.initial_sync import InitialSync, initial_sync_deadline
 from bayhinge._internal.services.gateway.open_turn import OpenTurn
 from bayhinge._internal.services.gateway.platform_interface import CallFormat
@@ -69,7 +72,9 @@
         latencies: Latencies,
         endpoint_sync: InitialSync,
         disk_sync: InitialSync,
+        memory: HeldMemory | None = None,
     ) -> None:
+        self._memory = memory or HeldMemory()
         self._endpoint_sync = endpoint_sync
         self._disk_sync = disk_sync
         self._configuration = configuration
@@ -142,12 +147,16 @@
         deadline_s = exchange.began_s + patience_s
         send_record = SendRecord()
         try:
-            async with asyncio.timeout_at(deadline_s):
-                request = await self._admission.admit(table, route, request)
-                _validate_head(route, request)
-                async with self._within_quota(route, request, send_record):
-                    request = await self._read_body(exchange, table, request)
-                    await self._forward(exchange, table, route, request, send_record, deadline_s)
+            with self._memory.open(request.attempt, route.urgency) as memory:
+                async with asyncio.timeout_at(deadline_s):
+                    request = await self._admission.admit(table, route, request)
+                    _validate_head(route, request)
+                    memory.claim.urgency = route.urgency_of(request.account)
+                    async with self._within_quota(route, request, send_record):
+                        request = await self._read_body(exchange, table, request, memory)
+                        await self._forward(
+                            exchange, table, route, request, send_record, deadline_s, memory
+                        )
         except TimeoutError:
             raise RefusedError(
                 send_record.refusal(
@@ -174,10 +183,14 @@
                 self._quotas.return_unused(account)
 
     async def _read_body(
-        self, exchange: Exchange, table: RoutingTable, request: RoutedRequest
+        self,
+        exchange: Exchange,
+        table: RoutingTable,
+        request: RoutedRequest,
+        memory: RequestMemory,
     ) -> RoutedRequest:
         try:
-            body = await exchange.read_body(table.limits.body_bytes)
+            body = await exchange.read_body(table.limits.body_bytes, memory.room(MemoryHolder.BODY))
         except BodyTooLongError:
             exchange.closes_connection()
             raise RefusedError(
@@ -196,12 +209,13 @@
         request: RoutedRequest,
         send_record: SendRecord,
         deadline_s: float,
+        memory: RequestMemory,
     ) -> None:
         sync_deadline_s = initial_sync_deadline(exchange.began_s, request.patience_s)
         await self._endpoint_sync.wait(request.attempt, sync_deadline_s)
-        turn = await self._open_turn(route, request, sync_deadline_s)
+        turn = await self._open_turn(route, request, sync_deadline_s, memory)
         service = route.choose_service(self._random)
-        delivery = self._delivery(exchange, table, route, service, request, turn)
+        delivery = self._delivery(exchange, table, route, service, request, turn, memory)
         try:
             await self._sender.send(
                 service, route, request, turn, send_record, deadline_s, delivery
@@ -212,7 +226,7 @@
         self._record_end(request, delivery.outcome, delivery.endpoint, exchange)
 
     async def _open_turn(
-        self, route: Route, request: RoutedRequest, sync_deadline_s: float
+        self, route: Route, request: RoutedRequest, sync_deadline_s: float, memory: RequestMemory
     ) -> OpenTurn | None:
         """Opens a program's turn if the route retains turns, or the program has a budget."""
         context = request.turn
@@ -221,7 +235,7 @@
         if route.retains_turns or context.token_budget is not None:
             await self._disk_sync.wait(request.attempt, sync_deadline_s)
             return await self._turn_recorder.open(
-                request.attempt, context, route.retains_turns, request.account_name
+                request.attempt, context, route.retains_turns, request.account_name, memory
             )
         return None
 
@@ -233,13 +247,21 @@
         service: str,
         request: RoutedRequest,
         turn: OpenTurn | None,
+        memory: RequestMemory,
     ) -> Delivery:
         if route.kind is not RouteKind.STREAMING:
-            return BufferedDelivery(exchange, self._calls)
+            return BufferedDelivery(exchange, self._calls, memory)
         spec = table.services_by_name.get(service)
         tokens_per_event = spec.engine.tokens_per_event if spec and spec.engine else 1
         return StreamDelivery(
-            exchange, self._calls, self._turn_recorder, turn, request, tokens_per_event, route
+            exchange,
+            self._calls,
+            self._turn_recorder,
+            turn,
+            request,
+            tokens_per_event,
+            route,
+            memory,
         )
 
     async def _refuse(
--- a/src/bayhinge/_internal/services/gateway/stream_delivery.py
+++ b/src/bayhinge/_internal/services/gateway/stream_delivery.py
@@ -8,6 +8,7 @@
 
 from bayhinge._internal import status_codes
 from bayhinge._internal.decisions.answer_timeouts import AnswerTimeouts
+from bayhinge._internal.decisions.memory_budget import MemoryHolder
 from bayhinge._internal.models.routed_requests import AnswerMetadata, RoutedRequest
 from bayhinge._internal.models.routing import Route
 from bayhinge._internal.network.endpoint_answer import (
@@ -19,11 +20,16 @@
 from bayhinge._internal.network.routed_front import Exchange
 from bayhinge._internal.network.stream_splice import SplicedEvents, StreamSplice
 from bayhinge._internal.services.gateway.delivery import Delivery, is_success
+from bayhinge._internal.services.gateway.held_memory import UNBOUNDED, RequestMemory
 from bayhinge._internal.services.gateway.open_turn import OpenTurn
 from bayhinge._internal.services.gateway.platform_interface import CallFormat
 from bayhinge._internal.services.gateway.turn_recorder import TurnRecorder
+from bayhinge._internal.services.gateway.unread_answer import UnreadAnswer
 from bayhinge._internal.utils.stall_tolerant_timeouts import stall_tolerant_timeout
 
+EVENT_BYTES = 200
+"""Counted for each event beyond its data: the objects that hold it."""
+
 
 class StreamDelivery(Delivery):
     """Delivers streams of engines."""
@@ -37,6 +43,7 @@
         request: RoutedRequest,
         tokens_per_event: int,
         route: Route,
+        memory: RequestMemory = UNBOUNDED,
     ) -> None:
         super().__init__()
         self._exchange = exchange
@@ -47,7 +54,11 @@
         self._tokens_per_event = tokens_per_event
         self._route = route
         self._splice = StreamSplice(request.resume_after) if route.is_resumable else None
+        self._is_recorded_later = turn is not None and turn.is_retained
         self._events: list[StreamEvent] = []
+        self._memory = memory
+        self._events_room = memory.room(MemoryHolder.EVENTS)
+        self._unread = UnreadAnswer(exchange, memory)
 
     @property
     def resume_after(self) -> int | None:
@@ -77,7 +88,7 @@
         self.outcome = "served"
 
     async def _deliver_failure(self, answer: Answer, may_repeat: bool) -> None:
-        body = await answer.read_body()
+        body = await self._memory.read_answer(answer)
         is_retryable = may_repeat and answer.status >= status_codes.HTTP_SERVER_ERROR
         if is_retryable or self._exchange.headers_sent:
             raise IncompleteAnswerError(f"status {answer.status}")
@@ -91,8 +102,8 @@
         reader = EventReader()
         try:
             async for piece in answer.read_pieces():
-                self._count(reader.feed(piece))
-                await self._exchange.write(piece)
+                await self._count(reader.feed(piece))
+                await self._unread.write(piece)
         finally:
             if not reader.is_between_events:
                 # Charge an event that the caller has in part; otherwise streams that keep breaking
@@ -126,25 +137,32 @@
         if spliced.text:
             if not self._exchange.headers_sent:
                 await self._begin(answer)
-            self._count(spliced.events)
-            await self._exchange.write(spliced.text)
+            await self._count(spliced.events)
+            await self._unread.write(spliced.text)
         if spliced.gap is not None:
             raise IncompleteAnswerError(spliced.gap)
 
     async def _begin(self, answer: Answer) -> None:
         await self._exchange.begin(answer.status, self._calls.answer_headers(answer.headers))
+        self._unread.begin()
 
-    def _count(self, events: tuple[StreamEvent, ...] | list[StreamEvent]) -> None:
-        self._events += events
+    async def _count(self, events: tuple[StreamEvent, ...] | list[StreamEvent]) -> None:
+        """Counts events, before they are sent, and keeps them if the turn is recorded."""
         self.tokens_delivered += len(events) * self._tokens_per_event
+        if self._is_recorded_later:
+            self._events += events
+            await self._events_room.take(sum(EVENT_BYTES + len(event.data) for event in events))
 
     async def _record(self) -> None:
         if self._turn is None or not self._turn.is_retained:
             return
-        output = b"".join(event.data + b"\n" for event in self._events)
+        pieces = [self._new_input, *(event.data + b"\n" for event in self._events)]
+        self._events.clear()
+        text = b"".join(pieces)
+        del pieces
         await self._turn_recorder.close(
             self._turn,
-            self._new_input + output,
+            text,
             self.tokens_delivered,
             self.incarnation,
             self._route.turn_retention_s,
--- a/src/bayhinge/_internal/services/gateway/turn_histories.py
+++ b/src/bayhinge/_internal/services/gateway/turn_histories.py
@@ -1,5 +1,6 @@
 """Fetches the history of a turn from the disks."""
 
+from bayhinge._internal.decisions.memory_budget import MemoryHolder
 from bayhinge._internal.models.endpoint_entries import EndpointIncarnation
 from bayhinge._internal.models.refusals import (
     Figure,
@@ -8,9 +9,11 @@
     not_run_refusal,
 )
 from bayhinge._internal.network.frames import encode_message
+from bayhinge._internal.network.memory_room import MemoryRoom
 from bayhinge._internal.services import methods
 from bayhinge._internal.services.gateway.disk_client import DiskClient
 from bayhinge._internal.services.gateway.disk_directory import DiskDirectory
+from bayhinge._internal.services.gateway.held_memory import UNBOUNDED, RequestMemory
 from bayhinge._internal.services.gateway.open_turn import OpenTurn
 from bayhinge._internal.services.gateway.turn_refusals import (
     DISK_ANSWER_S,
@@ -28,17 +31,24 @@
         self._disk_client = disk_client
         self._directory = directory
 
-    async def add(self, turn: OpenTurn, replies: list[wire.ReserveReply]) -> None:
+    async def add(
+        self, turn: OpenTurn, replies: list[wire.ReserveReply], memory: RequestMemory = UNBOUNDED
+    ) -> None:
         """Sets the turn's history, from the replies to its reservation if they contain it.
 
         Raises:
-            RefusedError: the previous turn does not exist, or too few disks answered.
+            RefusedError: the previous turn does not exist, too few disks answered, or the host's
+                memory budget has no room for the history.
         """
         if turn.context.previous is None:
             return
+        room = memory.room(MemoryHolder.HISTORY)
+        # The history is sent with a copy of the body behind it.
+        room.take_at_once(memory.claim.bytes_by_holder[MemoryHolder.BODY])
         for reply in replies:
             if reply.chain is not None and reply.missing is None:
                 _check_account(turn, reply.account)
+                room.take_at_once(len(reply.chain))
                 turn.history, turn.last_engine = reply.chain, _last_engine(reply)
                 return
         message = encode_message(wire.ReserveTurn(None, turn.context.previous, True))
@@ -52,11 +62,12 @@
             ):
                 if reply.missing is None and reply.chain is not None:
                     _check_account(turn, reply.account)
+                    room.take_at_once(len(reply.chain))
                     turn.history, turn.last_engine = reply.chain, _last_engine(reply)
                     return
-        await self._assemble(turn)
+        await self._assemble(turn, room)
 
-    async def _assemble(self, turn: OpenTurn) -> None:
+    async def _assemble(self, turn: OpenTurn, room: MemoryRoom) -> None:
         """Assembles the history turn by turn, when no disk has all of it."""
         texts: list[bytes] = []
         attempt = turn.context.previous
@@ -67,6 +78,7 @@
             if not turn.last_engine.endpoint:
                 turn.last_engine = EndpointIncarnation(entry.endpoint or "", entry.endpoint_born_ms)
             texts.append(entry.text or b"")
+            room.take_at_once(len(texts[-1]))
             attempt = entry.previous
         turn.history = b"".join(reversed(texts))
 
--- a/src/bayhinge/_internal/services/gateway/turn_recorder.py
+++ b/src/bayhinge/_internal/services/gateway/turn_recorder.py
@@ -19,6 +19,7 @@
 from bayhinge._internal.services.gateway.disk_client import DiskClient
 from bayhinge._internal.services.gateway.disk_directory import DiskDirectory
 from bayhinge._internal.services.gateway.disk_link import DiskLink
+from bayhinge._internal.services.gateway.held_memory import UNBOUNDED, RequestMemory
 from bayhinge._internal.services.gateway.open_turn import OpenTurn
 from bayhinge._internal.services.gateway.turn_histories import TurnHistories
 from bayhinge._internal.services.gateway.turn_refusals import budget_exceeded
@@ -42,15 +43,21 @@
         self._histories = TurnHistories(self, directory)
 
     async def open(
-        self, attempt: str, context: TurnContext, is_retained: bool = True, account: str = ""
+        self,
+        attempt: str,
+        context: TurnContext,
+        is_retained: bool = True,
+        account: str = "",
+        memory: RequestMemory = UNBOUNDED,
     ) -> OpenTurn:
         """Reserves the turn's tokens, and fetches its history if turns are retained.
 
         ``account`` owns the turn; programs and turns of other accounts don't exist for it.
+        ``memory`` is what the request holds.
 
         Raises:
-            RefusedError: the budget is exhausted, the previous turn does not exist, or too few
-                disks answered.
+            RefusedError: the budget is exhausted, the previous turn does not exist, too few disks
+                answered, or there is no memory for the history.
         """
         if not is_retained:
             context = attrs.evolve(context, previous=None)
@@ -65,7 +72,7 @@
         replies = await self._reservations.reserve(attempt, context, reserved)
         try:
             self._check_budget(turn, replies)
-            await self._histories.add(turn, replies)
+            await self._histories.add(turn, replies, memory)
         except (RefusedError, asyncio.CancelledError):
             self.settle(turn, 0)
             raise
@@ -88,6 +95,8 @@
             turn.account,
         )
         message = encode_message(wire.AppendEntries([entry]))
+        # The message has them; a long turn would be held twice until it is durable.
+        del text, entry
         generation_by_host: dict[str, int] = {}
         tries = 0
         while True:
