--- a/src/bayhinge/_internal/decisions/memory_budget.py
+++ b/src/bayhinge/_internal/decisions/memory_budget.py
@@ -24,16 +24,23 @@
 
 
 class MemoryHolder(StrEnum):
-    """What memory is held for."""
+    """What memory is held for.
+
+    Attributes:
+        ANSWER: an answer that is read whole before it is sent.
+        UNREAD: the part of a stream that the caller has not taken yet.
+        EVENTS: the events of a stream, to be recorded at its end.
+    """
 
     WAITING = "waiting_request"
     BODY = "body"
     HISTORY = "history"
     ANSWER = "answer"
+    UNREAD = "unread_answer"
     EVENTS = "events"
 
 
-ANSWER_HOLDERS = frozenset({MemoryHolder.ANSWER, MemoryHolder.EVENTS})
+ANSWER_HOLDERS = frozenset({MemoryHolder.ANSWER, MemoryHolder.UNREAD, MemoryHolder.EVENTS})
 
 
 @attrs.define(eq=False)
@@ -184,13 +191,24 @@
     def _grant(self, claim: MemoryClaim) -> bool:
         assert claim.wanted is not None
         holder, size = claim.wanted
-        # The first answer may use all that is free: others are larger, and would only wait on.
-        if not self._fits(claim, holder, size, is_first=True):
+        if not self._fits(claim, holder, size, self._is_blocked(claim)):
             return False
         self.withdraw(claim)
         self._add(claim, holder, size)
         return True
 
+    def _is_blocked(self, claim: MemoryClaim) -> bool:
+        """Returns whether an answer waits only for others that wait too.
+
+        The first one may then use all that is free. Callers that read slowly free room by
+        themselves, and must leave some to the others.
+        """
+        assert claim.wanted is not None
+        if claim.wanted[0] is MemoryHolder.UNREAD or claim.bytes_by_holder[MemoryHolder.UNREAD]:
+            return False
+        waiting = sum(one.answer_bytes for one in self._in_order(is_answer=True))
+        return waiting >= self._held_bytes - self._request_bytes
+
     def _refuse_stalled(self) -> Iterator[MemoryClaim]:
         """Ends the waits of the largest, least urgent requests if waiting can't free enough room.
 
@@ -219,14 +237,14 @@
         return self.bytes_by_holder[MemoryHolder.BODY] + self.bytes_by_holder[MemoryHolder.HISTORY]
 
     def _fits(
-        self, claim: MemoryClaim, holder: MemoryHolder, size: int, is_first: bool = False
+        self, claim: MemoryClaim, holder: MemoryHolder, size: int, may_fill: bool = False
     ) -> bool:
         free = self.limit_bytes - self._held_bytes
         if size > free:
             return False
         if holder in ANSWER_HOLDERS:
             own = claim.answer_bytes
-            return is_first or own + size <= ANSWER_FREE_MULTIPLE * (free - size)
+            return may_fill or own + size <= ANSWER_FREE_MULTIPLE * (free - size)
         if size > self.free_request_bytes:
             return False
         if self._content_bytes == claim.content_bytes:
--- a/src/bayhinge/_internal/network/caller_watch.py
+++ b/src/bayhinge/_internal/network/caller_watch.py
@@ -25,6 +25,9 @@
 """TCP user timeout while the kernel still holds part of an answer that was sent whole. The host
 itself holds nothing for the caller any more, so it may take its time."""
 
+MIN_WATCHED_BYTES = 16_384
+"""Shorter answers fit into the receive buffers of callers, and are not checked at their end."""
+
 MIN_UNANSWERED = 2
 """Probes or retransmissions without an acknowledgement from which a caller counts as gone; one may
 be on its way."""
@@ -58,12 +61,19 @@
         self.is_slow = False
         self._timer = asyncio.get_running_loop().call_later(CHECK_S, self._check)
 
-    def stop(self) -> bool:
-        """Stops watching; returns whether the connection has the longer timeout."""
+    def stop(self, sent_bytes: int) -> bool:
+        """Stops watching; returns whether the connection has the longer timeout.
+
+        Args:
+            sent_bytes: the length of the answer.
+        """
         self._timer.cancel()
-        if not self.is_slow or self._transport.is_closing():
+        is_short = sent_bytes < MIN_WATCHED_BYTES
+        if self._transport.is_closing() or (is_short and not self.is_slow):
             return False
         has_unread = self._queued_bytes() > 0
+        if not has_unread and not self.is_slow:
+            return False
         set_tcp_timeouts(self._socket, LEFT_UNREAD_S if has_unread else self._user_timeout_s)
         return has_unread
 
--- a/src/bayhinge/_internal/network/routed_front.py
+++ b/src/bayhinge/_internal/network/routed_front.py
@@ -123,7 +123,8 @@
     def end(self) -> bool:
         """Stops watching the caller; returns whether its connection has a longer timeout."""
         watch, self._watch = self._watch, None
-        return watch is not None and watch.stop()
+        sent = 0 if self._response is None else self._response.body_length
+        return watch is not None and watch.stop(sent)
 
     async def respond(self, status: int, headers: RawHeaders, body: bytes) -> None:
         """Sends a complete answer."""
--- a/src/bayhinge/_internal/services/gateway/held_memory.py
+++ b/src/bayhinge/_internal/services/gateway/held_memory.py
@@ -113,15 +113,16 @@
 
         Raises:
             RefusedError: waiting for them would block other requests.
-            IncompleteAnswerError: an answer is larger than the whole budget.
+            IncompleteAnswerError: the request and its answer are larger than the whole budget.
         """
         budget, claim = self.budget, memory.claim
         assert budget is not None
         if budget.try_acquire(claim, holder, size):
             return
-        if holder in ANSWER_HOLDERS and claim.answer_bytes + size > budget.limit_bytes:
+        own = sum(claim.bytes_by_holder.values())
+        if holder in ANSWER_HOLDERS and own + size > budget.limit_bytes:
             raise IncompleteAnswerError(
-                f"the answer needs {claim.answer_bytes + size} bytes, "
+                f"the request and its answer need {own + size} bytes, "
                 f"and the host's memory budget is {budget.limit_bytes}"
             )
         if not memory.was_paused:
--- a/src/bayhinge/_internal/services/gateway/unread_answer.py
+++ b/src/bayhinge/_internal/services/gateway/unread_answer.py
@@ -26,7 +26,7 @@
     def __init__(self, exchange: Exchange, memory: RequestMemory) -> None:
         self._exchange = exchange
         self._memory = memory
-        self._room = memory.room(MemoryHolder.ANSWER)
+        self._room = memory.room(MemoryHolder.UNREAD)
         self._held_bytes = 0
 
     def begin(self) -> None:
--- a/tests/lib/platform_engine.py
+++ b/tests/lib/platform_engine.py
@@ -47,6 +47,8 @@
         cut_at: end of the slice of that event that is still sent.
         ends_well: whether such a stream ends without a connection error.
         silent_after: number of events after which streams stall for good.
+        event_bytes: length to which the data of events is filled up.
+        cuts_unread_s: time after which a stream that is not read is cut off, or None.
         resumes_off_by: added to the number of the first event of a resumed stream.
     """
 
@@ -59,6 +61,8 @@
     ends_well: bool = False
     silent_after: int | None = None
     resumes_off_by: int = 0
+    event_bytes: int = 0
+    cuts_unread_s: float | None = None
 
 
 class PlatformEngine(StandinServer):
@@ -94,7 +98,8 @@
 
     def event(self, stream: int, number: int) -> bytes:
         """Returns the bytes of one event."""
-        return f"id: {number}\ndata: r{stream}e{number}\n\n".encode()
+        data = f"r{stream}e{number}".ljust(self.faults.event_bytes, ".")
+        return f"id: {number}\ndata: {data}\n\n".encode()
 
     async def restart(self, born_ms: int | None, moves: bool = False) -> None:
         """Restarts under its id; connections of the former incarnation stay open and stall.
@@ -134,7 +139,8 @@
         headers = {"Bayhinge-Attempt-Id": attempt}
         if request.headers.get("Bayhinge-Expect-Instance") != self.instance:
             return web.Response(status=421, headers=headers)
-        body = await request.read()
+        # Not read(), which refuses bodies of more than a megabyte.
+        body = b"".join([piece async for piece in request.content.iter_any()])
         if self.faults.full > 0:
             self.faults.full -= 1
             return web.Response(status=503, headers=headers | {"Bayhinge-Not-Executed": "1"})
@@ -156,6 +162,17 @@
             run.was_cancelled = True
             raise
 
+    async def _write(
+        self, request: web.Request, response: web.StreamResponse, event: bytes
+    ) -> None:
+        try:
+            async with asyncio.timeout(self.faults.cuts_unread_s):
+                await response.write(event)
+        except TimeoutError:
+            assert request.transport is not None
+            request.transport.abort()
+            raise ConnectionResetError from None
+
     async def _stream(
         self, request: web.Request, headers: dict[str, str], run: Run, incarnation: int
     ) -> web.StreamResponse:
@@ -178,7 +195,7 @@
             if sent_count == self.faults.silent_after:
                 await asyncio.sleep(3600)
             run.made.append(event)
-            await response.write(event)
+            await self._write(request, response, event)
             await self._pause(incarnation, self.faults.pause_s)
         await response.write_eof()
         return response
--- a/tests/lib/platform_site.py
+++ b/tests/lib/platform_site.py
@@ -247,6 +247,7 @@
     disks: int = 3,
     halls: tuple[str, ...] = ("north", "south"),
     bounds: Mapping[str, object] | None = None,
+    loop_factory: Callable[[], asyncio.AbstractEventLoop] | None = None,
 ) -> None:
     """Starts a site, runs a scenario on it and stops the site."""
 
@@ -259,4 +260,5 @@
         finally:
             await site.stop()
 
-    asyncio.run(main())
+    with asyncio.Runner(loop_factory=loop_factory) as runner:
+        runner.run(main())
--- a/tests/unit/test_memory_budget.py
+++ b/tests/unit/test_memory_budget.py
@@ -13,10 +13,11 @@
 )
 
 MB = 2**20
-BODY, HISTORY, ANSWER, EVENTS, WAITING = (
+BODY, HISTORY, ANSWER, UNREAD, EVENTS, WAITING = (
     MemoryHolder.BODY,
     MemoryHolder.HISTORY,
     MemoryHolder.ANSWER,
+    MemoryHolder.UNREAD,
     MemoryHolder.EVENTS,
     MemoryHolder.WAITING,
 )
@@ -88,19 +89,44 @@
     """Guards against a slow caller that stops the answers of faster ones."""
     budget = MemoryBudget(30 * MB, 10 * MB)
     slow, fast = MemoryClaim(0), MemoryClaim(9)
-    while budget.try_acquire(slow, ANSWER, MB):
+    while budget.try_acquire(slow, UNREAD, MB):
         pass
     assert budget.held_bytes >= 26 * MB, "nearly the whole room before anybody is paused"
-    assert budget.try_acquire(fast, ANSWER, MB)
-    budget.enqueue(slow, ANSWER, 3 * MB)
-    budget.enqueue(fast, ANSWER, 4 * MB)
+    assert budget.try_acquire(fast, UNREAD, MB)
+    budget.enqueue(slow, UNREAD, 3 * MB)
+    budget.enqueue(fast, UNREAD, 4 * MB)
     assert budget.settle().granted == []
-    budget.release(slow, ANSWER, 2 * MB)
+    budget.release(slow, UNREAD, 2 * MB)
     assert budget.settle().granted == [fast]
     budget.close(fast)
+    budget.release(slow, UNREAD, 2 * MB)
     assert budget.settle().granted == [slow]
 
 
+def test_answers_that_only_wait_for_each_other_are_read_one_after_the_other() -> None:
+    """Guards against answers that each hold a part and wait for the rest until their deadlines."""
+    budget = MemoryBudget(30 * MB, 10 * MB)
+    first, second = MemoryClaim(0), MemoryClaim(0)
+    assert budget.try_acquire(first, ANSWER, 12 * MB)
+    assert budget.try_acquire(second, EVENTS, 14 * MB)
+    budget.enqueue(second, EVENTS, 4 * MB)
+    assert budget.settle().granted == [], "the first is still read, and may end"
+    budget.enqueue(first, ANSWER, 4 * MB)
+    assert budget.settle().granted == [first]
+
+
+def test_a_slow_caller_leaves_room_even_if_nobody_else_waits() -> None:
+    """Guards against a slow caller that takes the last room, so that later answers find none."""
+    budget = MemoryBudget(30 * MB, 10 * MB)
+    slow = MemoryClaim(0)
+    while budget.try_acquire(slow, UNREAD, MB):
+        pass
+    for holder in (UNREAD, EVENTS):
+        budget.enqueue(slow, holder, MB)
+        assert budget.settle().granted == []
+        budget.withdraw(slow)
+
+
 def test_requests_wait_by_urgency_then_size_and_nobody_overtakes() -> None:
     """Guards against a stream of later requests that starves a waiting one."""
     budget = MemoryBudget(30 * MB, 10 * MB)
@@ -183,7 +209,7 @@
     @precondition(lambda self: self.idle())
     @rule(
         data=st.data(),
-        holder=st.sampled_from([BODY, HISTORY, ANSWER, EVENTS]),
+        holder=st.sampled_from([BODY, HISTORY, ANSWER, UNREAD, EVENTS]),
         size=st.integers(1, 300),
     )
     def wait(self, data: st.DataObject, holder: MemoryHolder, size: int) -> None:
@@ -259,8 +285,9 @@
     @invariant()
     def those_that_wait_are_known_and_some_of_them_or_others_can_end(self) -> None:
         assert self.budget.waiting_count == len(self.waiting)
-        waiting = [claim for claim, (holder, _) in self.waiting.items() if holder is not ANSWER]
-        requests = [claim for claim in waiting if self.waiting[claim][0] not in ANSWER_HOLDERS]
+        requests = [
+            claim for claim, (holder, _) in self.waiting.items() if holder not in ANSWER_HOLDERS
+        ]
         answers = sum(claim.answer_bytes for claim in self.claims)
         if requests and answers <= self.budget.reserve_bytes:
             held_by_waiting = sum(claim.content_bytes for claim in requests)
