--- a/src/bayhinge/_internal/decisions/memory_budget.py
+++ b/src/bayhinge/_internal/decisions/memory_budget.py
@@ -250,9 +250,13 @@
         if self._content_bytes == claim.content_bytes:
             # Otherwise a request larger than its fraction of an idle host's room would never run.
             return True
+        return self.free_needed_bytes(claim, size) <= self.free_request_bytes
+
+    def free_needed_bytes(self, claim: MemoryClaim, size: int) -> int:
+        """Returns how much room must be free for a request to grow by ``size`` bytes."""
         own = claim.request_bytes
-        needed = (own + size) * (URGENCY_SCALE + claim.urgency)
-        return needed <= URGENCY_SCALE * (self.free_request_bytes + own)
+        # Rounded up.
+        return -(-(own + size) * (URGENCY_SCALE + claim.urgency) // URGENCY_SCALE) - own
 
     def _add(self, claim: MemoryClaim, holder: MemoryHolder, size: int) -> None:
         claim.bytes_by_holder[holder] += size
--- a/src/bayhinge/_internal/services/gateway/held_memory.py
+++ b/src/bayhinge/_internal/services/gateway/held_memory.py
@@ -169,6 +169,7 @@
         assert budget is not None
         return (
             Figure("wanted_bytes", size),
+            Figure("free_needed_bytes", budget.free_needed_bytes(claim, size)),
             Figure("own_bytes", sum(claim.bytes_by_holder.values())),
             Figure("held_bytes", budget.held_bytes),
             Figure("free_for_requests_bytes", budget.free_request_bytes),
