--- a/src/bayhinge/_internal/queries/refusal_causes.py
+++ b/src/bayhinge/_internal/queries/refusal_causes.py
@@ -30,6 +30,7 @@
 HOSTS = ("host.", "home.", "hall.", "peer.")
 PROOFS = ("proof.", "request.waited_for_proof")
 QUOTAS = ("quota.",)
+MEMORY = ("memory.",)
 
 
 @attrs.frozen
@@ -79,12 +80,17 @@
         "The account exceeds its quota, which applies across all hosts.", (*QUOTAS, *CONFIGURATION)
     ),
     RefusalCode.PATIENCE_EXCEEDED: Explanation(
-        "The time limit expired before an answer arrived.", (*SENDS, *ENDPOINTS, *DISKS, *UPDATES)
+        "The time limit expired before an answer arrived.",
+        (*SENDS, *ENDPOINTS, *DISKS, *UPDATES, *MEMORY),
     ),
     RefusalCode.NO_ENDPOINT: Explanation(
         "No endpoint of the service accepted the request, or none is known.",
         (*SENDS, *ENDPOINTS, *UPDATES),
     ),
+    RefusalCode.HOST_MEMORY: Explanation(
+        "The host's memory budget had no room: the figures say for how much, and what was held.",
+        MEMORY,
+    ),
     RefusalCode.ENDPOINT_FAILED: Explanation("The endpoint failed.", (*SENDS, *ENDPOINTS)),
     RefusalCode.OUTCOME_UNKNOWN: Explanation(
         "An endpoint may have run it without a complete answer, and it may not run twice.",
@@ -107,7 +113,7 @@
 
 INTERRUPTED = Explanation(
     "Part of the answer had been sent, and the rest could not be sent.",
-    (*SENDS, *ENDPOINTS, *DISKS),
+    (*SENDS, *ENDPOINTS, *DISKS, *MEMORY),
 )
 CALLER_DISCONNECTED = Explanation(
     "The caller closed its connection before the answer was complete.", SENDS
