--- a/tests/functional/test_host_memory.py
+++ b/tests/functional/test_host_memory.py
@@ -124,21 +124,26 @@
         rest = rest[int(size, 16) + 2 :]
 
 
-def long_streams(site: PlatformSite, events: int, event_bytes: int) -> None:
+def long_streams(site: PlatformSite, events: int, event_bytes: int, pause_s: float) -> None:
     for engine in site.engines:
         engine.events = events
-        engine.faults = EngineFaults(event_bytes=event_bytes, cuts_unread_s=CUT_UNREAD_S)
+        engine.faults = EngineFaults(
+            event_bytes=event_bytes, cuts_unread_s=CUT_UNREAD_S, pause_s=pause_s
+        )
 
 
 def runs_of(engines: list[PlatformEngine]) -> list[Any]:
     return [run for engine in engines for run in engine.runs]
 
 
-# Longer than what the kernel takes for a caller, and so short that the kernel takes all of it.
-@pytest.mark.parametrize(("events", "event_bytes"), [(100, 60_000), (30, 10_000)])
+# Longer than what the kernel takes for a caller; so short that the kernel takes all of it; and
+# the same while the endpoint is still sending.
+@pytest.mark.parametrize(
+    ("events", "event_bytes", "pause_s"), [(100, 60_000, 0.0), (30, 10_000, 0.0), (20, 10_000, 0.2)]
+)
 @pytest.mark.parametrize("loop", LOOPS)
 def test_a_caller_that_reads_one_byte_a_second_gets_its_whole_answer(
-    loop: str, events: int, event_bytes: int, tmp_path: Path
+    loop: str, events: int, event_bytes: int, pause_s: float, tmp_path: Path
 ) -> None:
     """Guards against an answer cut off by its endpoint or the kernel, and a turn that is lost."""
 
@@ -146,7 +151,7 @@
         await allow_much(site)
         budget = PeakBudget(64 * MB, 21 * MB)
         memory = memory_of(site, budget)
-        long_streams(site, events, event_bytes)
+        long_streams(site, events, event_bytes, pause_s)
         with caller_with_small_buffer(site) as sock:
             sock.send(turn_head("slow-1", b"hello") + b"hello")
             received = await read_slowly(sock, int(2 * CUT_UNREAD_S) + 1)
