--- a/src/bayhinge/_internal/network/memory_room.py
+++ b/src/bayhinge/_internal/network/memory_room.py
@@ -4,9 +4,9 @@
 
 from aiohttp.streams import StreamReader
 
-PIECE_BYTES = 65_536
-"""Room that is taken for each piece of a body without a declared length. It matches the read
-buffer: smaller pieces would cost more waits, and larger ones would hold room that isn't used."""
+PIECE_BYTES = 32_768
+"""Room that is taken for each piece of a body without a declared length. It matches the read buffer
+of requests, which aiohttp would enlarge for larger pieces."""
 
 
 class BodyTooLongError(Exception):
--- a/src/bayhinge/_internal/network/routed_front.py
+++ b/src/bayhinge/_internal/network/routed_front.py
@@ -6,6 +6,7 @@
 
 import asyncio
 import contextlib
+import socket
 from abc import ABC, abstractmethod
 from collections.abc import Callable
 
@@ -15,6 +16,7 @@
 from aiohttp.web_server import Server
 
 from bayhinge._internal import status_codes
+from bayhinge._internal.models.refusals import RefusedError
 from bayhinge._internal.models.routed_requests import RawHeaders
 from bayhinge._internal.network.addresses import split_address
 from bayhinge._internal.network.caller_watch import CallerWatch
@@ -38,6 +40,13 @@
 """Buffer size of a request's body; reading from the caller is paused beyond twice as much.
 aiohttp's default is eight times as large, and would hold bytes that the budget has no room for."""
 
+READ_AHEAD_BYTES = 327_680
+"""Room for what a connection holds of a chunked body before it is read: the read buffer and a read
+from the socket. A body without this room is refused at once, so that few connections wait."""
+
+REFUSED_WINDOW_BYTES = 16_384
+"""Receive buffer of a connection whose body was refused for memory."""
+
 KEEPALIVE_TIMEOUT_S = 75.0
 """Keep-alive timeout of callers' connections; longer than callers keep idle ones."""
 
@@ -87,12 +96,39 @@
             BodyTooLongError: it is longer than ``limit`` bytes.
             RefusedError: there is no room for it.
         """
-        declared = self._request.content_length
-        if declared is not None:
-            if declared > limit:
+        try:
+            return await self._read_within(room, limit)
+        except RefusedError:
+            self._skip_rest_slowly()
+            raise
+
+    async def _read_within(self, room: MemoryRoom, limit: int) -> bytes:
+        content = self._request.content
+        length = self._request.content_length
+        if length is None and content.is_eof():
+            # A chunked body that has already arrived.
+            length = content.total_bytes
+        if length is not None:
+            if length > limit:
                 raise BodyTooLongError
-            room.take_at_once(declared)
-        return await read_whole(self._request.content, room, declared is not None, limit)
+            room.take_at_once(length)
+            return await read_whole(content, room, True, limit)
+        room.take_at_once(READ_AHEAD_BYTES)
+        body = await read_whole(content, room, False, limit)
+        room.give_back(READ_AHEAD_BYTES)
+        return body
+
+    def _skip_rest_slowly(self) -> None:
+        """Limits how much of a refused body arrives at once.
+
+        aiohttp reads and drops the rest, so that the caller receives the refusal rather than a
+        reset. With full windows, the bytes of a few hundred such connections come to 75 MB.
+        """
+        self.closes_connection()
+        transport = self._request.transport
+        sock = None if transport is None else transport.get_extra_info("socket")
+        if sock is not None:
+            sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, REFUSED_WINDOW_BYTES)
 
     @property
     def unread_bytes(self) -> int:
