--- a/src/bayhinge/_internal/decisions/memory_budget.py
+++ b/src/bayhinge/_internal/decisions/memory_budget.py
@@ -9,6 +9,7 @@
 The largest and least urgent requests therefore reach their bound first, while small ones still fit.
 """
 
+from collections import defaultdict
 from collections.abc import Iterator
 from enum import StrEnum
 
@@ -49,29 +50,19 @@
 
     Attributes:
         urgency: 0 is the most urgent.
+        request_bytes: the sum of what it holds for the request itself.
+        answer_bytes: the sum of what it holds for its answer.
         wanted: the holder and size that it waits for, or None.
         arrived: the number of its last wait, in order of arrival.
     """
 
     urgency: int
-    bytes_by_holder: dict[MemoryHolder, int] = attrs.field(
-        factory=lambda: dict.fromkeys(MemoryHolder, 0)
-    )
+    bytes_by_holder: dict[MemoryHolder, int] = attrs.field(factory=lambda: defaultdict(int))
+    request_bytes: int = 0
+    answer_bytes: int = 0
     wanted: tuple[MemoryHolder, int] | None = None
     arrived: int = 0
 
-    @property
-    def request_bytes(self) -> int:
-        """Bytes held for the request itself."""
-        return sum(
-            size for holder, size in self.bytes_by_holder.items() if holder not in ANSWER_HOLDERS
-        )
-
-    @property
-    def answer_bytes(self) -> int:
-        """Bytes held for its answer."""
-        return sum(self.bytes_by_holder[holder] for holder in ANSWER_HOLDERS)
-
     @property
     def content_bytes(self) -> int:
         """Bytes held of the request's body and history."""
@@ -156,7 +147,8 @@
         """Releases everything that a claim holds, and ends its wait."""
         self.withdraw(claim)
         for holder, size in claim.bytes_by_holder.items():
-            self._add(claim, holder, -size)
+            if size:
+                self._add(claim, holder, -size)
 
     def enqueue(self, claim: MemoryClaim, holder: MemoryHolder, size: int) -> None:
         """Makes a claim wait for bytes until :meth:`settle` returns it."""
@@ -262,7 +254,10 @@
         claim.bytes_by_holder[holder] += size
         self.bytes_by_holder[holder] += size
         self._held_bytes += size
-        if holder not in ANSWER_HOLDERS:
+        if holder in ANSWER_HOLDERS:
+            claim.answer_bytes += size
+        else:
+            claim.request_bytes += size
             self._request_bytes += size
 
     def _in_order(self, is_answer: bool) -> Iterator[MemoryClaim]:
--- a/tests/functional/test_host_memory.py
+++ b/tests/functional/test_host_memory.py
@@ -366,6 +366,37 @@
     run_site(tmp_path, scenario)
 
 
+def test_a_turn_whose_history_has_no_room_is_refused_before_it_runs(tmp_path: Path) -> None:
+    """Guards against histories outside the budget, and tokens that stay reserved for a refusal."""
+
+    async def scenario(site: PlatformSite) -> None:
+        await allow_much(site)
+        long_streams(site, 10, 60_000, 0.0)
+        first = await site.turn(b"hello", budget=70)
+        assert first.status == 200
+        budget = PeakBudget(3 * MB, MB)
+        memory = memory_of(site, budget)
+        other = MemoryClaim(0)
+        assert budget.try_acquire(other, MemoryHolder.BODY, 3 * MB // 2)
+        reply = await site.turn(b"more", first, budget=70)
+        assert (reply.status, b"(history)" in reply.body) == (503, True)
+        assert b'"run_state":"not_run"' in reply.body
+        assert len(runs_of(site.engines)) == 1
+        assert budget.held_bytes == 3 * MB // 2
+        budget.close(other)
+        again = await site.turn(b"more", first, budget=70)
+        assert again.status == 200, "the refused turn's tokens are free again"
+        [_, ran] = sorted(runs_of(site.engines), key=lambda one: one.number)
+        assert ran.body.startswith(b"hello")
+        assert ran.body.endswith(b"more")
+        assert len(ran.body) > 600_000
+        assert budget.peak_bytes <= budget.limit_bytes
+        await site.until(lambda: budget.held_bytes == 0)
+        assert memory.counts.refused == 1
+
+    run(tmp_path, "uvloop", scenario)
+
+
 def test_an_answer_larger_than_the_whole_budget_is_not_waited_for(tmp_path: Path) -> None:
     """Guards against a wait for memory that can never end."""
 
--- a/tests/unit/test_memory_budget.py
+++ b/tests/unit/test_memory_budget.py
@@ -279,6 +279,10 @@
             assert min(held, default=0) >= 0
             assert budget.bytes_by_holder[holder] == sum(held)
         assert budget.held_bytes == sum(budget.bytes_by_holder.values()) <= budget.limit_bytes
+        for claim in self.claims:
+            answer = sum(claim.bytes_by_holder[holder] for holder in ANSWER_HOLDERS)
+            assert claim.answer_bytes == answer
+            assert claim.request_bytes == sum(claim.bytes_by_holder.values()) - answer
         requests = sum(claim.request_bytes for claim in self.claims)
         assert requests <= budget.limit_bytes - budget.reserve_bytes
 
