Merge the bounded memory of hosts

Cause: a few dozen long bodies or slow readers ended a host of 128 MB, and an answer that its caller did not read was cut. Resolved: sections and metrics of both sides stay; the explanation of host_memory names its log lines.

--- a/src/bayhinge/_internal/queries/refusal_causes.py
+++ b/src/bayhinge/_internal/queries/refusal_causes.py
@@ -31,6 +31,7 @@
 PROOFS = ("proof.", "request.waited_for_proof")
 QUOTAS = ("quota.",)
 PLACES = ("place.",)
+MEMORY = ("memory.",)
 
 
 @attrs.frozen
@@ -81,7 +82,7 @@
     ),
     RefusalCode.PATIENCE_EXCEEDED: Explanation(
         "The time limit expired before an answer arrived.",
-        (*PLACES, *SENDS, *ENDPOINTS, *DISKS, *UPDATES),
+        (*PLACES, *SENDS, *ENDPOINTS, *DISKS, *UPDATES, *MEMORY),
     ),
     RefusalCode.NO_ENDPOINT: Explanation(
         "No endpoint of the service accepted the request, or none is known.",
@@ -92,7 +93,8 @@
         (*PLACES, *SENDS, *ENDPOINTS, *HOSTS),
     ),
     RefusalCode.HOST_MEMORY: Explanation(
-        "The host's memory budget had no room for the request; other hosts may have some."
+        "The host's memory budget had no room: the figures say for how much, and what was held.",
+        MEMORY,
     ),
     RefusalCode.ENDPOINT_FAILED: Explanation("The endpoint failed.", (*SENDS, *ENDPOINTS)),
     RefusalCode.OUTCOME_UNKNOWN: Explanation(
@@ -116,7 +118,7 @@
 
 INTERRUPTED = Explanation(
     "Part of the answer had been sent, and the rest could not be sent.",
-    (*SENDS, *ENDPOINTS, *DISKS),
+    (*SENDS, *ENDPOINTS, *DISKS, *MEMORY),
 )
 CALLER_DISCONNECTED = Explanation(
     "The caller closed its connection before the answer was complete.", SENDS
