--- a/src/bayhinge/_internal/decisions/place_queue.py
+++ b/src/bayhinge/_internal/decisions/place_queue.py
@@ -3,11 +3,18 @@
 Kept by a hall's coordinator for all hosts, or by a host that places alone for its own requests.
 """
 
-from collections import Counter
+from bisect import bisect_left, insort
 from collections.abc import Iterator, Mapping
+from heapq import heapify, heappop, heapreplace
+from typing import NamedTuple
 
 import attrs
 
+from bayhinge._internal.decisions.account_shares import AccountShares, Group
+
+OLDEST_EVERY_GRANTS = 20
+"""At least one in this many grants goes to the request that has waited longest."""
+
 
 @attrs.frozen
 class PlaceRequest:
@@ -34,48 +41,268 @@
     objective_s: float
     program_deadline_s: float | None = None
 
+    @property
+    def group(self) -> Group:
+        """The group of requests that it competes with."""
+        return self.service, self.urgency
+
+    @property
+    def due_s(self) -> float:
+        """When its program should be over, or else when its caller gives up."""
+        return self.deadline_s if self.program_deadline_s is None else self.program_deadline_s
+
 
 class PlaceQueue:
     """The waiting requests of one coordinator, by service."""
 
     def __init__(self) -> None:
         self._request_by_ticket: dict[int, PlaceRequest] = {}
+        self._queue_by_service: dict[str, _ServiceQueue] = {}
+        self._shares = AccountShares()
 
     def add(self, request: PlaceRequest) -> None:
-        """Adds a request."""
+        """Adds a request; replaces one with the same ticket."""
+        self.remove(request.ticket)
         self._request_by_ticket[request.ticket] = request
+        queue = self._queue_by_service.setdefault(request.service, _ServiceQueue())
+        if queue.insert(request):
+            self._shares.start_waiting(request.group, request.account, request.arrived_s)
 
     def remove(self, ticket: int) -> None:
         """Removes a request that no longer waits; one that is not in the queue is ignored."""
-        self._request_by_ticket.pop(ticket, None)
+        request = self._request_by_ticket.pop(ticket, None)
+        if request is not None and self._queue_by_service[request.service].delete(request):
+            self._shares.stop_waiting(request.group, request.account)
 
     def waiting(self, service: str) -> int:
         """Returns how many requests wait for a service."""
-        return self.waiting_by_service().get(service, 0)
+        queue = self._queue_by_service.get(service)
+        return 0 if queue is None else len(queue)
 
     def waiting_by_service(self) -> Mapping[str, int]:
-        """Returns how many requests wait for each service."""
-        return Counter(request.service for request in self._request_by_ticket.values())
+        """Returns how many requests wait for each service, without those that have none."""
+        return {service: len(queue) for service, queue in self._queue_by_service.items() if queue}
 
     def in_order(self, service: str, now_s: float) -> Iterator[PlaceRequest]:
-        """Yields the waiting requests of a service in the order in which they get places."""
-        waiting = [
-            request for request in self._request_by_ticket.values() if request.service == service
-        ]
-        yield from sorted(waiting, key=lambda request: (request.urgency, request.arrived_s))
+        """Yields the waiting requests of a service in the order in which they get places.
+
+        Requests that are removed meanwhile are left out; the order after other changes of the queue
+        is that of a new call.
+        """
+        queue = self._queue_by_service.get(service)
+        if queue is None:
+            return iter(())
+        return iter(_GrantOrder(queue, self._shares, service, now_s))
 
     def ahead_of(self, request: PlaceRequest, now_s: float) -> int:
         """Returns how many waiting requests get a place before this one, which may not wait yet."""
-        key = (request.urgency, request.arrived_s)
-        return sum(
-            (other.urgency, other.arrived_s) < key
-            for other in self._request_by_ticket.values()
-            if other.service == request.service and other.ticket != request.ticket
-        )
+        if request.ticket in self._request_by_ticket:
+            return self._position(request, now_s)
+        queue = self._queue_by_service.get(request.service)
+        if not queue:
+            return 0
+        queue.insert(request)
+        try:
+            return self._position(request, now_s)
+        finally:
+            queue.delete(request)
 
     def record_grant(self, request: PlaceRequest, now_s: float) -> None:
         """Removes a request that got a place; called also for one that never had to wait."""
-        self.remove(request.ticket)
+        self._shares.record_grant(request.group, request.account, now_s)
+        waiting = self._request_by_ticket.get(request.ticket)
+        if waiting is not None:
+            self._queue_by_service[waiting.service].count_grant(waiting)
+            self.remove(request.ticket)
 
     def record_duration(self, service: str, account: str, duration_s: float) -> None:
         """Counts the service time that a request of an account has used, once it has ended."""
+        self._shares.record_duration(service, account, duration_s)
+
+    def _position(self, request: PlaceRequest, now_s: float) -> int:
+        for position, other in enumerate(self.in_order(request.service, now_s)):
+            if other.ticket == request.ticket:
+                return position
+        return 0
+
+
+class _AgeKey(NamedTuple):
+    """Order by arrival."""
+
+    arrived_s: float
+    urgency: int
+    ticket: int
+
+
+def _by_age(request: PlaceRequest) -> _AgeKey:
+    return _AgeKey(request.arrived_s, request.urgency, request.ticket)
+
+
+def _by_due(request: PlaceRequest) -> tuple[float, _AgeKey]:
+    return request.due_s, _by_age(request)
+
+
+def _due_s(request: PlaceRequest) -> float:
+    return request.due_s
+
+
+@attrs.define(eq=False)
+class _Lane:
+    """Waiting requests of one account, service and urgency.
+
+    Attributes:
+        begun: turns of begun programs, in the order of their deadlines.
+        first: first turns, in the order of arrival.
+    """
+
+    begun: list[PlaceRequest] = attrs.field(factory=list)
+    first: list[PlaceRequest] = attrs.field(factory=list)
+
+    def __len__(self) -> int:
+        return len(self.begun) + len(self.first)
+
+    def insert(self, request: PlaceRequest) -> None:
+        if request.begins_program:
+            insort(self.first, request, key=_by_age)
+        else:
+            insort(self.begun, request, key=_by_due)
+
+    def delete(self, request: PlaceRequest) -> None:
+        if request.begins_program:
+            del self.first[bisect_left(self.first, _by_age(request), key=_by_age)]
+        else:
+            del self.begun[bisect_left(self.begun, _by_due(request), key=_by_due)]
+
+    def in_order(self, finish_s: float) -> Iterator[PlaceRequest]:
+        """Yields the requests in order; one that starts now is expected to end at ``finish_s``."""
+        first = list(self.first)
+        begun_late = bisect_left(self.begun, finish_s, key=_due_s)
+        begun = self.begun[begun_late:] + self.begun[:begun_late]
+        yield from begun
+        late = []
+        for request in first:
+            if request.deadline_s < finish_s:
+                late.append(request)
+            else:
+                yield request
+        yield from late
+
+
+class _ServiceQueue:
+    """Waiting requests of one service."""
+
+    def __init__(self) -> None:
+        self.tickets: set[int] = set()
+        self.by_age: list[PlaceRequest] = []
+        self.lane_by_account_by_urgency: dict[int, dict[str, _Lane]] = {}
+        self.grants_since_oldest = 0
+
+    def __len__(self) -> int:
+        return len(self.by_age)
+
+    def insert(self, request: PlaceRequest) -> bool:
+        """Inserts a request; returns whether its account had none of its urgency waiting."""
+        self.tickets.add(request.ticket)
+        insort(self.by_age, request, key=_by_age)
+        lanes = self.lane_by_account_by_urgency.setdefault(request.urgency, {})
+        lane = lanes.setdefault(request.account, _Lane())
+        lane.insert(request)
+        return len(lane) == 1
+
+    def delete(self, request: PlaceRequest) -> bool:
+        """Deletes a request; returns whether its account has none of its urgency waiting now."""
+        self.tickets.discard(request.ticket)
+        del self.by_age[bisect_left(self.by_age, _by_age(request), key=_by_age)]
+        lanes = self.lane_by_account_by_urgency[request.urgency]
+        lane = lanes[request.account]
+        lane.delete(request)
+        if lane:
+            return False
+        del lanes[request.account]
+        if not lanes:
+            del self.lane_by_account_by_urgency[request.urgency]
+        return True
+
+    def count_grant(self, request: PlaceRequest) -> None:
+        """Counts the grant of a waiting request, before it is deleted."""
+        is_oldest = self.by_age[0].ticket == request.ticket
+        self.grants_since_oldest = 0 if is_oldest else self.grants_since_oldest + 1
+
+
+class _GrantOrder:
+    """The order in which the waiting requests of a service get places.
+
+    Grants are simulated: each one adds the expected service time to its account's counter. Only
+    what is asked for is computed, as for each free place the first request is needed.
+    """
+
+    def __init__(
+        self, queue: _ServiceQueue, shares: AccountShares, service: str, now_s: float
+    ) -> None:
+        self._queue = queue
+        self._shares = shares
+        self._service = service
+        self._expected_us = shares.expected_us(service)
+        self._finish_s = now_s + shares.expected_s(service)
+        self._granted: set[int] = set()
+        self._granted_us_by_account: dict[str, int] = {}
+        self._urgencies = iter(sorted(queue.lane_by_account_by_urgency))
+        # Of the current urgency. Among equal counters, the account that began to wait first wins.
+        self._accounts: list[tuple[int, int, str]] = []
+        self._lanes: dict[str, _Lane] = {}
+        self._start_us_by_account: dict[str, int] = {}
+        self._requests_by_account: dict[str, Iterator[PlaceRequest]] = {}
+
+    def __iter__(self) -> Iterator[PlaceRequest]:
+        since_oldest = self._queue.grants_since_oldest
+        for oldest in list(self._queue.by_age):
+            while not self._is_gone(oldest):
+                is_due = since_oldest + 1 >= OLDEST_EVERY_GRANTS
+                request = oldest if is_due else self._next_regular() or oldest
+                since_oldest = 0 if request is oldest else since_oldest + 1
+                self._granted.add(request.ticket)
+                granted_us = self._granted_us_by_account.get(request.account, 0)
+                self._granted_us_by_account[request.account] = granted_us + self._expected_us
+                yield request
+
+    def _next_regular(self) -> PlaceRequest | None:
+        """Returns the next request by urgency, account, deadline and arrival, or None."""
+        while self._accounts or self._start_next_urgency():
+            counter_us, index, account = self._accounts[0]
+            actual_us = self._start_us_by_account[account]
+            actual_us += self._granted_us_by_account.get(account, 0)
+            if counter_us < actual_us:
+                # The account has had a grant since.
+                heapreplace(self._accounts, (actual_us, index, account))
+                continue
+            request = self._next_of(account)
+            if request is not None:
+                return request
+            heappop(self._accounts)
+        return None
+
+    def _next_of(self, account: str) -> PlaceRequest | None:
+        """Returns the next request of an account and the current urgency, or None."""
+        requests = self._requests_by_account.get(account)
+        if requests is None:
+            lane = self._lanes[account]
+            requests = self._requests_by_account[account] = lane.in_order(self._finish_s)
+        return next((request for request in requests if not self._is_gone(request)), None)
+
+    def _start_next_urgency(self) -> bool:
+        """Starts with the accounts of the next urgency; returns whether there was one."""
+        urgency = next(self._urgencies, None)
+        if urgency is None:
+            return False
+        self._lanes = dict(self._queue.lane_by_account_by_urgency.get(urgency, {}))
+        self._requests_by_account = {}
+        self._start_us_by_account = self._shares.counters_us((self._service, urgency), self._lanes)
+        self._accounts = [
+            (counter_us, index, account)
+            for index, (account, counter_us) in enumerate(self._start_us_by_account.items())
+        ]
+        heapify(self._accounts)
+        return True
+
+    def _is_gone(self, request: PlaceRequest) -> bool:
+        return request.ticket in self._granted or request.ticket not in self._queue.tickets
