--- a/src/bayhinge/_internal/decisions/wait_estimate.py
+++ b/src/bayhinge/_internal/decisions/wait_estimate.py
@@ -1,7 +1,7 @@
 """Predicts the wait for a place, and decides whether a request is refused instead. Pure."""
 
-import math
 import random
+from bisect import bisect_left, insort
 from collections import deque
 
 import attrs
@@ -25,12 +25,22 @@
 """A first turn is refused if it would take longer than its latency objective times this. Programs
 that miss it by less often still make up for it in later turns."""
 
-USUAL_ERRORS = 2.0
+USUAL_ERRORS = 1.0
 """Multiple of the mean overestimation that is taken off a prediction."""
 
-RATE_MEMORY_S = 5.0
-"""Memory of the rate of more urgent arrivals: long enough to average over some tens of them, short
-enough to notice the end of a burst before the callers give up."""
+ARRIVALS_S = 5.0
+"""Time for which arrivals are kept to predict how many will join before a waiting request: long
+enough for some tens of them, short enough to notice the end of a burst before callers give up."""
+
+MAX_ARRIVALS = 2000
+"""Arrivals that are kept, the newest ones; four times those of the largest known hall."""
+
+STEPS = 8
+"""Steps in which a request's way to the front is followed."""
+
+CLEARLY_BEFORE = 0.75
+"""Share of a position before which arrivals of the same urgency count as overtaking. Those that
+join near a position are as often behind a request that has moved on since."""
 
 NEW_REQUEST_S = 0.1
 """Age up to which a request counts as newly arrived; waiting ones are asked for every 0.2 s."""
@@ -90,7 +100,7 @@
     def record_grant(self, service: str, waited_s: float, predicted_s: float, now_s: float) -> None:
         """Records that a request that had to wait got a place.
 
-        ``predicted_s`` is the wait that was predicted when it arrived.
+        ``predicted_s`` is the wait that was predicted for it, ``waited_s`` the time since then.
         """
         self._releases(service).record_grant(max(0.0, waited_s), predicted_s, now_s)
 
@@ -109,14 +119,13 @@
         per_s = releases.per_s(places, now_s)
         if per_s is None:
             return Admitted(0.0)
-        overtaken_per_s = releases.overtaking.per_s(request.urgency, now_s)
-        wait_s = (ahead + 1) / max(per_s - overtaken_per_s, per_s / OLDEST_EVERY_GRANTS)
+        wait_s = releases.overtaking.wait_s(request.urgency, ahead, per_s, now_s)
         usual_error = min(1.0, self._usual_errors * releases.overestimation.value)
         begins_s = now_s + wait_s * (1.0 - usual_error)
         # The next place to become free is not refused to the request that gets it.
         ends_s = begins_s + (releases.duration_s if ahead else 0.0)
         if ends_s <= _latest_end_s(request):
-            releases.overtaking.record_arrival(request, now_s)
+            releases.overtaking.record_arrival(request, ahead, now_s)
             return Admitted(wait_s)
         return Refused(self._retry_after_s(wait_s, request.deadline_s - now_s), wait_s)
 
@@ -152,40 +161,59 @@
     end_s: float
 
 
+@attrs.frozen
+class _Arrival:
+    """A recent request that was admitted with ``ahead`` others before it."""
+
+    at_s: float
+    urgency: int
+    ahead: int
+
+
 class _Overtaking:
-    """Rate of admitted arrivals by urgency: less urgent requests are overtaken by them."""
+    """Where recent arrivals joined the queue: requests behind that position were overtaken."""
 
     def __init__(self) -> None:
-        self._rate_by_urgency: dict[int, DecayedRate] = {}
+        self._arrivals: deque[_Arrival] = deque()
+        self._sorted_ahead_by_urgency: dict[int, list[int]] = {}
 
-    def record_arrival(self, request: PlaceRequest, now_s: float) -> None:
+    def record_arrival(self, request: PlaceRequest, ahead: int, now_s: float) -> None:
         """Counts a request that may wait. One that waits already is asked for again later."""
-        if now_s - request.arrived_s <= NEW_REQUEST_S:
-            rate = self._rate_by_urgency.setdefault(request.urgency, DecayedRate(now_s))
-            rate.record(now_s)
-
-    def per_s(self, urgency: int, now_s: float) -> float:
-        """Returns how many requests a second arrive that are more urgent than this."""
-        return sum(
-            rate.per_s(now_s) for other, rate in self._rate_by_urgency.items() if other < urgency
-        )
-
-
-@attrs.define
-class DecayedRate:
-    """Events a second, with an exponentially decaying memory that starts at ``updated_s``."""
+        if now_s - request.arrived_s > NEW_REQUEST_S:
+            return
+        self._forget_old(now_s)
+        self._arrivals.append(_Arrival(now_s, request.urgency, ahead))
+        insort(self._sorted_ahead_by_urgency.setdefault(request.urgency, []), ahead)
 
-    updated_s: float
-    _per_s: float = 0.0
+    def wait_s(self, urgency: int, ahead: int, per_s: float, now_s: float) -> float:
+        """Returns the wait behind ``ahead`` others if ``per_s`` places become free a second.
 
-    def record(self, now_s: float) -> None:
-        """Counts an event."""
-        self._per_s = self.per_s(now_s) + 1 / RATE_MEMORY_S
-        self.updated_s = now_s
+        The position falls by the places that become free, and rises by the arrivals that join
+        before it. It is followed in a few steps.
+        """
+        self._forget_old(now_s)
+        more_urgent = sum(
+            len(joined)
+            for other, joined in self._sorted_ahead_by_urgency.items()
+            if other < urgency
+        )
+        joined = self._sorted_ahead_by_urgency.get(urgency, [])
+        least_per_s = per_s / OLDEST_EVERY_GRANTS
+        step = ahead / STEPS
+        wait_s = 1 / max(least_per_s, per_s - more_urgent / ARRIVALS_S)
+        for number in range(STEPS):
+            position = step * (number + 0.5)
+            overtaking = more_urgent + bisect_left(joined, CLEARLY_BEFORE * position)
+            wait_s += step / max(least_per_s, per_s - overtaking / ARRIVALS_S)
+        return wait_s
 
-    def per_s(self, now_s: float) -> float:
-        """Returns the rate."""
-        return self._per_s * math.exp((self.updated_s - now_s) / RATE_MEMORY_S)
+    def _forget_old(self, now_s: float) -> None:
+        while self._arrivals and (
+            self._arrivals[0].at_s < now_s - ARRIVALS_S or len(self._arrivals) > MAX_ARRIVALS
+        ):
+            old = self._arrivals.popleft()
+            joined = self._sorted_ahead_by_urgency[old.urgency]
+            del joined[bisect_left(joined, old.ahead)]
 
 
 class _Releases:
--- a/tests/lib/place_play.py
+++ b/tests/lib/place_play.py
@@ -2,7 +2,7 @@
 
 import random
 from bisect import bisect_left, insort
-from collections.abc import Callable, Iterator
+from collections.abc import Callable, Iterable, Iterator
 from heapq import heappop, heappush
 from itertools import count
 from typing import Any
@@ -20,6 +20,7 @@
 
 SERVICE = "engine"
 MAX_TRIES = 3
+SETTLED_S = 8.0
 
 
 @attrs.frozen
@@ -39,7 +40,7 @@
     storm: float = 1.0
     begun: float = 0.75
     patience_s: tuple[float, float] = (4.0, 16.0)
-    until_s: float = 60.0
+    until_s: float = 36.0
 
     def draw(self, seed: int) -> list["Arrival"]:
         """Draws each account's requests separately: a storm leaves those of others the same."""
@@ -98,6 +99,18 @@
         return self.granted_s is not None and self.granted_s + self.duration_s <= last_s
 
 
+def settled(arrivals: list[Arrival], load: Load) -> list[Arrival]:
+    """Returns the arrivals while the queue has its usual length."""
+    last_s = load.until_s - 12.0
+    return [one for one in arrivals if SETTLED_S <= one.request.arrived_s < last_s]
+
+
+def share_in_time(arrivals: Iterable[Arrival]) -> float:
+    """Returns the share of requests that were answered in time."""
+    results = [arrival.is_in_time for arrival in arrivals]
+    return sum(results) / len(results)
+
+
 class SortedQueue(PlaceQueue):
     """A queue with a fixed order, to compare with."""
 
@@ -130,7 +143,7 @@
         self._events: list[tuple[float, int, Callable[[float, Any], None], Any]] = []
         self._numbers = count(1)
         self._free = load.places
-        self._waiting: dict[int, tuple[Arrival, float]] = {}
+        self._waiting: dict[int, tuple[Arrival, float, float]] = {}
 
     def run(self, seed: int) -> list[Arrival]:
         """Returns the arrivals with what became of them."""
@@ -171,7 +184,7 @@
                     arrival.is_refused = True
                 return
         self._queue.add(request)
-        self._waiting[request.ticket] = arrival, expected_s
+        self._waiting[request.ticket] = arrival, expected_s, now_s
         self._at(request.deadline_s, self._give_up, request.ticket)
 
     def _give_up(self, now_s: float, ticket: int) -> None:
@@ -194,7 +207,7 @@
         head = next(self._queue.in_order(SERVICE, now_s), None)
         if head is None:
             return
-        waiting, expected_s = self._waiting.pop(head.ticket)
+        waiting, expected_s, since_s = self._waiting.pop(head.ticket)
         if self._estimate is not None:
-            self._estimate.record_grant(SERVICE, now_s - head.arrived_s, expected_s, now_s)
+            self._estimate.record_grant(SERVICE, now_s - since_s, expected_s, now_s)
         self._start(now_s, waiting, head)
