Queue for places: fewer steps for the order of many accounts

Cause: counting those ahead of a new request took 1.5 to 1.8 ms with 241 ahead, in lanes of one or two requests. Change: lanes are ordered as lists, and only one generator stands between the accounts and the order. The table of tests.lib.place_ways is the same.

--- a/src/bayhinge/_internal/decisions/place_queue.py
+++ b/src/bayhinge/_internal/decisions/place_queue.py
@@ -4,7 +4,7 @@
 """
 
 from bisect import bisect_left, insort
-from collections.abc import Iterator, Mapping
+from collections.abc import Iterable, Iterator, Mapping
 from heapq import heapify, heappop, heapreplace
 from typing import NamedTuple
 
@@ -178,19 +178,14 @@
         else:
             del self.begun[bisect_left(self.begun, _by_due(request), key=_by_due)]
 
-    def in_order(self, finish_s: float) -> Iterator[PlaceRequest]:
-        """Yields the requests in order; one that starts now is expected to end at ``finish_s``."""
-        first = list(self.first)
+    def in_order(self, finish_s: float) -> list[PlaceRequest]:
+        """Returns the requests in order; one that starts now is expected to end at ``finish_s``."""
+        if len(self.begun) + len(self.first) == 1:
+            return [*self.begun, *self.first]
         begun_late = bisect_left(self.begun, finish_s, key=_due_s)
-        begun = self.begun[begun_late:] + self.begun[:begun_late]
-        yield from begun
-        late = []
-        for request in first:
-            if request.deadline_s < finish_s:
-                late.append(request)
-            else:
-                yield request
-        yield from late
+        first = [request for request in self.first if request.deadline_s >= finish_s]
+        first_late = [request for request in self.first if request.deadline_s < finish_s]
+        return self.begun[begun_late:] + self.begun[:begun_late] + first + first_late
 
 
 class _ServiceQueue:
@@ -259,68 +254,70 @@
         self._finish_s = now_s + shares.enough_s(service)
         self._granted: set[int] = set()
         self._granted_us_by_account: dict[str, int] = {}
-        self._urgencies = iter(sorted(queue.lane_by_account_by_urgency))
-        # Of the current urgency. Among equal counters, the account that began to wait first wins.
-        self._accounts: list[tuple[int, int, str]] = []
-        self._lanes: dict[str, _Lane] = {}
-        self._start_us_by_account: dict[str, int] = {}
-        self._requests_by_account: dict[str, Iterator[PlaceRequest]] = {}
 
     def __iter__(self) -> Iterator[PlaceRequest]:
+        granted, granted_us, expected_us = (
+            self._granted,
+            self._granted_us_by_account,
+            self._expected_us,
+        )
         since_oldest = self._queue.grants_since_oldest
-        by_age = iter(self._queue.oldest_first(self._finish_s))
+        by_age = self._left(self._queue.oldest_first(self._finish_s))
         oldest = next(by_age, None)
+        regular = self._by_urgency()
         while True:
-            while oldest is not None and self._is_gone(oldest):
+            if oldest is not None and oldest.ticket in granted:
                 oldest = next(by_age, None)
-            is_due = since_oldest + 1 >= OLDEST_EVERY_GRANTS
-            request = oldest if is_due and oldest is not None else self._next_regular()
+            if oldest is not None and since_oldest + 1 >= OLDEST_EVERY_GRANTS:
+                request: PlaceRequest | None = oldest
+            else:
+                request = next(regular, None)
             if request is None:
                 return
             since_oldest = 0 if request is oldest else since_oldest + 1
-            self._granted.add(request.ticket)
-            granted_us = self._granted_us_by_account.get(request.account, 0)
-            self._granted_us_by_account[request.account] = granted_us + self._expected_us
+            granted.add(request.ticket)
+            granted_us[request.account] = granted_us.get(request.account, 0) + expected_us
             yield request
 
-    def _next_regular(self) -> PlaceRequest | None:
-        """Returns the next request by urgency, account, deadline and arrival, or None."""
-        while self._accounts or self._start_next_urgency():
-            counter_us, index, account = self._accounts[0]
-            actual_us = self._start_us_by_account[account]
-            actual_us += self._granted_us_by_account.get(account, 0)
+    def _by_urgency(self) -> Iterator[PlaceRequest]:
+        """Yields the requests without regard to the rule for the oldest."""
+        for urgency in sorted(self._queue.lane_by_account_by_urgency):
+            lanes = dict(self._queue.lane_by_account_by_urgency.get(urgency, {}))
+            yield from self._by_account(urgency, lanes)
+
+    def _by_account(self, urgency: int, lanes: dict[str, _Lane]) -> Iterator[PlaceRequest]:
+        """Yields the requests of one urgency.
+
+        Among equal counters, the account that began to wait first goes first.
+        """
+        granted_us = self._granted_us_by_account
+        start_us = self._shares.counters_us((self._service, urgency), lanes)
+        requests_by_account: dict[str, Iterator[PlaceRequest]] = {}
+        accounts = [
+            (counter_us + granted_us.get(account, 0), index, account)
+            for index, (account, counter_us) in enumerate(start_us.items())
+        ]
+        heapify(accounts)
+        while accounts:
+            counter_us, index, account = accounts[0]
+            actual_us = start_us[account] + granted_us.get(account, 0)
             if counter_us < actual_us:
                 # The account has had a grant since.
-                heapreplace(self._accounts, (actual_us, index, account))
+                heapreplace(accounts, (actual_us, index, account))
                 continue
-            request = self._next_of(account)
-            if request is not None:
-                return request
-            heappop(self._accounts)
-        return None
-
-    def _next_of(self, account: str) -> PlaceRequest | None:
-        """Returns the next request of an account and the current urgency, or None."""
-        requests = self._requests_by_account.get(account)
-        if requests is None:
-            lane = self._lanes[account]
-            requests = self._requests_by_account[account] = lane.in_order(self._finish_s)
-        return next((request for request in requests if not self._is_gone(request)), None)
-
-    def _start_next_urgency(self) -> bool:
-        """Starts with the accounts of the next urgency; returns whether there was one."""
-        urgency = next(self._urgencies, None)
-        if urgency is None:
-            return False
-        self._lanes = dict(self._queue.lane_by_account_by_urgency.get(urgency, {}))
-        self._requests_by_account = {}
-        self._start_us_by_account = self._shares.counters_us((self._service, urgency), self._lanes)
-        self._accounts = [
-            (counter_us, index, account)
-            for index, (account, counter_us) in enumerate(self._start_us_by_account.items())
-        ]
-        heapify(self._accounts)
-        return True
+            requests = requests_by_account.get(account)
+            if requests is None:
+                requests = self._left(lanes[account].in_order(self._finish_s))
+                requests_by_account[account] = requests
+            request = next(requests, None)
+            if request is None:
+                heappop(accounts)
+            else:
+                yield request
 
-    def _is_gone(self, request: PlaceRequest) -> bool:
-        return request.ticket in self._granted or request.ticket not in self._queue.tickets
+    def _left(self, requests: Iterable[PlaceRequest]) -> Iterator[PlaceRequest]:
+        """Yields those that still wait and have no simulated grant."""
+        granted, tickets = self._granted, self._queue.tickets
+        for request in requests:
+            if request.ticket in tickets and request.ticket not in granted:
+                yield request
