--- a/src/bayhinge/_internal/decisions/account_shares.py
+++ b/src/bayhinge/_internal/decisions/account_shares.py
@@ -21,7 +21,8 @@
 services matters; it must not be 0, as one account could then get all places at a cold start."""
 
 ENOUGH_DEVIATIONS = 1.0
-"""Mean deviations above the usual duration."""
+"""Mean deviations above the usual duration, so that places aren't given to requests that would end
+just too late. In plays, 0, 1 and 2 differ by less than 0.5% of the requests in time."""
 
 MAX_DEBT_S = 10.0
 """Service time by which an account that begins to wait may be ahead of the group's virtual time.
--- a/src/bayhinge/_internal/decisions/wait_estimate.py
+++ b/src/bayhinge/_internal/decisions/wait_estimate.py
@@ -26,7 +26,9 @@
 that miss it by less often still make up for it in later turns."""
 
 USUAL_ERRORS = 1.0
-"""Multiple of the mean overestimation that is taken off a prediction."""
+"""Multiple of the mean overestimation that is taken off a prediction. In plays at 1.3 times the
+capacity, 2 refused 0.003 of the requests needlessly and 0 refused 0.004; they answered 0.755 and
+0.762 in time."""
 
 ARRIVALS_S = 5.0
 """Time for which arrivals are kept to predict how many will join before a waiting request: long
--- a/tests/lib/place_ways.py
+++ b/tests/lib/place_ways.py
@@ -62,6 +62,7 @@
         mean(one.is_refused for one in arrivals),
         needless_refusals(load, order, refusal, seed),
         mean(one.granted_s is not None and not one.is_in_time for one in arrivals),
+        mean(one.granted_s is None and not one.is_refused for one in arrivals),
     ]
 
 
--- a/tests/unit/test_place_queue.py
+++ b/tests/unit/test_place_queue.py
@@ -7,11 +7,11 @@
 from hypothesis import strategies as st
 from hypothesis.stateful import RuleBasedStateMachine, invariant, rule
 
-from bayhinge._internal.decisions.place_queue import (
-    OLDEST_EVERY_GRANTS,
-    PlaceQueue,
-    PlaceRequest,
-)
+from bayhinge._internal.decisions.place_queue import PlaceQueue, PlaceRequest
+
+OLDEST_EVERY_GRANTS = 50
+"""As in the queue; not imported, as a queue without the rule must fail here instead of making
+these tests large."""
 
 FAR_S = 1e6
 
