--- a/tests/lib/place_play.py
+++ b/tests/lib/place_play.py
@@ -1,8 +1,7 @@
 """Plays drawn arrivals against places of one service, in virtual time."""
 
 import random
-from bisect import bisect_left, insort
-from collections.abc import Callable, Iterable, Iterator
+from collections.abc import Callable
 from heapq import heappop, heappush
 from itertools import count
 from typing import Any
@@ -20,7 +19,6 @@
 
 SERVICE = "engine"
 MAX_TRIES = 3
-SETTLED_S = 8.0
 
 
 @attrs.frozen
@@ -99,41 +97,6 @@
         return self.granted_s is not None and self.granted_s + self.duration_s <= last_s
 
 
-def settled(arrivals: list[Arrival], load: Load) -> list[Arrival]:
-    """Returns the arrivals while the queue has its usual length."""
-    last_s = load.until_s - 12.0
-    return [one for one in arrivals if SETTLED_S <= one.request.arrived_s < last_s]
-
-
-def share_in_time(arrivals: Iterable[Arrival]) -> float:
-    """Returns the share of requests that were answered in time."""
-    results = [arrival.is_in_time for arrival in arrivals]
-    return sum(results) / len(results)
-
-
-class SortedQueue(PlaceQueue):
-    """A queue with a fixed order, to compare with."""
-
-    def __init__(self, key: Callable[[PlaceRequest], float]) -> None:
-        super().__init__()
-        self._key = key
-        self._sorted: list[PlaceRequest] = []
-
-    def add(self, request: PlaceRequest) -> None:
-        super().add(request)
-        insort(self._sorted, request, key=self._key)
-
-    def remove(self, ticket: int) -> None:
-        super().remove(ticket)
-        self._sorted = [request for request in self._sorted if request.ticket != ticket]
-
-    def in_order(self, service: str, now_s: float) -> Iterator[PlaceRequest]:
-        return iter(self._sorted)
-
-    def ahead_of(self, request: PlaceRequest, now_s: float) -> int:
-        return bisect_left(self._sorted, self._key(request), key=self._key)
-
-
 class Play:
     """One play; without an estimate, nothing is refused."""
 
--- a/tests/lib/place_ways.py
+++ b/tests/lib/place_ways.py
@@ -4,19 +4,57 @@
 """
 
 import random
-from collections.abc import Callable, Iterator
+from bisect import bisect_left, insort
+from collections.abc import Callable, Iterable, Iterator
 from functools import cache
 from multiprocessing import Pool
 from statistics import mean
 
-from bayhinge._internal.decisions.place_queue import PlaceQueue
+from bayhinge._internal.decisions.place_queue import PlaceQueue, PlaceRequest
 from bayhinge._internal.decisions.wait_estimate import USUAL_ERRORS, WaitEstimate
-from tests.lib.place_play import Arrival, Load, Play, SortedQueue, settled, share_in_time
+from tests.lib.place_play import Arrival, Load, Play
 
 SEEDS = (1, 2, 3, 4, 5)
 PROCESSES = 4
+SETTLED_S = 8.0
 MIXED = Load(1.3, shares=((0, 0.2), (5, 0.6), (9, 0.2)))
 
+
+def settled(arrivals: list[Arrival], load: Load) -> list[Arrival]:
+    """Returns the arrivals while the queue has its usual length."""
+    last_s = load.until_s - 12.0
+    return [one for one in arrivals if SETTLED_S <= one.request.arrived_s < last_s]
+
+
+def share_in_time(arrivals: Iterable[Arrival]) -> float:
+    """Returns the share of requests that were answered in time."""
+    results = [arrival.is_in_time for arrival in arrivals]
+    return sum(results) / len(results)
+
+
+class SortedQueue(PlaceQueue):
+    """A queue with a fixed order, to compare with."""
+
+    def __init__(self, key: Callable[[PlaceRequest], float]) -> None:
+        super().__init__()
+        self._key = key
+        self._sorted: list[PlaceRequest] = []
+
+    def add(self, request: PlaceRequest) -> None:
+        super().add(request)
+        insort(self._sorted, request, key=self._key)
+
+    def remove(self, ticket: int) -> None:
+        super().remove(ticket)
+        self._sorted = [request for request in self._sorted if request.ticket != ticket]
+
+    def in_order(self, service: str, now_s: float) -> Iterator[PlaceRequest]:
+        return iter(self._sorted)
+
+    def ahead_of(self, request: PlaceRequest, now_s: float) -> int:
+        return bisect_left(self._sorted, self._key(request), key=self._key)
+
+
 QUEUE_BY_ORDER: dict[str, Callable[[], PlaceQueue]] = {
     "first come, first served": lambda: SortedQueue(lambda request: request.arrived_s),
     "earliest deadline first": lambda: SortedQueue(lambda request: request.due_s),
--- a/tests/unit/test_place_play.py
+++ b/tests/unit/test_place_play.py
@@ -10,7 +10,7 @@
 
 from bayhinge._internal.decisions import place_queue, returning_callers
 from bayhinge._internal.decisions.place_queue import PlaceQueue
-from tests.lib.place_play import Arrival, Load, Play, share_in_time
+from tests.lib.place_play import Arrival, Load, Play
 from tests.lib.place_ways import (
     MIXED,
     PAGE,
@@ -19,6 +19,7 @@
     of_urgency,
     others_in_a_storm,
     play,
+    share_in_time,
 )
 
 SEEDS = (1, 2, 3)
