Learn endpoint speeds and place by expected delay

Cause: load is requests in flight divided by slots, so endpoints at 0.7 and 1.7 times the usual speed get equal numbers of requests at once.

--- a/src/bayhinge/_internal/decisions/endpoint_table.py
+++ b/src/bayhinge/_internal/decisions/endpoint_table.py
@@ -36,11 +36,12 @@
 
 @attrs.define(eq=False)
 class EndpointState:
-    """State of one incarnation of an endpoint: its entry, load and recent failures.
+    """State of one incarnation of an endpoint: its entry, load, speed and recent failures.
 
     A later incarnation starts with a fresh state.
 
     Attributes:
+        relative_duration: the duration of its answers divided by the usual one of its service.
         failures: recent failures; each success reduces the count.
         failure_reports: number of other hosts that reported a recent failure.
         is_suspected: its entry has vanished for a reason not known yet.
@@ -50,6 +51,7 @@
     entry: EndpointEntry
     running_here: int = 0
     running_at_peers: int = 0
+    relative_duration: float = 1.0
     failures: float = 0.0
     failure_reports: int = 0
     ejected_until_s: float = 0.0
@@ -61,10 +63,39 @@
         """Requests in flight, as a share of the slots."""
         return (self.running_here + self.running_at_peers) / max(1, self.entry.slots)
 
+    @property
+    def expected_delay(self) -> float:
+        """The delay of one more request: (running + 1) x relative duration / slots.
+
+        Less 1 / slots, so that it is the load for an endpoint of the usual speed, whatever its
+        slots. Where all slots are in use, being fast counts for nothing: a request would wait there
+        while slots of other endpoints stay free.
+        """
+        slots = max(1, self.entry.slots)
+        running = self.running_here + self.running_at_peers
+        due_to_speed = (running + 1) * (self.relative_duration - 1.0) / slots
+        return self.load + (due_to_speed if running < slots else max(0.0, due_to_speed))
+
     @property
     def effective_load(self) -> float:
-        """The load plus a penalty for failure reports, in the same unit."""
-        return self.load + weights.failure_report(self.entry.slots) * self.failure_reports
+        """The expected delay plus a penalty for failure reports, in units of load."""
+        penalty = weights.failure_report(self.entry.slots) * self.failure_reports
+        return self.expected_delay + penalty
+
+    @property
+    def slow_discount(self) -> float:
+        """What to subtract from the expected delay so that free slots are used before full ones.
+
+        Otherwise a slow endpoint would keep free slots while requests wait at the others, and the
+        service would lose a part of its capacity. The rest of the delay still orders slow endpoints
+        among each other.
+        """
+        slots = max(1, self.entry.slots)
+        margin = 0.5 / slots
+        excess = self.expected_delay - (1.0 - margin)
+        if excess <= 0.0 or self.running_here + self.running_at_peers >= slots:
+            return 0.0
+        return excess - margin * excess / (1.0 + excess)
 
     def record_success(self) -> None:
         """Records a complete answer."""
@@ -285,4 +316,4 @@
     def _cost(self, state: EndpointState) -> float:
         is_near = state.entry.hall == self._hall
         away = 0.0 if is_near else weights.other_hall(state.entry.slots)
-        return state.effective_load + away
+        return state.effective_load - state.slow_discount + away
--- a/src/bayhinge/_internal/decisions/load_table.py
+++ b/src/bayhinge/_internal/decisions/load_table.py
@@ -1,4 +1,4 @@
-"""In-flight requests of all hosts at the endpoints of one hall, kept by its coordinator. Pure.
+"""Loads and speeds of one hall's endpoints as all hosts report them to its coordinator. Pure.
 
 Each report is complete, so a lost message has no lasting effect. A request that the coordinator
 granted counts at once, until a report of the host includes it.
@@ -9,6 +9,8 @@
 
 import attrs
 
+from bayhinge._internal.decisions.endpoint_speeds import bounded_thousandths
+
 REPORT_TIMEOUT_S = 2.0
 """A host's report expires after this time; busy hosts report twice a second."""
 
@@ -22,6 +24,8 @@
         sequence: sequence number of the report within the incarnation.
         last_grant: the newest grant that ``running_by_endpoint`` includes.
         ejected: endpoints that this host has ejected.
+        relative_duration_by_endpoint: learned by this host, in thousandths; None if the report does
+            not tell, and the one before holds.
     """
 
     host: str
@@ -30,6 +34,7 @@
     last_grant: int
     running_by_endpoint: Mapping[str, int]
     ejected: frozenset[str] = frozenset()
+    relative_duration_by_endpoint: Mapping[str, int] | None = None
 
 
 @attrs.define
@@ -41,10 +46,11 @@
     running_by_endpoint: Mapping[str, int] = attrs.field(factory=dict)
     endpoint_by_grant: dict[int, str] = attrs.field(factory=dict)
     ejected: frozenset[str] = frozenset()
+    relative_duration_by_endpoint: Mapping[str, int] | None = None
 
 
 class LoadTable:
-    """Sums of requests in flight, by endpoint."""
+    """Sums of requests in flight and of relative durations, by endpoint."""
 
     def __init__(self) -> None:
         self._loads_by_host: dict[str, _HostLoads] = {}
@@ -67,6 +73,11 @@
         self._failure_reports_by_endpoint.subtract(loads.ejected)
         self._failure_reports_by_endpoint.update(report.ejected)
         loads.ejected = report.ejected
+        if report.relative_duration_by_endpoint is not None:
+            loads.relative_duration_by_endpoint = {
+                endpoint: bounded_thousandths(thousandths)
+                for endpoint, thousandths in report.relative_duration_by_endpoint.items()
+            }
         loads.sequence, loads.received_s = report.sequence, now_s
         for grant in [grant for grant in loads.endpoint_by_grant if grant <= report.last_grant]:
             self._running_by_endpoint[loads.endpoint_by_grant.pop(grant)] -= 1
@@ -88,6 +99,10 @@
             running.pop(endpoint, None)
             loads.running_by_endpoint = running
             loads.ejected -= {endpoint}
+            if loads.relative_duration_by_endpoint is not None:
+                relative_duration = dict(loads.relative_duration_by_endpoint)
+                relative_duration.pop(endpoint, None)
+                loads.relative_duration_by_endpoint = relative_duration
             loads.endpoint_by_grant = {
                 grant: granted
                 for grant, granted in loads.endpoint_by_grant.items()
@@ -110,6 +125,32 @@
         """Returns the number of hosts that have ejected an endpoint."""
         return self._failure_reports_by_endpoint
 
+    def relative_duration_by_endpoint(
+        self, own: Mapping[str, int], own_running: Mapping[str, int]
+    ) -> dict[str, float]:
+        """Returns the mean of the hosts' relative durations, with those of this host.
+
+        Each host has the same weight. A host that has requests running at an endpoint and reports
+        no figure counts as 1: it has measured nearly the usual duration, or too few answers to
+        tell. So one host with a bad network path does not take the work of the others away.
+        """
+        hosts = [(own, own_running)]
+        for loads in self._loads_by_host.values():
+            # Hosts of an earlier release measure nothing.
+            if loads.relative_duration_by_endpoint is not None:
+                hosts.append((loads.relative_duration_by_endpoint, loads.running_by_endpoint))
+        total, count = Counter[str](), Counter[str]()
+        for relative_duration, _ in hosts:
+            count.update(relative_duration.keys())
+            for endpoint, thousandths in relative_duration.items():
+                total[endpoint] += thousandths
+        for relative_duration, running in hosts:
+            for endpoint, requests in running.items():
+                if requests and endpoint in count and endpoint not in relative_duration:
+                    total[endpoint] += 1000
+                    count[endpoint] += 1
+        return {endpoint: total[endpoint] / count[endpoint] / 1000 for endpoint in count}
+
     def _forget(self, host: str) -> None:
         loads = self._loads_by_host.pop(host)
         self._running_by_endpoint.subtract(loads.running_by_endpoint)
