Measure the durations of answers, and exchange learned speeds between hosts

Cause: nothing fed or used the learned speeds. Change: RequestSender records the duration of each served answer; hosts report ratios at most twice a second in HostLoads, coordinators pass the mean on in HallLoads; a restart drops all of it. Two metrics and one bounded log line of the hall's coordinator.

--- a/src/bayhinge/_internal/services/gateway/active_runs.py
+++ b/src/bayhinge/_internal/services/gateway/active_runs.py
@@ -18,11 +18,15 @@
             at the earlier one.
         connection: None while it is being opened.
         is_ended: the incarnation has ended, or another endpoint has its address.
+        sent_s: when the request was sent, on the event loop's clock; None before.
+        running_when_sent: requests in flight at the endpoint then, including this one.
     """
 
     state: EndpointState
     connection: EndpointConnection | None = None
     is_ended: bool = False
+    sent_s: float | None = None
+    running_when_sent: int = 1
 
     @property
     def endpoint(self) -> str:
--- a/src/bayhinge/_internal/services/gateway/buffered_delivery.py
+++ b/src/bayhinge/_internal/services/gateway/buffered_delivery.py
@@ -1,5 +1,7 @@
 """Delivers answers that are buffered whole before they are sent."""
 
+import asyncio
+
 from bayhinge._internal import status_codes
 from bayhinge._internal.decisions.answer_timeouts import AnswerTimeouts
 from bayhinge._internal.models.routed_requests import AnswerMetadata
@@ -22,6 +24,7 @@
     ) -> None:
         """See :class:`Delivery`."""
         body = await answer.read_body()
+        self.read_s = asyncio.get_running_loop().time()
         if is_success(answer.status) and (not marks.is_signed or marks.is_encoded):
             raise IncompleteAnswerError("the answer is unsigned or encoded")
         if may_repeat and answer.status >= status_codes.HTTP_SERVER_ERROR:
--- a/src/bayhinge/_internal/services/gateway/delivery.py
+++ b/src/bayhinge/_internal/services/gateway/delivery.py
@@ -4,6 +4,7 @@
 
 from bayhinge._internal import status_codes
 from bayhinge._internal.decisions.answer_timeouts import AnswerTimeouts
+from bayhinge._internal.decisions.endpoint_speeds import EventPace
 from bayhinge._internal.models.endpoint_entries import EndpointIncarnation
 from bayhinge._internal.models.routed_requests import AnswerMetadata
 from bayhinge._internal.network.endpoint_answer import Answer
@@ -11,13 +12,20 @@
 
 
 class Delivery(ABC):
-    """Delivers one answer to the caller, possibly from several runs."""
+    """Delivers one answer to the caller, possibly from several runs.
+
+    Attributes:
+        read_s: when the whole body of a plain answer had been read, on the event loop's clock.
+        pace: of the events of the current run, or None for plain answers.
+    """
 
     def __init__(self) -> None:
         self.outcome = ""
         self.run: ActiveRun | None = None
         self.tokens_delivered = 0
         self.is_recorded = False
+        self.read_s: float | None = None
+        self.pace: EventPace | None = None
 
     @property
     def endpoint(self) -> str:
--- a/src/bayhinge/_internal/services/gateway/gateway.py
+++ b/src/bayhinge/_internal/services/gateway/gateway.py
@@ -41,6 +41,7 @@
 from bayhinge._internal.services.gateway.quotas import Quotas
 from bayhinge._internal.services.gateway.request_sender import RequestSender
 from bayhinge._internal.services.gateway.request_service import RequestService
+from bayhinge._internal.services.gateway.speed_tracker import SpeedTracker
 from bayhinge._internal.services.gateway.store_listeners import (
     ConfigurationState,
     EndpointTableUpdater,
@@ -130,8 +131,9 @@
         self.disk_link = DiskLink(self.disks, self.gossip, self.peers)
         self.turn_recorder = TurnRecorder(self.disks, self.disk_link, settings.tolerated_disks)
         self.coordinators = HallCoordinators(self.gossip, settings.region_by_hall)
+        self.speeds = SpeedTracker(self.endpoint_table)
         self.exchange = LoadExchange(
-            self.gossip.own_heartbeat, self.endpoint_table, self.coordinators
+            self.gossip.own_heartbeat, self.endpoint_table, self.coordinators, self.speeds
         )
         objects = self.followers_by_prefix[platform.endpoints_prefix]
         restarts.known_revision = lambda: objects.revision
@@ -151,6 +153,7 @@
                 self.placer,
                 runs,
                 self.admission.check,
+                self.speeds,
             ),
             self.turn_recorder,
             self.admission,
--- a/src/bayhinge/_internal/services/gateway/load_exchange.py
+++ b/src/bayhinge/_internal/services/gateway/load_exchange.py
@@ -8,6 +8,7 @@
 
 from mode import Service
 
+from bayhinge._internal.decisions.endpoint_speeds import from_thousandths, to_thousandths
 from bayhinge._internal.decisions.endpoint_table import EndpointState, EndpointTable
 from bayhinge._internal.decisions.incarnation_revisions import IncarnationRevisions
 from bayhinge._internal.decisions.load_table import HostLoadReport, LoadTable
@@ -16,6 +17,7 @@
 from bayhinge._internal.network.datagrams import DatagramReceiver
 from bayhinge._internal.network.frames import decode_message, encode_message
 from bayhinge._internal.services.gateway.hall_coordinators import HallCoordinators
+from bayhinge._internal.services.gateway.speed_tracker import SpeedTracker
 from bayhinge._internal.services.keep_running import keep_running
 from bayhinge._internal.wire.hosts import ttypes as wire
 
@@ -40,12 +42,16 @@
         own_heartbeat: wire.Hello,
         endpoint_table: EndpointTable,
         coordinators: HallCoordinators,
+        speeds: SpeedTracker | None = None,
     ) -> None:
         super().__init__()
         self._own_heartbeat = own_heartbeat
         self._endpoint_table = endpoint_table
         self._coordinators = coordinators
         self._load_table = LoadTable()
+        self._speeds = speeds or SpeedTracker(endpoint_table)
+        self._speeds.ratios_from_hosts = self._ratios_from_hosts
+        self._speeds.coordinated_hall = lambda: coordinators.coordinated_hall
         self._tables_by_hall: dict[str, tuple[wire.HallLoads, float]] = {}
         self._remote_grants: dict[str, int] = {}
         self.last_grant_by_hall: dict[str, int] = {}
@@ -91,6 +97,7 @@
                 if state.ejected_until_s > now and state.entry.hall == hall
             ],
             self.endpoints_known_to(),
+            self._speeds.due_ratios(hall),
         )
 
     def mark_changed(self, state: EndpointState) -> None:
@@ -131,6 +138,9 @@
                 loads.last_grant,
                 excluding_endpoints(loads.running_by_endpoint, stale),
                 frozenset(loads.resting).difference(stale),
+                None
+                if loads.relative_duration_by_endpoint is None
+                else excluding_endpoints(loads.relative_duration_by_endpoint, stale),
             ),
             asyncio.get_running_loop().time(),
         )
@@ -153,6 +163,30 @@
         self._remote_grants.pop(endpoint, None)
         for table, _ in self._tables_by_hall.values():
             table.running_by_endpoint.pop(endpoint, None)
+            if table.relative_duration_by_endpoint is not None:
+                table.relative_duration_by_endpoint.pop(endpoint, None)
+        self._speeds.forget_endpoint(endpoint)
+
+    def _ratios_from_hosts(self) -> dict[str, float]:
+        """Returns the relative durations that other hosts have reported.
+
+        Hosts report to their hall's coordinator only; at the others, all this is empty.
+        """
+        now = asyncio.get_running_loop().time()
+        self._load_table.forget_silent(now)
+        own_hall = self._own_heartbeat.hall
+        ratios = self._load_table.relative_duration_by_endpoint(
+            self._speeds.own_ratios(own_hall), self._endpoint_table.running_here()
+        )
+        oldest_s = now - HALL_TABLE_KEEP_S
+        for hall, (table, received_s) in self._tables_by_hall.items():
+            thousandths = table.relative_duration_by_endpoint
+            if hall == own_hall or thousandths is None or received_s < oldest_s:
+                continue
+            # The other coordinator omits endpoints of the usual speed.
+            ratios |= dict.fromkeys(table.running_by_endpoint, 1.0)
+            ratios |= {key: from_thousandths(value) for key, value in thousandths.items()}
+        return ratios
 
     def refresh_endpoint_table(self) -> None:
         """Copies the counts of other hosts' requests to the endpoint table."""
@@ -176,11 +210,13 @@
                 # The other coordinator's total includes this host's own requests.
                 total = running.get(instance, self._remote_grants.get(instance, 0))
                 state.running_at_peers = max(0, total - state.running_here)
+        self._speeds.refresh()
 
     async def _send_hall_tables(self) -> None:
         while not self.should_stop:
             if self._coordinators.coordinated_hall:
                 self._send_hall_table()
+            self._speeds.refresh()
             await asyncio.sleep(
                 HALL_PERIOD_S if self._coordinators.coordinated_hall else REPORT_PERIOD_S
             )
@@ -199,6 +235,11 @@
                 if state.entry.hall == self._own_heartbeat.hall
             },
             self.endpoints_known_to(),
+            relative_duration_by_endpoint={
+                state.entry.instance: to_thousandths(state.relative_duration)
+                for state in self._endpoint_table.all()
+                if state.entry.hall == self._own_heartbeat.hall and state.relative_duration != 1.0
+            },
         )
         for coordinator in self._coordinators.other_coordinators():
             self._send(wire.LoadNews(hall=table), coordinator.address)
@@ -227,20 +268,24 @@
             return
         stale = self._endpoint_table.incarnation_revisions.not_known_by(table.endpoints_known_to)
         table.running_by_endpoint = excluding_endpoints(table.running_by_endpoint, stale)
+        if table.relative_duration_by_endpoint is not None:
+            table.relative_duration_by_endpoint = excluding_endpoints(
+                table.relative_duration_by_endpoint, stale
+            )
         self._tables_by_hall[table.hall] = table, asyncio.get_running_loop().time()
         for instance in table.running_by_endpoint:
             self._remote_grants.pop(instance, None)
 
 
 def excluding_endpoints(
-    running_by_endpoint: dict[str, int], excluded: Collection[str]
+    figure_by_endpoint: dict[str, int], excluded: Collection[str]
 ) -> dict[str, int]:
-    """Returns the running requests of all endpoints except the excluded ones."""
+    """Returns the figures of all endpoints except the excluded ones."""
     if not excluded:
-        return running_by_endpoint
+        return figure_by_endpoint
     return {
-        endpoint: running
-        for endpoint, running in running_by_endpoint.items()
+        endpoint: figure
+        for endpoint, figure in figure_by_endpoint.items()
         if endpoint not in excluded
     }
 
--- a/src/bayhinge/_internal/services/gateway/metrics.py
+++ b/src/bayhinge/_internal/services/gateway/metrics.py
@@ -46,6 +46,8 @@
         "configuration_findings": 0 if table is None else len(table.findings),
         "configurations_unreadable_total": gateway.configuration.unreadable.total,
         "endpoints_known": len(gateway.endpoint_table.all()),
+        "endpoints_slow": gateway.speeds.slow_count(),
+        "endpoint_slowest_relative_duration": gateway.speeds.slowest(),
         "endpoint_entries_unreadable": gateway.endpoints.unreadable.current,
         "endpoint_entries_unreadable_total": gateway.endpoints.unreadable.total,
         "endpoint_connections_opened_total": gateway.connection_pool.counts.opened,
--- a/src/bayhinge/_internal/services/gateway/request_sender.py
+++ b/src/bayhinge/_internal/services/gateway/request_sender.py
@@ -37,6 +37,7 @@
 from bayhinge._internal.services.gateway.placement import LocalPlacer, Placer
 from bayhinge._internal.services.gateway.placement_preferences import preference_of
 from bayhinge._internal.services.gateway.platform_interface import CallFormat
+from bayhinge._internal.services.gateway.speed_tracker import SpeedTracker
 from bayhinge._internal.utils.stall_tolerant_timeouts import stall_tolerant_timeout
 
 MAX_REJECTED_SENDS = 4
@@ -104,6 +105,7 @@
         placer: Placer | None = None,
         runs: ActiveRuns | None = None,
         check_admission: Callable[[RoutedRequest], None] = lambda request: None,
+        speeds: SpeedTracker | None = None,
     ) -> None:
         self._check_admission = check_admission
         self._endpoint_table = endpoint_table
@@ -112,6 +114,7 @@
         self._calls = calls
         self.counts = SendCounts()
         self._runs = runs or ActiveRuns()
+        self._speeds = speeds or SpeedTracker(endpoint_table)
         self._usual_answer_s_by_service: dict[str, float] = {}
 
     async def send(
@@ -214,6 +217,7 @@
             if marks.not_run or marks.wrong_instance:
                 raise RequestRejectedError(f"status {answer.status}")
             run.state.record_success()
+            self._speeds.record_answer(run, send_state.route, send_state.delivery)
         finally:
             self._runs.end(run)
             self._placer.record_end(run.state)
@@ -242,6 +246,7 @@
             send_state.delivery.resume_after,
         )
         self._check_admission(request)
+        self._speeds.begin(run)
         # Programs retry failed turns, so streams also use the shorter silence limit.
         connection.send(head, send_state.body, may_repeat or route.kind is RouteKind.STREAMING)
         answer, marks = await self._answer_in_time(connection, run, send_state, bounds)
--- a/src/bayhinge/_internal/services/gateway/stream_delivery.py
+++ b/src/bayhinge/_internal/services/gateway/stream_delivery.py
@@ -4,10 +4,12 @@
 first run, and each whole event once. On other routes an answer is one run, forwarded byte by byte.
 """
 
+import asyncio
 from collections.abc import AsyncIterator
 
 from bayhinge._internal import status_codes
 from bayhinge._internal.decisions.answer_timeouts import AnswerTimeouts
+from bayhinge._internal.decisions.endpoint_speeds import EventPace
 from bayhinge._internal.models.routed_requests import AnswerMetadata, RoutedRequest
 from bayhinge._internal.models.routing import Route
 from bayhinge._internal.network.endpoint_answer import (
@@ -68,6 +70,7 @@
             return
         if not marks.is_signed or marks.is_encoded:
             raise IncompleteAnswerError("the answer is unsigned or encoded")
+        self.pace = EventPace()
         if self._splice is None:
             await self._deliver_bytes(answer)
         else:
@@ -92,7 +95,7 @@
         try:
             async for piece in answer.read_pieces():
                 self._count(reader.feed(piece))
-                await self._exchange.write(piece)
+                await self._write(piece)
         finally:
             if not reader.is_between_events:
                 # Charge an event that the caller has in part; otherwise streams that keep breaking
@@ -127,14 +130,23 @@
             if not self._exchange.headers_sent:
                 await self._begin(answer)
             self._count(spliced.events)
-            await self._exchange.write(spliced.text)
+            await self._write(spliced.text)
         if spliced.gap is not None:
             raise IncompleteAnswerError(spliced.gap)
 
     async def _begin(self, answer: Answer) -> None:
         await self._exchange.begin(answer.status, self._calls.answer_headers(answer.headers))
 
+    async def _write(self, data: bytes) -> None:
+        loop = asyncio.get_running_loop()
+        began_s = loop.time()
+        await self._exchange.write(data)
+        if self.pace is not None:
+            self.pace.record_pause(loop.time() - began_s)
+
     def _count(self, events: tuple[StreamEvent, ...] | list[StreamEvent]) -> None:
+        if self.pace is not None:
+            self.pace.record_events(len(events), asyncio.get_running_loop().time())
         self._events += events
         self.tokens_delivered += len(events) * self._tokens_per_event
 
