Forget the speed states of removed endpoints

Cause: SpeedChanges kept the state of every endpoint that was ever slow, also after its removal. Change: states of endpoints that are no longer in the table are dropped at the next refresh.

--- a/src/bayhinge/_internal/decisions/speed_changes.py
+++ b/src/bayhinge/_internal/decisions/speed_changes.py
@@ -4,6 +4,7 @@
 are ejected, whatever their speed.
 """
 
+from collections.abc import Set
 from enum import StrEnum
 
 import attrs
@@ -75,9 +76,14 @@
         return change
 
     def forget_endpoint(self, endpoint: str) -> None:
-        """Drops the state of an endpoint that has restarted or was removed."""
+        """Drops the state of an endpoint that has restarted."""
         self._known_by_endpoint.pop(endpoint, None)
 
+    def retain_only(self, endpoints: Set[str]) -> None:
+        """Drops the states of all other endpoints."""
+        for endpoint in self._known_by_endpoint.keys() - endpoints:
+            del self._known_by_endpoint[endpoint]
+
 
 def _next_state(known: _Known, ratio: float, now_s: float) -> SpeedState:
     if known.state is SpeedState.USUAL:
--- a/src/bayhinge/_internal/services/gateway/speed_tracker.py
+++ b/src/bayhinge/_internal/services/gateway/speed_tracker.py
@@ -102,6 +102,7 @@
         states = self._endpoint_table.all()
         service_by_endpoint = {state.entry.instance: state.entry.service for state in states}
         self._speeds.retain_only(service_by_endpoint.keys())
+        self._changes.retain_only(service_by_endpoint.keys())
         ratios = combined_ratios(self.ratios_from_hosts(), self._speeds, service_by_endpoint, now)
         for state in states:
             state.relative_duration = ratios[state.entry.instance]
--- a/tests/unit/test_endpoint_speeds.py
+++ b/tests/unit/test_endpoint_speeds.py
@@ -188,6 +188,12 @@
     now_s = feed(speeds, USUAL, 0.0, 5.0)
     speeds.retain_only({"a"})
     assert [name for name in USUAL if speeds.ratio(name, now_s) is not None] == ["a"]
+    changes = SpeedChanges()
+    for name in "ab":
+        assert changes.update(name, 2.0, 0.0) is not None
+    changes.retain_only({"a"})
+    assert changes.update("b", 2.0, 0.1) is not None, "as if it had never been"
+    assert changes.update("a", 2.0, 0.1) is None
 
 
 @pytest.mark.parametrize("seed", range(5))
