Merge the learned speeds of endpoints

Cause: endpoints of 0.7 and 1.7 times the usual speed got equal work. Change: placement compares expected delays. Resolved: the delivery measures pauses at the buffer of unread answers.

--- a/src/bayhinge/_internal/services/gateway/load_exchange.py
+++ b/src/bayhinge/_internal/services/gateway/load_exchange.py
@@ -8,6 +8,7 @@
 
 from mode import Service
 
+from bayhinge._internal.decisions.endpoint_speeds import from_thousandths, to_thousandths
 from bayhinge._internal.decisions.endpoint_table import EndpointState, EndpointTable
 from bayhinge._internal.decisions.load_table import (
     LOST_GRANT_S,
@@ -21,6 +22,7 @@
 from bayhinge._internal.network.frames import decode_message, encode_message
 from bayhinge._internal.services.gateway.hall_coordinators import HallCoordinator, HallCoordinators
 from bayhinge._internal.services.gateway.load_sums import excluding_endpoints
+from bayhinge._internal.services.gateway.speed_tracker import SpeedTracker
 from bayhinge._internal.services.keep_running import keep_running
 from bayhinge._internal.wire.hosts import ttypes as wire
 
@@ -48,12 +50,16 @@
         own_heartbeat: wire.Hello,
         endpoint_table: EndpointTable,
         coordinators: HallCoordinators,
+        speeds: SpeedTracker | None = None,
     ) -> None:
         super().__init__()
         self._own_heartbeat = own_heartbeat
         self._endpoint_table = endpoint_table
         self._coordinators = coordinators
         self._load_table = LoadTable()
+        self._speeds = speeds or SpeedTracker(endpoint_table)
+        self._speeds.ratios_from_hosts = self._ratios_from_hosts
+        self._speeds.coordinated_hall = lambda: coordinators.coordinated_hall
         self._tables_by_hall: dict[str, tuple[wire.HallLoads, float]] = {}
         self._heartbeat_loads: dict[str, Mapping[str, int]] = {}
         self._remote_grants: dict[str, int] = {}
@@ -105,6 +111,7 @@
                 if state.ejected_until_s > now and state.entry.hall == hall
             ],
             self.endpoints_known_to(),
+            self._speeds.due_ratios(hall),
         )
 
     def mark_changed(self, state: EndpointState) -> None:
@@ -162,6 +169,9 @@
                 loads.last_grant,
                 excluding_endpoints(loads.running_by_endpoint, stale),
                 frozenset(loads.resting).difference(stale),
+                None
+                if loads.relative_duration_by_endpoint is None
+                else excluding_endpoints(loads.relative_duration_by_endpoint, stale),
             ),
             asyncio.get_running_loop().time(),
         )
@@ -229,6 +239,30 @@
         }
         for table, _ in self._tables_by_hall.values():
             table.running_by_endpoint.pop(endpoint, None)
+            if table.relative_duration_by_endpoint is not None:
+                table.relative_duration_by_endpoint.pop(endpoint, None)
+        self._speeds.forget_endpoint(endpoint)
+
+    def _ratios_from_hosts(self) -> dict[str, float]:
+        """Returns the relative durations that other hosts have reported.
+
+        Hosts report to their hall's coordinator only; at the others, all this is empty.
+        """
+        now = asyncio.get_running_loop().time()
+        self._load_table.forget_silent(now)
+        own_hall = self._own_heartbeat.hall
+        ratios = self._load_table.relative_duration_by_endpoint(
+            self._speeds.own_ratios(own_hall), self._endpoint_table.running_here()
+        )
+        oldest_s = now - HALL_TABLE_KEEP_S
+        for hall, (table, received_s) in self._tables_by_hall.items():
+            thousandths = table.relative_duration_by_endpoint
+            if hall == own_hall or thousandths is None or received_s < oldest_s:
+                continue
+            # The other coordinator omits endpoints of the usual speed.
+            ratios |= dict.fromkeys(table.running_by_endpoint, 1.0)
+            ratios |= {key: from_thousandths(value) for key, value in thousandths.items()}
+        return ratios
 
     def handle_heartbeats(self, heartbeats: Iterable[wire.Hello]) -> None:
         """Keeps the loads of the heartbeats, for hosts that report to another coordinator."""
@@ -275,11 +309,13 @@
                 # The other coordinator's total includes this host's own requests.
                 total = running.get(instance, self._remote_grants.get(instance, 0))
                 state.running_at_peers = max(0, total - state.running_here)
+        self._speeds.refresh()
 
     async def _send_hall_tables(self) -> None:
         while not self.should_stop:
             if self._coordinators.coordinated_hall:
                 self._send_hall_table()
+            self._speeds.refresh()
             await asyncio.sleep(
                 HALL_PERIOD_S if self._coordinators.coordinated_hall else REPORT_PERIOD_S
             )
@@ -299,6 +335,11 @@
             },
             self.endpoints_known_to(),
             dict(self.waiting_by_service()),
+            {
+                state.entry.instance: to_thousandths(state.relative_duration)
+                for state in self._endpoint_table.all()
+                if state.entry.hall == self._own_heartbeat.hall and state.relative_duration != 1.0
+            },
         )
         for coordinator in self._coordinators.other_coordinators():
             self._send(wire.LoadNews(hall=table), coordinator.address)
@@ -328,6 +369,10 @@
             return
         stale = self._endpoint_table.incarnation_revisions.not_known_by(table.endpoints_known_to)
         table.running_by_endpoint = excluding_endpoints(table.running_by_endpoint, stale)
+        if table.relative_duration_by_endpoint is not None:
+            table.relative_duration_by_endpoint = excluding_endpoints(
+                table.relative_duration_by_endpoint, stale
+            )
         self._tables_by_hall[table.hall] = table, asyncio.get_running_loop().time()
         self._is_changed = True
         for instance in table.running_by_endpoint:
--- a/src/bayhinge/_internal/services/gateway/request_sender.py
+++ b/src/bayhinge/_internal/services/gateway/request_sender.py
@@ -39,6 +39,7 @@
 from bayhinge._internal.services.gateway.placer import LocalPlacer, Placer
 from bayhinge._internal.services.gateway.platform_interface import CallFormat
 from bayhinge._internal.services.gateway.send_state import SendCounts, SendState
+from bayhinge._internal.services.gateway.speed_tracker import SpeedTracker
 from bayhinge._internal.utils.stall_tolerant_timeouts import stall_tolerant_timeout
 
 MAX_REJECTED_SENDS = 4
@@ -66,6 +67,7 @@
         placer: Placer | None = None,
         runs: ActiveRuns | None = None,
         check_admission: Callable[[RoutedRequest], None] = lambda request: None,
+        speeds: SpeedTracker | None = None,
     ) -> None:
         self._check_admission = check_admission
         self._endpoint_table = endpoint_table
@@ -74,6 +76,7 @@
         self._calls = calls
         self.counts = SendCounts()
         self._runs = runs or ActiveRuns()
+        self._speeds = speeds or SpeedTracker(endpoint_table)
         self._usual_answer_s_by_service: dict[str, float] = {}
 
     async def send(
@@ -189,6 +192,7 @@
                 raise RequestRejectedError(f"status {answer.status}")
             run.state.record_success()
             ran_s = asyncio.get_running_loop().time() - began_s
+            self._speeds.record_answer(run, send_state.route, send_state.delivery)
         finally:
             self._runs.end(run)
             self._placer.record_end(run.state, send_state.demand, ran_s)
@@ -217,6 +221,7 @@
             send_state.delivery.resume_after,
         )
         self._check_admission(request)
+        self._speeds.begin(run)
         # Programs retry failed turns, so streams also use the shorter silence limit.
         connection.send(head, send_state.body, may_repeat or route.kind is RouteKind.STREAMING)
         answer, marks = await self._answer_in_time(connection, run, send_state, bounds)
--- a/src/bayhinge/_internal/services/gateway/stream_delivery.py
+++ b/src/bayhinge/_internal/services/gateway/stream_delivery.py
@@ -4,10 +4,12 @@
 first run, and each whole event once. On other routes an answer is one run, forwarded byte by byte.
 """
 
+import asyncio
 from collections.abc import AsyncIterator
 
 from bayhinge._internal import status_codes
 from bayhinge._internal.decisions.answer_timeouts import AnswerTimeouts
+from bayhinge._internal.decisions.endpoint_speeds import EventPace
 from bayhinge._internal.decisions.memory_budget import MemoryHolder
 from bayhinge._internal.models.routed_requests import AnswerMetadata, RoutedRequest
 from bayhinge._internal.models.routing import Route
@@ -79,6 +81,7 @@
             return
         if not marks.is_signed or marks.is_encoded:
             raise IncompleteAnswerError("the answer is unsigned or encoded")
+        self.pace = EventPace()
         if self._splice is None:
             await self._deliver_bytes(answer)
         else:
@@ -103,7 +106,7 @@
         try:
             async for piece in answer.read_pieces():
                 await self._count(reader.feed(piece))
-                await self._unread.write(piece)
+                await self._write(piece)
         finally:
             if not reader.is_between_events:
                 # Charge an event that the caller has in part; otherwise streams that keep breaking
@@ -138,7 +141,7 @@
             if not self._exchange.headers_sent:
                 await self._begin(answer)
             await self._count(spliced.events)
-            await self._unread.write(spliced.text)
+            await self._write(spliced.text)
         if spliced.gap is not None:
             raise IncompleteAnswerError(spliced.gap)
 
@@ -146,8 +149,17 @@
         await self._exchange.begin(answer.status, self._calls.answer_headers(answer.headers))
         self._unread.begin()
 
+    async def _write(self, data: bytes) -> None:
+        loop = asyncio.get_running_loop()
+        began_s = loop.time()
+        await self._unread.write(data)
+        if self.pace is not None:
+            self.pace.record_pause(loop.time() - began_s)
+
     async def _count(self, events: tuple[StreamEvent, ...] | list[StreamEvent]) -> None:
         """Counts events, before they are sent, and keeps them if the turn is recorded."""
+        if self.pace is not None:
+            self.pace.record_events(len(events), asyncio.get_running_loop().time())
         self.tokens_delivered += len(events) * self._tokens_per_event
         if self._is_recorded_later:
             self._events += events
