--- a/src/bayhinge/_internal/decisions/wait_estimate.py
+++ b/src/bayhinge/_internal/decisions/wait_estimate.py
@@ -26,8 +26,9 @@
 Programs that miss the objective by less often still make up for it in later turns."""
 
 PROGRAM_SHARE = 0.5
-"""A first turn may wait for this share of its program's time. Callers give a program a small multiple
-of the time that it needs on idle endpoints, so after a longer wait it rarely ends in time."""
+"""A first turn may wait for this share of its program's time. Callers give a program a small
+multiple of the time that it needs on idle endpoints, so after a longer wait it rarely ends in
+time."""
 
 USUAL_ERRORS = 1.0
 """Multiple of the mean overestimation that is taken off a prediction. In plays at 1.3 times the
