--- a/tests/unit/test_place_play.py
+++ b/tests/unit/test_place_play.py
@@ -94,14 +94,19 @@
     assert mean(storm / before for before, storm in pairs) < 0.95
 
 
-@pytest.mark.parametrize("seed", SEEDS)
-def test_the_storming_account_still_gets_its_share(seed: int) -> None:
+def test_the_storming_account_still_gets_its_share() -> None:
+    # It has some 13 requests in a play, so a single seed says little.
+    assert mean(_share_of_the_storming_account(seed) for seed in range(1, 11)) >= 0.75
+
+
+def _share_of_the_storming_account(seed: int) -> float:
+    """Returns its service time over the mean of all accounts."""
     arrivals = play(Load(1.3, storm=7.5), PAGE, WITH_ERROR, seed)
     service_s = [0.0] * 87
     for one in arrivals:
         if one.granted_s is not None:
             service_s[int(one.request.account.partition("-")[2])] += one.duration_s
-    assert service_s[0] >= 0.75 * mean(service_s)
+    return service_s[0] / mean(service_s)
 
 
 @pytest.mark.parametrize("seed", SEEDS)
