--- a/src/bayhinge/_internal/decisions/account_shares.py
+++ b/src/bayhinge/_internal/decisions/account_shares.py
@@ -22,7 +22,7 @@
 
 ENOUGH_DEVIATIONS = 1.0
 """Mean deviations above the usual duration, so that places aren't given to requests that would end
-just too late. In plays, 0, 1 and 2 differ by less than 0.5% of the requests in time."""
+just too late."""
 
 MAX_DEBT_S = 10.0
 """Service time by which an account that begins to wait may be ahead of the group's virtual time.
@@ -35,7 +35,7 @@
 
 MAX_ACCOUNTS = 2000
 """Accounts that are remembered; of more, the least recently active ones are forgotten unless their
-requests wait. Twenty times as many as the largest known deployment has."""
+requests wait. Bounds memory; far more than deployments have."""
 
 MAX_FORGOTTEN_AT_ONCE = 8
 """Accounts that are looked at for each request, so that no request pays for many."""
--- a/src/bayhinge/_internal/decisions/endpoint_speeds.py
+++ b/src/bayhinge/_internal/decisions/endpoint_speeds.py
@@ -32,8 +32,8 @@
 
 MIN_SAMPLE_KEEP = 0.5
 """Least factor by which a new sample reduces the weight of the earlier ones. Where one host rarely
-sends to an endpoint, an average covers about two samples, and the coordinator averages over hosts.
-With 0.75, 26 hosts gave a recovered endpoint less of its share back in the first ten seconds."""
+sends to an endpoint, an average covers about two samples, and the coordinator averages over hosts;
+with a longer memory, a recovered endpoint gets its share of the work back later."""
 
 PRIOR_SAMPLES = 0.5
 """Weight of the starting ratio, in samples. More would hide a real difference on hosts that have
@@ -61,7 +61,7 @@
 
 SHARING_COST = 0.2
 """Share by which the events of an engine take longer when all its slots are in use than when one
-is, from the engine of ``bayhinge_standins`` (steps of 4.63 ms and 0.153 ms more a sequence)."""
+is, as in the engine of ``bayhinge_standins``."""
 
 MIN_TIMED_EVENTS = 4
 """Events after the first one that a stream needs to give a sample. With fewer, the time per event
--- a/src/bayhinge/_internal/decisions/endpoint_table.py
+++ b/src/bayhinge/_internal/decisions/endpoint_table.py
@@ -91,9 +91,8 @@
     def slow_discount(self) -> float:
         """What to subtract from the expected delay so that free slots are used before full ones.
 
-        Otherwise slow endpoints keep free slots while requests wait at the others, which cost 8% of
-        the mean delay at 90% use (docs/design/hard-load-speeds.md). The rest of the delay still
-        orders slow endpoints among each other.
+        Otherwise slow endpoints keep free slots while requests wait at the others. The rest of the
+        delay still orders slow endpoints among each other.
         """
         slots = max(1, self.entry.slots)
         margin = 0.5 / slots
--- a/src/bayhinge/_internal/decisions/place_queue.py
+++ b/src/bayhinge/_internal/decisions/place_queue.py
@@ -15,8 +15,7 @@
 OLDEST_EVERY_GRANTS = 50
 """At least one in this many grants goes to the request that has waited longest, among those that
 can still be answered in time. Each of these grants may take a place from a more urgent request or
-from an account with less service: in plays at 1.3 times the capacity, 0.782 of the requests were
-answered in time with one in 20, and 0.798 with one in 50."""
+from an account with less service, so fewer of them answer more requests in time."""
 
 
 @attrs.frozen
--- a/src/bayhinge/_internal/decisions/returning_callers.py
+++ b/src/bayhinge/_internal/decisions/returning_callers.py
@@ -9,7 +9,7 @@
 """Time after a refusal within which a caller may return; longer than any advised retry."""
 
 MAX_CALLERS = 10_000
-"""Callers that are remembered, about 2 MB; of more, those refused first are forgotten."""
+"""Callers that are remembered; of more, those refused first are forgotten. Bounds memory."""
 
 SAME_REQUEST_S = 0.1
 """Difference of arrivals up to which two calls are of the same request. A waiting request is asked
--- a/src/bayhinge/_internal/decisions/wait_estimate.py
+++ b/src/bayhinge/_internal/decisions/wait_estimate.py
@@ -26,16 +26,16 @@
 that miss it by less often still make up for it in later turns."""
 
 USUAL_ERRORS = 1.0
-"""Multiple of the mean overestimation that is taken off a prediction. In plays at 1.3 times the
-capacity, 2 refused 0.003 of the requests needlessly and 0 refused 0.004; they answered 0.755 and
-0.762 in time."""
+"""Multiple of the mean overestimation that is taken off a prediction. A larger one refuses fewer
+requests needlessly, and admits more that end too late."""
 
 ARRIVALS_S = 5.0
 """Time for which arrivals are kept to predict how many will join before a waiting request: long
 enough for some tens of them, short enough to notice the end of a burst before callers give up."""
 
 MAX_ARRIVALS = 2000
-"""Arrivals that are kept, the newest ones; four times those of the largest known hall."""
+"""Arrivals of a service that are kept, the newest ones; bounds memory and the work of a
+prediction."""
 
 STEPS = 8
 """Steps in which a request's way to the front is followed."""
--- a/src/bayhinge/_internal/network/routed_front.py
+++ b/src/bayhinge/_internal/network/routed_front.py
@@ -122,7 +122,7 @@
         """Limits how much of a refused body arrives at once.
 
         aiohttp reads and drops the rest, so that the caller receives the refusal rather than a
-        reset. With full windows, the bytes of a few hundred such connections come to 75 MB.
+        reset. With full windows, a few hundred such connections would exceed a small host's memory.
         """
         self.closes_connection()
         transport = self._request.transport
--- a/src/bayhinge/_internal/services/gateway/held_memory.py
+++ b/src/bayhinge/_internal/services/gateway/held_memory.py
@@ -23,8 +23,7 @@
 
 SAFETY_SHARE = 0.5
 """Share of the memory beyond what an idle process uses that the budget may take. The rest covers
-the allocator's fragmentation, read buffers of connections, and one copy of the longest body: with
-300 bodies of 4 MB at once, the peak was up to 35 MB above the idle process and the budget."""
+the allocator's fragmentation, read buffers of connections, and one copy of the longest body."""
 
 RESERVE_SHARE = 1 / 3
 """Share of the budget that only answers can take."""
--- a/src/bayhinge/_internal/services/gateway/speed_tracker.py
+++ b/src/bayhinge/_internal/services/gateway/speed_tracker.py
@@ -18,8 +18,7 @@
 
 REFRESH_PERIOD_S = 0.2
 """Shortest time between two refreshes of the endpoint table. A ratio changes over seconds, while a
-coordinator places hundreds of requests a second. With 117 hosts that report 20 ratios each, a
-refresh takes about 1 ms."""
+coordinator places hundreds of requests a second and combines the ratios of all hosts."""
 
 REPORT_PERIOD_S = 0.5
 """Shortest time between two reports that carry ratios. Reports without them are sent several times
