--- a/tests/functional/test_places.py
+++ b/tests/functional/test_places.py
@@ -24,6 +24,8 @@
 
 
 def test_requests_beyond_the_slots_of_all_endpoints_wait_and_are_served(tmp_path: Path) -> None:
+    """Guards against requests sent to full endpoints, and waits that are lost or not counted."""
+
     async def scenario(site: PlatformSite) -> None:
         for service in site.services:
             service.faults.pause_s = 0.3
@@ -50,6 +52,8 @@
 
 
 def test_a_request_without_a_place_in_its_time_is_refused_as_not_run(tmp_path: Path) -> None:
+    """Guards against a refusal of a request that ran, or one without its figures and log line."""
+
     async def scenario(site: PlatformSite) -> None:
         for service in site.services:
             service.faults.pause_s = 3.0
--- a/tests/functional/test_platform_programs.py
+++ b/tests/functional/test_platform_programs.py
@@ -52,8 +52,7 @@
 def test_a_library_that_uses_a_stub_at_import_only_makes_the_start_slower(
     tmp_path: Path, use: str
 ) -> None:
-    # The deploy file allows later versions of the libraries; one that uses what is stubbed must not
-    # keep all hosts from starting.
+    """Guards against a later version of a library that keeps all hosts from starting."""
     source = Path(mypy_extensions.__file__).read_text()
     prefix = f"import pprint\nif type(pprint).__name__ != 'module':\n    {use}\n"
     (tmp_path / "mypy_extensions.py").write_text(prefix + source)
--- a/tests/functional/test_program_processes.py
+++ b/tests/functional/test_program_processes.py
@@ -1,8 +1,4 @@
-"""Real programs serve with their unused libraries stubbed, on either event loop.
-
-Guards against a stub on a path that callers reach: the other functional tests run the hosts inside
-the test's process, where no library is stubbed.
-"""
+"""Guards against a stub of an unused library on a path that callers reach, on either event loop."""
 
 import asyncio
 from pathlib import Path
--- a/tests/lib/place_hosts.py
+++ b/tests/lib/place_hosts.py
@@ -28,8 +28,14 @@
 from bayhinge._internal.wire.hosts import ttypes as wire
 
 NETWORK_DELAY_S = 0.002
+"""One-way delay of a message between hosts."""
+
 HEARTBEAT_S = 0.3
+"""Interval between the heartbeats of a host."""
+
 SILENCE_S = 1.5
+"""Time without a heartbeat after which a host no longer counts as live."""
+
 SERVICE = "app"
 
 
--- a/tests/lib/place_ways.py
+++ b/tests/lib/place_ways.py
@@ -16,7 +16,10 @@
 
 SEEDS = (1, 2, 3, 4, 5)
 PROCESSES = 4
+
 SETTLED_S = 8.0
+"""Arrivals before this time are left out, as the queue is still growing."""
+
 MIXED = Load(1.3, shares=((0, 0.2), (5, 0.6), (9, 0.2)))
 
 
--- a/tests/unit/test_endpoint_delays.py
+++ b/tests/unit/test_endpoint_delays.py
@@ -150,10 +150,7 @@
 
 
 def test_a_free_slot_comes_before_a_place_in_a_queue() -> None:
-    """Guards against requests that wait at fast endpoints while slow ones have free slots.
-
-    At 90% use this cost 8% of the mean delay, see docs/design/hard-load-speeds.md.
-    """
+    """Guards against requests that wait at fast endpoints while slow ones have free slots."""
     assert chosen(table_of((5, 4.0), (6, 0.5))) == "a"
     assert chosen(table_of((6, 4.0), (6, 0.5))) == "b"
     assert chosen(table_of((6, 0.5), (5, 1.0))) == "b"
--- a/tests/unit/test_load_table.py
+++ b/tests/unit/test_load_table.py
@@ -1,4 +1,4 @@
-"""The hall coordinator's count of running requests at the endpoints of its hall."""
+"""Guards against requests that the hall coordinator counts twice, or never stops counting."""
 
 from collections import Counter
 
--- a/tests/unit/test_place_play.py
+++ b/tests/unit/test_place_play.py
@@ -1,7 +1,4 @@
-"""What callers get from the queue for places, played in virtual time with seeds.
-
-Guards against rules that are each kept but together serve the wrong requests.
-"""
+"""Guards against rules of the queue for places that together serve the wrong requests."""
 
 from bisect import bisect_left
 from statistics import mean
--- a/tests/unit/test_place_rounds.py
+++ b/tests/unit/test_place_rounds.py
@@ -1,7 +1,4 @@
-"""Guards against places that are leaked or granted wrongly when several things happen at once.
-
-The cases of one iteration of the event loop or one message; see :mod:`tests.lib.place_hosts`.
-"""
+"""Guards against places leaked or granted wrongly by what happens within one loop iteration."""
 
 import asyncio
 from collections.abc import Awaitable, Callable
--- a/tests/unit/test_place_waits.py
+++ b/tests/unit/test_place_waits.py
@@ -1,7 +1,4 @@
-"""Guards against requests that are lost, sent twice or overfill endpoints while they wait.
-
-Several hosts with the real placer run in virtual time; see :mod:`tests.lib.place_hosts`.
-"""
+"""Guards against requests that are lost, sent twice or overfill endpoints while they wait."""
 
 import asyncio
 from collections.abc import Awaitable, Callable
@@ -20,7 +17,7 @@
 
 NORTH = [(f"n{number}", "north") for number in range(4)]
 OVERCOMMIT = 1
-"""The most by which the first version of PlaceLimits exceeds the slots."""
+"""What PlaceLimits adds to the slots here, where messages take far less time than requests."""
 
 
 def site_of(
--- a/tests/unit/test_start_imports.py
+++ b/tests/unit/test_start_imports.py
@@ -1,8 +1,4 @@
-"""A program that starts loads only what it uses; each stub that is used raises an error.
-
-Guards against a library, or a new import of our own, bringing back modules that cost start-up time
-and memory on every host.
-"""
+"""Guards against unused modules that come back at a start, and stubs used without an error."""
 
 import hashlib
 import subprocess
