--- a/src/bayhinge/_internal/decisions/account_shares.py
+++ b/src/bayhinge/_internal/decisions/account_shares.py
@@ -20,7 +20,7 @@
 """Expected service time before the first request of a service has ended. Only its ratio to other
 services matters; it must not be 0, as one account could then get all places at a cold start."""
 
-ENOUGH_DEVIATIONS = 1.0
+LONG_DURATION_DEVIATIONS = 1.0
 """Mean deviations above the usual duration, so that places aren't given to requests that would end
 just too late."""
 
@@ -52,6 +52,7 @@
     total_us: int = 0
 
     def add(self, expected_us: int) -> None:
+        """Adds the charge of a request that got a place."""
         self.count += 1
         self.total_us += expected_us
 
@@ -71,10 +72,11 @@
 
     Attributes:
         used_us: service time charged at all services.
-        offset_us_by_group: what was added to ``used_us`` when it last began to wait in a group.
+        offset_us_by_group: what to add to ``used_us`` for its counter in a group; set when it
+            begins to wait there.
         waiting_in: groups in which its requests wait.
         charges_by_service: charges for its running requests.
-        active_s: when it was last active.
+        active_s: when it was last active, on the monotonic clock.
     """
 
     used_us: int = 0
@@ -84,6 +86,7 @@
     active_s: float = 0.0
 
     def counter_us(self, group: Group) -> int:
+        """Returns the virtual service counter in a group."""
         return self.used_us + self.offset_us_by_group.get(group, 0)
 
 
@@ -105,10 +108,10 @@
         duration = self._duration_by_service.get(service)
         return INITIAL_EXPECTED_S if duration is None else duration.value
 
-    def enough_s(self, service: str) -> float:
-        """Returns a time within which most requests end, in seconds."""
+    def long_duration_s(self, service: str) -> float:
+        """Returns a service time that most requests stay below, in seconds."""
         duration = self._duration_by_service.get(service)
-        return INITIAL_EXPECTED_S if duration is None else duration.high(ENOUGH_DEVIATIONS)
+        return INITIAL_EXPECTED_S if duration is None else duration.high(LONG_DURATION_DEVIATIONS)
 
     def expected_us(self, service: str) -> int:
         """Returns the expected service time in whole microseconds, at least 1."""
@@ -194,8 +197,12 @@
             account.charges_by_service.pop(service, None)
 
     def _activate(self, name: str, now_s: float) -> _Account:
-        """Returns an account as the most recently active one; forgets others that are idle."""
-        # Requests that have waited at an earlier coordinator are added with past times.
+        """Returns an account, created if unknown, and records that it is active now.
+
+        The accounts are kept in the order of their last activity. Some of those that were idle
+        longest are forgotten.
+        """
+        # Requests that have waited at an earlier coordinator carry times in the past.
         self._now_s = now_s = max(now_s, self._now_s)
         account = self._account_by_name.pop(name, None) or _Account()
         account.active_s = now_s
--- a/src/bayhinge/_internal/decisions/endpoint_speeds.py
+++ b/src/bayhinge/_internal/decisions/endpoint_speeds.py
@@ -109,6 +109,8 @@
 
     Attributes:
         weight: the number of samples that the average represents.
+        newest_s: when the newest sample was added.
+        samples: the number of all samples.
     """
 
     value: float = 1.0
@@ -139,6 +141,14 @@
 
 @attrs.define
 class _EndpointSpeed:
+    """The measured speed of one incarnation of an endpoint.
+
+    Attributes:
+        start: the ratio that it counts as having before the first sample.
+        measured: the moving average of the ratios of its answers.
+        reported_until_s: until when its ratio is reported even if it is near 1.
+    """
+
     service: str
     start: float
     measured: _Average = attrs.field(factory=_Average)
@@ -189,6 +199,7 @@
         usual.add(duration_s, now_s)
 
     def _add_ratio(self, sample: DurationSample, ratio: float, now_s: float) -> None:
+        """Adds a ratio to an endpoint, which starts at the median of its service."""
         speed = self._speed_by_endpoint.get(sample.endpoint)
         if speed is None:
             start = self.service_median(sample.service, now_s)
@@ -276,7 +287,7 @@
 
 
 def bounded(ratio: float) -> float:
-    """Returns a ratio within its bounds."""
+    """Returns a ratio, limited to ``MIN_RATIO`` to ``MAX_RATIO``."""
     return min(MAX_RATIO, max(MIN_RATIO, ratio))
 
 
--- a/src/bayhinge/_internal/decisions/first_predictions.py
+++ b/src/bayhinge/_internal/decisions/first_predictions.py
@@ -18,7 +18,9 @@
 
 @attrs.define(eq=False)
 class PredictedWait:
-    """A wait.
+    """A wait for a place, which may take several calls.
+
+    Times are in seconds of the coordinator's monotonic clock.
 
     Attributes:
         began_s: when its first call arrived here.
@@ -34,7 +36,7 @@
         """Returns whether a call with this begin of its wait belongs to this wait."""
         return abs(arrived_s - self._arrived_s) <= SAME_ARRIVAL_S
 
-    def is_over(self, now_s: float) -> bool:
+    def has_ended(self, now_s: float) -> bool:
         """Returns whether no further call is expected."""
         return self._last_call_s < now_s - KEEP_S
 
@@ -69,11 +71,12 @@
         wait.record_call(now_s)
 
     def _sweep(self, now_s: float) -> None:
+        """Forgets the waits that have ended, at most once in ``KEEP_S``."""
         if now_s < self._swept_s + KEEP_S:
             return
         self._swept_s = now_s
         self._waits_by_caller = {
             caller: kept
             for caller, waits in self._waits_by_caller.items()
-            if (kept := [wait for wait in waits if not wait.is_over(now_s)])
+            if (kept := [wait for wait in waits if not wait.has_ended(now_s)])
         }
--- a/src/bayhinge/_internal/decisions/load_table.py
+++ b/src/bayhinge/_internal/decisions/load_table.py
@@ -28,8 +28,8 @@
         sequence: sequence number of the report within the incarnation.
         last_grant: the newest grant that ``running_by_endpoint`` includes.
         ejected: endpoints that this host has ejected.
-        relative_duration_by_endpoint: learned by this host, in thousandths; None if the report does
-            not tell, and the one before holds.
+        relative_duration_by_endpoint: learned by this host, in thousandths; None if the report
+            omits them, in which case those of an earlier report still apply.
     """
 
     host: str
@@ -43,6 +43,13 @@
 
 @attrs.define(eq=False, repr=False)
 class _HostLoads:
+    """The newest report of one host, and the grants that no report has included yet.
+
+    Attributes:
+        received_s: when the report arrived, on the coordinator's monotonic clock.
+        granted_s_by_grant: when each grant of ``endpoint_by_grant`` was made.
+    """
+
     incarnation: int
     sequence: int = 0
     newest_grant: int = 0
--- a/src/bayhinge/_internal/decisions/local_share.py
+++ b/src/bayhinge/_internal/decisions/local_share.py
@@ -5,7 +5,7 @@
 
 @attrs.frozen
 class ServiceView:
-    """A service as a host saw it when it last applied the heartbeats of the others.
+    """The load of a service when a host last applied the heartbeats of the others.
 
     Attributes:
         running: this host's own requests in flight then.
@@ -23,8 +23,9 @@
 def local_limit(view: ServiceView) -> int:
     """Returns how many requests a host may have in flight until it applies heartbeats again.
 
-    A host divides the free slots by the hosts, and has at least one more while it uses less than
-    its share of all slots. All hosts together exceed the slots by at most one request per host.
+    The host may add its part of the free slots, and at least one request if any slot is free and
+    it uses less than its part of all slots. It may always have one request in flight. All hosts
+    together exceed the slots by at most one request per host.
     """
     hosts = max(1, view.hosts)
     share = max(1, view.slots // hosts)
--- a/src/bayhinge/_internal/decisions/memory_budget.py
+++ b/src/bayhinge/_internal/decisions/memory_budget.py
@@ -28,6 +28,9 @@
     """What memory is held for.
 
     Attributes:
+        WAITING: a request in progress, without its body and history.
+        BODY: the body of a request.
+        HISTORY: the turns before this one, and a copy of the body behind them.
         ANSWER: an answer that is read whole before it is sent.
         UNREAD: the part of a stream that the caller has not taken yet.
         EVENTS: the events of a stream, to be recorded at its end.
@@ -42,6 +45,7 @@
 
 
 ANSWER_HOLDERS = frozenset({MemoryHolder.ANSWER, MemoryHolder.UNREAD, MemoryHolder.EVENTS})
+"""Holders that may use the reserve. The others count as parts of the request."""
 
 
 @attrs.define(eq=False)
@@ -181,6 +185,7 @@
         return settlement
 
     def _grant(self, claim: MemoryClaim) -> bool:
+        """Gives a waiting claim its bytes if they fit; returns whether they do."""
         assert claim.wanted is not None
         holder, size = claim.wanted
         if not self._fits(claim, holder, size, self._is_blocked(claim)):
@@ -231,6 +236,10 @@
     def _fits(
         self, claim: MemoryClaim, holder: MemoryHolder, size: int, may_fill: bool = False
     ) -> bool:
+        """Returns whether a claim may grow by ``size`` bytes.
+
+        With ``may_fill``, an answer may use all free room rather than a fraction of it.
+        """
         free = self.limit_bytes - self._held_bytes
         if size > free:
             return False
@@ -261,6 +270,7 @@
             self._request_bytes += size
 
     def _in_order(self, is_answer: bool) -> Iterator[MemoryClaim]:
+        """Returns the claims that wait for an answer (or else a request), in order."""
         kind = [
             claim
             for claim in self._waiting
@@ -270,6 +280,7 @@
 
 
 def _order_key(claim: MemoryClaim, holder: MemoryHolder, size: int) -> tuple[int, int]:
+    """Returns the sort key of waits: by urgency (requests only), then by the size after growth."""
     if holder in ANSWER_HOLDERS:
         return 0, claim.answer_bytes + size
     return claim.urgency, claim.request_bytes + size
--- a/src/bayhinge/_internal/decisions/place_queue.py
+++ b/src/bayhinge/_internal/decisions/place_queue.py
@@ -115,7 +115,7 @@
         waiting = self._request_by_ticket.get(request.ticket)
         if waiting is not None:
             self._queue_by_service[waiting.service].count_grant(
-                waiting, now_s + self._shares.enough_s(waiting.service)
+                waiting, now_s + self._shares.long_duration_s(waiting.service)
             )
             self.remove(request.ticket)
 
@@ -124,6 +124,7 @@
         self._shares.record_duration(service, account, duration_s)
 
     def _position(self, request: PlaceRequest, now_s: float) -> int:
+        """Returns how many requests come before one that is in the queue of its service."""
         for position, other in enumerate(self.in_order(request.service, now_s)):
             if other.ticket == request.ticket:
                 return position
@@ -139,10 +140,12 @@
 
 
 def _by_age(request: PlaceRequest) -> _AgeKey:
+    """Returns the sort key of first turns, and of all requests by age."""
     return _AgeKey(request.arrived_s, request.urgency, request.ticket)
 
 
 def _by_due(request: PlaceRequest) -> tuple[float, _AgeKey]:
+    """Returns the sort key of turns of begun programs; the age makes it unique."""
     return request.due_s, _by_age(request)
 
 
@@ -188,7 +191,14 @@
 
 
 class _ServiceQueue:
-    """Waiting requests of one service."""
+    """Waiting requests of one service.
+
+    Attributes:
+        tickets: the tickets of all.
+        by_age: all, in the order of arrival.
+        lane_by_account_by_urgency: the same requests in the order in which they get places.
+        grants_since_oldest: grants to waiting requests since one went to the oldest.
+    """
 
     def __init__(self) -> None:
         self.tickets: set[int] = set()
@@ -250,7 +260,7 @@
         self._shares = shares
         self._service = service
         self._expected_us = shares.expected_us(service)
-        self._finish_s = now_s + shares.enough_s(service)
+        self._finish_s = now_s + shares.long_duration_s(service)
         self._granted: set[int] = set()
         self._granted_us_by_account: dict[str, int] = {}
 
--- a/src/bayhinge/_internal/decisions/returning_callers.py
+++ b/src/bayhinge/_internal/decisions/returning_callers.py
@@ -12,8 +12,8 @@
 """Callers that are remembered; of more, those refused first are forgotten. Bounds memory."""
 
 SAME_REQUEST_S = 0.1
-"""Difference of arrivals up to which two calls are of the same request. A waiting request is asked
-for again and again, with arrivals that differ by the delay of the messages."""
+"""Difference of arrivals up to which two calls are of the same request. A waiting request calls
+repeatedly, with arrivals that differ by the delay of the messages."""
 
 
 @attrs.define
--- a/src/bayhinge/_internal/decisions/speed_changes.py
+++ b/src/bayhinge/_internal/decisions/speed_changes.py
@@ -47,6 +47,13 @@
 
 @attrs.define
 class _Known:
+    """The state of one endpoint.
+
+    Attributes:
+        changed_s: when it last changed, or None before the first change.
+        slow_since_s: when it last left the usual state.
+    """
+
     state: SpeedState = SpeedState.USUAL
     changed_s: float | None = None
     slow_since_s: float = 0.0
@@ -86,6 +93,7 @@
 
 
 def _next_state(known: _Known, ratio: float, now_s: float) -> SpeedState:
+    """Returns the state of an endpoint with this relative duration now."""
     if known.state is SpeedState.USUAL:
         return SpeedState.SLOW_FOR_A_WHILE if ratio >= SLOW_RATIO else SpeedState.USUAL
     if ratio < USUAL_RATIO:
--- a/src/bayhinge/_internal/decisions/wait_estimate.py
+++ b/src/bayhinge/_internal/decisions/wait_estimate.py
@@ -45,7 +45,7 @@
 join near a position are as often behind a request that has moved on since."""
 
 NEW_REQUEST_S = 0.1
-"""Age up to which a request counts as newly arrived; waiting ones are asked for every 0.2 s."""
+"""Age up to which a request counts as newly arrived. A waiting one calls again every 0.2 s."""
 
 MIN_RETRY_AFTER_S = 0.1
 MAX_RETRY_AFTER_S = 4.0
@@ -132,6 +132,7 @@
         return Refused(self._retry_after_s(wait_s, request.deadline_s - now_s), wait_s)
 
     def _retry_after_s(self, wait_s: float, time_left_s: float) -> float:
+        """Returns the pause to advise, drawn so that callers don't return together."""
         pause_s = min(wait_s, MAX_RETRY_SHARE * time_left_s, MAX_RETRY_AFTER_S)
         return max(MIN_RETRY_AFTER_S, pause_s * self._spread.uniform(MIN_SPREAD, 1.0))
 
@@ -149,7 +150,10 @@
 
 @attrs.frozen
 class _Grant:
-    """A grant, and the place-seconds since the one before in which requests waited."""
+    """A grant, and the place-seconds in which requests waited since the one before.
+
+    Place-seconds are the seconds multiplied by the number of places of the service.
+    """
 
     at_s: float
     place_s: float
@@ -173,14 +177,18 @@
 
 
 class _Overtaking:
-    """Where recent arrivals joined the queue: requests behind that position were overtaken."""
+    """Predicts how many later arrivals get a place before a waiting request.
+
+    Kept are the positions at which recent arrivals joined the queue. An arrival overtakes the
+    requests behind its position.
+    """
 
     def __init__(self) -> None:
         self._arrivals: deque[_Arrival] = deque()
         self._sorted_ahead_by_urgency: dict[int, list[int]] = {}
 
     def record_arrival(self, request: PlaceRequest, ahead: int, now_s: float) -> None:
-        """Counts a request that may wait. One that waits already is asked for again later."""
+        """Counts a new request that may wait, but not the repeated calls of a waiting one."""
         if now_s - request.arrived_s > NEW_REQUEST_S:
             return
         self._forget_old(now_s)
--- a/src/bayhinge/_internal/network/caller_watch.py
+++ b/src/bayhinge/_internal/network/caller_watch.py
@@ -21,7 +21,7 @@
 SLOW_CHECK_S = 0.1
 """The same while a caller has unread bytes, which are counted again at each check."""
 
-LEFT_UNREAD_S = 30.0
+UNREAD_USER_TIMEOUT_S = 30.0
 """TCP user timeout while the kernel still holds part of an answer that was sent whole. The host
 itself holds nothing for the caller any more, so it may take its time."""
 
@@ -38,7 +38,11 @@
 
 
 class CallerWatch:
-    """Watches one caller while its answer is sent."""
+    """Watches one caller while its answer is sent.
+
+    Attributes:
+        is_slow: the caller has unread bytes, and its TCP user timeout is off.
+    """
 
     def __init__(
         self,
@@ -75,7 +79,9 @@
         has_unread = self._queued_bytes() > 0
         if not has_unread and not self.is_slow:
             return False
-        set_tcp_timeouts(self._socket, LEFT_UNREAD_S if has_unread else self._user_timeout_s)
+        set_tcp_timeouts(
+            self._socket, UNREAD_USER_TIMEOUT_S if has_unread else self._user_timeout_s
+        )
         return has_unread
 
     def expect_slow_reading(self) -> None:
@@ -87,6 +93,7 @@
             self._timer = asyncio.get_running_loop().call_later(SLOW_CHECK_S, self._check)
 
     def _check(self) -> None:
+        """Switches the TCP user timeout off or on; ends the connection of a caller that is gone."""
         if self._transport.is_closing():
             return
         queued = self._queued_bytes()
--- a/src/bayhinge/_internal/network/routed_front.py
+++ b/src/bayhinge/_internal/network/routed_front.py
@@ -45,7 +45,8 @@
 from the socket. A body without this room is refused at once, so that few connections wait."""
 
 REFUSED_WINDOW_BYTES = 16_384
-"""Receive buffer of a connection whose body was refused for memory."""
+"""Receive buffer of a connection whose body was refused for lack of memory. The rest of the body is
+read and dropped, and only this much of it is held at once."""
 
 KEEPALIVE_TIMEOUT_S = 75.0
 """Keep-alive timeout of callers' connections; longer than callers keep idle ones."""
@@ -103,6 +104,7 @@
             raise
 
     async def _read_within(self, room: MemoryRoom, limit: int) -> bytes:
+        """Returns the whole body, for which room is taken first."""
         content = self._request.content
         length = self._request.content_length
         if length is None and content.is_eof():
--- a/src/bayhinge/_internal/network/send_timer.py
+++ b/src/bayhinge/_internal/network/send_timer.py
@@ -14,7 +14,7 @@
 
 
 class SendTimer:
-    """Gives up one request if its endpoint does not take it in time.
+    """Gives up sending one request if its endpoint does not take all of it in time.
 
     The endpoint may have begun to run what it has received. The caller of this class therefore
     treats the request as one that may have run, and repeats it only if that is allowed.
@@ -42,6 +42,7 @@
         self._handle = loop.call_later(self._limit_s / SLICES, self._end_slice)
 
     def _end_slice(self) -> None:
+        """Gives up after the last slice if part of the request was not taken."""
         self._handle = None
         self._slices_left -= 1
         unsent = self._transport.get_write_buffer_size()
--- a/src/bayhinge/_internal/services/gateway/coordinator_client.py
+++ b/src/bayhinge/_internal/services/gateway/coordinator_client.py
@@ -19,8 +19,8 @@
 from bayhinge._internal.wire.hosts import ttypes as wire
 
 ANSWER_S = 0.04
-"""Timeout for a coordinator's answer, about ten times an ordinary one between halls. A call that
-may wait for a place gets so much longer."""
+"""Timeout for a coordinator's answer, about ten times an ordinary one between halls. For a call
+that may wait for a place, it is added to the longest wait."""
 
 MAX_REDIRECTS = 1
 """A host that is no coordinator names another one; a second redirect would be a disagreement."""
@@ -82,6 +82,7 @@
         demand: PlaceDemand,
         max_wait_s: float,
     ) -> wire.PlaceCall:
+        """Returns the message that asks for a place; its times are relative to now."""
         now = _now()
         program_deadline_s = demand.program_deadline_s
         return wire.PlaceCall(
--- a/src/bayhinge/_internal/services/gateway/load_sums.py
+++ b/src/bayhinge/_internal/services/gateway/load_sums.py
@@ -1,4 +1,4 @@
-"""Sums of requests in flight, without what hosts report of endpoints that have restarted since."""
+"""Figures that hosts report by endpoint, without those of endpoints that have restarted since."""
 
 from collections.abc import Collection, Iterable, Mapping
 
@@ -7,14 +7,14 @@
 
 
 def excluding_endpoints(
-    running_by_endpoint: Mapping[str, int], excluded: Collection[str]
+    figure_by_endpoint: Mapping[str, int], excluded: Collection[str]
 ) -> Mapping[str, int]:
-    """Returns the running requests of all endpoints except the excluded ones."""
+    """Returns the figures of all endpoints except the excluded ones."""
     if not excluded:
-        return running_by_endpoint
+        return figure_by_endpoint
     return {
-        endpoint: running
-        for endpoint, running in running_by_endpoint.items()
+        endpoint: figure
+        for endpoint, figure in figure_by_endpoint.items()
         if endpoint not in excluded
     }
 
--- a/src/bayhinge/_internal/services/gateway/place_answers.py
+++ b/src/bayhinge/_internal/services/gateway/place_answers.py
@@ -111,6 +111,7 @@
 
 
 def _preference_of(call: wire.PlaceCall) -> PlacementPreference:
+    """Returns the preference that a call carries."""
     return PlacementPreference(
         EndpointIncarnation(call.wished, call.wished_born_ms),
         call.shared_part,
--- a/src/bayhinge/_internal/services/gateway/place_views.py
+++ b/src/bayhinge/_internal/services/gateway/place_views.py
@@ -26,13 +26,13 @@
 
     @abstractmethod
     def refresh(self) -> None:
-        """Applies what was heard since about the load."""
+        """Applies the load reports that were received since."""
 
     @abstractmethod
     def choose(
         self, service: str, preference: PlacementPreference, excluded: frozenset[str]
     ) -> FreeChoice:
-        """Returns the best endpoint with a free place."""
+        """Returns the best endpoint with a free place, none of ``excluded``."""
 
     @abstractmethod
     def has_free(self, service: str) -> bool:
@@ -101,7 +101,7 @@
         self._limit_by_service: dict[str, int] = {}
 
     def forget_views(self) -> None:
-        """Notes that newer heartbeats of the other hosts were applied."""
+        """Drops the computed shares, because newer heartbeats of the other hosts were applied."""
         self._limit_by_service.clear()
 
     def refresh(self) -> None:
--- a/src/bayhinge/_internal/services/gateway/place_waits.py
+++ b/src/bayhinge/_internal/services/gateway/place_waits.py
@@ -13,7 +13,7 @@
 from bayhinge._internal.utils.log_output import LineBudget
 
 MIN_RETRY_AFTER_S = 0.3
-"""Retry delay of a request whose time was over before the coordinator could tell another one."""
+"""Least retry delay of a request whose time is over; also of a refusal that names no delay."""
 
 LOGGED_WAIT_S = 0.5
 """Waits that end in a grant have a log line from this length on."""
--- a/src/bayhinge/_internal/services/gateway/placement.py
+++ b/src/bayhinge/_internal/services/gateway/placement.py
@@ -46,8 +46,8 @@
 """Coordinators that one round asks if each fails to answer; then the host places by itself."""
 
 MIN_POLL_S = 0.05
-"""Shortest time between two rounds of a waiting request, if a coordinator replies sooner that it
-has to wait: a faulty one must not keep its hosts busy."""
+"""Shortest time between the calls of a waiting request, even if a coordinator replies sooner: a
+faulty one must not keep its hosts busy."""
 
 RECENT_WAIT_S = 1.0
 """For so long after a request of a service had to wait, the next ones offer to wait in their first
@@ -204,6 +204,7 @@
         return await self._place_here(service, preference, excluded, demand, max_wait_s)
 
     def _first_wait_s(self, service: str, demand: PlaceDemand) -> float:
+        """Returns how long a request offers to wait in its first call, in seconds."""
         last_wait_s = self._last_wait_s_by_service.get(service, -math.inf)
         now = _now()
         if now - last_wait_s > RECENT_WAIT_S:
@@ -218,6 +219,7 @@
         demand: PlaceDemand,
         max_wait_s: float,
     ) -> PlaceOutcome:
+        """Asks this host itself, as the coordinator of its hall or within its share."""
         is_coordinator = (
             bool(self._coordinators.coordinated_hall) and not self._coordinators.is_isolated
         )
--- a/src/bayhinge/_internal/services/gateway/speed_tracker.py
+++ b/src/bayhinge/_internal/services/gateway/speed_tracker.py
@@ -28,7 +28,12 @@
 
 
 class SpeedTracker:
-    """The speeds of endpoints, as measured by this host and reported by others."""
+    """The speeds of endpoints, as measured by this host and reported by others.
+
+    Attributes:
+        ratios_from_hosts: returns the relative durations that other hosts have reported.
+        coordinated_hall: returns the hall that this host coordinates, or "".
+    """
 
     def __init__(self, endpoint_table: EndpointTable) -> None:
         self._endpoint_table = endpoint_table
@@ -47,7 +52,7 @@
         run.running_when_sent = run.state.running_here + run.state.running_at_peers
 
     def record_answer(self, run: ActiveRun, route: Route, delivery: Delivery) -> None:
-        """Records the duration of a complete answer; others tell nothing about the speed."""
+        """Records the duration of a complete answer; ignores answers of any other kind."""
         duration_s = _duration_s(run, delivery)
         if (
             duration_s is None
@@ -137,6 +142,7 @@
 
 
 def _duration_s(run: ActiveRun, delivery: Delivery) -> float | None:
+    """Returns the duration of an answer, see :mod:`endpoint_speeds`, or None if it has none."""
     if delivery.pace is not None:
         return delivery.pace.per_event_s
     if delivery.read_s is None or run.sent_s is None:
--- a/src/bayhinge/_internal/services/gateway/turn_recorder.py
+++ b/src/bayhinge/_internal/services/gateway/turn_recorder.py
@@ -95,7 +95,7 @@
             turn.account,
         )
         message = encode_message(wire.AppendEntries([entry]))
-        # The message has them; a long turn would be held twice until it is durable.
+        # The encoded message holds both; a long turn would be held twice until it is durable.
         del text, entry
         generation_by_host: dict[str, int] = {}
         tries = 0
--- a/src/bayhinge/_internal/services/gateway/unread_answer.py
+++ b/src/bayhinge/_internal/services/gateway/unread_answer.py
@@ -12,10 +12,10 @@
 from bayhinge._internal.network.routed_front import Exchange
 from bayhinge._internal.services.gateway.held_memory import PROMPT_UNREAD_BYTES, RequestMemory
 
-SHARES = 4
-"""An answer with more unread bytes than this part of the reserve is read more slowly."""
+SLOW_READING_RESERVE_SHARE = 1 / 4
+"""An answer whose unread bytes exceed this share of the reserve is read more slowly."""
 
-PACE_S = 0.05
+SLOW_READING_PAUSE_S = 0.05
 """Pause before each further piece of such an answer. It is far below the seconds after which
 endpoints cut off an answer that is not read."""
 
@@ -46,6 +46,7 @@
         await self._exchange.write(piece)
 
     async def _hold(self, unread: int) -> None:
+        """Takes room for the unread bytes beyond those already held; may wait for it."""
         self._exchange.expect_slow_reading()
         await self._slow_down(unread)
         grown = unread - self._held_bytes
@@ -54,9 +55,10 @@
             self._held_bytes += grown
 
     async def _slow_down(self, unread: int) -> None:
+        """Pauses reading from the endpoint if the unread part is large."""
         host, memory = self._memory.host, self._memory
         assert host.budget is not None
-        if unread <= host.budget.reserve_bytes // SHARES:
+        if unread <= host.budget.reserve_bytes * SLOW_READING_RESERVE_SHARE:
             return
         if not memory.was_paced:
             memory.was_paced = True
@@ -68,7 +70,7 @@
                 held_bytes=host.budget.held_bytes,
                 reserve_bytes=host.budget.reserve_bytes,
             )
-        await asyncio.sleep(PACE_S)
+        await asyncio.sleep(SLOW_READING_PAUSE_S)
 
     def _release_taken(self) -> None:
         """Releases what the caller has taken meanwhile."""
--- a/src/bayhinge/_internal/utils/process_memory.py
+++ b/src/bayhinge/_internal/utils/process_memory.py
@@ -39,6 +39,7 @@
 
 
 def _read_limit(path: Path) -> int | None:
+    """Returns the limit in a file of a control group, or None if there is none."""
     try:
         text = path.read_text(encoding="ascii", errors="replace").strip()
     except OSError:
--- a/src/bayhinge/_internal/utils/stall_tolerant_timeouts.py
+++ b/src/bayhinge/_internal/utils/stall_tolerant_timeouts.py
@@ -88,6 +88,7 @@
         return set(), futures
 
     async def _wait_slice(self, wakeup: "_Wakeup") -> None:
+        """Waits for one slice at most, and counts it as one even if the event loop stalled."""
         loop = asyncio.get_running_loop()
         began_s = loop.time()
         timer = loop.call_later(min(self._slice_s, self.remaining_s), wakeup.wake)
--- a/tests/unit/test_account_shares.py
+++ b/tests/unit/test_account_shares.py
@@ -93,7 +93,7 @@
         shares.record_duration("app", "a", 7.0)
     assert shares.expected_s("engine") == pytest.approx(0.2)
     assert shares.expected_s("app") == pytest.approx(7.0)
-    assert shares.enough_s("app") == pytest.approx(7.0)
+    assert shares.long_duration_s("app") == pytest.approx(7.0)
 
 
 def test_idle_accounts_are_forgotten_and_waiting_ones_are_kept() -> None:
