Load exchange: the tables of other halls in a module of their own

The attributes that others set are described. No change of behaviour; test_place_rounds.py reads a table by the new method find_fresh in place of the private dictionary.

--- a/src/bayhinge/_internal/services/gateway/load_exchange.py
+++ b/src/bayhinge/_internal/services/gateway/load_exchange.py
@@ -12,7 +12,6 @@
 from bayhinge._internal.decisions.endpoint_table import EndpointState, EndpointTable
 from bayhinge._internal.decisions.load_table import (
     LOST_GRANT_S,
-    REPORT_TIMEOUT_S,
     HostLoadReport,
     LoadTable,
 )
@@ -21,6 +20,7 @@
 from bayhinge._internal.network.datagrams import DatagramReceiver
 from bayhinge._internal.network.frames import decode_message, encode_message
 from bayhinge._internal.services.gateway.hall_coordinators import HallCoordinator, HallCoordinators
+from bayhinge._internal.services.gateway.hall_tables import HallTables
 from bayhinge._internal.services.gateway.load_sums import excluding_endpoints
 from bayhinge._internal.services.gateway.speed_tracker import SpeedTracker
 from bayhinge._internal.services.keep_running import keep_running
@@ -35,15 +35,20 @@
 HALL_PERIOD_S = 0.15
 """Interval between the tables that a coordinator sends to the others."""
 
-HALL_TABLE_KEEP_S = 1.0
-"""Age above which another hall's table is ignored."""
-
 REFRESH_PERIOD_S = 0.05
 """Interval after which reports and tables are checked for their age although no new one came."""
 
 
 class LoadExchange(Service):
-    """Sends and receives the loads of endpoints for one host."""
+    """Sends and receives the loads of endpoints for one host.
+
+    Attributes:
+        hall_tables: the loads of other halls' endpoints.
+        last_grant_by_hall: the newest grant of each hall's coordinator that this host has accepted.
+        endpoints_known_to: returns the revision up to which this host knows the endpoints.
+        waiting_by_service: returns how many requests wait at this host, as a coordinator.
+        on_loads: called when loads were received that may have freed a place.
+    """
 
     def __init__(
         self,
@@ -60,10 +65,8 @@
         self._speeds = speeds or SpeedTracker(endpoint_table)
         self._speeds.ratios_from_hosts = self._ratios_from_hosts
         self._speeds.coordinated_hall = lambda: coordinators.coordinated_hall
-        self._tables_by_hall: dict[str, tuple[wire.HallLoads, float]] = {}
+        self.hall_tables = HallTables()
         self._heartbeat_loads: dict[str, Mapping[str, int]] = {}
-        self._remote_grants: dict[str, int] = {}
-        self._last_remote_grant_s: dict[str, float] = {}
         self.last_grant_by_hall: dict[str, int] = {}
         self._changed_halls: set[str] = set()
         self._busy_halls: set[str] = set()
@@ -195,52 +198,25 @@
         """Stops counting a grant whose caller left before it was sent to the host."""
         if grant:
             self._load_table.revoke_grant(host, grant)
-        elif self._remote_grants.get(state.entry.instance):
-            self._remote_grants[state.entry.instance] -= 1
+        else:
+            self.hall_tables.revoke_grant(state.entry.instance)
         self.refresh_endpoint_table()
 
     def record_remote_grant(self, state: EndpointState) -> None:
         """Counts a request for another hall until that hall's next table includes it."""
-        instance = state.entry.instance
-        self._remote_grants[instance] = self._remote_grants.get(instance, 0) + 1
-        self._last_remote_grant_s[instance] = asyncio.get_running_loop().time()
-        if self._fresh_table(state.entry.hall) is not None:
+        self.hall_tables.record_grant(state.entry.instance)
+        if self.hall_tables.find_fresh(state.entry.hall) is not None:
             state.running_at_peers += 1
 
-    def remote_limit(self, state: EndpointState) -> int:
-        """Returns how many requests may be in flight at an endpoint of another hall.
-
-        Up to its slots, and none while that hall reports that its own requests wait. If no table
-        of that hall is fresh, heartbeats tell the load, without the newest grants of this host.
-        """
-        table = self._fresh_table(state.entry.hall)
-        if table is not None:
-            waiting = (table.waiting_by_service or {}).get(state.entry.service, 0)
-            return 0 if waiting else state.entry.slots
-        instance = state.entry.instance
-        since_s = asyncio.get_running_loop().time() - REPORT_TIMEOUT_S
-        if self._last_remote_grant_s.get(instance, since_s) <= since_s:
-            self._remote_grants.pop(instance, None)
-        return state.entry.slots - self._remote_grants.get(instance, 0)
-
-    def _fresh_table(self, hall: str) -> wire.HallLoads | None:
-        table, received_s = self._tables_by_hall.get(hall, (None, 0.0))
-        is_fresh = received_s >= asyncio.get_running_loop().time() - HALL_TABLE_KEEP_S
-        return table if is_fresh else None
-
     def forget_endpoint(self, endpoint: str) -> None:
         """Drops all counts of an endpoint that has restarted."""
         self._is_changed = True
         self._load_table.forget_endpoint(endpoint)
-        self._remote_grants.pop(endpoint, None)
         self._heartbeat_loads = {
             host: excluding_endpoints(running_by_endpoint, {endpoint})
             for host, running_by_endpoint in self._heartbeat_loads.items()
         }
-        for table, _ in self._tables_by_hall.values():
-            table.running_by_endpoint.pop(endpoint, None)
-            if table.relative_duration_by_endpoint is not None:
-                table.relative_duration_by_endpoint.pop(endpoint, None)
+        self.hall_tables.forget_endpoint(endpoint)
         self._speeds.forget_endpoint(endpoint)
 
     def _ratios_from_hosts(self) -> dict[str, float]:
@@ -254,10 +230,9 @@
         ratios = self._load_table.relative_duration_by_endpoint(
             self._speeds.own_ratios(own_hall), self._endpoint_table.running_here()
         )
-        oldest_s = now - HALL_TABLE_KEEP_S
-        for hall, (table, received_s) in self._tables_by_hall.items():
+        for table in self.hall_tables.all_fresh():
             thousandths = table.relative_duration_by_endpoint
-            if hall == own_hall or thousandths is None or received_s < oldest_s:
+            if table.hall == own_hall or thousandths is None:
                 continue
             # The other coordinator omits endpoints of the usual speed.
             ratios |= dict.fromkeys(table.running_by_endpoint, 1.0)
@@ -294,12 +269,10 @@
                     running[instance] = running.get(instance, 0) + count
         failure_reports = self._load_table.failure_reports_by_endpoint()
         fresh_halls = {self._own_heartbeat.hall}
-        for hall, (table, received_s) in self._tables_by_hall.items():
-            if received_s < now - HALL_TABLE_KEEP_S:
-                continue
-            fresh_halls.add(hall)
+        for table in self.hall_tables.all_fresh():
+            fresh_halls.add(table.hall)
             for instance, count in table.running_by_endpoint.items():
-                running[instance] = count + self._remote_grants.get(instance, 0)
+                running[instance] = count + self.hall_tables.granted(instance)
         for state in self._endpoint_table.all():
             instance = state.entry.instance
             if state.entry.hall == self._own_heartbeat.hall:
@@ -307,7 +280,7 @@
                 state.failure_reports = failure_reports.get(instance, 0)
             elif state.entry.hall in fresh_halls:
                 # The other coordinator's total includes this host's own requests.
-                total = running.get(instance, self._remote_grants.get(instance, 0))
+                total = running.get(instance, self.hall_tables.granted(instance))
                 state.running_at_peers = max(0, total - state.running_here)
         self._speeds.refresh()
 
@@ -363,17 +336,6 @@
             self.on_loads()
 
     def _receive_hall_table(self, table: wire.HallLoads) -> None:
-        known, _ = self._tables_by_hall.get(table.hall, (None, 0.0))
-        is_same_incarnation = known is not None and known.incarnation == table.incarnation
-        if known is not None and is_same_incarnation and table.beat <= known.beat:
-            return
         stale = self._endpoint_table.incarnation_revisions.not_known_by(table.endpoints_known_to)
-        table.running_by_endpoint = excluding_endpoints(table.running_by_endpoint, stale)
-        if table.relative_duration_by_endpoint is not None:
-            table.relative_duration_by_endpoint = excluding_endpoints(
-                table.relative_duration_by_endpoint, stale
-            )
-        self._tables_by_hall[table.hall] = table, asyncio.get_running_loop().time()
-        self._is_changed = True
-        for instance in table.running_by_endpoint:
-            self._remote_grants.pop(instance, None)
+        if self.hall_tables.receive(table, stale):
+            self._is_changed = True
--- a/src/bayhinge/_internal/services/gateway/place_views.py
+++ b/src/bayhinge/_internal/services/gateway/place_views.py
@@ -89,7 +89,7 @@
     def _limit(self, state: EndpointState) -> int:
         if state.entry.hall == self._hall:
             return self._limits.limit(state)
-        return self._exchange.remote_limit(state)
+        return self._exchange.hall_tables.limit(state)
 
 
 class LocalShare(PlaceView):
--- a/tests/unit/test_place_rounds.py
+++ b/tests/unit/test_place_rounds.py
@@ -10,7 +10,7 @@
 from bayhinge._internal.decisions.place_queue import PlaceQueue
 from bayhinge._internal.decisions.wait_estimate import Refused, WaitEstimate
 from bayhinge._internal.services.gateway.hall_coordinators import HallCoordinator
-from bayhinge._internal.services.gateway.load_exchange import HALL_TABLE_KEEP_S
+from bayhinge._internal.services.gateway.hall_tables import HALL_TABLE_KEEP_S
 from bayhinge._internal.services.gateway.place_demand import PlaceDemand
 from bayhinge._internal.wire.hosts import ttypes as wire
 from bayhinge.coordination.rendezvous import rank
@@ -255,13 +255,15 @@
         waiting = await wait_when_full(site, north.name)
         await asyncio.sleep(0.3)
         south = site.host_by_name["s0"]
-        assert south.exchange._tables_by_hall["north"][0].waiting_by_service == {"app": 1}
-        assert south.exchange.remote_limit(only_endpoint(south)) == 0
+        table = south.exchange.hall_tables.find_fresh("north")
+        assert table is not None
+        assert table.waiting_by_service == {"app": 1}
+        assert south.exchange.hall_tables.limit(only_endpoint(south)) == 0
         only_endpoint(north).running_here = 0
         north.placer.wake()
         await waiting
         await asyncio.sleep(0.3)
-        assert south.exchange.remote_limit(only_endpoint(south)) == 1
+        assert south.exchange.hall_tables.limit(only_endpoint(south)) == 1
 
     run_on_site(scenario)
 
@@ -273,14 +275,14 @@
         exchange._receive_hall_table(
             wire.HallLoads("north", host.name, 99, 10**6, {}, None, {"app": 1})
         )
-        assert exchange.remote_limit(state) == 0
+        assert exchange.hall_tables.limit(state) == 0
         for name in ("n0", "n1", "n2"):
             site.kill(name)
         await asyncio.sleep(HALL_TABLE_KEEP_S + 0.1)
-        assert exchange.remote_limit(state) == 1
+        assert exchange.hall_tables.limit(state) == 1
         exchange.record_remote_grant(state)
-        assert exchange.remote_limit(state) == 0
+        assert exchange.hall_tables.limit(state) == 0
         await asyncio.sleep(REPORT_TIMEOUT_S + 0.1)
-        assert exchange.remote_limit(state) == 1, "heartbeats tell the load by now"
+        assert exchange.hall_tables.limit(state) == 1, "heartbeats tell the load by now"
 
     run_on_site(scenario)
