Endpoint table: the state of one incarnation in a module of its own

Imports, the edits of the ablation and of the mutants, and the pages that name the module follow; all edits' texts occur exactly once again. No change of behaviour.

--- a/src/bayhinge/_internal/bench/decisions/placing.py
+++ b/src/bayhinge/_internal/bench/decisions/placing.py
@@ -12,8 +12,8 @@
 
 import attrs
 
+from bayhinge._internal.decisions.endpoint_state import EndpointState
 from bayhinge._internal.decisions.endpoint_table import (
-    EndpointState,
     EndpointTable,
     PlacementPreference,
 )
--- a/src/bayhinge/_internal/decisions/endpoint_speeds.py
+++ b/src/bayhinge/_internal/decisions/endpoint_speeds.py
@@ -3,7 +3,7 @@
 The ratio of an endpoint is a moving average of the durations of its answers, each divided by the
 usual duration of its route and by the delay that the requests running there explain. 1 is the
 usual duration, 2 is twice as long. Failed and rejected requests give no sample: they are handled by
-ejection, see :mod:`bayhinge._internal.decisions.endpoint_table`.
+ejection, see :mod:`bayhinge._internal.decisions.endpoint_state`.
 
 What a duration is depends on the answer:
 
--- a/src/bayhinge/_internal/decisions/place_limits.py
+++ b/src/bayhinge/_internal/decisions/place_limits.py
@@ -1,6 +1,6 @@
 """How many requests may be in flight at an endpoint. Pure."""
 
-from bayhinge._internal.decisions.endpoint_table import EndpointState
+from bayhinge._internal.decisions.endpoint_state import EndpointState
 from bayhinge._internal.decisions.estimates import Average
 
 MAX_DELAY_S = 1.0
--- a/src/bayhinge/_internal/services/gateway/active_runs.py
+++ b/src/bayhinge/_internal/services/gateway/active_runs.py
@@ -3,7 +3,7 @@
 import attrs
 
 from bayhinge._internal.decisions.endpoint_incarnations import NewIncarnation, is_stale
-from bayhinge._internal.decisions.endpoint_table import EndpointState
+from bayhinge._internal.decisions.endpoint_state import EndpointState
 from bayhinge._internal.network.endpoint_connections import EndpointConnection
 
 ENDED_REASON = "the endpoint has restarted"
--- a/src/bayhinge/_internal/services/gateway/endpoint_restarts.py
+++ b/src/bayhinge/_internal/services/gateway/endpoint_restarts.py
@@ -11,7 +11,8 @@
 import eliot
 
 from bayhinge._internal.decisions.endpoint_incarnations import NewIncarnation, began_s
-from bayhinge._internal.decisions.endpoint_table import EndpointState, EndpointTable
+from bayhinge._internal.decisions.endpoint_state import EndpointState
+from bayhinge._internal.decisions.endpoint_table import EndpointTable
 from bayhinge._internal.models.endpoint_entries import EndpointEntry
 from bayhinge._internal.network.endpoint_connections import EndpointConnectionPool
 from bayhinge._internal.services.gateway.active_runs import ActiveRuns
--- a/src/bayhinge/_internal/services/gateway/hall_tables.py
+++ b/src/bayhinge/_internal/services/gateway/hall_tables.py
@@ -7,7 +7,7 @@
 import asyncio
 from collections.abc import Collection, Iterator
 
-from bayhinge._internal.decisions.endpoint_table import EndpointState
+from bayhinge._internal.decisions.endpoint_state import EndpointState
 from bayhinge._internal.decisions.load_table import REPORT_TIMEOUT_S
 from bayhinge._internal.services.gateway.load_sums import excluding_endpoints
 from bayhinge._internal.wire.hosts import ttypes as wire
--- a/src/bayhinge/_internal/services/gateway/load_exchange.py
+++ b/src/bayhinge/_internal/services/gateway/load_exchange.py
@@ -9,7 +9,8 @@
 from mode import Service
 
 from bayhinge._internal.decisions.endpoint_speeds import from_thousandths, to_thousandths
-from bayhinge._internal.decisions.endpoint_table import EndpointState, EndpointTable
+from bayhinge._internal.decisions.endpoint_state import EndpointState
+from bayhinge._internal.decisions.endpoint_table import EndpointTable
 from bayhinge._internal.decisions.load_table import (
     LOST_GRANT_S,
     HostLoadReport,
--- a/src/bayhinge/_internal/services/gateway/place_answers.py
+++ b/src/bayhinge/_internal/services/gateway/place_answers.py
@@ -2,8 +2,8 @@
 
 import asyncio
 
+from bayhinge._internal.decisions.endpoint_state import EndpointState
 from bayhinge._internal.decisions.endpoint_table import (
-    EndpointState,
     EndpointTable,
     PlacementPreference,
 )
--- a/src/bayhinge/_internal/services/gateway/place_views.py
+++ b/src/bayhinge/_internal/services/gateway/place_views.py
@@ -5,8 +5,8 @@
 
 import attrs
 
+from bayhinge._internal.decisions.endpoint_state import EndpointState
 from bayhinge._internal.decisions.endpoint_table import (
-    EndpointState,
     EndpointTable,
     FreeChoice,
     PlacementPreference,
--- a/src/bayhinge/_internal/services/gateway/place_waiters.py
+++ b/src/bayhinge/_internal/services/gateway/place_waiters.py
@@ -12,7 +12,8 @@
 
 import attrs
 
-from bayhinge._internal.decisions.endpoint_table import EndpointState, PlacementPreference
+from bayhinge._internal.decisions.endpoint_state import EndpointState
+from bayhinge._internal.decisions.endpoint_table import PlacementPreference
 from bayhinge._internal.decisions.first_predictions import FirstPredictions
 from bayhinge._internal.decisions.place_queue import PlaceQueue, PlaceRequest
 from bayhinge._internal.decisions.returning_callers import ReturningCallers
--- a/src/bayhinge/_internal/services/gateway/placer.py
+++ b/src/bayhinge/_internal/services/gateway/placer.py
@@ -4,8 +4,8 @@
 from abc import ABC, abstractmethod
 from collections.abc import Iterable
 
+from bayhinge._internal.decisions.endpoint_state import EndpointState
 from bayhinge._internal.decisions.endpoint_table import (
-    EndpointState,
     EndpointTable,
     PlacementPreference,
 )
--- a/src/bayhinge/_internal/services/gateway/request_sender.py
+++ b/src/bayhinge/_internal/services/gateway/request_sender.py
@@ -12,7 +12,8 @@
     answer_timeouts_for,
     smoothed_answer_s,
 )
-from bayhinge._internal.decisions.endpoint_table import EndpointState, EndpointTable
+from bayhinge._internal.decisions.endpoint_state import EndpointState
+from bayhinge._internal.decisions.endpoint_table import EndpointTable
 from bayhinge._internal.models.refusals import Refusal, RefusalCode, RefusedError, SendRecord
 from bayhinge._internal.models.routed_requests import AnswerMetadata, RoutedRequest
 from bayhinge._internal.models.routing import Route, RouteKind
--- a/src/bayhinge/_internal/services/gateway/speed_tracker.py
+++ b/src/bayhinge/_internal/services/gateway/speed_tracker.py
@@ -10,7 +10,8 @@
     EndpointSpeeds,
     combined_ratios,
 )
-from bayhinge._internal.decisions.endpoint_table import EndpointState, EndpointTable
+from bayhinge._internal.decisions.endpoint_state import EndpointState
+from bayhinge._internal.decisions.endpoint_table import EndpointTable
 from bayhinge._internal.decisions.speed_changes import SLOW_RATIO, SpeedChange, SpeedChanges
 from bayhinge._internal.models.routing import Route
 from bayhinge._internal.services.gateway.active_runs import ActiveRun
--- a/tests/dense/ablation.py
+++ b/tests/dense/ablation.py
@@ -60,7 +60,7 @@
         Edit(WEIGHTS, "MIN_FAILURE_REPORTS = 2", "MIN_FAILURE_REPORTS = 1000"),
     ),
     "ejection": (
-        Edit("decisions/endpoint_table.py", "FIRST_EJECTION_S = 1.0", "FIRST_EJECTION_S = 0.0"),
+        Edit("decisions/endpoint_state.py", "FIRST_EJECTION_S = 1.0", "FIRST_EJECTION_S = 0.0"),
     ),
     "doubt": (
         Edit("decisions/answer_timeouts.py", "TYPICAL_LATENCIES = 4.0", "TYPICAL_LATENCIES = 1e9"),
--- a/tests/lib/uneven_endpoints.py
+++ b/tests/lib/uneven_endpoints.py
@@ -11,7 +11,8 @@
 
 import attrs
 
-from bayhinge._internal.decisions.endpoint_table import EndpointState, PlacementPreference
+from bayhinge._internal.decisions.endpoint_state import EndpointState
+from bayhinge._internal.decisions.endpoint_table import PlacementPreference
 from tests.lib.uneven_hall import EQUAL, SERVICE, SLOTS, Choice, Day, Hall, Phase, Request
 
 LATE_S = 1.0
--- a/tests/lib/uneven_hall.py
+++ b/tests/lib/uneven_hall.py
@@ -19,10 +19,8 @@
     EndpointSpeeds,
     combined_ratios,
 )
-from bayhinge._internal.decisions.endpoint_table import (
-    EndpointState,
-    EndpointTable,
-)
+from bayhinge._internal.decisions.endpoint_state import EndpointState
+from bayhinge._internal.decisions.endpoint_table import EndpointTable
 from bayhinge._internal.decisions.load_table import HostLoadReport, LoadTable
 from bayhinge._internal.models.endpoint_entries import EndpointEntry
 
--- a/tests/soak/mutants.py
+++ b/tests/soak/mutants.py
@@ -26,6 +26,7 @@
 SOAK_TIMEOUT_S = 120.0
 """Above the 50 to 60 s that a soak with 40 s of faults takes; a mutant may hang its hosts."""
 
+STATE = "decisions/endpoint_state.py"
 TABLE = "decisions/endpoint_table.py"
 QUORUM = "decisions/disk_quorum.py"
 
@@ -88,8 +89,8 @@
         ),
     ),
     "ejection": (
-        Edit(TABLE, "FIRST_EJECTION_S = 1.0", "FIRST_EJECTION_S = 0.0"),
-        Edit(TABLE, "MAX_EJECTION_S = 8.0", "MAX_EJECTION_S = 0.0"),
+        Edit(STATE, "FIRST_EJECTION_S = 1.0", "FIRST_EJECTION_S = 0.0"),
+        Edit(STATE, "MAX_EJECTION_S = 8.0", "MAX_EJECTION_S = 0.0"),
     ),
     "doubt": (Edit("decisions/answer_timeouts.py", "MIN_SILENCE_S = 0.1", "MIN_SILENCE_S = 1e9"),),
     "lapsed entries": (
--- a/tests/unit/test_endpoint_delays.py
+++ b/tests/unit/test_endpoint_delays.py
@@ -6,8 +6,8 @@
 from hypothesis import strategies as st
 
 from bayhinge._internal.decisions import placement_weights as weights
+from bayhinge._internal.decisions.endpoint_state import EndpointState
 from bayhinge._internal.decisions.endpoint_table import (
-    EndpointState,
     EndpointTable,
     PlacementPreference,
 )
--- a/tests/unit/test_endpoint_incarnations.py
+++ b/tests/unit/test_endpoint_incarnations.py
@@ -16,8 +16,8 @@
     belongs_to,
     is_stale,
 )
+from bayhinge._internal.decisions.endpoint_state import EndpointState
 from bayhinge._internal.decisions.endpoint_table import (
-    EndpointState,
     EndpointTable,
     EntryChange,
     PlacementPreference,
--- a/tests/unit/test_endpoint_table.py
+++ b/tests/unit/test_endpoint_table.py
@@ -1,8 +1,7 @@
 """The choice of an endpoint for a request."""
 
+from bayhinge._internal.decisions.endpoint_state import FIRST_EJECTION_S, EndpointState
 from bayhinge._internal.decisions.endpoint_table import (
-    FIRST_EJECTION_S,
-    EndpointState,
     EndpointTable,
     EntryChange,
     PlacementPreference,
--- a/tests/unit/test_endpoint_updates.py
+++ b/tests/unit/test_endpoint_updates.py
@@ -7,7 +7,8 @@
 
 from bayhinge._internal.bench.world.virtual_time import run_virtual
 from bayhinge._internal.decisions.endpoint_incarnations import NewIncarnation
-from bayhinge._internal.decisions.endpoint_table import EndpointState, EndpointTable
+from bayhinge._internal.decisions.endpoint_state import EndpointState
+from bayhinge._internal.decisions.endpoint_table import EndpointTable
 from bayhinge._internal.decisions.incarnation_revisions import IncarnationRevisions
 from bayhinge._internal.models.endpoint_entries import EndpointEntry
 from bayhinge._internal.network.endpoint_connections import EndpointConnectionPool
--- a/tests/unit/test_free_choices.py
+++ b/tests/unit/test_free_choices.py
@@ -2,8 +2,8 @@
 
 import pytest
 
+from bayhinge._internal.decisions.endpoint_state import EndpointState
 from bayhinge._internal.decisions.endpoint_table import (
-    EndpointState,
     EndpointTable,
     FreeChoice,
     PlacementPreference,
--- a/tests/unit/test_place_limits.py
+++ b/tests/unit/test_place_limits.py
@@ -2,7 +2,7 @@
 
 import pytest
 
-from bayhinge._internal.decisions.endpoint_table import EndpointState
+from bayhinge._internal.decisions.endpoint_state import EndpointState
 from bayhinge._internal.decisions.place_limits import MAX_DELAY_S, PlaceLimits
 from bayhinge._internal.models.endpoint_entries import EndpointEntry
 
--- a/tests/unit/test_place_rounds.py
+++ b/tests/unit/test_place_rounds.py
@@ -5,7 +5,8 @@
 
 import pytest
 
-from bayhinge._internal.decisions.endpoint_table import EndpointState, PlacementPreference
+from bayhinge._internal.decisions.endpoint_state import EndpointState
+from bayhinge._internal.decisions.endpoint_table import PlacementPreference
 from bayhinge._internal.decisions.load_table import REPORT_TIMEOUT_S
 from bayhinge._internal.decisions.place_queue import PlaceQueue
 from bayhinge._internal.decisions.wait_estimate import Refused, WaitEstimate
--- a/tests/unit/test_runs_of_every_kind.py
+++ b/tests/unit/test_runs_of_every_kind.py
@@ -9,7 +9,7 @@
 from hypothesis import strategies as st
 
 from bayhinge._internal.decisions.answer_timeouts import AnswerTimeouts
-from bayhinge._internal.decisions.endpoint_table import EndpointState
+from bayhinge._internal.decisions.endpoint_state import EndpointState
 from bayhinge._internal.models.endpoint_entries import EndpointEntry, EndpointIncarnation
 from bayhinge._internal.models.routed_requests import AnswerMetadata, RoutedRequest, TurnContext
 from bayhinge._internal.network.endpoint_answer import Answer, IncompleteAnswerError
--- a/tests/unit/test_speed_exchange.py
+++ b/tests/unit/test_speed_exchange.py
@@ -8,7 +8,8 @@
 import pytest
 
 from bayhinge._internal.bench.world.virtual_time import run_virtual
-from bayhinge._internal.decisions.endpoint_table import EndpointState, EndpointTable
+from bayhinge._internal.decisions.endpoint_state import EndpointState
+from bayhinge._internal.decisions.endpoint_table import EndpointTable
 from bayhinge._internal.decisions.load_table import REPORT_TIMEOUT_S, HostLoadReport, LoadTable
 from bayhinge._internal.models.endpoint_entries import EndpointEntry
 from bayhinge._internal.models.routed_requests import RoutedRequest
