--- a/src/bayhinge/_internal/services/gateway/gateway.py
+++ b/src/bayhinge/_internal/services/gateway/gateway.py
@@ -17,12 +17,6 @@
 from bayhinge._internal.decisions.freshness_proofs import proof_bounds
 from bayhinge._internal.decisions.quota_bucket import QuotaMargin
 from bayhinge._internal.decisions.request_rate import RequestRate
-from bayhinge._internal.decisions.watchers import (
-    HallHost,
-    WatchSlot,
-    wait_until_slot,
-    watchers_of,
-)
 from bayhinge._internal.models.site_settings import SiteSettings
 from bayhinge._internal.network.endpoint_connections import EndpointConnectionPool
 from bayhinge._internal.network.routed_front import RoutedFront
@@ -48,12 +42,13 @@
     ConfigurationState,
     EndpointTableUpdater,
 )
+from bayhinge._internal.services.gateway.store_watching import StoreWatching
 from bayhinge._internal.services.gateway.turn_recorder import TurnRecorder
 from bayhinge._internal.services.gossip import Gossip
 from bayhinge._internal.services.host_registry import HostRegistry
 from bayhinge._internal.services.keep_running import keep_running
 from bayhinge._internal.services.latencies import Latencies
-from bayhinge._internal.services.prefix_follower import FIRST_LIST_DELAY_S, PrefixFollower
+from bayhinge._internal.services.prefix_follower import PrefixFollower
 from bayhinge._internal.utils.prebound_sockets import PreboundSockets
 from bayhinge._internal.utils.process_memory import cgroup_limit_bytes, resident_bytes
 from bayhinge._internal.wire.hosts import ttypes as wire
@@ -95,20 +90,26 @@
         self.endpoints = EndpointTableUpdater(
             platform.objects, self.endpoint_table, self.connection_pool, restarts
         )
+        listener_by_prefix = {
+            platform.configuration_prefix: self.configuration,
+            platform.endpoints_prefix: self.endpoints,
+        }
+        self._watching = StoreWatching(
+            settings, self.gossip, self._wall_clock, len(listener_by_prefix), self._store_fails
+        )
         self.followers_by_prefix = {
             prefix: PrefixFollower(
-                platform.store, prefix, partial(self._watch_timeout_s, index), listener, self.peers
-            )
-            for index, (prefix, listener) in enumerate(
-                (
-                    (platform.configuration_prefix, self.configuration),
-                    (platform.endpoints_prefix, self.endpoints),
-                )
+                platform.store,
+                prefix,
+                partial(self._watching.watch_timeout_s, index),
+                listener,
+                self.peers,
             )
+            for index, (prefix, listener) in enumerate(listener_by_prefix.items())
         }
         for follower in self.followers_by_prefix.values():
-            follower.should_watch = self._is_watcher
-            follower.first_list_delay_s = self._first_list_delay_s()
+            follower.should_watch = self._watching.is_watcher
+            follower.first_list_delay_s = self._watching.first_list_delay_s()
             follower.on_change = self.gossip.send_now
         self.proofs = ConfigurationProofs(
             platform.store,
@@ -130,7 +131,7 @@
             self.peers,
             lambda: self.gossip.recent_heartbeats(wire.HostRole.DISK),
         )
-        self.disks.initial_store_delay_s += self._first_list_delay_s()
+        self.disks.initial_store_delay_s += self._watching.first_list_delay_s()
         self.disk_link = DiskLink(self.disks, self.gossip, self.peers)
         self.turn_recorder = TurnRecorder(self.disks, self.disk_link, settings.tolerated_disks)
         self.coordinators = HallCoordinators(self.gossip, settings.region_by_hall)
@@ -198,7 +199,7 @@
             f"follow {prefix}": follower.run
             for prefix, follower in self.followers_by_prefix.items()
         } | {
-            "announce": lambda: registry.announce(self.gossip, self._is_watcher),
+            "announce": lambda: registry.announce(self.gossip, self._watching.is_watcher),
             "disk set": self.disks.load,
             "reach of disks": self.disks.watch_reachability,
             "sweep": self._sweep,
@@ -275,45 +276,6 @@
 
     # ---- heartbeats ----
 
-    def _is_watcher(self) -> bool:
-        """Whether this host is one of its hall's store watchers."""
-        return self.gossip.own_heartbeat.host in self._watchers()
-
-    def _watchers(self) -> list[str]:
-        """Returns the hosts of this hall that watch the store, computed from heartbeats."""
-        me = self.gossip.own_heartbeat
-        hosts = [
-            HallHost(heartbeat.host, heartbeat.store_fails)
-            for heartbeat in self.gossip.recent_heartbeats(wire.HostRole.ENTRY)
-            if heartbeat.hall == me.hall and heartbeat.phase == wire.HostPhase.READY
-        ]
-        return watchers_of(me.hall, [*hosts, HallHost(me.host, self._store_fails())])
-
-    def _watch_timeout_s(self, prefix_index: int) -> float:
-        """Returns the timeout, in seconds, of a watch of a prefix that starts now."""
-        me = self.gossip.own_heartbeat
-        halls = sorted({me.hall, *self.settings.region_by_hall})
-        watchers = self._watchers()
-        turn = WatchSlot(
-            halls.index(me.hall),
-            len(halls),
-            watchers.index(me.host) if me.host in watchers else 0,
-            prefix_index,
-            len(self.followers_by_prefix),
-            len(watchers),
-        )
-        return wait_until_slot(turn, self._wall_clock.wall_ms() / 1000)
-
-    def _first_list_delay_s(self) -> float:
-        """Returns how long to wait for updates from peers before listing the store."""
-        settings = self.settings
-        # Seeds list the store at once: every other host learns from them.
-        return (
-            random.uniform(*FIRST_LIST_DELAY_S)
-            if settings.is_first_start and settings.ip not in settings.seeds
-            else 0.0
-        )
-
     def _store_fails(self) -> bool:
         return self.proofs.has_failed or any(
             follower.is_failing for follower in self.followers_by_prefix.values()
