Hard load: unread allowance, waiting calls and the play's settings named plainly

PROMPT_UNREAD_BYTES read like a model's prompt and is UNREAD_ALLOWANCE_BYTES now. The private classes of waiting calls and memory counts, and settings of the tests' models, had no description. placement._place_here had 46 lines; building the queue's request is a function of its own. No change of behaviour.

--- a/src/bayhinge/_internal/services/gateway/held_memory.py
+++ b/src/bayhinge/_internal/services/gateway/held_memory.py
@@ -32,9 +32,9 @@
 """Least budget: with less, not even one body of the usual limit could be read."""
 
 REQUEST_BYTES = 32_768
-"""Counted for each request in progress: its head, its objects and ``PROMPT_UNREAD_BYTES``."""
+"""Counted for each request in progress: its head, its objects and ``UNREAD_ALLOWANCE_BYTES``."""
 
-PROMPT_UNREAD_BYTES = 16_384
+UNREAD_ALLOWANCE_BYTES = 16_384
 """Unread bytes of an answer that are counted with its request; it is the write buffer's low-water
 mark, below which a caller counts as reading in time."""
 
@@ -45,7 +45,13 @@
 
 @attrs.define
 class MemoryCounts:
-    """Counts of refused requests, and of answers and bodies that had to wait for memory."""
+    """Counts of requests that the memory budget affected.
+
+    Attributes:
+        refused: requests that were refused for lack of memory.
+        paused: requests whose body or answer had to wait for memory.
+        paced: requests whose answer was read more slowly, as the caller had much of it unread.
+    """
 
     refused: int = 0
     paused: int = 0
@@ -153,6 +159,7 @@
         self._settle()
 
     def _settle(self) -> None:
+        """Ends the waits that the budget grants or refuses now."""
         assert self.budget is not None
         settlement = self.budget.settle()
         for claim in settlement.granted:
--- a/src/bayhinge/_internal/services/gateway/place_waiters.py
+++ b/src/bayhinge/_internal/services/gateway/place_waiters.py
@@ -99,6 +99,8 @@
 
 @attrs.define(eq=False)
 class _Waiter:
+    """A waiting call; ``asked_s`` is its arrival without the age of a refused first try."""
+
     ask: PlaceAsk
     asked_s: float
     outcome: "asyncio.Future[PlaceOutcome]"
@@ -235,7 +237,10 @@
             self._grant_free(service)
 
     def _grant_free(self, service: str) -> None:
-        """Grants the free places of a service to its waiting requests, in their order."""
+        """Grants the free places of a service to its waiting requests, in their order.
+
+        If this host is no longer in charge of the places, all requests are told to ask again.
+        """
         if not self._view.is_in_charge():
             for waiter in list(self._waiter_by_ticket.values()):
                 self._end(waiter, waiter.if_waiting)
--- a/src/bayhinge/_internal/services/gateway/placement.py
+++ b/src/bayhinge/_internal/services/gateway/placement.py
@@ -225,19 +225,8 @@
         )
         waiters = self.hall_waiters if is_coordinator else self.local_waiters
         queue = self._hall_queue if is_coordinator else self._local_queue
-        request = PlaceRequest(
-            waiters.new_ticket(),
-            service,
-            demand.urgency,
-            demand.account,
-            demand.begins_program,
-            demand.arrived_s,
-            demand.deadline_s,
-            demand.objective_s,
-            demand.program_deadline_s,
-        )
         ask = PlaceAsk(
-            request,
+            _request_of(service, demand, waiters.new_ticket()),
             preference,
             frozenset(excluded),
             OwnRequester(),
@@ -293,5 +282,20 @@
             self._probe = asyncio.get_running_loop().create_task(self._client.probe(coordinator))
 
 
+def _request_of(service: str, demand: PlaceDemand, ticket: int) -> PlaceRequest:
+    """Returns one of this host's own requests as a queue orders it."""
+    return PlaceRequest(
+        ticket,
+        service,
+        demand.urgency,
+        demand.account,
+        demand.begins_program,
+        demand.arrived_s,
+        demand.deadline_s,
+        demand.objective_s,
+        demand.program_deadline_s,
+    )
+
+
 def _now() -> float:
     return asyncio.get_running_loop().time()
--- a/src/bayhinge/_internal/services/gateway/unread_answer.py
+++ b/src/bayhinge/_internal/services/gateway/unread_answer.py
@@ -10,7 +10,7 @@
 
 from bayhinge._internal.decisions.memory_budget import MemoryHolder
 from bayhinge._internal.network.routed_front import Exchange
-from bayhinge._internal.services.gateway.held_memory import PROMPT_UNREAD_BYTES, RequestMemory
+from bayhinge._internal.services.gateway.held_memory import UNREAD_ALLOWANCE_BYTES, RequestMemory
 
 SLOW_READING_RESERVE_SHARE = 1 / 4
 """An answer whose unread bytes exceed this share of the reserve is read more slowly."""
@@ -41,7 +41,7 @@
         if self._memory.is_bounded:
             unread = self._exchange.unread_bytes
             # A piece larger than the threshold is no sign of a slow caller by itself.
-            if unread > PROMPT_UNREAD_BYTES:
+            if unread > UNREAD_ALLOWANCE_BYTES:
                 await self._hold(unread + len(piece))
         await self._exchange.write(piece)
 
--- a/tests/functional/test_host_memory.py
+++ b/tests/functional/test_host_memory.py
@@ -24,8 +24,13 @@
 pytestmark = pytest.mark.functional
 
 MB = 2**20
+
 CUT_UNREAD_S = 2.0
+"""Time after which an engine cuts off a stream that is not read."""
+
 PATIENCE_S = 30.0
+"""How long callers wait, so that no request is refused for its time."""
+
 LOOPS = {"uvloop": loop_factory(), "asyncio": None}
 Scenario = Callable[[PlatformSite], Awaitable[Any]]
 
--- a/tests/lib/place_play.py
+++ b/tests/lib/place_play.py
@@ -19,6 +19,7 @@
 
 SERVICE = "engine"
 MAX_TRIES = 3
+"""How often a caller sends a request at most, with its retries after refusals."""
 
 
 @attrs.frozen
@@ -28,7 +29,9 @@
     Attributes:
         shares: share of the requests by urgency.
         storm: factor of the load of account 0.
+        begun: share of the requests of begun programs.
         patience_s: bounds of the time until a caller gives up.
+        until_s: when the arrivals end.
     """
 
     load: float
