--- a/tests/lib/place_ways.py
+++ b/tests/lib/place_ways.py
@@ -61,14 +61,15 @@
 QUEUE_BY_ORDER: dict[str, Callable[[], PlaceQueue]] = {
     "first come, first served": lambda: SortedQueue(lambda request: request.arrived_s),
     "earliest deadline first": lambda: SortedQueue(lambda request: request.due_s),
-    "the page's": PlaceQueue,
+    "fair shares": PlaceQueue,
 }
 USUAL_ERRORS_BY_REFUSAL: dict[str, float | None] = {
     "none": None,
     "without the error": 0.0,
     "with the error": USUAL_ERRORS,
 }
-PAGE, WITH_ERROR = "the page's", "with the error"
+FAIR_SHARES, WITH_ERROR = "fair shares", "with the error"
+"""The order and the refusal of the product, among those that are compared."""
 
 
 @cache
@@ -137,7 +138,7 @@
                 cells = [_cell(list(column)) for column in zip(*rows, strict=True)]
                 yield f"| {order} | {refusal} | {' | '.join(cells)} |"
         yield ""
-        for order in ("first come, first served", PAGE):
+        for order in ("first come, first served", FAIR_SHARES):
             for load in (0.95, 1.1, 1.3):
                 pairs = pool.map(others_in_a_storm, [(load, order, seed) for seed in SEEDS])
                 before, storm = (list(column) for column in zip(*pairs, strict=True))
--- a/tests/unit/test_place_play.py
+++ b/tests/unit/test_place_play.py
@@ -9,8 +9,8 @@
 from bayhinge._internal.decisions.place_queue import PlaceQueue
 from tests.lib.place_play import Arrival, Load, Play
 from tests.lib.place_ways import (
+    FAIR_SHARES,
     MIXED,
-    PAGE,
     WITH_ERROR,
     needless_refusals,
     of_urgency,
@@ -36,7 +36,7 @@
 @pytest.mark.parametrize("refusal", REFUSALS)
 @pytest.mark.parametrize("load", [MIXED, FEW_LESS_URGENT])
 def test_a_less_urgent_class_is_never_served_better(load: Load, refusal: str, seed: int) -> None:
-    arrivals = play(load, PAGE, refusal, seed)
+    arrivals = play(load, FAIR_SHARES, refusal, seed)
     classes = [of_urgency(arrivals, urgency) for urgency, _ in load.shares]
     in_time = [share_in_time(one) for one in classes]
     waits_s = [_mean_wait_s(one) for one in classes]
@@ -81,7 +81,7 @@
 def test_a_storm_of_one_account_costs_the_others_less_than_5_percent(
     load: float, seed: int
 ) -> None:
-    before, storm = others_in_a_storm((load, PAGE, seed))
+    before, storm = others_in_a_storm((load, FAIR_SHARES, seed))
     assert storm >= 0.95 * before
 
 
@@ -93,7 +93,7 @@
 
 @pytest.mark.parametrize("seed", SEEDS)
 def test_the_storming_account_still_gets_its_share(seed: int) -> None:
-    arrivals = play(Load(1.3, storm=7.5), PAGE, WITH_ERROR, seed)
+    arrivals = play(Load(1.3, storm=7.5), FAIR_SHARES, WITH_ERROR, seed)
     service_s = [0.0] * 87
     for one in arrivals:
         if one.granted_s is not None:
@@ -103,25 +103,25 @@
 
 @pytest.mark.parametrize("seed", SEEDS)
 def test_few_requests_are_refused_needlessly(seed: int) -> None:
-    assert needless_refusals(MIXED, PAGE, WITH_ERROR, seed) <= 0.01
+    assert needless_refusals(MIXED, FAIR_SHARES, WITH_ERROR, seed) <= 0.01
 
 
 @pytest.mark.parametrize("seed", SEEDS)
 def test_nothing_is_refused_below_capacity(seed: int) -> None:
-    assert not any(one.is_refused for one in play(Load(0.8), PAGE, WITH_ERROR, seed))
+    assert not any(one.is_refused for one in play(Load(0.8), FAIR_SHARES, WITH_ERROR, seed))
 
 
 @pytest.mark.parametrize("load", [MIXED, Load(1.3)])
 def test_refusing_serves_more_in_time_than_not_refusing(load: Load) -> None:
     with_refusal, without = (
-        mean(share_in_time(play(load, PAGE, refusal, seed)) for seed in SEEDS)
+        mean(share_in_time(play(load, FAIR_SHARES, refusal, seed)) for seed in SEEDS)
         for refusal in (WITH_ERROR, "none")
     )
     assert with_refusal > without
 
 
 def _returned(seed: int) -> list[Arrival]:
-    return [one for one in play(MIXED, PAGE, WITH_ERROR, seed) if one.tries > 1]
+    return [one for one in play(MIXED, FAIR_SHARES, WITH_ERROR, seed) if one.tries > 1]
 
 
 @pytest.mark.parametrize("seed", SEEDS)
@@ -134,5 +134,5 @@
 def test_the_play_notices_callers_that_are_not_remembered(monkeypatch: pytest.MonkeyPatch) -> None:
     monkeypatch.setattr(returning_callers, "MAX_RETURN_S", 0.0)
     load = Load(1.3, shares=MIXED.shares, until_s=30.0)
-    returned = [one for one in play(load, PAGE, WITH_ERROR, 1) if one.tries > 1]
+    returned = [one for one in play(load, FAIR_SHARES, WITH_ERROR, 1) if one.tries > 1]
     assert any(one.wait_began_s > one.request.arrived_s for one in returned)
