--- a/src/bayhinge/_internal/decisions/endpoint_speeds.py
+++ b/src/bayhinge/_internal/decisions/endpoint_speeds.py
@@ -3,7 +3,7 @@
 The ratio of an endpoint is a moving average of the durations of its answers, each divided by the
 usual duration of its route and by the delay that the requests running there explain. 1 is the
 usual duration, 2 is twice as long. Failed and rejected requests give no sample: they are handled by
-ejection, see :mod:`bayhinge._internal.decisions.endpoint_table`.
+ejection, see :mod:`bayhinge._internal.decisions.endpoint_state`.
 
 What a duration is depends on the answer:
 
@@ -32,8 +32,8 @@
 
 MIN_SAMPLE_KEEP = 0.5
 """Least factor by which a new sample reduces the weight of the earlier ones. Where one host rarely
-sends to an endpoint, an average covers about two samples, and the coordinator averages over hosts.
-With 0.75, 26 hosts gave a recovered endpoint less of its share back in the first ten seconds."""
+sends to an endpoint, an average covers about two samples, and the coordinator averages over hosts;
+with a longer memory, a recovered endpoint gets its share of the work back later."""
 
 PRIOR_SAMPLES = 0.5
 """Weight of the starting ratio, in samples. More would hide a real difference on hosts that have
@@ -61,7 +61,7 @@
 
 SHARING_COST = 0.2
 """Share by which the events of an engine take longer when all its slots are in use than when one
-is, from the engine of ``bayhinge_standins`` (steps of 4.63 ms and 0.153 ms more a sequence)."""
+is, as in the engine of ``bayhinge_standins``."""
 
 MIN_TIMED_EVENTS = 4
 """Events after the first one that a stream needs to give a sample. With fewer, the time per event
@@ -109,6 +109,8 @@
 
     Attributes:
         weight: the number of samples that the average represents.
+        newest_s: when the newest sample was added.
+        samples: the number of all samples.
     """
 
     value: float = 1.0
@@ -139,6 +141,14 @@
 
 @attrs.define
 class _EndpointSpeed:
+    """The measured speed of one incarnation of an endpoint.
+
+    Attributes:
+        start: the ratio that it counts as having before the first sample.
+        measured: the moving average of the ratios of its answers.
+        reported_until_s: until when its ratio is reported even if it is near 1.
+    """
+
     service: str
     start: float
     measured: _Average = attrs.field(factory=_Average)
@@ -189,6 +199,7 @@
         usual.add(duration_s, now_s)
 
     def _add_ratio(self, sample: DurationSample, ratio: float, now_s: float) -> None:
+        """Adds a ratio to an endpoint, which starts at the median of its service."""
         speed = self._speed_by_endpoint.get(sample.endpoint)
         if speed is None:
             start = self.service_median(sample.service, now_s)
@@ -276,7 +287,7 @@
 
 
 def bounded(ratio: float) -> float:
-    """Returns a ratio within its bounds."""
+    """Returns a ratio, limited to ``MIN_RATIO`` to ``MAX_RATIO``."""
     return min(MAX_RATIO, max(MIN_RATIO, ratio))
 
 
--- a/src/bayhinge/_internal/decisions/wait_estimate.py
+++ b/src/bayhinge/_internal/decisions/wait_estimate.py
@@ -31,16 +31,16 @@
 time."""
 
 USUAL_ERRORS = 1.0
-"""Multiple of the mean overestimation that is taken off a prediction. In plays at 1.3 times the
-capacity, 2 refused 0.003 of the requests needlessly and 0 refused 0.004; they answered 0.755 and
-0.762 in time."""
+"""Multiple of the mean overestimation that is taken off a prediction. A larger one refuses fewer
+requests needlessly, and admits more that end too late."""
 
 ARRIVALS_S = 5.0
 """Time for which arrivals are kept to predict how many will join before a waiting request: long
 enough for some tens of them, short enough to notice the end of a burst before callers give up."""
 
 MAX_ARRIVALS = 2000
-"""Arrivals that are kept, the newest ones; four times those of the largest known hall."""
+"""Arrivals of a service that are kept, the newest ones; bounds memory and the work of a
+prediction."""
 
 STEPS = 8
 """Steps in which a request's way to the front is followed."""
@@ -50,7 +50,7 @@
 join near a position are as often behind a request that has moved on since."""
 
 NEW_REQUEST_S = 0.1
-"""Age up to which a request counts as newly arrived; waiting ones are asked for every 0.2 s."""
+"""Age up to which a request counts as newly arrived. A waiting one calls again every 0.2 s."""
 
 MIN_RETRY_AFTER_S = 0.1
 MAX_RETRY_AFTER_S = 4.0
@@ -137,6 +137,7 @@
         return Refused(self._retry_after_s(wait_s, request.deadline_s - now_s), wait_s)
 
     def _retry_after_s(self, wait_s: float, time_left_s: float) -> float:
+        """Returns the pause to advise, drawn so that callers don't return together."""
         pause_s = min(wait_s, MAX_RETRY_SHARE * time_left_s, MAX_RETRY_AFTER_S)
         return max(MIN_RETRY_AFTER_S, pause_s * self._spread.uniform(MIN_SPREAD, 1.0))
 
@@ -159,7 +160,10 @@
 
 @attrs.frozen
 class _Grant:
-    """A grant, and the place-seconds since the one before in which requests waited."""
+    """A grant, and the place-seconds in which requests waited since the one before.
+
+    Place-seconds are the seconds multiplied by the number of places of the service.
+    """
 
     at_s: float
     place_s: float
@@ -183,14 +187,18 @@
 
 
 class _Overtaking:
-    """Where recent arrivals joined the queue: requests behind that position were overtaken."""
+    """Predicts how many later arrivals get a place before a waiting request.
+
+    Kept are the positions at which recent arrivals joined the queue. An arrival overtakes the
+    requests behind its position.
+    """
 
     def __init__(self) -> None:
         self._arrivals: deque[_Arrival] = deque()
         self._sorted_ahead_by_urgency: dict[int, list[int]] = {}
 
     def record_arrival(self, request: PlaceRequest, ahead: int, now_s: float) -> None:
-        """Counts a request that may wait. One that waits already is asked for again later."""
+        """Counts a new request that may wait, but not the repeated calls of a waiting one."""
         if now_s - request.arrived_s > NEW_REQUEST_S:
             return
         self._forget_old(now_s)
--- a/src/bayhinge/_internal/services/gateway/place_views.py
+++ b/src/bayhinge/_internal/services/gateway/place_views.py
@@ -5,8 +5,8 @@
 
 import attrs
 
+from bayhinge._internal.decisions.endpoint_state import EndpointState
 from bayhinge._internal.decisions.endpoint_table import (
-    EndpointState,
     EndpointTable,
     FreeChoice,
     PlacementPreference,
@@ -26,13 +26,13 @@
 
     @abstractmethod
     def refresh(self) -> None:
-        """Applies what was heard since about the load."""
+        """Applies the load reports that were received since."""
 
     @abstractmethod
     def choose(
         self, service: str, preference: PlacementPreference, excluded: frozenset[str]
     ) -> FreeChoice:
-        """Returns the best endpoint with a free place."""
+        """Returns the best endpoint with a free place, none of ``excluded``."""
 
     @abstractmethod
     def has_free(self, service: str) -> bool:
@@ -89,7 +89,7 @@
     def _limit(self, state: EndpointState) -> int:
         if state.entry.hall == self._hall:
             return self._limits.limit(state)
-        return self._exchange.remote_limit(state)
+        return self._exchange.hall_tables.limit(state)
 
 
 class LocalShare(PlaceView):
@@ -101,7 +101,7 @@
         self._limit_by_service: dict[str, int] = {}
 
     def forget_views(self) -> None:
-        """Notes that newer heartbeats of the other hosts were applied."""
+        """Drops the computed shares, because newer heartbeats of the other hosts were applied."""
         self._limit_by_service.clear()
 
     def refresh(self) -> None:
--- a/src/bayhinge/_internal/services/gateway/speed_tracker.py
+++ b/src/bayhinge/_internal/services/gateway/speed_tracker.py
@@ -10,7 +10,8 @@
     EndpointSpeeds,
     combined_ratios,
 )
-from bayhinge._internal.decisions.endpoint_table import EndpointState, EndpointTable
+from bayhinge._internal.decisions.endpoint_state import EndpointState
+from bayhinge._internal.decisions.endpoint_table import EndpointTable
 from bayhinge._internal.decisions.speed_changes import SLOW_RATIO, SpeedChange, SpeedChanges
 from bayhinge._internal.models.routing import Route
 from bayhinge._internal.services.gateway.active_runs import ActiveRun
@@ -18,8 +19,7 @@
 
 REFRESH_PERIOD_S = 0.2
 """Shortest time between two refreshes of the endpoint table. A ratio changes over seconds, while a
-coordinator places hundreds of requests a second. With 117 hosts that report 20 ratios each, a
-refresh takes about 1 ms."""
+coordinator places hundreds of requests a second and combines the ratios of all hosts."""
 
 REPORT_PERIOD_S = 0.5
 """Shortest time between two reports that carry ratios. Reports without them are sent several times
@@ -29,7 +29,12 @@
 
 
 class SpeedTracker:
-    """The speeds of endpoints, as measured by this host and reported by others."""
+    """The speeds of endpoints, as measured by this host and reported by others.
+
+    Attributes:
+        ratios_from_hosts: returns the relative durations that other hosts have reported.
+        coordinated_hall: returns the hall that this host coordinates, or "".
+    """
 
     def __init__(self, endpoint_table: EndpointTable) -> None:
         self._endpoint_table = endpoint_table
@@ -48,7 +53,7 @@
         run.running_when_sent = run.state.running_here + run.state.running_at_peers
 
     def record_answer(self, run: ActiveRun, route: Route, delivery: Delivery) -> None:
-        """Records the duration of a complete answer; others tell nothing about the speed."""
+        """Records the duration of a complete answer; ignores answers of any other kind."""
         duration_s = _duration_s(run, delivery)
         if (
             duration_s is None
@@ -138,6 +143,7 @@
 
 
 def _duration_s(run: ActiveRun, delivery: Delivery) -> float | None:
+    """Returns the duration of an answer, see :mod:`endpoint_speeds`, or None if it has none."""
     if delivery.pace is not None:
         return delivery.pace.per_event_s
     if delivery.read_s is None or run.sent_s is None:
