Let the loads in heartbeats expire like load reports

Cause: a coordinator counts the running requests in a host's newest heartbeat as long as it has no report of that host. Reports expire after 2 s, but a silent host stays among the recent heartbeats for three cycles: 7 s in its own hall and 32 s in others, in a site of 79 hosts. A host that was killed with requests in flight, or that became idle after a heartbeat with some, therefore kept places in use for that long, while requests waited for them.

Change: the loads of a heartbeat count for REPORT_TIMEOUT_S after it was first seen. They move to HeartbeatLoads in load_sums.py.

--- a/src/bayhinge/_internal/services/gateway/load_exchange.py
+++ b/src/bayhinge/_internal/services/gateway/load_exchange.py
@@ -21,7 +21,7 @@
 from bayhinge._internal.network.datagrams import DatagramReceiver
 from bayhinge._internal.network.frames import decode_message, encode_message
 from bayhinge._internal.services.gateway.hall_coordinators import HallCoordinator, HallCoordinators
-from bayhinge._internal.services.gateway.load_sums import excluding_endpoints
+from bayhinge._internal.services.gateway.load_sums import HeartbeatLoads, excluding_endpoints
 from bayhinge._internal.services.gateway.speed_tracker import SpeedTracker
 from bayhinge._internal.services.keep_running import keep_running
 from bayhinge._internal.wire.hosts import ttypes as wire
@@ -61,7 +61,7 @@
         self._speeds.ratios_from_hosts = self._ratios_from_hosts
         self._speeds.coordinated_hall = lambda: coordinators.coordinated_hall
         self._tables_by_hall: dict[str, tuple[wire.HallLoads, float]] = {}
-        self._heartbeat_loads: dict[str, Mapping[str, int]] = {}
+        self._heartbeat_loads = HeartbeatLoads()
         self._remote_grants: dict[str, int] = {}
         self._last_remote_grant_s: dict[str, float] = {}
         self.last_grant_by_hall: dict[str, int] = {}
@@ -233,10 +233,7 @@
         self._is_changed = True
         self._load_table.forget_endpoint(endpoint)
         self._remote_grants.pop(endpoint, None)
-        self._heartbeat_loads = {
-            host: excluding_endpoints(running_by_endpoint, {endpoint})
-            for host, running_by_endpoint in self._heartbeat_loads.items()
-        }
+        self._heartbeat_loads.forget_endpoint(endpoint)
         for table, _ in self._tables_by_hall.values():
             table.running_by_endpoint.pop(endpoint, None)
             if table.relative_duration_by_endpoint is not None:
@@ -267,13 +264,7 @@
     def handle_heartbeats(self, heartbeats: Iterable[wire.Hello]) -> None:
         """Keeps the loads of the heartbeats, for hosts that report to another coordinator."""
         revisions = self._endpoint_table.incarnation_revisions
-        self._heartbeat_loads = {
-            heartbeat.host: excluding_endpoints(
-                heartbeat.running_by_endpoint, revisions.not_known_by(heartbeat.endpoints_known_to)
-            )
-            for heartbeat in heartbeats
-            if heartbeat.running_by_endpoint
-        }
+        self._heartbeat_loads.apply(heartbeats, revisions, asyncio.get_running_loop().time())
 
     def refresh_if_changed(self) -> None:
         """Refreshes the endpoint table if a report came since, or some may have expired."""
@@ -287,7 +278,7 @@
         self._is_changed = False
         self._load_table.forget_silent(now)
         running = dict(self._load_table.running_by_endpoint())
-        for host, running_by_endpoint in self._heartbeat_loads.items():
+        for host, running_by_endpoint in self._heartbeat_loads.recent(now):
             # A host that has not reported to this coordinator yet, or takes another one for it.
             if not self._load_table.has_report(host):
                 for instance, count in running_by_endpoint.items():
--- /dev/null
+++ b/tests/unit/test_place_counts.py
@@ -0,0 +1,42 @@
+"""Guards against counts of requests that have ended, which keep places from being granted."""
+
+import asyncio
+import copy
+from collections.abc import Awaitable, Callable
+
+from bayhinge._internal.decisions.load_table import REPORT_TIMEOUT_S
+from tests.lib.place_hosts import HEARTBEAT_S, FakeEndpoint, PlaceSite, run_virtual
+
+
+def run_on_site(scenario: Callable[[PlaceSite], Awaitable[None]]) -> None:
+    site = PlaceSite(
+        [("n0", "north"), ("n1", "north"), ("n2", "north"), ("s0", "south")],
+        {"e0": ("north", FakeEndpoint(1, 8))},
+    )
+
+    async def main() -> None:
+        await site.start()
+        await scenario(site)
+
+    run_virtual(main())
+
+
+def test_the_heartbeat_of_a_killed_host_does_not_block_places_longer_than_its_reports() -> None:
+    """Guards against the last heartbeat of a killed host that is counted once its report expired.
+
+    In a site of 79 hosts, a host of another hall stays among the recent heartbeats for 32 s.
+    """
+
+    async def scenario(site: PlaceSite) -> None:
+        coordinator = site.host_by_name[site.coordinator()]
+        heartbeat = copy.copy(site.host_by_name["s0"].gossip.own_heartbeat)
+        heartbeat.running_by_endpoint = {"e0": 2}
+        site.kill("s0")
+        # As in a large site, where hosts of other halls count as silent only much later.
+        coordinator.gossip.received_by_host["s0"] = heartbeat, 1000.0
+        await asyncio.sleep(HEARTBEAT_S + 0.01)
+        assert site.in_flight(coordinator.name) == 2, "not reported yet, but heard of"
+        await asyncio.sleep(REPORT_TIMEOUT_S + HEARTBEAT_S)
+        assert site.in_flight(coordinator.name) == 0
+
+    run_on_site(scenario)
