Don't resume a stream for whose events the host had no memory

Cause: a piece's events count as forwarded before there is room for the piece. If the budget is too small for the request and its answer, the wait for room ends with IncompleteAnswerError; the sender then repeats the request after the last event, which the caller never got, and the answer ends as complete with a gap. It also ejects a healthy endpoint for each try.

Change: such an answer ends with AnswerBeyondMemoryError, after which the request is not repeated and no endpoint counts as failed. Headers that were sent make the connection abort, as before.

--- a/src/bayhinge/_internal/network/endpoint_answer.py
+++ b/src/bayhinge/_internal/network/endpoint_answer.py
@@ -28,6 +28,10 @@
     """The answer is incomplete because the endpoint sent nothing for too long."""
 
 
+class AnswerBeyondMemoryError(IncompleteAnswerError):
+    """This host has no memory for the answer; another run would not fit either."""
+
+
 class EndpointUnreachableError(Exception):
     """No connection to the endpoint could be made, so nothing was sent."""
 
--- a/src/bayhinge/_internal/services/gateway/held_memory.py
+++ b/src/bayhinge/_internal/services/gateway/held_memory.py
@@ -18,7 +18,7 @@
     MemoryHolder,
 )
 from bayhinge._internal.models.refusals import Figure, RefusalCode, RefusedError, not_run_refusal
-from bayhinge._internal.network.endpoint_answer import Answer, IncompleteAnswerError
+from bayhinge._internal.network.endpoint_answer import Answer, AnswerBeyondMemoryError
 from bayhinge._internal.network.memory_room import UNBOUNDED_ROOM, MemoryRoom
 
 SAFETY_SHARE = 0.5
@@ -114,7 +114,7 @@
 
         Raises:
             RefusedError: waiting for them would block other requests.
-            IncompleteAnswerError: the request and its answer are larger than the whole budget.
+            AnswerBeyondMemoryError: the request and its answer are larger than the whole budget.
         """
         budget, claim = self.budget, memory.claim
         assert budget is not None
@@ -122,7 +122,7 @@
             return
         own = sum(claim.bytes_by_holder.values())
         if holder in ANSWER_HOLDERS and own + size > budget.limit_bytes:
-            raise IncompleteAnswerError(
+            raise AnswerBeyondMemoryError(
                 f"the request and its answer need {own + size} bytes, "
                 f"and the host's memory budget is {budget.limit_bytes}"
             )
--- a/src/bayhinge/_internal/services/gateway/request_sender.py
+++ b/src/bayhinge/_internal/services/gateway/request_sender.py
@@ -18,6 +18,7 @@
 from bayhinge._internal.models.routing import Route, RouteKind
 from bayhinge._internal.network.endpoint_answer import (
     Answer,
+    AnswerBeyondMemoryError,
     EndpointUnreachableError,
     IncompleteAnswerError,
     SilentEndpointError,
@@ -126,6 +127,11 @@
                 send_record.retract_send()
                 send_state.rejected += 1
                 self._log("send.not_taken", run, send_state, str(error))
+            except AnswerBeyondMemoryError as error:
+                # Its events may count as forwarded without being sent, so it can't be resumed.
+                raise RefusedError(
+                    send_record.refusal(RefusalCode.OUTCOME_UNKNOWN, error.why)
+                ) from error
             except IncompleteAnswerError as error:
                 send_state.ran += 1
                 self.counts.cut_in_event += error.cut_bytes > 0
