Ask the own hall's coordinator about endpoints of a hall without hosts

Cause: a request is placed by the coordinator of the hall of the endpoint that has its history. If no ready host of that hall is known, the host placed the request within its local share, usually one request at a time, although its own hall's coordinator had free places there and here.

Change: without a coordinator of the preferred hall, the request asks the coordinator of the own hall, which also places at other halls.

--- a/src/bayhinge/_internal/services/gateway/placement.py
+++ b/src/bayhinge/_internal/services/gateway/placement.py
@@ -182,7 +182,10 @@
     ) -> PlaceOutcome:
         """Asks the coordinator, its successors if it fails, and at last this host itself."""
         preferred = self._endpoint_table.find_incarnation(preference.incarnation)
-        hall = self._hall if preferred is None else preferred.entry.hall
+        hall = self._hall
+        # A hall without hosts has endpoints; the own hall's coordinator may place there as well.
+        if preferred is not None and self._coordinators.coordinator_of(preferred.entry.hall):
+            hall = preferred.entry.hall
         if max_wait_s is None:
             max_wait_s = self._first_wait_s(service, demand)
         for _ in range(MAX_FAILED_CALLS):
--- a/tests/unit/test_place_counts.py
+++ b/tests/unit/test_place_counts.py
@@ -4,8 +4,18 @@
 import copy
 from collections.abc import Awaitable, Callable
 
+from bayhinge._internal.decisions.endpoint_table import PlacementPreference
 from bayhinge._internal.decisions.load_table import REPORT_TIMEOUT_S
-from tests.lib.place_hosts import HEARTBEAT_S, FakeEndpoint, PlaceSite, run_virtual
+from bayhinge._internal.models.endpoint_entries import EndpointIncarnation
+from bayhinge._internal.services.gateway.place_demand import PlaceDemand
+from tests.lib.place_hosts import (
+    HEARTBEAT_S,
+    SERVICE,
+    SILENCE_S,
+    FakeEndpoint,
+    PlaceSite,
+    run_virtual,
+)
 
 
 def run_on_site(scenario: Callable[[PlaceSite], Awaitable[None]]) -> None:
@@ -40,3 +50,29 @@
         assert site.in_flight(coordinator.name) == 0
 
     run_on_site(scenario)
+
+
+def test_a_request_that_prefers_a_hall_without_hosts_asks_the_coordinator_of_its_own() -> None:
+    """Guards against turns that wait for the share of one host while the hall has free places."""
+    site = PlaceSite(
+        [("n0", "north"), ("n1", "north"), ("n2", "north"), ("s0", "south")],
+        {"e0": ("north", FakeEndpoint(4)), "e1": ("south", FakeEndpoint(1))},
+    )
+
+    async def main() -> None:
+        await site.start()
+        site.kill("s0")
+        await asyncio.sleep(SILENCE_S + 2 * HEARTBEAT_S)
+        host = site.host_by_name[site.others(site.coordinator())[0]]
+        assert host.coordinators.coordinator_of("south") is None
+        preference = PlacementPreference(EndpointIncarnation("e1"))
+        now = asyncio.get_running_loop().time()
+        for number in range(4):
+            demand = PlaceDemand(f"a{number}", 5, "", False, now, now + 5, now + 5)
+            state = await host.placer.place(SERVICE, preference, [], demand)
+            assert state is not None
+            state.running_here += 1
+        assert (host.placer.counts.local, host.placer.counts.by_coordinator) == (0, 4)
+        assert asyncio.get_running_loop().time() - now < 0.1
+
+    run_virtual(main())
