Refuse nothing ahead of time on a host without a coordinator

Cause: the estimate of a host that places alone learns its pace from grants after waits. After MIN_GRANTS of them it refused requests, although the pace is that of one host's share and the next coordinator may be a moment away. The comment at the local waiters says that nothing is refused there.

Change: WaitEstimate takes refuses=False, with which it only predicts waits.

--- a/src/bayhinge/_internal/decisions/wait_estimate.py
+++ b/src/bayhinge/_internal/decisions/wait_estimate.py
@@ -90,11 +90,16 @@
     Args:
         spread: spreads the advised pauses.
         usual_errors: multiple of the mean overestimation that is taken off a prediction.
+        refuses: whether requests are refused; otherwise waits are only predicted.
     """
 
     def __init__(
-        self, spread: random.Random | None = None, usual_errors: float = USUAL_ERRORS
+        self,
+        spread: random.Random | None = None,
+        usual_errors: float = USUAL_ERRORS,
+        refuses: bool = True,
     ) -> None:
+        self._refuses = refuses
         self._spread = spread or random.Random()
         self._usual_errors = usual_errors
         self._releases_by_service: dict[str, _Releases] = {}
@@ -126,7 +131,7 @@
         begins_s = now_s + wait_s * (1.0 - usual_error)
         # The next place to become free is not refused to the request that gets it.
         ends_s = begins_s + (releases.duration_s if ahead else 0.0)
-        if ends_s <= _latest_end_s(request):
+        if not self._refuses or ends_s <= _latest_end_s(request):
             releases.overtaking.record_arrival(request, ahead, now_s)
             return Admitted(wait_s)
         return Refused(self._retry_after_s(wait_s, request.deadline_s - now_s), wait_s)
--- a/src/bayhinge/_internal/services/gateway/placement.py
+++ b/src/bayhinge/_internal/services/gateway/placement.py
@@ -97,7 +97,7 @@
         )
         # A host alone refuses nothing ahead of time: the next coordinator may be a moment away.
         self.local_waiters = PlaceWaiters(
-            self._share, self._local_queue, WaitEstimate(), ReturningCallers()
+            self._share, self._local_queue, WaitEstimate(refuses=False), ReturningCallers()
         )
         self._answers = PlaceAnswers(
             endpoint_table, coordinators, exchange, self.hall_waiters, hall
--- a/tests/unit/test_place_counts.py
+++ b/tests/unit/test_place_counts.py
@@ -76,3 +76,25 @@
         assert asyncio.get_running_loop().time() - now < 0.1
 
     run_virtual(main())
+
+
+def test_a_host_without_a_coordinator_refuses_nothing_ahead_of_time() -> None:
+    """Guards against refusals by the pace of one host's share, while a coordinator may be near."""
+    site = PlaceSite(
+        [("n0", "north"), ("n1", "north"), ("n2", "north")],
+        {"e0": ("north", FakeEndpoint(1, 8, run_s=0.2))},
+    )
+
+    async def main() -> None:
+        await site.start()
+        host = site.host_by_name["n0"]
+        host.coordinators.refresh = lambda: None  # type: ignore[method-assign]
+        host.coordinators._coordinator_by_hall.clear()
+        first = [asyncio.ensure_future(site.ask("n0", patience_s=4.0)) for _ in range(15)]
+        await asyncio.gather(*first)
+        assert host.placer.counts.local > 10
+        more = [asyncio.ensure_future(site.ask("n0", patience_s=1.0)) for _ in range(10)]
+        await asyncio.gather(*more)
+        assert host.placer.wait_counts.refused_as_predicted == 0
+
+    run_virtual(main())
