--- a/src/bayhinge/_internal/decisions/place_queue.py
+++ b/src/bayhinge/_internal/decisions/place_queue.py
@@ -110,6 +110,21 @@
         finally:
             queue.delete(request)
 
+    def rank_in_account(self, request: PlaceRequest, now_s: float) -> int:
+        """Returns how many requests of its account and urgency come before a waiting request."""
+        lanes = self._queue_by_service[request.service].lane_by_account_by_urgency
+        finish_s = now_s + self._shares.enough_s(request.service)
+        return lanes[request.urgency][request.account].rank(request, finish_s)
+
+    def most_ahead(self, request: PlaceRequest, now_s: float) -> int:
+        """Returns a bound on the position of a waiting request, by the rule for the oldest."""
+        queue = self._queue_by_service[request.service]
+        if request.deadline_s < now_s + self._shares.enough_s(request.service):
+            return len(queue) - 1
+        older = bisect_left(queue.by_age, _by_age(request), key=_by_age)
+        bound = (older + 1) * OLDEST_EVERY_GRANTS - queue.grants_since_oldest - 1
+        return max(0, min(bound, len(queue) - 1))
+
     def record_grant(self, request: PlaceRequest, now_s: float) -> None:
         """Removes a request that got a place; called also for one that never had to wait."""
         self._shares.record_grant(request.group, request.account, now_s)
@@ -178,6 +193,14 @@
         else:
             del self.begun[bisect_left(self.begun, _by_due(request), key=_by_due)]
 
+    def rank(self, request: PlaceRequest, finish_s: float) -> int:
+        """Returns about the position of a request in the order; late first turns count by age."""
+        if request.begins_program:
+            return len(self.begun) + bisect_left(self.first, _by_age(request), key=_by_age)
+        late = bisect_left(self.begun, finish_s, key=_due_s)
+        index = bisect_left(self.begun, _by_due(request), key=_by_due)
+        return index - late if index >= late else len(self.begun) - late + index
+
     def in_order(self, finish_s: float) -> list[PlaceRequest]:
         """Returns the requests in order; one that starts now is expected to end at ``finish_s``."""
         if len(self.begun) + len(self.first) == 1:
--- a/src/bayhinge/_internal/services/gateway/place_waiters.py
+++ b/src/bayhinge/_internal/services/gateway/place_waiters.py
@@ -15,6 +15,7 @@
 from bayhinge._internal.decisions.endpoint_table import EndpointState, PlacementPreference
 from bayhinge._internal.decisions.first_predictions import FirstPredictions
 from bayhinge._internal.decisions.place_queue import PlaceQueue, PlaceRequest
+from bayhinge._internal.decisions.queue_positions import QueuePositions
 from bayhinge._internal.decisions.returning_callers import ReturningCallers
 from bayhinge._internal.decisions.wait_estimate import Refused, WaitEstimate
 from bayhinge._internal.services.gateway.place_views import PlaceView
@@ -118,6 +119,7 @@
         self._queue = queue
         self._estimate = estimate
         self._returning = returning
+        self._positions = QueuePositions(queue)
         self._predictions = FirstPredictions()
         self._waiter_by_ticket: dict[int, _Waiter] = {}
         self._waiting_by_service: dict[str, int] = {}
@@ -200,7 +202,7 @@
     def _assess(self, waiter: _Waiter, now: float) -> PlaceOutcome | None:
         """Predicts a wait; returns the refusal of a request that would get its place too late."""
         request = waiter.ask.request
-        ahead = self._queue.ahead_of(request, now)
+        ahead = self._positions.ahead_of(request, now)
         places = self._view.places(request.service)
         verdict = self._estimate.verdict(request, ahead, places, now)
         if isinstance(verdict, Refused):
