Count the load of a hall without hosts at the coordinators of the others

Cause: hosts report their requests at an endpoint to the coordinator of its hall. Without one, nobody reports; other coordinators bound their own grants there and drop the bound only 2 s after the last grant, so free places were granted once in a few seconds.

Change: for a hall without a known coordinator, a host reports the load to the coordinator of its own hall, which counts grants there as in its hall and grants up to the slots. A fresh table of that hall ends this.

The new test: before, requests were refused, now all 60 are served. Existing tests: the hosts in test_speed_exchange.py get the coordinators of both halls, as their stand-in had none to look up; no check changed.

--- a/src/bayhinge/_internal/services/gateway/load_exchange.py
+++ b/src/bayhinge/_internal/services/gateway/load_exchange.py
@@ -103,7 +103,7 @@
             {
                 state.entry.instance: state.running_here
                 for state in self._endpoint_table.all()
-                if state.running_here and state.entry.hall == hall
+                if state.running_here and self._reporting_hall(state) == hall
             },
             [
                 state.entry.instance
@@ -118,7 +118,7 @@
         """Schedules a report, as the coordinator does not know this host's load at an endpoint."""
         if not self._changed_halls:
             asyncio.get_running_loop().call_later(REPORT_DELAY_S, self._report_changed)
-        self._changed_halls.add(state.entry.hall)
+        self._changed_halls.add(self._reporting_hall(state))
 
     def mark_abandoned(self, coordinator: HallCoordinator) -> None:
         """Schedules a report after a place call that was given up.
@@ -137,12 +137,30 @@
     async def _report_periodically(self) -> None:
         while not self.should_stop:
             await asyncio.sleep(REPORT_PERIOD_S)
-            busy = {state.entry.hall for state in self._endpoint_table.all() if state.running_here}
+            busy = {
+                self._reporting_hall(state)
+                for state in self._endpoint_table.all()
+                if state.running_here
+            }
             # Report once more after the last request ends: the final report may be lost.
             for hall in busy | self._busy_halls:
                 self._report(hall)
             self._busy_halls = busy
 
+    def _reporting_hall(self, state: EndpointState) -> str:
+        """Returns the hall to whose coordinator the load of an endpoint is reported.
+
+        It is the own one for endpoints of a hall without hosts.
+        """
+        hall, own_hall = state.entry.hall, self._own_heartbeat.hall
+        if hall == own_hall or self._fresh_table(hall) is not None:
+            return hall
+        return own_hall if self._coordinators.coordinator_of(hall) is None else hall
+
+    def _is_counted_here(self, state: EndpointState) -> bool:
+        """Whether the hosts of the own hall report the load of an endpoint to its coordinator."""
+        return self._reporting_hall(state) == self._own_heartbeat.hall
+
     def _report(self, hall: str) -> None:
         coordinator = self._coordinators.coordinator_of(hall)
         if coordinator is not None:
@@ -179,8 +197,8 @@
         return is_changed
 
     def grant(self, host: str, state: EndpointState) -> int:
-        """Counts a request that a host will send; returns 0 for an endpoint of another hall."""
-        if state.entry.hall == self._own_heartbeat.hall:
+        """Counts a request that a host will send; returns 0 if another hall counts it."""
+        if self._is_counted_here(state):
             now = asyncio.get_running_loop().time()
             state.running_at_peers += 1
             return self._load_table.grant(host, state.entry.instance, now)
@@ -213,6 +231,8 @@
         Up to its slots, and none while that hall reports that its own requests wait. If no table
         of that hall is fresh, heartbeats tell the load, without the newest grants of this host.
         """
+        if self._is_counted_here(state):
+            return state.entry.slots
         table = self._fresh_table(state.entry.hall)
         if table is not None:
             waiting = (table.waiting_by_service or {}).get(state.entry.service, 0)
@@ -296,6 +316,8 @@
             if state.entry.hall == self._own_heartbeat.hall:
                 state.running_at_peers = running.get(instance, 0)
                 state.failure_reports = failure_reports.get(instance, 0)
+            elif self._is_counted_here(state):
+                state.running_at_peers = running.get(instance, 0)
             elif state.entry.hall in fresh_halls:
                 # The other coordinator's total includes this host's own requests.
                 total = running.get(instance, self._remote_grants.get(instance, 0))
--- a/tests/unit/test_place_counts.py
+++ b/tests/unit/test_place_counts.py
@@ -98,3 +98,27 @@
         assert host.placer.wait_counts.refused_as_predicted == 0
 
     run_virtual(main())
+
+
+def test_endpoints_of_a_hall_without_hosts_are_kept_busy_by_another_hall() -> None:
+    """Guards against free places that are granted only every few seconds, as no table tells."""
+    site = PlaceSite(
+        [("n0", "north"), ("n1", "north"), ("n2", "north"), ("s0", "south")],
+        {"e1": ("south", FakeEndpoint(6, 18, run_s=0.1))},
+    )
+
+    async def main() -> None:
+        await site.start()
+        site.kill("s0")
+        await asyncio.sleep(SILENCE_S + 2 * HEARTBEAT_S)
+        asked = [asyncio.ensure_future(site.ask(f"n{number % 3}")) for number in range(60)]
+        began_s = asyncio.get_running_loop().time()
+        results = await asyncio.gather(*asked)
+        assert [result.outcome for result in results] == ["served"] * 60
+        # 60 runs of 0.1 s at 6 slots take 1 s, and the messages between them as much at most.
+        assert asyncio.get_running_loop().time() - began_s < 2.0
+        assert site.endpoint_by_name["e1"].most_present <= 6
+        await asyncio.sleep(0.05)
+        assert site.in_flight(site.coordinator()) == 0
+
+    run_virtual(main())
--- a/tests/unit/test_speed_exchange.py
+++ b/tests/unit/test_speed_exchange.py
@@ -19,7 +19,7 @@
 from bayhinge._internal.services.gateway.active_runs import ActiveRun
 from bayhinge._internal.services.gateway.buffered_delivery import BufferedDelivery
 from bayhinge._internal.services.gateway.delivery import Delivery
-from bayhinge._internal.services.gateway.hall_coordinators import HallCoordinators
+from bayhinge._internal.services.gateway.hall_coordinators import HallCoordinator, HallCoordinators
 from bayhinge._internal.services.gateway.load_exchange import LoadExchange
 from bayhinge._internal.services.gateway.speed_tracker import (
     REFRESH_PERIOD_S,
@@ -49,10 +49,14 @@
         for one in (entry("a"), entry("b"), entry("c"), entry("s", "south")):
             self.table.put(one)
         self.speeds = SpeedTracker(self.table)
+        coordinators = HallCoordinators.__new__(HallCoordinators)
+        coordinators._coordinator_by_hall = {
+            one: HallCoordinator(one, f"home of {one}", f"{one}:1") for one in ("north", "south")
+        }
         self.exchange = LoadExchange(
             wire.Hello(host=name, hall=hall, incarnation=1),
             self.table,
-            HallCoordinators.__new__(HallCoordinators),
+            coordinators,
             self.speeds,
         )
         self.speeds.coordinated_hall = lambda: hall
