--- a/src/bayhinge/_internal/services/gateway/load_exchange.py
+++ b/src/bayhinge/_internal/services/gateway/load_exchange.py
@@ -22,7 +22,7 @@
 from bayhinge._internal.network.frames import decode_message, encode_message
 from bayhinge._internal.services.gateway.hall_coordinators import HallCoordinator, HallCoordinators
 from bayhinge._internal.services.gateway.hall_tables import HallTables
-from bayhinge._internal.services.gateway.load_sums import excluding_endpoints
+from bayhinge._internal.services.gateway.load_sums import HeartbeatLoads, excluding_endpoints
 from bayhinge._internal.services.gateway.speed_tracker import SpeedTracker
 from bayhinge._internal.services.keep_running import keep_running
 from bayhinge._internal.wire.hosts import ttypes as wire
@@ -67,7 +67,7 @@
         self._speeds.ratios_from_hosts = self._ratios_from_hosts
         self._speeds.coordinated_hall = lambda: coordinators.coordinated_hall
         self.hall_tables = HallTables()
-        self._heartbeat_loads: dict[str, Mapping[str, int]] = {}
+        self._heartbeat_loads = HeartbeatLoads()
         self.last_grant_by_hall: dict[str, int] = {}
         self._changed_halls: set[str] = set()
         self._busy_halls: set[str] = set()
@@ -107,7 +107,7 @@
             {
                 state.entry.instance: state.running_here
                 for state in self._endpoint_table.all()
-                if state.running_here and state.entry.hall == hall
+                if state.running_here and self._reporting_hall(state) == hall
             },
             [
                 state.entry.instance
@@ -122,7 +122,7 @@
         """Schedules a report, as the coordinator does not know this host's load at an endpoint."""
         if not self._changed_halls:
             asyncio.get_running_loop().call_later(REPORT_DELAY_S, self._report_changed)
-        self._changed_halls.add(state.entry.hall)
+        self._changed_halls.add(self._reporting_hall(state))
 
     def mark_abandoned(self, coordinator: HallCoordinator) -> None:
         """Schedules a report after a place call that was given up.
@@ -141,12 +141,30 @@
     async def _report_periodically(self) -> None:
         while not self.should_stop:
             await asyncio.sleep(REPORT_PERIOD_S)
-            busy = {state.entry.hall for state in self._endpoint_table.all() if state.running_here}
+            busy = {
+                self._reporting_hall(state)
+                for state in self._endpoint_table.all()
+                if state.running_here
+            }
             # Report once more after the last request ends: the final report may be lost.
             for hall in busy | self._busy_halls:
                 self._report(hall)
             self._busy_halls = busy
 
+    def _reporting_hall(self, state: EndpointState) -> str:
+        """Returns the hall to whose coordinator the load of an endpoint is reported.
+
+        It is the own one for endpoints of a hall without hosts.
+        """
+        hall, own_hall = state.entry.hall, self._own_heartbeat.hall
+        if hall == own_hall or self.hall_tables.find_fresh(hall) is not None:
+            return hall
+        return own_hall if self._coordinators.coordinator_of(hall) is None else hall
+
+    def _is_counted_here(self, state: EndpointState) -> bool:
+        """Whether the hosts of the own hall report the load of an endpoint to its coordinator."""
+        return self._reporting_hall(state) == self._own_heartbeat.hall
+
     def _report(self, hall: str) -> None:
         coordinator = self._coordinators.coordinator_of(hall)
         if coordinator is not None:
@@ -183,8 +201,8 @@
         return is_changed
 
     def grant(self, host: str, state: EndpointState) -> int:
-        """Counts a request that a host will send; returns 0 for an endpoint of another hall."""
-        if state.entry.hall == self._own_heartbeat.hall:
+        """Counts a request that a host will send; returns 0 if another hall counts it."""
+        if self._is_counted_here(state):
             now = asyncio.get_running_loop().time()
             state.running_at_peers += 1
             return self._load_table.grant(host, state.entry.instance, now)
@@ -209,14 +227,20 @@
         if self.hall_tables.find_fresh(state.entry.hall) is not None:
             state.running_at_peers += 1
 
+    def remote_limit(self, state: EndpointState) -> int:
+        """Returns how many requests may be in flight at an endpoint of another hall.
+
+        See :meth:`HallTables.limit`; a hall without hosts has no table and no requests of its own.
+        """
+        if self._is_counted_here(state):
+            return state.entry.slots
+        return self.hall_tables.limit(state)
+
     def forget_endpoint(self, endpoint: str) -> None:
         """Drops all counts of an endpoint that has restarted."""
         self._is_changed = True
         self._load_table.forget_endpoint(endpoint)
-        self._heartbeat_loads = {
-            host: excluding_endpoints(running_by_endpoint, {endpoint})
-            for host, running_by_endpoint in self._heartbeat_loads.items()
-        }
+        self._heartbeat_loads.forget_endpoint(endpoint)
         self.hall_tables.forget_endpoint(endpoint)
         self._speeds.forget_endpoint(endpoint)
 
@@ -243,13 +267,7 @@
     def handle_heartbeats(self, heartbeats: Iterable[wire.Hello]) -> None:
         """Keeps the loads of the heartbeats, for hosts that report to another coordinator."""
         revisions = self._endpoint_table.incarnation_revisions
-        self._heartbeat_loads = {
-            heartbeat.host: excluding_endpoints(
-                heartbeat.running_by_endpoint, revisions.not_known_by(heartbeat.endpoints_known_to)
-            )
-            for heartbeat in heartbeats
-            if heartbeat.running_by_endpoint
-        }
+        self._heartbeat_loads.apply(heartbeats, revisions, asyncio.get_running_loop().time())
 
     def refresh_if_changed(self) -> None:
         """Refreshes the endpoint table if a report came since, or some may have expired."""
@@ -263,7 +281,7 @@
         self._is_changed = False
         self._load_table.forget_silent(now)
         running = dict(self._load_table.running_by_endpoint())
-        for host, running_by_endpoint in self._heartbeat_loads.items():
+        for host, running_by_endpoint in self._heartbeat_loads.recent(now):
             # A host that has not reported to this coordinator yet, or takes another one for it.
             if not self._load_table.has_report(host):
                 for instance, count in running_by_endpoint.items():
@@ -279,6 +297,8 @@
             if state.entry.hall == self._own_heartbeat.hall:
                 state.running_at_peers = running.get(instance, 0)
                 state.failure_reports = failure_reports.get(instance, 0)
+            elif self._is_counted_here(state):
+                state.running_at_peers = running.get(instance, 0)
             elif state.entry.hall in fresh_halls:
                 # The other coordinator's total includes this host's own requests.
                 total = running.get(instance, self.hall_tables.granted(instance))
--- a/src/bayhinge/_internal/services/gateway/place_waiters.py
+++ b/src/bayhinge/_internal/services/gateway/place_waiters.py
@@ -16,6 +16,7 @@
 from bayhinge._internal.decisions.endpoint_table import PlacementPreference
 from bayhinge._internal.decisions.first_predictions import FirstPredictions
 from bayhinge._internal.decisions.place_queue import PlaceQueue, PlaceRequest
+from bayhinge._internal.decisions.queue_positions import QueuePositions
 from bayhinge._internal.decisions.returning_callers import ReturningCallers
 from bayhinge._internal.decisions.wait_estimate import Refused, WaitEstimate
 from bayhinge._internal.services.gateway.place_views import PlaceView
@@ -28,11 +29,6 @@
 such as after a failure there. Bounds the work of a round."""
 
 
-MAX_REASSESSED = 64
-"""Waiting requests up to which one that asks again is assessed again. Counting those ahead takes
-about a millisecond with 240 of them, and each asks five times a second."""
-
-
 class Requester(ABC):
     """Who sends a request that got a place: this host or another one.
 
@@ -126,6 +122,7 @@
         self._queue = queue
         self._estimate = estimate
         self._returning = returning
+        self._positions = QueuePositions(queue)
         self._predictions = FirstPredictions()
         self._waiter_by_ticket: dict[int, _Waiter] = {}
         self._waiting_by_service: dict[str, int] = {}
@@ -208,10 +205,7 @@
     def _assess(self, waiter: _Waiter, now: float) -> PlaceOutcome | None:
         """Predicts a wait; returns the refusal of a request that would get its place too late."""
         request = waiter.ask.request
-        has_waited = now - waiter.asked_s > MAX_POLL_S / 2
-        if has_waited and self.waiting > MAX_REASSESSED:
-            return None
-        ahead = self._queue.ahead_of(request, now)
+        ahead = self._positions.ahead_of(request, now)
         places = self._view.places(request.service)
         verdict = self._estimate.verdict(request, ahead, places, now)
         if isinstance(verdict, Refused):
--- a/src/bayhinge/_internal/services/gateway/placement.py
+++ b/src/bayhinge/_internal/services/gateway/placement.py
@@ -97,7 +97,7 @@
         )
         # A host alone refuses nothing ahead of time: the next coordinator may be a moment away.
         self.local_waiters = PlaceWaiters(
-            self._share, self._local_queue, WaitEstimate(), ReturningCallers()
+            self._share, self._local_queue, WaitEstimate(refuses=False), ReturningCallers()
         )
         self._answers = PlaceAnswers(
             endpoint_table, coordinators, exchange, self.hall_waiters, hall
@@ -182,7 +182,10 @@
     ) -> PlaceOutcome:
         """Asks the coordinator, its successors if it fails, and at last this host itself."""
         preferred = self._endpoint_table.find_incarnation(preference.incarnation)
-        hall = self._hall if preferred is None else preferred.entry.hall
+        hall = self._hall
+        # A hall without hosts has endpoints; the own hall's coordinator may place there as well.
+        if preferred is not None and self._coordinators.coordinator_of(preferred.entry.hall):
+            hall = preferred.entry.hall
         if max_wait_s is None:
             max_wait_s = self._first_wait_s(service, demand)
         for _ in range(MAX_FAILED_CALLS):
