Stop counting a host's requests when its connection to the coordinator ends

Change: the connections of a killed process end at once, so the coordinator counts none of its requests until its next report; a host that has only lost a connection reports within half a second.

--- a/src/bayhinge/_internal/decisions/load_table.py
+++ b/src/bayhinge/_internal/decisions/load_table.py
@@ -130,6 +130,15 @@
             del loads.granted_s_by_grant[grant]
             self._running_by_endpoint[endpoint] -= 1
 
+    def clear_loads(self, host: str) -> None:
+        """Counts no requests of a host until its next report; it still counts as heard of."""
+        loads = self._loads_by_host.get(host)
+        if loads is not None:
+            self._subtract_requests(loads)
+            loads.running_by_endpoint = {}
+            loads.endpoint_by_grant.clear()
+            loads.granted_s_by_grant.clear()
+
     def forget_endpoint(self, endpoint: str) -> None:
         """Drops the reports and grants of an endpoint that has restarted."""
         for loads in self._loads_by_host.values():
@@ -194,6 +203,9 @@
 
     def _forget(self, host: str) -> None:
         loads = self._loads_by_host.pop(host)
+        self._subtract_requests(loads)
+        self._failure_reports_by_endpoint.subtract(loads.ejected)
+
+    def _subtract_requests(self, loads: _HostLoads) -> None:
         self._running_by_endpoint.subtract(loads.running_by_endpoint)
         self._running_by_endpoint.subtract(loads.endpoint_by_grant.values())
-        self._failure_reports_by_endpoint.subtract(loads.ejected)
--- a/src/bayhinge/_internal/network/peer_server.py
+++ b/src/bayhinge/_internal/network/peer_server.py
@@ -61,6 +61,8 @@
         for task in list(self._tasks_by_stream.values()):
             task.cancel()
         self._on_lost(self)
+        if isinstance(self._handler, UnaryPeerHandler):
+            self._handler.connection_lost(self)
 
     def _handle_frame(self, frame: Frame) -> None:
         if frame.kind == FrameKind.OPEN:
@@ -74,7 +76,7 @@
         stream, method, payload = frame.stream, frame.method or "", frame.payload or b""
         try:
             if isinstance(self._handler, UnaryPeerHandler):
-                answer = await self._handler.answer(method, payload)
+                answer = await self._handler.answer_from(self, method, payload)
                 self._send(stream, FrameKind.END, None, answer)
                 return
             async for message in self._handler.handle(method, payload):
--- a/src/bayhinge/_internal/network/peers.py
+++ b/src/bayhinge/_internal/network/peers.py
@@ -2,7 +2,7 @@
 
 import asyncio
 from abc import ABC, abstractmethod
-from collections.abc import AsyncGenerator, AsyncIterator
+from collections.abc import AsyncGenerator, AsyncIterator, Hashable
 
 from bayhinge.coordination.clock import HybridClock
 
@@ -30,6 +30,13 @@
             RefusedError: sent to the peer as a failure.
         """
 
+    async def answer_from(self, connection: Hashable, method: str, payload: bytes) -> bytes:
+        """Like :meth:`answer`; ``connection`` is that of the peer, see :meth:`connection_lost`."""
+        return await self.answer(method, payload)
+
+    def connection_lost(self, connection: Hashable) -> None:
+        """Called when a peer's connection has ended."""
+
     async def handle(self, method: str, payload: bytes) -> AsyncIterator[bytes]:
         """See :class:`PeerHandler`."""
         yield await self.answer(method, payload)
--- a/src/bayhinge/_internal/services/gateway/load_exchange.py
+++ b/src/bayhinge/_internal/services/gateway/load_exchange.py
@@ -209,6 +209,11 @@
         self.record_remote_grant(state)
         return 0
 
+    def clear_loads(self, host: str) -> None:
+        """Counts no requests of a host until its next report."""
+        self._load_table.clear_loads(host)
+        self._is_changed = True
+
     def may_grant(self, host: str) -> bool:
         """Returns whether a host's report is known, without which it can't get a grant."""
         return self._load_table.has_report(host)
--- a/src/bayhinge/_internal/services/gateway/peer_requests.py
+++ b/src/bayhinge/_internal/services/gateway/peer_requests.py
@@ -1,6 +1,6 @@
 """Handles requests from other hosts."""
 
-from collections.abc import Awaitable, Callable, Mapping
+from collections.abc import Awaitable, Callable, Hashable, Mapping
 
 from bayhinge._internal.exceptions import FrameError, PeerFailureError, PeerUnreachableError
 from bayhinge._internal.models.refusals import RefusalCode, RefusedError, not_run_refusal
@@ -33,6 +33,7 @@
         self._quotas = quotas
         self._disks = disks
         self._peers = peers
+        self._placing_host_by_connection: dict[Hashable, str] = {}
         self._answer_by_method: Mapping[str, Callable[[bytes], Awaitable[bytes]]] = {
             methods.OBJECTS: self._objects,
             methods.RELAY: self._relay,
@@ -42,6 +43,20 @@
             methods.DISK_SET: self._disk_set,
         }
 
+    async def answer_from(self, connection: Hashable, method: str, payload: bytes) -> bytes:
+        """See :class:`UnaryPeerHandler`."""
+        if method == methods.PLACE:
+            call = decode_message(wire.PlaceCall(), payload)
+            self._placing_host_by_connection[connection] = call.loads.host
+            return encode_message(await self._placer.answer(call))
+        return await self.answer(method, payload)
+
+    def connection_lost(self, connection: Hashable) -> None:
+        """Stops counting the requests of a host that may have died; its next report counts them."""
+        host = self._placing_host_by_connection.pop(connection, None)
+        if host is not None and host not in self._placing_host_by_connection.values():
+            self._placer.clear_loads(host)
+
     async def answer(self, method: str, payload: bytes) -> bytes:
         """See :class:`UnaryPeerHandler`."""
         answer = self._answer_by_method.get(method)
--- a/src/bayhinge/_internal/services/gateway/placement.py
+++ b/src/bayhinge/_internal/services/gateway/placement.py
@@ -267,6 +267,14 @@
         self._exchange.mark_changed(state)
         self.wake()
 
+    def clear_loads(self, host: str) -> None:
+        """Stops counting the requests of a host whose connection has ended, until its report.
+
+        The connections of a killed process end at once, and with them its requests at endpoints.
+        """
+        self._exchange.clear_loads(host)
+        self.wake()
+
     async def answer(self, call: wire.PlaceCall) -> wire.PlaceReply:
         """Places another host's request, as the coordinator of this hall."""
         if not self._coordinators.coordinated_hall:
--- a/tests/functional/test_peer_link.py
+++ b/tests/functional/test_peer_link.py
@@ -1,7 +1,7 @@
 """Peer links over loopback: answers that are late, interleaved, or missing."""
 
 import asyncio
-from collections.abc import AsyncIterator, Awaitable, Callable
+from collections.abc import AsyncIterator, Awaitable, Callable, Hashable
 
 import pytest
 
@@ -9,7 +9,7 @@
 from bayhinge._internal.models.refusals import RefusalCode, RefusedError, not_run_refusal
 from bayhinge._internal.network.peer_client import PeerClient
 from bayhinge._internal.network.peer_server import PeerServer
-from bayhinge._internal.network.peers import PeerHandler
+from bayhinge._internal.network.peers import PeerHandler, UnaryPeerHandler
 from bayhinge.coordination.clock import HybridClock, SystemClock
 
 pytestmark = pytest.mark.functional
@@ -98,3 +98,42 @@
         assert not refused.value.sent
 
     run_with_link(scenario)
+
+
+class ConnectionHandler(UnaryPeerHandler):
+    """Records the connections of calls, and those that have ended."""
+
+    def __init__(self) -> None:
+        self.called: list[Hashable] = []
+        self.lost: list[Hashable] = []
+
+    async def answer_from(self, connection: Hashable, method: str, payload: bytes) -> bytes:
+        self.called.append(connection)
+        return payload
+
+    async def answer(self, method: str, payload: bytes) -> bytes:
+        raise NotImplementedError
+
+    def connection_lost(self, connection: Hashable) -> None:
+        self.lost.append(connection)
+
+
+def test_a_handler_is_told_which_connection_has_ended() -> None:
+    """Guards against requests that count for a host whose process was killed."""
+
+    async def main() -> None:
+        handler = ConnectionHandler()
+        server = PeerServer("127.0.0.1:0", handler, HybridClock(SystemClock()))
+        address = await server.start()
+        clients = [PeerClient(HybridClock(SystemClock()), connect_s=1.0) for _ in range(2)]
+        for client in clients:
+            assert await client.call(address, "call", b"x") == b"x"
+        await clients[0].close()
+        async with asyncio.timeout(2.0):
+            while not handler.lost:  # noqa: ASYNC110 - polls a real connection
+                await asyncio.sleep(0.01)
+        assert handler.lost == handler.called[:1]
+        await clients[1].close()
+        await server.stop()
+
+    asyncio.run(main())
--- a/tests/unit/test_load_table.py
+++ b/tests/unit/test_load_table.py
@@ -155,3 +155,20 @@
     max_examples=60, stateful_step_count=30, deadline=None
 )
 TestLoadTable = LoadTableMachine.TestCase
+
+
+def test_the_requests_of_a_host_whose_connection_ended_do_not_count_until_its_report() -> None:
+    """Guards against places that a killed host keeps in use until its report expires."""
+    load_table = LoadTable()
+    load_table.record_report(report("a", 1, {"e": 2}), 0.0)
+    load_table.record_report(report("b", 1, {"e": 1}), 0.0)
+    load_table.grant("a", "e", 0.0)
+    for host in ("a", "unknown"):
+        load_table.clear_loads(host)
+        assert nonzero_counts(load_table) == {"e": 1}
+    assert load_table.has_report("a"), "its last heartbeat must not count in its place"
+    # A host that is alive has only lost a connection.
+    load_table.record_report(report("a", 2, {"e": 3}), 0.1)
+    assert nonzero_counts(load_table) == {"e": 4}
+    load_table.forget_silent(REPORT_TIMEOUT_S + 0.05)
+    assert nonzero_counts(load_table) == {"e": 3}
--- a/tests/unit/test_place_counts.py
+++ b/tests/unit/test_place_counts.py
@@ -122,3 +122,26 @@
         assert site.in_flight(site.coordinator()) == 0
 
     run_virtual(main())
+
+
+def test_places_of_a_killed_host_are_granted_once_its_connection_has_ended() -> None:
+    """Guards against waits for as long as the report of a killed host is kept."""
+    site = PlaceSite(
+        [("n0", "north"), ("n1", "north"), ("n2", "north")],
+        {"e0": ("north", FakeEndpoint(1, 8))},
+    )
+
+    async def main() -> None:
+        await site.start()
+        coordinator = site.host_by_name[site.coordinator()]
+        dying = next(name for name in site.host_by_name if name != coordinator.name)
+        site.host_by_name[dying].endpoint_table.all()[0].running_here = 2
+        site.host_by_name[dying].exchange._report("north")
+        await asyncio.sleep(0.05)
+        assert site.in_flight(coordinator.name) == 2
+        site.kill(dying)
+        coordinator.placer.clear_loads(dying)
+        coordinator.exchange.refresh_if_changed()
+        assert site.in_flight(coordinator.name) == 0
+
+    run_virtual(main())
