--- a/src/bayhinge/_internal/services/gateway/delivery.py
+++ b/src/bayhinge/_internal/services/gateway/delivery.py
@@ -27,6 +27,11 @@
         self.read_s: float | None = None
         self.pace: EventPace | None = None
 
+    @property
+    def is_served(self) -> bool:
+        """Whether the caller got a whole successful answer."""
+        return self.outcome == "served"
+
     @property
     def endpoint(self) -> str:
         """The id of the answering endpoint, or an empty string."""
--- a/src/bayhinge/_internal/services/gateway/speed_tracker.py
+++ b/src/bayhinge/_internal/services/gateway/speed_tracker.py
@@ -25,8 +25,6 @@
 """Shortest time between two reports that carry ratios. Reports without them are sent several times
 a second, and the coordinator keeps the ratios of the one before."""
 
-SERVED = "served"
-
 
 class SpeedTracker:
     """The speeds of endpoints, as measured by this host and reported by others.
@@ -57,7 +55,7 @@
         duration_s = _duration_s(run, delivery)
         if (
             duration_s is None
-            or delivery.outcome != SERVED
+            or not delivery.is_served
             or not self._endpoint_table.is_current(run.state)
         ):
             return
