--- a/tests/functional/test_cut_hosts.py
+++ b/tests/functional/test_cut_hosts.py
@@ -21,17 +21,26 @@
     gateway = site.entry_by_name[name]._gateway
     peers: Any = gateway.peers
     disks = {member.address for member in gateway.disks.disk_set.members}
-    original_get_link = peers._get_link
+    original_get_link, original_start_call = peers._get_link, peers.start_call
 
     async def get_link(address: str) -> Any:
         if address in disks:
             raise PeerUnreachableError(address, "partitioned", sent=False)
         return await original_get_link(address)
 
+    def start_call(address: str, method: str, payload: bytes) -> asyncio.Future[bytes]:
+        if address not in disks:
+            future: asyncio.Future[bytes] = original_start_call(address, method, payload)
+        else:
+            future = asyncio.get_running_loop().create_future()
+            future.set_exception(PeerUnreachableError(address, "partitioned", sent=False))
+        return future
+
     def heal() -> None:
-        peers._get_link = original_get_link
+        peers._get_link, peers.start_call = original_get_link, original_start_call
 
-    peers._get_link = get_link
+    # Calls on open connections don't ask for a link.
+    peers._get_link, peers.start_call = get_link, start_call
     return heal
 
 
