Free a place once the endpoint has sent its whole answer

Cause: a request counted as running at its endpoint until its turn was durable on the disks and its caller had read the answer, so slow disks and slow callers kept places in use at endpoints that were idle. Change: the delivery tells when the answer has been read whole; the place is counted as free from then on. Figures: test_a_place_is_free_once_the_endpoint_has_sent_its_answer fails before and passes now.

--- a/src/bayhinge/_internal/services/gateway/active_runs.py
+++ b/src/bayhinge/_internal/services/gateway/active_runs.py
@@ -18,6 +18,7 @@
             at the earlier one.
         connection: None while it is being opened.
         is_ended: the incarnation has ended, or another endpoint has its address.
+        has_place: it still counts as running at the endpoint.
         sent_s: when the request was sent, on the event loop's clock; None before.
         running_when_sent: requests in flight at the endpoint then, including this one.
     """
@@ -25,6 +26,7 @@
     state: EndpointState
     connection: EndpointConnection | None = None
     is_ended: bool = False
+    has_place: bool = True
     sent_s: float | None = None
     running_when_sent: int = 1
 
--- a/src/bayhinge/_internal/services/gateway/buffered_delivery.py
+++ b/src/bayhinge/_internal/services/gateway/buffered_delivery.py
@@ -29,6 +29,7 @@
         """See :class:`Delivery`."""
         body = await self._memory.read_answer(answer)
         self.read_s = asyncio.get_running_loop().time()
+        self.on_read()
         if is_success(answer.status) and (not marks.is_signed or marks.is_encoded):
             raise IncompleteAnswerError("the answer is unsigned or encoded")
         if may_repeat and answer.status >= status_codes.HTTP_SERVER_ERROR:
--- a/src/bayhinge/_internal/services/gateway/delivery.py
+++ b/src/bayhinge/_internal/services/gateway/delivery.py
@@ -1,6 +1,7 @@
 """Delivers an endpoint's answer to the caller."""
 
 from abc import ABC, abstractmethod
+from collections.abc import Callable
 
 from bayhinge._internal import status_codes
 from bayhinge._internal.decisions.answer_timeouts import AnswerTimeouts
@@ -15,6 +16,8 @@
     """Delivers one answer to the caller, possibly from several runs.
 
     Attributes:
+        on_read: called when the endpoint has sent its whole answer, so that its place is free; the
+            caller may take much longer to read it.
         read_s: when the whole body of a plain answer had been read, on the event loop's clock.
         pace: of the events of the current run, or None for plain answers.
     """
@@ -24,6 +27,7 @@
         self.run: ActiveRun | None = None
         self.tokens_delivered = 0
         self.is_recorded = False
+        self.on_read: Callable[[], None] = lambda: None
         self.read_s: float | None = None
         self.pace: EventPace | None = None
 
--- a/src/bayhinge/_internal/services/gateway/request_sender.py
+++ b/src/bayhinge/_internal/services/gateway/request_sender.py
@@ -185,8 +185,10 @@
     async def _send_to(self, run: ActiveRun, send_state: SendState) -> None:
         connection: EndpointConnection | None = None
         is_complete = False
-        ran_s: float | None = None
         began_s = asyncio.get_running_loop().time()
+        send_state.delivery.on_read = lambda: self._free_place(
+            run, send_state, asyncio.get_running_loop().time() - began_s
+        )
         try:
             connection = await self._connection_pool.acquire(run.endpoint, run.state.entry.address)
             if run.is_ended:
@@ -198,15 +200,20 @@
             if marks.not_run or marks.wrong_instance:
                 raise RequestRejectedError(f"status {answer.status}")
             run.state.record_success()
-            ran_s = asyncio.get_running_loop().time() - began_s
             self._speeds.record_answer(run, send_state.route, send_state.delivery)
         finally:
-            self._runs.end(run)
-            self._placer.record_end(run.state, send_state.demand, ran_s)
+            self._free_place(run, send_state, None)
             if connection is not None and not is_complete:
                 # Also makes the endpoint stop if the caller left or the deadline passed.
                 connection.abort("given up")
 
+    def _free_place(self, run: ActiveRun, send_state: SendState, ran_s: float | None) -> None:
+        """Frees a run's place once; ``ran_s`` is how long the endpoint took, None if it failed."""
+        if run.has_place:
+            run.has_place = False
+            self._runs.end(run)
+            self._placer.record_end(run.state, send_state.demand, ran_s)
+
     async def _exchange(
         self, connection: EndpointConnection, run: ActiveRun, send_state: SendState
     ) -> tuple[Answer, AnswerMetadata]:
--- a/src/bayhinge/_internal/services/gateway/stream_delivery.py
+++ b/src/bayhinge/_internal/services/gateway/stream_delivery.py
@@ -86,6 +86,7 @@
             await self._deliver_bytes(answer)
         else:
             await self._deliver_events(answer, self._splice, bounds)
+        self.on_read()
         await self._record()
         await self._exchange.finish()
         self.outcome = "served"
--- a/tests/functional/test_places.py
+++ b/tests/functional/test_places.py
@@ -2,6 +2,7 @@
 
 import asyncio
 from pathlib import Path
+from typing import Any
 
 import orjson
 import pytest
@@ -75,3 +76,28 @@
         await asyncio.gather(*asked, return_exceptions=True)
 
     run_site(tmp_path, scenario, entries=2)
+
+
+def test_a_place_is_free_once_the_endpoint_has_sent_its_answer(tmp_path: Path) -> None:
+    """Guards against places that slow disks or slow callers keep in use at an idle endpoint."""
+
+    async def scenario(site: PlatformSite) -> None:
+        gateway = site.entry_by_name["entry-0"]._gateway
+        recorder, original_close = gateway.turn_recorder, gateway.turn_recorder.close
+        is_recording, may_end = asyncio.Event(), asyncio.Event()
+
+        async def slow_close(*arguments: Any) -> None:
+            is_recording.set()
+            await may_end.wait()
+            await original_close(*arguments)
+
+        recorder.close = slow_close  # type: ignore[method-assign, assignment]
+        turn = asyncio.ensure_future(site.turn(b"one ", at="entry-0"))
+        await asyncio.wait_for(is_recording.wait(), 3.0)
+        assert gateway.endpoint_table.running_here() == {}
+        assert not turn.done()
+        may_end.set()
+        assert (await turn).status == 200
+        assert gateway.endpoint_table.running_here() == {}
+
+    run_site(tmp_path, scenario)
