--- a/tests/unit/test_time_of_day.py
+++ b/tests/unit/test_time_of_day.py
@@ -34,6 +34,8 @@
     "coordination/config_feed.py": {"wall_ms"},
     "_internal/services/program_registry.py": {"wall_ms"},
     # When a watch of the store ends: a wrong clock shifts only that host's own watches.
+    "_internal/services/gateway/store_watching.py": {"wall_ms"},
+    # Passes the clock on to what compares the reported start of an endpoint with connections.
     "_internal/services/gateway/gateway.py": {"wall_ms"},
 }
 """The files that read the wall clock, and the calls by which they do."""
