--- a/tests/functional/test_platform_turns.py
+++ b/tests/functional/test_platform_turns.py
@@ -174,7 +174,7 @@
         disks = {member.address for member in gateway.disks.disk_set.members}
         original_get_link = peers._get_link  # type: ignore[attr-defined]
 
-        # Streams and calls both use a link, so failing it partitions the host.
+        # Without a link, and with calls that need one, the host is partitioned.
         async def get_link(address: str):  # type: ignore[no-untyped-def]
             if address in disks:
                 raise PeerUnreachableError(address, "partitioned", sent=False)
@@ -187,6 +187,8 @@
             )
         )
         peers._get_link = get_link  # type: ignore[attr-defined]
+        # Calls on open connections don't ask for a link; this one makes them ask.
+        peers.start_call = lambda *call: asyncio.ensure_future(peers.call(*call))  # type: ignore[method-assign]
         second = await site.turn(b"two ", first, at="entry-0")
         assert (second.status, second.is_whole) == (200, True)
         assert gateway.turn_recorder._link.relayed >= 2
--- a/tests/unit/test_place_play.py
+++ b/tests/unit/test_place_play.py
@@ -91,8 +91,13 @@
     assert mean(storm / before for before, storm in pairs) < 0.95
 
 
-def test_the_storming_account_still_gets_its_share() -> None:
-    # It has some 13 requests in a play, so a single seed says little.
+@pytest.mark.parametrize("seed", SEEDS)
+def test_the_storming_account_still_gets_its_share(seed: int) -> None:
+    assert _share_of_the_storming_account(seed) >= 0.75
+
+
+def test_the_storming_account_still_gets_its_share_on_average() -> None:
+    # It has some 13 requests in a play, so a single seed varies widely.
     assert mean(_share_of_the_storming_account(seed) for seed in range(1, 11)) >= 0.75
 
 
