Serve hosts without a way to a quota coordinator through its successor

Cause: a host that got no answer from a coordinator skips it until its next heartbeat and asks the successor, which hears the coordinator and names it; the host skips that name, and asks the successor again until its calls are used up. The same for a host that has not heard the coordinator yet, and while a coordinator leaves, which names its successor. Change: the host tells the successor that the coordinator does not answer it, and the successor asks on its behalf; only one host knows how much is used. If that fails, the successor takes over. A coordinator that names a host which comes after itself is leaving. Buckets that a host starts after it suspects a coordinator count as taken over. quota.no_coordinator names the hosts that a refused request asked; quota_relayed_total counts the calls passed on.

--- a/src/bayhinge/_internal/services/gateway/metrics.py
+++ b/src/bayhinge/_internal/services/gateway/metrics.py
@@ -28,6 +28,7 @@
         "quota_refused_total": quotas.counts.refused,
         "quota_refused_first_requests_total": quotas.counts.refused_first_requests,
         "quota_without_home_total": quotas.counts.without_coordinator,
+        "quota_relayed_total": quotas.counts.relayed,
         "quota_given_back_total": quotas.counts.returned,
         "quota_answered_for_others_total": quotas.counts.answered,
     }
--- a/src/bayhinge/_internal/services/gateway/peer_requests.py
+++ b/src/bayhinge/_internal/services/gateway/peer_requests.py
@@ -78,7 +78,7 @@
         return encode_message(self._proofs.answer())
 
     async def _quota(self, payload: bytes) -> bytes:
-        return encode_message(self._quotas.answer(decode_message(wire.QuotaCall(), payload)))
+        return encode_message(await self._quotas.answer(decode_message(wire.QuotaCall(), payload)))
 
     async def _disk_set(self, payload: bytes) -> bytes:
         return encode_message(self._disks.disk_set)
--- a/src/bayhinge/_internal/services/gateway/quotas.py
+++ b/src/bayhinge/_internal/services/gateway/quotas.py
@@ -6,8 +6,9 @@
 """
 
 import asyncio
+import copy
 import math
-from collections.abc import Callable, Collection
+from collections.abc import Callable, Collection, Iterable
 
 import attrs
 import eliot
@@ -33,8 +34,11 @@
 ANSWER_S = 0.06
 """Timeout for a coordinator's answer, about fifteen times an ordinary one between halls."""
 
-MAX_CALLS = 3
-"""Maximum calls for one request: a silent coordinator, its successor, and one redirect."""
+RELAY_ANSWER_S = 0.03
+"""Timeout for the answer to a relayed call, so that the reply to its caller is in time."""
+
+MAX_CALLS = 4
+"""Maximum calls for one request: a silent coordinator, its successor, and two redirects."""
 
 NO_COORDINATOR_RETRY_S = 0.3
 """Retry delay when no coordinator answered: by then the account has another one."""
@@ -59,6 +63,7 @@
     without_coordinator: int = 0
     returned: int = 0
     answered: int = 0
+    relayed: int = 0
 
 
 @attrs.define(eq=False, repr=False)
@@ -142,21 +147,30 @@
             self._returned_by_account.pop(account, 0),
             [],
         )
-        redirected = ""
-        for _ in range(MAX_CALLS):
-            coordinator = redirected or self._coordinator_of(account)
+        asked: list[str] = []
+        coordinator = self._coordinator_of(account)
+        while len(asked) < MAX_CALLS:
             if coordinator == self._gossip.own_heartbeat.host:
                 return self._grant(call)
-            reply = await self._call_coordinator(coordinator, call)
-            redirected = ""
+            asked.append(coordinator)
+            reply = await self._call_coordinator(coordinator, call, ANSWER_S)
             if reply is None:
-                self._suspected.add(coordinator)
-                self._coordinator_by_account.pop(account, None)
+                self._suspect(coordinator)
                 call.silent.append(coordinator)
+                coordinator = self._coordinator_of(account, call.silent)
             elif reply.home is None:
                 return None if reply.granted else (reply.wait_s or NO_COORDINATOR_RETRY_S)
-            elif reply.home in self._address_by_host:
-                redirected = reply.home
+            elif not self._is_reachable(reply.home):
+                # Only the host that names it has a way to it.
+                call.silent.append(reply.home)
+            else:
+                if _choose(account, (coordinator, reply.home)) == coordinator:
+                    # It comes before the host that it names, so it is leaving.
+                    call.silent.append(coordinator)
+                coordinator = reply.home
+        eliot.log_message(
+            "quota.no_coordinator", account=account, asked=asked, silent=list(call.silent)
+        )
         self.counts.without_coordinator += 1
         raise RefusedError(
             not_run_refusal(
@@ -166,12 +180,28 @@
             )
         )
 
+    def _is_reachable(self, host: str) -> bool:
+        return host in self._address_by_host and not self._suspected.has(host)
+
+    def _suspect(self, host: str) -> None:
+        """Skips a coordinator; buckets of its accounts that start here count as taken over."""
+        self._suspected.add(host)
+        self._coordinator_by_account = {
+            account: coordinator
+            for account, coordinator in self._coordinator_by_account.items()
+            if coordinator != host
+        }
+        self._changed_s = asyncio.get_running_loop().time()
+
     async def _call_coordinator(
-        self, coordinator: str, call: wire.QuotaCall
+        self, coordinator: str, call: wire.QuotaCall, answer_s: float
     ) -> wire.QuotaReply | None:
-        address = self._address_by_host[coordinator]
+        address = self._address_by_host.get(coordinator)
+        if address is None:
+            # It has left since it was chosen.
+            return None
         try:
-            async with stall_tolerant_timeout(ANSWER_S):
+            async with stall_tolerant_timeout(answer_s):
                 answer = await self._peers.call(address, methods.QUOTA, encode_message(call))
             reply: wire.QuotaReply = decode_message(wire.QuotaReply(), answer)
         except (TimeoutError, PeerUnreachableError, PeerFailureError, FrameError) as error:
@@ -186,15 +216,39 @@
 
     # ---- as a coordinator ----
 
-    def answer(self, call: wire.QuotaCall) -> wire.QuotaReply:
+    async def answer(self, call: wire.QuotaCall) -> wire.QuotaReply:
         """Answers another host's request for a token."""
+        me = self._gossip.own_heartbeat.host
         coordinator = self._coordinator_of(call.account, call.silent)
-        if coordinator != self._gossip.own_heartbeat.host:
+        if coordinator != me:
             return wire.QuotaReply(False, None, coordinator)
+        coordinator = self._coordinator_of(call.account)
+        if coordinator == call.host:
+            # It is leaving, or it would not have asked.
+            self._suspect(coordinator)
+        elif coordinator != me:
+            reply = await self._relay(coordinator, call)
+            if reply is not None:
+                return reply
         self.counts.answered += 1
         wait_s = self._grant(call)
         return wire.QuotaReply(wait_s is None, wait_s)
 
+    async def _relay(self, coordinator: str, call: wire.QuotaCall) -> wire.QuotaReply | None:
+        """Passes on the call of a host that has no way to the coordinator.
+
+        Only one host knows how much of the quota is used. Returns None if it does not answer or no
+        longer is the coordinator; this host then takes its place.
+        """
+        relayed = copy.copy(call)
+        relayed.silent = []
+        reply = await self._call_coordinator(coordinator, relayed, RELAY_ANSWER_S)
+        if reply is None or reply.home is not None:
+            self._suspect(coordinator)
+            return None
+        self.counts.relayed += 1
+        return reply
+
     def _grant(self, call: wire.QuotaCall) -> float | None:
         now = asyncio.get_running_loop().time()
         quota = Quota(call.rate_per_s, call.burst)
@@ -258,7 +312,12 @@
                 for host in self._address_by_host
                 if host not in silent and not self._suspected.has(host)
             ]
-            coordinator = choose(f"quota of {account}", hosts) or self._gossip.own_heartbeat.host
+            coordinator = _choose(account, hosts) or self._gossip.own_heartbeat.host
             if not silent:
                 self._coordinator_by_account[account] = coordinator
         return coordinator
+
+
+def _choose(account: str, hosts: Iterable[str]) -> str | None:
+    """Returns the host that is the account's coordinator among these, or None without hosts."""
+    return choose(f"quota of {account}", hosts)
