Ask a coordinator of a hall again a second after a missed answer if it is named

Callers: after one missed answer of a hall's coordinator, the requests of a host are placed within its share of the places until the next heartbeat from there, 2 s in its hall and some 10 s from another one, so they wait while places are free. Cause: the same as that of refused quotas: the host skips the coordinator, its successor names it, the name is not followed. Change: a name from another host ends a suspicion after its minimum time of 1 s, so a host without a way to the coordinator spends one call a second on it.

--- a/src/bayhinge/_internal/services/gateway/hall_coordinators.py
+++ b/src/bayhinge/_internal/services/gateway/hall_coordinators.py
@@ -130,7 +130,7 @@
 
     def follow_redirect(self, hall: str, host: str) -> HallCoordinator | None:
         """Adopts the coordinator that another host reported; returns None if it is not live."""
-        if self._suspected.has(host):
+        if not self._suspected.forgive(host):
             return None
         for heartbeat in self._gossip.recent_heartbeats(wire.HostRole.ENTRY):
             if heartbeat.host == host:
--- a/src/bayhinge/_internal/services/gateway/suspect_hosts.py
+++ b/src/bayhinge/_internal/services/gateway/suspect_hosts.py
@@ -31,3 +31,14 @@
             return True
         del self._since_by_host[host]
         return False
+
+    def forgive(self, host: str) -> bool:
+        """Ends a suspicion, as another host hears this one; returns whether it is over.
+
+        It is kept for its minimum time, so that a host which does not answer is rarely called.
+        """
+        since_s = self._since_by_host.get(host)
+        if since_s is not None and asyncio.get_running_loop().time() < since_s + SUSPECT_S:
+            return False
+        self._since_by_host.pop(host, None)
+        return True
