Ask the next queue dispatcher after a grant that can't be decoded

Callers: a call failed with an internal error although two more dispatchers could have taken it, and the first one's slot stayed taken until the owner's process ended. Cause: only unreachable dispatchers were passed over; a reply that can't be decoded raised FrameError out of the request. Evidence: the test below ends with FrameError without the change. Change: such a reply counts as no answer, and a "not sent" completion releases what may have been granted. Test: test_after_an_undecodable_grant_the_next_dispatcher_is_asked, red before, green now.

--- a/src/bayhinge/_internal/services/remote_grants.py
+++ b/src/bayhinge/_internal/services/remote_grants.py
@@ -12,7 +12,7 @@
 )
 
 from bayhinge._internal.decisions.offers import CallCompletion, Offer, Outcome
-from bayhinge._internal.exceptions import PeerFailureError, PeerUnreachableError
+from bayhinge._internal.exceptions import FrameError, PeerFailureError, PeerUnreachableError
 from bayhinge._internal.models.refusals import (
     RefusalCode,
     RefusedError,
@@ -78,10 +78,13 @@
         """See :class:`GrantSource`."""
         if granted.dispatcher_address == self._membership.me.peer_address:
             self._local_dispatcher.done(granted.cell, done)
-            return
+        else:
+            self._send_done(granted.dispatcher_address, granted.cell, done)
+
+    def _send_done(self, address: str, cell: str, done: CallCompletion) -> None:
         message = wire.GrantDone(
             done.grant,
-            granted.cell,
+            cell,
             done.outcome.value,
             done.prompt_tokens,
             done.cached_tokens,
@@ -89,7 +92,7 @@
             done.first_token_s,
             done.decode_s,
         )
-        self._send(granted.dispatcher_address, "done", encode_message(message))
+        self._send(address, "done", encode_message(message))
 
     def program_ended(self, program: str, pools: frozenset[str]) -> None:
         """See :class:`GrantSource`."""
@@ -116,7 +119,14 @@
             answer = await self._peers.call(dispatcher.peer_address, "grant", payload)
         except PeerFailureError as error:
             raise RefusedError(refusal_from_json(error.problem)) from error
-        reply = decode_message(wire.GrantReply(), answer)
+        try:
+            reply = decode_message(wire.GrantReply(), answer)
+        except FrameError as error:
+            # It may have granted a slot, which nobody else would release.
+            self._send_done(
+                dispatcher.peer_address, cell, CallCompletion(offer.grant, Outcome.NOT_SENT)
+            )
+            raise PeerUnreachableError(dispatcher.peer_address, str(error), sent=True) from error
         return DispatcherGrant(
             reply.grant, reply.endpoint, reply.address, reply.waited_s, reply.reason
         )
--- a/tests/unit/test_failed_attempts_elsewhere.py
+++ b/tests/unit/test_failed_attempts_elsewhere.py
@@ -11,7 +11,7 @@
 import pytest
 
 from bayhinge._internal.bench.world.virtual_time import LoopClock, run_virtual
-from bayhinge._internal.decisions.offers import CallCompletion, Outcome
+from bayhinge._internal.decisions.offers import CallCompletion, Offer, Outcome
 from bayhinge._internal.exceptions import PeerUnreachableError
 from bayhinge._internal.network.endpoint_connections import EndpointConnectionPool
 from bayhinge._internal.network.frames import encode_message
@@ -22,6 +22,7 @@
 from bayhinge._internal.services.queue_dispatcher import QueueDispatcher
 from bayhinge._internal.services.remote_grants import RemoteGrants
 from bayhinge._internal.utils.log_output import LogOutput
+from bayhinge._internal.wire import ttypes as wire
 from bayhinge._internal.wire.hosts.ttypes import KnownObjects
 from bayhinge.coordination.config_feed import ConfigFeed, FeedTimes
 from bayhinge.coordination.membership import Membership
@@ -264,3 +265,48 @@
         assert peers.called_methods == ["done"]
 
     run_virtual(scenario())
+
+
+class ConfusedPeers(Peers):
+    """Two queue dispatchers, of which the first answers with what can't be decoded."""
+
+    def __init__(self) -> None:
+        self.calls: list[tuple[str, str]] = []
+
+    async def call(self, address: str, method: str, payload: bytes) -> bytes:
+        self.calls.append((address, method))
+        if method == "done":
+            return b""
+        is_first = len(self.calls) == 1
+        return b"?" if is_first else encode_message(wire.GrantReply("g", "e-1", "e-1:1", 0.0, ""))
+
+    async def stream(
+        self, address: str, method: str, payload: bytes
+    ) -> AsyncGenerator[bytes, None]:
+        yield await self.call(address, method, payload)
+
+    async def close(self) -> None:
+        return
+
+
+def test_after_an_undecodable_grant_the_next_dispatcher_is_asked() -> None:
+    """The first one's slot is released, or it would stay taken until the owner's process ends."""
+
+    async def scenario() -> None:
+        peers = ConfusedPeers()
+        hosts = [SimpleNamespace(host=n, incarnation=n, peer_address=n) for n in ("one", "two")]
+        membership = SimpleNamespace(
+            me=SimpleNamespace(incarnation="me", peer_address="me"), serving=lambda: hosts
+        )
+        dispatcher = SimpleNamespace(cell_of=lambda pool, program: pool)
+        grants = RemoteGrants(
+            cast(Membership, membership), cast(QueueDispatcher, dispatcher), peers
+        )
+        offer = Offer("g", "me", "p", "", 0, 10, 10)
+        granted = await grants.request("pool", offer)
+        await asyncio.sleep(0.1)
+        first, second = peers.calls[0][0], granted.dispatcher_address
+        assert {first, second} == {"one", "two"}
+        assert sorted(peers.calls) == sorted([(first, "grant"), (first, "done"), (second, "grant")])
+
+    run_virtual(scenario())
