--- a/src/bayhinge/coordination/journal.py
+++ b/src/bayhinge/coordination/journal.py
@@ -34,7 +34,14 @@
 PART_BYTES = 600_000
 """Larger records are split into parts of this size."""
 
-assert BATCH_TARGET_BYTES + PART_BYTES < 2 * MAX_VALUE_BYTES
+ENTRY_OVERHEAD_BYTES = 32
+"""Bound on what the encoding adds to each entry; of small records it is more than their data."""
+
+BATCH_OVERHEAD_BYTES = 100_000
+"""Room for the other fields of a batch, mainly the announced successors."""
+
+assert BATCH_TARGET_BYTES + BATCH_OVERHEAD_BYTES <= MAX_VALUE_BYTES
+assert PART_BYTES + ENTRY_OVERHEAD_BYTES <= BATCH_TARGET_BYTES
 
 
 @attrs.define
@@ -248,12 +255,13 @@
             record = self._queue[0]
             while record.entries:
                 entry = record.entries[0]
-                if entries and size + len(entry.data) > BATCH_TARGET_BYTES:
+                entry_bytes = len(entry.data) + ENTRY_OVERHEAD_BYTES
+                if entries and size + entry_bytes > BATCH_TARGET_BYTES:
                     return entries, finished
                 if record.position is None:
                     record.position = RecordPosition(self.incarnation, sequence, len(entries))
                 entries.append(record.entries.popleft())
-                size += len(entry.data)
+                size += entry_bytes
             finished.append(self._queue.popleft())
         return entries, finished
 
--- a/tests/unit/test_journal.py
+++ b/tests/unit/test_journal.py
@@ -169,6 +169,23 @@
     run_virtual(scenario())
 
 
+def test_many_small_records_fit_the_objects_of_the_store() -> None:
+    """Guards against a batch, as after an outage, that the store rejects forever."""
+    count = 40_000
+
+    async def scenario() -> None:
+        store = MemoryObjectStore(MemoryObjects())
+        journal = make_journal(store)
+        durable = [journal.append(b"%020d" % number) for number in range(count)]
+        task = asyncio.create_task(journal.run())
+        await asyncio.wait_for(asyncio.gather(*durable), 60.0)
+        task.cancel()
+        records = (await JournalReader(store, PREFIX).read_all("a~1")).records
+        assert len(records) == count
+
+    run_virtual(scenario())
+
+
 def test_a_full_spool_refuses_records_and_keeps_pending_ones() -> None:
     async def scenario() -> list[bytes]:
         objects = MemoryObjects()
