Write the host and the time on the lines that tell of dropped lines

Callers: none. Operators who follow a request see no gap in a host's log where it dropped lines. Cause: log.dropped was made beside the other lines, without host and time, and the trace skips lines without a time. Evidence: the test below finds no such line without the change. Change: the line has the host and the time of the next line that is written. Test: test_the_line_of_dropped_lines_can_be_read_with_the_others, red before, green now.

--- a/src/bayhinge/_internal/utils/log_output.py
+++ b/src/bayhinge/_internal/utils/log_output.py
@@ -79,9 +79,13 @@
             self._unreported += 1
             return
         if self._unreported:
-            report = {"message_type": "log.dropped", "lines": self._unreported}
+            report = {
+                "message_type": "log.dropped",
+                "lines": self._unreported,
+                "timestamp": message.get("timestamp", 0.0),
+            }
             self._unreported = 0
-            self._enqueue(orjson.dumps(report, option=orjson.OPT_APPEND_NEWLINE))
+            self._enqueue(orjson.dumps(self._host | report, option=orjson.OPT_APPEND_NEWLINE))
         self._enqueue(line)
         if not self._has_writer_callback():
             self.flush()
--- a/tests/unit/test_log_output.py
+++ b/tests/unit/test_log_output.py
@@ -6,6 +6,7 @@
 
 import orjson
 
+from bayhinge._internal.queries.log_trace import read_lines as trace_lines
 from bayhinge._internal.utils.log_output import (
     BUFFER_BYTES,
     ORDINARY_PER_SECOND,
@@ -56,6 +57,30 @@
     asyncio.run(main())
 
 
+def test_the_line_of_dropped_lines_can_be_read_with_the_others() -> None:
+    """Guards against a gap in the log that `bayhinge logs` does not show."""
+
+    async def main() -> None:
+        read_end, write_end = os.pipe()
+        log = LogOutput(write_end, "entry-1")
+        message = {"message_type": "request.refused", "text": "x" * 400, "timestamp": 5.0}
+        while not log.dropped:
+            log(message)
+        lines = read_lines(read_end)
+        await asyncio.sleep(0.01)
+        log(message | {"timestamp": 6.0})
+        while not any(line["message_type"] == "log.dropped" for line in lines):
+            await asyncio.sleep(0.005)
+            lines += read_lines(read_end)
+        parsed = trace_lines(orjson.dumps(line) for line in lines)
+        [dropped] = [line for line in parsed if line.message_type == "log.dropped"]
+        assert (dropped.host, dropped.at_s) == ("entry-1", 6.0)
+        os.close(read_end)
+        os.close(write_end)
+
+    asyncio.run(main())
+
+
 def test_ordinary_lines_are_thinned_and_failures_are_kept() -> None:
     read_end, write_end = os.pipe()
     log = LogOutput(write_end)
