Retry the removal of a dead host's heartbeat object

Cause: forget logged errors of the store and returned, and its only caller, which retries such errors, took that for done. Evidence: in the test below, an outage at that moment leaves the object for good. Found by reading earlier. Change: forget raises the store's errors; an object that has changed since belongs to a host that is alive, and stays. Tests: test_a_dead_hosts_object_goes_once_the_store_answers_again, red before, green now; test_a_host_that_is_alive_again_keeps_its_object guards the exception.

--- a/src/bayhinge/coordination/membership.py
+++ b/src/bayhinge/coordination/membership.py
@@ -182,14 +182,19 @@
             logger.info("cannot remove the heartbeat object, leaving it to others: %s", error)
 
     async def forget(self, incarnation: str) -> None:
-        """Removes a dead host's heartbeat object, after its journal was sealed."""
+        """Removes a dead host's heartbeat object, after its journal was sealed.
+
+        Raises:
+            StoreError: the store did not answer or rejected the call; to be retried.
+        """
         key = self._key(incarnation)
+        stored = await self._store.get(key)
+        if stored is None:
+            return
         try:
-            stored = await self._store.get(key)
-            if stored is not None:
-                await self._store.delete(key, stored.version)
-        except StoreError as error:
-            logger.info("cannot remove heartbeat object %s: %s", key, error)
+            await self._store.delete(key, stored.version)
+        except VersionConflictError:
+            logger.info("host %s sends heartbeats again, its object stays", incarnation)
 
     def _key(self, incarnation: str) -> str:
         return f"{self._prefix}/{incarnation}"
--- a/tests/unit/test_membership.py
+++ b/tests/unit/test_membership.py
@@ -2,10 +2,14 @@
 
 import asyncio
 from collections.abc import Callable
+from typing import Any
 
 from bayhinge._internal.bench.world.virtual_time import run_virtual
+from bayhinge._internal.services.adoption import Adopter
+from bayhinge.coordination.journal_objects import SealInfo
 from bayhinge.coordination.membership import HostInfo, HostState, Membership, MembershipTimes
 from bayhinge.coordination.pacing import WritePacer
+from bayhinge.coordination.store import StoredObject
 from bayhinge_standins.faults import StoreFaults
 from bayhinge_standins.object_store import MemoryObjects, MemoryObjectStore
 
@@ -17,6 +21,17 @@
     return Membership(MemoryObjectStore(objects, faults), "hosts", info, TIMES)
 
 
+class SealedAdopter(Adopter):
+    """Takes over hosts whose journal has been sealed in favour of other hosts."""
+
+    def __init__(self, membership: Membership) -> None:
+        unused: Any = None
+        super().__init__(unused, unused, unused, "journal", membership, unused)
+
+    async def _seal(self, dead: HostInfo) -> SealInfo:
+        return SealInfo(("other~1",), "other~1", "its heartbeat stopped")
+
+
 class Fleet:
     """Members that send heartbeats, and the deaths that each of them declared."""
 
@@ -108,6 +123,49 @@
     run_virtual(scenario())
 
 
+def test_a_dead_hosts_object_goes_once_the_store_answers_again() -> None:
+    """Otherwise each host that starts later takes the dead one for alive until it times out."""
+
+    async def scenario() -> None:
+        fleet = Fleet(3)
+        await asyncio.sleep(10)
+        fleet.tasks[0].cancel()
+        await asyncio.sleep(10)
+        key = "hosts/h000~1"
+        assert key in fleet.objects.objects_by_key
+        fleet.faults[1].down = True
+        takeover = asyncio.create_task(
+            SealedAdopter(fleet.members[1]).take_over(fleet.members[0].me)
+        )
+        await asyncio.sleep(10)
+        fleet.faults[1].down = False
+        await asyncio.wait_for(takeover, 60)
+        assert key not in fleet.objects.objects_by_key
+        fleet.stop()
+
+    run_virtual(scenario())
+
+
+def test_a_host_that_is_alive_again_keeps_its_object() -> None:
+    async def scenario() -> None:
+        objects = MemoryObjects()
+        member, other = (make_member(objects, name, StoreFaults()) for name in ("a", "b"))
+        await member._write()
+        stored = objects.objects_by_key["hosts/a~1"]
+        get = other._store.get
+
+        async def outdated_get(key: str) -> StoredObject | None:
+            await member._write()
+            return stored
+
+        other._store.get = outdated_get  # type: ignore[method-assign]
+        await other.forget("a~1")
+        other._store.get = get  # type: ignore[method-assign]
+        assert "hosts/a~1" in objects.objects_by_key
+
+    run_virtual(scenario())
+
+
 def test_a_write_pacer_keeps_its_rate() -> None:
     pacer = WritePacer(10.0, 1)
 
