Name the unreadable change when an edit of the configuration can't follow it

Callers: operators who edit the configuration are told of "too many concurrent edits", whenever they try. Cause: an edit goes to the place behind the newest change that was applied; behind an undecodable one that place is taken, and the conflict was taken for another editor each time. Evidence: the test below ends with that message without the change. Change: propose raises the error of the object that can't be read, with its key and what to do. Test: test_an_edit_behind_an_undecodable_change_says_so, red before, green now.

--- a/src/bayhinge/coordination/config_feed.py
+++ b/src/bayhinge/coordination/config_feed.py
@@ -185,6 +185,7 @@
 
         Raises:
             ConfigConflictError: the object is at another revision, or does not exist.
+            CorruptObjectError: the next change can't be read, so none can follow it.
             StoreError: the store did not answer; the change may or may not be accepted.
         """
         nonce = f"{self._random_unit():.17f}"
@@ -196,6 +197,7 @@
                 accepted = self._find_by_nonce(kind, name, nonce)
                 if accepted is not None:
                     return accepted
+                self._raise_if_next_is_corrupt()
                 self._raise_if_outdated(kind, name, base_revision)
                 await self._append(kind, name, text, author, base_revision, nonce)
             except AlreadyExistsError:
@@ -217,6 +219,12 @@
         change = ConfigChange(FORMAT, kind, name, text, author, base, nonce, self._clock.wall_ms())
         await self._store.create(self._key(self._revision + 1), encode(change))
 
+    def _raise_if_next_is_corrupt(self) -> None:
+        """Raises CorruptObjectError if the change after the applied revision can't be read."""
+        error = self.corrupt_by_key.get(self._key(self._revision + 1))
+        if error is not None:
+            raise error
+
     def _raise_if_outdated(self, kind: str, name: str, base_revision: int) -> None:
         """Raises ConfigConflictError if an edit is not based on the object's revision."""
         current = self._objects_by_key.get((kind, name))
--- a/tests/unit/test_failed_attempts_elsewhere.py
+++ b/tests/unit/test_failed_attempts_elsewhere.py
@@ -25,6 +25,7 @@
 from bayhinge._internal.wire import ttypes as wire
 from bayhinge._internal.wire.hosts.ttypes import KnownObjects
 from bayhinge.coordination.config_feed import ConfigFeed, FeedTimes
+from bayhinge.coordination.errors import CorruptObjectError
 from bayhinge.coordination.membership import Membership
 from bayhinge.coordination.store import Change, ChangePage, Listing, PollingStore, StoredObject
 from bayhinge.coordination.store_availability import StoreAvailability
@@ -194,6 +195,22 @@
     os.close(write_end)
 
 
+def test_an_edit_behind_an_undecodable_change_says_so() -> None:
+    """Guards against "too many concurrent edits", which nobody can do anything about."""
+
+    async def scenario() -> None:
+        objects = MemoryObjects()
+        objects.objects_by_key["c/000000000001"] = StoredObject("c/000000000001", b"?", 1)
+        feed = ConfigFeed(
+            MemoryObjectStore(objects), "c", LoopClock(), Random(1).random, FeedTimes()
+        )
+        with pytest.raises(CorruptObjectError, match="c/000000000001"):
+            await feed.propose("kind", "name", "text", "author", 0)
+        assert list(objects.objects_by_key) == ["c/000000000001"]
+
+    run_virtual(scenario())
+
+
 def test_the_finish_reason_is_reset_for_each_attempt() -> None:
     """The finish reason is reset between attempts, as text, tool calls and usage are."""
     progress = _Progress()
