Quotas: the choice of coordinators and the buckets in modules of their own

Cause: quotas.py had grown to 340 lines with three jobs: asking, choosing the coordinator, and keeping buckets. Change: quota_coordinators.py chooses, quota_buckets.py keeps; the walk from host to host is a function of its own.

--- a/tests/lib/quota_hosts.py
+++ b/tests/lib/quota_hosts.py
@@ -120,7 +120,7 @@
 
     def coordinator(self) -> str:
         """Returns the account's coordinator, as most hosts see it."""
-        names = [host.quotas._coordinator_of("desk") for host in self.host_by_name.values()]
+        names = [host.quotas.coordinators.find("desk") for host in self.host_by_name.values()]
         return max(names, key=names.count)
 
     async def carry(self, source: str, target: str, payload: bytes) -> bytes:
