Queue for places: requests and lanes in modules of their own

Change: place_request.py has the request and its sort keys, place_lane.py the order within an account and the constant of the rule for the oldest; no code changed but for names without underscores. Imports of tests follow.

--- a/src/bayhinge/_internal/decisions/place_queue.py
+++ b/src/bayhinge/_internal/decisions/place_queue.py
@@ -6,54 +6,10 @@
 from bisect import bisect_left, insort
 from collections.abc import Callable, Iterator, Mapping, Set
 from heapq import heapify, heappop, heapreplace
-from itertools import chain, count
-from typing import NamedTuple
 
-import attrs
-
-from bayhinge._internal.decisions.account_shares import AccountShares, Group
-
-OLDEST_EVERY_GRANTS = 50
-"""One in this many grants of a service goes to the request that has waited longest among the
-urgencies that got none of the others, and one in this many grants of an account to the one that has
-waited longest there, if it can still be answered in time. Each of these grants may take a place
-from a more urgent request, so fewer of them answer more requests in time."""
-
-
-@attrs.frozen
-class PlaceRequest:
-    """A request that needs a place. Times are on the monotonic clock of the queue's owner.
-
-    Attributes:
-        ticket: identifies the request in one queue.
-        urgency: 0 is the most urgent.
-        account: the client account, or empty.
-        begins_program: it is the first turn of its program.
-        arrived_s: when its wait began, possibly at an earlier coordinator.
-        deadline_s: when its caller gives up.
-        objective_s: when its latency objective is missed.
-        program_deadline_s: when its program should be over, or None if unknown.
-    """
-
-    ticket: int
-    service: str
-    urgency: int
-    account: str
-    begins_program: bool
-    arrived_s: float
-    deadline_s: float
-    objective_s: float
-    program_deadline_s: float | None = None
-
-    @property
-    def group(self) -> Group:
-        """The group of requests that it competes with."""
-        return self.service, self.urgency
-
-    @property
-    def due_s(self) -> float:
-        """When its program should be over, or else when its caller gives up."""
-        return self.deadline_s if self.program_deadline_s is None else self.program_deadline_s
+from bayhinge._internal.decisions.account_shares import AccountShares
+from bayhinge._internal.decisions.place_lane import OLDEST_EVERY_GRANTS, Lane
+from bayhinge._internal.decisions.place_request import PlaceRequest, by_age
 
 
 class PlaceQueue:
@@ -139,105 +95,6 @@
         return 0
 
 
-class _AgeKey(NamedTuple):
-    """Order by arrival."""
-
-    arrived_s: float
-    urgency: int
-    ticket: int
-
-
-def _by_age(request: PlaceRequest) -> _AgeKey:
-    """Returns the sort key of first turns, and of all requests by age."""
-    return _AgeKey(request.arrived_s, request.urgency, request.ticket)
-
-
-def _by_due(request: PlaceRequest) -> tuple[float, _AgeKey]:
-    """Returns the sort key of turns of begun programs; the age makes it unique."""
-    return request.due_s, _by_age(request)
-
-
-def _due_s(request: PlaceRequest) -> float:
-    return request.due_s
-
-
-@attrs.define(eq=False)
-class _Lane:
-    """Waiting requests of one account, service and urgency.
-
-    Attributes:
-        begun: turns of begun programs, in the order of their deadlines.
-        first: first turns, in the order of arrival.
-        grants: grants by shares since the last one that was due to the oldest.
-    """
-
-    begun: list[PlaceRequest] = attrs.field(factory=list)
-    first: list[PlaceRequest] = attrs.field(factory=list)
-    grants: int = 0
-
-    def __len__(self) -> int:
-        return len(self.begun) + len(self.first)
-
-    def insert(self, request: PlaceRequest) -> None:
-        if request.begins_program:
-            insort(self.first, request, key=_by_age)
-        else:
-            insort(self.begun, request, key=_by_due)
-
-    def delete(self, request: PlaceRequest) -> None:
-        if request.begins_program:
-            del self.first[bisect_left(self.first, _by_age(request), key=_by_age)]
-        else:
-            del self.begun[bisect_left(self.begun, _by_due(request), key=_by_due)]
-
-    def rank(self, request: PlaceRequest, finish_s: float) -> int:
-        """Returns about the position of a request in the order; late first turns count by age."""
-        if request.begins_program:
-            return len(self.begun) + bisect_left(self.first, _by_age(request), key=_by_age)
-        late = bisect_left(self.begun, finish_s, key=_due_s)
-        index = bisect_left(self.begun, _by_due(request), key=_by_due)
-        return index - late if index >= late else len(self.begun) - late + index
-
-    def count_grant(self) -> None:
-        """Counts a grant by shares."""
-        self.grants = (self.grants + 1) % OLDEST_EVERY_GRANTS
-
-    def in_order(
-        self, finish_s: float, is_left: Callable[[PlaceRequest], bool]
-    ) -> Iterator[PlaceRequest]:
-        """Yields the requests in order; one that starts now is expected to end at ``finish_s``.
-
-        Whether a request is still left is asked when its turn comes.
-        """
-        usual = filter(is_left, self._usual_order(finish_s))
-        for grants in count(self.grants):
-            request = None
-            if (grants + 1) % OLDEST_EVERY_GRANTS == 0:
-                request = self._oldest(finish_s, is_left)
-            request = request or next(usual, None)
-            if request is None:
-                return
-            yield request
-
-    def _usual_order(self, finish_s: float) -> Iterator[PlaceRequest]:
-        """Yields the requests without regard to the rule for the oldest."""
-        begun_late = bisect_left(self.begun, finish_s, key=_due_s)
-        first = [request for request in self.first if request.deadline_s >= finish_s]
-        first_late = [request for request in self.first if request.deadline_s < finish_s]
-        return chain(self.begun[begun_late:], self.begun[:begun_late], first, first_late)
-
-    def _oldest(
-        self, finish_s: float, is_left: Callable[[PlaceRequest], bool]
-    ) -> PlaceRequest | None:
-        """Returns the oldest request whose caller still waits at ``finish_s``."""
-        in_time = (
-            request
-            for request in chain(self.begun, self.first)
-            if request.deadline_s >= finish_s and is_left(request)
-        )
-        return min(in_time, key=_by_age, default=None)
-
-
 class _ServiceQueue:
     """Waiting requests of one service.
 
@@ -252,7 +109,7 @@
     def __init__(self) -> None:
         self.tickets: set[int] = set()
         self.by_age: list[PlaceRequest] = []
-        self.lane_by_account_by_urgency: dict[int, dict[str, _Lane]] = {}
+        self.lane_by_account_by_urgency: dict[int, dict[str, Lane]] = {}
         self.grants = 0
         self.served_urgencies: set[int] = set()
 
@@ -262,16 +119,16 @@
     def insert(self, request: PlaceRequest) -> bool:
         """Inserts a request; returns whether its account had none of its urgency waiting."""
         self.tickets.add(request.ticket)
-        insort(self.by_age, request, key=_by_age)
+        insort(self.by_age, request, key=by_age)
         lanes = self.lane_by_account_by_urgency.setdefault(request.urgency, {})
-        lane = lanes.setdefault(request.account, _Lane())
+        lane = lanes.setdefault(request.account, Lane())
         lane.insert(request)
         return len(lane) == 1
 
     def delete(self, request: PlaceRequest) -> bool:
         """Deletes a request; returns whether its account has none of its urgency waiting now."""
         self.tickets.discard(request.ticket)
-        del self.by_age[bisect_left(self.by_age, _by_age(request), key=_by_age)]
+        del self.by_age[bisect_left(self.by_age, by_age(request), key=by_age)]
         lanes = self.lane_by_account_by_urgency[request.urgency]
         lane = lanes[request.account]
         lane.delete(request)
@@ -363,7 +220,7 @@
             lanes = dict(self._queue.lane_by_account_by_urgency.get(urgency, {}))
             yield from self._by_account(urgency, lanes)
 
-    def _by_account(self, urgency: int, lanes: dict[str, _Lane]) -> Iterator[PlaceRequest]:
+    def _by_account(self, urgency: int, lanes: dict[str, Lane]) -> Iterator[PlaceRequest]:
         """Yields the requests of one urgency.
 
         Among equal counters, the account that began to wait first goes first.
--- a/src/bayhinge/_internal/decisions/queue_positions.py
+++ b/src/bayhinge/_internal/decisions/queue_positions.py
@@ -6,7 +6,8 @@
 
 import attrs
 
-from bayhinge._internal.decisions.place_queue import PlaceQueue, PlaceRequest
+from bayhinge._internal.decisions.place_queue import PlaceQueue
+from bayhinge._internal.decisions.place_request import PlaceRequest
 
 MAX_AGE_S = 0.05
 """Age up to which an order is used for predictions: a quarter of the time between two calls of a
--- a/src/bayhinge/_internal/decisions/wait_estimate.py
+++ b/src/bayhinge/_internal/decisions/wait_estimate.py
@@ -7,7 +7,8 @@
 import attrs
 
 from bayhinge._internal.decisions.estimates import Average
-from bayhinge._internal.decisions.place_queue import OLDEST_EVERY_GRANTS, PlaceRequest
+from bayhinge._internal.decisions.place_lane import OLDEST_EVERY_GRANTS
+from bayhinge._internal.decisions.place_request import PlaceRequest
 
 WINDOW_S = 20.0
 """Older grants don't count: a service that has lost or won endpoints is known again after this."""
--- a/src/bayhinge/_internal/services/gateway/place_answers.py
+++ b/src/bayhinge/_internal/services/gateway/place_answers.py
@@ -7,7 +7,7 @@
     EndpointTable,
     PlacementPreference,
 )
-from bayhinge._internal.decisions.place_queue import PlaceRequest
+from bayhinge._internal.decisions.place_request import PlaceRequest
 from bayhinge._internal.models.endpoint_entries import EndpointIncarnation
 from bayhinge._internal.services.gateway.coordinator_client import outcome_reply
 from bayhinge._internal.services.gateway.hall_coordinators import HallCoordinators
--- a/src/bayhinge/_internal/services/gateway/place_waiters.py
+++ b/src/bayhinge/_internal/services/gateway/place_waiters.py
@@ -15,7 +15,8 @@
 from bayhinge._internal.decisions.endpoint_state import EndpointState
 from bayhinge._internal.decisions.endpoint_table import PlacementPreference
 from bayhinge._internal.decisions.first_predictions import FirstPredictions
-from bayhinge._internal.decisions.place_queue import PlaceQueue, PlaceRequest
+from bayhinge._internal.decisions.place_queue import PlaceQueue
+from bayhinge._internal.decisions.place_request import PlaceRequest
 from bayhinge._internal.decisions.queue_positions import QueuePositions
 from bayhinge._internal.decisions.returning_callers import ReturningCallers
 from bayhinge._internal.decisions.wait_estimate import Refused, WaitEstimate
--- a/src/bayhinge/_internal/services/gateway/placement.py
+++ b/src/bayhinge/_internal/services/gateway/placement.py
@@ -18,7 +18,8 @@
     PlacementPreference,
 )
 from bayhinge._internal.decisions.place_limits import PlaceLimits
-from bayhinge._internal.decisions.place_queue import PlaceQueue, PlaceRequest
+from bayhinge._internal.decisions.place_queue import PlaceQueue
+from bayhinge._internal.decisions.place_request import PlaceRequest
 from bayhinge._internal.decisions.returning_callers import ReturningCallers
 from bayhinge._internal.decisions.wait_estimate import WaitEstimate
 from bayhinge._internal.network.peers import Peers
--- a/tests/lib/place_play.py
+++ b/tests/lib/place_play.py
@@ -8,7 +8,8 @@
 
 import attrs
 
-from bayhinge._internal.decisions.place_queue import PlaceQueue, PlaceRequest
+from bayhinge._internal.decisions.place_queue import PlaceQueue
+from bayhinge._internal.decisions.place_request import PlaceRequest
 from bayhinge._internal.decisions.returning_callers import ReturningCallers
 from bayhinge._internal.decisions.wait_estimate import (
     MAX_RETRY_SHARE,
--- a/tests/lib/place_ways.py
+++ b/tests/lib/place_ways.py
@@ -10,7 +10,8 @@
 from multiprocessing import Pool
 from statistics import mean
 
-from bayhinge._internal.decisions.place_queue import PlaceQueue, PlaceRequest
+from bayhinge._internal.decisions.place_queue import PlaceQueue
+from bayhinge._internal.decisions.place_request import PlaceRequest
 from bayhinge._internal.decisions.wait_estimate import USUAL_ERRORS, WaitEstimate
 from tests.lib.place_play import Arrival, Load, Play
 
--- a/tests/unit/test_place_queue.py
+++ b/tests/unit/test_place_queue.py
@@ -8,7 +8,8 @@
 from hypothesis import strategies as st
 from hypothesis.stateful import RuleBasedStateMachine, invariant, rule
 
-from bayhinge._internal.decisions.place_queue import PlaceQueue, PlaceRequest
+from bayhinge._internal.decisions.place_queue import PlaceQueue
+from bayhinge._internal.decisions.place_request import PlaceRequest
 
 OLDEST_EVERY_GRANTS = 50
 """As in the queue; not imported, as a queue without the rule must fail here instead of making
--- a/tests/unit/test_place_waits.py
+++ b/tests/unit/test_place_waits.py
@@ -6,7 +6,7 @@
 import pytest
 
 from bayhinge._internal.decisions.place_limits import PlaceLimits
-from bayhinge._internal.decisions.place_queue import PlaceRequest
+from bayhinge._internal.decisions.place_request import PlaceRequest
 from bayhinge._internal.decisions.wait_estimate import Admitted, Refused, WaitEstimate
 from bayhinge._internal.services.gateway.coordinator_client import ANSWER_S
 from bayhinge._internal.services.gateway.place_waiters import MAX_POLL_S
--- a/tests/unit/test_queue_positions.py
+++ b/tests/unit/test_queue_positions.py
@@ -5,7 +5,8 @@
 import pytest
 
 from bayhinge._internal.decisions import place_queue
-from bayhinge._internal.decisions.place_queue import PlaceQueue, PlaceRequest
+from bayhinge._internal.decisions.place_queue import PlaceQueue
+from bayhinge._internal.decisions.place_request import PlaceRequest
 from bayhinge._internal.decisions.queue_positions import MAX_AGE_S, QueuePositions
 
 NOW_S = 5.0
--- a/tests/unit/test_wait_estimate.py
+++ b/tests/unit/test_wait_estimate.py
@@ -6,7 +6,7 @@
 import pytest
 
 from bayhinge._internal.decisions import wait_estimate
-from bayhinge._internal.decisions.place_queue import PlaceRequest
+from bayhinge._internal.decisions.place_request import PlaceRequest
 from bayhinge._internal.decisions.wait_estimate import (
     MAX_RETRY_AFTER_S,
     MAX_RETRY_SHARE,
