Queue for places: one class counts the rounds between urgencies

Cause: the count of grants between two that are due to a starving urgency stood twice, for actual and for simulated grants. Change: _UrgencyRound counts both; an unreadable change of the configuration is raised as a new error each time.

--- a/src/bayhinge/_internal/decisions/place_queue.py
+++ b/src/bayhinge/_internal/decisions/place_queue.py
@@ -7,6 +7,8 @@
 from collections.abc import Callable, Iterator, Mapping, Set
 from heapq import heapify, heappop, heapreplace
 
+import attrs
+
 from bayhinge._internal.decisions.account_shares import AccountShares
 from bayhinge._internal.decisions.place_lane import OLDEST_EVERY_GRANTS, Lane
 from bayhinge._internal.decisions.place_request import PlaceRequest, by_age
@@ -95,6 +97,36 @@
         return 0
 
 
+@attrs.define
+class _UrgencyRound:
+    """Grants to waiting requests since the last one that was due to a starving urgency.
+
+    Attributes:
+        served: the urgencies of these grants; others that wait are starving.
+    """
+
+    grants: int = 0
+    served: set[int] = attrs.field(factory=set)
+
+    @property
+    def is_due(self) -> bool:
+        """Whether the next grant goes to a starving urgency, if there is one."""
+        return self.grants + 1 >= OLDEST_EVERY_GRANTS
+
+    def count(self, urgency: int, ends: bool) -> None:
+        """Counts a grant, which may end the round."""
+        if ends:
+            self.grants = 0
+            self.served.clear()
+        else:
+            self.grants += 1
+            self.served.add(urgency)
+
+    def copy(self) -> "_UrgencyRound":
+        """Returns a copy, to simulate grants."""
+        return _UrgencyRound(self.grants, set(self.served))
+
+
 class _ServiceQueue:
     """Waiting requests of one service.
 
@@ -102,16 +134,13 @@
         tickets: the tickets of all.
         by_age: all, in the order of arrival.
         lane_by_account_by_urgency: the same requests in the order in which they get places.
-        grants: grants to waiting requests since the last one that was due to a starving urgency.
-        served_urgencies: the urgencies of these grants.
     """
 
     def __init__(self) -> None:
         self.tickets: set[int] = set()
         self.by_age: list[PlaceRequest] = []
         self.lane_by_account_by_urgency: dict[int, dict[str, Lane]] = {}
-        self.grants = 0
-        self.served_urgencies: set[int] = set()
+        self.round = _UrgencyRound()
 
     def __len__(self) -> int:
         return len(self.by_age)
@@ -140,20 +169,17 @@
         return True
 
     def oldest_starving(
-        self,
-        finish_s: float,
-        served_urgencies: Set[int],
-        is_left: Callable[[PlaceRequest], bool],
+        self, finish_s: float, served: Set[int], is_left: Callable[[PlaceRequest], bool]
     ) -> PlaceRequest | None:
         """Returns the oldest request of the urgencies that were not served, or None.
 
         Its caller must still wait at ``finish_s``, when it would end: a place for another one would
         be lost, as its caller is expected to give up before.
         """
-        if self.lane_by_account_by_urgency.keys() <= served_urgencies:
+        if self.lane_by_account_by_urgency.keys() <= served:
             return None
         for request in self.by_age:
-            is_starving = request.urgency not in served_urgencies
+            is_starving = request.urgency not in served
             if is_starving and request.deadline_s >= finish_s and is_left(request):
                 return request
         return None
@@ -161,17 +187,12 @@
     def count_grant(self, request: PlaceRequest, finish_s: float) -> None:
         """Counts the grant of a waiting request, before it is deleted."""
         starving = None
-        is_due = self.grants + 1 >= OLDEST_EVERY_GRANTS
+        is_due = self.round.is_due
         if is_due:
-            starving = self.oldest_starving(finish_s, self.served_urgencies, lambda _: True)
+            starving = self.oldest_starving(finish_s, self.round.served, lambda _: True)
         if starving is not request:
             self.lane_by_account_by_urgency[request.urgency][request.account].count_grant()
-        if is_due and starving in (None, request):
-            self.grants = 0
-            self.served_urgencies.clear()
-        else:
-            self.grants += 1
-            self.served_urgencies.add(request.urgency)
+        self.round.count(request.urgency, ends=is_due and starving in (None, request))
 
 
 class _GrantOrder:
@@ -194,22 +215,17 @@
 
     def __iter__(self) -> Iterator[PlaceRequest]:
         queue, granted_us = self._queue, self._granted_us_by_account
-        grants, served_urgencies = queue.grants, set(queue.served_urgencies)
+        simulated = queue.round.copy()
         by_shares = self._by_urgency()
         while True:
             request = None
-            is_due = grants + 1 >= OLDEST_EVERY_GRANTS
+            is_due = simulated.is_due
             if is_due:
-                request = queue.oldest_starving(self._finish_s, served_urgencies, self._is_left)
+                request = queue.oldest_starving(self._finish_s, simulated.served, self._is_left)
             request = request or next(by_shares, None)
             if request is None:
                 return
-            if is_due:
-                grants = 0
-                served_urgencies.clear()
-            else:
-                grants += 1
-                served_urgencies.add(request.urgency)
+            simulated.count(request.urgency, ends=is_due)
             self._granted.add(request.ticket)
             granted_us[request.account] = granted_us.get(request.account, 0) + self._expected_us
             yield request
--- a/src/bayhinge/coordination/config_feed.py
+++ b/src/bayhinge/coordination/config_feed.py
@@ -223,7 +223,7 @@
         """Raises CorruptObjectError if the change after the applied revision can't be read."""
         error = self.corrupt_by_key.get(self._key(self._revision + 1))
         if error is not None:
-            raise error
+            raise CorruptObjectError(error.key, error.why)
 
     def _raise_if_outdated(self, kind: str, name: str, base_revision: int) -> None:
         """Raises ConfigConflictError if an edit is not based on the object's revision."""
--- a/tests/unit/test_failed_attempts_elsewhere.py
+++ b/tests/unit/test_failed_attempts_elsewhere.py
@@ -284,27 +284,20 @@
     run_virtual(scenario())
 
 
-class ConfusedPeers(Peers):
+class ConfusedPeers(FlakyPeers):
     """Two queue dispatchers, of which the first answers with what can't be decoded."""
 
     def __init__(self) -> None:
-        self.calls: list[tuple[str, str]] = []
+        super().__init__()
+        self.called: list[tuple[str, str]] = []
 
     async def call(self, address: str, method: str, payload: bytes) -> bytes:
-        self.calls.append((address, method))
+        self.called.append((address, method))
         if method == "done":
             return b""
-        is_first = len(self.calls) == 1
+        is_first = len(self.called) == 1
         return b"?" if is_first else encode_message(wire.GrantReply("g", "e-1", "e-1:1", 0.0, ""))
 
-    async def stream(
-        self, address: str, method: str, payload: bytes
-    ) -> AsyncGenerator[bytes, None]:
-        yield await self.call(address, method, payload)
-
-    async def close(self) -> None:
-        return
-
 
 def test_after_an_undecodable_grant_the_next_dispatcher_is_asked() -> None:
     """The first one's slot is released, or it would stay taken until the owner's process ends."""
@@ -322,8 +315,10 @@
         offer = Offer("g", "me", "p", "", 0, 10, 10)
         granted = await grants.request("pool", offer)
         await asyncio.sleep(0.1)
-        first, second = peers.calls[0][0], granted.dispatcher_address
+        first, second = peers.called[0][0], granted.dispatcher_address
         assert {first, second} == {"one", "two"}
-        assert sorted(peers.calls) == sorted([(first, "grant"), (first, "done"), (second, "grant")])
+        assert sorted(peers.called) == sorted(
+            [(first, "grant"), (first, "done"), (second, "grant")]
+        )
 
     run_virtual(scenario())
