Soak mutants: the guard of limits is found again after the split of quotas

Cause: the mutant that lets each host grant its own tokens is made by replacing a line of quotas.py, which the split renamed, so test_a_guard_can_be_removed[limits hold over all hosts] failed in both runs of the checks. Change: the mutant names the line as it is now; what it takes away is the same.

--- a/tests/soak/mutants.py
+++ b/tests/soak/mutants.py
@@ -141,8 +141,7 @@
     "limits hold over all hosts": (
         Edit(
             "services/gateway/quotas.py",
-            "            if coordinator == self._gossip.own_heartbeat.host:\n"
-            "                return",
+            "            if coordinator == self.coordinators.me:\n                return",
             "            if True:\n                return",
         ),
     ),
