--- /dev/null
+++ b/tests/lib/ending_endpoints.py
@@ -0,0 +1,124 @@
+"""A site whose endpoints end, like crashed processes, when they get certain requests."""
+
+import asyncio
+import copy
+from collections.abc import Awaitable, Callable
+from pathlib import Path
+from typing import Any
+
+import attrs
+from aiohttp import web
+
+from tests.lib.platform_data import CONFIGURATION
+from tests.lib.platform_engine import PlatformEngine, Run
+from tests.lib.platform_site import PlatformSite, Reply
+
+FATAL = b"fatal"
+"""A request whose body holds this ends the endpoint that gets it."""
+
+ENTRY_REMOVED_S = 0.05
+"""After this time the entry of an ended endpoint goes."""
+
+CALLER_PAUSE_S = 0.2
+
+
+class EndingEndpoint(PlatformEngine):
+    """Ends under fatal requests, at most ``may_end`` times in its group of endpoints."""
+
+    def __init__(self, instance: str, service: str, group: "EndingGroup") -> None:
+        super().__init__(instance, service)
+        self._group = group
+
+    async def begin_run(self, request: web.Request, run: Run) -> None:
+        """See :class:`PlatformEngine`."""
+        if FATAL in run.body and self._group.takes_end():
+            await self.crash()
+            raise ConnectionResetError
+
+    async def crash(self) -> None:
+        """Ends at once: all connections are reset, the port is closed, the entry goes later."""
+        self._group.ended.append(self.instance)
+        assert self._runner is not None and self._runner.server is not None
+        for site in list(self._runner.sites):
+            await site.stop()
+        for connection in self._runner.server.connections:
+            if connection.transport is not None:
+                connection.transport.abort()
+        asyncio.get_running_loop().call_later(ENTRY_REMOVED_S, self._group.remove_entry, self)
+
+
+@attrs.define
+class EndingGroup:
+    """Endpoints that end under the same requests.
+
+    Attributes:
+        ended: the endpoints that have ended, in order.
+        ends_left: how many may still end.
+    """
+
+    remove_entry: Callable[[PlatformEngine], None]
+    ended: list[str] = attrs.field(factory=list)
+    ends_left: int = 1000
+
+    def takes_end(self) -> bool:
+        """Returns whether one more endpoint may end, and counts it."""
+        self.ends_left -= 1
+        return self.ends_left >= 0
+
+
+class EndingSite(PlatformSite):
+    """A site with many endpoints that may end."""
+
+    def __init__(self, folder: Path, entries: int, endpoints: int) -> None:
+        super().__init__(folder, entries)
+        self.group = EndingGroup(lambda ended: self.store.remove("servers", ended.instance))
+        self.engines = [
+            EndingEndpoint(f"i-llm-{number}", "llm", self.group) for number in range(endpoints)
+        ]
+        self.services = [
+            EndingEndpoint(f"i-app-{number}", "app", self.group) for number in range(endpoints)
+        ]
+
+    def change_route(self, name: str, **fields: object) -> None:
+        """Puts a configuration in which a route has other values."""
+        configuration = copy.deepcopy(CONFIGURATION)
+        configuration["version"] += 1
+        for route in configuration["routes"]:
+            if route["name"] == name:
+                route.update(fields)
+        self.store.put("config", "main", configuration)
+
+    async def repeat(self, ask: Callable[[str], Awaitable[Reply]], tries: int) -> list[int]:
+        """Sends a request again and again, at all hosts in turn; returns the statuses."""
+        hosts = sorted(self.entry_by_name)
+        statuses: list[int] = []
+        for number in range(tries):
+            reply = await ask(hosts[number % len(hosts)])
+            statuses.append(reply.status if reply.is_whole else 0)
+            await asyncio.sleep(CALLER_PAUSE_S)
+        return statuses
+
+    def runs_with(self, text: bytes) -> int:
+        """Returns how many runs of all endpoints had this text in their bodies."""
+        endpoints = (*self.engines, *self.services)
+        return sum(text in run.body for endpoint in endpoints for run in endpoint.runs)
+
+
+def run_ending_site(
+    folder: Path,
+    scenario: Callable[[EndingSite], Awaitable[Any]],
+    entries: int = 2,
+    endpoints: int = 24,
+) -> None:
+    """Starts a site with endpoints that may end, runs a scenario on it and stops the site."""
+
+    async def main() -> None:
+        site = EndingSite(folder, entries, endpoints)
+        try:
+            async with asyncio.timeout(40):
+                await site.start()
+                await scenario(site)
+        finally:
+            await site.stop()
+
+    asyncio.run(main())
--- a/tests/lib/platform_engine.py
+++ b/tests/lib/platform_engine.py
@@ -147,6 +147,7 @@
         sent = [(name, value) for name, value in request.headers.items()]
         run = Run(attempt, request.method, request.raw_path, body, sent)
         self.runs.append(run)
+        await self.begin_run(request, run)
         headers["Bayhinge-Server-Seal"] = f"seal-{self.instance}"
         try:
             await self._pause(incarnation, self.faults.pause_s)
@@ -162,6 +163,9 @@
             run.was_cancelled = True
             raise
 
+    async def begin_run(self, request: web.Request, run: Run) -> None:
+        """Is called when a run begins; does nothing here."""
+
     async def _write(
         self, request: web.Request, response: web.StreamResponse, event: bytes
     ) -> None:
