Tell in logs which attempts are of the same request, and trace them together

From a request's id an operator saw the sends of that attempt alone: nothing connected the attempts of one request, and a send that was given up with its attempt had no line at all. Lines of sends now carry the request's fingerprint (method, path, body, account, program, turn), which is computed only where a send fails; send.abandoned is new; `bayhinge logs ID` finds all attempts at all hosts from the id of one and sums them up in a line. No decision is changed. A LogLine method that nothing called is removed.

--- a/src/bayhinge/_internal/queries/log_trace.py
+++ b/src/bayhinge/_internal/queries/log_trace.py
@@ -46,10 +46,6 @@
         """Whether the line reports a change of a host's state or of its view of others."""
         return self.message_type.startswith(STATE_CHANGE_PREFIXES)
 
-    def names(self, identifier: str) -> bool:
-        """Returns whether the line has this id as its attempt or program."""
-        return identifier in {self.fields.get("attempt"), self.fields.get("program")}
-
     def __str__(self) -> str:
         """Returns the line in readable form."""
         outcome = (
--- a/src/bayhinge/_internal/queries/refusal_causes.py
+++ b/src/bayhinge/_internal/queries/refusal_causes.py
@@ -4,7 +4,7 @@
 
 from bayhinge._internal.models.refusals import RefusalCode
 
-SENDS = ("send.failed", "send.not_taken", "answer.passed_over")
+SENDS = ("send.failed", "send.not_taken", "send.abandoned", "answer.passed_over")
 ENDPOINTS = (
     "endpoint.restarted",
     "endpoint.came_back",
--- a/src/bayhinge/_internal/queries/tracing.py
+++ b/src/bayhinge/_internal/queries/tracing.py
@@ -15,6 +15,7 @@
     EXPLANATION_BY_OUTCOME,
     Explanation,
 )
+from bayhinge._internal.queries.request_sends import request_sends
 
 SUBJECT_FIELDS = ("disk", "home", "through", "endpoint", "prefix", "hall", "version")
 """Fields that identify the subject of a line."""
@@ -107,17 +108,27 @@
 
 
 def _names(identifier: str, lines: Iterable[LogLine]) -> set[str]:
-    """Returns the id and, where it is a program's, the ids of its attempts."""
-    attempts = {
-        str(line.fields["attempt"])
-        for line in lines
-        if line.fields.get("program") == identifier and line.fields.get("attempt")
-    }
-    return {identifier, *attempts}
+    """Returns the id, and the attempts and fingerprints that belong to it.
+
+    These are the attempts of a program, and all attempts of a request whose sends have failed.
+    """
+    names = {identifier}
+    requests_by_attempt: dict[str, set[str]] = {}
+    for line in lines:
+        attempt, request = line.fields.get("attempt"), line.fields.get("request")
+        if attempt and line.fields.get("program") == identifier:
+            names.add(attempt)
+        if attempt and request:
+            requests_by_attempt.setdefault(attempt, set()).add(request)
+    for attempt in [*names]:
+        names |= requests_by_attempt.get(attempt, set())
+    names |= {attempt for attempt, requests in requests_by_attempt.items() if requests & names}
+    return names
 
 
 def _is_own(line: LogLine, names: set[str]) -> bool:
-    return line.fields.get("attempt") in names or line.fields.get("program") in names
+    fields = line.fields
+    return any(fields.get(field) in names for field in ("attempt", "program", "request"))
 
 
 def _time_of(line: LogLine) -> float:
@@ -219,6 +230,11 @@
     own = {id(line) for line in found.own}
     for line in found.lines:
         yield f"{'>' if id(line) in own else ' '} {line}"
+    sends = list(request_sends(found.own))
+    if sends:
+        yield ""
+    for each in sends:
+        yield str(each)
     for explained in found.explained():
         yield ""
         yield from _cause_lines(found, explained)
--- a/src/bayhinge/_internal/services/gateway/request_sender.py
+++ b/src/bayhinge/_internal/services/gateway/request_sender.py
@@ -201,6 +201,10 @@
                 raise RequestRejectedError(f"status {answer.status}")
             run.state.record_success()
             self._speeds.record_answer(run, send_state.route, send_state.delivery)
+        except asyncio.CancelledError:
+            # The caller left, or the request's time is over.
+            self._log("send.abandoned", run, send_state, "no whole answer until the request ended")
+            raise
         finally:
             self._free_place(run, send_state, None)
             if connection is not None and not is_complete:
@@ -327,6 +331,7 @@
             eliot.log_message(
                 "send.again",
                 attempt=send_state.request.attempt,
+                request=send_state.fingerprint,
                 resume_after=send_state.delivery.resume_after,
                 sends_ran=send_state.ran,
             )
@@ -347,6 +352,7 @@
         eliot.log_message(
             event,
             attempt=send_state.request.attempt,
+            request=send_state.fingerprint,
             endpoint=run.endpoint,
             why=why,
             load=round(run.state.load, 2),
--- a/src/bayhinge/_internal/services/gateway/send_state.py
+++ b/src/bayhinge/_internal/services/gateway/send_state.py
@@ -4,6 +4,7 @@
 
 from bayhinge._internal.decisions.endpoint_table import PlacementPreference
 from bayhinge._internal.models.refusals import Figure, Refusal, RefusalCode, SendRecord
+from bayhinge._internal.models.request_fingerprint import fingerprint_of
 from bayhinge._internal.models.routed_requests import RoutedRequest
 from bayhinge._internal.models.routing import Route
 from bayhinge._internal.services.gateway.active_runs import ActiveRun
@@ -33,6 +34,14 @@
     tried: list[ActiveRun] = attrs.field(factory=list)
     ran: int = 0
     rejected: int = 0
+    _fingerprint: str | None = None
+
+    @property
+    def fingerprint(self) -> str:
+        """See :func:`fingerprint_of`; computed only once a send has failed."""
+        if self._fingerprint is None:
+            self._fingerprint = fingerprint_of(self.request)
+        return self._fingerprint
 
     def no_endpoint_refusal(self, retry_after_s: float) -> Refusal:
         """Returns the refusal of a request for which no endpoint is left."""
