--- a/idl/hosts.thrift
+++ b/idl/hosts.thrift
@@ -163,7 +163,25 @@
 }
 
 // A datagram between entry hosts; exactly one field is set.
-struct LoadNews { 1: optional HostLoads host, 2: optional HallLoads hall }
+
+// ENDED: an endpoint ended while it ran a request. CLEARED: it goes on after all, or the request was
+// answered since. TRIAL: a request under which endpoints ended is sent to the last one that it may
+// end. TRIAL_OVER: that send has ended.
+enum SendFate { ENDED = 1, CLEARED = 2, TRIAL = 3, TRIAL_OVER = 4 }
+
+// What a host has learned of a send. `request`: the fingerprint of the request; `has_program`: it
+// names its program. `sent_ms_ago`, `broken_ms_ago`: before this message.
+struct SendNews {
+  1: required string request,
+  2: required bool has_program,
+  3: required string endpoint,
+  4: optional i64 endpoint_born_ms,
+  5: required SendFate fate,
+  6: required i32 sent_ms_ago,
+  7: required i32 broken_ms_ago,
+}
+
+struct LoadNews { 1: optional HostLoads host, 2: optional HallLoads hall, 3: optional list<SendNews> sends }
 
 // Requests an endpoint from a hall coordinator. `wished`: the endpoint that has the request's
 // history in cache, or empty; `wished_born_ms`: its incarnation, if known. `avoid`: endpoints that
--- /dev/null
+++ b/src/bayhinge/_internal/decisions/ended_sends.py
@@ -0,0 +1,394 @@
+"""Bounds how many endpoints one request may end, over all its attempts and hosts. Pure.
+
+A host learns from its own sends and from other hosts which endpoints ended while they ran a
+request. A send that broke off proves nothing by itself, since answers are lost and connections are
+reset: it counts once the endpoint is found to have ended, and no longer once the endpoint is heard
+again. All times are in seconds on the host's monotonic clock.
+"""
+
+import itertools
+import math
+from collections.abc import Iterable, Iterator
+from enum import IntEnum, StrEnum
+
+import attrs
+
+from bayhinge._internal.models.endpoint_entries import EndpointIncarnation
+
+MAX_ENDED = 3
+"""Endpoints that may end under one request; the users' limit."""
+
+KEEP_S = 600.0
+"""How long a request is remembered after the last endpoint that ended under it."""
+
+UNDECIDED_S = 6.0
+"""How long an endpoint's end may be connected with a send that broke off; the entry of one that
+fell silent stays for three of its heartbeats."""
+
+ALIVE_AFTER_S = 6.0
+"""An answer to a request that was sent so long after the broken send proves that its endpoint goes
+on. A shorter time would not: until the store tells, a later incarnation may be taken for it."""
+
+TRIAL_S = 10.0
+"""How long another host's trial is assumed to go on if its end is not heard of."""
+
+MAX_REQUESTS = 2048
+"""Requests remembered at a time, of some 1 KB each at most."""
+
+MAX_SENDS = 8
+"""Sends remembered of one request; more than are needed to decide."""
+
+EVICTION_CANDIDATES = 32
+"""Requests compared when one has to be forgotten, so that a storm of failures stays cheap."""
+
+
+class Fate(IntEnum):
+    """What is known of an endpoint that broke off a request; later ones replace earlier ones."""
+
+    BROKEN = 1
+    ENDED = 2
+    CLEARED = 3
+
+
+class Permission(StrEnum):
+    """Whether a request may be sent.
+
+    Attributes:
+        EXAMINE: the endpoints that broke it off have to be examined first.
+        ALONE: to an endpoint that runs no other request of this kind, as its end would be blamed on
+            both.
+        BUSY: other attempts are under way, and the endpoints that run them may be the last ones.
+        WITHHELD: too many endpoints have ended under it.
+    """
+
+    FREE = "free"
+    EXAMINE = "examine"
+    ALONE = "alone"
+    BUSY = "busy"
+    WITHHELD = "withheld"
+
+
+@attrs.frozen
+class RequestKey:
+    """A request over all its attempts.
+
+    Attributes:
+        fingerprint: see :func:`fingerprint_of`.
+        has_program: it names its program, so that equal requests are attempts of one caller. Other
+            equal requests may come from many callers at once.
+    """
+
+    fingerprint: str
+    has_program: bool
+
+
+@attrs.define
+class BrokenSend:
+    """A send to one endpoint that broke off, and what is known of the endpoint."""
+
+    sent_s: float
+    broken_s: float
+    fate: Fate = Fate.BROKEN
+
+
+@attrs.define
+class RequestHistory:
+    """The broken sends of one request.
+
+    Attributes:
+        last_ended_s: when the last end was learned.
+        running: sends under way from this host.
+        trial_until_s_by_endpoint: trials that other hosts have begun.
+    """
+
+    send_by_incarnation: dict[EndpointIncarnation, BrokenSend] = attrs.field(factory=dict)
+    last_ended_s: float = 0.0
+    running: int = 0
+    trial_until_s_by_endpoint: dict[str, float] = attrs.field(factory=dict)
+
+    def ended(self) -> list[EndpointIncarnation]:
+        """Returns the endpoints that ended under the request."""
+        return [
+            incarnation
+            for incarnation, send in self.send_by_incarnation.items()
+            if send.fate is Fate.ENDED
+        ]
+
+    def undecided(self, now_s: float) -> list[EndpointIncarnation]:
+        """Returns the endpoints that broke it off and may yet be found to have ended."""
+        return [
+            incarnation
+            for incarnation, send in self.send_by_incarnation.items()
+            if send.fate is Fate.BROKEN and send.broken_s >= now_s - UNDECIDED_S
+        ]
+
+    def trials(self, now_s: float) -> int:
+        """Returns how many trials are under way from other hosts."""
+        return sum(until_s > now_s for until_s in self.trial_until_s_by_endpoint.values())
+
+    def count(self, incarnations: Iterable[EndpointIncarnation], has_program: bool) -> int:
+        """Returns how many of these sends count.
+
+        One caller's sends all count. Of the equal requests of many callers, those that were under
+        way at the same time count once: they tell of endpoints that failed together.
+        """
+        sends = [self.send_by_incarnation[incarnation] for incarnation in incarnations]
+        if has_program:
+            return len(sends)
+        count, free_from_s = 0, -math.inf
+        for send in sorted(sends, key=lambda each: each.broken_s):
+            if send.sent_s >= free_from_s:
+                count += 1
+                free_from_s = send.broken_s
+        return count
+
+    def oldest(self) -> EndpointIncarnation:
+        """Returns the send to forget first; the ends go last."""
+        sends = self.send_by_incarnation
+        return min(sends, key=lambda each: (sends[each].fate is Fate.ENDED, sends[each].broken_s))
+
+    def is_over(self, now_s: float) -> bool:
+        """Whether nothing of it matters any more."""
+        is_recent = bool(self.ended()) and self.last_ended_s >= now_s - KEEP_S
+        return not (is_recent or self.undecided(now_s) or self.trials(now_s) or self.running)
+
+
+class EndedSends:
+    """The requests under which endpoints ended or may have ended, as one host knows them."""
+
+    def __init__(self) -> None:
+        # In the order of their last change.
+        self._history_by_key: dict[RequestKey, RequestHistory] = {}
+        self._keys_by_incarnation: dict[EndpointIncarnation, set[RequestKey]] = {}
+        self._own_trial_by_endpoint: dict[str, RequestKey] = {}
+
+    def __len__(self) -> int:
+        """Returns how many requests are remembered."""
+        return len(self._history_by_key)
+
+    def ended(self, key: RequestKey) -> list[EndpointIncarnation]:
+        """Returns the endpoints that ended under a request."""
+        history = self._history_by_key.get(key)
+        return [] if history is None else history.ended()
+
+    def undecided(self, key: RequestKey, now_s: float) -> list[EndpointIncarnation]:
+        """Returns the endpoints that broke a request off and may have ended."""
+        history = self._history_by_key.get(key)
+        return [] if history is None else history.undecided(now_s)
+
+    def has_undecided(self, incarnation: EndpointIncarnation, now_s: float) -> bool:
+        """Whether an endpoint has broken off a request and may yet be found to have ended."""
+        return any(
+            incarnation in self._history_by_key[key].undecided(now_s)
+            for key in self._keys_by_incarnation.get(incarnation, ())
+        )
+
+    def all_ended(
+        self, now_s: float
+    ) -> Iterator[tuple[RequestKey, EndpointIncarnation, BrokenSend]]:
+        """Yields each end that still counts."""
+        for key, history in self._history_by_key.items():
+            if not history.is_over(now_s):
+                for incarnation in history.ended():
+                    yield key, incarnation, history.send_by_incarnation[incarnation]
+
+    # ---- decisions ----
+
+    def permission(self, key: RequestKey, now_s: float, is_examined: bool = False) -> Permission:
+        """Decides whether a request may be sent to one more endpoint now.
+
+        Args:
+            key: the request.
+            now_s: the present time.
+            is_examined: whether the endpoints in doubt were just found not to have ended.
+        """
+        history = self._history_by_key.get(key)
+        if history is None:
+            return Permission.FREE
+        if history.is_over(now_s):
+            self.forget(key)
+            return Permission.FREE
+        ended = history.count(history.ended(), key.has_program)
+        if ended >= MAX_ENDED:
+            return Permission.WITHHELD
+        is_last = ended == MAX_ENDED - 1
+        if is_last or (ended and key.has_program):
+            running = history.running + history.trials(now_s)
+            if ended + running >= MAX_ENDED:
+                return Permission.BUSY
+        suspects = [*history.ended(), *history.undecided(now_s)]
+        if not is_examined and history.count(suspects, key.has_program) >= MAX_ENDED:
+            return Permission.EXAMINE
+        return Permission.ALONE if is_last else Permission.FREE
+
+    def trial_endpoints(self, key: RequestKey, now_s: float) -> frozenset[str]:
+        """Returns the endpoints at which other requests are on trial."""
+        own = {endpoint for endpoint, other in self._own_trial_by_endpoint.items() if other != key}
+        remote = {
+            endpoint
+            for other, history in self._history_by_key.items()
+            if other != key
+            for endpoint, until_s in history.trial_until_s_by_endpoint.items()
+            if until_s > now_s
+        }
+        return frozenset(own | remote)
+
+    # ---- this host's sends ----
+
+    def begin_send(self, key: RequestKey, endpoint: str, is_trial: bool) -> bool:
+        """Counts a send of a remembered request; returns whether it is one."""
+        history = self._history_by_key.get(key)
+        if history is None:
+            return False
+        history.running += 1
+        if is_trial:
+            self._own_trial_by_endpoint[endpoint] = key
+        return True
+
+    def end_send(self, key: RequestKey, endpoint: str) -> None:
+        """Ends the count of a send for which ``begin_send`` returned True."""
+        history = self._history_by_key.get(key)
+        if history is not None:
+            history.running = max(0, history.running - 1)
+        if self._own_trial_by_endpoint.get(endpoint) == key:
+            del self._own_trial_by_endpoint[endpoint]
+
+    def record_broken(
+        self, key: RequestKey, incarnation: EndpointIncarnation, send: BrokenSend
+    ) -> None:
+        """Records a send that broke off."""
+        if incarnation not in self._touch(key).send_by_incarnation:
+            self._add(key, incarnation, send)
+
+    def record_served(self, key: RequestKey) -> list[EndpointIncarnation]:
+        """Clears a request that an endpoint has answered in full; returns the ends that counted."""
+        history = self._history_by_key.get(key)
+        if history is None:
+            return []
+        ended = history.ended()
+        for send in history.send_by_incarnation.values():
+            send.fate = Fate.CLEARED
+        return ended
+
+    # ---- what is learned of endpoints ----
+
+    def record_ended(
+        self, key: RequestKey, incarnation: EndpointIncarnation, send: BrokenSend, now_s: float
+    ) -> bool:
+        """Records that an endpoint ended under a request; returns whether that is new."""
+        history = self._touch(key)
+        known = history.send_by_incarnation.get(incarnation)
+        if known is None:
+            known = self._add(key, incarnation, send)
+        if known.fate is not Fate.BROKEN:
+            return False
+        known.fate = Fate.ENDED
+        history.last_ended_s = now_s
+        return True
+
+    def record_endpoint_ended(
+        self, incarnation: EndpointIncarnation, now_s: float
+    ) -> list[RequestKey]:
+        """Records the end of an endpoint; returns the requests for which that is new."""
+        ended: list[RequestKey] = []
+        for key in list(self._keys_by_incarnation.get(incarnation, ())):
+            history = self._history_by_key[key]
+            if incarnation in history.undecided(now_s):
+                history.send_by_incarnation[incarnation].fate = Fate.ENDED
+                history.last_ended_s = now_s
+                ended.append(key)
+        return ended
+
+    def record_endpoint_alive(
+        self, incarnation: EndpointIncarnation, sent_s: float
+    ) -> list[RequestKey]:
+        """Clears an endpoint that has answered a request sent at ``sent_s``.
+
+        Returns the requests for which its end had counted.
+        """
+        cleared: list[RequestKey] = []
+        for key in self._keys_by_incarnation.get(incarnation, ()):
+            send = self._history_by_key[key].send_by_incarnation[incarnation]
+            if sent_s < send.broken_s + ALIVE_AFTER_S or send.fate is Fate.CLEARED:
+                continue
+            if send.fate is Fate.ENDED:
+                cleared.append(key)
+            send.fate = Fate.CLEARED
+        return cleared
+
+    def send_of(self, key: RequestKey, incarnation: EndpointIncarnation) -> BrokenSend | None:
+        """Returns a request's broken send to an endpoint, if it is remembered."""
+        history = self._history_by_key.get(key)
+        return None if history is None else history.send_by_incarnation.get(incarnation)
+
+    # ---- what other hosts tell ----
+
+    def record_cleared(
+        self, key: RequestKey, incarnation: EndpointIncarnation, send: BrokenSend
+    ) -> None:
+        """Clears an endpoint for a request, also where news of its end comes later."""
+        self._touch(key)
+        known = self.send_of(key, incarnation) or self._add(key, incarnation, send)
+        known.fate = Fate.CLEARED
+
+    def record_trial(self, key: RequestKey, endpoint: str, now_s: float) -> None:
+        """Records that another host has begun a trial."""
+        self._touch(key).trial_until_s_by_endpoint[endpoint] = now_s + TRIAL_S
+
+    def record_trial_over(self, key: RequestKey, endpoint: str) -> None:
+        """Records that another host's trial has ended."""
+        history = self._history_by_key.get(key)
+        if history is not None:
+            history.trial_until_s_by_endpoint.pop(endpoint, None)
+
+    # ---- bounds ----
+
+    def forget(self, key: RequestKey) -> None:
+        """Forgets a request."""
+        history = self._history_by_key.pop(key, None)
+        if history is not None:
+            for incarnation in history.send_by_incarnation:
+                self._unindex(key, incarnation)
+
+    def forget_old(self, now_s: float) -> None:
+        """Forgets the requests whose time is over."""
+        over = [key for key, history in self._history_by_key.items() if history.is_over(now_s)]
+        for key in over:
+            self.forget(key)
+
+    def _touch(self, key: RequestKey) -> RequestHistory:
+        """Returns a request's history as the one that changed last."""
+        history = self._history_by_key.pop(key, None)
+        if history is None:
+            history = RequestHistory()
+            if len(self._history_by_key) >= MAX_REQUESTS:
+                self._forget_one()
+        self._history_by_key[key] = history
+        return history
+
+    def _forget_one(self) -> None:
+        """Forgets one of the oldest requests, that under which fewest endpoints ended.
+
+        Requests that ran beside others, and lost an endpoint once, must not displace those under
+        which endpoints end.
+        """
+        oldest = itertools.islice(self._history_by_key, EVICTION_CANDIDATES)
+        self.forget(min(oldest, key=lambda key: len(self._history_by_key[key].ended())))
+
+    def _add(
+        self, key: RequestKey, incarnation: EndpointIncarnation, send: BrokenSend
+    ) -> BrokenSend:
+        history = self._history_by_key[key]
+        if len(history.send_by_incarnation) >= MAX_SENDS:
+            oldest = history.oldest()
+            del history.send_by_incarnation[oldest]
+            self._unindex(key, oldest)
+        history.send_by_incarnation[incarnation] = send
+        self._keys_by_incarnation.setdefault(incarnation, set()).add(key)
+        return send
+
+    def _unindex(self, key: RequestKey, incarnation: EndpointIncarnation) -> None:
+        keys = self._keys_by_incarnation[incarnation]
+        keys.discard(key)
+        if not keys:
+            del self._keys_by_incarnation[incarnation]
--- a/src/bayhinge/_internal/decisions/endpoint_state.py
+++ b/src/bayhinge/_internal/decisions/endpoint_state.py
@@ -30,6 +30,7 @@
         failures: recent failures; each success reduces the count.
         failure_reports: number of other hosts that reported a recent failure.
         is_suspected: its entry has vanished for a reason not known yet.
+        missing_since_s: when its entry vanished, if it is suspected.
         is_replaced: another endpoint has started at its address since.
     """
 
@@ -41,6 +42,7 @@
     failure_reports: int = 0
     ejected_until_s: float = 0.0
     is_suspected: bool = False
+    missing_since_s: float = 0.0
     is_replaced: bool = False
 
     @property
--- a/src/bayhinge/_internal/models/refusals.py
+++ b/src/bayhinge/_internal/models/refusals.py
@@ -33,6 +33,7 @@
         OWNER_UNREACHABLE: the host in charge of the program, its queue or its quota did not
             answer or has changed.
         NO_PLACE: all endpoints of the service are full, and none would have a place in time.
+        ENDS_ENDPOINTS: too many endpoints have ended while they ran the request.
         HOST_MEMORY: the host's memory budget has no room for the request.
     """
 
@@ -56,6 +57,7 @@
     NO_PLACE = "no_place"
     HOST_MEMORY = "host_memory"
     ENDPOINT_FAILED = "endpoint_failed"
+    ENDS_ENDPOINTS = "ends_endpoints"
     OUTCOME_UNKNOWN = "outcome_unknown"
     STORE_UNAVAILABLE = "store_unavailable"
     CONFIG_UNKNOWN = "config_unknown"
@@ -85,6 +87,7 @@
     RefusalCode.NO_PLACE: status_codes.HTTP_UNAVAILABLE,
     RefusalCode.HOST_MEMORY: status_codes.HTTP_UNAVAILABLE,
     RefusalCode.ENDPOINT_FAILED: status_codes.HTTP_BAD_GATEWAY,
+    RefusalCode.ENDS_ENDPOINTS: status_codes.HTTP_BAD_GATEWAY,
     RefusalCode.OUTCOME_UNKNOWN: status_codes.HTTP_BAD_GATEWAY,
     RefusalCode.STORE_UNAVAILABLE: status_codes.HTTP_UNAVAILABLE,
     RefusalCode.CONFIG_UNKNOWN: status_codes.HTTP_UNAVAILABLE,
--- a/src/bayhinge/_internal/network/endpoint_connections.py
+++ b/src/bayhinge/_internal/network/endpoint_connections.py
@@ -7,6 +7,7 @@
 
 import asyncio
 from collections import deque
+from enum import StrEnum
 
 import attrs
 from aiohttp.base_protocol import BaseProtocol
@@ -60,6 +61,9 @@
 
 _FIRST_FINAL_STATUS = 200
 
+ABORTED = "aborted"
+"""Begins the reason of connections that this host has closed."""
+
 _PROBE_STATUS = 299
 _PROBE = b"HTTP/1.1 299 probe\r\nContent-Length: 0\r\n\r\n"
 """An artificial answer, fed to the parser to detect a buffered partial answer."""
@@ -144,7 +148,7 @@
         why = str(exc) if exc else "the endpoint closed the connection"
         self._why_closed = self._why_closed or why
         self._timed_out = isinstance(exc, TimeoutError)
-        if exc is None and not self._why_closed.startswith("aborted"):
+        if exc is None and not self._why_closed.startswith(ABORTED):
             try:
                 self._answer_parser.feed_eof()
             except Exception as error:  # As above.
@@ -195,7 +199,7 @@
 
     def abort(self, why: str) -> None:
         """Closes the connection at once."""
-        self._why_closed = self._why_closed or f"aborted: {why}"
+        self._why_closed = self._why_closed or f"{ABORTED}: {why}"
         self.is_open = False
         if self.transport is not None:
             self.transport.abort()
@@ -206,6 +210,11 @@
         """When the connection was opened and last received anything from the endpoint."""
         return ConnectionTimes(self.address, self._opened_s, self._last_received_s)
 
+    @property
+    def was_lost(self) -> bool:
+        """Whether the connection ended although this host did not close it."""
+        return not self.is_open and not self._why_closed.startswith(ABORTED)
+
     @property
     def has_unread_answer(self) -> bool:
         """Whether an answer was received but not read."""
@@ -251,6 +260,14 @@
             self._waiter.set_result(None)
 
 
+class ProbeResult(StrEnum):
+    """What a new connection to an address tells; UNKNOWN if nothing answered."""
+
+    OPEN = "open"
+    REFUSED = "refused"
+    UNKNOWN = "unknown"
+
+
 @attrs.define(eq=False, repr=False)
 class PoolCounters:
     """Counters of the pool since the start of the process."""
@@ -285,19 +302,39 @@
                 self.counts.reused += 1
                 return connection
             connection.abort("idle for too long")
-        host, port = split_address(address)
         try:
-            async with stall_tolerant_timeout(CONNECT_TIMEOUT_S):
-                _, connection = await loop.create_connection(
-                    lambda: EndpointConnection(loop, key, address, self._last_received_s_by_key),
-                    host,
-                    port,
-                )
+            return await self._open(key, address)
         except (OSError, TimeoutError) as error:
             raise EndpointUnreachableError(str(error) or type(error).__name__) from error
+
+    async def _open(self, key: str, address: str) -> EndpointConnection:
+        """Opens a connection.
+
+        Raises:
+            OSError, TimeoutError: it can't be made.
+        """
+        loop = asyncio.get_running_loop()
+        host, port = split_address(address)
+        async with stall_tolerant_timeout(CONNECT_TIMEOUT_S):
+            _, connection = await loop.create_connection(
+                lambda: EndpointConnection(loop, key, address, self._last_received_s_by_key),
+                host,
+                port,
+            )
         self.counts.opened += 1
         return connection
 
+    async def probe(self, key: str, address: str) -> ProbeResult:
+        """Finds out whether anything listens at an address; a new connection is kept for use."""
+        try:
+            connection = await self._open(key, address)
+        except ConnectionRefusedError:
+            return ProbeResult.REFUSED
+        except (OSError, TimeoutError):
+            return ProbeResult.UNKNOWN
+        self.release(connection, None)
+        return ProbeResult.OPEN
+
     def release(self, connection: EndpointConnection, idle_s: float | None) -> None:
         """Returns a connection to the pool after its answer was read to the end.
 
--- a/src/bayhinge/_internal/queries/request_sends.py
+++ b/src/bayhinge/_internal/queries/request_sends.py
@@ -41,6 +41,7 @@
         """Adds a line with the fingerprint of this request."""
         if line.message_type == ENDED_UNDER:
             self._add_ended(str(line.fields.get("endpoint")))
+        if line.fields.get("attempt") is None:
             return
         self.attempts.add(str(line.fields.get("attempt")))
         self.hosts.add(line.host)
--- /dev/null
+++ b/src/bayhinge/_internal/services/gateway/ended_send_exchange.py
@@ -0,0 +1,170 @@
+"""Tells other hosts which endpoints ended under which requests, and hears it from them.
+
+Only hosts that have seen an endpoint end send anything. Datagrams may be lost, and a host may be
+cut off for a moment, so each change is repeated a few times; a host that has started anew gets
+what others remember.
+"""
+
+import asyncio
+from collections.abc import Iterable, Sequence
+
+import eliot
+
+from bayhinge._internal.decisions.ended_sends import BrokenSend, Fate, RequestKey
+from bayhinge._internal.models.endpoint_entries import EndpointIncarnation
+from bayhinge._internal.services.gateway.ended_send_tracker import (
+    EndedSendTracker,
+    FateChange,
+    TrialChange,
+)
+from bayhinge._internal.services.gateway.load_exchange import LoadExchange
+from bayhinge._internal.services.gossip import Gossip
+from bayhinge._internal.wire.hosts import ttypes as wire
+from bayhinge.coordination.rendezvous import rank
+
+REPEAT_AFTER_S = (0.1, 1.0, 3.0)
+"""When a change is told again, after the first time."""
+
+MAX_PER_DATAGRAM = 12
+"""Changes in one datagram, so that it fits into one packet."""
+
+MAX_TOLD_PER_S = 240
+"""Changes told in a second; where whole services end, each endpoint takes its requests along."""
+
+MAX_TOLD_AT_START = 240
+"""Changes told to a host that has started."""
+
+TELLERS_AT_START = 2
+"""Hosts that tell a host that has started."""
+
+MAX_AGE_MS = 1_000_000
+"""Longer ages are told as this one; it fits the message, and nothing is remembered for so long."""
+
+_FATES = {Fate.ENDED: wire.SendFate.ENDED, Fate.CLEARED: wire.SendFate.CLEARED}
+
+
+class EndedSendExchange:
+    """Keeps the trackers of all entry hosts alike."""
+
+    def __init__(self, tracker: EndedSendTracker, gossip: Gossip, datagrams: LoadExchange) -> None:
+        self._tracker = tracker
+        self._gossip = gossip
+        self._datagrams = datagrams
+        self._incarnation_by_host: dict[str, int] = {}
+        self._second = 0
+        self._told_in_second = 0
+        tracker.tell = self.tell
+        datagrams.on_sends = self.receive
+
+    # ---- telling ----
+
+    def tell(self, changes: Iterable[FateChange | TrialChange]) -> None:
+        """Tells all entry hosts of changes, those of fates several times."""
+        changes = self._within_rate(list(changes))
+        self._send_to_all(changes)
+        fates = [change for change in changes if isinstance(change, FateChange)]
+        if fates:
+            loop = asyncio.get_running_loop()
+            for after_s in REPEAT_AFTER_S:
+                loop.call_later(after_s, self._repeat, fates)
+
+    def _repeat(self, changes: Sequence[FateChange]) -> None:
+        self._send_to_all([change for change in changes if change.send.fate is change.fate])
+
+    def _within_rate(
+        self, changes: list[FateChange | TrialChange]
+    ) -> list[FateChange | TrialChange]:
+        second = int(asyncio.get_running_loop().time())
+        if second != self._second:
+            self._second, self._told_in_second = second, 0
+        told = changes[: max(0, MAX_TOLD_PER_S - self._told_in_second)]
+        self._told_in_second += len(told)
+        if len(told) < len(changes):
+            eliot.log_message("send.news_left_out", told=len(told), changes=len(changes))
+        return told
+
+    def _send_to_all(self, changes: Sequence[FateChange | TrialChange]) -> None:
+        addresses = [
+            heartbeat.peer_address
+            for heartbeat in self._gossip.recent_heartbeats(wire.HostRole.ENTRY)
+        ]
+        self._send_to(addresses, changes)
+
+    def _send_to(
+        self, addresses: Sequence[str], changes: Sequence[FateChange | TrialChange]
+    ) -> None:
+        now = asyncio.get_running_loop().time()
+        for first in range(0, len(changes), MAX_PER_DATAGRAM):
+            batch = changes[first : first + MAX_PER_DATAGRAM]
+            message = wire.LoadNews(sends=[_encode(change, now) for change in batch])
+            for address in addresses:
+                self._datagrams.send(message, address)
+
+    def handle_heartbeat(self, heartbeat: wire.Hello) -> None:
+        """Tells a host that has started what this one remembers, if it is this one's turn."""
+        if heartbeat.role != wire.HostRole.ENTRY:
+            return
+        if self._incarnation_by_host.get(heartbeat.host) == heartbeat.incarnation:
+            return
+        self._incarnation_by_host[heartbeat.host] = heartbeat.incarnation
+        own = self._gossip.own_heartbeat.host
+        others = {each.host for each in self._gossip.recent_heartbeats(wire.HostRole.ENTRY)}
+        candidates = sorted((others | {own}) - {heartbeat.host})
+        if own in rank(heartbeat.host, candidates)[:TELLERS_AT_START]:
+            now = asyncio.get_running_loop().time()
+            known = [
+                FateChange(key, incarnation, send, Fate.ENDED)
+                for key, incarnation, send in self._tracker.sends.all_ended(now)
+            ]
+            self._send_to([heartbeat.peer_address], known[-MAX_TOLD_AT_START:])
+
+    # ---- hearing ----
+
+    def receive(self, news: Iterable[wire.SendNews]) -> None:
+        """Applies what another host tells."""
+        now = asyncio.get_running_loop().time()
+        learned = [each for each in news if self._apply(each, now)]
+        if learned:
+            eliot.log_message(
+                "endpoint.ends_heard",
+                requests=sorted({each.request for each in learned}),
+                endpoints=sorted({each.endpoint for each in learned}),
+            )
+
+    def _apply(self, news: wire.SendNews, now_s: float) -> bool:
+        """Applies one change; returns whether it is an end that was not known."""
+        key = RequestKey(news.request, news.has_program)
+        incarnation = EndpointIncarnation(news.endpoint, news.endpoint_born_ms)
+        sends = self._tracker.sends
+        send = BrokenSend(now_s - news.sent_ms_ago / 1000, now_s - news.broken_ms_ago / 1000)
+        if news.fate == wire.SendFate.ENDED:
+            return sends.record_ended(key, incarnation, send, now_s)
+        if news.fate == wire.SendFate.CLEARED:
+            sends.record_cleared(key, incarnation, send)
+        elif news.fate == wire.SendFate.TRIAL:
+            sends.record_trial(key, news.endpoint, now_s)
+        else:
+            sends.record_trial_over(key, news.endpoint)
+        return False
+
+
+def _encode(change: FateChange | TrialChange, now_s: float) -> wire.SendNews:
+    if isinstance(change, TrialChange):
+        fate = wire.SendFate.TRIAL_OVER if change.is_over else wire.SendFate.TRIAL
+        sent_s = broken_s = now_s
+    else:
+        fate = _FATES[change.fate]
+        sent_s, broken_s = change.send.sent_s, change.send.broken_s
+    return wire.SendNews(
+        change.key.fingerprint,
+        change.key.has_program,
+        change.incarnation.endpoint,
+        change.incarnation.born_ms,
+        fate,
+        _age_ms(sent_s, now_s),
+        _age_ms(broken_s, now_s),
+    )
+
+
+def _age_ms(at_s: float, now_s: float) -> int:
+    return min(MAX_AGE_MS, max(0, round((now_s - at_s) * 1000)))
--- a/src/bayhinge/_internal/services/gateway/gateway.py
+++ b/src/bayhinge/_internal/services/gateway/gateway.py
@@ -26,6 +26,8 @@
 from bayhinge._internal.services.gateway.configuration_proofs import ConfigurationProofs
 from bayhinge._internal.services.gateway.disk_directory import DiskDirectory
 from bayhinge._internal.services.gateway.disk_link import DiskLink
+from bayhinge._internal.services.gateway.ended_send_exchange import EndedSendExchange
+from bayhinge._internal.services.gateway.ended_send_tracker import EndedSendTracker
 from bayhinge._internal.services.gateway.endpoint_restarts import EndpointRestarts
 from bayhinge._internal.services.gateway.hall_coordinators import HallCoordinators
 from bayhinge._internal.services.gateway.held_memory import HeldMemory
@@ -87,8 +89,13 @@
         restarts = EndpointRestarts(
             self.endpoint_table, self.connection_pool, runs, self._wall_clock.wall_ms
         )
+        self.ended_sends = EndedSendTracker(self.endpoint_table, self.connection_pool)
         self.endpoints = EndpointTableUpdater(
-            platform.objects, self.endpoint_table, self.connection_pool, restarts
+            platform.objects,
+            self.endpoint_table,
+            self.connection_pool,
+            restarts,
+            self.ended_sends,
         )
         listener_by_prefix = {
             platform.configuration_prefix: self.configuration,
@@ -121,8 +128,11 @@
         )
         self.proofs.has_accounts = lambda: self.configuration.has_accounts
         self.configuration.on_change = self.proofs.wake_waiters
-        margin = QuotaMargin(settings.quota_window_s, settings.quota_overage, settings.quota_slack)
-        self.quotas = Quotas(self.gossip, self.peers, margin)
+        self.quotas = Quotas(
+            self.gossip,
+            self.peers,
+            QuotaMargin(settings.quota_window_s, settings.quota_overage, settings.quota_slack),
+        )
         self.quotas.version = lambda: self.configuration.version
         self.admission = Admission(self.configuration, self.proofs)
         self.disks = DiskDirectory(
@@ -139,6 +149,7 @@
         self.exchange = LoadExchange(
             self.gossip.own_heartbeat, self.endpoint_table, self.coordinators, self.speeds
         )
+        self.ended_send_exchange = EndedSendExchange(self.ended_sends, self.gossip, self.exchange)
         objects = self.followers_by_prefix[platform.endpoints_prefix]
         restarts.known_revision = lambda: objects.revision
         restarts.forget_loads = self.exchange.forget_endpoint
@@ -160,6 +171,7 @@
                 runs,
                 self.admission.check,
                 self.speeds,
+                self.ended_sends,
             ),
             self.turn_recorder,
             self.admission,
@@ -170,15 +182,18 @@
             self.memory,
         )
         self.front = RoutedFront(settings.front_address, self.requests, sockets)
-        answers = PeerRequestHandler(
-            self.followers_by_prefix,
-            self.placer,
-            self.proofs,
-            self.quotas,
-            self.disks,
-            self.peers,
+        self._listener = network.listen(
+            settings.peer_address,
+            PeerRequestHandler(
+                self.followers_by_prefix,
+                self.placer,
+                self.proofs,
+                self.quotas,
+                self.disks,
+                self.peers,
+            ),
+            clock,
         )
-        self._listener = network.listen(settings.peer_address, answers, clock)
         self._rate = RequestRate()
         self._random = random.Random()
         self.is_leaving = False
@@ -302,6 +317,7 @@
 
     def _handle_heartbeat(self, heartbeat: wire.Hello) -> None:
         self.disks.handle_heartbeat(heartbeat)
+        self.ended_send_exchange.handle_heartbeat(heartbeat)
         for prefix, revision in heartbeat.revision_by_prefix.items():
             follower = self.followers_by_prefix.get(prefix)
             if follower is not None:
@@ -337,4 +353,5 @@
         while not self.should_stop:
             await asyncio.sleep(SWEEP_S)
             self.connection_pool.sweep()
+            self.ended_sends.sweep()
             self._rate.observe(self.requests.counts.received, SWEEP_S)
--- a/src/bayhinge/_internal/services/gateway/load_exchange.py
+++ b/src/bayhinge/_internal/services/gateway/load_exchange.py
@@ -48,6 +48,7 @@
         last_grant_by_hall: the newest grant of each hall's coordinator that this host has accepted.
         endpoints_known_to: returns the revision up to which this host knows the endpoints.
         waiting_by_service: returns how many requests wait at this host, as a coordinator.
+        on_sends: called with what another host tells of sends that broke off.
         on_loads: called when loads were received that may have freed a place.
     """
 
@@ -77,6 +78,7 @@
         self.endpoints_known_to: Callable[[], int | None] = lambda: None
         self.waiting_by_service: Callable[[], Mapping[str, int]] = dict
         self.on_loads: Callable[[], None] = lambda: None
+        self.on_sends: Callable[[Iterable[wire.SendNews]], None] = lambda news: None
         self._transport: asyncio.DatagramTransport | None = None
 
     async def on_start(self) -> None:
@@ -173,7 +175,7 @@
     def _report_to(self, coordinator: HallCoordinator) -> None:
         if coordinator.host != self._own_heartbeat.host:
             loads = self.own_loads(coordinator.hall)
-            self._send(wire.LoadNews(host=loads), coordinator.address)
+            self.send(wire.LoadNews(host=loads), coordinator.address)
 
     # ---- as a coordinator ----
 
@@ -341,11 +343,12 @@
             },
         )
         for coordinator in self._coordinators.other_coordinators():
-            self._send(wire.LoadNews(hall=table), coordinator.address)
+            self.send(wire.LoadNews(hall=table), coordinator.address)
 
     # ---- datagrams ----
 
-    def _send(self, message: wire.LoadNews, address: str) -> None:
+    def send(self, message: wire.LoadNews, address: str) -> None:
+        """Sends a datagram to a host's peer address."""
         if self._transport is not None and not self._transport.is_closing():
             self._transport.sendto(encode_message(message), split_address(address))
 
@@ -355,6 +358,8 @@
         except FrameError as error:
             self.log.warning("ignoring malformed load datagram: %s", error)
             return
+        if message.sends is not None:
+            self.on_sends(message.sends)
         is_changed = message.host is not None and self.receive_loads(message.host)
         if message.hall is not None:
             self._receive_hall_table(message.hall)
--- a/src/bayhinge/_internal/services/gateway/request_sender.py
+++ b/src/bayhinge/_internal/services/gateway/request_sender.py
@@ -35,11 +35,13 @@
 )
 from bayhinge._internal.services.gateway.admission import AdmissionRevokedError
 from bayhinge._internal.services.gateway.delivery import Delivery
+from bayhinge._internal.services.gateway.ended_send_tracker import EndedSendTracker
 from bayhinge._internal.services.gateway.open_turn import OpenTurn
 from bayhinge._internal.services.gateway.place_demand import NoPlaceError, demand_of
 from bayhinge._internal.services.gateway.placement_preferences import preference_of
 from bayhinge._internal.services.gateway.placer import LocalPlacer, Placer
 from bayhinge._internal.services.gateway.platform_interface import CallFormat
+from bayhinge._internal.services.gateway.send_guard import SendGuard
 from bayhinge._internal.services.gateway.send_state import SendCounts, SendState
 from bayhinge._internal.services.gateway.speed_tracker import SpeedTracker
 from bayhinge._internal.utils.stall_tolerant_timeouts import stall_tolerant_timeout
@@ -70,12 +72,14 @@
         runs: ActiveRuns | None = None,
         check_admission: Callable[[RoutedRequest], None] = lambda request: None,
         speeds: SpeedTracker | None = None,
+        ended_sends: EndedSendTracker | None = None,
     ) -> None:
         self._check_admission = check_admission
         self._endpoint_table = endpoint_table
         self._placer = placer or LocalPlacer(endpoint_table)
         self._connection_pool = connection_pool
         self._calls = calls
+        self._guard = SendGuard(ended_sends or EndedSendTracker(endpoint_table, connection_pool))
         self.counts = SendCounts()
         self._runs = runs or ActiveRuns()
         self._speeds = speeds or SpeedTracker(endpoint_table)
@@ -142,7 +146,10 @@
                     # Its idle connections may be dead too.
                     self._connection_pool.drop_idle(run.endpoint)
                 self._record_failure(run, send_state, error.why, error.cut_bytes)
+                await self._guard.record_failure(run, send_state, error)
                 self._raise_unless_repeatable(send_state, error)
+            finally:
+                self._guard.end(run, send_state)
 
     def _admission_refusal(self, send_state: SendState, error: AdmissionRevokedError) -> Refusal:
         if send_state.ran:
@@ -152,18 +159,25 @@
 
     async def _next_run(self, send_state: SendState) -> ActiveRun:
         state = None
+        excluded = await self._guard.check(send_state)
         if send_state.rejected < MAX_REJECTED_SENDS:
-            state = await self._place(send_state)
+            state = await self._place(send_state, excluded)
         if state is None:
             raise RefusedError(send_state.no_endpoint_refusal(RETRY_AFTER_S))
+        try:
+            self._guard.check_again(send_state)
+        except RefusedError:
+            self._placer.record_end(state, send_state.demand, None)
+            raise
         send_state.send_record.record_send()
         run = self._runs.begin(state)
         send_state.tried.append(run)
+        self._guard.begin(run, send_state)
         return run
 
-    async def _place(self, send_state: SendState) -> EndpointState | None:
+    async def _place(self, send_state: SendState, excluded: frozenset[str]) -> EndpointState | None:
         """Returns the endpoint for the next send, after a wait for a place, or None."""
-        tried = self._tried_endpoints(send_state)
+        tried = {*self._tried_endpoints(send_state), *excluded}
         preference = attrs.evolve(
             send_state.preference, connected=self._connection_pool.connected_endpoints()
         )
@@ -200,10 +214,12 @@
             if marks.not_run or marks.wrong_instance:
                 raise RequestRejectedError(f"status {answer.status}")
             run.state.record_success()
+            self._guard.record_answer(run, send_state)
             self._speeds.record_answer(run, send_state.route, send_state.delivery)
         except asyncio.CancelledError:
             # The caller left, or the request's time is over.
             self._log("send.abandoned", run, send_state, "no whole answer until the request ended")
+            self._guard.record_abandoned(run, send_state)
             raise
         finally:
             self._free_place(run, send_state, None)
--- /dev/null
+++ b/src/bayhinge/_internal/services/gateway/send_guard.py
@@ -0,0 +1,104 @@
+"""Keeps the sender of requests within the endpoints that one request may end."""
+
+import eliot
+
+from bayhinge._internal.decisions.ended_sends import Permission
+from bayhinge._internal.models.refusals import RefusedError
+from bayhinge._internal.network.endpoint_answer import IncompleteAnswerError, SilentEndpointError
+from bayhinge._internal.services.gateway.active_runs import ActiveRun
+from bayhinge._internal.services.gateway.ended_send_tracker import EndedSendTracker
+from bayhinge._internal.services.gateway.send_state import SendState
+
+
+class SendGuard:
+    """Asks the tracker before each send, and tells it how the send has ended."""
+
+    def __init__(self, tracker: EndedSendTracker) -> None:
+        self._tracker = tracker
+
+    async def check(self, send_state: SendState) -> frozenset[str]:
+        """Returns the endpoints that must not get the request, if it may be sent at all.
+
+        Raises:
+            RefusedError: it must not be sent.
+        """
+        tracker = self._tracker
+        send_state.is_alone = False
+        if not len(tracker.sends):
+            return frozenset()
+        permission = await tracker.permission(send_state.key)
+        self._raise_if_forbidden(permission, send_state)
+        if permission is not Permission.ALONE:
+            return frozenset()
+        send_state.is_alone = True
+        return tracker.trial_endpoints(send_state.key)
+
+    def check_again(self, send_state: SendState) -> None:
+        """Checks once more after a wait for a place, in which other hosts may have told something.
+
+        Raises:
+            RefusedError: the request must not be sent any more.
+        """
+        if not len(self._tracker.sends):
+            return
+        permission = self._tracker.permission_now(send_state.key)
+        self._raise_if_forbidden(permission, send_state)
+        send_state.is_alone = permission is Permission.ALONE
+
+    def _raise_if_forbidden(self, permission: Permission, send_state: SendState) -> None:
+        ended = self._tracker.sends.ended(send_state.key)
+        if permission is Permission.WITHHELD:
+            refusal = send_state.ends_endpoints_refusal(len(ended))
+        elif permission is Permission.BUSY:
+            refusal = send_state.busy_refusal()
+        else:
+            return
+        self._tracker.counts.withheld += 1
+        eliot.log_message(
+            "send.withheld",
+            attempt=send_state.request.attempt,
+            request=send_state.fingerprint,
+            permission=permission.value,
+            ended=[incarnation.endpoint for incarnation in ended],
+        )
+        raise RefusedError(refusal)
+
+    def begin(self, run: ActiveRun, send_state: SendState) -> None:
+        """Counts a send; :meth:`end` must follow."""
+        if not len(self._tracker.sends):
+            return
+        send_state.is_counted = self._tracker.begin_send(send_state.key, run, send_state.is_alone)
+        if send_state.is_alone:
+            eliot.log_message(
+                "send.alone",
+                attempt=send_state.request.attempt,
+                request=send_state.fingerprint,
+                endpoint=run.endpoint,
+            )
+
+    def end(self, run: ActiveRun, send_state: SendState) -> None:
+        """Ends the count of a send."""
+        if send_state.is_counted:
+            send_state.is_counted = False
+            self._tracker.end_send(send_state.key, run, send_state.is_alone)
+
+    async def record_failure(
+        self, run: ActiveRun, send_state: SendState, error: IncompleteAnswerError
+    ) -> None:
+        """Records a send without a whole answer; waits a moment to learn why."""
+        if run.sent_s is None:
+            return
+        if isinstance(error, SilentEndpointError):
+            self._tracker.record_silent(send_state.key, run, run.sent_s)
+        elif run.is_ended or (run.connection is not None and run.connection.was_lost):
+            await self._tracker.record_broken(send_state.key, run, run.sent_s)
+
+    def record_abandoned(self, run: ActiveRun, send_state: SendState) -> None:
+        """Records a send that was given up with its attempt."""
+        if run.sent_s is not None:
+            self._tracker.record_silent(send_state.key, run, run.sent_s)
+
+    def record_answer(self, run: ActiveRun, send_state: SendState) -> None:
+        """Records a whole answer."""
+        if run.sent_s is not None and len(self._tracker.sends):
+            self._tracker.record_answer(send_state.key, run, run.sent_s)
--- a/src/bayhinge/_internal/services/gateway/send_state.py
+++ b/src/bayhinge/_internal/services/gateway/send_state.py
@@ -2,8 +2,15 @@
 
 import attrs
 
+from bayhinge._internal.decisions.ended_sends import RequestKey
 from bayhinge._internal.decisions.endpoint_table import PlacementPreference
-from bayhinge._internal.models.refusals import Figure, Refusal, RefusalCode, SendRecord
+from bayhinge._internal.models.refusals import (
+    Figure,
+    Refusal,
+    RefusalCode,
+    RunState,
+    SendRecord,
+)
 from bayhinge._internal.models.request_fingerprint import fingerprint_of
 from bayhinge._internal.models.routed_requests import RoutedRequest
 from bayhinge._internal.models.routing import Route
@@ -11,6 +18,9 @@
 from bayhinge._internal.services.gateway.delivery import Delivery
 from bayhinge._internal.services.gateway.place_demand import NoPlaceError, PlaceDemand
 
+BUSY_RETRY_S = 0.3
+"""Retry delay for a request of which another attempt is under way."""
+
 
 @attrs.define
 class SendState:
@@ -20,6 +30,8 @@
         tried: runs so far; a later incarnation of the same endpoint counts as untried.
         ran: number of sends that may have run.
         rejected: number of sends that certainly did not run.
+        is_alone: the current send is to an endpoint at which no other request is on trial.
+        is_counted: the current send is counted by the tracker of ended sends.
     """
 
     service: str
@@ -34,6 +46,8 @@
     tried: list[ActiveRun] = attrs.field(factory=list)
     ran: int = 0
     rejected: int = 0
+    is_alone: bool = False
+    is_counted: bool = False
     _fingerprint: str | None = None
 
     @property
@@ -43,6 +57,29 @@
             self._fingerprint = fingerprint_of(self.request)
         return self._fingerprint
 
+    @property
+    def key(self) -> RequestKey:
+        """The request over all its attempts."""
+        return RequestKey(self.fingerprint, self.request.turn is not None)
+
+    def ends_endpoints_refusal(self, ended: int) -> Refusal:
+        """Returns the refusal of a request under which too many endpoints have ended.
+
+        Earlier attempts of it may have run, so it says so even if this one was not sent.
+        """
+        return Refusal(
+            RefusalCode.ENDS_ENDPOINTS,
+            RunState.MAY_HAVE_RUN,
+            f"{ended} endpoints ended while they ran this request; it is sent to no other one",
+            (Figure("endpoints_ended", ended),),
+        )
+
+    def busy_refusal(self) -> Refusal:
+        """Returns the refusal of a request of which other attempts are under way."""
+        code = RefusalCode.OUTCOME_UNKNOWN if self.ran else RefusalCode.NO_ENDPOINT
+        why = "endpoints ended under this request, and other attempts of it are under way"
+        return self.send_record.refusal(code, why, retry_after_s=BUSY_RETRY_S)
+
     def no_endpoint_refusal(self, retry_after_s: float) -> Refusal:
         """Returns the refusal of a request for which no endpoint is left."""
         code = RefusalCode.OUTCOME_UNKNOWN if self.ran else RefusalCode.NO_ENDPOINT
--- a/src/bayhinge/_internal/services/gateway/store_listeners.py
+++ b/src/bayhinge/_internal/services/gateway/store_listeners.py
@@ -10,6 +10,7 @@
 from bayhinge._internal.models.endpoint_entries import EndpointEntry
 from bayhinge._internal.models.routing import RoutingTable
 from bayhinge._internal.network.endpoint_connections import EndpointConnectionPool
+from bayhinge._internal.services.gateway.ended_send_tracker import EndedSendTracker
 from bayhinge._internal.services.gateway.endpoint_restarts import EndpointRestarts
 from bayhinge._internal.services.gateway.initial_sync import InitialSync
 from bayhinge._internal.services.gateway.platform_interface import ObjectReader
@@ -105,8 +106,10 @@
         endpoint_table: EndpointTable,
         connection_pool: EndpointConnectionPool,
         restarts: EndpointRestarts,
+        ended_sends: EndedSendTracker | None = None,
     ) -> None:
         self._reader = reader
+        self._ended_sends = ended_sends or EndedSendTracker(endpoint_table, connection_pool)
         self._endpoint_table = endpoint_table
         self._connection_pool = connection_pool
         self._restarts = restarts
@@ -163,6 +166,7 @@
         assert newest is not None
         if update is EntryChange.RESTARTED and previous is not None:
             self._restarts.handle_restart(newest, previous)
+            self._ended_sends.handle_restart(previous)
         if update is EntryChange.FOUND:
             self._restarts.handle_return(newest)
         self._restarts.handle_replacement(newest)
@@ -189,6 +193,10 @@
         if state is None or instance in self._removal_timer_by_instance:
             return
         state.is_suspected = True
+        state.missing_since_s = asyncio.get_running_loop().time()
+        if not is_after_outage:
+            # After an outage, entries of live endpoints are missing for a moment.
+            self._ended_sends.handle_vanished(state)
         grace_s = MISSING_AFTER_OUTAGE_GRACE_S if is_after_outage else MISSING_ENTRY_GRACE_S
         eliot.log_message(
             "endpoint.vanished", endpoint=instance, running=state.running_here, grace_s=grace_s
@@ -203,6 +211,9 @@
 
     def _remove(self, instance: str, why: str) -> None:
         previous = self._endpoint_table.last_entry(instance)
+        state = self._endpoint_table.find(instance)
+        if state is not None:
+            self._ended_sends.handle_vanished(state)
         if previous is not None and self._endpoint_table.remove(instance):
             self._connection_pool.forget(instance)
             asyncio.get_running_loop().call_later(
--- a/src/bayhinge/_internal/wire/hosts/ttypes.py
+++ b/src/bayhinge/_internal/wire/hosts/ttypes.py
@@ -45,6 +45,14 @@
 
 
 
+class SendFate(IntEnum):
+    ENDED = 1
+    CLEARED = 2
+    TRIAL = 3
+    TRIAL_OVER = 4
+
+
+
 class DiskMember(object):
     """
     Attributes:
@@ -2439,23 +2447,178 @@
         return not (self == other)
 
 
+class SendNews(object):
+    """
+    Attributes:
+     - request
+     - has_program
+     - endpoint
+     - endpoint_born_ms
+     - fate
+     - sent_ms_ago
+     - broken_ms_ago
+
+    """
+
+    __slots__ = (
+        'request',
+        'has_program',
+        'endpoint',
+        'endpoint_born_ms',
+        'fate',
+        'sent_ms_ago',
+        'broken_ms_ago',
+    )
+
+
+    def __init__(self, request=None, has_program=None, endpoint=None, endpoint_born_ms=None, fate=None, sent_ms_ago=None, broken_ms_ago=None,):
+        self.request = request
+        self.has_program = has_program
+        self.endpoint = endpoint
+        self.endpoint_born_ms = endpoint_born_ms
+        self.fate = fate
+        self.sent_ms_ago = sent_ms_ago
+        self.broken_ms_ago = broken_ms_ago
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.STRING:
+                    self.request = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.BOOL:
+                    self.has_program = iprot.readBool()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.STRING:
+                    self.endpoint = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 4:
+                if ftype == TType.I64:
+                    self.endpoint_born_ms = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 5:
+                if ftype == TType.I32:
+                    self.fate = SendFate(iprot.readI32()).name
+                else:
+                    iprot.skip(ftype)
+            elif fid == 6:
+                if ftype == TType.I32:
+                    self.sent_ms_ago = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 7:
+                if ftype == TType.I32:
+                    self.broken_ms_ago = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('SendNews')
+        if self.request is not None:
+            oprot.writeFieldBegin('request', TType.STRING, 1)
+            oprot.writeString(self.request.encode('utf-8') if sys.version_info[0] == 2 else self.request)
+            oprot.writeFieldEnd()
+        if self.has_program is not None:
+            oprot.writeFieldBegin('has_program', TType.BOOL, 2)
+            oprot.writeBool(self.has_program)
+            oprot.writeFieldEnd()
+        if self.endpoint is not None:
+            oprot.writeFieldBegin('endpoint', TType.STRING, 3)
+            oprot.writeString(self.endpoint.encode('utf-8') if sys.version_info[0] == 2 else self.endpoint)
+            oprot.writeFieldEnd()
+        if self.endpoint_born_ms is not None:
+            oprot.writeFieldBegin('endpoint_born_ms', TType.I64, 4)
+            oprot.writeI64(self.endpoint_born_ms)
+            oprot.writeFieldEnd()
+        if self.fate is not None:
+            oprot.writeFieldBegin('fate', TType.I32, 5)
+            oprot.writeI32(SendFate[self.fate].value)
+            oprot.writeFieldEnd()
+        if self.sent_ms_ago is not None:
+            oprot.writeFieldBegin('sent_ms_ago', TType.I32, 6)
+            oprot.writeI32(self.sent_ms_ago)
+            oprot.writeFieldEnd()
+        if self.broken_ms_ago is not None:
+            oprot.writeFieldBegin('broken_ms_ago', TType.I32, 7)
+            oprot.writeI32(self.broken_ms_ago)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        if self.request is None:
+            raise TProtocolException(message='Required field request is unset!')
+        if self.has_program is None:
+            raise TProtocolException(message='Required field has_program is unset!')
+        if self.endpoint is None:
+            raise TProtocolException(message='Required field endpoint is unset!')
+        if self.fate is None:
+            raise TProtocolException(message='Required field fate is unset!')
+        if self.sent_ms_ago is None:
+            raise TProtocolException(message='Required field sent_ms_ago is unset!')
+        if self.broken_ms_ago is None:
+            raise TProtocolException(message='Required field broken_ms_ago is unset!')
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
 class LoadNews(object):
     """
     Attributes:
      - host
      - hall
+     - sends
 
     """
 
     __slots__ = (
         'host',
         'hall',
+        'sends',
     )
 
 
-    def __init__(self, host=None, hall=None,):
+    def __init__(self, host=None, hall=None, sends=None,):
         self.host = host
         self.hall = hall
+        self.sends = sends
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -2478,6 +2641,17 @@
                     self.hall.read(iprot)
                 else:
                     iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.LIST:
+                    self.sends = []
+                    (_etype165, _size162) = iprot.readListBegin()
+                    for _i166 in range(_size162):
+                        _elem167 = SendNews()
+                        _elem167.read(iprot)
+                        self.sends.append(_elem167)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -2496,6 +2670,13 @@
             oprot.writeFieldBegin('hall', TType.STRUCT, 2)
             self.hall.write(oprot)
             oprot.writeFieldEnd()
+        if self.sends is not None:
+            oprot.writeFieldBegin('sends', TType.LIST, 3)
+            oprot.writeListBegin(TType.STRUCT, len(self.sends))
+            for iter168 in self.sends:
+                iter168.write(oprot)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -2620,10 +2801,10 @@
             elif fid == 5:
                 if ftype == TType.LIST:
                     self.avoid = []
-                    (_etype165, _size162) = iprot.readListBegin()
-                    for _i166 in range(_size162):
-                        _elem167 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
-                        self.avoid.append(_elem167)
+                    (_etype172, _size169) = iprot.readListBegin()
+                    for _i173 in range(_size169):
+                        _elem174 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        self.avoid.append(_elem174)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -2645,10 +2826,10 @@
             elif fid == 9:
                 if ftype == TType.LIST:
                     self.connected = []
-                    (_etype171, _size168) = iprot.readListBegin()
-                    for _i172 in range(_size168):
-                        _elem173 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
-                        self.connected.append(_elem173)
+                    (_etype178, _size175) = iprot.readListBegin()
+                    for _i179 in range(_size175):
+                        _elem180 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        self.connected.append(_elem180)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -2726,8 +2907,8 @@
         if self.avoid is not None:
             oprot.writeFieldBegin('avoid', TType.LIST, 5)
             oprot.writeListBegin(TType.STRING, len(self.avoid))
-            for iter174 in self.avoid:
-                oprot.writeString(iter174.encode('utf-8') if sys.version_info[0] == 2 else iter174)
+            for iter181 in self.avoid:
+                oprot.writeString(iter181.encode('utf-8') if sys.version_info[0] == 2 else iter181)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.kept_tokens is not None:
@@ -2745,8 +2926,8 @@
         if self.connected is not None:
             oprot.writeFieldBegin('connected', TType.LIST, 9)
             oprot.writeListBegin(TType.STRING, len(self.connected))
-            for iter175 in self.connected:
-                oprot.writeString(iter175.encode('utf-8') if sys.version_info[0] == 2 else iter175)
+            for iter182 in self.connected:
+                oprot.writeString(iter182.encode('utf-8') if sys.version_info[0] == 2 else iter182)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.waited_ms is not None:
@@ -3197,10 +3378,10 @@
             elif fid == 8:
                 if ftype == TType.LIST:
                     self.silent = []
-                    (_etype179, _size176) = iprot.readListBegin()
-                    for _i180 in range(_size176):
-                        _elem181 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
-                        self.silent.append(_elem181)
+                    (_etype186, _size183) = iprot.readListBegin()
+                    for _i187 in range(_size183):
+                        _elem188 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        self.silent.append(_elem188)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -3245,8 +3426,8 @@
         if self.silent is not None:
             oprot.writeFieldBegin('silent', TType.LIST, 8)
             oprot.writeListBegin(TType.STRING, len(self.silent))
-            for iter182 in self.silent:
-                oprot.writeString(iter182.encode('utf-8') if sys.version_info[0] == 2 else iter182)
+            for iter189 in self.silent:
+                oprot.writeString(iter189.encode('utf-8') if sys.version_info[0] == 2 else iter189)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -3544,11 +3725,23 @@
     (7, TType.MAP, 'waiting_by_service', (TType.STRING, 'UTF8', TType.I32, None, False), None, ),  # 7
     (8, TType.MAP, 'relative_duration_by_endpoint', (TType.STRING, 'UTF8', TType.I32, None, False), None, ),  # 8
 )
+all_structs.append(SendNews)
+SendNews.thrift_spec = (
+    None,  # 0
+    (1, TType.STRING, 'request', 'UTF8', None, ),  # 1
+    (2, TType.BOOL, 'has_program', None, None, ),  # 2
+    (3, TType.STRING, 'endpoint', 'UTF8', None, ),  # 3
+    (4, TType.I64, 'endpoint_born_ms', None, None, ),  # 4
+    (5, TType.I32, 'fate', None, None, ),  # 5
+    (6, TType.I32, 'sent_ms_ago', None, None, ),  # 6
+    (7, TType.I32, 'broken_ms_ago', None, None, ),  # 7
+)
 all_structs.append(LoadNews)
 LoadNews.thrift_spec = (
     None,  # 0
     (1, TType.STRUCT, 'host', [HostLoads, None], None, ),  # 1
     (2, TType.STRUCT, 'hall', [HallLoads, None], None, ),  # 2
+    (3, TType.LIST, 'sends', (TType.STRUCT, [SendNews, None], False), None, ),  # 3
 )
 all_structs.append(PlaceCall)
 PlaceCall.thrift_spec = (
--- /dev/null
+++ b/tests/functional/test_requests_beside_ending_endpoints.py
@@ -0,0 +1,129 @@
+"""Requests that ran beside one that ends endpoints, or met other failures, are served as before."""
+
+import asyncio
+from pathlib import Path
+
+import pytest
+
+from tests.lib.ending_endpoints import EndingEndpoint, EndingSite, run_ending_site
+from tests.lib.platform_site import Reply
+
+pytestmark = pytest.mark.functional
+
+MAX_ENDED = 3
+
+
+async def until_served(site: EndingSite, number: int, tries: int = 12) -> Reply:
+    """Sends a turn of a program of its own until it is served."""
+    hosts = sorted(site.entry_by_name)
+    for attempt in range(tries):
+        host = hosts[(number + attempt) % len(hosts)]
+        reply = await site.turn(f"fine {number}".encode(), at=host, program=f"p-{number}")
+        if reply.status == 200 and reply.is_whole:
+            return reply
+        assert reply.status not in {400, 402, 404}, reply.body
+        await asyncio.sleep(0.15)
+    return reply
+
+
+def test_requests_beside_one_that_ends_endpoints_are_served(tmp_path: Path) -> None:
+    async def scenario(site: EndingSite) -> None:
+        for endpoint in site.engines:
+            endpoint.faults.pause_s = 0.1
+        beside = [asyncio.create_task(until_served(site, number)) for number in range(40)]
+        await asyncio.sleep(0.05)
+        statuses = await site.repeat(lambda host: site.turn(b"fatal", at=host, program="q"), 6)
+        replies = await asyncio.gather(*beside)
+        assert [reply.status for reply in replies] == [200] * len(beside)
+        assert len(site.group.ended) <= MAX_ENDED, statuses
+
+    # With few endpoints, most requests run beside the fatal one.
+    run_ending_site(tmp_path, scenario, entries=4, endpoints=5)
+
+
+async def crash_some(site: EndingSite, endpoints: list[EndingEndpoint]) -> None:
+    for endpoint in endpoints:
+        await endpoint.crash()
+
+
+def test_a_request_that_met_two_crash_waves_is_served(tmp_path: Path) -> None:
+    async def scenario(site: EndingSite) -> None:
+        for endpoint in site.engines:
+            endpoint.faults.pause_s = 0.3
+        served = asyncio.create_task(until_served(site, 0))
+        for _ in range(2):
+            await asyncio.sleep(0.2)
+            running = [each for each in site.engines if each.instance not in site.group.ended]
+            await crash_some(site, [each for each in running if each.runs])
+        assert (await served).status == 200
+
+    run_ending_site(tmp_path, scenario)
+
+
+@pytest.mark.parametrize("path", ["/look/a", "/act/a"])
+def test_a_request_whose_answers_are_lost_again_and_again_is_served(
+    tmp_path: Path, path: str
+) -> None:
+    async def scenario(site: EndingSite) -> None:
+        for endpoint in site.services:
+            endpoint.faults.loses_answers = 1
+        statuses = await site.repeat(lambda host: site.ask(path, b"fine", at=host), 30)
+        assert statuses[-1] == 200, statuses
+        assert sum(len(endpoint.runs) for endpoint in site.services) > MAX_ENDED + 1
+
+    run_ending_site(tmp_path, scenario, endpoints=5)
+
+
+def test_a_request_that_met_planned_ends_is_served(tmp_path: Path) -> None:
+    async def scenario(site: EndingSite) -> None:
+        for endpoint in site.services:
+            endpoint.faults.pause_s = 1.3
+        statuses: list[int] = []
+        for number in range(5):
+            host = f"entry-{number % 2}"
+            asked = asyncio.create_task(site.ask("/act/a", b"fine", at=host))
+            await asyncio.sleep(0.05)
+            for endpoint in site.services:
+                if endpoint.runs and endpoint.instance not in site.group.ended:
+                    site.store.put("servers", endpoint.instance, endpoint.entry("draining"))
+                    # Endpoints serve on for longer; hosts must have learned of it.
+                    await asyncio.sleep(1.0)
+                    await endpoint.crash()
+            statuses.append((await asked).status)
+        assert len(site.group.ended) == 5
+        for endpoint in site.services:
+            endpoint.faults.pause_s = 0.0
+        assert (await site.ask("/act/a", b"fine")).status == 200, statuses
+
+    run_ending_site(tmp_path, scenario)
+
+
+def test_a_request_that_met_silent_endpoints_is_served(tmp_path: Path) -> None:
+    async def scenario(site: EndingSite) -> None:
+        for endpoint in site.services:
+            endpoint.faults.pause_s = 60
+        asked = [
+            site.ask("/act/a", b"fine", at=f"entry-{number % 2}", Bayhinge_Deadline_Ms="500")
+            for number in range(5)
+        ]
+        assert {reply.status for reply in await asyncio.gather(*asked)} == {504}
+        for endpoint in site.services:
+            endpoint.faults.pause_s = 0.0
+        assert (await site.ask("/act/a", b"fine")).status == 200
+
+    run_ending_site(tmp_path, scenario)
+
+
+def test_after_a_power_loss_of_all_hosts_requests_are_served(tmp_path: Path) -> None:
+    async def scenario(site: EndingSite) -> None:
+        site.group.ends_left = 2
+        await site.repeat(lambda host: site.ask("/look/a", b"fatal", at=host), 1)
+        for name in list(site.entry_by_name):
+            await site.crash_entry(name)
+        for name in ("entry-0", "entry-1"):
+            await site.start_entry(name)
+        await site.until(lambda: all(site.is_ready(name) for name in site.entry_by_name))
+        assert (await site.ask("/look/a", b"fatal")).status == 200
+        assert (await site.ask("/look/b", b"fine", at="entry-1")).status == 200
+
+    run_ending_site(tmp_path, scenario)
--- a/tests/functional/test_requests_that_end_endpoints.py
+++ b/tests/functional/test_requests_that_end_endpoints.py
@@ -1,9 +1,13 @@
 """A request under which endpoints end is sent to three of them at most, whoever repeats it."""
 
+import time
+from collections.abc import Callable
 from pathlib import Path
 
+import orjson
 import pytest
 
+from bayhinge._internal.wire.hosts import ttypes as wire
 from tests.lib.ending_endpoints import EndingSite, run_ending_site
 from tests.lib.platform_site import Reply
 
@@ -59,3 +63,112 @@
         assert len(site.group.ended) == 2
 
     run_ending_site(tmp_path, scenario)
+
+
+def test_one_attempt_with_many_sends_ends_three_endpoints(tmp_path: Path) -> None:
+    async def scenario(site: EndingSite) -> None:
+        site.change_route("r-look", attempts=6)
+        gateways = [entry._gateway for entry in site.entry_by_name.values()]
+        await site.until(lambda: all(each.configuration.version == 8 for each in gateways))
+        reply = await site.ask("/look/a", b"fatal")
+        assert len(site.group.ended) == MAX_ENDED
+        assert reply.status == 502
+        refusal = orjson.loads(reply.body)["error"]
+        assert (refusal["code"], refusal["run_state"]) == ("ends_endpoints", "may_have_run")
+        assert refusal["retry_after_s"] is None
+
+    run_ending_site(tmp_path, scenario)
+
+
+def test_a_withheld_attempt_is_refused_at_once_and_says_that_the_request_may_have_run(
+    tmp_path: Path,
+) -> None:
+    async def scenario(site: EndingSite) -> None:
+        await site.repeat(lambda host: site.ask("/act/a", b"fatal", at=host), 3)
+        began_s = time.monotonic()
+        reply = await site.ask("/act/a", b"fatal", at="entry-1")
+        assert time.monotonic() - began_s < 0.2
+        assert reply.status == 502
+        refusal = orjson.loads(reply.body)["error"]
+        assert (refusal["code"], refusal["run_state"]) == ("ends_endpoints", "may_have_run")
+        assert refusal["figures"] == {"endpoints_ended": 3}
+
+    run_ending_site(tmp_path, scenario)
+
+
+def test_a_host_that_restarts_learns_which_requests_end_endpoints(tmp_path: Path) -> None:
+    async def scenario(site: EndingSite) -> None:
+        await site.repeat(lambda host: site.ask("/act/a", b"fatal", at=host), 3)
+        await site.crash_entry("entry-0")
+        await site.start_entry("entry-0")
+        await site.until(lambda: site.is_ready("entry-0"))
+        assert (await site.ask("/act/a", b"fatal", at="entry-0")).status == 502
+        assert len(site.group.ended) == MAX_ENDED
+
+    run_ending_site(tmp_path, scenario, entries=3)
+
+
+def test_what_a_host_that_died_has_seen_is_known_to_the_others(tmp_path: Path) -> None:
+    async def scenario(site: EndingSite) -> None:
+        for _ in range(MAX_ENDED):
+            await site.ask("/act/a", b"fatal", at="entry-0")
+        await site.crash_entry("entry-0")
+        statuses = await site.repeat(lambda host: site.ask("/act/a", b"fatal", at=host), 3)
+        assert len(site.group.ended) == MAX_ENDED, statuses
+
+    run_ending_site(tmp_path, scenario, entries=3)
+
+
+def test_a_lost_message_is_made_up_for_by_the_next(tmp_path: Path) -> None:
+    async def scenario(site: EndingSite) -> None:
+        for entry in site.entry_by_name.values():
+            datagrams = entry._gateway.exchange
+            send, lost = datagrams.send, [0]
+
+            def send_but_the_first(
+                message: wire.LoadNews,
+                address: str,
+                send: Callable[[wire.LoadNews, str], None] = send,
+                lost: list[int] = lost,
+            ) -> None:
+                if message.sends is not None and lost[0] < 1:
+                    lost[0] += 1
+                    return
+                send(message, address)
+
+            datagrams.send = send_but_the_first  # type: ignore[method-assign]
+        await site.repeat(lambda host: site.ask("/act/a", b"fatal", at=host), 6)
+        assert len(site.group.ended) <= MAX_ENDED
+
+    run_ending_site(tmp_path, scenario)
+
+
+def test_three_endpoints_end_at_most_while_the_store_is_silent(tmp_path: Path) -> None:
+    async def scenario(site: EndingSite) -> None:
+        site.store.stop_answering()
+        statuses = await site.repeat(lambda host: site.ask("/look/a", b"fatal", at=host), 6)
+        assert len(site.group.ended) <= MAX_ENDED, statuses
+
+    run_ending_site(tmp_path, scenario)
+
+
+def test_an_end_counts_whose_entry_goes_before_the_connection_is_seen_to_break(
+    tmp_path: Path,
+) -> None:
+    async def scenario(site: EndingSite) -> None:
+        site.group.entry_goes_first = True
+        statuses = await site.repeat(lambda host: site.ask("/look/a", b"fatal", at=host), 6)
+        assert len(site.group.ended) <= MAX_ENDED, statuses
+
+    run_ending_site(tmp_path, scenario)
+
+
+def test_endpoints_that_fall_silent_under_a_request_count_once_their_entries_go(
+    tmp_path: Path,
+) -> None:
+    async def scenario(site: EndingSite) -> None:
+        site.group.falls_silent = True
+        statuses = await site.repeat(lambda host: site.ask("/act/a", b"fatal", at=host), 6)
+        assert len(site.group.ended) <= MAX_ENDED, statuses
+
+    run_ending_site(tmp_path, scenario)
--- a/tests/lib/ending_endpoints.py
+++ b/tests/lib/ending_endpoints.py
@@ -19,6 +19,9 @@
 ENTRY_REMOVED_S = 0.05
 """After this time the entry of an ended endpoint goes."""
 
+SILENT_ENTRY_S = 0.4
+"""The same for one that falls silent."""
+
 CALLER_PAUSE_S = 0.2
 
 
@@ -32,19 +35,34 @@
     async def begin_run(self, request: web.Request, run: Run) -> None:
         """See :class:`PlatformEngine`."""
         if FATAL in run.body and self._group.takes_end():
+            if self._group.falls_silent:
+                await self._fall_silent()
             await self.crash()
             raise ConnectionResetError
 
+    async def _fall_silent(self) -> None:
+        """Keeps its connections, but neither answers nor takes new ones; its entry goes later."""
+        self._group.ended.append(self.instance)
+        assert self._runner is not None
+        for site in list(self._runner.sites):
+            await site.stop()
+        asyncio.get_running_loop().call_later(SILENT_ENTRY_S, self._group.remove_entry, self)
+        await asyncio.sleep(3600)
+
     async def crash(self) -> None:
         """Ends at once: all connections are reset, the port is closed, the entry goes later."""
         self._group.ended.append(self.instance)
         assert self._runner is not None and self._runner.server is not None
+        if self._group.entry_goes_first:
+            self._group.remove_entry(self)
+            await asyncio.sleep(ENTRY_REMOVED_S)
         for site in list(self._runner.sites):
             await site.stop()
         for connection in self._runner.server.connections:
             if connection.transport is not None:
                 connection.transport.abort()
-        asyncio.get_running_loop().call_later(ENTRY_REMOVED_S, self._group.remove_entry, self)
+        if not self._group.entry_goes_first:
+            asyncio.get_running_loop().call_later(ENTRY_REMOVED_S, self._group.remove_entry, self)
 
 
 @attrs.define
@@ -54,11 +72,15 @@
     Attributes:
         ended: the endpoints that have ended, in order.
         ends_left: how many may still end.
+        entry_goes_first: hosts hear of it before their connections are reset.
+        falls_silent: they fall silent in place of being reset.
     """
 
     remove_entry: Callable[[PlatformEngine], None]
     ended: list[str] = attrs.field(factory=list)
     ends_left: int = 1000
+    falls_silent: bool = False
+    entry_goes_first: bool = False
 
     def takes_end(self) -> bool:
         """Returns whether one more endpoint may end, and counts it."""
@@ -72,10 +94,10 @@
     def __init__(self, folder: Path, entries: int, endpoints: int) -> None:
         super().__init__(folder, entries)
         self.group = EndingGroup(lambda ended: self.store.remove("servers", ended.instance))
-        self.engines = [
+        self.engines: list[EndingEndpoint] = [
             EndingEndpoint(f"i-llm-{number}", "llm", self.group) for number in range(endpoints)
         ]
-        self.services = [
+        self.services: list[EndingEndpoint] = [
             EndingEndpoint(f"i-app-{number}", "app", self.group) for number in range(endpoints)
         ]
 
--- a/tests/lib/place_hosts.py
+++ b/tests/lib/place_hosts.py
@@ -110,7 +110,7 @@
         self.exchange = LoadExchange(
             self.gossip.own_heartbeat, self.endpoint_table, self.coordinators
         )
-        self.exchange._send = lambda message, address: site.send(name, address, message)  # type: ignore[method-assign]
+        self.exchange.send = lambda message, address: site.send(name, address, message)  # type: ignore[method-assign]
         self.placer = CoordinatorPlacer(
             self.endpoint_table, self.coordinators, self.exchange, FakePeers(site, name), hall
         )
--- /dev/null
+++ b/tests/unit/test_ended_sends.py
@@ -0,0 +1,184 @@
+"""How many endpoints may end under a request, by what a host has seen and heard."""
+
+import random
+
+import attrs
+from hypothesis import given
+from hypothesis import strategies as st
+
+from bayhinge._internal.decisions.ended_sends import (
+    ALIVE_AFTER_S,
+    KEEP_S,
+    MAX_ENDED,
+    MAX_REQUESTS,
+    MAX_SENDS,
+    TRIAL_S,
+    UNDECIDED_S,
+    BrokenSend,
+    EndedSends,
+    Permission,
+    RequestKey,
+)
+from bayhinge._internal.models.endpoint_entries import EndpointIncarnation
+
+KEY = RequestKey("a", has_program=True)
+ANYBODY = RequestKey("b", has_program=False)
+
+
+def endpoint(number: int) -> EndpointIncarnation:
+    return EndpointIncarnation(f"e-{number}")
+
+
+def sends_with(key: RequestKey, ended: int, broken: int = 0) -> EndedSends:
+    """Returns sends of a request that broke off one after the other, a second apart."""
+    sends = EndedSends()
+    for number in range(ended + broken):
+        sends.record_broken(key, endpoint(number), BrokenSend(number, number + 0.5))
+        if number < ended:
+            sends.record_endpoint_ended(endpoint(number), number + 0.5)
+    return sends
+
+
+def test_three_ends_withhold_a_request_and_two_leave_it_one_endpoint() -> None:
+    permissions = [sends_with(KEY, ended).permission(KEY, 4.0) for ended in range(MAX_ENDED + 1)]
+    assert permissions == [
+        Permission.FREE,
+        Permission.FREE,
+        Permission.ALONE,
+        Permission.WITHHELD,
+    ]
+
+
+def test_other_requests_are_sent_as_before() -> None:
+    assert sends_with(KEY, 3).permission(RequestKey("c", True), 4.0) is Permission.FREE
+
+
+def test_lost_answers_alone_withhold_nothing() -> None:
+    sends = sends_with(KEY, 0, broken=5)
+    assert sends.permission(KEY, 5.0) is Permission.EXAMINE
+    assert sends.permission(KEY, 5.0, is_examined=True) is Permission.FREE
+    assert sends.permission(KEY, 5.0 + UNDECIDED_S) is Permission.FREE
+
+
+def test_endpoints_in_doubt_are_examined_before_one_too_many_may_end() -> None:
+    sends = sends_with(KEY, 2, broken=1)
+    assert sends.permission(KEY, 4.0) is Permission.EXAMINE
+    sends.record_endpoint_ended(endpoint(2), 4.0)
+    assert sends.permission(KEY, 4.0) is Permission.WITHHELD
+
+
+def test_an_end_that_is_found_long_after_a_lost_answer_is_not_blamed_on_it() -> None:
+    sends = sends_with(KEY, 0, broken=1)
+    assert sends.record_endpoint_ended(endpoint(0), 0.5 + UNDECIDED_S + 0.1) == []
+
+
+def test_an_endpoint_that_answers_later_has_not_ended() -> None:
+    sends = sends_with(KEY, 3)
+    assert sends.record_endpoint_alive(endpoint(0), 0.5 + ALIVE_AFTER_S - 0.1) == []
+    assert sends.permission(KEY, 4.0) is Permission.WITHHELD
+    assert sends.record_endpoint_alive(endpoint(0), 0.5 + ALIVE_AFTER_S) == [KEY]
+    assert sends.permission(KEY, 4.0) is Permission.ALONE
+
+
+def test_a_request_that_is_answered_begins_anew() -> None:
+    sends = sends_with(KEY, 2)
+    assert sends.record_served(KEY) == [endpoint(0), endpoint(1)]
+    assert sends.permission(KEY, 4.0) is Permission.FREE
+
+
+def test_equal_requests_of_many_callers_that_fail_together_count_once() -> None:
+    sends = EndedSends()
+    for number in range(5):
+        sends.record_broken(ANYBODY, endpoint(number), BrokenSend(1.0 + number / 100, 2.0))
+        sends.record_endpoint_ended(endpoint(number), 2.1)
+    assert sends.permission(ANYBODY, 3.0) is Permission.FREE
+
+
+def test_equal_requests_of_unknown_callers_that_fail_one_after_the_other_all_count() -> None:
+    assert sends_with(ANYBODY, 3).permission(ANYBODY, 4.0) is Permission.WITHHELD
+
+
+def test_several_attempts_at_once_stay_within_the_endpoints_that_are_left() -> None:
+    sends = sends_with(KEY, 1)
+    assert sends.begin_send(KEY, "e-7", is_trial=False)
+    assert sends.permission(KEY, 2.0) is Permission.FREE
+    sends.begin_send(KEY, "e-8", is_trial=False)
+    assert sends.permission(KEY, 2.0) is Permission.BUSY
+    sends.end_send(KEY, "e-8")
+    assert sends.permission(KEY, 2.0) is Permission.FREE
+
+
+def test_no_two_requests_are_on_trial_at_one_endpoint() -> None:
+    sends, other = sends_with(KEY, 2), RequestKey("c", True)
+    sends.begin_send(KEY, "e-7", is_trial=True)
+    sends.record_trial(KEY, "e-8", 3.0)
+    assert sends.trial_endpoints(other, 3.0) == {"e-7", "e-8"}
+    assert sends.trial_endpoints(KEY, 3.0) == frozenset()
+    sends.end_send(KEY, "e-7")
+    sends.record_trial_over(KEY, "e-8")
+    assert sends.trial_endpoints(other, 3.0) == frozenset()
+
+
+def test_another_hosts_trial_makes_a_request_wait_until_it_ends_or_lapses() -> None:
+    sends = sends_with(KEY, 2)
+    sends.record_trial(KEY, "e-8", 3.0)
+    assert sends.permission(KEY, 3.0) is Permission.BUSY
+    assert sends.permission(KEY, 3.1 + TRIAL_S) is Permission.ALONE
+
+
+def test_what_is_old_is_forgotten() -> None:
+    sends = sends_with(KEY, 3)
+    sends.forget_old(KEEP_S)
+    assert sends.permission(KEY, KEEP_S) is Permission.WITHHELD
+    sends.forget_old(KEEP_S + 4.0)
+    assert len(sends) == 0
+    assert sends.permission(KEY, KEEP_S + 4.0) is Permission.FREE
+
+
+def test_memory_is_bounded_and_a_storm_of_failures_displaces_no_request_that_ends_endpoints() -> (
+    None
+):
+    sends = sends_with(KEY, 3)
+    for number in range(3 * MAX_REQUESTS):
+        key = RequestKey(f"r-{number}", True)
+        sends.record_broken(key, endpoint(9), BrokenSend(4.0, 4.5))
+    sends.record_endpoint_ended(endpoint(9), 4.6)
+    assert len(sends) == MAX_REQUESTS
+    assert sends.permission(KEY, 5.0) is Permission.WITHHELD
+
+
+def test_a_request_of_which_many_answers_are_lost_stays_small() -> None:
+    sends = sends_with(KEY, 2, broken=10 * MAX_SENDS)
+    now_s = 10.0 * MAX_SENDS
+    assert len(sends.undecided(KEY, now_s)) <= MAX_SENDS
+    assert len(sends.ended(KEY)) == 2
+
+
+@attrs.frozen
+class News:
+    """An end or a clearance that hosts tell each other."""
+
+    is_cleared: bool
+    endpoint: int
+
+
+@given(
+    st.lists(st.builds(News, st.booleans(), st.integers(0, 4)), max_size=8),
+    st.randoms(use_true_random=False),
+)
+def test_hosts_agree_whatever_the_order_and_repetition_of_news(
+    news: list[News], order: random.Random
+) -> None:
+    def heard(messages: list[News]) -> list[EndpointIncarnation]:
+        sends = EndedSends()
+        for each in messages:
+            send = BrokenSend(each.endpoint, each.endpoint + 0.5)
+            if each.is_cleared:
+                sends.record_cleared(KEY, endpoint(each.endpoint), send)
+            else:
+                sends.record_ended(KEY, endpoint(each.endpoint), send, 9.0)
+        return sorted(sends.ended(KEY), key=lambda each: each.endpoint)
+
+    again = [*news, *news]
+    order.shuffle(again)
+    assert heard(again) == heard(news)
