Soak: endpoints that end under certain requests, judged from outside

A new kind of plan, ending-endpoints: callers repeat requests under which endpoints crash, while hosts, the store and links are hurt; at most three may end under one, one more for each attempt at a host that was in trouble.

--- a/tests/soak/callers.py
+++ b/tests/soak/callers.py
@@ -10,6 +10,7 @@
 
 from tests.soak.accounts import Accounts
 from tests.soak.daemons import Daemon
+from tests.soak.fatal import FATAL
 from tests.soak.ledger import Draft, Ledger, Sent
 from tests.soak.stream_check import event_text, split_events
 
@@ -20,6 +21,9 @@
 
 ATTEMPTS = 6
 
+FATAL_SHARE = 0.3
+"""Share of turns after which a caller sends such a request."""
+
 
 @attrs.define
 class Callers:
@@ -33,6 +37,7 @@
     ledger: Ledger
     rng: random.Random
     accounts: Accounts | None = None
+    sends_fatal: bool = False
     is_stopping: bool = False
     served_turns: int = 0
     _staying: set[str] = attrs.field(factory=set)
@@ -70,6 +75,8 @@
             await asyncio.gather(
                 *(self._tool(session, program) for _ in range(self.rng.randint(0, 2)))
             )
+            if self.sends_fatal and self.rng.random() < FATAL_SHARE:
+                await self._fatal(session, f"{program}-f{turn}")
 
     async def _turn(
         self,
@@ -126,6 +133,16 @@
         sent = self._new(kind, f"{kind} of {program}".encode(), program)
         await self._send(session, sent, f"/{kind}/x", {"Bayhinge-Program-Id": program})
 
+    async def _fatal(self, session: aiohttp.ClientSession, program: str) -> None:
+        """Repeats a request under which endpoints end, as a stubborn program would."""
+        kind = self.rng.choice(["act", "look"])
+        for _ in range(ATTEMPTS):
+            sent = self._new(kind, f"{FATAL.decode()} {kind} of {program}".encode(), program)
+            await self._send(session, sent, f"/{kind}/x", {"Bayhinge-Program-Id": program})
+            if self.is_stopping:
+                return
+            await asyncio.sleep(self.rng.uniform(0.05, 0.4))
+
     def _new(self, kind: str, body: bytes, program: str) -> Sent:
         # Like the platform's callers, avoids hosts that are known to be down.
         stays = program.rpartition("-")[0] in self._staying
--- a/tests/soak/endpoint_faults.py
+++ b/tests/soak/endpoint_faults.py
@@ -3,6 +3,7 @@
 import asyncio
 import itertools
 import random
+from collections import defaultdict
 from collections.abc import Awaitable, Callable
 
 import attrs
@@ -29,11 +30,9 @@
     decoy: Decoy
     report: Callable[[str], None]
     _sequence: "itertools.count[int]" = attrs.field(factory=lambda: itertools.count(1))
-    _lock_by_endpoint: dict[Endpoint, asyncio.Lock] = attrs.field(factory=dict)
-
-    def __attrs_post_init__(self) -> None:
-        """Creates the locks that serialize restarts and entry writes of an endpoint."""
-        self._lock_by_endpoint = {endpoint: asyncio.Lock() for endpoint in self.endpoints}
+    _lock_by_endpoint: defaultdict[Endpoint, asyncio.Lock] = attrs.field(
+        factory=lambda: defaultdict(asyncio.Lock)
+    )
 
     def series(self) -> list[Callable[[], Awaitable[None]]]:
         """Returns the kinds of faults; the caller repeats each of them."""
@@ -100,6 +99,20 @@
                 else:
                     await self._restart(endpoint, moves=kind == "elsewhere")
 
+    async def end(self, instance: str) -> None:
+        """Crashes an endpoint whose port closes as well, and restarts it at another one."""
+        endpoint = next(one for one in self.endpoints if one.engine.instance == instance)
+        async with self._lock_by_endpoint[endpoint]:
+            self.report(f"{instance} ends under a request")
+            await endpoint.proxy.stop()
+            await endpoint.engine.crash()
+            self.store.remove("servers", instance)
+            await asyncio.sleep(self.rng.choice((0.1, 0.5, 1.0)))
+            endpoint.proxy = Proxy("127.0.0.1", 0)
+            await endpoint.proxy.start()
+            await endpoint.start_new_incarnation()
+            self.store.put("servers", instance, endpoint.entry())
+
     async def _restart(self, endpoint: Endpoint, moves: bool) -> None:
         await endpoint.engine.crash()
         await asyncio.sleep(self.rng.choice((0.0, 0.1, 1.0)))
--- a/tests/soak/endpoints.py
+++ b/tests/soak/endpoints.py
@@ -2,11 +2,12 @@
 
 import asyncio
 import time
+from collections.abc import Callable
 
 import attrs
 from aiohttp import web
 
-from tests.lib.platform_engine import PlatformEngine
+from tests.lib.platform_engine import PlatformEngine, Run
 from tests.soak.proxy import Proxy
 
 
@@ -18,6 +19,7 @@
         self.incarnation = 0
         self._seq = 0
         self._transports: set[asyncio.BaseTransport] = set()
+        self.takes_fatal: Callable[[str, bytes], bool] = lambda instance, body: False
 
     async def on_start(self) -> None:
         """Starts listening as a new incarnation."""
@@ -37,6 +39,12 @@
         mark = f"{self.instance}-{self.incarnation}-{stream}"
         return f"id: {number}\ndata: {mark} piece {number}\n\n".encode()
 
+    async def begin_run(self, request: web.Request, run: Run) -> None:
+        """See :class:`PlatformEngine`."""
+        if self.takes_fatal(self.instance, run.body):
+            # The end comes a moment later, from the fault.
+            await asyncio.sleep(3600)
+
     async def crash(self) -> None:
         """Aborts all connections and stops listening, like a killed process."""
         for transport in list(self._transports):
--- a/tests/soak/plans.py
+++ b/tests/soak/plans.py
@@ -24,6 +24,11 @@
     has_accounts = False
     """Whether callers send API keys of client accounts."""
 
+    endpoints_per_service = 2
+
+    has_fatal_requests = False
+    """Whether callers send requests under which endpoints end."""
+
     @abstractmethod
     def size(self, seed: int) -> tuple[int, int]:
         """Returns the numbers of entry and disk hosts for a seed."""
@@ -83,9 +88,28 @@
         return account_faults + rng.sample(host_faults, k=2) + rng.sample(others, k=1)
 
 
+class EndingEndpoints(Plan):
+    """Endpoints end under certain requests while hosts, the store and links are hurt."""
+
+    endpoints_per_service = 8
+    has_fatal_requests = True
+
+    def size(self, seed: int) -> tuple[int, int]:
+        return random.Random(f"size {seed}").choice(SIZES)
+
+    def series(
+        self, rng: random.Random, faults: Faults, endpoint_faults: EndpointFaults
+    ) -> list[Fault]:
+        host_faults: list[Fault] = [faults.hurt_entry, faults.stop_entry, faults.trouble_store]
+        # Not those whose proxies stay up for an endpoint that has ended.
+        others: list[Fault] = [faults.change_behind_outage, endpoint_faults.break_streams]
+        return rng.sample(host_faults, k=2) + rng.sample(others, k=1)
+
+
 PLAN_BY_KIND: dict[str, Plan] = {
     "overlapping": Overlapping(),
     "accounts": KeysAndLimits(),
+    "ending-endpoints": EndingEndpoints(),
     "short-silences": ShortSilences(disrupts_entries=False),
     "short-silences-hurt": ShortSilences(disrupts_entries=True),
 }
--- a/tests/soak/run.py
+++ b/tests/soak/run.py
@@ -19,13 +19,14 @@
 from tests.soak.daemons import START_TIMEOUT_S, Daemon, disk_daemon, entry_daemon
 from tests.soak.endpoint_faults import EndpointFaults
 from tests.soak.endpoints import Decoy, Endpoint, start_endpoint
+from tests.soak.fatal import FatalRequests
 from tests.soak.faults import Faults
 from tests.soak.ledger import Ledger
 from tests.soak.plans import PLAN_BY_KIND, Fault
 from tests.soak.proxy import Proxy, ProxyFault
 
 HALLS = ("north", "south", "north")
-ENDPOINTS = (("i-llm-1", "llm"), ("i-llm-2", "llm"), ("i-app-1", "app"), ("i-app-2", "app"))
+SERVICES = ("llm", "app")
 CALLERS = 6
 RECOVERY_S = 6.0
 """Every host must serve again within this time after the last fault."""
@@ -39,6 +40,7 @@
         problems: invariants that were violated.
         story: the injected faults, with seconds since the start.
         checks: how many configuration versions were checked on the hosts.
+        ended: how many endpoints ended under fatal requests.
         folder: holds the logs of the hosts.
     """
 
@@ -48,6 +50,7 @@
     requests: int
     served_turns: int
     checks: int
+    ended: int
     folder: Path
 
 
@@ -75,6 +78,10 @@
         self._net = net
         self._extra_faults = also
         self._accounts = Accounts(self._rng) if self._plan.has_accounts else None
+        self._endpoint_faults = EndpointFaults(
+            self._rng, self._store, self._endpoints, self._decoy, self._record
+        )
+        self._fatal_requests = FatalRequests(self._endpoint_faults.end)
         self._store_proxies: list[Proxy] = []
         self._entries: list[Daemon] = []
         self._disks: list[Daemon] = []
@@ -86,8 +93,11 @@
     async def play(self) -> Result:
         ledger = Ledger()
         callers = Callers(self._entries, ledger, self._rng, self._accounts)
+        callers.sends_fatal = self._plan.has_fatal_requests
         try:
             await self._start()
+            for endpoint in self._endpoints:
+                endpoint.engine.takes_fatal = self._fatal_requests.take
             tasks = [
                 asyncio.create_task(callers.play(f"p{number}", stays=number % 2 == 1))
                 for number in range(CALLERS)
@@ -96,6 +106,7 @@
             ledger.problems += await self._check_recovery(callers)
             callers.is_stopping = True
             await asyncio.gather(*tasks)
+            await self._fatal_requests.wait()
             problems = ledger.check([endpoint.engine for endpoint in self._endpoints])
             if self._accounts is not None:
                 runs = [run for endpoint in self._endpoints for run in endpoint.engine.runs]
@@ -104,6 +115,7 @@
             problems += [
                 f"request sent to an invalid entry: {what}" for what in self._decoy.requests
             ]
+            problems += self._fatal_requests.check(list(ledger.sent_by_attempt.values()))
             problems += self._unexpected_exits()
         finally:
             await self._end()
@@ -114,16 +126,18 @@
             len(ledger.sent_by_attempt),
             callers.served_turns,
             self._checks,
+            self._fatal_requests.ended,
             self._folder,
         )
 
     async def _start(self) -> None:
         await self._store.start()
         await self._decoy.start()
-        for instance, service in ENDPOINTS:
-            endpoint = await start_endpoint(instance, service)
-            self._endpoints.append(endpoint)
-            self._store.put("servers", instance, endpoint.entry())
+        for service in SERVICES:
+            for number in range(1, self._plan.endpoints_per_service + 1):
+                endpoint = await start_endpoint(f"i-{service}-{number}", service)
+                self._endpoints.append(endpoint)
+                self._store.put("servers", endpoint.engine.instance, endpoint.entry())
         accounts = {} if self._accounts is None else {"tenants": self._accounts.tenants()}
         self._store.put("config", "main", CONFIGURATION | accounts)
         seeds = f'["{self._net}.10:8144","{self._net}.11:8144"]'
@@ -180,9 +194,7 @@
             self._record,
             accounts=self._accounts,
         )
-        endpoint_faults = EndpointFaults(
-            self._rng, self._store, self._endpoints, self._decoy, self._record
-        )
+        endpoint_faults = self._endpoint_faults
         deadline_s = time.monotonic() + self._seconds
         series = self._plan.series(self._rng, faults, endpoint_faults)
 
@@ -273,7 +285,8 @@
         result = play_seed(seed, options.seconds, folder, options.net, options.kind, options.also)
         verdict = "ok" if not result.problems else f"{len(result.problems)} PROBLEMS"
         summary = f"{result.requests} requests, {result.served_turns} turns, {result.checks} checks"
-        print(f"seed {seed}: {summary} of versions, {verdict}")
+        ended = f", {result.ended} endpoints ended" if result.ended else ""
+        print(f"seed {seed}: {summary} of versions{ended}, {verdict}")
         if result.problems:
             failed += 1
             print(*result.problems[:20], *result.fault_log, f"logs: {result.folder}", sep="\n  ")
