Tests of the last send of a request: isolation, resumed streams, attempts that come together

Without the isolation of last sends (a trial with an exclusion that excludes nothing), a request that met two ends of another one is blamed for the third and refused: the new test fails then.

--- a/tests/functional/test_requests_beside_ending_endpoints.py
+++ b/tests/functional/test_requests_beside_ending_endpoints.py
@@ -5,6 +5,7 @@
 
 import pytest
 
+from bayhinge._internal.decisions.endpoint_table import EndpointTable
 from tests.lib.ending_endpoints import EndingEndpoint, EndingSite, run_ending_site
 from tests.lib.platform_site import Reply
 
@@ -41,6 +42,49 @@
     run_ending_site(tmp_path, scenario, entries=4, endpoints=5)
 
 
+def test_a_request_that_met_two_ends_of_another_is_not_blamed_for_the_third(
+    tmp_path: Path,
+) -> None:
+    async def ask_until_answered(site: EndingSite, body: bytes, host: str) -> int:
+        """Repeats a request that is told to come back, as callers do."""
+        for _ in range(20):
+            reply = await site.ask("/act/a", body, at=host)
+            if reply.status != 503:
+                return reply.status
+            await asyncio.sleep(0.1)
+        return reply.status
+
+    async def scenario(site: EndingSite) -> None:
+        site.group.delay_s = 0.3
+        first, *others = site.services
+        for endpoint in site.services:
+            endpoint.faults.pause_s = 0.5
+        for endpoint in others:
+            site.store.remove("servers", endpoint.instance)
+        gateways = [entry._gateway for entry in site.entry_by_name.values()]
+        statuses: list[int] = []
+        for endpoint in (first, *others):
+            site.store.put("servers", endpoint.instance, endpoint.entry())
+            for gateway in gateways:
+                table = gateway.endpoint_table
+                await site.until(lambda t=table, e=endpoint: _knows_only(t, e))  # type: ignore[misc]
+            fatal = asyncio.create_task(ask_until_answered(site, b"fatal", "entry-0"))
+            await asyncio.sleep(0.05)
+            statuses.append(await ask_until_answered(site, b"fine", "entry-1"))
+            await fatal
+        assert statuses[:2] == [502, 502]
+        assert statuses[-1] == 200, statuses
+        assert len(site.group.ended) == MAX_ENDED
+
+    run_ending_site(tmp_path, scenario, endpoints=4)
+
+
+def _knows_only(table: EndpointTable, endpoint: EndingEndpoint) -> bool:
+    """Whether a host has no other endpoint of the plain service left."""
+    usable = [state for state in table.of_service("app") if not state.is_suspected]
+    return [state.entry.instance for state in usable] == [endpoint.instance]
+
+
 async def crash_some(site: EndingSite, endpoints: list[EndingEndpoint]) -> None:
     for endpoint in endpoints:
         await endpoint.crash()
--- a/tests/functional/test_requests_that_end_endpoints.py
+++ b/tests/functional/test_requests_that_end_endpoints.py
@@ -1,5 +1,6 @@
 """A request under which endpoints end is sent to three of them at most, whoever repeats it."""
 
+import asyncio
 import time
 from collections.abc import Callable
 from pathlib import Path
@@ -172,3 +173,33 @@
         assert len(site.group.ended) <= MAX_ENDED, statuses
 
     run_ending_site(tmp_path, scenario)
+
+
+def test_a_stream_that_is_resumed_after_its_endpoints_end_ends_three_of_them(
+    tmp_path: Path,
+) -> None:
+    async def scenario(site: EndingSite) -> None:
+        async def ask(host: str) -> Reply:
+            # Its caller resumes it after the event that it has, so its attempts differ.
+            last = str(len(statuses) % 3)
+            reply = await site.turn(b"fatal", at=host, path="/draft/x", Last_Event_Id=last)
+            statuses.append(reply.status)
+            return reply
+
+        statuses: list[int] = []
+        await site.repeat(ask, 6)
+        assert len(site.group.ended) <= MAX_ENDED, statuses
+
+    run_ending_site(tmp_path, scenario)
+
+
+def test_attempts_that_come_together_after_two_ends_end_one_more_endpoint(tmp_path: Path) -> None:
+    async def scenario(site: EndingSite) -> None:
+        await site.repeat(lambda host: site.turn(b"fatal", at=host), 2)
+        assert len(site.group.ended) == MAX_ENDED - 1
+        site.group.delay_s = 0.2
+        asked = [site.turn(b"fatal", at="entry-0") for _ in range(4)]
+        replies = await asyncio.gather(*asked)
+        assert len(site.group.ended) == MAX_ENDED, [reply.status for reply in replies]
+
+    run_ending_site(tmp_path, scenario)
--- a/tests/lib/ending_endpoints.py
+++ b/tests/lib/ending_endpoints.py
@@ -35,6 +35,7 @@
     async def begin_run(self, request: web.Request, run: Run) -> None:
         """See :class:`PlatformEngine`."""
         if FATAL in run.body and self._group.takes_end():
+            await asyncio.sleep(self._group.delay_s)
             if self._group.falls_silent:
                 await self._fall_silent()
             await self.crash()
@@ -73,6 +74,7 @@
         ended: the endpoints that have ended, in order.
         ends_left: how many may still end.
         entry_goes_first: hosts hear of it before their connections are reset.
+        delay_s: how long they run a fatal request before they end.
         falls_silent: they fall silent in place of being reset.
     """
 
@@ -80,6 +82,7 @@
     ended: list[str] = attrs.field(factory=list)
     ends_left: int = 1000
     falls_silent: bool = False
+    delay_s: float = 0.0
     entry_goes_first: bool = False
 
     def takes_end(self) -> bool:
