Bound the endpoints that end under a call of the own interface to three

A caller that repeats a failed call (same index) got four sends each time: three tries of a repeatable service call ended 12 endpoints, now 3; the test failed before. The evidence is a connection that broke off and is then refused; calls whose answers are lost are sent as before. The decision is that of the routed path. The owner keeps it in memory: a host that takes the program over does not know it.

--- a/src/bayhinge/_internal/network/endpoint_client.py
+++ b/src/bayhinge/_internal/network/endpoint_client.py
@@ -1,8 +1,10 @@
 """Endpoint clients: engines over the OpenAI chat protocol, and plain services over HTTP."""
 
+import asyncio
 from abc import ABC, abstractmethod
 from collections.abc import AsyncIterator
 from typing import Any
+from urllib.parse import urlsplit
 
 import aiohttp
 import attrs
@@ -93,6 +95,10 @@
             EndpointError: there is no complete answer; the error tells if the request may have run.
         """
 
+    async def refuses_connections(self, address: str) -> bool:
+        """Whether nothing listens at an endpoint's address any more, as far as can be told."""
+        return False
+
     async def close(self) -> None:
         """Closes the connections."""
         return
@@ -117,6 +123,19 @@
         if self._session is not None:
             await self._session.close()
 
+    async def refuses_connections(self, address: str) -> bool:
+        """See :class:`EndpointClient`."""
+        url = urlsplit(address)
+        try:
+            async with asyncio.timeout(self._times.connect_s):
+                _, writer = await asyncio.open_connection(url.hostname, url.port)
+        except ConnectionRefusedError:
+            return True
+        except (OSError, TimeoutError):
+            return False
+        writer.close()
+        return False
+
     async def complete(
         self, endpoint: str, address: str, request: EngineRequest
     ) -> AsyncIterator[EngineChunk]:
--- a/src/bayhinge/_internal/services/call_runner.py
+++ b/src/bayhinge/_internal/services/call_runner.py
@@ -9,6 +9,7 @@
 import xxhash
 
 from bayhinge._internal import status_codes
+from bayhinge._internal.decisions.ended_sends import RequestKey
 from bayhinge._internal.decisions.offers import CallCompletion, Offer, Outcome
 from bayhinge._internal.exceptions import EndpointError
 from bayhinge._internal.models.accounts import ClientAccount
@@ -20,6 +21,7 @@
 from bayhinge._internal.models.settings import Settings
 from bayhinge._internal.network.endpoint_client import EndpointClient, EngineChunk, EngineRequest
 from bayhinge._internal.services.answers import LiveAnswer
+from bayhinge._internal.services.ended_calls import EndedCalls
 from bayhinge._internal.services.grants import GrantedEndpoint, GrantSource
 from bayhinge._internal.services.timeline import Timeline
 
@@ -106,6 +108,7 @@
         self._timeline = timeline
         self._random_unit = random_unit
         self._background: set[asyncio.Task[None]] = set()
+        self._ended_calls = EndedCalls(endpoints)
 
     async def run_model(self, prepared: PreparedCall, live: LiveAnswer) -> CallResult:
         """Runs a model call; resumes its stream at another engine after a failure.
@@ -123,9 +126,11 @@
         while True:
             granted = await self._request_endpoint(pool.name, prepared, progress)
             try:
-                return await self._stream(prepared, work, granted, live, progress)
+                result = await self._stream(prepared, work, granted, live, progress)
+                self._ended_calls.record_answer(_key_of(prepared))
+                return result
             except EndpointError as error:
-                await self._after_failure(prepared, progress, error)
+                await self._after_failure(prepared, granted, progress, error)
 
     async def run_service(
         self,
@@ -150,13 +155,16 @@
         while True:
             granted = await self._request_endpoint(work.service, prepared, progress)
             try:
-                return await self._send_service(prepared, work, granted, progress, before_send)
+                result = await self._send_service(prepared, work, granted, progress, before_send)
+                self._ended_calls.record_answer(_key_of(prepared))
+                return result
             except EndpointError as error:
-                await self._after_failure(prepared, progress, error)
+                await self._after_failure(prepared, granted, progress, error)
 
     async def _request_endpoint(
         self, pool: str, prepared: PreparedCall, progress: _Progress
     ) -> GrantedEndpoint:
+        self._ended_calls.check(_key_of(prepared))
         now = asyncio.get_running_loop().time()
         patience_s = prepared.deadline - now
         if patience_s <= 0:
@@ -333,7 +341,11 @@
         return CallResult(end, granted.endpoint, loop.time() - started)
 
     async def _after_failure(
-        self, prepared: PreparedCall, progress: _Progress, error: EndpointError
+        self,
+        prepared: PreparedCall,
+        granted: GrantedEndpoint,
+        progress: _Progress,
+        error: EndpointError,
     ) -> None:
         """Waits before the next attempt, or refuses the call if there must be none."""
         progress.avoid.add(error.endpoint)
@@ -346,6 +358,12 @@
             Figure("may_have_run", float(error.may_have_run)),
             endpoint=error.endpoint,
         )
+        if error.may_have_run and not error.draining:
+            ended = await self._ended_calls.record_failure(_key_of(prepared), granted)
+            if ended:
+                why = "it broke the call off and refuses connections"
+                figures = (Figure("endpoints_ended", ended),)
+                self._record(prepared, "endpoint ended", why, *figures, endpoint=error.endpoint)
         if error.may_have_run and not prepared.call.repeatable:
             why = (
                 f"endpoint {error.endpoint} gave no answer ({error.why}); "
@@ -399,6 +417,11 @@
     return Outcome.FAILED if error.may_have_run else Outcome.NOT_SENT
 
 
+def _key_of(prepared: PreparedCall) -> RequestKey:
+    name = f"{prepared.state.program_id}/{prepared.index}/{prepared.call.digest}"
+    return RequestKey(name, has_program=True)
+
+
 def _prefix_key(first_message: bytes) -> str:
     """Returns a key for the prompt prefix that programs of one template share.
 
