--- a/src/bayhinge/_internal/decisions/ended_sends.py
+++ b/src/bayhinge/_internal/decisions/ended_sends.py
@@ -8,6 +8,7 @@
 
 import itertools
 import math
+from collections import OrderedDict
 from collections.abc import Iterable, Iterator
 from enum import IntEnum, StrEnum
 
@@ -32,13 +33,13 @@
 TRIAL_S = 10.0
 """How long another host's trial is assumed to go on if its end is not heard of."""
 
-MAX_REQUESTS = 2048
-"""Requests remembered at a time, of some 1 KB each at most."""
+MAX_REQUESTS = 1024
+"""Requests remembered at a time, of some 4 KB each at most."""
 
 MAX_SENDS = 8
 """Sends remembered of one request; more than are needed to decide."""
 
-EVICTION_CANDIDATES = 32
+EVICTION_CANDIDATES = 8
 """Requests compared when one has to be forgotten, so that a storm of failures stays cheap."""
 
 
@@ -157,8 +158,9 @@
     """The requests under which endpoints ended or may have ended, as one host knows them."""
 
     def __init__(self) -> None:
-        # In the order of their last change.
-        self._history_by_key: dict[RequestKey, RequestHistory] = {}
+        # In the order of their last change. In a plain dict, finding the oldest would take as long
+        # as there were requests before it.
+        self._history_by_key: OrderedDict[RequestKey, RequestHistory] = OrderedDict()
         self._keys_by_incarnation: dict[EndpointIncarnation, set[RequestKey]] = {}
         self._own_trial_by_endpoint: dict[str, RequestKey] = {}
 
@@ -358,12 +360,12 @@
 
     def _touch(self, key: RequestKey) -> RequestHistory:
         """Returns a request's history as the one that changed last."""
-        history = self._history_by_key.pop(key, None)
+        history = self._history_by_key.get(key)
         if history is None:
-            history = RequestHistory()
             if len(self._history_by_key) >= MAX_REQUESTS:
                 self._forget_one()
-        self._history_by_key[key] = history
+            history = self._history_by_key[key] = RequestHistory()
+        self._history_by_key.move_to_end(key)
         return history
 
     def _forget_one(self) -> None:
