Tell a host that has started of ends more than once, and listen before the first heartbeat

What callers saw: a request under which three endpoints had ended was sent to a fourth by a host that had just started. Cause: other hosts answer a host's first heartbeat with the ends that they remember, once; it opened the socket for that only after it had sent the heartbeat. Now the socket is open first, and the ends are told again after 0.1, 1 and 3 s.

--- a/src/bayhinge/_internal/services/gateway/ended_send_exchange.py
+++ b/src/bayhinge/_internal/services/gateway/ended_send_exchange.py
@@ -110,12 +110,17 @@
         others = {each.host for each in self._gossip.recent_heartbeats(wire.HostRole.ENTRY)}
         candidates = sorted((others | {own}) - {heartbeat.host})
         if own in rank(heartbeat.host, candidates)[:TELLERS_AT_START]:
-            now = asyncio.get_running_loop().time()
-            known = [
-                FateChange(key, incarnation, send, Fate.ENDED)
-                for key, incarnation, send in self._tracker.sends.all_ended(now)
-            ]
-            self._send_to([heartbeat.peer_address], known[-MAX_TOLD_AT_START:])
+            loop = asyncio.get_running_loop()
+            for after_s in (0.0, *REPEAT_AFTER_S):
+                loop.call_later(after_s, self._send_all_known, heartbeat.peer_address)
+
+    def _send_all_known(self, address: str) -> None:
+        now = asyncio.get_running_loop().time()
+        known = [
+            FateChange(key, incarnation, send, Fate.ENDED)
+            for key, incarnation, send in self._tracker.sends.all_ended(now)
+        ]
+        self._send_to([address], known[-MAX_TOLD_AT_START:])
 
     # ---- hearing ----
 
--- a/src/bayhinge/_internal/services/gateway/gateway.py
+++ b/src/bayhinge/_internal/services/gateway/gateway.py
@@ -207,8 +207,9 @@
         self.gossip.on_heartbeat = self._handle_heartbeat
         self.gossip.on_round = self._handle_gossip_round
         self.disks.on_change = self._disks_changed
-        await self.gossip.start()
+        # Other hosts answer the first heartbeat with what this one has to know.
         await self.exchange.start()
+        await self.gossip.start()
         registry = HostRegistry(self._platform.store, self.settings)
         duty_by_name: Mapping[str, Callable[[], Awaitable[None]]] = {
             f"follow {prefix}": follower.run
--- a/tests/functional/test_requests_that_end_endpoints.py
+++ b/tests/functional/test_requests_that_end_endpoints.py
@@ -109,6 +109,46 @@
     run_ending_site(tmp_path, scenario, entries=3)
 
 
+def test_a_host_learns_of_ends_before_it_sends_its_first_request(tmp_path: Path) -> None:
+    async def scenario(site: EndingSite) -> None:
+        await site.repeat(lambda host: site.ask("/act/a", b"fatal", at=host), 3)
+        await site.crash_entry("entry-0")
+        await site.start_entry("entry-0")
+        # Callers connect as soon as it listens.
+        statuses = [(await site.ask("/act/a", b"fatal", at="entry-0")).status for _ in range(3)]
+        assert len(site.group.ended) == MAX_ENDED, statuses
+
+    run_ending_site(tmp_path, scenario, entries=3)
+
+
+def test_a_started_host_whose_first_news_are_lost_learns_of_ends_soon(tmp_path: Path) -> None:
+    async def scenario(site: EndingSite) -> None:
+        await site.repeat(lambda host: site.ask("/act/a", b"fatal", at=host), 3)
+        await site.crash_entry("entry-0")
+        # The news told when the endpoints ended is over by now.
+        await asyncio.sleep(4.0)
+        is_losing = True
+        for entry in site.entry_by_name.values():
+            datagrams = entry._gateway.exchange
+            send = datagrams.send
+
+            def send_or_lose(
+                message: wire.LoadNews, *addresses: str, send: Callable[..., None] = send
+            ) -> None:
+                if message.sends is None or not is_losing:
+                    send(message, *addresses)
+
+            datagrams.send = send_or_lose  # type: ignore[method-assign]
+        await site.start_entry("entry-0")
+        await asyncio.sleep(0.08)
+        is_losing = False
+        await asyncio.sleep(1.2)
+        assert (await site.ask("/act/a", b"fatal", at="entry-0")).status == 502
+        assert len(site.group.ended) == MAX_ENDED
+
+    run_ending_site(tmp_path, scenario, entries=3)
+
+
 def test_what_a_host_that_died_has_seen_is_known_to_the_others(tmp_path: Path) -> None:
     async def scenario(site: EndingSite) -> None:
         for _ in range(MAX_ENDED):
