--- a/src/bayhinge/_internal/queries/losses/first_pass.py
+++ b/src/bayhinge/_internal/queries/losses/first_pass.py
@@ -9,12 +9,14 @@
 from bayhinge._internal import status_codes
 from bayhinge._internal.queries.log_trace import LogLine
 from bayhinge._internal.queries.losses.models import Downtime
-from bayhinge._internal.queries.request_sends import SUSPICION_PREFIX
 
 END_TYPES = frozenset({"request.served", "request.ended", "request.refused"})
 START_TYPES = frozenset({"host.started", "disk.started"})
 FAILED_SEND_TYPES = frozenset({"send.failed", "send.not_taken"})
 
+SUSPICION_PREFIX = "not heard for "
+"""Prefix of the ``why`` of a ``send.failed`` after which the request keeps waiting."""
+
 SIGNIFICANT_DIGITS = 3
 """Durations are rounded to these digits, which bounds the counters to 900 per power of ten and
 the error of a median to half a percent."""
--- a/src/bayhinge/_internal/queries/request_sends.py
+++ b/src/bayhinge/_internal/queries/request_sends.py
@@ -6,33 +6,27 @@
 
 from bayhinge._internal.queries.log_trace import LogLine
 
-FAILED = "send.failed"
-REJECTED = "send.not_taken"
 ABANDONED = "send.abandoned"
 ENDED_UNDER = "endpoint.ended_under"
 WITHHELD = "send.withheld"
 
-SUSPICION_PREFIX = "not heard for "
-"""Prefix of the ``why`` of a ``send.failed`` after which the request keeps waiting."""
-
 
 @attrs.define
 class RequestSends:
     """The sends of one request that got no whole answer.
 
     Attributes:
-        failed: sends that may have run.
-        rejected: sends that certainly did not run.
+        ran_by_attempt: sends of each attempt that may have run and failed.
+        untaken_by_attempt: sends of each attempt that were rejected or never reached an endpoint.
         abandoned: sends that were given up with the attempt.
         withheld: attempts that were refused because of the endpoints that had ended.
         ended: the endpoints that ended under it, in order.
     """
 
     request: str
-    attempts: set[str] = attrs.field(factory=set)
     hosts: set[str] = attrs.field(factory=set)
-    failed: int = 0
-    rejected: int = 0
+    ran_by_attempt: dict[str, int] = attrs.field(factory=dict)
+    untaken_by_attempt: dict[str, int] = attrs.field(factory=dict)
     abandoned: int = 0
     withheld: int = 0
     ended: list[str] = attrs.field(factory=list)
@@ -41,13 +35,12 @@
         """Adds a line with the fingerprint of this request."""
         if line.message_type == ENDED_UNDER:
             self._add_ended(str(line.fields.get("endpoint")))
-        if line.fields.get("attempt") is None:
+        attempt = line.fields.get("attempt")
+        if attempt is None:
             return
-        self.attempts.add(str(line.fields.get("attempt")))
         self.hosts.add(line.host)
-        is_waiting = str(line.fields.get("why")).startswith(SUSPICION_PREFIX)
-        self.failed += line.message_type == FAILED and not is_waiting
-        self.rejected += line.message_type == REJECTED
+        _raise_to(self.ran_by_attempt, attempt, line.fields.get("sends_ran", 0))
+        _raise_to(self.untaken_by_attempt, attempt, line.fields.get("sends_untaken", 0))
         self.abandoned += line.message_type == ABANDONED
         self.withheld += line.message_type == WITHHELD
 
@@ -60,13 +53,20 @@
         """Returns the sums in one line."""
         ended = ", ".join(self.ended) or "none"
         return (
-            f"request {self.request}: {len(self.attempts)} attempts at {len(self.hosts)} hosts; "
-            f"sends that may have run and failed: {self.failed}, rejected: {self.rejected}, "
+            f"request {self.request}: "
+            f"{len(self.ran_by_attempt)} attempts at {len(self.hosts)} hosts; "
+            f"sends that may have run and failed: {sum(self.ran_by_attempt.values())}, "
+            f"not taken: {sum(self.untaken_by_attempt.values())}, "
             f"abandoned: {self.abandoned}; endpoints that ended under it: {ended}; "
             f"attempts withheld for that: {self.withheld}"
         )
 
 
+def _raise_to(count_by_attempt: dict[str, int], attempt: str, count: int) -> None:
+    """Raises a count to that of a later line; each line has the count so far."""
+    count_by_attempt[attempt] = max(count_by_attempt.get(attempt, 0), count)
+
+
 def request_sends(lines: Iterable[LogLine]) -> Iterator[RequestSends]:
     """Yields the sums of each request that has lines with its fingerprint."""
     sends_by_request: dict[str, RequestSends] = {}
--- a/tests/unit/test_log_trace.py
+++ b/tests/unit/test_log_trace.py
@@ -68,18 +68,26 @@
     assert "send.failed" in [each.message_type for each in traced("p", [sent, *LOGS]).lines]
 
 
+def sent(at_s: float, host: str, attempt: str, ran: int, untaken: int) -> bytes:
+    """Returns the line of a failed send of request ``f``."""
+    fields = {"endpoint": "e-1", "why": "reset", "sends_ran": ran, "sends_untaken": untaken}
+    return line(at_s, host, "send.failed", attempt=attempt, request="f", **fields)
+
+
 def test_all_attempts_of_a_request_are_found_from_the_id_of_one() -> None:
     logs = [
-        line(1.0, "entry-1", "send.failed", attempt="a", request="f", endpoint="e-1", why="reset"),
+        sent(1.0, "entry-1", "a", ran=1, untaken=0),
         line(1.1, "entry-1", "request.refused", attempt="a", code="outcome_unknown"),
-        line(1.3, "entry-2", "send.failed", attempt="b", request="f", endpoint="e-2", why="reset"),
+        sent(1.2, "entry-2", "b", ran=0, untaken=1),
+        sent(1.3, "entry-2", "b", ran=1, untaken=1),
         line(1.4, "entry-1", "endpoint.ended_under", request="f", endpoint="e-2", evidence="gone"),
         line(1.5, "entry-2", "send.failed", attempt="c", request="g", endpoint="e-2", why="reset"),
     ]
     for identifier in ("a", "b", "f"):
         found = traced(identifier, logs)
-        assert [each.at_s for each in found.own] == [1.0, 1.1, 1.3, 1.4]
+        assert [each.at_s for each in found.own] == [1.0, 1.1, 1.2, 1.3, 1.4]
         assert "2 attempts at 2 hosts" in trace_text(found)
+        assert "may have run and failed: 2, not taken: 1" in trace_text(found)
         assert "endpoints that ended under it: e-2" in trace_text(found)
 
 
