--- a/tests/soak/mutants.py
+++ b/tests/soak/mutants.py
@@ -29,6 +29,8 @@
 STATE = "decisions/endpoint_state.py"
 TABLE = "decisions/endpoint_table.py"
 QUORUM = "decisions/disk_quorum.py"
+ENDED_SENDS = "decisions/ended_sends.py"
+ENDED_EXCHANGE = "services/gateway/ended_send_exchange.py"
 
 EDITS_BY_GUARD: dict[str, tuple[Edit, ...]] = {
     "what may have run is not sent again": (
@@ -156,6 +158,31 @@
             "            if False:",
         ),
     ),
+    "ends under a request are bounded": (Edit(ENDED_SENDS, "MAX_ENDED = 3", "MAX_ENDED = 1000"),),
+    "hosts tell each other of ends": (
+        Edit(ENDED_EXCHANGE, "        tracker.tell = self.tell", "        pass"),
+    ),
+    "a host that has started is told of ends": (
+        Edit(
+            ENDED_EXCHANGE,
+            "for after_s in (0.0, *REPEAT_AFTER_S):",
+            "for after_s in ():",
+        ),
+    ),
+    "last sends are alone": (
+        Edit(
+            ENDED_SENDS,
+            "        return frozenset(own | remote)",
+            "        return frozenset()",
+        ),
+    ),
+    "an endpoint that broke off is probed": (
+        Edit(
+            "services/gateway/ended_send_tracker.py",
+            "        await self._examine([incarnation])",
+            "        pass",
+        ),
+    ),
 }
 
 _FAILED_ATTEMPTS = "tests/unit/test_failed_attempts_"
@@ -163,6 +190,7 @@
 _PLATFORM = tuple(
     f"{_FUNCTIONAL}platform_{what}.py" for what in ("requests", "turns", "objects", "stops")
 )
+_ENDED = ("tests/unit/test_ended_sends.py", f"{_FUNCTIONAL}requests_that_end_endpoints.py")
 _FENCE = ("tests/unit/test_disk_fence.py", "tests/unit/test_set_fence.py")
 
 TESTS_BY_GUARD: dict[str, tuple[str, ...]] = {
@@ -226,6 +254,11 @@
     "limits hold over all hosts": (f"{_FUNCTIONAL}accounts.py",),
     "homes begin with little": ("tests/unit/test_quota_bucket.py",),
     "unused rights are given back": (f"{_FUNCTIONAL}accounts.py",),
+    "ends under a request are bounded": _ENDED,
+    "hosts tell each other of ends": _ENDED,
+    "a host that has started is told of ends": _ENDED,
+    "last sends are alone": (*_ENDED, f"{_FUNCTIONAL}requests_beside_ending_endpoints.py"),
+    "an endpoint that broke off is probed": _ENDED,
 }
 """Tests that should fail without a guard; running them is cheaper than a soak."""
 
