Let requests that met two ends share endpoints after 0.3 s, so that crash waves refuse none

Cause: the sound endpoints were all taken by other requests with two ends, and the ones that were left refused connections. Now such a request asks for a sound endpoint of its own for 0.3 s, and then takes any. The new test (12 requests, two waves, 2 endpoints left) failed before: 503 in place of 200.

--- a/src/bayhinge/_internal/services/gateway/request_sender.py
+++ b/src/bayhinge/_internal/services/gateway/request_sender.py
@@ -49,6 +49,11 @@
 MAX_REJECTED_SENDS = 4
 """Maximum sends of a request that endpoints reject; each costs a round trip."""
 
+APART_PAUSE_S = 0.05
+MAX_APART_TRIES = 6
+"""Tries for a sound endpoint without other requests on trial, 0.3 s in all. In a crash wave there
+are more such requests than endpoints, and all of them have to be served."""
+
 RETRY_AFTER_S = 0.3
 """Retry delay for a request that no endpoint accepted."""
 
@@ -161,7 +166,7 @@
         state = None
         excluded = await self._guard.check(send_state)
         if send_state.rejected < MAX_REJECTED_SENDS:
-            state = await self._place(send_state, excluded)
+            state = await self._place_apart(send_state, excluded)
         if state is None:
             raise RefusedError(send_state.no_endpoint_refusal(RETRY_AFTER_S))
         try:
@@ -175,6 +180,22 @@
         self._guard.begin(run, send_state)
         return run
 
+    async def _place_apart(
+        self, send_state: SendState, excluded: frozenset[str]
+    ) -> EndpointState | None:
+        """Returns a sound endpoint that is not excluded, or after a short wait any."""
+        while excluded and send_state.apart_tries < MAX_APART_TRIES:
+            send_state.apart_tries += 1
+            state = await self._place(send_state, excluded)
+            now = asyncio.get_running_loop().time()
+            if state is not None and not (state.is_suspected or state.ejected_until_s > now):
+                return state
+            if state is not None:
+                self._placer.record_end(state, send_state.demand, None)
+            await asyncio.sleep(APART_PAUSE_S)
+            excluded = self._guard.trial_endpoints(send_state)
+        return await self._place(send_state, frozenset())
+
     async def _place(self, send_state: SendState, excluded: frozenset[str]) -> EndpointState | None:
         """Returns the endpoint for the next send, after a wait for a place, or None."""
         tried = {*self._tried_endpoints(send_state), *excluded}
--- a/src/bayhinge/_internal/services/gateway/send_guard.py
+++ b/src/bayhinge/_internal/services/gateway/send_guard.py
@@ -17,7 +17,7 @@
         self._tracker = tracker
 
     async def check(self, send_state: SendState) -> frozenset[str]:
-        """Returns the endpoints that must not get the request, if it may be sent at all.
+        """Returns the endpoints that should not get the request, if it may be sent at all.
 
         Raises:
             RefusedError: it must not be sent.
@@ -31,7 +31,11 @@
         if permission is not Permission.ALONE:
             return frozenset()
         send_state.is_alone = True
-        return tracker.trial_endpoints(send_state.key)
+        return self.trial_endpoints(send_state)
+
+    def trial_endpoints(self, send_state: SendState) -> frozenset[str]:
+        """Returns the endpoints at which other requests are on trial now."""
+        return self._tracker.trial_endpoints(send_state.key)
 
     def check_again(self, send_state: SendState) -> None:
         """Checks once more after a wait for a place, in which other hosts may have told something.
--- a/src/bayhinge/_internal/services/gateway/send_state.py
+++ b/src/bayhinge/_internal/services/gateway/send_state.py
@@ -31,6 +31,7 @@
         ran: number of sends that may have run.
         rejected: number of sends that certainly did not run.
         is_alone: the current send is to an endpoint at which no other request is on trial.
+        apart_tries: how often an endpoint without other requests on trial was asked for.
         is_counted: the current send is counted by the tracker of ended sends.
     """
 
@@ -48,6 +49,7 @@
     rejected: int = 0
     is_alone: bool = False
     is_counted: bool = False
+    apart_tries: int = 0
     _fingerprint: str | None = None
 
     @property
--- a/tests/functional/test_requests_beside_ending_endpoints.py
+++ b/tests/functional/test_requests_beside_ending_endpoints.py
@@ -79,6 +79,28 @@
     run_ending_site(tmp_path, scenario, endpoints=4)
 
 
+def test_many_requests_that_met_two_ends_are_served_by_few_endpoints(tmp_path: Path) -> None:
+    async def scenario(site: EndingSite) -> None:
+        async def ask_all() -> list[int]:
+            asked = [
+                site.ask("/act/a", f"fine {number}".encode(), at=f"entry-{number % 2}")
+                for number in range(12)
+            ]
+            return [reply.status for reply in await asyncio.gather(*asked)]
+
+        for endpoint in site.services:
+            endpoint.faults.pause_s = 0.3
+        for first in (0, 4):
+            wave = asyncio.create_task(ask_all())
+            await asyncio.sleep(0.15)
+            await crash_some(site, [each for each in site.services[first:] if each.runs][:4])
+            assert 502 in await wave
+        # The endpoints that are left must serve all of them in one try.
+        assert await ask_all() == [200] * 12
+
+    run_ending_site(tmp_path, scenario, endpoints=10)
+
+
 def _knows_only(table: EndpointTable, endpoint: EndingEndpoint) -> bool:
     """Whether a host has no other endpoint of the plain service left."""
     usable = [state for state in table.of_service("app") if not state.is_suspected]
