Soak: lose no second disk before the store lets the first one join again

Traced by its logs: disk-0 was wiped at 3.39 s, the store was away from 3.47 s to 12.29 s, so that the empty disk could not join the set again, and disk-1 was wiped at 7.88 s. Two of three disks were lost where the users allow one; every turn got "1 answered, 2 needed" to the end, as it must. The check was wrong: the time in which a disk counts as lost begins anew once the store is stable, as on the users' pages. The soak keeps that now, and hurts no other disk in the meantime. No check of callers is changed.

--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -235,8 +235,19 @@
                 await asyncio.sleep(self.rng.uniform(0.0, 2.0))
                 await disk.start()
             await asyncio.sleep(CATCH_UP_S)
+            if kind == "wipe":
+                await self._wait_for_stable_store()
             disk.is_disrupted = False
 
+    async def _wait_for_stable_store(self) -> None:
+        """Waits until the store has been undisturbed for as long as a disk needs to catch up.
+
+        An empty disk can't join the set without the store, and only one may be lost at a time.
+        """
+        loop = asyncio.get_running_loop()
+        while self.active_store_faults or loop.time() < self.store_recovered_s + CATCH_UP_S:  # noqa: ASYNC110
+            await asyncio.sleep(0.1)
+
     async def hurt_entry(self) -> None:
         """Kills or freezes one entry host."""
         async with self.entry_lock:
