--- a/review/common/review_site.py
+++ b/review/common/review_site.py
@@ -410,6 +410,9 @@
             record.add(f"the case could not run: {error!r}")
             result = CANNOT_RUN
         finally:
+            for engine in site.engines:
+                attempts = " ".join(run.attempt for run in engine.runs)
+                record.add(f"{engine.instance} ran {len(engine.runs)}: {attempts}")
             await site.stop()
         text = {HELD: "the rule held", BROKEN: "the rule was broken"}
         record.add(f"result: {text.get(result, 'the case could not run')}")
