--- a/tests/lib/ending_endpoints.py
+++ b/tests/lib/ending_endpoints.py
@@ -22,6 +22,9 @@
 SILENT_ENTRY_S = 0.4
 """The same for one that falls silent."""
 
+THREE_HEARTBEATS_S = 3.5
+"""The same on the users' platform: an entry goes after three heartbeats of silence."""
+
 CALLER_PAUSE_S = 0.2
 
 
@@ -31,11 +34,22 @@
     def __init__(self, instance: str, service: str, group: "EndingGroup") -> None:
         super().__init__(instance, service)
         self._group = group
+        self._is_frozen = False
+
+    async def _serve(self, request: web.Request) -> web.StreamResponse:
+        if self._is_frozen:
+            await asyncio.sleep(3600)
+        return await super()._serve(request)
 
     async def begin_run(self, request: web.Request, run: Run) -> None:
         """See :class:`PlatformEngine`."""
         if FATAL in run.body and self._group.takes_end():
             await asyncio.sleep(self._group.delay_s)
+            if self.instance in self._group.ended:
+                # Another request has ended it meanwhile.
+                raise ConnectionResetError
+            if self._group.freezes:
+                await self._freeze()
             if self._group.falls_silent:
                 await self._fall_silent()
             await self.crash()
@@ -50,6 +64,22 @@
         asyncio.get_running_loop().call_later(SILENT_ENTRY_S, self._group.remove_entry, self)
         await asyncio.sleep(3600)
 
+    async def _freeze(self) -> None:
+        """Its kernel goes on and takes connections, but it never answers; its entry goes later."""
+        self._group.ended.append(self.instance)
+        self._is_frozen = True
+        loop = asyncio.get_running_loop()
+        loop.call_later(self._group.frozen_entry_s, self._group.remove_entry, self)
+        if self._group.closes_with_entry:
+            loop.call_later(self._group.frozen_entry_s, self._close_port)
+        await asyncio.sleep(3600)
+
+    def _close_port(self) -> None:
+        assert self._runner is not None
+        self._closing = [
+            asyncio.ensure_future(site.stop()) for site in list(self._runner.sites)
+        ]
+
     async def crash(self) -> None:
         """Ends at once: all connections are reset, the port is closed, the entry goes later."""
         self._group.ended.append(self.instance)
@@ -75,7 +105,10 @@
         ends_left: how many may still end.
         entry_goes_first: hosts hear of it before their connections are reset.
         delay_s: how long they run a fatal request before they end.
-        falls_silent: they fall silent in place of being reset.
+        falls_silent: they fall silent in place of being reset, and take no new connections.
+        freezes: they fall silent, and their kernels still take connections.
+        frozen_entry_s: when the entry of a frozen one goes.
+        closes_with_entry: the port of a frozen one closes as its entry goes.
     """
 
     remove_entry: Callable[[PlatformEngine], None]
@@ -84,6 +117,9 @@
     falls_silent: bool = False
     delay_s: float = 0.0
     entry_goes_first: bool = False
+    freezes: bool = False
+    frozen_entry_s: float = THREE_HEARTBEATS_S
+    closes_with_entry: bool = False
 
     def takes_end(self) -> bool:
         """Returns whether one more endpoint may end, and counts it."""
@@ -113,6 +149,43 @@
                 route.update(fields)
         self.store.put("config", "main", configuration)
 
+    async def pause(self, for_s: float) -> None:
+        """Waits."""
+        await asyncio.sleep(for_s)
+
+    async def at_once(self, ask: Callable[[str], Awaitable[Reply]], count: int) -> list[int]:
+        """Sends a request several times at once, at all hosts in turn; returns the statuses."""
+        hosts = sorted(self.entry_by_name)
+        asked = [ask(hosts[number % len(hosts)]) for number in range(count)]
+        return [reply.status for reply in await asyncio.gather(*asked)]
+
+    def lose_news(self, *names: str) -> Callable[[], None]:
+        """Loses all datagrams between some hosts and all others; returns what ends that."""
+        is_losing = [True]
+        cut_off = {self.ip(name) for name in names}
+        for name, entry in self.entry_by_name.items():
+            gateway = entry._gateway
+            for sender in (gateway.exchange, gateway.gossip):
+                transport = sender._transport
+                assert transport is not None
+                send = transport.sendto
+
+                def send_or_lose(
+                    data: bytes,
+                    address: tuple[str, int],
+                    send: Callable[..., None] = send,
+                    is_cut: bool = name in names,
+                ) -> None:
+                    if not is_losing[0] or not (is_cut or address[0] in cut_off):
+                        send(data, address)
+
+                transport.sendto = send_or_lose  # type: ignore[method-assign]
+
+        def end() -> None:
+            is_losing[0] = False
+
+        return end
+
     async def repeat(self, ask: Callable[[str], Awaitable[Reply]], tries: int) -> list[int]:
         """Sends a request again and again, at all hosts in turn; returns the statuses."""
         hosts = sorted(self.entry_by_name)
--- a/tests/lib/platform_engine.py
+++ b/tests/lib/platform_engine.py
@@ -10,6 +10,8 @@
 
 from bayhinge_standins.http_service import LOOPBACK, StandinServer
 
+HEALTH_PATH = "/healthz"
+
 
 @attrs.define
 class Run:
@@ -135,6 +137,8 @@
 
     async def _serve(self, request: web.Request) -> web.StreamResponse:
         incarnation = await self._incarnation_of(request)
+        if request.path == HEALTH_PATH:
+            return web.Response(headers={"Bayhinge-Instance-Id": self.instance})
         attempt = request.headers["Bayhinge-Attempt-Id"]
         headers = {"Bayhinge-Attempt-Id": attempt}
         if request.headers.get("Bayhinge-Expect-Instance") != self.instance:
