Tell in logs what fell silent under a request, what examined endpoints said, and what senders knew

Now send.in_doubt, endpoint.probed and send.informed do, ends_heard has its age, news_left_out names requests, and 'bayhinge logs ID' finds lines that list several requests.

--- a/src/bayhinge/_internal/decisions/ended_sends.py
+++ b/src/bayhinge/_internal/decisions/ended_sends.py
@@ -154,6 +154,23 @@
         return not (is_recent or self.undecided(now_s) or self.trials(now_s) or self.running)
 
 
+@attrs.frozen
+class Knowledge:
+    """What a host knows of a request at one moment.
+
+    Attributes:
+        ended: the endpoints that ended under it.
+        in_doubt: those that broke it off and may have ended.
+        running: its sends under way, here and at other hosts.
+        age_s: how long ago the newest of these sends broke off, in seconds.
+    """
+
+    ended: tuple[str, ...]
+    in_doubt: tuple[str, ...]
+    running: int
+    age_s: float
+
+
 class EndedSends:
     """The requests under which endpoints ended or may have ended, as one host knows them."""
 
@@ -178,11 +195,28 @@
         history = self._history_by_key.get(key)
         return [] if history is None else history.undecided(now_s)
 
+    def doubted_at(self, incarnation: EndpointIncarnation, now_s: float) -> list[RequestKey]:
+        """Returns the requests that an endpoint broke off, if it may yet have ended under them."""
+        return [
+            key
+            for key in self._keys_by_incarnation.get(incarnation, ())
+            if incarnation in self._history_by_key[key].undecided(now_s)
+        ]
+
     def has_undecided(self, incarnation: EndpointIncarnation, now_s: float) -> bool:
         """Whether an endpoint has broken off a request and may yet be found to have ended."""
-        return any(
-            incarnation in self._history_by_key[key].undecided(now_s)
-            for key in self._keys_by_incarnation.get(incarnation, ())
+        return bool(self.doubted_at(incarnation, now_s))
+
+    def knowledge(self, key: RequestKey, now_s: float) -> "Knowledge":
+        """Returns what this host knows of a request, for its log."""
+        history = self._history_by_key.get(key, RequestHistory())
+        sends = history.send_by_incarnation.values()
+        newest_s = max((send.broken_s for send in sends), default=now_s)
+        return Knowledge(
+            tuple(each.endpoint for each in history.ended()),
+            tuple(each.endpoint for each in history.undecided(now_s)),
+            history.running + history.trials(now_s),
+            now_s - newest_s,
         )
 
     def all_ended(
--- a/src/bayhinge/_internal/queries/request_sends.py
+++ b/src/bayhinge/_internal/queries/request_sends.py
@@ -8,6 +8,7 @@
 
 ABANDONED = "send.abandoned"
 ENDED_UNDER = "endpoint.ended_under"
+IN_DOUBT = "send.in_doubt"
 WITHHELD = "send.withheld"
 
 
@@ -21,6 +22,7 @@
         abandoned: sends that were given up with the attempt.
         withheld: attempts that were refused because of the endpoints that had ended.
         ended: the endpoints that ended under it, in order.
+        doubted: those that broke off or fell silent, whether or not they were found to have ended.
     """
 
     request: str
@@ -30,11 +32,16 @@
     abandoned: int = 0
     withheld: int = 0
     ended: list[str] = attrs.field(factory=list)
+    doubted: list[str] = attrs.field(factory=list)
 
     def add(self, line: LogLine) -> None:
         """Adds a line with the fingerprint of this request."""
-        if line.message_type == ENDED_UNDER:
-            self._add_ended(str(line.fields.get("endpoint")))
+        endpoint = str(line.fields.get("endpoint"))
+        # Each host that learns of an end writes a line.
+        if line.message_type == ENDED_UNDER and endpoint not in self.ended:
+            self.ended.append(endpoint)
+        if line.message_type == IN_DOUBT and endpoint not in self.doubted:
+            self.doubted.append(endpoint)
         attempt = line.fields.get("attempt")
         if attempt is None:
             return
@@ -44,20 +51,17 @@
         self.abandoned += line.message_type == ABANDONED
         self.withheld += line.message_type == WITHHELD
 
-    def _add_ended(self, endpoint: str) -> None:
-        # Each host that learns of an end writes a line.
-        if endpoint not in self.ended:
-            self.ended.append(endpoint)
-
     def __str__(self) -> str:
         """Returns the sums in one line."""
         ended = ", ".join(self.ended) or "none"
+        doubted = ", ".join(name for name in self.doubted if name not in self.ended) or "none"
         return (
             f"request {self.request}: "
             f"{len(self.ran_by_attempt)} attempts at {len(self.hosts)} hosts; "
             f"sends that may have run and failed: {sum(self.ran_by_attempt.values())}, "
             f"not taken: {sum(self.untaken_by_attempt.values())}, "
             f"abandoned: {self.abandoned}; endpoints that ended under it: {ended}; "
+            f"that broke off or fell silent, and were not found to have ended: {doubted}; "
             f"attempts withheld for that: {self.withheld}"
         )
 
--- a/src/bayhinge/_internal/queries/tracing.py
+++ b/src/bayhinge/_internal/queries/tracing.py
@@ -128,7 +128,11 @@
 
 def _is_own(line: LogLine, names: set[str]) -> bool:
     fields = line.fields
-    return any(fields.get(field) in names for field in ("attempt", "program", "request"))
+    if any(fields.get(field) in names for field in ("attempt", "program", "request")):
+        return True
+    # What hosts hear or examine concerns several requests at once.
+    requests = fields.get("requests")
+    return isinstance(requests, list) and not names.isdisjoint(requests)
 
 
 def _time_of(line: LogLine) -> float:
--- a/src/bayhinge/_internal/services/gateway/ended_send_exchange.py
+++ b/src/bayhinge/_internal/services/gateway/ended_send_exchange.py
@@ -13,6 +13,7 @@
 from bayhinge._internal.decisions.ended_sends import BrokenSend, Fate, RequestKey
 from bayhinge._internal.models.endpoint_entries import EndpointIncarnation
 from bayhinge._internal.services.gateway.ended_send_tracker import (
+    MAX_LOGGED_REQUESTS,
     EndedSendTracker,
     FateChange,
     TrialChange,
@@ -80,7 +81,13 @@
         told = changes[: max(0, MAX_TOLD_PER_S - self._told_in_second)]
         self._told_in_second += len(told)
         if len(told) < len(changes):
-            eliot.log_message("send.news_left_out", told=len(told), changes=len(changes))
+            left_out = {change.key.fingerprint for change in changes[len(told) :]}
+            eliot.log_message(
+                "send.news_left_out",
+                told=len(told),
+                changes=len(changes),
+                requests=sorted(left_out)[:MAX_LOGGED_REQUESTS],
+            )
         return told
 
     def _send_to_all(self, changes: Sequence[FateChange | TrialChange]) -> None:
@@ -133,6 +140,7 @@
                 "endpoint.ends_heard",
                 requests=sorted({each.request for each in learned}),
                 endpoints=sorted({each.endpoint for each in learned}),
+                age_s=max(each.broken_ms_ago for each in learned) / 1000,
             )
 
     def _apply(self, news: wire.SendNews, now_s: float) -> bool:
--- a/src/bayhinge/_internal/services/gateway/ended_send_tracker.py
+++ b/src/bayhinge/_internal/services/gateway/ended_send_tracker.py
@@ -16,6 +16,7 @@
     BrokenSend,
     EndedSends,
     Fate,
+    Knowledge,
     Permission,
     RequestKey,
 )
@@ -108,6 +109,10 @@
         """Returns the same without a probe, for a request that was examined a moment ago."""
         return self.sends.permission(key, _now(), is_examined=True)
 
+    def knowledge(self, key: RequestKey) -> Knowledge:
+        """Returns what this host knows of a request, for its log."""
+        return self.sends.knowledge(key, _now())
+
     def trial_endpoints(self, key: RequestKey) -> frozenset[str]:
         """Returns the endpoints at which other requests are on trial."""
         return self.sends.trial_endpoints(key, _now())
@@ -132,7 +137,7 @@
         if self._ends_as_planned(run.state):
             return
         incarnation = run.state.entry.incarnation
-        self.sends.record_broken(key, incarnation, BrokenSend(sent_s, _now()))
+        self._record_doubt(key, incarnation, BrokenSend(sent_s, _now()), "its connection broke off")
         if run.is_ended or not self._endpoint_table.is_current(run.state):
             self._record_ended(incarnation, Evidence.RESTARTED)
             return
@@ -152,13 +157,25 @@
         if run.state.entry.is_leaving or self._pool.has_received_since(run.endpoint, sent_s):
             return
         incarnation = run.state.entry.incarnation
-        self.sends.record_broken(key, incarnation, BrokenSend(sent_s, _now()))
+        self._record_doubt(key, incarnation, BrokenSend(sent_s, _now()), "it was silent")
         newest = self._endpoint_table.find(run.endpoint)
         if newest is not None and newest is not run.state:
             self._record_ended(incarnation, Evidence.RESTARTED)
         elif newest is None or run.state.is_suspected:
             self.handle_vanished(run.state)
 
+    def _record_doubt(
+        self, key: RequestKey, incarnation: EndpointIncarnation, send: BrokenSend, why: str
+    ) -> None:
+        self.sends.record_broken(key, incarnation, send)
+        eliot.log_message(
+            "send.in_doubt",
+            request=key.fingerprint,
+            endpoint=incarnation.endpoint,
+            why=why,
+            took_s=round(send.broken_s - send.sent_s, 3),
+        )
+
     def record_answer(self, key: RequestKey, run: ActiveRun, sent_s: float) -> None:
         """Records a whole answer, which clears its request and its endpoint."""
         incarnation = run.state.entry.incarnation
@@ -221,6 +238,14 @@
     async def _run_probe(self, incarnation: EndpointIncarnation, address: str) -> ProbeResult:
         try:
             result = await self._pool.probe(incarnation.endpoint, address)
+            doubted = self.sends.doubted_at(incarnation, _now())
+            eliot.log_message(
+                "endpoint.probed",
+                endpoint=incarnation.endpoint,
+                result=result.value,
+                requests=[key.fingerprint for key in doubted[:MAX_LOGGED_REQUESTS]],
+                requests_there=len(doubted),
+            )
             if result is ProbeResult.REFUSED:
                 self._record_ended(incarnation, Evidence.REFUSED)
             return result
--- a/src/bayhinge/_internal/services/gateway/send_guard.py
+++ b/src/bayhinge/_internal/services/gateway/send_guard.py
@@ -50,9 +50,9 @@
         send_state.is_alone = permission is Permission.ALONE
 
     def _raise_if_forbidden(self, permission: Permission, send_state: SendState) -> None:
-        ended = self._tracker.sends.ended(send_state.key)
+        known = self._tracker.knowledge(send_state.key)
         if permission is Permission.WITHHELD:
-            refusal = send_state.ends_endpoints_refusal(len(ended))
+            refusal = send_state.ends_endpoints_refusal(len(known.ended))
         elif permission is Permission.BUSY:
             refusal = send_state.busy_refusal()
         else:
@@ -63,7 +63,10 @@
             attempt=send_state.request.attempt,
             request=send_state.fingerprint,
             permission=permission.value,
-            ended=[incarnation.endpoint for incarnation in ended],
+            ended=list(known.ended),
+            in_doubt=list(known.in_doubt),
+            running=known.running,
+            age_s=round(known.age_s, 3),
         )
         raise RefusedError(refusal)
 
@@ -71,13 +74,19 @@
         """Counts a send; :meth:`end` must follow."""
         if not len(self._tracker.sends):
             return
+        known = self._tracker.knowledge(send_state.key)
         send_state.is_counted = self._tracker.begin_send(send_state.key, run, send_state.is_alone)
-        if send_state.is_alone:
+        if send_state.is_counted:
             eliot.log_message(
-                "send.alone",
+                "send.informed",
                 attempt=send_state.request.attempt,
                 request=send_state.fingerprint,
                 endpoint=run.endpoint,
+                is_alone=send_state.is_alone,
+                ended=list(known.ended),
+                in_doubt=list(known.in_doubt),
+                running=known.running,
+                age_s=round(known.age_s, 3),
             )
 
     def end(self, run: ActiveRun, send_state: SendState) -> None:
--- a/tests/lib/ending_endpoints.py
+++ b/tests/lib/ending_endpoints.py
@@ -76,9 +76,7 @@
 
     def _close_port(self) -> None:
         assert self._runner is not None
-        self._closing = [
-            asyncio.ensure_future(site.stop()) for site in list(self._runner.sites)
-        ]
+        self._closing = [asyncio.ensure_future(site.stop()) for site in list(self._runner.sites)]
 
     async def crash(self) -> None:
         """Ends at once: all connections are reset, the port is closed, the entry goes later."""
@@ -179,7 +177,7 @@
                     if not is_losing[0] or not (is_cut or address[0] in cut_off):
                         send(data, address)
 
-                transport.sendto = send_or_lose  # type: ignore[method-assign]
+                transport.sendto = send_or_lose  # type: ignore[method-assign,assignment]
 
         def end() -> None:
             is_losing[0] = False
--- a/tests/unit/test_log_trace.py
+++ b/tests/unit/test_log_trace.py
@@ -91,6 +91,19 @@
         assert "endpoints that ended under it: e-2" in trace_text(found)
 
 
+def test_what_hosts_heard_and_examined_is_found_from_a_request_s_id() -> None:
+    logs = [
+        sent(1.0, "entry-1", "a", ran=1, untaken=0),
+        line(1.1, "entry-1", "send.in_doubt", request="f", endpoint="e-1", why="it was silent"),
+        line(1.2, "entry-2", "endpoint.ends_heard", requests=["f", "g"], endpoints=["e-1"]),
+        line(1.3, "entry-1", "endpoint.probed", endpoint="e-1", result="open", requests=["f"]),
+        line(1.4, "entry-1", "endpoint.probed", endpoint="e-9", result="open", requests=["g"]),
+    ]
+    found = traced("a", logs)
+    assert [each.at_s for each in found.own] == [1.0, 1.1, 1.2, 1.3]
+    assert "fell silent, and were not found to have ended: e-1;" in trace_text(found)
+
+
 def test_a_refusal_is_traced_to_the_disk_that_could_not_write() -> None:
     found = trace("a-30", LogFiles(FILES))
     assert [(each.host, each.message_type) for each in found.lines] == [
