Let hosts that were out of touch ask for the ends that others remember

What callers saw: after a host had been out of touch for 6 s, a request under which three endpoints had ended ended three more there (6 in 8 attempts, may be repeated and once a try). Cause: ends were told for 3 s, and told again only to a host of a new incarnation. Change: heartbeats bear a digest of the ends that their host remembers (9 bytes, none while nothing ended); a host that hears another digest asks, once a second at most, and gets 48 ends, 4 KB, those of the requests with most ends first.

--- a/src/bayhinge/_internal/decisions/ended_sends.py
+++ b/src/bayhinge/_internal/decisions/ended_sends.py
@@ -7,6 +7,7 @@
 All times are in seconds on the host's monotonic clock.
 """
 
+import hashlib
 import itertools
 from collections import OrderedDict
 from collections.abc import Iterator
@@ -149,6 +150,14 @@
                 for incarnation in history.ended():
                     yield key, incarnation, history.send_by_incarnation[incarnation]
 
+    def digest(self, now_s: float) -> int:
+        """Returns a number that is the same at all hosts that remember the same ends, 0 if none."""
+        digest = 0
+        for key, incarnation, send in self.all_ended(now_s):
+            if send.broken_s >= now_s - KEEP_S:
+                digest ^= _digest_of(key, incarnation)
+        return digest
+
     # ---- decisions ----
 
     def permission(self, key: RequestKey, now_s: float, is_examined: bool = False) -> Permission:
@@ -378,3 +387,9 @@
         keys.discard(key)
         if not keys:
             del self._keys_by_incarnation[incarnation]
+
+
+def _digest_of(key: RequestKey, incarnation: EndpointIncarnation) -> int:
+    named = f"{key.fingerprint} {key.has_program} {incarnation.endpoint} {incarnation.born_ms}"
+    digest = hashlib.blake2b(named.encode("utf-8", "surrogateescape"), digest_size=8)
+    return int.from_bytes(digest.digest(), "big", signed=True)
--- a/src/bayhinge/_internal/services/gateway/ended_send_exchange.py
+++ b/src/bayhinge/_internal/services/gateway/ended_send_exchange.py
@@ -1,11 +1,13 @@
 """Tells other hosts which endpoints ended under which requests, and hears it from them.
 
-Only hosts that have seen an endpoint end send anything. Datagrams may be lost, and a host may be
-cut off for a moment, so each change is repeated a few times; a host that has started anew gets
-what others remember.
+Only hosts that have seen an endpoint end send anything. Datagrams may be lost, so each change is
+repeated a few times. A host may be out of touch for much longer, or start anew: heartbeats bear a
+digest of the ends that their host remembers, and one that hears another digest asks for them.
 """
 
 import asyncio
+import math
+import random
 from collections.abc import Iterable, Sequence
 
 import eliot
@@ -32,6 +34,15 @@
 MAX_TOLD_PER_S = 240
 """Changes told in a second; where whole services end, each endpoint takes its requests along."""
 
+DIGEST_PERIOD_S = 0.25
+"""How long a digest is used before it is computed anew; heartbeats are as far apart."""
+
+ASK_PERIOD_S = 1.0
+"""Least time between two questions for the ends that other hosts remember."""
+
+MAX_TOLD_PER_QUESTION = 48
+"""Ends in the answer to one, some 4 KB, which a host gets each second while it differs."""
+
 MAX_TOLD_AT_START = 240
 """Changes told to a host that has started."""
 
@@ -57,10 +68,15 @@
         self._gossip = gossip
         self._datagrams = datagrams
         self._incarnation_by_host: dict[str, int] = {}
+        self._digest = 0
+        self._digest_until_s = 0.0
+        self._asked_s = -math.inf
+        self._random = random.Random()
         self._second = 0
         self._told_in_second = 0
         tracker.tell = self.tell
         datagrams.on_sends = self.receive
+        datagrams.on_ends_wanted = self.answer
 
     # ---- telling ----
 
@@ -114,12 +130,49 @@
             message = wire.LoadNews(sends=[_encode(change, now) for change in batch])
             self._datagrams.send(message, *addresses)
 
+    def digest(self) -> int | None:
+        """Returns the digest of what this host remembers, for its heartbeats; None for nothing."""
+        now = asyncio.get_running_loop().time()
+        if now >= self._digest_until_s:
+            self._digest = self._tracker.sends.digest(now)
+            self._digest_until_s = now + DIGEST_PERIOD_S
+        return self._digest or None
+
     def handle_heartbeat(self, heartbeat: wire.Hello) -> None:
-        """Tells a host that has started what this one remembers, if it is this one's turn."""
+        """Brings this host and one whose heartbeat it has heard to the same knowledge."""
         if heartbeat.role != wire.HostRole.ENTRY:
             return
-        if self._incarnation_by_host.get(heartbeat.host) == heartbeat.incarnation:
+        if self._incarnation_by_host.get(heartbeat.host) != heartbeat.incarnation:
+            self._tell_started(heartbeat)
+        if heartbeat.ends_digest is not None and heartbeat.ends_digest != self.digest():
+            self._ask(heartbeat)
+
+    def _ask(self, heartbeat: wire.Hello) -> None:
+        """Asks another host for the ends that it remembers, unless this host has just asked."""
+        now = asyncio.get_running_loop().time()
+        if now - self._asked_s < ASK_PERIOD_S:
             return
+        self._asked_s = now
+        own = self._gossip.own_heartbeat.peer_address
+        self._datagrams.send(wire.LoadNews(ends_wanted_at=own), heartbeat.peer_address)
+        eliot.log_message(
+            "send.ends_asked_for", peer=heartbeat.host, known=len(self._tracker.sends)
+        )
+
+    def answer(self, address: str) -> None:
+        """Tells a host that has asked some of what this one remembers; it will ask again.
+
+        Requests under which most endpoints ended come first, the others in random order.
+        """
+        known = self._known()
+        if len(known) > MAX_TOLD_PER_QUESTION:
+            self._random.shuffle(known)
+            ended = self._tracker.sends.ended
+            known.sort(key=lambda change: len(ended(change.key)), reverse=True)
+        self._send_to([address], known[:MAX_TOLD_PER_QUESTION])
+
+    def _tell_started(self, heartbeat: wire.Hello) -> None:
+        """Tells a host that has started what this one remembers, if it is this one's turn."""
         self._incarnation_by_host[heartbeat.host] = heartbeat.incarnation
         own = self._gossip.own_heartbeat.host
         others = {each.host for each in self._gossip.recent_heartbeats(wire.HostRole.ENTRY)}
@@ -130,19 +183,23 @@
                 loop.call_later(after_s, self._send_all_known, heartbeat.peer_address)
 
     def _send_all_known(self, address: str) -> None:
+        self._send_to([address], self._known()[-MAX_TOLD_AT_START:])
+
+    def _known(self) -> list[FateChange]:
         now = asyncio.get_running_loop().time()
-        known = [
+        return [
             FateChange(key, incarnation, send, Fate.ENDED)
             for key, incarnation, send in self._tracker.sends.all_ended(now)
         ]
-        self._send_to([address], known[-MAX_TOLD_AT_START:])
 
     # ---- hearing ----
 
     def receive(self, news: Iterable[wire.SendNews]) -> None:
         """Applies what another host tells."""
         now = asyncio.get_running_loop().time()
-        learned = [each for each in news if self._apply(each, now)]
+        heard = list(news)
+        learned = [each for each in heard if self._apply(each, now)]
+        self.tell(filter(None, map(self._correction_of, heard)))
         if learned:
             eliot.log_message(
                 "endpoint.ends_heard",
@@ -151,6 +208,17 @@
                 age_s=max(each.broken_ms_ago for each in learned) / 1000,
             )
 
+    def _correction_of(self, news: wire.SendNews) -> FateChange | None:
+        """Returns the clearance of an end that another host still counts."""
+        if news.fate != wire.SendFate.ENDED:
+            return None
+        key = RequestKey(news.request, news.has_program)
+        incarnation = EndpointIncarnation(news.endpoint, news.endpoint_born_ms)
+        send = self._tracker.sends.send_of(key, incarnation)
+        if send is None or send.fate is not Fate.CLEARED:
+            return None
+        return FateChange(key, incarnation, send, Fate.CLEARED)
+
     def _apply(self, news: wire.SendNews, now_s: float) -> bool:
         """Applies one change; returns whether it is an end or a doubt that was not known."""
         key = RequestKey(news.request, news.has_program)
--- a/src/bayhinge/_internal/services/gateway/gateway.py
+++ b/src/bayhinge/_internal/services/gateway/gateway.py
@@ -318,6 +318,7 @@
         if self.is_leaving:
             heartbeat.phase = wire.HostPhase.LEAVING
         heartbeat.memory_used = self.memory.used_thousandths
+        heartbeat.ends_digest = self.ended_send_exchange.digest()
         heartbeat.is_told = self._is_advertised and self.is_ready
         heartbeat.running_by_endpoint = self.endpoint_table.running_here()
         heartbeat.endpoints_known_to = self.exchange.endpoints_known_to()
--- a/src/bayhinge/_internal/services/gateway/load_exchange.py
+++ b/src/bayhinge/_internal/services/gateway/load_exchange.py
@@ -25,6 +25,7 @@
 from bayhinge._internal.services.gateway.load_sums import HeartbeatLoads, excluding_endpoints
 from bayhinge._internal.services.gateway.speed_tracker import SpeedTracker
 from bayhinge._internal.services.keep_running import keep_running
+from bayhinge._internal.utils.checked_fields import is_ipv4_with_port
 from bayhinge._internal.wire.hosts import ttypes as wire
 
 REPORT_DELAY_S = 0.01
@@ -49,6 +50,7 @@
         endpoints_known_to: returns the revision up to which this host knows the endpoints.
         waiting_by_service: returns how many requests wait at this host, as a coordinator.
         on_sends: called with what another host tells of sends that broke off.
+        on_ends_wanted: called with the peer address of a host that asks for what this one knows.
         on_loads: called when loads were received that may have freed a place.
     """
 
@@ -79,6 +81,7 @@
         self.waiting_by_service: Callable[[], Mapping[str, int]] = dict
         self.on_loads: Callable[[], None] = lambda: None
         self.on_sends: Callable[[Iterable[wire.SendNews]], None] = lambda news: None
+        self.on_ends_wanted: Callable[[str], None] = lambda address: None
         self._transport: asyncio.DatagramTransport | None = None
 
     async def on_start(self) -> None:
@@ -363,6 +366,8 @@
             return
         if message.sends is not None:
             self.on_sends(message.sends)
+        if message.ends_wanted_at is not None and is_ipv4_with_port(message.ends_wanted_at):
+            self.on_ends_wanted(message.ends_wanted_at)
         is_changed = message.host is not None and self.receive_loads(message.host)
         if message.hall is not None:
             self._receive_hall_table(message.hall)
--- a/tests/unit/test_ended_sends.py
+++ b/tests/unit/test_ended_sends.py
@@ -7,6 +7,7 @@
 from hypothesis import strategies as st
 
 from bayhinge._internal.decisions.ended_send_history import (
+    KEEP_CLEARED_S,
     KEEP_S,
     MAX_DOUBT_S,
     TRIAL_S,
@@ -198,6 +199,33 @@
     assert len(sends.ended(KEY)) == 2
 
 
+def test_hosts_that_remember_the_same_ends_have_the_same_digest() -> None:
+    one, other = EndedSends(), EndedSends()
+    for number in range(3):
+        one.record_ended(KEY, endpoint(number), BrokenSend(1.0, 2.0), 3.0)
+        other.record_ended(KEY, endpoint(2 - number), BrokenSend(1.0, 2.0), 9.0)
+    assert one.digest(9.0) == other.digest(9.0) != 0
+    other.record_cleared(KEY, endpoint(0), BrokenSend(1.0, 2.0))
+    assert one.digest(9.0) != other.digest(9.0)
+    assert one.digest(2.1 + KEEP_S) == 0
+
+
+def test_an_end_that_is_told_after_its_time_is_not_remembered_again() -> None:
+    sends = EndedSends()
+    send = BrokenSend(1.0, 2.0)
+    assert not sends.record_ended(KEY, endpoint(0), send, 2.1 + KEEP_S)
+    assert len(sends) == 0
+
+
+def test_a_clearance_is_remembered_for_hosts_that_missed_it() -> None:
+    sends = sends_with(KEY, 1)
+    sends.record_served(KEY)
+    sends.forget_old(KEEP_CLEARED_S)
+    assert not sends.record_ended(KEY, endpoint(0), BrokenSend(0.0, 0.5), 9.0)
+    sends.forget_old(KEEP_CLEARED_S + 1.0)
+    assert len(sends) == 0
+
+
 @attrs.frozen
 class News:
     """An end or a clearance that hosts tell each other."""
