Tell the ends of requests that fail again beside any number of others

What callers saw: beside 1,200 other changes a second, a request under which three endpoints had ended ended a fourth at another host (6 in all before ends could be asked for). Cause: 240 changes a second and host were told, in the order in which they came; the rest stayed untold. Change: requests that failed more than once have an allowance of their own, and bring along their earlier ends; what is left out is asked for by digest.

--- a/src/bayhinge/_internal/decisions/ended_sends.py
+++ b/src/bayhinge/_internal/decisions/ended_sends.py
@@ -78,6 +78,15 @@
         history = self._history_by_key.get(key)
         return [] if history is None else history.ended()
 
+    def ends(self, key: RequestKey) -> list[tuple[EndpointIncarnation, BrokenSend]]:
+        """Returns the endpoints that ended under a request, with their sends."""
+        return [(each, self._send(key, each)) for each in self.ended(key)]
+
+    def failures(self, key: RequestKey) -> int:
+        """Returns how many endpoints ended under a request, broke it off or were silent."""
+        history = self._history_by_key.get(key)
+        return 0 if history is None else len(history.send_by_incarnation)
+
     def undecided(self, key: RequestKey, now_s: float) -> list[EndpointIncarnation]:
         """Returns the endpoints that broke a request off and may have ended."""
         history = self._history_by_key.get(key)
--- a/src/bayhinge/_internal/services/gateway/ended_send_exchange.py
+++ b/src/bayhinge/_internal/services/gateway/ended_send_exchange.py
@@ -32,7 +32,8 @@
 """Changes in one datagram, so that it fits into one packet."""
 
 MAX_TOLD_PER_S = 240
-"""Changes told in a second; where whole services end, each endpoint takes its requests along."""
+"""Changes told in a second of requests that failed once, and as many of those that failed more often;
+where whole services end, each endpoint takes its requests along."""
 
 DIGEST_PERIOD_S = 0.25
 """How long a digest is used before it is computed anew; heartbeats are as far apart."""
@@ -73,7 +74,7 @@
         self._asked_s = -math.inf
         self._random = random.Random()
         self._second = 0
-        self._told_in_second = 0
+        self._told_in_second = {False: 0, True: 0}
         tracker.tell = self.tell
         datagrams.on_sends = self.receive
         datagrams.on_ends_wanted = self.answer
@@ -85,7 +86,7 @@
         changes = list(changes)
         if not changes:
             return
-        changes = self._within_rate(changes)
+        changes = self._within_rate([*self._left_out_before(changes), *changes])
         self._send_to_all(changes)
         fates = [change for change in changes if isinstance(change, FateChange)]
         if fates:
@@ -93,24 +94,43 @@
             for after_s in REPEAT_AFTER_S:
                 loop.call_later(after_s, self._repeat, fates)
 
+    def _left_out_before(self, changes: Sequence[FateChange | TrialChange]) -> list[FateChange]:
+        """Returns the earlier ends of requests that fail again, which may not have been told."""
+        return [
+            FateChange(change.key, incarnation, send, Fate.ENDED)
+            for change in changes
+            if isinstance(change, FateChange) and change.fate in {Fate.BROKEN, Fate.ENDED}
+            for incarnation, send in self._tracker.sends.ends(change.key)
+            if incarnation != change.incarnation
+        ]
+
     def _repeat(self, changes: Sequence[FateChange]) -> None:
         self._send_to_all([change for change in changes if change.send.fate is change.fate])
 
     def _within_rate(
         self, changes: list[FateChange | TrialChange]
     ) -> list[FateChange | TrialChange]:
+        """Returns what may be told now.
+
+        Requests that have failed more than once have an allowance of their own, so that they are
+        told beside whole services that end. The other ends that are left out are asked for later.
+        """
         second = int(asyncio.get_running_loop().time())
         if second != self._second:
-            self._second, self._told_in_second = second, 0
-        told = changes[: max(0, MAX_TOLD_PER_S - self._told_in_second)]
-        self._told_in_second += len(told)
-        if len(told) < len(changes):
-            left_out = {change.key.fingerprint for change in changes[len(told) :]}
+            self._second, self._told_in_second = second, {False: 0, True: 0}
+        told: list[FateChange | TrialChange] = []
+        left_out: list[FateChange | TrialChange] = []
+        for change in changes:
+            is_repeated = self._tracker.sends.failures(change.key) > 1
+            fits = self._told_in_second[is_repeated] < MAX_TOLD_PER_S
+            self._told_in_second[is_repeated] += fits
+            (told if fits else left_out).append(change)
+        if left_out:
             eliot.log_message(
                 "send.news_left_out",
                 told=len(told),
                 changes=len(changes),
-                requests=sorted(left_out)[:MAX_LOGGED_REQUESTS],
+                requests=sorted({each.key.fingerprint for each in left_out})[:MAX_LOGGED_REQUESTS],
             )
         return told
 
--- a/tests/functional/test_ends_told_late.py
+++ b/tests/functional/test_ends_told_late.py
@@ -56,7 +56,8 @@
                 for other in range(FURTHER_CHANGES)
             )
             statuses.append((await site.ask("/act/a", b"fatal", at="entry-0")).status)
-        await asyncio.sleep(0.2)
+        # Before any heartbeat.
+        await asyncio.sleep(0.02)
         statuses += [(await site.ask("/act/a", b"fatal", at="entry-1")).status for _ in range(4)]
         assert len(site.group.ended) <= MAX_ENDED, statuses
 
