Announce sends of failed requests, so that attempts at several hosts leave the bound to one

What callers saw: attempts of one request that were under way at once ended more endpoints by their second sends: 4, 5 and 9 for 3, 4 and 8 at once, 5 for three that begin 0.1 s apart. Cause: what is under way elsewhere was known only after two ends, and told while the others were about to send. Change: a host whose send fails tells it; others tell their sends of the same request that are under way. A request that failed before is announced with a random number before it is sent again, then 30 ms are left to hear the same of others; of sends that begin together one goes, sends that began before count first. Equal requests without a program wait for the first that is sent again, 0.3 s at most, then go on as before. Changes of one turn of the event loop go out together.

--- a/src/bayhinge/_internal/decisions/ended_send_history.py
+++ b/src/bayhinge/_internal/decisions/ended_send_history.py
@@ -27,6 +27,13 @@
 SAME_SEND_S = 0.05
 """Two hosts' figures of the same send differ by less, as their messages take time."""
 
+LATENCY_S = 0.01
+"""Longest time that a message between hosts usually takes."""
+
+SETTLE_S = 3 * LATENCY_S
+"""How long a host that is about to send a request again listens for others that do the same. Of two
+that begin within a latency of each other, each has then heard of the other."""
+
 TRIAL_S = 10.0
 """How long another host's send is assumed to go on if its end is not heard of."""
 
@@ -90,18 +97,54 @@
         return other.sent_s > self.broken_s + SAME_SEND_S
 
 
+@attrs.frozen
+class SendUnderWay:
+    """A send that has no outcome yet, or is about to begin.
+
+    Attributes:
+        endpoint: the id of its endpoint.
+        number: orders sends that begin at the same time at several hosts; 0 for one that began
+            before anything had failed.
+        began_s: when it began, or was heard of.
+        until_s: until when it is assumed to go on if its end is not heard of.
+        is_own: it is a send of this host.
+        is_trial: its endpoint should run no other such request.
+    """
+
+    endpoint: str
+    number: int = 0
+    began_s: float = 0.0
+    until_s: float = math.inf
+    is_own: bool = True
+    is_trial: bool = False
+
+    def weight_before(self, claim: "SendUnderWay") -> int:
+        """Returns for how many sends this one counts when another is about to begin.
+
+        Sends of one host are in order. Of two that begin at two hosts at the same time, the one
+        with the lesser number comes first; either host knows of both. It then counts for two, so
+        that one of them is sent: their order might run in a circle otherwise.
+        """
+        if self is claim:
+            return 0
+        if self.is_own == claim.is_own:
+            return int((self.began_s, self.number) < (claim.began_s, claim.number))
+        if self.began_s < claim.began_s - LATENCY_S:
+            # Its host may have decided without having heard of the claim.
+            return 1
+        return 2 if self.number < claim.number else 0
+
+
 @attrs.define
 class RequestHistory:
     """The broken sends of one request.
 
     Attributes:
-        running: sends under way from this host.
-        trial_until_s_by_endpoint: trials that other hosts have begun.
+        under_way: its sends without an outcome, by endpoint and number.
     """
 
     send_by_incarnation: dict[EndpointIncarnation, BrokenSend] = attrs.field(factory=dict)
-    running: int = 0
-    trial_until_s_by_endpoint: dict[str, float] = attrs.field(factory=dict)
+    under_way: dict[tuple[str, int], SendUnderWay] = attrs.field(factory=dict)
 
     def ended(self) -> list[EndpointIncarnation]:
         """Returns the endpoints that ended under the request."""
@@ -128,9 +171,13 @@
             and send.doubt_ends_s >= now_s
         )
 
-    def trials(self, now_s: float) -> int:
-        """Returns how many trials are under way from other hosts."""
-        return sum(until_s > now_s for until_s in self.trial_until_s_by_endpoint.values())
+    def running(self, now_s: float, claim: SendUnderWay | None = None) -> int:
+        """Returns how many sends are under way, or how many of them come before a claim."""
+        return sum(
+            1 if claim is None else send.weight_before(claim)
+            for send in self.under_way.values()
+            if send.until_s > now_s
+        )
 
     def count(self, incarnations: Iterable[EndpointIncarnation], has_program: bool) -> int:
         """Returns how many of these sends count.
@@ -155,7 +202,7 @@
 
     def is_over(self, now_s: float) -> bool:
         """Whether nothing of it matters any more."""
-        if self.running or self.trials(now_s):
+        if self.running(now_s):
             return False
         return all(_is_past(send, now_s) for send in self.send_by_incarnation.values())
 
--- a/src/bayhinge/_internal/decisions/ended_sends.py
+++ b/src/bayhinge/_internal/decisions/ended_sends.py
@@ -21,6 +21,7 @@
     Knowledge,
     RequestHistory,
     RequestKey,
+    SendUnderWay,
 )
 from bayhinge._internal.models.endpoint_entries import EndpointIncarnation
 
@@ -48,6 +49,7 @@
         EXAMINE: the endpoints that broke it off have to be examined first.
         ALONE: to an endpoint that runs no other request of this kind, as its end would be blamed on
             both.
+        WAIT: another one is under way, and its outcome should be awaited for a moment.
         BUSY: other attempts are under way, and the endpoints that run them may be the last ones.
         WITHHELD: too many endpoints have ended under it.
     """
@@ -55,6 +57,7 @@
     FREE = "free"
     EXAMINE = "examine"
     ALONE = "alone"
+    WAIT = "wait"
     BUSY = "busy"
     WITHHELD = "withheld"
 
@@ -67,7 +70,6 @@
         # as there were requests before it.
         self._history_by_key: OrderedDict[RequestKey, RequestHistory] = OrderedDict()
         self._keys_by_incarnation: dict[EndpointIncarnation, set[RequestKey]] = {}
-        self._own_trial_by_endpoint: dict[str, RequestKey] = {}
 
     def __len__(self) -> int:
         """Returns how many requests are remembered."""
@@ -112,7 +114,7 @@
         return Knowledge(
             tuple(each.endpoint for each in history.ended()),
             tuple(each.endpoint for each in history.undecided(now_s)),
-            history.running + history.trials(now_s),
+            history.running(now_s),
             now_s - newest_s,
         )
 
@@ -169,13 +171,21 @@
 
     # ---- decisions ----
 
-    def permission(self, key: RequestKey, now_s: float, is_examined: bool = False) -> Permission:
+    def permission(
+        self,
+        key: RequestKey,
+        now_s: float,
+        is_examined: bool = False,
+        claim: SendUnderWay | None = None,
+    ) -> Permission:
         """Decides whether a request may be sent to one more endpoint now.
 
         Args:
             key: the request.
             now_s: the present time.
             is_examined: whether the endpoints in doubt were just found not to have ended.
+            claim: the send in question, if other hosts were told that it is about to begin; only
+                those that come before it count.
         """
         history = self._history_by_key.get(key)
         if history is None:
@@ -190,44 +200,40 @@
         lost = history.count(suspects, key.has_program)
         if lost >= MAX_ENDED:
             return Permission.EXAMINE
-        is_last = lost == MAX_ENDED - 1
-        if is_last or (lost and key.has_program):
-            running = history.running + history.trials(now_s)
-            if lost + running >= MAX_ENDED:
-                return Permission.BUSY
-        return Permission.ALONE if is_last else Permission.FREE
+        return _permission_beside(key, lost, history.running(now_s, claim))
+
+    def has_failed(self, key: RequestKey, now_s: float) -> bool:
+        """Whether endpoints ended under a request, or may have."""
+        return bool(self.failed_endpoints(key, now_s))
 
     def trial_endpoints(self, key: RequestKey, now_s: float) -> frozenset[str]:
         """Returns the endpoints at which other requests are on trial."""
-        own = {endpoint for endpoint, other in self._own_trial_by_endpoint.items() if other != key}
-        remote = {
-            endpoint
+        return frozenset(
+            send.endpoint
             for other, history in self._history_by_key.items()
             if other != key
-            for endpoint, until_s in history.trial_until_s_by_endpoint.items()
-            if until_s > now_s
-        }
-        return frozenset(own | remote)
+            for send in history.under_way.values()
+            if send.is_trial and send.until_s > now_s
+        )
 
     # ---- this host's sends ----
 
-    def begin_send(self, key: RequestKey, endpoint: str, is_trial: bool) -> bool:
-        """Counts a send of a remembered request; returns whether it is one."""
+    def begin_send(
+        self, key: RequestKey, endpoint: str, is_trial: bool, number: int = 0, now_s: float = 0.0
+    ) -> SendUnderWay | None:
+        """Counts a send of a remembered request; returns None if it is none."""
         history = self._history_by_key.get(key)
         if history is None:
-            return False
-        history.running += 1
-        if is_trial:
-            self._own_trial_by_endpoint[endpoint] = key
-        return True
+            return None
+        send = SendUnderWay(endpoint, number, now_s, is_trial=is_trial)
+        history.under_way[endpoint, number] = send
+        return send
 
-    def end_send(self, key: RequestKey, endpoint: str) -> None:
-        """Ends the count of a send for which ``begin_send`` returned True."""
+    def end_send(self, key: RequestKey, endpoint: str, number: int = 0) -> None:
+        """Ends the count of a send for which ``begin_send`` returned one."""
         history = self._history_by_key.get(key)
         if history is not None:
-            history.running = max(0, history.running - 1)
-        if self._own_trial_by_endpoint.get(endpoint) == key:
-            del self._own_trial_by_endpoint[endpoint]
+            history.under_way.pop((endpoint, number), None)
 
     def record_broken(
         self, key: RequestKey, incarnation: EndpointIncarnation, send: BrokenSend
@@ -237,14 +243,16 @@
         return self._add(key, incarnation, send) if known is None else known
 
     def record_served(self, key: RequestKey) -> list[EndpointIncarnation]:
-        """Clears a request that an endpoint has answered in full; returns the ends that counted."""
+        """Clears a request that an endpoint has answered in full; returns the ends and doubts."""
         history = self._history_by_key.get(key)
         if history is None:
             return []
-        ended = history.ended()
-        for send in history.send_by_incarnation.values():
+        counted: list[EndpointIncarnation] = []
+        for incarnation, send in history.send_by_incarnation.items():
+            if send.fate in {Fate.BROKEN, Fate.ENDED}:
+                counted.append(incarnation)
             send.fate = Fate.CLEARED
-        return ended
+        return counted
 
     # ---- what is learned of endpoints ----
 
@@ -325,15 +333,21 @@
         """Clears an endpoint for a request, also where news of its end comes later."""
         self.record_broken(key, incarnation, send).fate = Fate.CLEARED
 
-    def record_trial(self, key: RequestKey, endpoint: str, now_s: float) -> None:
-        """Records that another host has begun a trial."""
-        self._touch(key).trial_until_s_by_endpoint[endpoint] = now_s + TRIAL_S
+    def record_trial(
+        self,
+        key: RequestKey,
+        endpoint: str,
+        now_s: float,
+        number: int = 0,
+        is_trial: bool = True,
+    ) -> None:
+        """Records that another host has begun a send, or is about to."""
+        send = SendUnderWay(endpoint, number, now_s, now_s + TRIAL_S, False, is_trial)
+        self._touch(key).under_way[endpoint, number] = send
 
-    def record_trial_over(self, key: RequestKey, endpoint: str) -> None:
-        """Records that another host's trial has ended."""
-        history = self._history_by_key.get(key)
-        if history is not None:
-            history.trial_until_s_by_endpoint.pop(endpoint, None)
+    def record_trial_over(self, key: RequestKey, endpoint: str, number: int = 0) -> None:
+        """Records that another host's send has ended."""
+        self.end_send(key, endpoint, number)
 
     # ---- bounds ----
 
@@ -402,3 +416,21 @@
     named = f"{key.fingerprint} {key.has_program} {incarnation.endpoint} {incarnation.born_ms}"
     digest = hashlib.blake2b(named.encode("utf-8", "surrogateescape"), digest_size=8)
     return int.from_bytes(digest.digest(), "big", signed=True)
+
+
+def _permission_beside(key: RequestKey, lost: int, running: int) -> Permission:
+    """Decides about a request that may be sent, but for its other sends that are under way.
+
+    Args:
+        key: the request.
+        lost: how many endpoints ended under it, or may have; less than may end.
+        running: how many of its sends are under way.
+    """
+    if not lost:
+        return Permission.FREE
+    is_last = lost == MAX_ENDED - 1
+    if (is_last or key.has_program) and lost + running >= MAX_ENDED:
+        return Permission.BUSY
+    if running and not key.has_program:
+        return Permission.WAIT
+    return Permission.ALONE if is_last else Permission.FREE
--- a/src/bayhinge/_internal/services/gateway/ended_send_exchange.py
+++ b/src/bayhinge/_internal/services/gateway/ended_send_exchange.py
@@ -18,7 +18,7 @@
     MAX_LOGGED_REQUESTS,
     EndedSendTracker,
     FateChange,
-    TrialChange,
+    SendChange,
 )
 from bayhinge._internal.services.gateway.load_exchange import LoadExchange
 from bayhinge._internal.services.gossip import Gossip
@@ -32,7 +32,7 @@
 """Changes in one datagram, so that it fits into one packet."""
 
 MAX_TOLD_PER_S = 240
-"""Changes told in a second of requests that failed once, and as many of those that failed more often;
+"""Changes told in a second of requests that failed once, and as many of those that failed again;
 where whole services end, each endpoint takes its requests along."""
 
 DIGEST_PERIOD_S = 0.25
@@ -69,6 +69,7 @@
         self._gossip = gossip
         self._datagrams = datagrams
         self._incarnation_by_host: dict[str, int] = {}
+        self._untold: list[FateChange | SendChange] = []
         self._digest = 0
         self._digest_until_s = 0.0
         self._asked_s = -math.inf
@@ -81,11 +82,20 @@
 
     # ---- telling ----
 
-    def tell(self, changes: Iterable[FateChange | TrialChange]) -> None:
-        """Tells all entry hosts of changes, those of fates several times."""
+    def tell(self, changes: Iterable[FateChange | SendChange]) -> None:
+        """Tells all entry hosts of changes, those of fates several times.
+
+        What is told in one turn of the event loop is sent together.
+        """
         changes = list(changes)
         if not changes:
             return
+        if not self._untold:
+            asyncio.get_running_loop().call_soon(self._tell_all)
+        self._untold += changes
+
+    def _tell_all(self) -> None:
+        changes, self._untold = self._untold, []
         changes = self._within_rate([*self._left_out_before(changes), *changes])
         self._send_to_all(changes)
         fates = [change for change in changes if isinstance(change, FateChange)]
@@ -94,7 +104,7 @@
             for after_s in REPEAT_AFTER_S:
                 loop.call_later(after_s, self._repeat, fates)
 
-    def _left_out_before(self, changes: Sequence[FateChange | TrialChange]) -> list[FateChange]:
+    def _left_out_before(self, changes: Sequence[FateChange | SendChange]) -> list[FateChange]:
         """Returns the earlier ends of requests that fail again, which may not have been told."""
         return [
             FateChange(change.key, incarnation, send, Fate.ENDED)
@@ -107,9 +117,7 @@
     def _repeat(self, changes: Sequence[FateChange]) -> None:
         self._send_to_all([change for change in changes if change.send.fate is change.fate])
 
-    def _within_rate(
-        self, changes: list[FateChange | TrialChange]
-    ) -> list[FateChange | TrialChange]:
+    def _within_rate(self, changes: list[FateChange | SendChange]) -> list[FateChange | SendChange]:
         """Returns what may be told now.
 
         Requests that have failed more than once have an allowance of their own, so that they are
@@ -118,8 +126,8 @@
         second = int(asyncio.get_running_loop().time())
         if second != self._second:
             self._second, self._told_in_second = second, {False: 0, True: 0}
-        told: list[FateChange | TrialChange] = []
-        left_out: list[FateChange | TrialChange] = []
+        told: list[FateChange | SendChange] = []
+        left_out: list[FateChange | SendChange] = []
         for change in changes:
             is_repeated = self._tracker.sends.failures(change.key) > 1
             fits = self._told_in_second[is_repeated] < MAX_TOLD_PER_S
@@ -134,7 +142,7 @@
             )
         return told
 
-    def _send_to_all(self, changes: Sequence[FateChange | TrialChange]) -> None:
+    def _send_to_all(self, changes: Sequence[FateChange | SendChange]) -> None:
         addresses = [
             heartbeat.peer_address
             for heartbeat in self._gossip.recent_heartbeats(wire.HostRole.ENTRY)
@@ -142,7 +150,7 @@
         self._send_to(addresses, changes)
 
     def _send_to(
-        self, addresses: Sequence[str], changes: Sequence[FateChange | TrialChange]
+        self, addresses: Sequence[str], changes: Sequence[FateChange | SendChange]
     ) -> None:
         now = asyncio.get_running_loop().time()
         for first in range(0, len(changes), MAX_PER_DATAGRAM):
@@ -220,6 +228,8 @@
         heard = list(news)
         learned = [each for each in heard if self._apply(each, now)]
         self.tell(filter(None, map(self._correction_of, heard)))
+        for each in learned:
+            self._tracker.on_failure(RequestKey(each.request, each.has_program))
         if learned:
             eliot.log_message(
                 "endpoint.ends_heard",
@@ -253,29 +263,35 @@
             sends.record_answered(key, incarnation, send)
         elif news.fate == wire.SendFate.CLEARED:
             sends.record_cleared(key, incarnation, send)
-        elif news.fate == wire.SendFate.TRIAL:
-            sends.record_trial(key, news.endpoint, now_s)
+        elif news.fate == wire.SendFate.TRIAL_OVER:
+            sends.record_trial_over(key, news.endpoint, news.run or 0)
         else:
-            sends.record_trial_over(key, news.endpoint)
+            is_trial = news.fate == wire.SendFate.TRIAL
+            sends.record_trial(key, news.endpoint, now_s, news.run or 0, is_trial)
         return False
 
 
-def _encode(change: FateChange | TrialChange, now_s: float) -> wire.SendNews:
-    if isinstance(change, TrialChange):
-        fate = wire.SendFate.TRIAL_OVER if change.is_over else wire.SendFate.TRIAL
-        sent_s = broken_s = now_s
-    else:
-        fate = _FATES[change.fate]
-        sent_s, broken_s = change.send.sent_s, change.send.broken_s
-    return wire.SendNews(
+def _encode(change: FateChange | SendChange, now_s: float) -> wire.SendNews:
+    news = wire.SendNews(
         change.key.fingerprint,
         change.key.has_program,
         change.incarnation.endpoint,
         change.incarnation.born_ms,
-        fate,
-        _age_ms(sent_s, now_s),
-        _age_ms(broken_s, now_s),
+        sent_ms_ago=0,
+        broken_ms_ago=0,
     )
+    if isinstance(change, FateChange):
+        news.fate = _FATES[change.fate]
+        news.sent_ms_ago = _age_ms(change.send.sent_s, now_s)
+        news.broken_ms_ago = _age_ms(change.send.broken_s, now_s)
+        return news
+    news.run = change.send.number
+    news.fate = wire.SendFate.RUN
+    if change.is_over:
+        news.fate = wire.SendFate.TRIAL_OVER
+    elif change.send.is_trial:
+        news.fate = wire.SendFate.TRIAL
+    return news
 
 
 def _age_ms(at_s: float, now_s: float) -> int:
--- a/src/bayhinge/_internal/services/gateway/ended_send_tracker.py
+++ b/src/bayhinge/_internal/services/gateway/ended_send_tracker.py
@@ -7,6 +7,8 @@
 """
 
 import asyncio
+import math
+import random
 from collections.abc import Callable, Iterable
 from enum import StrEnum
 
@@ -18,6 +20,7 @@
     Fate,
     Knowledge,
     RequestKey,
+    SendUnderWay,
 )
 from bayhinge._internal.decisions.ended_sends import EndedSends, Permission
 from bayhinge._internal.decisions.endpoint_state import EndpointState
@@ -35,6 +38,9 @@
 """An endpoint that goes on for so long without its entry ends as planned. One that crashed may lose
 its entry a moment before its connections are seen to end."""
 
+NUMBER_BITS = 62
+"""Of the random numbers that order sends of several hosts."""
+
 HEARD_WITHIN_S = 1.0
 """An endpoint that sent anything so short a time ago was not silent."""
 
@@ -69,11 +75,12 @@
 
 
 @attrs.frozen
-class TrialChange:
-    """A trial that has begun or ended at this host."""
+class SendChange:
+    """A send of a request that failed before, which begins or has ended at this host."""
 
     key: RequestKey
     incarnation: EndpointIncarnation
+    send: SendUnderWay
     is_over: bool
 
 
@@ -101,6 +108,7 @@
 
     Attributes:
         tell: tells the other hosts of changes.
+        on_failure: called when endpoints ended under a request, or may have.
     """
 
     def __init__(
@@ -114,7 +122,9 @@
         self._prober = prober or EndpointProber(pool)
         self.sends = EndedSends()
         self.counts = EndedSendCounts()
-        self.tell: Callable[[Iterable[FateChange | TrialChange]], None] = lambda changes: None
+        self.tell: Callable[[Iterable[FateChange | SendChange]], None] = lambda changes: None
+        self.on_failure: Callable[[RequestKey], None] = lambda key: None
+        self._random = random.Random()
         self._probe_by_incarnation: dict[EndpointIncarnation, asyncio.Task[ProbeResult]] = {}
 
     # ---- before a send ----
@@ -130,9 +140,16 @@
         await self._examine(self.sends.undecided(key, _now()))
         return self.sends.permission(key, _now())
 
-    def permission_now(self, key: RequestKey) -> Permission:
-        """Returns the same without a probe, for a request that was examined a moment ago."""
-        return self.sends.permission(key, _now())
+    def permission_now(self, key: RequestKey, claim: SendUnderWay | None = None) -> Permission:
+        """Returns the same without a probe, for a request that was examined a moment ago.
+
+        See :meth:`EndedSends.permission` for ``claim``.
+        """
+        return self.sends.permission(key, _now(), claim=claim)
+
+    def has_failed(self, key: RequestKey) -> bool:
+        """Whether endpoints ended under a request, or may have."""
+        return self.sends.has_failed(key, _now())
 
     def failed_endpoints(self, key: RequestKey) -> frozenset[str]:
         """Returns the endpoints that a request should avoid."""
@@ -146,18 +163,26 @@
         """Returns the endpoints at which other requests are on trial."""
         return self.sends.trial_endpoints(key, _now())
 
-    def begin_send(self, key: RequestKey, run: ActiveRun, is_alone: bool) -> bool:
-        """Counts a send; returns whether :meth:`end_send` must be called for it."""
-        if is_alone:
-            self.counts.alone += 1
-            self.tell([TrialChange(key, run.state.entry.incarnation, is_over=False)])
-        return self.sends.begin_send(key, run.endpoint, is_alone)
+    def begin_send(
+        self, key: RequestKey, run: ActiveRun, is_alone: bool, is_under_way: bool = False
+    ) -> SendUnderWay | None:
+        """Counts a send and tells it; :meth:`end_send` must be called unless it returns None.
 
-    def end_send(self, key: RequestKey, run: ActiveRun, is_alone: bool) -> None:
+        ``is_under_way`` marks one that was sent before anything had failed.
+        """
+        number = 0 if is_under_way else self._random.getrandbits(NUMBER_BITS)
+        began_s = -math.inf if is_under_way else _now()
+        send = self.sends.begin_send(key, run.endpoint, is_alone, number, began_s)
+        if send is not None and self.has_failed(key):
+            self.counts.alone += is_alone
+            self.tell([SendChange(key, run.state.entry.incarnation, send, is_over=False)])
+        return send
+
+    def end_send(self, key: RequestKey, run: ActiveRun, send: SendUnderWay) -> None:
         """Ends the count of a send."""
-        self.sends.end_send(key, run.endpoint)
-        if is_alone:
-            self.tell([TrialChange(key, run.state.entry.incarnation, is_over=True)])
+        self.sends.end_send(key, send.endpoint, send.number)
+        if self.has_failed(key):
+            self.tell([SendChange(key, run.state.entry.incarnation, send, is_over=True)])
 
     # ---- after a send ----
 
@@ -220,6 +245,7 @@
             why=why,
             took_s=round(send.broken_s - sent_s, 3),
         )
+        self.on_failure(key)
 
     def _tell_doubt(self, key: RequestKey, incarnation: EndpointIncarnation) -> None:
         if incarnation in self.sends.undecided(key, _now()):
--- a/src/bayhinge/_internal/services/gateway/request_sender.py
+++ b/src/bayhinge/_internal/services/gateway/request_sender.py
@@ -169,15 +169,14 @@
             state = await self._place_apart(send_state, excluded)
         if state is None:
             raise RefusedError(send_state.no_endpoint_refusal(RETRY_AFTER_S))
+        run = self._runs.begin(state)
         try:
-            self._guard.check_again(send_state)
-        except RefusedError:
-            self._placer.record_end(state, send_state.demand, None)
+            await self._guard.claim(run, send_state)
+        except BaseException:
+            self._free_place(run, send_state, None)
             raise
         send_state.send_record.record_send()
-        run = self._runs.begin(state)
         send_state.tried.append(run)
-        self._guard.begin(run, send_state)
         return run
 
     async def _place_apart(
--- a/src/bayhinge/_internal/services/gateway/send_guard.py
+++ b/src/bayhinge/_internal/services/gateway/send_guard.py
@@ -1,7 +1,11 @@
 """Keeps the sender of requests within the endpoints that one request may end."""
 
+import asyncio
+
+import attrs
 import eliot
 
+from bayhinge._internal.decisions.ended_send_history import SETTLE_S, RequestKey
 from bayhinge._internal.decisions.ended_sends import Permission
 from bayhinge._internal.models.refusals import RefusedError
 from bayhinge._internal.network.endpoint_answer import IncompleteAnswerError, SilentEndpointError
@@ -9,12 +13,27 @@
 from bayhinge._internal.services.gateway.ended_send_tracker import EndedSendTracker
 from bayhinge._internal.services.gateway.send_state import SendState
 
+OUTCOME_PAUSE_S = 0.05
+MAX_OUTCOME_PAUSES = 6
+"""Pauses, 0.3 s in all, in which an equal request of anybody's may be answered, before this one is
+sent beside it."""
+
+
+@attrs.frozen
+class ActiveSend:
+    """A send of this host that has no outcome yet."""
+
+    run: ActiveRun
+    send_state: SendState
+
 
 class SendGuard:
     """Asks the tracker before each send, and tells it how the send has ended."""
 
     def __init__(self, tracker: EndedSendTracker) -> None:
         self._tracker = tracker
+        self._send_by_state: dict[int, ActiveSend] = {}
+        tracker.on_failure = self.count_active
 
     async def check(self, send_state: SendState) -> frozenset[str]:
         """Returns the endpoints that should not get the request, if it may be sent at all.
@@ -43,17 +62,71 @@
             return frozenset()
         return self._tracker.failed_endpoints(send_state.key)
 
-    def check_again(self, send_state: SendState) -> None:
-        """Checks once more after a wait for a place, in which other hosts may have told something.
+    async def claim(self, run: ActiveRun, send_state: SendState) -> None:
+        """Counts a send that is about to begin; :meth:`end` must follow unless it raises.
+
+        A request that failed before is announced to the other hosts first, as theirs may be about
+        to send it as well. What they have told while it waited for a place counts too.
 
         Raises:
             RefusedError: the request must not be sent any more.
         """
-        if not len(self._tracker.sends):
-            return
-        permission = self._tracker.permission_now(send_state.key)
+        self._send_by_state[id(send_state)] = ActiveSend(run, send_state)
+        try:
+            if len(self._tracker.sends):
+                await self._claim(run, send_state)
+        except BaseException:
+            self.end(run, send_state)
+            raise
+
+    async def _claim(self, run: ActiveRun, send_state: SendState) -> None:
+        tracker, key = self._tracker, send_state.key
+        permission = tracker.permission_now(key)
         self._raise_if_forbidden(permission, send_state)
         send_state.is_alone = permission is Permission.ALONE
+        known = tracker.knowledge(key)
+        send_state.counted = tracker.begin_send(key, run, send_state.is_alone)
+        if send_state.counted is None:
+            return
+        if tracker.has_failed(key):
+            await self._await_others(send_state)
+        eliot.log_message(
+            "send.informed",
+            attempt=send_state.request.attempt,
+            request=send_state.fingerprint,
+            endpoint=run.endpoint,
+            is_alone=send_state.is_alone,
+            ended=list(known.ended),
+            in_doubt=list(known.in_doubt),
+            running=known.running,
+            age_s=round(known.age_s, 3),
+        )
+
+    async def _await_others(self, send_state: SendState) -> None:
+        """Waits until other hosts must have told of their sends, and for some of these to end."""
+        for pause_s in (SETTLE_S, *[OUTCOME_PAUSE_S] * MAX_OUTCOME_PAUSES):
+            await asyncio.sleep(pause_s)
+            permission = self._tracker.permission_now(send_state.key, send_state.counted)
+            self._raise_if_forbidden(permission, send_state)
+            if permission is not Permission.WAIT:
+                return
+
+    def count_active(self, key: RequestKey) -> None:
+        """Counts the sends that began before anything was known of their request, and tells them.
+
+        The host whose send has failed must know of them before it sends the request again.
+        """
+        for active in list(self._send_by_state.values()):
+            send_state = active.send_state
+            if send_state.counted is None:
+                self._count(active, key)
+
+    def _count(self, active: "ActiveSend", key: RequestKey) -> None:
+        send_state = active.send_state
+        if send_state.key == key:
+            send_state.counted = self._tracker.begin_send(
+                key, active.run, is_alone=False, is_under_way=True
+            )
 
     def _raise_if_forbidden(self, permission: Permission, send_state: SendState) -> None:
         known = self._tracker.knowledge(send_state.key)
@@ -78,30 +151,12 @@
         )
         raise RefusedError(refusal)
 
-    def begin(self, run: ActiveRun, send_state: SendState) -> None:
-        """Counts a send; :meth:`end` must follow."""
-        if not len(self._tracker.sends):
-            return
-        known = self._tracker.knowledge(send_state.key)
-        send_state.is_counted = self._tracker.begin_send(send_state.key, run, send_state.is_alone)
-        if send_state.is_counted:
-            eliot.log_message(
-                "send.informed",
-                attempt=send_state.request.attempt,
-                request=send_state.fingerprint,
-                endpoint=run.endpoint,
-                is_alone=send_state.is_alone,
-                ended=list(known.ended),
-                in_doubt=list(known.in_doubt),
-                running=known.running,
-                age_s=round(known.age_s, 3),
-            )
-
     def end(self, run: ActiveRun, send_state: SendState) -> None:
         """Ends the count of a send."""
-        if send_state.is_counted:
-            send_state.is_counted = False
-            self._tracker.end_send(send_state.key, run, send_state.is_alone)
+        self._send_by_state.pop(id(send_state), None)
+        if send_state.counted is not None:
+            counted, send_state.counted = send_state.counted, None
+            self._tracker.end_send(send_state.key, run, counted)
 
     async def record_failure(
         self, run: ActiveRun, send_state: SendState, error: IncompleteAnswerError
--- a/src/bayhinge/_internal/services/gateway/send_state.py
+++ b/src/bayhinge/_internal/services/gateway/send_state.py
@@ -2,7 +2,7 @@
 
 import attrs
 
-from bayhinge._internal.decisions.ended_send_history import RequestKey
+from bayhinge._internal.decisions.ended_send_history import RequestKey, SendUnderWay
 from bayhinge._internal.decisions.endpoint_table import PlacementPreference
 from bayhinge._internal.models.refusals import (
     Figure,
@@ -36,7 +36,7 @@
         rejected: number of sends that certainly did not run.
         is_alone: the current send is to an endpoint at which no other request is on trial.
         apart_tries: how often an endpoint without other requests on trial was asked for.
-        is_counted: the current send is counted by the tracker of ended sends.
+        counted: the current send as the tracker of ended sends counts it, or None.
     """
 
     service: str
@@ -52,7 +52,7 @@
     ran: int = 0
     rejected: int = 0
     is_alone: bool = False
-    is_counted: bool = False
+    counted: SendUnderWay | None = None
     apart_tries: int = 0
     _fingerprint: str | None = None
 
--- a/tests/unit/test_ended_sends.py
+++ b/tests/unit/test_ended_sends.py
@@ -9,7 +9,9 @@
 from bayhinge._internal.decisions.ended_send_history import (
     KEEP_CLEARED_S,
     KEEP_S,
+    LATENCY_S,
     MAX_DOUBT_S,
+    SETTLE_S,
     TRIAL_S,
     UNDECIDED_S,
     BrokenSend,
@@ -226,6 +228,59 @@
     assert len(sends) == 0
 
 
+def test_a_send_that_began_before_anything_failed_counts_before_any_claim() -> None:
+    sends = sends_with(KEY, 2)
+    claim = sends.begin_send(KEY, "e-8", is_trial=True, number=1, now_s=4.0)
+    assert sends.permission(KEY, 4.1, claim=claim) is Permission.ALONE
+    sends.record_trial(KEY, "e-9", 4.01, number=0, is_trial=False)
+    assert sends.permission(KEY, 4.1, claim=claim) is Permission.BUSY
+
+
+def test_equal_requests_of_unknown_callers_wait_for_the_first_that_is_sent_again() -> None:
+    sends = sends_with(ANYBODY, 1)
+    first = sends.begin_send(ANYBODY, "e-8", is_trial=False, number=1, now_s=4.0)
+    second = sends.begin_send(ANYBODY, "e-9", is_trial=False, number=2, now_s=4.0)
+    assert sends.permission(ANYBODY, 4.0, claim=first) is Permission.FREE
+    assert sends.permission(ANYBODY, 4.0, claim=second) is Permission.WAIT
+    sends.record_served(ANYBODY)
+    assert sends.permission(ANYBODY, 4.0, claim=second) is Permission.FREE
+
+
+@attrs.frozen
+class Claim:
+    """One host's claim, and how long its message takes to the others."""
+
+    at_s: float
+    number: int
+    delay_s: float
+
+
+@given(
+    st.integers(1, MAX_ENDED - 1),
+    st.lists(
+        st.builds(Claim, st.floats(10.0, 10.1), st.integers(1, 2**62), st.floats(0.0, LATENCY_S)),
+        min_size=1,
+        max_size=6,
+        unique_by=lambda claim: claim.number,
+    ),
+)
+def test_hosts_that_claim_together_send_to_no_more_endpoints_than_are_left(
+    lost: int, claims: list[Claim]
+) -> None:
+    allowed = 0
+    for own in claims:
+        sends = sends_with(KEY, lost)
+        begun = sends.begin_send(KEY, f"e-{own.number}", False, own.number, own.at_s)
+        decided_s = own.at_s + SETTLE_S
+        for other in claims:
+            heard_s = other.at_s + other.delay_s
+            if other is not own and heard_s <= decided_s:
+                sends.record_trial(KEY, f"e-{other.number}", heard_s, other.number, False)
+        permission = sends.permission(KEY, decided_s, claim=begun)
+        allowed += permission in {Permission.FREE, Permission.ALONE}
+    assert allowed <= MAX_ENDED - lost
+
+
 @attrs.frozen
 class News:
     """An end or a clearance that hosts tell each other."""
