Bound what is buffered of answers without end, and keep their bytes out of errors

What callers saw: a body of chunks or without a length was read until the timeout (504 after 2 s, 692 and 729 MB sent by the endpoint; ten at once raised the process to 778 MB); interim answers, further answers, bodies of other answers and of rejections, an event without an end went on as long, comments in a stream for 4 s; errors and logs repeated up to 65 KB of the endpoint's bytes. Cause: without a memory limit there was no budget; within one, an answer of unknown length waited for room that only its own end would give back; texts of aiohttp's errors were passed on. Change: 64 MB are the budget of a process without a limit. Answers of unknown length leave 1/8 of a budget free, don't wait once they hold 1/4, and the larger half of them is refused where they only wait for each other. Bounds on interim, unread and passed-over answers, skipped bodies, the length of an event and bytes between events. Reasons are of our own words. Reads of the store and of the own interface's endpoints are bounded too.

--- a/src/bayhinge/_internal/decisions/memory_budget.py
+++ b/src/bayhinge/_internal/decisions/memory_budget.py
@@ -24,6 +24,13 @@
 of the room before it is paused, and the rest remains for callers that read faster."""
 
 
+OUTSIZED_SHARE = 1 / 4
+"""An answer of unknown length that has taken this share of the budget does not wait for more."""
+
+UNSIZED_FREE_SHARE = 1 / 8
+"""Share of the budget that answers of unknown length leave free: they may go on for ever."""
+
+
 class MemoryHolder(StrEnum):
     """What memory is held for.
 
@@ -32,6 +39,7 @@
         BODY: the body of a request.
         HISTORY: the turns before this one, and a copy of the body behind them.
         ANSWER: an answer that is read whole before it is sent.
+        UNSIZED: the same, if its length is not known before its end.
         UNREAD: the part of a stream that the caller has not taken yet.
         EVENTS: the events of a stream, to be recorded at its end.
     """
@@ -40,11 +48,14 @@
     BODY = "body"
     HISTORY = "history"
     ANSWER = "answer"
+    UNSIZED = "unsized_answer"
     UNREAD = "unread_answer"
     EVENTS = "events"
 
 
-ANSWER_HOLDERS = frozenset({MemoryHolder.ANSWER, MemoryHolder.UNREAD, MemoryHolder.EVENTS})
+ANSWER_HOLDERS = frozenset(
+    {MemoryHolder.ANSWER, MemoryHolder.UNSIZED, MemoryHolder.UNREAD, MemoryHolder.EVENTS}
+)
 """Holders that may use the reserve. The others count as parts of the request."""
 
 
@@ -141,6 +152,10 @@
         self._add(claim, holder, size)
         return True
 
+    def is_outsized(self, claim: MemoryClaim) -> bool:
+        """Whether an answer holds so much that it is not to wait for more."""
+        return claim.answer_bytes > self.limit_bytes * OUTSIZED_SHARE
+
     def release(self, claim: MemoryClaim, holder: MemoryHolder, size: int) -> None:
         """Releases bytes that the claim holds; :meth:`settle` passes them on."""
         if not 0 <= size <= claim.bytes_by_holder[holder]:
@@ -181,9 +196,24 @@
                 if not self._grant(claim):
                     break
                 settlement.granted.append(claim)
+        for stalled in self._stalled_answers():
+            self.withdraw(stalled)
+            settlement.refused.append(stalled)
         settlement.refused.extend(self._refuse_stalled())
         return settlement
 
+    def _stalled_answers(self) -> list[MemoryClaim]:
+        """Returns the larger half of the answers of unknown length, if answers wait for each other.
+
+        They may go on for ever, and callers that wait for the others should not wait for them.
+        """
+        waiting = list(self._in_order(is_answer=True))
+        if not waiting or not self._is_blocked(waiting[0]):
+            return []
+        unsized = [claim for claim in waiting if _waits_for(claim) is MemoryHolder.UNSIZED]
+        unsized.sort(key=lambda claim: claim.answer_bytes)
+        return unsized[len(unsized) // 2 :]
+
     def _grant(self, claim: MemoryClaim) -> bool:
         """Gives a waiting claim its bytes if they fit; returns whether they do."""
         assert claim.wanted is not None
@@ -243,6 +273,8 @@
         free = self.limit_bytes - self._held_bytes
         if size > free:
             return False
+        if holder is MemoryHolder.UNSIZED and free - size < self.limit_bytes * UNSIZED_FREE_SHARE:
+            return False
         if holder in ANSWER_HOLDERS:
             own = claim.answer_bytes
             return may_fill or own + size <= ANSWER_FREE_MULTIPLE * (free - size)
@@ -291,5 +323,9 @@
     return _order_key(claim, *claim.wanted)
 
 
+def _waits_for(claim: MemoryClaim) -> MemoryHolder | None:
+    return None if claim.wanted is None else claim.wanted[0]
+
+
 def _wanted(claim: MemoryClaim) -> int:
     return 0 if claim.wanted is None else claim.wanted[1]
--- a/src/bayhinge/_internal/network/endpoint_answer.py
+++ b/src/bayhinge/_internal/network/endpoint_answer.py
@@ -10,6 +10,9 @@
 from bayhinge._internal.models.routed_requests import RawHeaders
 from bayhinge._internal.network.memory_room import UNBOUNDED_ROOM, MemoryRoom, read_whole
 
+MAX_SKIPPED_BYTES = 1_048_576
+"""Longest body that is read to keep its connection; closing it is cheaper then."""
+
 
 class IncompleteAnswerError(Exception):
     """The answer is incomplete; ``why`` is the reason.
@@ -24,6 +27,10 @@
         self.cut_bytes = 0
 
 
+class BrokenBodyError(ClientPayloadError):
+    """The body of an answer broke off; its text is of this host's own."""
+
+
 class SilentEndpointError(IncompleteAnswerError):
     """The answer is incomplete because the endpoint sent nothing for too long."""
 
@@ -48,6 +55,11 @@
         self._declared_bytes = int(length) if length.isdigit() else None
         self._body = body
 
+    @property
+    def has_length(self) -> bool:
+        """Whether the head tells the length of the body."""
+        return self._declared_bytes is not None
+
     async def read_pieces(self) -> AsyncIterator[bytes]:
         """Yields the body's bytes as they arrive.
 
@@ -61,7 +73,7 @@
                     return
                 yield piece
         except (ClientPayloadError, HttpProcessingError, ConnectionError) as error:
-            raise IncompleteAnswerError(f"the body is incomplete: {error}") from error
+            raise _incomplete(error) from error
 
     async def read_body(self, room: MemoryRoom = UNBOUNDED_ROOM) -> bytes:
         """Returns the whole body, read only as far as there is room for it.
@@ -74,13 +86,27 @@
         try:
             return await read_whole(self._body, room, self._declared_bytes is not None)
         except (ClientPayloadError, HttpProcessingError, ConnectionError) as error:
-            raise IncompleteAnswerError(f"the body is incomplete: {error}") from error
+            raise _incomplete(error) from error
 
-    async def skip_body(self) -> None:
-        """Reads the body without keeping it.
+    async def skip_body(self) -> bool:
+        """Reads the body without keeping it; returns whether it came to its end soon enough.
 
         Raises:
             IncompleteAnswerError: the body is incomplete.
         """
-        async for _ in self.read_pieces():
-            pass
+        skipped_bytes = 0
+        async for piece in self.read_pieces():
+            skipped_bytes += len(piece)
+            if skipped_bytes > MAX_SKIPPED_BYTES:
+                return False
+        return True
+
+
+def _incomplete(error: Exception) -> IncompleteAnswerError:
+    """Returns the error for callers and logs, without bytes of the endpoint.
+
+    aiohttp's errors repeat what could not be parsed.
+    """
+    is_own = isinstance(error, BrokenBodyError | ConnectionError)
+    reason = str(error) if is_own else type(error).__name__
+    return IncompleteAnswerError(f"the body is incomplete: {reason}")
--- a/src/bayhinge/_internal/network/endpoint_client.py
+++ b/src/bayhinge/_internal/network/endpoint_client.py
@@ -14,9 +14,21 @@
 from bayhinge._internal.exceptions import EndpointError
 from bayhinge._internal.models.calls import ServiceCall, Usage
 from bayhinge._internal.models.endpoints import EndpointLoad
-from bayhinge._internal.utils.http_session import call_timeout, open_session
+from bayhinge._internal.network.frames import MAX_FRAME_BYTES
+from bayhinge._internal.utils.http_session import (
+    call_timeout,
+    failure_reason,
+    open_session,
+    read_bounded,
+)
 
 DONE_LINE = b"data: [DONE]"
+MAX_ANSWER_BYTES = MAX_FRAME_BYTES
+"""Longest answer of a plain service; a longer one would not fit into a frame between hosts."""
+
+MAX_REPORT_BYTES = 1_048_576
+"""Longest report of an engine on itself."""
+
 DRAINING_HEADER = "X-Draining"
 
 
@@ -162,8 +174,10 @@
         except aiohttp.ClientConnectorError as error:
             raise EndpointError(endpoint, str(error), may_have_run=False) from error
         except (aiohttp.ClientError, TimeoutError, ConnectionError) as error:
-            why = str(error) or type(error).__name__
-            raise EndpointError(endpoint, why, may_have_run=True) from error
+            raise EndpointError(endpoint, failure_reason(error), may_have_run=True) from error
+        except ValueError as error:
+            # aiohttp's, of a line beyond its buffer.
+            raise EndpointError(endpoint, "a line is too long", may_have_run=True) from error
         if not whole:
             raise EndpointError(endpoint, "the stream ended early", may_have_run=True)
 
@@ -209,12 +223,12 @@
             ) as response:
                 if response.status == status_codes.HTTP_UNAVAILABLE:
                     await _check_status(endpoint, response)
-                return ServiceAnswer(response.status, response.content_type, await response.read())
+                body = await read_bounded(response, MAX_ANSWER_BYTES)
+                return ServiceAnswer(response.status, response.content_type, body)
         except aiohttp.ClientConnectorError as error:
             raise EndpointError(endpoint, str(error), may_have_run=False) from error
         except (aiohttp.ClientError, TimeoutError, ConnectionError) as error:
-            why = str(error) or type(error).__name__
-            raise EndpointError(endpoint, why, may_have_run=True) from error
+            raise EndpointError(endpoint, failure_reason(error), may_have_run=True) from error
 
     async def _request_ignoring_errors(
         self, method: str, url: str, body: bytes | None
@@ -228,7 +242,7 @@
             ) as response:
                 if response.status >= status_codes.HTTP_MULTIPLE_CHOICES:
                     return None
-                data = await response.read()
+                data = await read_bounded(response, MAX_REPORT_BYTES)
         except (aiohttp.ClientError, TimeoutError, ConnectionError):
             return None
         return orjson.loads(data) if data else {}
@@ -238,10 +252,9 @@
     if response.status < status_codes.HTTP_MULTIPLE_CHOICES:
         return
     draining = DRAINING_HEADER in response.headers
-    text = (await response.text())[:200]
     # An error status before the stream means that the engine rejected the request.
     ran = response.status >= status_codes.HTTP_SERVER_ERROR and not draining
-    raise EndpointError(endpoint, f"status {response.status} {text}", ran, draining)
+    raise EndpointError(endpoint, f"status {response.status}", ran, draining)
 
 
 def _parse_chunk(endpoint: str, line: bytes) -> EngineChunk:
@@ -257,7 +270,7 @@
             _parse_usage(chunk.get("usage")),
         )
     except (orjson.JSONDecodeError, KeyError, TypeError, AttributeError) as error:
-        raise EndpointError(endpoint, f"invalid chunk: {error}", True) from error
+        raise EndpointError(endpoint, f"invalid chunk ({type(error).__name__})", True) from error
 
 
 def _parse_usage(usage: dict[str, Any] | None) -> Usage | None:
--- a/src/bayhinge/_internal/network/endpoint_connections.py
+++ b/src/bayhinge/_internal/network/endpoint_connections.py
@@ -22,6 +22,7 @@
 from bayhinge._internal.network.addresses import split_address
 from bayhinge._internal.network.endpoint_answer import (
     Answer,
+    BrokenBodyError,
     EndpointUnreachableError,
     IncompleteAnswerError,
     SilentEndpointError,
@@ -58,6 +59,12 @@
 """TCP user timeout for requests that may be retried at another endpoint; the kernel ends the
 connection after some 0.9 s, while callers, who wait for 1.2 s or more, are still waiting."""
 
+MAX_INTERIM_ANSWERS = 16
+"""Answers of status 1xx to one request; an endpoint sends one or two."""
+
+MAX_UNREAD_ANSWERS = 4
+"""Whole answers beyond the one that is read. Endpoints send one too many at times."""
+
 _FIRST_FINAL_STATUS = 200
 
 ABORTED = "aborted"
@@ -99,6 +106,7 @@
         self.is_busy = False
         self.reusable_until_s = 0.0
         self._answers: deque[Answer] = deque()
+        self._interim_count = 0
         self._body: StreamReader | None = None
         self._waiter: asyncio.Future[None] | None = None
         self._why_closed = ""
@@ -126,15 +134,24 @@
         try:
             messages, _, _ = self._answer_parser.feed_data(data)
         except Exception as error:  # The parser raises errors of many types on invalid bytes.
-            self._fail_body(f"invalid HTTP answer: {error}")
-            self.abort(f"invalid HTTP answer: {error}")
+            # Their texts hold the endpoint's bytes, which must reach neither callers nor logs.
+            self._close_invalid(f"invalid HTTP answer ({type(error).__name__})")
             return
         for message, body in messages:
             self._body = body
             if message.code >= _FIRST_FINAL_STATUS:
                 self._answers.append(Answer(message, body))
+            else:
+                self._interim_count += 1
+        if self._interim_count > MAX_INTERIM_ANSWERS or len(self._answers) > MAX_UNREAD_ANSWERS:
+            self._close_invalid("more answers than requests")
+            return
         self._wake()
 
+    def _close_invalid(self, why: str) -> None:
+        self._fail_body(why)
+        self.abort(why)
+
     def eof_received(self) -> None:
         """Closes the connection when the endpoint closes its side."""
         return
@@ -151,7 +168,7 @@
             try:
                 self._answer_parser.feed_eof()
             except Exception as error:  # As above.
-                self._fail_body(str(error))
+                self._fail_body(f"it ended too early ({type(error).__name__})")
         else:
             self._fail_body(self._why_closed)
         self._wake()
@@ -173,6 +190,7 @@
         if not self.is_open or self.transport is None or self.transport.is_closing():
             raise EndpointUnreachableError(self._why_closed or "the connection is closed")
         self.is_busy = True
+        self._interim_count = 0
         timeout_s = RETRYABLE_TCP_USER_TIMEOUT_S if is_retryable else TCP_USER_TIMEOUT_S
         self._set_tcp_timeouts(timeout_s)
         self._stop_send_timer()
@@ -252,7 +270,7 @@
     def _fail_body(self, why: str) -> None:
         body = self._body
         if body is not None and not body.is_eof() and body.exception() is None:
-            body.set_exception(ClientPayloadError(why))
+            body.set_exception(BrokenBodyError(why))
 
     def _wake(self) -> None:
         if self._waiter is not None and not self._waiter.done():
--- a/src/bayhinge/_internal/network/http_store.py
+++ b/src/bayhinge/_internal/network/http_store.py
@@ -13,7 +13,12 @@
 import orjson
 
 from bayhinge._internal import status_codes
-from bayhinge._internal.utils.http_session import call_timeout, open_session
+from bayhinge._internal.utils.http_session import (
+    call_timeout,
+    failure_reason,
+    open_session,
+    read_bounded,
+)
 from bayhinge.coordination.errors import (
     AlreadyExistsError,
     StoreRateLimitedError,
@@ -23,6 +28,9 @@
 )
 from bayhinge.coordination.store import Change, Listing, ObjectStore, StoredObject
 
+MAX_ANSWER_BYTES = 64_000_000
+"""Longest answer that is read; a page of objects is far shorter."""
+
 WATCH_SILENCE_S = 300.0
 """Read timeout of a watch; the watch is then reopened."""
 
@@ -120,9 +128,10 @@
             async with session.request(
                 method, url, headers=headers, data=body, timeout=self._timeout
             ) as response:
-                answer = _Response(response.status, _etag_version(response), await response.read())
+                text = await read_bounded(response, MAX_ANSWER_BYTES)
+                answer = _Response(response.status, _etag_version(response), text)
         except (aiohttp.ClientError, TimeoutError, OSError) as error:
-            raise StoreUnavailableError(what, str(error) or type(error).__name__) from error
+            raise StoreUnavailableError(what, failure_reason(error)) from error
         if answer.status == status_codes.HTTP_TOO_MANY_REQUESTS:
             raise StoreRateLimitedError(what, float(response.headers.get("Retry-After", "1")))
         if answer.status >= status_codes.HTTP_SERVER_ERROR:
--- a/src/bayhinge/_internal/platform/objects_api.py
+++ b/src/bayhinge/_internal/platform/objects_api.py
@@ -20,7 +20,12 @@
 import orjson
 
 from bayhinge._internal import status_codes
-from bayhinge._internal.utils.http_session import call_timeout, open_session
+from bayhinge._internal.utils.http_session import (
+    call_timeout,
+    failure_reason,
+    open_session,
+    read_bounded,
+)
 from bayhinge.coordination.errors import (
     AlreadyExistsError,
     HistoryLostError,
@@ -37,6 +42,12 @@
 )
 from bayhinge.coordination.store_availability import StoreAvailability
 
+MAX_ANSWER_BYTES = 16_777_216
+"""Longest answer that is read; a list has about 1 MB, and so has the largest object."""
+
+MAX_SHOWN_CHARS = 200
+"""Of an answer that tells of a failure."""
+
 CALL_TIMEOUT_S = 1.0
 """Timeout of one call; a healthy store answers within milliseconds."""
 
@@ -187,11 +198,11 @@
                 method, f"{self._base_url}{path}", data=data, headers=headers, timeout=timeout
             ) as response:
                 status = response.status
-                text = await response.read()
+                text = await read_bounded(response, MAX_ANSWER_BYTES)
             content = _decode_json(text) if text else {}
         except (aiohttp.ClientError, TimeoutError, OSError) as error:
             self._availability.record_failure(timed_out=isinstance(error, TimeoutError))
-            raise StoreUnavailableError(what, str(error) or type(error).__name__) from error
+            raise StoreUnavailableError(what, failure_reason(error)) from error
         except (ValueError, RecursionError) as error:
             raise _invalid_answer_error(what, error) from error
         self._record_status(status)
@@ -210,7 +221,7 @@
         raise StoreRateLimitedError(what, RATE_LIMIT_RETRY_S)
     known = {status_codes.HTTP_NOT_FOUND, status_codes.HTTP_CONFLICT, status_codes.HTTP_GONE}
     if status >= status_codes.HTTP_MULTIPLE_CHOICES and status not in known:
-        raise StoreUnavailableError(what, f"status {status}: {content}")
+        raise StoreUnavailableError(what, f"status {status}: {str(content)[:MAX_SHOWN_CHARS]}")
     return _Answer(status, content if isinstance(content, dict) else {})
 
 
--- a/src/bayhinge/_internal/services/gateway/held_memory.py
+++ b/src/bayhinge/_internal/services/gateway/held_memory.py
@@ -1,7 +1,4 @@
-"""Gives the memory budget of this host to requests, and takes it back when they end.
-
-Without a known memory limit there is no budget, and nothing is bounded.
-"""
+"""Gives the memory budget of this host to requests, and takes it back when they end."""
 
 import asyncio
 import random
@@ -28,6 +25,9 @@
 RESERVE_SHARE = 1 / 3
 """Share of the budget that only answers can take."""
 
+DEFAULT_BUDGET_BYTES = 64 * 2**20
+"""Budget of a process without a memory limit: what one endpoint sends must not fill the machine."""
+
 MIN_BUDGET_BYTES = 4 * 2**20
 """Least budget: with less, not even one body of the usual limit could be read."""
 
@@ -69,9 +69,9 @@
 
     def start(self, limit_bytes: int | None, idle_bytes: int) -> None:
         """Sets the budget from the process's memory limit and what it uses when idle."""
-        if limit_bytes is None:
-            return
-        size = max(MIN_BUDGET_BYTES, int((limit_bytes - idle_bytes) * SAFETY_SHARE))
+        size = DEFAULT_BUDGET_BYTES
+        if limit_bytes is not None:
+            size = max(MIN_BUDGET_BYTES, int((limit_bytes - idle_bytes) * SAFETY_SHARE))
         self.budget = MemoryBudget(size, int(size * RESERVE_SHARE))
         eliot.log_message(
             "memory.budget",
@@ -131,6 +131,9 @@
                 f"the request and its answer need {own + size} bytes, "
                 f"and the host's memory budget is {budget.limit_bytes}"
             )
+        if holder is MemoryHolder.UNSIZED and budget.is_outsized(claim):
+            # It has no length: it may go on for ever, and the others would wait for it.
+            raise AnswerBeyondMemoryError(_answer_reason(own, budget))
         if not memory.was_paused:
             memory.was_paused = True
             self.counts.paused += 1
@@ -147,6 +150,8 @@
         try:
             await future
         except RefusedError:
+            if holder in ANSWER_HOLDERS:
+                raise AnswerBeyondMemoryError(_answer_reason(own, budget)) from None
             raise self._refusal(memory, holder, size) from None
         finally:
             del self._future_by_claim[claim]
@@ -197,6 +202,13 @@
         )
 
 
+def _answer_reason(own_bytes: int, budget: MemoryBudget) -> str:
+    return (
+        f"{own_bytes} bytes of the request and its answer are held, the answer goes on, "
+        f"and the host's memory budget of {budget.limit_bytes} bytes is used up"
+    )
+
+
 class _HeldRoom(MemoryRoom):
     """Room in the budget for one holder of one request."""
 
@@ -247,9 +259,10 @@
         """
         if not self.is_bounded:
             return await answer.read_body()
-        room = self.room(MemoryHolder.ANSWER)
-        room.give_back(self.claim.bytes_by_holder[MemoryHolder.ANSWER])
-        return await answer.read_body(room)
+        for holder in (MemoryHolder.ANSWER, MemoryHolder.UNSIZED):
+            self.room(holder).give_back(self.claim.bytes_by_holder[holder])
+        holder = MemoryHolder.ANSWER if answer.has_length else MemoryHolder.UNSIZED
+        return await answer.read_body(self.room(holder))
 
 
 UNBOUNDED = RequestMemory(HeldMemory(), MemoryClaim(0), "")
--- a/src/bayhinge/_internal/services/gateway/request_sender.py
+++ b/src/bayhinge/_internal/services/gateway/request_sender.py
@@ -54,6 +54,12 @@
 """Tries for a sound endpoint without other requests on trial, 0.3 s in all. In a crash wave there
 are more such requests than endpoints, and all of them have to be served."""
 
+MAX_PASSED_OVER = 16
+"""Answers to other requests that are passed over; endpoints send one too many at times."""
+
+MAX_LOGGED_CHARS = 64
+"""Of an id that an endpoint has sent."""
+
 RETRY_AFTER_S = 0.3
 """Retry delay for a request that no endpoint accepted."""
 
@@ -294,7 +300,8 @@
         connection.send(head, send_state.body, may_repeat or route.kind is RouteKind.STREAMING)
         answer, marks = await self._answer_in_time(connection, run, send_state, bounds)
         if marks.not_run or marks.wrong_instance:
-            await answer.skip_body()
+            if not await answer.skip_body():
+                connection.abort("the body of a rejection goes on and on")
             return answer, marks
         send_state.delivery.run = run
         await send_state.delivery.deliver(answer, marks, may_repeat, bounds)
@@ -359,7 +366,7 @@
         self, connection: EndpointConnection, attempt: str
     ) -> tuple[Answer, AnswerMetadata]:
         """Returns the answer with the request's id; skips answers to earlier requests."""
-        while True:
+        for _ in range(MAX_PASSED_OVER):
             answer = await connection.next_answer()
             marks = self._calls.read_answer(answer.status, answer.headers)
             # A rejection may lack an id, but one with another request's id is not for this one.
@@ -367,11 +374,15 @@
             if marks.attempt == attempt or is_bare_refusal:
                 return answer, marks
             eliot.log_message(
-                "answer.passed_over", attempt=attempt, found=marks.attempt, status=answer.status
+                "answer.passed_over",
+                attempt=attempt,
+                found=(marks.attempt or "")[:MAX_LOGGED_CHARS],
+                status=answer.status,
             )
-            await answer.skip_body()
-            if answer.closes_connection:
+            is_skipped = await answer.skip_body()
+            if answer.closes_connection or not is_skipped:
                 raise IncompleteAnswerError("the connection closed after another request's answer")
+        raise IncompleteAnswerError(f"{MAX_PASSED_OVER} answers to other requests came first")
 
     def _raise_unless_repeatable(self, send_state: SendState, error: IncompleteAnswerError) -> None:
         may_repeat = send_state.route.may_repeat and send_state.delivery.may_continue
--- a/src/bayhinge/_internal/services/gateway/stream_delivery.py
+++ b/src/bayhinge/_internal/services/gateway/stream_delivery.py
@@ -18,7 +18,7 @@
     IncompleteAnswerError,
     SilentEndpointError,
 )
-from bayhinge._internal.network.event_stream import EventReader, StreamEvent
+from bayhinge._internal.network.event_stream import EndlessStreamError, EventReader, StreamEvent
 from bayhinge._internal.network.routed_front import Exchange
 from bayhinge._internal.network.stream_splice import SplicedEvents, StreamSplice
 from bayhinge._internal.services.gateway.delivery import Delivery, is_success
@@ -108,6 +108,8 @@
             async for piece in answer.read_pieces():
                 await self._count(reader.feed(piece))
                 await self._write(piece)
+        except EndlessStreamError as error:
+            raise IncompleteAnswerError(str(error)) from error
         finally:
             if not reader.is_between_events:
                 # Charge an event that the caller has in part; otherwise streams that keep breaking
@@ -131,6 +133,8 @@
             if not run.is_between_events:
                 raise IncompleteAnswerError("the stream ended within an event")
             await self._deliver_piece(answer, run.end())
+        except EndlessStreamError as error:
+            raise IncompleteAnswerError(str(error)) from error
         except IncompleteAnswerError as error:
             error.cut_bytes = run.cut_bytes
             raise
--- a/src/bayhinge/_internal/utils/http_session.py
+++ b/src/bayhinge/_internal/utils/http_session.py
@@ -40,6 +40,33 @@
     """A connection broke after the request may have been sent; aiohttp does not retry this type."""
 
 
+class TooLongError(aiohttp.ClientError):
+    """An answer is longer than its reader allows; reading has stopped."""
+
+
+async def read_bounded(response: ClientResponse, limit_bytes: int) -> bytes:
+    """Returns the whole body of an answer.
+
+    Raises:
+        TooLongError: it is longer than ``limit_bytes``.
+        aiohttp.ClientError: it broke off.
+    """
+    body = bytearray()
+    async for piece in response.content.iter_any():
+        body += piece
+        if len(body) > limit_bytes:
+            response.close()
+            raise TooLongError(f"the answer is longer than {limit_bytes} bytes")
+    return bytes(body)
+
+
+def failure_reason(error: Exception) -> str:
+    """Returns why a call failed, without bytes of an answer that could not be parsed."""
+    if isinstance(error, aiohttp.ClientPayloadError | aiohttp.ClientResponseError):
+        return type(error).__name__
+    return str(error) or type(error).__name__
+
+
 async def _disable_retries(request: ClientRequest, handler: ClientHandlerType) -> ClientResponse:
     try:
         return await handler(request)
