Soak: endpoints that freeze under requests, and up to three attempts of one request at once

ending-endpoints plays what broke the bound of three: 30% of the endpoints freeze for 1 or 2.5 s before they end, and two of five repeats are two or three attempts together. An endpoint that ends under several attempts of one request at once counts once, and ends once for several requests. Judged from outside as before: three, and one more for each attempt at a host in trouble.

--- a/tests/soak/callers.py
+++ b/tests/soak/callers.py
@@ -21,6 +21,9 @@
 
 ATTEMPTS = 6
 
+AT_ONCE = (1, 1, 1, 2, 3)
+"""How many attempts of such a request are sent together; not more than endpoints may end."""
+
 FATAL_SHARE = 0.3
 """Share of turns after which a caller sends such a request."""
 
@@ -137,12 +140,18 @@
         """Repeats a request under which endpoints end, as a stubborn program would."""
         kind = self.rng.choice(["act", "look"])
         for _ in range(ATTEMPTS):
-            sent = self._new(kind, f"{FATAL.decode()} {kind} of {program}".encode(), program)
-            await self._send(session, sent, f"/{kind}/x", {"Bayhinge-Program-Id": program})
+            at_once = self.rng.choice(AT_ONCE)
+            await asyncio.gather(
+                *(self._fatal_attempt(session, kind, program) for _ in range(at_once))
+            )
             if self.is_stopping:
                 return
             await asyncio.sleep(self.rng.uniform(0.05, 0.4))
 
+    async def _fatal_attempt(self, session: aiohttp.ClientSession, kind: str, program: str) -> None:
+        sent = self._new(kind, f"{FATAL.decode()} {kind} of {program}".encode(), program)
+        await self._send(session, sent, f"/{kind}/x", {"Bayhinge-Program-Id": program})
+
     def _new(self, kind: str, body: bytes, program: str) -> Sent:
         # Like the platform's callers, avoids hosts that are known to be down.
         stays = program.rpartition("-")[0] in self._staying
--- a/tests/soak/endpoint_faults.py
+++ b/tests/soak/endpoint_faults.py
@@ -16,6 +16,12 @@
 EVENT_CUTS = (1, 4, 5, 6, 12, -9, -4, -2, -1)
 """Offsets at which an event is cut: in its first line, between lines, before its terminator."""
 
+FREEZE_SHARE = 0.3
+"""Share of the endpoints that freeze before they end under a request."""
+
+FROZEN_S = (1.0, 2.5)
+"""How long the entry of a frozen one stays."""
+
 STREAMING = "llm"
 """Name of the service whose endpoints stream."""
 
@@ -100,19 +106,34 @@
                     await self._restart(endpoint, moves=kind == "elsewhere")
 
     async def end(self, instance: str) -> None:
-        """Crashes an endpoint whose port closes as well, and restarts it at another one."""
+        """Crashes an endpoint whose port closes as well, and restarts it at another one.
+
+        Some freeze first: connections are still made, and nothing is answered on any.
+        """
         endpoint = next(one for one in self.endpoints if one.engine.instance == instance)
         async with self._lock_by_endpoint[endpoint]:
-            self.report(f"{instance} ends under a request")
-            await endpoint.proxy.stop()
-            await endpoint.engine.crash()
-            self.store.remove("servers", instance)
+            if self.rng.random() < FREEZE_SHARE:
+                await self._freeze(endpoint)
+            else:
+                self.report(f"{instance} ends under a request")
+                await endpoint.proxy.stop()
+                await endpoint.engine.crash()
+                self.store.remove("servers", instance)
             await asyncio.sleep(self.rng.choice((0.1, 0.5, 1.0)))
             endpoint.proxy = Proxy("127.0.0.1", 0)
             await endpoint.proxy.start()
             await endpoint.start_new_incarnation()
             self.store.put("servers", instance, endpoint.entry())
 
+    async def _freeze(self, endpoint: Endpoint) -> None:
+        self.report(f"{endpoint.engine.instance} freezes under a request")
+        endpoint.engine.is_frozen = True
+        await asyncio.sleep(self.rng.choice(FROZEN_S))
+        self.store.remove("servers", endpoint.engine.instance)
+        await asyncio.sleep(self.rng.choice((0.0, 0.5)))
+        await endpoint.proxy.stop()
+        await endpoint.engine.crash()
+
     async def _restart(self, endpoint: Endpoint, moves: bool) -> None:
         await endpoint.engine.crash()
         await asyncio.sleep(self.rng.choice((0.0, 0.1, 1.0)))
--- a/tests/soak/endpoints.py
+++ b/tests/soak/endpoints.py
@@ -17,6 +17,7 @@
     def __init__(self, instance: str, service: str) -> None:
         super().__init__(instance, service)
         self.incarnation = 0
+        self.is_frozen = False
         self._seq = 0
         self._transports: set[asyncio.BaseTransport] = set()
         self.takes_fatal: Callable[[str, bytes], bool] = lambda instance, body: False
@@ -24,6 +25,7 @@
     async def on_start(self) -> None:
         """Starts listening as a new incarnation."""
         self.incarnation += 1
+        self.is_frozen = False
         self._seq = 0
         # Two incarnations must differ, also if they start within one millisecond.
         self.born_ms = max((self.born_ms or 0) + 1, time.time_ns() // 1_000_000)
@@ -62,6 +64,8 @@
     async def _serve(self, request: web.Request) -> web.StreamResponse:
         if request.transport is not None:
             self._transports.add(request.transport)
+        if self.is_frozen:
+            await asyncio.sleep(3600)
         return await super()._serve(request)
 
 
--- a/tests/soak/fatal.py
+++ b/tests/soak/fatal.py
@@ -1,6 +1,7 @@
 """Requests under which endpoints of the soak end, and how many of them one request may end."""
 
 import asyncio
+from collections import Counter
 from collections.abc import Awaitable, Callable
 
 import attrs
@@ -24,6 +25,8 @@
 
     end: Callable[[str], Awaitable[None]]
     _ended_by_body: dict[bytes, list[str]] = attrs.field(factory=dict)
+    _ends_by_instance: Counter[str] = attrs.field(factory=Counter)
+    _ending: set[str] = attrs.field(factory=set)
     _tasks: set[asyncio.Task[None]] = attrs.field(factory=set)
 
     def take(self, instance: str, body: bytes) -> bool:
@@ -31,12 +34,23 @@
         start = body.rfind(FATAL)
         if start < 0:
             return False
-        self._ended_by_body.setdefault(body[start:], []).append(instance)
-        task = asyncio.ensure_future(self.end(instance))
-        self._tasks.add(task)
-        task.add_done_callback(self._tasks.discard)
+        incarnation = f"{instance}.{self._ends_by_instance[instance]}"
+        ended = self._ended_by_body.setdefault(body[start:], [])
+        if incarnation not in ended:
+            # Attempts of one request that come together may meet at one endpoint.
+            ended.append(incarnation)
+        if instance not in self._ending:
+            self._ending.add(instance)
+            task = asyncio.ensure_future(self._end(instance))
+            self._tasks.add(task)
+            task.add_done_callback(self._tasks.discard)
         return True
 
+    async def _end(self, instance: str) -> None:
+        await self.end(instance)
+        self._ends_by_instance[instance] += 1
+        self._ending.discard(instance)
+
     @property
     def ended(self) -> int:
         """How many endpoints have ended under all requests."""
