Tell of each send under way once and of its end always; eject silent endpoints only after 2 s

By reading the change as a whole: a send that had begun when nothing counted was not told after a later failure; the end of one whose request was served was not told, so others counted it for 10 s; a failed send was told as under way for a moment. A probe that met a closed connection left its task with an error, and one in a stalled process counted as silent before what had come was read.

--- a/src/bayhinge/_internal/decisions/ended_send_history.py
+++ b/src/bayhinge/_internal/decisions/ended_send_history.py
@@ -109,6 +109,7 @@
         until_s: until when it is assumed to go on if its end is not heard of.
         is_own: it is a send of this host.
         is_trial: its endpoint should run no other such request.
+        is_told: other hosts were told of it.
     """
 
     endpoint: str
@@ -117,6 +118,7 @@
     until_s: float = math.inf
     is_own: bool = True
     is_trial: bool = False
+    is_told: bool = False
 
     def weight_before(self, claim: "SendUnderWay") -> int:
         """Returns for how many sends this one counts when another is about to begin.
--- a/src/bayhinge/_internal/decisions/ended_sends.py
+++ b/src/bayhinge/_internal/decisions/ended_sends.py
@@ -219,13 +219,19 @@
     # ---- this host's sends ----
 
     def begin_send(
-        self, key: RequestKey, endpoint: str, is_trial: bool, number: int = 0, now_s: float = 0.0
+        self,
+        key: RequestKey,
+        endpoint: str,
+        is_trial: bool,
+        number: int = 0,
+        now_s: float = 0.0,
+        is_told: bool = False,
     ) -> SendUnderWay | None:
         """Counts a send of a remembered request; returns None if it is none."""
         history = self._history_by_key.get(key)
         if history is None:
             return None
-        send = SendUnderWay(endpoint, number, now_s, is_trial=is_trial)
+        send = SendUnderWay(endpoint, number, now_s, is_trial=is_trial, is_told=is_told)
         history.under_way[endpoint, number] = send
         return send
 
--- a/src/bayhinge/_internal/services/gateway/ended_send_tracker.py
+++ b/src/bayhinge/_internal/services/gateway/ended_send_tracker.py
@@ -38,6 +38,10 @@
 """An endpoint that goes on for so long without its entry ends as planned. One that crashed may lose
 its entry a moment before its connections are seen to end."""
 
+EJECTED_AFTER_S = 2.0
+"""An endpoint that answers nothing for so long gets no other requests either. Where all are busy, a
+health check waits for a slot."""
+
 NUMBER_BITS = 62
 """Of the random numbers that order sends of several hosts."""
 
@@ -172,8 +176,9 @@
         """
         number = 0 if is_under_way else self._random.getrandbits(NUMBER_BITS)
         began_s = -math.inf if is_under_way else _now()
-        send = self.sends.begin_send(key, run.endpoint, is_alone, number, began_s)
-        if send is not None and self.has_failed(key):
+        is_told = self.has_failed(key)
+        send = self.sends.begin_send(key, run.endpoint, is_alone, number, began_s, is_told)
+        if send is not None and is_told:
             self.counts.alone += is_alone
             self.tell([SendChange(key, run.state.entry.incarnation, send, is_over=False)])
         return send
@@ -181,7 +186,7 @@
     def end_send(self, key: RequestKey, run: ActiveRun, send: SendUnderWay) -> None:
         """Ends the count of a send."""
         self.sends.end_send(key, send.endpoint, send.number)
-        if self.has_failed(key):
+        if send.is_told:
             self.tell([SendChange(key, run.state.entry.incarnation, send, is_over=True)])
 
     # ---- after a send ----
@@ -339,17 +344,20 @@
         elif result is ProbeResult.ANSWERED:
             self._record_endpoint_answered(incarnation)
         elif result is ProbeResult.SILENT:
-            state = self._endpoint_table.find_incarnation(incarnation)
-            if state is not None:
-                state.record_silence(_now())
-            self.tell(
-                self._changes(
-                    ((key, incarnation) for key in self.sends.renew_doubts(incarnation, _now())),
-                    Fate.BROKEN,
-                )
-            )
+            self._record_silent_still(entry)
         return result
 
+    def _record_silent_still(self, entry: EndpointEntry) -> None:
+        """Renews the doubt in an endpoint that has answered no health check."""
+        incarnation = entry.incarnation
+        keys = self.sends.renew_doubts(incarnation, _now())
+        changes = self._changes(((key, incarnation) for key in keys), Fate.BROKEN)
+        self.tell(changes)
+        state = self._endpoint_table.find_incarnation(incarnation)
+        since_s = min((change.send.broken_s for change in changes), default=math.inf)
+        if state is not None and since_s <= _now() - EJECTED_AFTER_S:
+            state.record_silence(_now())
+
     def _record_endpoint_answered(self, incarnation: EndpointIncarnation) -> None:
         """Ends the doubt in an endpoint that has answered anything."""
         doubted = self.sends.record_endpoint_answered(incarnation)
--- a/src/bayhinge/_internal/services/gateway/endpoint_prober.py
+++ b/src/bayhinge/_internal/services/gateway/endpoint_prober.py
@@ -4,14 +4,17 @@
 answer shows that the endpoint goes on.
 """
 
-import asyncio
 from collections.abc import Callable
 from enum import StrEnum
 
 from bayhinge._internal.models.endpoint_entries import EndpointEntry
-from bayhinge._internal.network.endpoint_answer import IncompleteAnswerError
+from bayhinge._internal.network.endpoint_answer import (
+    EndpointUnreachableError,
+    IncompleteAnswerError,
+)
 from bayhinge._internal.network.endpoint_connections import EndpointConnectionPool
 from bayhinge._internal.services.gateway.platform_interface import CallFormat
+from bayhinge._internal.utils.stall_tolerant_timeouts import stall_tolerant_timeout
 
 ANSWER_TIMEOUT_S = 1.0
 """How long a health check may take. It may wait for a slot of the endpoint; one that comes later
@@ -69,9 +72,9 @@
             return ProbeResult.CONNECTED
         try:
             connection.send(self._calls.health_check_head(path, entry.address), b"")
-            async with asyncio.timeout(ANSWER_TIMEOUT_S):
+            async with stall_tolerant_timeout(ANSWER_TIMEOUT_S):
                 answer = await connection.next_answer()
-        except (TimeoutError, IncompleteAnswerError):
+        except (TimeoutError, IncompleteAnswerError, EndpointUnreachableError):
             return ProbeResult.SILENT
         finally:
             connection.abort("a health check")
--- a/src/bayhinge/_internal/services/gateway/send_guard.py
+++ b/src/bayhinge/_internal/services/gateway/send_guard.py
@@ -117,16 +117,17 @@
         The host whose send has failed must know of them before it sends the request again.
         """
         for active in list(self._send_by_state.values()):
-            send_state = active.send_state
-            if send_state.counted is None:
-                self._count(active, key)
+            counted = active.send_state.counted
+            if (counted is None or not counted.is_told) and active.send_state.key == key:
+                self._count(active)
 
-    def _count(self, active: "ActiveSend", key: RequestKey) -> None:
+    def _count(self, active: ActiveSend) -> None:
         send_state = active.send_state
-        if send_state.key == key:
-            send_state.counted = self._tracker.begin_send(
-                key, active.run, is_alone=False, is_under_way=True
-            )
+        if send_state.counted is not None:
+            self._tracker.end_send(send_state.key, active.run, send_state.counted)
+        send_state.counted = self._tracker.begin_send(
+            send_state.key, active.run, is_alone=False, is_under_way=True
+        )
 
     def _raise_if_forbidden(self, permission: Permission, send_state: SendState) -> None:
         known = self._tracker.knowledge(send_state.key)
@@ -162,6 +163,8 @@
         self, run: ActiveRun, send_state: SendState, error: IncompleteAnswerError
     ) -> None:
         """Records a send without a whole answer; waits a moment to learn why."""
+        # It must not be told as one that is under way.
+        self.end(run, send_state)
         if run.sent_s is None:
             return
         if isinstance(error, SilentEndpointError):
@@ -171,6 +174,7 @@
 
     def record_abandoned(self, run: ActiveRun, send_state: SendState) -> None:
         """Records a send that was given up with its attempt."""
+        self.end(run, send_state)
         if run.sent_s is not None:
             self._tracker.record_silent(send_state.key, run, run.sent_s)
 
