Let hosts that missed a doubt notice it and ask for it

A host that had not heard the doubt in a frozen endpoint, nor its repetitions, sent the request on: what hosts ask for and are told at their start were ends alone. Now digests cover doubts, and a host that is asked tells its own besides all ends; those of others it does not, as they may be settled already.

--- a/src/bayhinge/_internal/decisions/ended_sends.py
+++ b/src/bayhinge/_internal/decisions/ended_sends.py
@@ -162,11 +162,17 @@
                     yield key, incarnation, history.send_by_incarnation[incarnation]
 
     def digest(self, now_s: float) -> int:
-        """Returns a number that is the same at all hosts that remember the same ends, 0 if none."""
+        """Returns a number that is the same at all hosts that remember the same, 0 if nothing.
+
+        It covers the ends and the doubts.
+        """
         digest = 0
         for key, incarnation, send in self.all_ended(now_s):
             if send.broken_s >= now_s - KEEP_S:
-                digest ^= _digest_of(key, incarnation)
+                digest ^= _digest_of(key, incarnation, Fate.ENDED)
+        for key, history in self._history_by_key.items():
+            for incarnation in history.undecided(now_s):
+                digest ^= _digest_of(key, incarnation, Fate.BROKEN)
         return digest
 
     # ---- decisions ----
@@ -418,8 +424,10 @@
             del self._keys_by_incarnation[incarnation]
 
 
-def _digest_of(key: RequestKey, incarnation: EndpointIncarnation) -> int:
-    named = f"{key.fingerprint} {key.has_program} {incarnation.endpoint} {incarnation.born_ms}"
+def _digest_of(key: RequestKey, incarnation: EndpointIncarnation, fate: Fate) -> int:
+    named = (
+        f"{key.fingerprint} {key.has_program} {incarnation.endpoint} {incarnation.born_ms} {fate}"
+    )
     digest = hashlib.blake2b(named.encode("utf-8", "surrogateescape"), digest_size=8)
     return int.from_bytes(digest.digest(), "big", signed=True)
 
--- a/src/bayhinge/_internal/services/gateway/ended_send_exchange.py
+++ b/src/bayhinge/_internal/services/gateway/ended_send_exchange.py
@@ -214,11 +214,20 @@
         self._send_to([address], self._known()[-MAX_TOLD_AT_START:])
 
     def _known(self) -> list[FateChange]:
+        """Returns all ends, and this host's own doubts: another host's may be settled already."""
         now = asyncio.get_running_loop().time()
-        return [
+        sends = self._tracker.sends
+        doubts = [
+            FateChange(key, incarnation, send, Fate.BROKEN)
+            for incarnation, keys in sends.own_doubts(now).items()
+            for key in keys
+            if (send := sends.send_of(key, incarnation)) is not None
+        ]
+        ends = [
             FateChange(key, incarnation, send, Fate.ENDED)
-            for key, incarnation, send in self._tracker.sends.all_ended(now)
+            for key, incarnation, send in sends.all_ended(now)
         ]
+        return [*ends, *doubts]
 
     # ---- hearing ----
 
--- a/tests/functional/test_ends_told_late.py
+++ b/tests/functional/test_ends_told_late.py
@@ -18,6 +18,9 @@
 OUT_OF_TOUCH_S = 6.0
 """Longer than a change is repeated."""
 
+REPEATED_S = 3.3
+"""How long a change is repeated."""
+
 FURTHER_CHANGES = 1200
 """Changes of other requests in one moment; more than a host tells in some seconds."""
 
@@ -40,6 +43,26 @@
     run_ending_site(tmp_path, scenario, entries=3)
 
 
+def test_a_host_that_missed_the_doubt_in_an_endpoint_learns_of_it(tmp_path: Path) -> None:
+    async def scenario(site: EndingSite) -> None:
+        site.group.freezes = True
+        site.group.frozen_entry_s = 1000.0
+        end_cut = site.lose_news("entry-1")
+        for _ in range(MAX_ENDED):
+            await site.ask("/act/a", b"fatal", at="entry-0", Bayhinge_Deadline_Ms="300")
+        # Doubts are also told again while they last, which must not be needed.
+        for entry in site.entry_by_name.values():
+            entry._gateway.ended_sends.tell = lambda changes: None
+        await asyncio.sleep(REPEATED_S)
+        end_cut()
+        await asyncio.sleep(1.5)
+        reply = await site.ask("/act/a", b"fatal", at="entry-1", Bayhinge_Deadline_Ms="300")
+        assert reply.status == 503
+        assert len(site.group.ended) == MAX_ENDED
+
+    run_ending_site(tmp_path, scenario, entries=3)
+
+
 def test_ends_under_a_repeated_request_are_told_beside_very_many_others(tmp_path: Path) -> None:
     async def scenario(site: EndingSite) -> None:
         exchange = site.entry_by_name["entry-0"]._gateway.ended_send_exchange
--- a/tests/unit/test_ended_sends.py
+++ b/tests/unit/test_ended_sends.py
@@ -210,6 +210,11 @@
     other.record_cleared(KEY, endpoint(0), BrokenSend(1.0, 2.0))
     assert one.digest(9.0) != other.digest(9.0)
     assert one.digest(2.1 + KEEP_S) == 0
+    # A doubt counts like an end, so a host that missed it must notice.
+    one.record_broken(KEY, endpoint(7), BrokenSend(8.0, 9.0))
+    before = one.digest(9.0)
+    one.record_endpoint_answered(endpoint(7))
+    assert one.digest(9.0) not in {0, before}
 
 
 def test_an_end_that_is_told_after_its_time_is_not_remembered_again() -> None:
