Mutants of the bound of ends: follow the code, and three of its new guards

Added: doubts count like ends, hosts ask for what they missed, sends of failed requests await others. That their tests fail without them was not run for the new ones.

--- a/tests/soak/mutants.py
+++ b/tests/soak/mutants.py
@@ -172,17 +172,34 @@
     "last sends are alone": (
         Edit(
             ENDED_SENDS,
-            "        return frozenset(own | remote)",
-            "        return frozenset()",
+            "            if send.is_trial and send.until_s > now_s",
+            "            if False",
         ),
     ),
     "an endpoint that broke off is probed": (
         Edit(
             "services/gateway/ended_send_tracker.py",
-            "        await self._examine([incarnation])",
+            "        await self._wait_for([self._probe(run.state.entry)])",
             "        pass",
         ),
     ),
+    "doubts count like ends": (
+        Edit(
+            ENDED_SENDS,
+            "        suspects = ended if is_examined else [*ended, *history.undecided(now_s)]",
+            "        suspects = ended",
+        ),
+    ),
+    "hosts ask for what they missed": (
+        Edit(ENDED_EXCHANGE, "            self._ask(heartbeat)", "            pass"),
+    ),
+    "sends of failed requests await others": (
+        Edit(
+            "services/gateway/send_guard.py",
+            "            await self._await_others(send_state)",
+            "            pass",
+        ),
+    ),
 }
 
 _FAILED_ATTEMPTS = "tests/unit/test_failed_attempts_"
@@ -259,6 +276,11 @@
     "a host that has started is told of ends": _ENDED,
     "last sends are alone": (*_ENDED, f"{_FUNCTIONAL}requests_beside_ending_endpoints.py"),
     "an endpoint that broke off is probed": _ENDED,
+    "doubts count like ends": (f"{_FUNCTIONAL}silent_ends_of_endpoints.py",),
+    "hosts ask for what they missed": (f"{_FUNCTIONAL}ends_told_late.py",),
+    "sends of failed requests await others": (
+        f"{_FUNCTIONAL}attempts_at_once_that_end_endpoints.py",
+    ),
 }
 """Tests that should fail without a guard; running them is cheaper than a soak."""
 
