Test of waits for places: one coordinator, held runs and long routes, so that a busy machine does not decide

Change: the test waits until all hosts name one coordinator and all 40 requests run or wait, holds the runs meanwhile, and routes and coordinators' answers get 10 s. Bounds and all other checks unchanged; that all 40 have arrived is new.

--- a/tests/functional/test_answers_without_end.py
+++ b/tests/functional/test_answers_without_end.py
@@ -1,7 +1,6 @@
 """Bytes that endpoints send without end are bounded for a request and a host, and stay there."""
 
 import asyncio
-import copy
 import time
 from collections.abc import Awaitable, Callable, Iterator
 from pathlib import Path
@@ -12,7 +11,6 @@
 
 from bayhinge._internal.services.gateway.held_memory import DEFAULT_BUDGET_BYTES
 from tests.lib.flooding_endpoint import BEGIN_AND_REST_BY_KIND, MARK, FloodingEndpoint
-from tests.lib.platform_data import CONFIGURATION
 from tests.lib.platform_site import PlatformSite, Reply, run_site
 
 pytestmark = pytest.mark.functional
@@ -46,13 +44,7 @@
     """Runs a site whose only endpoint of a service floods."""
 
     async def main(site: PlatformSite) -> None:
-        configuration = copy.deepcopy(CONFIGURATION)
-        configuration["version"] += 1
-        for route in configuration["routes"]:
-            route["timeout_ms"] = ROUTE_TIMEOUT_MS
-        site.store.put("config", "main", configuration)
-        gateway = site.entry_by_name["entry-0"]._gateway
-        await site.until(lambda: gateway.configuration.version == configuration["version"])
+        await site.set_route_timeouts(ROUTE_TIMEOUT_MS)
         service = "llm" if kind in STREAM_KINDS else "app"
         flooding = FloodingEndpoint("i-flood", service, kind)
         await flooding.start()
@@ -60,7 +52,7 @@
             for endpoint in site.engines if service == "llm" else site.services:
                 site.store.remove("servers", endpoint.instance)
             site.store.put("servers", flooding.instance, flooding.entry())
-            table = gateway.endpoint_table
+            table = site.entry_by_name["entry-0"]._gateway.endpoint_table
             await site.until(
                 lambda: (
                     [state.entry.instance for state in table.of_service(service)] == ["i-flood"]
--- a/tests/functional/test_places.py
+++ b/tests/functional/test_places.py
@@ -7,6 +7,7 @@
 import orjson
 import pytest
 
+from bayhinge._internal.services.gateway import coordinator_client
 from bayhinge._internal.services.gateway.metrics import entry_metrics
 from tests.lib.log_lines import collected_lines, lines_of_type
 from tests.lib.platform_site import PlatformSite, run_site
@@ -20,28 +21,61 @@
 """Places of both: the slots, and an overcommit of at most half of them."""
 
 
+LONG_TIMEOUT_S = 10.0
+"""Timeout of routes, of coordinators' answers and of conditions where a busy machine must not
+matter. A host that gets no answer asks the next coordinator, which does not know all grants of the
+first."""
+
+
 def running(site: PlatformSite) -> int:
+    """Returns the number of requests that began to run so far."""
     return sum(len(service.runs) for service in site.services)
 
 
-def test_requests_beyond_the_slots_of_all_endpoints_wait_and_are_served(tmp_path: Path) -> None:
+def waiting(site: PlatformSite) -> int:
+    """Returns the number of requests that wait for a place at any host."""
+    return sum(entry._gateway.placer.wait_counts.waiting for entry in site.entry_by_name.values())
+
+
+def north_coordinators(site: PlatformSite) -> set[str]:
+    """Returns the hosts that are the northern hall's coordinator in the view of any host."""
+    coordinators = [
+        entry._gateway.placer._coordinators.coordinator_of("north")
+        for entry in site.entry_by_name.values()
+    ]
+    return {"" if one is None else one.host for one in coordinators}
+
+
+def test_requests_beyond_the_slots_of_all_endpoints_wait_and_are_served(
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
     """Guards against requests sent to full endpoints, and waits that are lost or not counted."""
+    monkeypatch.setattr(coordinator_client, "ANSWER_S", LONG_TIMEOUT_S)
 
     async def scenario(site: PlatformSite) -> None:
+        await site.set_route_timeouts(round(LONG_TIMEOUT_S * 1000))
+        # Two coordinators grant twice the places until each has heard of the other.
+        await site.until(lambda: len(north_coordinators(site)) == 1, LONG_TIMEOUT_S)
+        may_end = asyncio.Event()
+
+        async def run_until_allowed(*_: Any) -> None:
+            await may_end.wait()
+
         for service in site.services:
-            service.faults.pause_s = 0.3
+            service.begin_run = run_until_allowed  # type: ignore[method-assign, assignment]
         asked = [
             asyncio.ensure_future(site.ask("/act/x", b"pay", at=f"entry-{n % 2 * 2}"))
             for n in range(40)
         ]
-        await asyncio.sleep(0.25)
+        await site.until(lambda: running(site) + waiting(site) == len(asked), LONG_TIMEOUT_S)
         # Sent to the endpoints, more would wait in their own queues, where nobody orders them.
         assert running(site) <= MAX_PLACES
+        may_end.set()
         assert {reply.status for reply in await asyncio.gather(*asked)} == {200}
         assert running(site) == 40
         counts = [entry._gateway.placer.wait_counts for entry in site.entry_by_name.values()]
         assert sum(one.waited for one in counts) >= 40 - MAX_PLACES
-        assert sum(one.waiting for one in counts) == 0
+        assert waiting(site) == 0
         waited = next(
             one for one in site.entry_by_name.values() if one._gateway.placer.wait_counts.waited
         )
--- a/tests/lib/platform_site.py
+++ b/tests/lib/platform_site.py
@@ -1,6 +1,7 @@
 """A small site on loopback: the platform's store, endpoints, disk hosts and entry hosts."""
 
 import asyncio
+import copy
 import itertools
 import os
 from collections.abc import Awaitable, Callable, Mapping
@@ -234,6 +235,23 @@
         async with self.session.get(f"{self.address(at, 1)}/-/readyz") as response:
             return response.status
 
+    async def set_route_timeouts(self, timeout_ms: int) -> None:
+        """Gives all routes a timeout, in milliseconds, and waits until all hosts apply it.
+
+        A busy machine must not end requests in a test that does not depend on the timeouts.
+        """
+        configuration = copy.deepcopy(CONFIGURATION)
+        configuration["version"] += 1
+        for route in configuration["routes"]:
+            route["timeout_ms"] = timeout_ms
+        self.store.put("config", "main", configuration)
+        await self.until(
+            lambda: all(
+                entry._gateway.configuration.version == configuration["version"]
+                for entry in self.entry_by_name.values()
+            )
+        )
+
     async def until(self, condition: Callable[[], bool], limit_s: float = 6.0) -> None:
         async with asyncio.timeout(limit_s):
             while not condition():  # noqa: ASYNC110
