Let a host with a late proof take any fresher one of a peer

Callers saw: 503 config_unknown for all requests with a key at a host that the store rejects, while its peers had valid proofs. Cause: a host asked a peer only while the peer's proof was younger than the renewal time (0.16 of the bound); where the store is slower than that, or the machine is, no proof is ever that young, the host asks the store, is rejected, and then lets no request wait for 1 s. Change: once its own proof is two renewal times old, any proof that is 0.2 s fresher will do; the host with the freshest proof still asks the store itself. The decision is pure (may_ask_peer).

--- a/src/bayhinge/_internal/decisions/freshness_proofs.py
+++ b/src/bayhinge/_internal/decisions/freshness_proofs.py
@@ -21,6 +21,13 @@
 """Share of the bound after which a proof is renewed. Proofs pass between hosts, so most are younger
 than a third of the bound; a partitioned host then still serves for 0.6 of it."""
 
+LATE_RENEWALS = 2
+"""Renewal times after which a host accepts any fresher proof, also one that is due itself: the
+store may reject this host and be slow for its peers."""
+
+MIN_GAIN_S = 0.2
+"""Least difference between two proofs' ages for which a host asks a peer."""
+
 ORDER_DELAY_SHARE = 0.4
 """Each host in the fixed order asks the store this many renewal times after the previous one,
 unless it receives a proof first. Normally only the first one asks."""
@@ -111,6 +118,16 @@
     return [*rank(key, reaching), *rank(key, failing)].index(host)
 
 
+def may_ask_peer(age_s: float, peer_age_s: float, renew_s: float) -> bool:
+    """Whether a host whose proof has an age of ``age_s`` should ask for a peer's proof.
+
+    The host with the freshest proof never asks a peer, so that one host always asks the store.
+    """
+    if peer_age_s > age_s - MIN_GAIN_S:
+        return False
+    return peer_age_s <= renew_s or age_s >= LATE_RENEWALS * renew_s
+
+
 def may_ask_store(age_s: float, place: int, hosts: int, renew_s: float, drawn: float) -> bool:
     """Whether a host at this position should ask the store now.
 
--- a/src/bayhinge/_internal/services/gateway/configuration_proofs.py
+++ b/src/bayhinge/_internal/services/gateway/configuration_proofs.py
@@ -19,6 +19,7 @@
     FreshnessProofs,
     ProofBounds,
     confirmed_by_peer,
+    may_ask_peer,
     may_ask_store,
     place_in_order,
 )
@@ -199,8 +200,10 @@
             for heartbeat in self._gossip.recent_heartbeats(wire.HostRole.ENTRY)
             if heartbeat.proof_age_ms is not None
         }
-        best_s = min(age_by_address.values(), default=math.inf)
-        if best_s > min(age_s - PAUSE_S, bounds.renew_s):
+        if not age_by_address:
+            return None
+        best_s = min(age_by_address.values())
+        if not may_ask_peer(age_s, best_s, bounds.renew_s):
             return None
         return random.choice(
             [
--- a/tests/functional/test_accounts.py
+++ b/tests/functional/test_accounts.py
@@ -28,6 +28,10 @@
 pytestmark = pytest.mark.functional
 
 REVOKE_S = 2.0
+
+SLOW_STORE_S = 0.5
+"""Longer than the age at which proofs are renewed."""
+
 _versions = itertools.count(20)
 
 
@@ -229,6 +233,37 @@
     _run_with_accounts(tmp_path, scenario)
 
 
+def test_a_host_that_the_store_rejects_uses_proofs_that_are_due_at_its_peers(
+    tmp_path: Path,
+) -> None:
+    """Guards against refusals for want of a proof where the store is slow for the other hosts."""
+
+    async def scenario(site: PlatformSite) -> None:
+        proofs_by_name = {name: entry._gateway.proofs for name, entry in site.entry_by_name.items()}
+
+        async def reject(key: str) -> None:
+            raise StoreUnavailableError(key, "rejected")
+
+        def delayed(original: Callable[[str], Awaitable[Any]]) -> Callable[[str], Awaitable[Any]]:
+            async def get(key: str) -> Any:
+                stored = await original(key)
+                await asyncio.sleep(SLOW_STORE_S)
+                return stored
+
+            return get
+
+        for name, proofs in proofs_by_name.items():
+            get = reject if name == "entry-1" else delayed(proofs._store.get)
+            proofs._store.get = get  # type: ignore[method-assign, assignment]
+        for _ in range(12):
+            await asyncio.sleep(REVOKE_S / 6)
+            reply = await site.ask("/look/x", at="entry-1", Authorization=bearing(KEY_OF_DESK))
+            assert reply.status == 200
+        assert proofs_by_name["entry-1"].counts.from_peers > 0
+
+    _run_with_accounts(tmp_path, scenario)
+
+
 def test_a_key_is_checked_again_before_a_delayed_request_is_sent(tmp_path: Path) -> None:
     """The key is revoked while the turn waits for its disks: no endpoint may run it."""
 
--- a/tests/unit/test_configuration_proofs.py
+++ b/tests/unit/test_configuration_proofs.py
@@ -4,8 +4,10 @@
 from collections.abc import AsyncGenerator
 from typing import Any
 
+import pytest
+
 from bayhinge._internal.bench.world.virtual_time import run_virtual
-from bayhinge._internal.decisions.freshness_proofs import ProofBounds, proof_bounds
+from bayhinge._internal.decisions.freshness_proofs import ProofBounds, may_ask_peer, proof_bounds
 from bayhinge._internal.models.site_settings import SiteSettings
 from bayhinge._internal.network.frames import encode_message
 from bayhinge._internal.network.peers import Peers
@@ -209,3 +211,21 @@
         assert host.store.reads == 0
 
     run_virtual(scenario())
+
+
+@pytest.mark.parametrize(
+    ("age_s", "peer_age_s", "expected"),
+    [
+        (0.4, 0.1, True),
+        (0.4, 0.3, False),
+        (0.6, 0.35, False),
+        (0.7, 0.45, True),
+        (0.7, 0.6, False),
+        (float("inf"), 1.5, True),
+    ],
+)
+def test_a_late_host_asks_for_any_fresher_proof(
+    age_s: float, peer_age_s: float, expected: bool
+) -> None:
+    """Guards against refusals although a peer has a proof, and against calls that gain nothing."""
+    assert may_ask_peer(age_s, peer_age_s, renew_s=0.32) is expected
