Calls of the own interface: count endpoints that answer nothing, as connections prove nothing

Callers saw: a call under which endpoints freeze was sent to four more of them in each try. Cause: an endpoint that broke a call off counted only if it refused a connection; the kernel of a process that stands still accepts them. Change: it is asked (HEAD, any status is an answer). While three are lost and one of them in doubt, the refusal is endpoint_failed, may have run, with a delay. Test: three tries of a call whose endpoints freeze reached 12 before, 3 now; once they answer, the call is tried again. Green before and now: a call that hangs at living endpoints is tried four times a try.

--- a/src/bayhinge/_internal/network/endpoint_client.py
+++ b/src/bayhinge/_internal/network/endpoint_client.py
@@ -1,10 +1,9 @@
 """Endpoint clients: engines over the OpenAI chat protocol, and plain services over HTTP."""
 
-import asyncio
 from abc import ABC, abstractmethod
 from collections.abc import AsyncIterator
+from enum import StrEnum
 from typing import Any
-from urllib.parse import urlsplit
 
 import aiohttp
 import attrs
@@ -68,6 +67,20 @@
     between_bytes_s: float = 20.0
 
 
+class SignOfLife(StrEnum):
+    """What an endpoint shows when it is examined.
+
+    Attributes:
+        ANSWERED: it has answered a request.
+        REFUSED: nothing listens at its address, so it has ended.
+        SILENT: it has answered nothing in time.
+    """
+
+    ANSWERED = "answered"
+    REFUSED = "refused"
+    SILENT = "silent"
+
+
 class EndpointClient(ABC):
     """Interface for requests to endpoints."""
 
@@ -107,9 +120,9 @@
             EndpointError: there is no complete answer; the error tells if the request may have run.
         """
 
-    async def refuses_connections(self, address: str) -> bool:
-        """Whether nothing listens at an endpoint's address any more, as far as can be told."""
-        return False
+    async def examine(self, address: str) -> SignOfLife:
+        """Returns what an endpoint shows that broke a request off."""
+        return SignOfLife.ANSWERED
 
     async def close(self) -> None:
         """Closes the connections."""
@@ -135,18 +148,18 @@
         if self._session is not None:
             await self._session.close()
 
-    async def refuses_connections(self, address: str) -> bool:
+    async def examine(self, address: str) -> SignOfLife:
         """See :class:`EndpointClient`."""
-        url = urlsplit(address)
+        timeout = call_timeout(self._times.connect_s)
         try:
-            async with asyncio.timeout(self._times.connect_s):
-                _, writer = await asyncio.open_connection(url.hostname, url.port)
-        except ConnectionRefusedError:
-            return True
-        except (OSError, TimeoutError):
-            return False
-        writer.close()
-        return False
+            # Any status is an answer; a connection alone is none, as the kernel accepts it.
+            async with self._open_session().head(address, timeout=timeout, allow_redirects=False):
+                return SignOfLife.ANSWERED
+        except aiohttp.ClientConnectorError as error:
+            is_refused = isinstance(error.os_error, ConnectionRefusedError)
+            return SignOfLife.REFUSED if is_refused else SignOfLife.SILENT
+        except (aiohttp.ClientError, TimeoutError, ConnectionError):
+            return SignOfLife.SILENT
 
     async def complete(
         self, endpoint: str, address: str, request: EngineRequest
--- a/src/bayhinge/_internal/services/call_runner.py
+++ b/src/bayhinge/_internal/services/call_runner.py
@@ -19,7 +19,12 @@
 from bayhinge._internal.models.programs import ProgramState
 from bayhinge._internal.models.refusals import Figure, RefusalCode, RefusedError, SendRecord
 from bayhinge._internal.models.settings import Settings
-from bayhinge._internal.network.endpoint_client import EndpointClient, EngineChunk, EngineRequest
+from bayhinge._internal.network.endpoint_client import (
+    EndpointClient,
+    EngineChunk,
+    EngineRequest,
+    SignOfLife,
+)
 from bayhinge._internal.services.answers import LiveAnswer
 from bayhinge._internal.services.ended_calls import EndedCalls
 from bayhinge._internal.services.grants import GrantedEndpoint, GrantSource
@@ -27,6 +32,12 @@
 
 MAX_ATTEMPTS = 4
 """Sends of one repeatable call, including the first."""
+LOSS_BY_SIGN = {
+    SignOfLife.REFUSED: ("endpoint ended", "it broke the call off and refuses connections"),
+    SignOfLife.SILENT: ("endpoint in doubt", "it broke the call off and answers nothing"),
+}
+"""What the timeline says of endpoints that are counted, and why."""
+
 FIRST_BACKOFF_S = 0.05
 RETRY_AFTER_S = 2.0
 """``retry_after_s`` of refusals."""
@@ -164,7 +175,7 @@
     async def _request_endpoint(
         self, pool: str, prepared: PreparedCall, progress: _Progress
     ) -> GrantedEndpoint:
-        self._ended_calls.check(_key_of(prepared))
+        await self._ended_calls.check(_key_of(prepared))
         now = asyncio.get_running_loop().time()
         patience_s = prepared.deadline - now
         if patience_s <= 0:
@@ -359,11 +370,7 @@
             endpoint=error.endpoint,
         )
         if error.may_have_run and not error.draining:
-            ended = await self._ended_calls.record_failure(_key_of(prepared), granted)
-            if ended:
-                why = "it broke the call off and refuses connections"
-                figures = (Figure("endpoints_ended", ended),)
-                self._record(prepared, "endpoint ended", why, *figures, endpoint=error.endpoint)
+            await self._record_lost(prepared, granted)
         if error.may_have_run and not prepared.call.repeatable:
             why = (
                 f"endpoint {error.endpoint} gave no answer ({error.why}); "
@@ -382,6 +389,16 @@
             max_s = FIRST_BACKOFF_S * 2**progress.attempts
             await asyncio.sleep(max_s * (0.5 + self._random_unit() / 2))
 
+    async def _record_lost(self, prepared: PreparedCall, granted: GrantedEndpoint) -> None:
+        """Counts an endpoint that broke a call off, unless it still answers."""
+        key = _key_of(prepared)
+        sign = await self._ended_calls.record_failure(key, granted)
+        if sign is SignOfLife.ANSWERED:
+            return
+        what, why = LOSS_BY_SIGN[sign]
+        figure = Figure("endpoints_lost", self._ended_calls.lost_count(key))
+        self._record(prepared, what, why, figure, endpoint=granted.endpoint)
+
     def _record(
         self, prepared: PreparedCall, what: str, why: str, *figures: Figure, endpoint: str = ""
     ) -> None:
--- a/src/bayhinge/_internal/services/ended_calls.py
+++ b/src/bayhinge/_internal/services/ended_calls.py
@@ -6,7 +6,7 @@
 
 import asyncio
 
-from bayhinge._internal.decisions.ended_send_history import BrokenSend, RequestKey
+from bayhinge._internal.decisions.ended_send_history import MAX_DOUBT_S, BrokenSend, RequestKey
 from bayhinge._internal.decisions.ended_sends import EndedSends, Permission
 from bayhinge._internal.models.endpoint_entries import EndpointIncarnation
 from bayhinge._internal.models.refusals import (
@@ -16,51 +16,97 @@
     RefusedError,
     RunState,
 )
-from bayhinge._internal.network.endpoint_client import EndpointClient
+from bayhinge._internal.network.endpoint_client import EndpointClient, SignOfLife
 from bayhinge._internal.services.grants import GrantedEndpoint
 
+DOUBT_RETRY_S = 1.0
+"""Retry delay for a call whose endpoints may all have ended under it; an examination takes less."""
+
 
 class EndedCalls:
-    """The calls of one owner under which endpoints ended."""
+    """The calls of one owner under which endpoints ended or fell silent."""
 
     def __init__(self, endpoints: EndpointClient) -> None:
         self._endpoints = endpoints
         self._sends = EndedSends()
+        self._address_by_incarnation: dict[EndpointIncarnation, str] = {}
 
-    def check(self, key: RequestKey) -> None:
-        """Refuses a call under which too many endpoints have ended.
+    async def check(self, key: RequestKey) -> None:
+        """Refuses a call under which too many endpoints have ended, or may have.
 
         Raises:
             RefusedError: as may have run, for it was sent to those endpoints.
         """
-        now = asyncio.get_running_loop().time()
-        if self._sends.permission(key, now, is_examined=True) is not Permission.WITHHELD:
-            return
+        permission = self._sends.permission(key, _now())
+        if permission is Permission.EXAMINE:
+            await self._examine_undecided(key)
+            permission = self._sends.permission(key, _now())
         ended = len(self._sends.ended(key))
-        why = f"{ended} endpoints ended while they ran this call; it is sent to no other one"
-        raise RefusedError(
-            Refusal(
-                RefusalCode.ENDS_ENDPOINTS,
-                RunState.MAY_HAVE_RUN,
-                why,
-                (Figure("endpoints_ended", ended),),
-            )
-        )
-
-    async def record_failure(self, key: RequestKey, granted: GrantedEndpoint) -> int:
-        """Records an endpoint that broke a call off, if it has ended.
-
-        Returns how many endpoints have ended under the call, 0 if this one has not.
-        """
-        if not await self._endpoints.refuses_connections(granted.address):
-            return 0
-        now = asyncio.get_running_loop().time()
-        self._sends.forget_old(now)
-        # Endpoints restart under their ids, so each end is told apart by its time.
-        incarnation = EndpointIncarnation(granted.endpoint, round(now * 1000))
-        self._sends.record_ended(key, incarnation, BrokenSend(now, now), now)
-        return len(self._sends.ended(key))
+        if permission is Permission.WITHHELD:
+            raise RefusedError(_ends_endpoints(ended))
+        if permission is Permission.EXAMINE:
+            in_doubt = len(self._sends.undecided(key, _now()))
+            raise RefusedError(_in_doubt(ended, in_doubt))
+
+    async def record_failure(self, key: RequestKey, granted: GrantedEndpoint) -> SignOfLife:
+        """Examines an endpoint that broke a call off; counts it unless it answers."""
+        failed_s = _now()
+        sign = await self._endpoints.examine(granted.address)
+        if sign is SignOfLife.ANSWERED:
+            return sign
+        self._forget_old()
+        # Endpoints restart under their ids, so each failure is told apart by its time.
+        incarnation = EndpointIncarnation(granted.endpoint, round(failed_s * 1000))
+        send = BrokenSend(failed_s, failed_s, doubt_ends_s=failed_s + MAX_DOUBT_S)
+        if sign is SignOfLife.REFUSED:
+            self._sends.record_ended(key, incarnation, send, failed_s)
+        else:
+            self._sends.record_broken(key, incarnation, send)
+            self._address_by_incarnation[incarnation] = granted.address
+        return sign
+
+    def lost_count(self, key: RequestKey) -> int:
+        """Returns how many endpoints have ended under a call, or are silent since."""
+        return len(self._sends.ended(key)) + len(self._sends.undecided(key, _now()))
 
     def record_answer(self, key: RequestKey) -> None:
         """Forgets a call that was answered."""
         self._sends.forget(key)
+
+    async def _examine_undecided(self, key: RequestKey) -> None:
+        """Examines the endpoints that fell silent under a call, all at once."""
+        undecided = [
+            (incarnation, self._address_by_incarnation[incarnation])
+            for incarnation in self._sends.undecided(key, _now())
+        ]
+        signs = await asyncio.gather(*(self._endpoints.examine(each) for _, each in undecided))
+        for (incarnation, _), sign in zip(undecided, signs, strict=True):
+            if sign is SignOfLife.ANSWERED:
+                self._sends.record_endpoint_answered(incarnation)
+            elif sign is SignOfLife.REFUSED:
+                self._sends.record_endpoint_ended(incarnation, _now())
+
+    def _forget_old(self) -> None:
+        now = _now()
+        self._sends.forget_old(now)
+        self._address_by_incarnation = {
+            incarnation: address
+            for incarnation, address in self._address_by_incarnation.items()
+            if self._sends.has_undecided(incarnation, now)
+        }
+
+
+def _ends_endpoints(ended: int) -> Refusal:
+    why = f"{ended} endpoints ended while they ran this call; it is sent to no other one"
+    figure = Figure("endpoints_ended", ended)
+    return Refusal(RefusalCode.ENDS_ENDPOINTS, RunState.MAY_HAVE_RUN, why, (figure,))
+
+
+def _in_doubt(ended: int, in_doubt: int) -> Refusal:
+    why = f"{ended} endpoints ended while they ran this call, and {in_doubt} have been silent since"
+    figures = (Figure("endpoints_ended", ended), Figure("endpoints_in_doubt", in_doubt))
+    return Refusal(RefusalCode.ENDPOINT_FAILED, RunState.MAY_HAVE_RUN, why, figures, DOUBT_RETRY_S)
+
+
+def _now() -> float:
+    return asyncio.get_running_loop().time()
--- a/tests/functional/test_calls_that_end_endpoints.py
+++ b/tests/functional/test_calls_that_end_endpoints.py
@@ -26,18 +26,34 @@
 MAX_ENDED = 3
 PROGRAM = ProgramId("host~0123456789ab", 1)
 ACCOUNT = cast(ClientAccount, SimpleNamespace(name="a", priority=0, weight=1.0))
+TIMEOUT_S = 0.4
+"""Timeout of calls; short, as those to frozen endpoints last so long."""
+
+FROZEN_S = 30.0
 SETTINGS = cast(
-    Settings, SimpleNamespace(services_by_name={"app": ServiceSettings("app", timeout_seconds=2.0)})
+    Settings,
+    SimpleNamespace(services_by_name={"app": ServiceSettings("app", timeout_seconds=TIMEOUT_S)}),
 )
 
 
 @attrs.define
 class Endpoints(GrantSource):
-    """Endpoints on loopback, each of which gets one call."""
-
-    ends: bool
+    """Endpoints on loopback, each of which gets one call.
+
+    Attributes:
+        ends: they stop listening under a call.
+        freezes: they answer nothing from a call on; the kernel goes on accepting connections.
+        hangs: they don't answer the call, but everything else.
+        moves_on: frozen endpoints answer again.
+    """
+
+    ends: bool = False
+    freezes: bool = False
+    hangs: bool = False
     calls: int = 0
     ended: int = 0
+    moves_on: asyncio.Event = attrs.field(factory=asyncio.Event)
+    _frozen: set[int] = attrs.field(factory=set)
     _servers: list[asyncio.Server] = attrs.field(factory=list)
 
     async def request(self, pool: str, offer: Offer) -> GrantedEndpoint:
@@ -48,9 +64,21 @@
         return GrantedEndpoint(offer.grant, "cell", name, f"http://127.0.0.1:{port}", 0.0, "")
 
     async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
-        if not await reader.read(1):
+        head = await reader.readline()
+        if not head:
+            return
+        port = writer.get_extra_info("sockname")[1]
+        if port in self._frozen:
+            await self.moves_on.wait()
+        if head.startswith(b"HEAD"):
+            writer.write(b"HTTP/1.1 404 Not Found\r\nContent-Length: 0\r\n\r\n")
+            writer.close()
             return
         self.calls += 1
+        if self.freezes:
+            self._frozen.add(port)
+        if self.freezes or self.hangs:
+            await asyncio.sleep(FROZEN_S)
         if self.ends:
             self.ended += 1
             self._servers[-1].close()
@@ -78,7 +106,7 @@
     """Runs a scenario, which gets a function that makes one try of a call."""
 
     async def main() -> None:
-        client = HttpEndpointClient(EndpointTimeouts(1.0, 1.0, 1.0))
+        client = HttpEndpointClient(EndpointTimeouts(connect_s=0.4))
         timeline = Timeline("host", HybridClock(SystemClock()))
         runner = CallRunner("host~0123456789ab", SETTINGS, endpoints, client, timeline, lambda: 0.5)
 
@@ -117,3 +145,33 @@
             assert endpoints.calls == 4 * number
 
     run_with(endpoints, scenario)
+
+
+def test_a_call_whose_endpoints_freeze_under_it_ends_three() -> None:
+    """Guards against a connection that is taken for a sign of life."""
+    endpoints = Endpoints(freezes=True)
+
+    async def scenario(try_call: Callable[[str], Awaitable[RefusedError]]) -> None:
+        for _ in range(3):
+            refusal = (await try_call("d")).refusal
+            assert refusal.code is RefusalCode.ENDPOINT_FAILED
+            assert refusal.run_state is RunState.MAY_HAVE_RUN
+            assert refusal.retry_after_s
+        assert endpoints.calls == MAX_ENDED
+        # They were in doubt alone: once they answer, the call is tried again.
+        endpoints.moves_on.set()
+        await try_call("d")
+        assert endpoints.calls == MAX_ENDED + 4
+
+    run_with(endpoints, scenario)
+
+
+def test_a_call_that_hangs_at_living_endpoints_is_tried_as_before() -> None:
+    endpoints = Endpoints(hangs=True)
+
+    async def scenario(try_call: Callable[[str], Awaitable[RefusedError]]) -> None:
+        for number in range(1, 3):
+            assert (await try_call("d")).refusal.code is RefusalCode.ENDPOINT_FAILED
+            assert endpoints.calls == 4 * number
+
+    run_with(endpoints, scenario)
