--- a/idl/peer.thrift
+++ b/idl/peer.thrift
@@ -176,6 +176,16 @@
   14: optional binary failure,
 }
 
+// An endpoint that broke off the next call of a program. Without has_ended it answered nothing since.
+struct EndpointLost {
+  1: required string program,
+  2: required string digest,
+  3: required string endpoint,
+  4: required string address,
+  5: required bool has_ended,
+  6: required i64 lost_at_ms,
+}
+
 struct ProgramEnded {
   1: required string program,
   2: required string reason,
@@ -189,6 +199,7 @@
   5: optional CallStarted unfinished,
   6: optional string ended,
   7: required double attained_s,
+  8: optional list<EndpointLost> lost_endpoints,
 }
 
 // The start of this call was recorded, and then nothing was sent.
@@ -204,4 +215,5 @@
   4: ProgramEnded ended,
   5: ProgramAdopted adopted,
   6: CallWithdrawn withdrawn,
+  7: EndpointLost lost,
 }
--- a/src/bayhinge/_internal/bench/world/endpoints.py
+++ b/src/bayhinge/_internal/bench/world/endpoints.py
@@ -16,6 +16,7 @@
     EngineChunk,
     EngineRequest,
     ServiceAnswer,
+    SignOfLife,
 )
 from bayhinge._internal.network.endpoint_list import EndpointList
 from bayhinge_standins.engine import answer_words, prompt_parts
@@ -25,6 +26,7 @@
 SERVICE_S = 0.05
 HANG_TIMEOUT_S = 5.0
 ANSWER_TOKENS = 10
+ADDRESS_PREFIX = "at-"
 
 
 @attrs.frozen
@@ -64,7 +66,9 @@
     def add(self, name: str, pool: str, hall: str) -> None:
         """Adds a live endpoint to the list."""
         self.faults_by_endpoint[name] = EndpointFaults()
-        self.listed.append(Endpoint(name, pool, hall, f"at-{name}", ListedEndpointState.LIVE))
+        self.listed.append(
+            Endpoint(name, pool, hall, f"{ADDRESS_PREFIX}{name}", ListedEndpointState.LIVE)
+        )
 
     def mark_leaving(self, name: str) -> None:
         """Lists an endpoint as leaving."""
@@ -115,6 +119,9 @@
             )
         )
         records.engine_tokens_by_program[body["program"]] += prompt_tokens
+        if faults.ends:
+            faults.down = True
+            raise EndpointError(endpoint, "the connection broke", may_have_run=True)
         if faults.hang:
             await asyncio.sleep(HANG_TIMEOUT_S)
             raise EndpointError(endpoint, "no response in time", may_have_run=True)
@@ -136,6 +143,14 @@
             yield EngineChunk(word)
         yield EngineChunk("", None, "stop", Usage(prompt_tokens, sent, 0))
 
+    async def examine(self, address: str) -> SignOfLife:
+        """See :class:`EndpointClient`."""
+        await self._gate.pass_through()
+        faults = self._world.faults_by_endpoint[address.removeprefix(ADDRESS_PREFIX)]
+        if faults.down:
+            return SignOfLife.REFUSED
+        return SignOfLife.SILENT if faults.hang else SignOfLife.ANSWERED
+
     async def cancel(self, address: str, request_id: str) -> None:
         """See :class:`EndpointClient`."""
         await self._gate.pass_through()
--- a/src/bayhinge/_internal/models/programs.py
+++ b/src/bayhinge/_internal/models/programs.py
@@ -13,6 +13,9 @@
 
 EMPTY_DIGEST = ""
 
+MAX_LOST_ENDPOINTS = 8
+"""Lost endpoints remembered of a program's next call; more than may end under it."""
+
 
 @attrs.define
 class CallEntry:
@@ -40,9 +43,30 @@
     endpoint: str
 
 
+@attrs.frozen
+class LostEndpoint:
+    """An endpoint that broke off a program's next call.
+
+    Attributes:
+        digest: of the call.
+        has_ended: it has ended; otherwise it answered nothing.
+        lost_at_ms: when, on the wall clock of the host that sent the call.
+    """
+
+    digest: str
+    endpoint: str
+    address: str
+    has_ended: bool
+    lost_at_ms: int
+
+
 @attrs.define
 class ProgramState:
-    """The state of a program at its owner, except for message bytes."""
+    """The state of a program at its owner, except for message bytes.
+
+    Attributes:
+        lost_endpoints: those that broke off the next call, so that a successor knows of them.
+    """
 
     program_id: ProgramId
     account: str
@@ -55,6 +79,9 @@
     attained_s: float = 0.0
     ended: str | None = None
     unfinished: UnfinishedCall | None = None
+    lost_endpoints: deque[LostEndpoint] = attrs.field(
+        factory=lambda: deque(maxlen=MAX_LOST_ENDPOINTS)
+    )
     recent_digests: deque[str] = attrs.field(factory=lambda: deque(maxlen=64))
 
     @property
--- a/src/bayhinge/_internal/services/adoption.py
+++ b/src/bayhinge/_internal/services/adoption.py
@@ -29,6 +29,7 @@
     decode_record,
     encode_adopted,
     encode_finished,
+    lost_from_wire,
     program_of,
     state_from_adopted,
     state_from_opened,
@@ -322,6 +323,8 @@
         state.unfinished = unfinished_from_wire(body.started)
     elif body.withdrawn is not None:
         state.unfinished = None
+    elif body.lost is not None:
+        state.lost_endpoints.append(lost_from_wire(body.lost))
     elif body.ended is not None:
         state.ended = body.ended.reason
     elif body.finished is not None:
--- a/src/bayhinge/_internal/services/call_runner.py
+++ b/src/bayhinge/_internal/services/call_runner.py
@@ -16,27 +16,25 @@
 from bayhinge._internal.models.calls import AnswerEnd, Call, ModelCall, ServiceCall, Usage
 from bayhinge._internal.models.events import Mechanism
 from bayhinge._internal.models.messages import build_request_body, estimate_tokens, merge_tool_calls
-from bayhinge._internal.models.programs import ProgramState
+from bayhinge._internal.models.programs import LostEndpoint, ProgramState
 from bayhinge._internal.models.refusals import Figure, RefusalCode, RefusedError, SendRecord
 from bayhinge._internal.models.settings import Settings
 from bayhinge._internal.network.endpoint_client import (
     EndpointClient,
     EngineChunk,
     EngineRequest,
-    SignOfLife,
 )
 from bayhinge._internal.services.answers import LiveAnswer
 from bayhinge._internal.services.ended_calls import EndedCalls
 from bayhinge._internal.services.grants import GrantedEndpoint, GrantSource
 from bayhinge._internal.services.timeline import Timeline
+from bayhinge.coordination.clock import Clock
 
 MAX_ATTEMPTS = 4
 """Sends of one repeatable call, including the first."""
-LOSS_BY_SIGN = {
-    SignOfLife.REFUSED: ("endpoint ended", "it broke the call off and refuses connections"),
-    SignOfLife.SILENT: ("endpoint in doubt", "it broke the call off and answers nothing"),
-}
-"""What the timeline says of endpoints that are counted, and why."""
+ENDED = ("endpoint ended", "it broke the call off and refuses connections")
+IN_DOUBT = ("endpoint in doubt", "it broke the call off and answers nothing")
+"""What the timeline says of endpoints that are lost, and why."""
 
 FIRST_BACKOFF_S = 0.05
 RETRY_AFTER_S = 2.0
@@ -49,7 +47,7 @@
 
     ``prompt`` is the whole message list of a model call, encoded. ``deadline`` is on the
     loop's clock. ``extend_budget`` reserves more tokens before a model call is sent again,
-    or refuses the call.
+    or refuses the call. ``record_lost`` makes durable which endpoint was lost under it.
     """
 
     state: ProgramState
@@ -59,6 +57,7 @@
     prompt: tuple[bytes, ...]
     deadline: float
     extend_budget: Callable[[int, SendRecord], Awaitable[None]] | None = None
+    record_lost: Callable[[LostEndpoint], Awaitable[None]] | None = None
 
 
 @attrs.frozen
@@ -111,6 +110,7 @@
         endpoints: EndpointClient,
         timeline: Timeline,
         random_unit: Callable[[], float],
+        clock: Clock,
     ) -> None:
         self._incarnation = incarnation
         self._settings = settings
@@ -119,7 +119,7 @@
         self._timeline = timeline
         self._random_unit = random_unit
         self._background: set[asyncio.Task[None]] = set()
-        self._ended_calls = EndedCalls(endpoints)
+        self._ended_calls = EndedCalls(endpoints, clock)
 
     async def run_model(self, prepared: PreparedCall, live: LiveAnswer) -> CallResult:
         """Runs a model call; resumes its stream at another engine after a failure.
@@ -175,7 +175,10 @@
     async def _request_endpoint(
         self, pool: str, prepared: PreparedCall, progress: _Progress
     ) -> GrantedEndpoint:
-        await self._ended_calls.check(_key_of(prepared))
+        recorded = (
+            lost for lost in prepared.state.lost_endpoints if lost.digest == prepared.call.digest
+        )
+        await self._ended_calls.check(_key_of(prepared), recorded)
         now = asyncio.get_running_loop().time()
         patience_s = prepared.deadline - now
         if patience_s <= 0:
@@ -392,12 +395,14 @@
     async def _record_lost(self, prepared: PreparedCall, granted: GrantedEndpoint) -> None:
         """Counts an endpoint that broke a call off, unless it still answers."""
         key = _key_of(prepared)
-        sign = await self._ended_calls.record_failure(key, granted)
-        if sign is SignOfLife.ANSWERED:
+        lost = await self._ended_calls.record_failure(key, prepared.call.digest, granted)
+        if lost is None:
             return
-        what, why = LOSS_BY_SIGN[sign]
+        what, why = ENDED if lost.has_ended else IN_DOUBT
         figure = Figure("endpoints_lost", self._ended_calls.lost_count(key))
         self._record(prepared, what, why, figure, endpoint=granted.endpoint)
+        if prepared.record_lost is not None:
+            await prepared.record_lost(lost)
 
     def _record(
         self, prepared: PreparedCall, what: str, why: str, *figures: Figure, endpoint: str = ""
--- a/src/bayhinge/_internal/services/ended_calls.py
+++ b/src/bayhinge/_internal/services/ended_calls.py
@@ -1,14 +1,16 @@
 """Bounds how many endpoints one call of a program may end, over all tries of its caller.
 
-A program's owner sends all its calls, so nothing has to be told to other hosts. A host that takes
-a program over does not know of the ends before.
+A program's owner sends all its calls, so nothing has to be told to other hosts. The endpoints that
+were lost stand in the program's journal for a host that takes it over.
 """
 
 import asyncio
+from collections.abc import Iterable
 
 from bayhinge._internal.decisions.ended_send_history import MAX_DOUBT_S, BrokenSend, RequestKey
 from bayhinge._internal.decisions.ended_sends import EndedSends, Permission
 from bayhinge._internal.models.endpoint_entries import EndpointIncarnation
+from bayhinge._internal.models.programs import LostEndpoint
 from bayhinge._internal.models.refusals import (
     Figure,
     Refusal,
@@ -18,6 +20,10 @@
 )
 from bayhinge._internal.network.endpoint_client import EndpointClient, SignOfLife
 from bayhinge._internal.services.grants import GrantedEndpoint
+from bayhinge.coordination.clock import Clock
+
+MILLISECONDS = 1000.0
+"""Milliseconds in a second."""
 
 DOUBT_RETRY_S = 1.0
 """Retry delay for a call whose endpoints may all have ended under it; an examination takes less."""
@@ -26,17 +32,24 @@
 class EndedCalls:
     """The calls of one owner under which endpoints ended or fell silent."""
 
-    def __init__(self, endpoints: EndpointClient) -> None:
+    def __init__(self, endpoints: EndpointClient, clock: Clock) -> None:
         self._endpoints = endpoints
+        self._clock = clock
         self._sends = EndedSends()
         self._address_by_incarnation: dict[EndpointIncarnation, str] = {}
 
-    async def check(self, key: RequestKey) -> None:
+    async def check(self, key: RequestKey, recorded: Iterable[LostEndpoint]) -> None:
         """Refuses a call under which too many endpoints have ended, or may have.
 
+        Args:
+            key: the call over all its tries.
+            recorded: what its program's journal tells of it; a former owner may have written it.
+
         Raises:
             RefusedError: as may have run, for it was sent to those endpoints.
         """
+        if not self._sends.failures(key):
+            self._restore(key, recorded)
         permission = self._sends.permission(key, _now())
         if permission is Permission.EXAMINE:
             await self._examine_undecided(key)
@@ -48,22 +61,37 @@
             in_doubt = len(self._sends.undecided(key, _now()))
             raise RefusedError(_in_doubt(ended, in_doubt))
 
-    async def record_failure(self, key: RequestKey, granted: GrantedEndpoint) -> SignOfLife:
-        """Examines an endpoint that broke a call off; counts it unless it answers."""
-        failed_s = _now()
+    async def record_failure(
+        self, key: RequestKey, digest: str, granted: GrantedEndpoint
+    ) -> LostEndpoint | None:
+        """Examines an endpoint that broke a call off; returns None if it answers."""
+        failed_s, failed_at_ms = _now(), self._clock.wall_ms()
         sign = await self._endpoints.examine(granted.address)
         if sign is SignOfLife.ANSWERED:
-            return sign
+            return None
+        has_ended = sign is SignOfLife.REFUSED
+        lost = LostEndpoint(digest, granted.endpoint, granted.address, has_ended, failed_at_ms)
         self._forget_old()
-        # Endpoints restart under their ids, so each failure is told apart by its time.
-        incarnation = EndpointIncarnation(granted.endpoint, round(failed_s * 1000))
-        send = BrokenSend(failed_s, failed_s, doubt_ends_s=failed_s + MAX_DOUBT_S)
-        if sign is SignOfLife.REFUSED:
-            self._sends.record_ended(key, incarnation, send, failed_s)
+        self._add(key, lost, failed_s)
+        return lost
+
+    def _restore(self, key: RequestKey, recorded: Iterable[LostEndpoint]) -> None:
+        """Counts the endpoints that a former owner lost."""
+        wall_ms = self._clock.wall_ms()
+        for lost in recorded:
+            # The clocks of hosts differ, so the loss may seem to lie ahead.
+            age_s = max(0.0, (wall_ms - lost.lost_at_ms) / MILLISECONDS)
+            self._add(key, lost, _now() - age_s)
+
+    def _add(self, key: RequestKey, lost: LostEndpoint, lost_s: float) -> None:
+        # Endpoints restart under their ids, so each loss is told apart by its time.
+        incarnation = EndpointIncarnation(lost.endpoint, lost.lost_at_ms)
+        send = BrokenSend(lost_s, lost_s, doubt_ends_s=lost_s + MAX_DOUBT_S)
+        if lost.has_ended:
+            self._sends.record_ended(key, incarnation, send, _now())
         else:
             self._sends.record_broken(key, incarnation, send)
-            self._address_by_incarnation[incarnation] = granted.address
-        return sign
+            self._address_by_incarnation[incarnation] = lost.address
 
     def lost_count(self, key: RequestKey) -> int:
         """Returns how many endpoints have ended under a call, or are silent since."""
--- a/src/bayhinge/_internal/services/host_parts.py
+++ b/src/bayhinge/_internal/services/host_parts.py
@@ -122,7 +122,13 @@
     dispatcher = QueueDispatcher(settings, external.endpoints, timeline)
     grants = RemoteGrants(membership, dispatcher, peers)
     runner = CallRunner(
-        incarnation, settings, grants, external.endpoints, timeline, external.random_unit
+        incarnation,
+        settings,
+        grants,
+        external.endpoints,
+        timeline,
+        external.random_unit,
+        external.clock,
     )
     owner_parts = OwnerParts(
         settings=settings,
--- a/src/bayhinge/_internal/services/owner.py
+++ b/src/bayhinge/_internal/services/owner.py
@@ -21,7 +21,12 @@
 from bayhinge._internal.models.calls import AnswerItem, Call, ModelCall
 from bayhinge._internal.models.events import Mechanism
 from bayhinge._internal.models.messages import assistant_message, estimate_tokens
-from bayhinge._internal.models.programs import CallEntry, ProgramState, UnfinishedCall
+from bayhinge._internal.models.programs import (
+    CallEntry,
+    LostEndpoint,
+    ProgramState,
+    UnfinishedCall,
+)
 from bayhinge._internal.models.refusals import (
     Figure,
     Refusal,
@@ -47,6 +52,7 @@
     apply_finished,
     decode_record,
     encode_finished,
+    encode_lost,
     encode_started,
     encode_withdrawn,
     end_from_wire,
@@ -63,6 +69,9 @@
 
 BUDGET_RETRY_AFTER_S = 5.0
 
+RECORD_LOST_S = 1.0
+"""Longest wait for the record of a lost endpoint, some times longer than a write usually takes."""
+
 
 @attrs.frozen
 class _Admitted:
@@ -261,8 +270,15 @@
         refusal = next(check_limits(account, state, call), None)
         if refusal is not None:
             raise RefusedError(refusal)
+
+        async def record_lost(lost: LostEndpoint) -> None:
+            await self._record_lost(state, lost)
+
         if not isinstance(call.work, ModelCall):
-            return _Admitted(PreparedCall(state, account, call, index, (), deadline), None, None)
+            prepared = PreparedCall(
+                state, account, call, index, (), deadline, record_lost=record_lost
+            )
+            return _Admitted(prepared, None, None)
         new_messages = find_new_messages(state, call.work)
         if new_messages.is_error():
             raise RefusedError(new_messages.error)
@@ -272,7 +288,9 @@
         async def extend_budget(units: int, send_record: SendRecord) -> None:
             await self._extend_reservation(account, reservation, units, send_record)
 
-        prepared = PreparedCall(state, account, call, index, prompt, deadline, extend_budget)
+        prepared = PreparedCall(
+            state, account, call, index, prompt, deadline, extend_budget, record_lost
+        )
         return _Admitted(prepared, new_messages.ok, reservation)
 
     async def _build_prompt(
@@ -306,6 +324,24 @@
         except CoordinationError as error:
             raise RefusedError(_budget_refusal(account, send_record, error)) from error
 
+    async def _record_lost(self, state: ProgramState, lost: LostEndpoint) -> None:
+        """Records an endpoint that was lost under a call, before the call is sent on.
+
+        The call goes on if the store is slow: a successor then counts one endpoint less.
+        """
+        state.lost_endpoints.append(lost)
+        try:
+            durable = self._parts.journal.append(encode_lost(state.program_id, lost))
+            async with asyncio.timeout(RECORD_LOST_S):
+                await asyncio.shield(durable)
+        except (TimeoutError, FencedError, JournalFullError) as error:
+            logger.warning(
+                "the loss of endpoint %s under a call of %s could not be recorded in time: %r",
+                lost.endpoint,
+                state.program_id,
+                error,
+            )
+
     # ---- calls that may not be repeated ----
 
     async def _run_service(self, program: OwnedProgram, prepared: PreparedCall) -> CallResult:
--- a/src/bayhinge/_internal/services/record_codec.py
+++ b/src/bayhinge/_internal/services/record_codec.py
@@ -2,7 +2,12 @@
 
 from bayhinge._internal.models.calls import AnswerEnd, CallKind, Usage
 from bayhinge._internal.models.ids import ProgramId, parse_program_id
-from bayhinge._internal.models.programs import CallEntry, ProgramState, UnfinishedCall
+from bayhinge._internal.models.programs import (
+    CallEntry,
+    LostEndpoint,
+    ProgramState,
+    UnfinishedCall,
+)
 from bayhinge._internal.network.frames import decode_message, encode_message
 from bayhinge._internal.wire import ttypes as wire
 from bayhinge.coordination.errors import CorruptObjectError
@@ -26,6 +31,11 @@
     return encode_message(wire.Record(withdrawn=wire.CallWithdrawn(str(program), index)))
 
 
+def encode_lost(program: ProgramId, lost: LostEndpoint) -> bytes:
+    """Encodes the loss of an endpoint under a program's next call."""
+    return encode_message(wire.Record(lost=_lost(program, lost)))
+
+
 def encode_ended(program: ProgramId, reason: str) -> bytes:
     """Encodes the end of a program."""
     return encode_message(wire.Record(ended=wire.ProgramEnded(str(program), reason)))
@@ -60,6 +70,7 @@
         unfinished,
         state.ended,
         state.attained_s,
+        [_lost(state.program_id, lost) for lost in state.lost_endpoints],
     )
     return encode_message(wire.Record(adopted=adopted))
 
@@ -80,7 +91,14 @@
     """Returns the identifier of the program that a record belongs to."""
     if record.adopted is not None:
         return str(record.adopted.opened.program)
-    body = record.opened or record.started or record.finished or record.ended or record.withdrawn
+    body = (
+        record.opened
+        or record.started
+        or record.finished
+        or record.ended
+        or record.withdrawn
+        or record.lost
+    )
     return str(body.program)
 
 
@@ -116,9 +134,15 @@
         state.recent_digests.append(entry.digest)
     if adopted.unfinished is not None:
         state.unfinished = unfinished_from_wire(adopted.unfinished)
+    state.lost_endpoints.extend(map(lost_from_wire, adopted.lost_endpoints or ()))
     return state
 
 
+def lost_from_wire(lost: wire.EndpointLost) -> LostEndpoint:
+    """Returns the endpoint that was lost under a call."""
+    return LostEndpoint(lost.digest, lost.endpoint, lost.address, lost.has_ended, lost.lost_at_ms)
+
+
 def unfinished_from_wire(started: wire.CallStarted) -> UnfinishedCall:
     """Returns the call that was started."""
     return UnfinishedCall(started.index, started.digest, started.idempotency_key, started.endpoint)
@@ -142,6 +166,7 @@
     state.spend += finished.spend
     state.attained_s += finished.service_s
     state.unfinished = None
+    state.lost_endpoints.clear()
     if finished.rewrite:
         state.history_base = finished.index
     return entry
@@ -194,5 +219,16 @@
     )
 
 
+def _lost(program: ProgramId, lost: LostEndpoint) -> wire.EndpointLost:
+    return wire.EndpointLost(
+        str(program),
+        lost.digest,
+        lost.endpoint,
+        lost.address,
+        lost.has_ended,
+        lost.lost_at_ms,
+    )
+
+
 def _describe(position: RecordPosition) -> str:
     return f"journal of {position.incarnation}, object {position.sequence}, entry {position.entry}"
--- a/src/bayhinge/_internal/wire/ttypes.py
+++ b/src/bayhinge/_internal/wire/ttypes.py
@@ -2509,6 +2509,146 @@
         return not (self == other)
 
 
+class EndpointLost(object):
+    """
+    Attributes:
+     - program
+     - digest
+     - endpoint
+     - address
+     - has_ended
+     - lost_at_ms
+
+    """
+
+    __slots__ = (
+        'program',
+        'digest',
+        'endpoint',
+        'address',
+        'has_ended',
+        'lost_at_ms',
+    )
+
+
+    def __init__(self, program=None, digest=None, endpoint=None, address=None, has_ended=None, lost_at_ms=None,):
+        self.program = program
+        self.digest = digest
+        self.endpoint = endpoint
+        self.address = address
+        self.has_ended = has_ended
+        self.lost_at_ms = lost_at_ms
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.STRING:
+                    self.program = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.STRING:
+                    self.digest = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.STRING:
+                    self.endpoint = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 4:
+                if ftype == TType.STRING:
+                    self.address = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 5:
+                if ftype == TType.BOOL:
+                    self.has_ended = iprot.readBool()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 6:
+                if ftype == TType.I64:
+                    self.lost_at_ms = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('EndpointLost')
+        if self.program is not None:
+            oprot.writeFieldBegin('program', TType.STRING, 1)
+            oprot.writeString(self.program.encode('utf-8') if sys.version_info[0] == 2 else self.program)
+            oprot.writeFieldEnd()
+        if self.digest is not None:
+            oprot.writeFieldBegin('digest', TType.STRING, 2)
+            oprot.writeString(self.digest.encode('utf-8') if sys.version_info[0] == 2 else self.digest)
+            oprot.writeFieldEnd()
+        if self.endpoint is not None:
+            oprot.writeFieldBegin('endpoint', TType.STRING, 3)
+            oprot.writeString(self.endpoint.encode('utf-8') if sys.version_info[0] == 2 else self.endpoint)
+            oprot.writeFieldEnd()
+        if self.address is not None:
+            oprot.writeFieldBegin('address', TType.STRING, 4)
+            oprot.writeString(self.address.encode('utf-8') if sys.version_info[0] == 2 else self.address)
+            oprot.writeFieldEnd()
+        if self.has_ended is not None:
+            oprot.writeFieldBegin('has_ended', TType.BOOL, 5)
+            oprot.writeBool(self.has_ended)
+            oprot.writeFieldEnd()
+        if self.lost_at_ms is not None:
+            oprot.writeFieldBegin('lost_at_ms', TType.I64, 6)
+            oprot.writeI64(self.lost_at_ms)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        if self.program is None:
+            raise TProtocolException(message='Required field program is unset!')
+        if self.digest is None:
+            raise TProtocolException(message='Required field digest is unset!')
+        if self.endpoint is None:
+            raise TProtocolException(message='Required field endpoint is unset!')
+        if self.address is None:
+            raise TProtocolException(message='Required field address is unset!')
+        if self.has_ended is None:
+            raise TProtocolException(message='Required field has_ended is unset!')
+        if self.lost_at_ms is None:
+            raise TProtocolException(message='Required field lost_at_ms is unset!')
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
 class ProgramEnded(object):
     """
     Attributes:
@@ -2603,6 +2743,7 @@
      - unfinished
      - ended
      - attained_s
+     - lost_endpoints
 
     """
 
@@ -2614,10 +2755,11 @@
         'unfinished',
         'ended',
         'attained_s',
+        'lost_endpoints',
     )
 
 
-    def __init__(self, opened=None, spend=None, calls=None, history_base=None, unfinished=None, ended=None, attained_s=None,):
+    def __init__(self, opened=None, spend=None, calls=None, history_base=None, unfinished=None, ended=None, attained_s=None, lost_endpoints=None,):
         self.opened = opened
         self.spend = spend
         self.calls = calls
@@ -2625,6 +2767,7 @@
         self.unfinished = unfinished
         self.ended = ended
         self.attained_s = attained_s
+        self.lost_endpoints = lost_endpoints
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -2678,6 +2821,17 @@
                     self.attained_s = iprot.readDouble()
                 else:
                     iprot.skip(ftype)
+            elif fid == 8:
+                if ftype == TType.LIST:
+                    self.lost_endpoints = []
+                    (_etype39, _size36) = iprot.readListBegin()
+                    for _i40 in range(_size36):
+                        _elem41 = EndpointLost()
+                        _elem41.read(iprot)
+                        self.lost_endpoints.append(_elem41)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -2699,8 +2853,8 @@
         if self.calls is not None:
             oprot.writeFieldBegin('calls', TType.LIST, 3)
             oprot.writeListBegin(TType.STRUCT, len(self.calls))
-            for iter36 in self.calls:
-                iter36.write(oprot)
+            for iter42 in self.calls:
+                iter42.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.history_base is not None:
@@ -2719,6 +2873,13 @@
             oprot.writeFieldBegin('attained_s', TType.DOUBLE, 7)
             oprot.writeDouble(self.attained_s)
             oprot.writeFieldEnd()
+        if self.lost_endpoints is not None:
+            oprot.writeFieldBegin('lost_endpoints', TType.LIST, 8)
+            oprot.writeListBegin(TType.STRUCT, len(self.lost_endpoints))
+            for iter43 in self.lost_endpoints:
+                iter43.write(oprot)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -2847,6 +3008,7 @@
      - ended
      - adopted
      - withdrawn
+     - lost
 
     """
 
@@ -2857,16 +3019,18 @@
         'ended',
         'adopted',
         'withdrawn',
+        'lost',
     )
 
 
-    def __init__(self, opened=None, started=None, finished=None, ended=None, adopted=None, withdrawn=None,):
+    def __init__(self, opened=None, started=None, finished=None, ended=None, adopted=None, withdrawn=None, lost=None,):
         self.opened = opened
         self.started = started
         self.finished = finished
         self.ended = ended
         self.adopted = adopted
         self.withdrawn = withdrawn
+        self.lost = lost
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -2913,6 +3077,12 @@
                     self.withdrawn.read(iprot)
                 else:
                     iprot.skip(ftype)
+            elif fid == 7:
+                if ftype == TType.STRUCT:
+                    self.lost = EndpointLost()
+                    self.lost.read(iprot)
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -2947,6 +3117,10 @@
             oprot.writeFieldBegin('withdrawn', TType.STRUCT, 6)
             self.withdrawn.write(oprot)
             oprot.writeFieldEnd()
+        if self.lost is not None:
+            oprot.writeFieldBegin('lost', TType.STRUCT, 7)
+            self.lost.write(oprot)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -3146,6 +3320,16 @@
     (13, TType.DOUBLE, 'service_s', None, None, ),  # 13
     (14, TType.STRING, 'failure', 'BINARY', None, ),  # 14
 )
+all_structs.append(EndpointLost)
+EndpointLost.thrift_spec = (
+    None,  # 0
+    (1, TType.STRING, 'program', 'UTF8', None, ),  # 1
+    (2, TType.STRING, 'digest', 'UTF8', None, ),  # 2
+    (3, TType.STRING, 'endpoint', 'UTF8', None, ),  # 3
+    (4, TType.STRING, 'address', 'UTF8', None, ),  # 4
+    (5, TType.BOOL, 'has_ended', None, None, ),  # 5
+    (6, TType.I64, 'lost_at_ms', None, None, ),  # 6
+)
 all_structs.append(ProgramEnded)
 ProgramEnded.thrift_spec = (
     None,  # 0
@@ -3162,6 +3346,7 @@
     (5, TType.STRUCT, 'unfinished', [CallStarted, None], None, ),  # 5
     (6, TType.STRING, 'ended', 'UTF8', None, ),  # 6
     (7, TType.DOUBLE, 'attained_s', None, None, ),  # 7
+    (8, TType.LIST, 'lost_endpoints', (TType.STRUCT, [EndpointLost, None], False), None, ),  # 8
 )
 all_structs.append(CallWithdrawn)
 CallWithdrawn.thrift_spec = (
@@ -3178,6 +3363,7 @@
     (4, TType.STRUCT, 'ended', [ProgramEnded, None], None, ),  # 4
     (5, TType.STRUCT, 'adopted', [ProgramAdopted, None], None, ),  # 5
     (6, TType.STRUCT, 'withdrawn', [CallWithdrawn, None], None, ),  # 6
+    (7, TType.STRUCT, 'lost', [EndpointLost, None], None, ),  # 7
 )
 fix_spec(all_structs)
 del all_structs
--- a/src/bayhinge_standins/faults.py
+++ b/src/bayhinge_standins/faults.py
@@ -43,6 +43,7 @@
         drop_cache_events: share of cache events that are lost, 0 to 1.
         ignore_fencing: orders are accepted whatever their fencing number.
         draining: new work is refused with 503; running work continues.
+        ends: the next request ends it; from then on connections are refused.
     """
 
     down: bool = False
@@ -55,3 +56,4 @@
     drop_cache_events: float = 0.0
     ignore_fencing: bool = False
     draining: bool = False
+    ends: bool = False
--- a/tests/functional/test_calls_that_end_endpoints.py
+++ b/tests/functional/test_calls_that_end_endpoints.py
@@ -108,7 +108,10 @@
     async def main() -> None:
         client = HttpEndpointClient(EndpointTimeouts(connect_s=0.4))
         timeline = Timeline("host", HybridClock(SystemClock()))
-        runner = CallRunner("host~0123456789ab", SETTINGS, endpoints, client, timeline, lambda: 0.5)
+        clock = SystemClock()
+        runner = CallRunner(
+            "host~0123456789ab", SETTINGS, endpoints, client, timeline, lambda: 0.5, clock
+        )
 
         async def try_call(digest: str) -> RefusedError:
             with pytest.raises(RefusedError) as caught:
