--- a/src/bayhinge/_internal/decisions/ended_send_history.py
+++ b/src/bayhinge/_internal/decisions/ended_send_history.py
@@ -3,6 +3,7 @@
 All times are in seconds on the host's monotonic clock.
 """
 
+import hashlib
 import math
 from collections.abc import Iterable
 from enum import IntEnum
@@ -232,3 +233,21 @@
     in_doubt: tuple[str, ...]
     running: int
     age_s: float
+
+    def to_fields(self) -> dict[str, object]:
+        """Returns the fields of a log line."""
+        return {
+            "ended": list(self.ended),
+            "in_doubt": list(self.in_doubt),
+            "running": self.running,
+            "age_s": round(self.age_s, 3),
+        }
+
+
+def digest_of(key: RequestKey, incarnation: EndpointIncarnation, fate: Fate) -> int:
+    """Returns a number of 64 bits that stands for what is known of one send."""
+    named = (
+        f"{key.fingerprint} {key.has_program} {incarnation.endpoint} {incarnation.born_ms} {fate}"
+    )
+    digest = hashlib.blake2b(named.encode("utf-8", "surrogateescape"), digest_size=8)
+    return int.from_bytes(digest.digest(), "big", signed=True)
--- a/src/bayhinge/_internal/decisions/ended_sends.py
+++ b/src/bayhinge/_internal/decisions/ended_sends.py
@@ -7,11 +7,9 @@
 All times are in seconds on the host's monotonic clock.
 """
 
-import hashlib
 import itertools
 from collections import OrderedDict
 from collections.abc import Iterator
-from enum import StrEnum
 
 from bayhinge._internal.decisions.ended_send_history import (
     KEEP_S,
@@ -22,12 +20,11 @@
     RequestHistory,
     RequestKey,
     SendUnderWay,
+    digest_of,
 )
+from bayhinge._internal.decisions.send_permission import Permission, permission_of
 from bayhinge._internal.models.endpoint_entries import EndpointIncarnation
 
-MAX_ENDED = 3
-"""Endpoints that may end under one request; the users' limit."""
-
 ALIVE_AFTER_S = 6.0
 """An answer to a request that was sent so long after the broken send proves that its endpoint goes
 on. A shorter time would not: until the store tells, a later incarnation may be taken for it."""
@@ -42,26 +39,6 @@
 """Requests compared when one has to be forgotten, so that a storm of failures stays cheap."""
 
 
-class Permission(StrEnum):
-    """Whether a request may be sent.
-
-    Attributes:
-        EXAMINE: the endpoints that broke it off have to be examined first.
-        ALONE: to an endpoint that runs no other request of this kind, as its end would be blamed on
-            both.
-        WAIT: another one is under way, and its outcome should be awaited for a moment.
-        BUSY: other attempts are under way, and the endpoints that run them may be the last ones.
-        WITHHELD: too many endpoints have ended under it.
-    """
-
-    FREE = "free"
-    EXAMINE = "examine"
-    ALONE = "alone"
-    WAIT = "wait"
-    BUSY = "busy"
-    WITHHELD = "withheld"
-
-
 class EndedSends:
     """The requests under which endpoints ended or may have ended, as one host knows them."""
 
@@ -169,10 +146,10 @@
         digest = 0
         for key, incarnation, send in self.all_ended(now_s):
             if send.broken_s >= now_s - KEEP_S:
-                digest ^= _digest_of(key, incarnation, Fate.ENDED)
+                digest ^= digest_of(key, incarnation, Fate.ENDED)
         for key, history in self._history_by_key.items():
             for incarnation in history.undecided(now_s):
-                digest ^= _digest_of(key, incarnation, Fate.BROKEN)
+                digest ^= digest_of(key, incarnation, Fate.BROKEN)
         return digest
 
     # ---- decisions ----
@@ -199,14 +176,7 @@
         if history.is_over(now_s):
             self.forget(key)
             return Permission.FREE
-        ended = history.ended()
-        if history.count(ended, key.has_program) >= MAX_ENDED:
-            return Permission.WITHHELD
-        suspects = ended if is_examined else [*ended, *history.undecided(now_s)]
-        lost = history.count(suspects, key.has_program)
-        if lost >= MAX_ENDED:
-            return Permission.EXAMINE
-        return _permission_beside(key, lost, history.running(now_s, claim))
+        return permission_of(key, history, now_s, is_examined, claim)
 
     def has_failed(self, key: RequestKey, now_s: float) -> bool:
         """Whether endpoints ended under a request, or may have."""
@@ -422,29 +392,3 @@
         keys.discard(key)
         if not keys:
             del self._keys_by_incarnation[incarnation]
-
-
-def _digest_of(key: RequestKey, incarnation: EndpointIncarnation, fate: Fate) -> int:
-    named = (
-        f"{key.fingerprint} {key.has_program} {incarnation.endpoint} {incarnation.born_ms} {fate}"
-    )
-    digest = hashlib.blake2b(named.encode("utf-8", "surrogateescape"), digest_size=8)
-    return int.from_bytes(digest.digest(), "big", signed=True)
-
-
-def _permission_beside(key: RequestKey, lost: int, running: int) -> Permission:
-    """Decides about a request that may be sent, but for its other sends that are under way.
-
-    Args:
-        key: the request.
-        lost: how many endpoints ended under it, or may have; less than may end.
-        running: how many of its sends are under way.
-    """
-    if not lost:
-        return Permission.FREE
-    is_last = lost == MAX_ENDED - 1
-    if (is_last or key.has_program) and lost + running >= MAX_ENDED:
-        return Permission.BUSY
-    if running and not key.has_program:
-        return Permission.WAIT
-    return Permission.ALONE if is_last else Permission.FREE
--- a/src/bayhinge/_internal/queries/log_calls.py
+++ b/src/bayhinge/_internal/queries/log_calls.py
@@ -10,9 +10,13 @@
 
 import attrs
 
+from bayhinge._internal.decisions.ended_send_history import Knowledge
 from bayhinge._internal.models.events import Event
 
-FIELDS_BY_UNPACKED = {"event.to_fields()": tuple(field.name for field in attrs.fields(Event))}
+FIELDS_BY_UNPACKED = {
+    "event.to_fields()": tuple(field.name for field in attrs.fields(Event)),
+    "known.to_fields()": tuple(field.name for field in attrs.fields(Knowledge)),
+}
 """The fields of each expression that is passed as ``**expression``."""
 
 _Function = ast.FunctionDef | ast.AsyncFunctionDef
--- a/src/bayhinge/_internal/services/ended_calls.py
+++ b/src/bayhinge/_internal/services/ended_calls.py
@@ -8,7 +8,8 @@
 from collections.abc import Iterable
 
 from bayhinge._internal.decisions.ended_send_history import MAX_DOUBT_S, BrokenSend, RequestKey
-from bayhinge._internal.decisions.ended_sends import EndedSends, Permission
+from bayhinge._internal.decisions.ended_sends import EndedSends
+from bayhinge._internal.decisions.send_permission import Permission
 from bayhinge._internal.models.endpoint_entries import EndpointIncarnation
 from bayhinge._internal.models.programs import LostEndpoint
 from bayhinge._internal.models.refusals import (
--- a/src/bayhinge/_internal/services/gateway/ended_send_tracker.py
+++ b/src/bayhinge/_internal/services/gateway/ended_send_tracker.py
@@ -22,9 +22,10 @@
     RequestKey,
     SendUnderWay,
 )
-from bayhinge._internal.decisions.ended_sends import EndedSends, Permission
+from bayhinge._internal.decisions.ended_sends import EndedSends
 from bayhinge._internal.decisions.endpoint_state import EndpointState
 from bayhinge._internal.decisions.endpoint_table import EndpointTable
+from bayhinge._internal.decisions.send_permission import Permission
 from bayhinge._internal.models.endpoint_entries import EndpointEntry, EndpointIncarnation
 from bayhinge._internal.network.endpoint_connections import EndpointConnectionPool
 from bayhinge._internal.services.gateway.active_runs import ActiveRun
--- a/src/bayhinge/_internal/services/gateway/send_guard.py
+++ b/src/bayhinge/_internal/services/gateway/send_guard.py
@@ -6,7 +6,7 @@
 import eliot
 
 from bayhinge._internal.decisions.ended_send_history import SETTLE_S, RequestKey
-from bayhinge._internal.decisions.ended_sends import Permission
+from bayhinge._internal.decisions.send_permission import Permission
 from bayhinge._internal.models.refusals import RefusedError
 from bayhinge._internal.network.endpoint_answer import IncompleteAnswerError, SilentEndpointError
 from bayhinge._internal.services.gateway.active_runs import ActiveRun
@@ -96,10 +96,7 @@
             request=send_state.fingerprint,
             endpoint=run.endpoint,
             is_alone=send_state.is_alone,
-            ended=list(known.ended),
-            in_doubt=list(known.in_doubt),
-            running=known.running,
-            age_s=round(known.age_s, 3),
+            **known.to_fields(),
         )
 
     async def _await_others(self, send_state: SendState) -> None:
@@ -145,10 +142,7 @@
             attempt=send_state.request.attempt,
             request=send_state.fingerprint,
             permission=permission.value,
-            ended=list(known.ended),
-            in_doubt=list(known.in_doubt),
-            running=known.running,
-            age_s=round(known.age_s, 3),
+            **known.to_fields(),
         )
         raise RefusedError(refusal)
 
--- a/tests/soak/mutants.py
+++ b/tests/soak/mutants.py
@@ -30,6 +30,7 @@
 TABLE = "decisions/endpoint_table.py"
 QUORUM = "decisions/disk_quorum.py"
 ENDED_SENDS = "decisions/ended_sends.py"
+SEND_PERMISSION = "decisions/send_permission.py"
 ENDED_EXCHANGE = "services/gateway/ended_send_exchange.py"
 
 EDITS_BY_GUARD: dict[str, tuple[Edit, ...]] = {
@@ -158,7 +159,9 @@
             "            if False:",
         ),
     ),
-    "ends under a request are bounded": (Edit(ENDED_SENDS, "MAX_ENDED = 3", "MAX_ENDED = 1000"),),
+    "ends under a request are bounded": (
+        Edit(SEND_PERMISSION, "MAX_ENDED = 3", "MAX_ENDED = 1000"),
+    ),
     "hosts tell each other of ends": (
         Edit(ENDED_EXCHANGE, "        tracker.tell = self.tell", "        pass"),
     ),
@@ -185,9 +188,9 @@
     ),
     "doubts count like ends": (
         Edit(
-            ENDED_SENDS,
-            "        suspects = ended if is_examined else [*ended, *history.undecided(now_s)]",
-            "        suspects = ended",
+            SEND_PERMISSION,
+            "    suspects = ended if is_examined else [*ended, *history.undecided(now_s)]",
+            "    suspects = ended",
         ),
     ),
     "hosts ask for what they missed": (
--- a/tests/unit/test_ended_sends.py
+++ b/tests/unit/test_ended_sends.py
@@ -19,12 +19,11 @@
 )
 from bayhinge._internal.decisions.ended_sends import (
     ALIVE_AFTER_S,
-    MAX_ENDED,
     MAX_REQUESTS,
     MAX_SENDS,
     EndedSends,
-    Permission,
 )
+from bayhinge._internal.decisions.send_permission import MAX_ENDED, Permission
 from bayhinge._internal.models.endpoint_entries import EndpointIncarnation
 
 KEY = RequestKey("a", has_program=True)
