Lost endpoints of calls: time by the monotonic clock, from the adoption on

Change: they count as lost when the program was adopted, the later and safe time; the record bears none.

--- a/idl/peer.thrift
+++ b/idl/peer.thrift
@@ -183,7 +183,6 @@
   3: required string endpoint,
   4: required string address,
   5: required bool has_ended,
-  6: required i64 lost_at_ms,
 }
 
 struct ProgramEnded {
--- a/src/bayhinge/_internal/models/programs.py
+++ b/src/bayhinge/_internal/models/programs.py
@@ -50,14 +50,15 @@
     Attributes:
         digest: of the call.
         has_ended: it has ended; otherwise it answered nothing.
-        lost_at_ms: when, on the wall clock of the host that sent the call.
+        lost_s: when, on this host's monotonic clock; if a former owner lost it, when this host
+            adopted the program.
     """
 
     digest: str
     endpoint: str
     address: str
     has_ended: bool
-    lost_at_ms: int
+    lost_s: float
 
 
 @attrs.define
--- a/src/bayhinge/_internal/services/adoption.py
+++ b/src/bayhinge/_internal/services/adoption.py
@@ -199,7 +199,7 @@
             if incarnation in self._adopted:
                 return
             contents = await self._parts.reader.read_sealed(incarnation)
-            states = replay_journal(contents)
+            states = replay_journal(contents, _now())
             own_share = [
                 state
                 for state in states.values()
@@ -222,7 +222,7 @@
                 found = self._registry.find(str(program))
                 if found is not None:
                     return found
-                states = replay_journal(await self._parts.reader.read_sealed(incarnation))
+                states = replay_journal(await self._parts.reader.read_sealed(incarnation), _now())
                 state = states.get(str(program))
                 if state is not None:
                     await self._adopt(incarnation, [state])
@@ -294,9 +294,11 @@
                 )
 
 
-def replay_journal(contents: JournalContents) -> dict[str, ProgramState]:
+def replay_journal(contents: JournalContents, now_s: float) -> dict[str, ProgramState]:
     """Rebuilds the state of every program in a journal, without message bytes.
 
+    ``now_s`` is on this host's monotonic clock.
+
     Raises:
         CorruptObjectError: a record can't be decoded or is out of order.
     """
@@ -308,23 +310,23 @@
             states[program] = state_from_opened(body.opened)
             continue
         if body.adopted is not None:
-            states[program] = state_from_adopted(body.adopted)
+            states[program] = state_from_adopted(body.adopted, now_s)
             continue
         state = states.get(program)
         if state is None:
             why = f"program {program} has a record before it was opened"
             raise CorruptObjectError(str(record.position), why)
-        _apply(state, body, record.position)
+        _apply(state, body, record.position, now_s)
     return states
 
 
-def _apply(state: ProgramState, body: wire.Record, position: RecordPosition) -> None:
+def _apply(state: ProgramState, body: wire.Record, position: RecordPosition, now_s: float) -> None:
     if body.started is not None:
         state.unfinished = unfinished_from_wire(body.started)
     elif body.withdrawn is not None:
         state.unfinished = None
     elif body.lost is not None:
-        state.lost_endpoints.append(lost_from_wire(body.lost))
+        state.lost_endpoints.append(lost_from_wire(body.lost, now_s))
     elif body.ended is not None:
         state.ended = body.ended.reason
     elif body.finished is not None:
@@ -332,3 +334,7 @@
             why = f"call {body.finished.index} is out of order after call {state.next_index - 1}"
             raise CorruptObjectError(str(position), why)
         apply_finished(state, body.finished, position)
+
+
+def _now() -> float:
+    return asyncio.get_running_loop().time()
--- a/src/bayhinge/_internal/services/call_runner.py
+++ b/src/bayhinge/_internal/services/call_runner.py
@@ -28,7 +28,6 @@
 from bayhinge._internal.services.ended_calls import EndedCalls
 from bayhinge._internal.services.grants import GrantedEndpoint, GrantSource
 from bayhinge._internal.services.timeline import Timeline
-from bayhinge.coordination.clock import Clock
 
 MAX_ATTEMPTS = 4
 """Sends of one repeatable call, including the first."""
@@ -110,7 +109,6 @@
         endpoints: EndpointClient,
         timeline: Timeline,
         random_unit: Callable[[], float],
-        clock: Clock,
     ) -> None:
         self._incarnation = incarnation
         self._settings = settings
@@ -119,7 +117,7 @@
         self._timeline = timeline
         self._random_unit = random_unit
         self._background: set[asyncio.Task[None]] = set()
-        self._ended_calls = EndedCalls(endpoints, clock)
+        self._ended_calls = EndedCalls(endpoints)
 
     async def run_model(self, prepared: PreparedCall, live: LiveAnswer) -> CallResult:
         """Runs a model call; resumes its stream at another engine after a failure.
--- a/src/bayhinge/_internal/services/ended_calls.py
+++ b/src/bayhinge/_internal/services/ended_calls.py
@@ -21,10 +21,9 @@
 )
 from bayhinge._internal.network.endpoint_client import EndpointClient, SignOfLife
 from bayhinge._internal.services.grants import GrantedEndpoint
-from bayhinge.coordination.clock import Clock
 
-MILLISECONDS = 1000.0
-"""Milliseconds in a second."""
+MICROSECONDS = 1_000_000
+"""Microseconds in a second."""
 
 DOUBT_RETRY_S = 1.0
 """Retry delay for a call whose endpoints may all have ended under it; an examination takes less."""
@@ -33,9 +32,8 @@
 class EndedCalls:
     """The calls of one owner under which endpoints ended or fell silent."""
 
-    def __init__(self, endpoints: EndpointClient, clock: Clock) -> None:
+    def __init__(self, endpoints: EndpointClient) -> None:
         self._endpoints = endpoints
-        self._clock = clock
         self._sends = EndedSends()
         self._address_by_incarnation: dict[EndpointIncarnation, str] = {}
 
@@ -50,7 +48,8 @@
             RefusedError: as may have run, for it was sent to those endpoints.
         """
         if not self._sends.failures(key):
-            self._restore(key, recorded)
+            for number, lost in enumerate(recorded):
+                self._add(key, lost, number)
         permission = self._sends.permission(key, _now())
         if permission is Permission.EXAMINE:
             await self._examine_undecided(key)
@@ -66,28 +65,20 @@
         self, key: RequestKey, digest: str, granted: GrantedEndpoint
     ) -> LostEndpoint | None:
         """Examines an endpoint that broke a call off; returns None if it answers."""
-        failed_s, failed_at_ms = _now(), self._clock.wall_ms()
+        failed_s = _now()
         sign = await self._endpoints.examine(granted.address)
         if sign is SignOfLife.ANSWERED:
             return None
         has_ended = sign is SignOfLife.REFUSED
-        lost = LostEndpoint(digest, granted.endpoint, granted.address, has_ended, failed_at_ms)
+        lost = LostEndpoint(digest, granted.endpoint, granted.address, has_ended, failed_s)
         self._forget_old()
-        self._add(key, lost, failed_s)
+        self._add(key, lost)
         return lost
 
-    def _restore(self, key: RequestKey, recorded: Iterable[LostEndpoint]) -> None:
-        """Counts the endpoints that a former owner lost."""
-        wall_ms = self._clock.wall_ms()
-        for lost in recorded:
-            # The clocks of hosts differ, so the loss may seem to lie ahead.
-            age_s = max(0.0, (wall_ms - lost.lost_at_ms) / MILLISECONDS)
-            self._add(key, lost, _now() - age_s)
-
-    def _add(self, key: RequestKey, lost: LostEndpoint, lost_s: float) -> None:
-        # Endpoints restart under their ids, so each loss is told apart by its time.
-        incarnation = EndpointIncarnation(lost.endpoint, lost.lost_at_ms)
-        send = BrokenSend(lost_s, lost_s, doubt_ends_s=lost_s + MAX_DOUBT_S)
+    def _add(self, key: RequestKey, lost: LostEndpoint, number: int = 0) -> None:
+        # Endpoints restart under their ids, so each loss is told apart by its time and number.
+        incarnation = EndpointIncarnation(lost.endpoint, round(lost.lost_s * MICROSECONDS) + number)
+        send = BrokenSend(lost.lost_s, lost.lost_s, doubt_ends_s=lost.lost_s + MAX_DOUBT_S)
         if lost.has_ended:
             self._sends.record_ended(key, incarnation, send, _now())
         else:
--- a/src/bayhinge/_internal/services/host_parts.py
+++ b/src/bayhinge/_internal/services/host_parts.py
@@ -122,13 +122,7 @@
     dispatcher = QueueDispatcher(settings, external.endpoints, timeline)
     grants = RemoteGrants(membership, dispatcher, peers)
     runner = CallRunner(
-        incarnation,
-        settings,
-        grants,
-        external.endpoints,
-        timeline,
-        external.random_unit,
-        external.clock,
+        incarnation, settings, grants, external.endpoints, timeline, external.random_unit
     )
     owner_parts = OwnerParts(
         settings=settings,
--- a/src/bayhinge/_internal/services/peer_service.py
+++ b/src/bayhinge/_internal/services/peer_service.py
@@ -1,5 +1,6 @@
 """Handles the calls of peers."""
 
+import asyncio
 from collections.abc import AsyncIterator, Awaitable, Callable
 
 import orjson
@@ -88,7 +89,8 @@
         record = decode_message(wire.Record(), payload)
         if record.adopted is None:
             raise FrameError("the record holds no adopted program")
-        await self._parts.adopter.adopt_handed_over(state_from_adopted(record.adopted))
+        state = state_from_adopted(record.adopted, asyncio.get_running_loop().time())
+        await self._parts.adopter.adopt_handed_over(state)
         return b""
 
     async def _query(self, payload: bytes) -> bytes:
--- a/src/bayhinge/_internal/services/record_codec.py
+++ b/src/bayhinge/_internal/services/record_codec.py
@@ -112,8 +112,8 @@
     )
 
 
-def state_from_adopted(adopted: wire.ProgramAdopted) -> ProgramState:
-    """Returns the state that an earlier successor recorded."""
+def state_from_adopted(adopted: wire.ProgramAdopted, now_s: float) -> ProgramState:
+    """Returns the state that an earlier successor recorded; ``now_s`` is on the monotonic clock."""
     state = state_from_opened(adopted.opened)
     state.spend = adopted.spend
     state.attained_s = adopted.attained_s
@@ -134,13 +134,18 @@
         state.recent_digests.append(entry.digest)
     if adopted.unfinished is not None:
         state.unfinished = unfinished_from_wire(adopted.unfinished)
-    state.lost_endpoints.extend(map(lost_from_wire, adopted.lost_endpoints or ()))
+    state.lost_endpoints.extend(
+        lost_from_wire(lost, now_s) for lost in adopted.lost_endpoints or ()
+    )
     return state
 
 
-def lost_from_wire(lost: wire.EndpointLost) -> LostEndpoint:
-    """Returns the endpoint that was lost under a call."""
-    return LostEndpoint(lost.digest, lost.endpoint, lost.address, lost.has_ended, lost.lost_at_ms)
+def lost_from_wire(lost: wire.EndpointLost, now_s: float) -> LostEndpoint:
+    """Returns the endpoint that a former owner lost under a call, as one that is lost now.
+
+    Hosts' clocks can't be compared, and a later time is the safe one.
+    """
+    return LostEndpoint(lost.digest, lost.endpoint, lost.address, lost.has_ended, now_s)
 
 
 def unfinished_from_wire(started: wire.CallStarted) -> UnfinishedCall:
@@ -226,7 +231,6 @@
         lost.endpoint,
         lost.address,
         lost.has_ended,
-        lost.lost_at_ms,
     )
 
 
--- a/src/bayhinge/_internal/wire/ttypes.py
+++ b/src/bayhinge/_internal/wire/ttypes.py
@@ -2517,7 +2517,6 @@
      - endpoint
      - address
      - has_ended
-     - lost_at_ms
 
     """
 
@@ -2527,17 +2526,15 @@
         'endpoint',
         'address',
         'has_ended',
-        'lost_at_ms',
     )
 
 
-    def __init__(self, program=None, digest=None, endpoint=None, address=None, has_ended=None, lost_at_ms=None,):
+    def __init__(self, program=None, digest=None, endpoint=None, address=None, has_ended=None,):
         self.program = program
         self.digest = digest
         self.endpoint = endpoint
         self.address = address
         self.has_ended = has_ended
-        self.lost_at_ms = lost_at_ms
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -2573,11 +2570,6 @@
                     self.has_ended = iprot.readBool()
                 else:
                     iprot.skip(ftype)
-            elif fid == 6:
-                if ftype == TType.I64:
-                    self.lost_at_ms = iprot.readI64()
-                else:
-                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -2608,10 +2600,6 @@
             oprot.writeFieldBegin('has_ended', TType.BOOL, 5)
             oprot.writeBool(self.has_ended)
             oprot.writeFieldEnd()
-        if self.lost_at_ms is not None:
-            oprot.writeFieldBegin('lost_at_ms', TType.I64, 6)
-            oprot.writeI64(self.lost_at_ms)
-            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -2626,8 +2614,6 @@
             raise TProtocolException(message='Required field address is unset!')
         if self.has_ended is None:
             raise TProtocolException(message='Required field has_ended is unset!')
-        if self.lost_at_ms is None:
-            raise TProtocolException(message='Required field lost_at_ms is unset!')
         return
 
     def __repr__(self):
@@ -3328,7 +3314,6 @@
     (3, TType.STRING, 'endpoint', 'UTF8', None, ),  # 3
     (4, TType.STRING, 'address', 'UTF8', None, ),  # 4
     (5, TType.BOOL, 'has_ended', None, None, ),  # 5
-    (6, TType.I64, 'lost_at_ms', None, None, ),  # 6
 )
 all_structs.append(ProgramEnded)
 ProgramEnded.thrift_spec = (
--- a/tests/functional/test_calls_that_end_endpoints.py
+++ b/tests/functional/test_calls_that_end_endpoints.py
@@ -108,10 +108,7 @@
     async def main() -> None:
         client = HttpEndpointClient(EndpointTimeouts(connect_s=0.4))
         timeline = Timeline("host", HybridClock(SystemClock()))
-        clock = SystemClock()
-        runner = CallRunner(
-            "host~0123456789ab", SETTINGS, endpoints, client, timeline, lambda: 0.5, clock
-        )
+        runner = CallRunner("host~0123456789ab", SETTINGS, endpoints, client, timeline, lambda: 0.5)
 
         async def try_call(digest: str) -> RefusedError:
             with pytest.raises(RefusedError) as caught:
