Test: a request under which three endpoints were cut off is served after the cut

Cuts had no test of their own beside frozen endpoints. The entry goes during the cut and comes back with the same incarnation.

--- a/tests/functional/test_requests_beside_ending_endpoints.py
+++ b/tests/functional/test_requests_beside_ending_endpoints.py
@@ -5,6 +5,8 @@
 
 import pytest
 
+from bayhinge._internal.decisions.ended_sends import ALIVE_AFTER_S
+from bayhinge._internal.decisions.endpoint_state import MAX_EJECTION_S
 from bayhinge._internal.decisions.endpoint_table import EndpointTable
 from tests.lib.ending_endpoints import EndingEndpoint, EndingSite, run_ending_site
 from tests.lib.platform_site import Reply
@@ -218,6 +220,35 @@
     run_ending_site(tmp_path, scenario)
 
 
+def test_a_request_under_which_three_endpoints_were_cut_off_is_served_after_the_cut(
+    tmp_path: Path,
+) -> None:
+    """Guards against a request that is withheld although others have been served there since."""
+
+    async def scenario(site: EndingSite) -> None:
+        site.group.freezes = True
+        site.group.ends_left = MAX_ENDED
+        # A heartbeat that does not arrive removes the entry during the cut.
+        site.group.frozen_entry_s = 1.0
+        statuses = await site.repeat(
+            lambda host: site.ask("/act/a", b"fatal", at=host, Bayhinge_Deadline_Ms="300"), 5
+        )
+        assert statuses[:MAX_ENDED] == [504] * MAX_ENDED
+        await asyncio.sleep(1.0)
+        assert (await site.ask("/act/a", b"fatal")).status == 502
+        for endpoint in site.services:
+            endpoint.thaw()
+            site.store.put("servers", endpoint.instance, endpoint.entry())
+        # Other requests avoid endpoints that failed until their ejection ends.
+        async with asyncio.timeout(ALIVE_AFTER_S + MAX_EJECTION_S + 1.0):
+            while (await site.ask("/act/a", b"fatal")).status != 200:
+                beside = [site.ask("/act/b", b"fine", at=f"entry-{n % 2}") for n in range(48)]
+                assert {reply.status for reply in await asyncio.gather(*beside)} == {200}
+                await asyncio.sleep(0.5)
+
+    run_ending_site(tmp_path, scenario)
+
+
 def test_a_request_given_up_at_endpoints_that_go_on_without_their_entry_is_served(
     tmp_path: Path,
 ) -> None:
