Let disks that restart before the first disk set is in the store make it

Cause: only a process that had just made its folder put itself into the first set; its folder was there long before the set. The mark 'joined' was written before the disk had joined, and not read. Change: a disk that was ever started for a new system marks its folder, and makes the first set if the store has none and it has not joined; 'joined' is written once it stands in the set. A disk that has joined makes none. disk_set.missing says what to do where nobody may.

--- a/src/bayhinge/_internal/decisions/disk_set_rules.py
+++ b/src/bayhinge/_internal/decisions/disk_set_rules.py
@@ -49,6 +49,18 @@
     return bool(others) and missed <= tolerated
 
 
+def may_make_first_set(members: Sequence[SetMember], *, is_founder: bool, is_joined: bool) -> bool:
+    """Whether a disk may put itself into a set that does not exist.
+
+    Args:
+        members: the set in the store.
+        is_founder: the disk was started for a new system, now or earlier.
+        is_joined: it was in a set. Where the store has none any more, another first set would be
+            one without the turns of the former.
+    """
+    return not members and is_founder and not is_joined
+
+
 def with_member_added(members: Sequence[Member], new_member: Member) -> list[Member] | None:
     """Returns the set with a new member, or None if it is a member already.
 
--- a/src/bayhinge/_internal/services/disks/disk_host.py
+++ b/src/bayhinge/_internal/services/disks/disk_host.py
@@ -12,6 +12,7 @@
 
 from bayhinge._internal.decisions.disk_set_rules import (
     has_read_enough,
+    may_make_first_set,
     with_member_added,
     without_silent,
 )
@@ -34,6 +35,12 @@
 JOIN_PERIOD_S = 0.3
 """Time between two reads of the other disks' logs by a disk that waits to join the set."""
 
+SET_LOST_REASON = "the store has lost the set that this disk was in; restore the object"
+NO_FOUNDER_REASON = (
+    "the store has no set, and this disk was never started for a new system; if the system is new, "
+    "restart one disk with bootstrap = true"
+)
+
 CATCH_UP_PERIOD_S = 0.1
 """The same for a disk that has not caught up with a change of the set, which does not serve newly
 assigned programs until then."""
@@ -53,6 +60,7 @@
         self._listener = network.listen(settings.peer_address, DiskRequestHandler(self), clock)
         self._read_hosts: set[str] = set()
         self._silent_since_by_host: dict[str, float] = {}
+        self._has_logged_missing = False
 
     async def on_start(self) -> None:
         """Starts the listener and the heartbeats; joins the disk set in the background."""
@@ -90,14 +98,12 @@
 
     async def _maintain_membership(self) -> None:
         """Joins the set, copies missing entries, and drops lost members until retirement."""
-        if self.settings.is_first_start and self.turns.is_fresh:
-            self.turns.mark_joined()
-            self.apply_disk_set(
-                await change_disk_set(self._store, lambda found: with_member_added(found, self.me))
-            )
+        await self._take_first_place()
         while not self.should_stop and not self.is_retired:
             if not self.disk_set.members:
-                self.apply_disk_set(await change_disk_set(self._store, lambda members: None))
+                self.apply_disk_set(await change_disk_set(self._store, self._first_members))
+            if self._is_member() and not self.turns.is_joined:
+                self.turns.mark_joined()
             await self._copy_from_all()
             self._expire()
             if not self._is_member():
@@ -107,6 +113,31 @@
                 await self._drop_silent()
             await self._pause()
 
+    async def _take_first_place(self) -> None:
+        """Joins the set of a new system, where there is nothing to copy yet."""
+        if not self.settings.is_first_start or self.turns.is_joined:
+            return
+        self.turns.mark_founder()
+        if self.turns.is_fresh:
+            self.apply_disk_set(
+                await change_disk_set(self._store, lambda found: with_member_added(found, self.me))
+            )
+
+    def _first_members(self, found: list[wire.DiskMember]) -> list[wire.DiskMember] | None:
+        """Returns the first set with this disk alone, if this disk may make it."""
+        may_found = may_make_first_set(
+            found, is_founder=self.turns.is_founder, is_joined=self.turns.is_joined
+        )
+        if not found and not may_found and not self._has_logged_missing:
+            self._has_logged_missing = True
+            eliot.log_message(
+                "disk_set.missing",
+                host=self.settings.host,
+                is_joined=self.turns.is_joined,
+                why=SET_LOST_REASON if self.turns.is_joined else NO_FOUNDER_REASON,
+            )
+        return [self.me] if may_found else None
+
     async def _pause(self) -> None:
         """Waits until the next read of the other disks, or a change of the set."""
         pause_s = COPY_PERIOD_S if self._is_member() else JOIN_PERIOD_S
@@ -139,7 +170,6 @@
         )
         if not self._is_member():
             return
-        self.turns.mark_joined()
         eliot.log_message(
             "disk.joined", host=self.settings.host, disk_set_version=self.disk_set.version
         )
--- a/src/bayhinge/_internal/services/disks/turn_log.py
+++ b/src/bayhinge/_internal/services/disks/turn_log.py
@@ -28,6 +28,7 @@
 
 GENERATION_FILE = "generation"
 JOINED_FILE = "joined"
+FOUNDER_FILE = "founder"
 SEGMENT_SUFFIX = ".turns"
 
 
@@ -70,6 +71,7 @@
             self._read_segment(segment)
         self.generation, self.is_fresh = self._read_generation()
         self.is_joined = (folder / JOINED_FILE).exists()
+        self.is_founder = (folder / FOUNDER_FILE).exists()
         self._open_segment(self._segment + 1)
 
     # ---- reading ----
@@ -177,8 +179,13 @@
         self._segment_path(segment).unlink()
         self._index.drop(segment, keys)
 
+    def mark_founder(self) -> None:
+        """Marks this disk as one of a new system, which may make the first set."""
+        write_synced(self._folder / FOUNDER_FILE, b"founder\n")
+        self.is_founder = True
+
     def mark_joined(self) -> None:
-        """Marks this disk as a member of the set, once it has copied what it lacked."""
+        """Marks this disk as one that is or was a member of the set."""
         write_synced(self._folder / JOINED_FILE, b"joined\n")
         self.is_joined = True
 
--- a/tests/unit/test_disk_rules.py
+++ b/tests/unit/test_disk_rules.py
@@ -1,6 +1,7 @@
 """Quorums of disks, placement of replicas, and changes of the set of disks."""
 
 import attrs
+import pytest
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
@@ -13,6 +14,7 @@
 from bayhinge._internal.decisions.disk_set_rules import (
     DROP_AFTER_S,
     has_read_enough,
+    may_make_first_set,
     with_member_added,
     without_retired,
     without_silent,
@@ -149,3 +151,20 @@
     assert without_retired([A, B], "a", tolerated=1) is None, "each turn needs two copies"
     assert without_retired([A, B, C], "a", tolerated=2) is None
     assert without_retired([B, C, D], "a", tolerated=1) is None, "it is no longer a member"
+
+
+@pytest.mark.parametrize(
+    ("members", "is_founder", "is_joined", "expected"),
+    [
+        ([], True, False, True),
+        ([], True, True, False),
+        ([], False, False, False),
+        ([A], True, False, False),
+    ],
+)
+def test_only_a_founder_that_has_not_joined_makes_the_first_set(
+    members: list[Disk], is_founder: bool, is_joined: bool, expected: bool
+) -> None:
+    """Guards against a second first set, which would lack the turns of the former."""
+    may = may_make_first_set(members, is_founder=is_founder, is_joined=is_joined)
+    assert may is expected
