Take no head of two answers for one, and a refusal without an id only on a fresh connection

Cause: the cut head of a late surplus answer and the head of the next were read as one; of two ids the last counted, and a refusal without an id was taken for one of the newest request. Change: two ids, or a status line in the reason or in a header, make it no answer; a refusal without an id counts on a connection's first request, and closes it.

--- a/src/bayhinge/_internal/models/routed_requests.py
+++ b/src/bayhinge/_internal/models/routed_requests.py
@@ -109,6 +109,7 @@
         wrong_instance: another instance now has the address; the request was not executed.
         is_encoded: the body has a content encoding, so the endpoint itself did not produce it.
         idle_s: the endpoint's keep-alive timeout in seconds, or None.
+        is_joined: it is the cut head of one answer with another answer behind it.
     """
 
     attempt: str | None
@@ -117,3 +118,4 @@
     wrong_instance: bool
     is_encoded: bool
     idle_s: float | None
+    is_joined: bool = False
--- a/src/bayhinge/_internal/network/endpoint_connections.py
+++ b/src/bayhinge/_internal/network/endpoint_connections.py
@@ -76,7 +76,11 @@
 
 
 class EndpointConnection(BaseProtocol):
-    """One connection, with one request in flight at a time."""
+    """One connection, with one request in flight at a time.
+
+    Attributes:
+        send_count: requests that were sent on it, the one in flight included.
+    """
 
     def __init__(
         self,
@@ -104,6 +108,7 @@
         self._last_received_s_by_key = last_received_s_by_key
         self.is_open = True
         self.is_busy = False
+        self.send_count = 0
         self.reusable_until_s = 0.0
         self._answers: deque[Answer] = deque()
         self._interim_count = 0
@@ -190,6 +195,7 @@
         if not self.is_open or self.transport is None or self.transport.is_closing():
             raise EndpointUnreachableError(self._why_closed or "the connection is closed")
         self.is_busy = True
+        self.send_count += 1
         self._interim_count = 0
         timeout_s = RETRYABLE_TCP_USER_TIMEOUT_S if is_retryable else TCP_USER_TIMEOUT_S
         self._set_tcp_timeouts(timeout_s)
--- a/src/bayhinge/_internal/platform/call_format.py
+++ b/src/bayhinge/_internal/platform/call_format.py
@@ -1,6 +1,7 @@
 """Conversion between the platform's HTTP headers and the types of the models package."""
 
 import math
+import re
 
 from bayhinge._internal.models.account_keys import hash_key
 from bayhinge._internal.models.routed_requests import (
@@ -14,6 +15,9 @@
 )
 from bayhinge._internal.services.gateway.platform_interface import CallFormat
 
+STATUS_LINE = re.compile(rb"HTTP/1\.[01] \d{3}")
+"""The beginning of an answer."""
+
 ATTEMPT = b"bayhinge-attempt-id"
 DEADLINE = b"bayhinge-deadline-ms"
 PROGRAM_DEADLINE = b"bayhinge-program-deadline-ms"
@@ -150,7 +154,7 @@
             lines.append(f"Content-Length: {body_bytes}".encode())
         return b"\r\n".join(lines) + b"\r\n\r\n"
 
-    def read_answer(self, status: int, headers: RawHeaders) -> AnswerMetadata:
+    def read_answer(self, status: int, reason: str, headers: RawHeaders) -> AnswerMetadata:
         """See :class:`CallFormat`."""
         value_by_name = {name.lower(): value for name, value in headers}
         attempt = value_by_name.get(ATTEMPT)
@@ -161,6 +165,7 @@
             wrong_instance=status == MISDIRECTED,
             is_encoded=b"content-encoding" in value_by_name,
             idle_s=_parse_keepalive_timeout(value_by_name.get(b"keep-alive")),
+            is_joined=_is_joined(reason, headers),
         )
 
     def health_check_head(self, path: str, address: str) -> bytes:
@@ -187,6 +192,13 @@
         return tuple(headers)
 
 
+def _is_joined(reason: str, headers: RawHeaders) -> bool:
+    """Whether a head began as that of an answer that was cut, and goes on as that of the next."""
+    ids = sum(name.lower() == ATTEMPT for name, _ in headers)
+    texts = [reason.encode("utf-8", "surrogateescape"), *(value for _, value in headers)]
+    return ids > 1 or any(STATUS_LINE.search(text) for text in texts)
+
+
 def _key_digest(credentials: RawHeaders) -> str | None:
     """Returns the digest of the caller's bearer key, or None unless there is exactly one."""
     if len(credentials) != 1:
--- a/src/bayhinge/_internal/services/gateway/platform_interface.py
+++ b/src/bayhinge/_internal/services/gateway/platform_interface.py
@@ -40,8 +40,8 @@
         """
 
     @abstractmethod
-    def read_answer(self, status: int, headers: RawHeaders) -> AnswerMetadata:
-        """Decodes the headers of an endpoint's answer."""
+    def read_answer(self, status: int, reason: str, headers: RawHeaders) -> AnswerMetadata:
+        """Decodes the head of an endpoint's answer; ``reason`` is the text behind its status."""
 
     @abstractmethod
     def health_check_head(self, path: str, address: str) -> bytes:
--- a/src/bayhinge/_internal/services/gateway/request_sender.py
+++ b/src/bayhinge/_internal/services/gateway/request_sender.py
@@ -312,6 +312,9 @@
     ) -> None:
         if answer.closes_connection or marks.idle_s == 0:
             connection.abort("the endpoint closes it")
+        elif marks.attempt is None:
+            # The next refusal without an id could not be told from a late one to this request.
+            connection.abort("it rejected a request without its id")
         else:
             self._connection_pool.release(connection, marks.idle_s)
 
@@ -368,9 +371,13 @@
         """Returns the answer with the request's id; skips answers to earlier requests."""
         for _ in range(MAX_PASSED_OVER):
             answer = await connection.next_answer()
-            marks = self._calls.read_answer(answer.status, answer.headers)
+            marks = self._calls.read_answer(answer.status, answer.reason, answer.headers)
+            if marks.is_joined:
+                raise IncompleteAnswerError("a cut answer and another one came as one")
             # A rejection may lack an id, but one with another request's id is not for this one.
             is_bare_refusal = marks.attempt is None and (marks.not_run or marks.wrong_instance)
+            if is_bare_refusal and connection.send_count > 1:
+                raise IncompleteAnswerError("a refusal without an id may be of an earlier request")
             if marks.attempt == attempt or is_bare_refusal:
                 return answer, marks
             eliot.log_message(
