Test: repeats at several hosts at once, while messages between hosts take 8 ms

A mutant without the wait for other hosts' sends passed all of its tests, as hosts in one process hear each other at once.

--- a/src/bayhinge/_internal/services/call_runner.py
+++ b/src/bayhinge/_internal/services/call_runner.py
@@ -19,11 +19,7 @@
 from bayhinge._internal.models.programs import LostEndpoint, ProgramState
 from bayhinge._internal.models.refusals import Figure, RefusalCode, RefusedError, SendRecord
 from bayhinge._internal.models.settings import Settings
-from bayhinge._internal.network.endpoint_client import (
-    EndpointClient,
-    EngineChunk,
-    EngineRequest,
-)
+from bayhinge._internal.network.endpoint_client import EndpointClient, EngineChunk, EngineRequest
 from bayhinge._internal.services.answers import LiveAnswer
 from bayhinge._internal.services.ended_calls import EndedCalls
 from bayhinge._internal.services.grants import GrantedEndpoint, GrantSource
@@ -31,6 +27,7 @@
 
 MAX_ATTEMPTS = 4
 """Sends of one repeatable call, including the first."""
+
 ENDED = ("endpoint ended", "it broke the call off and refuses connections")
 IN_DOUBT = ("endpoint in doubt", "it broke the call off and answers nothing")
 """What the timeline says of endpoints that are lost, and why."""
--- a/tests/functional/test_attempts_at_once_that_end_endpoints.py
+++ b/tests/functional/test_attempts_at_once_that_end_endpoints.py
@@ -1,6 +1,6 @@
 """Attempts of one request that are under way at several hosts at once, while endpoints end."""
 
-from collections.abc import Callable
+from collections.abc import Awaitable, Callable
 from pathlib import Path
 
 import pytest
@@ -18,6 +18,9 @@
 
 STAGGER_S = 0.05
 
+NEWS_DELAY_S = 0.008
+"""As long as messages between halls take."""
+
 
 def bound(at_once: int) -> int:
     """Returns how many endpoints may end: those that got it before any of them had ended."""
@@ -65,6 +68,26 @@
     run_ending_site(tmp_path, scenario, entries=3)
 
 
+@pytest.mark.parametrize("at_once", [3, 4])
+def test_repeats_at_several_hosts_at_once_end_no_more_than_are_left(
+    tmp_path: Path, at_once: int
+) -> None:
+    """Guards against hosts that send a failed request again without hearing of each other."""
+
+    async def scenario(site: EndingSite) -> None:
+        def ask(host: str) -> Awaitable[Reply]:
+            return site.ask("/act/a", b"fatal", at=host, **PROGRAM)
+
+        await ask("entry-0")
+        assert len(site.group.ended) == 1
+        await site.pause(NEWS_DELAY_S)
+        site.delay_news(NEWS_DELAY_S)
+        statuses = await site.at_once(ask, at_once)
+        assert len(site.group.ended) <= MAX_ENDED, statuses
+
+    run_ending_site(tmp_path, scenario, entries=at_once)
+
+
 def test_equal_requests_without_a_program_are_sent_on_one_at_a_time(tmp_path: Path) -> None:
     async def scenario(site: EndingSite) -> None:
         ask: Callable[[str], object] = lambda host: site.ask("/look/a", b"fatal", at=host)  # noqa: E731
--- a/tests/lib/ending_endpoints.py
+++ b/tests/lib/ending_endpoints.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import copy
+import functools
 from collections.abc import Awaitable, Callable
 from pathlib import Path
 from typing import Any
@@ -188,6 +189,16 @@
 
         return end
 
+    def delay_news(self, delay_s: float) -> None:
+        """Delays all datagrams between hosts."""
+        loop = asyncio.get_running_loop()
+        for entry in self.entry_by_name.values():
+            for sender in (entry._gateway.exchange, entry._gateway.gossip):
+                transport = sender._transport
+                assert transport is not None
+                send = functools.partial(loop.call_later, delay_s, transport.sendto)  # type: ignore[arg-type]
+                transport.sendto = send  # type: ignore[method-assign,assignment]
+
     async def repeat(self, ask: Callable[[str], Awaitable[Reply]], tries: int) -> list[int]:
         """Sends a request again and again, at all hosts in turn; returns the statuses."""
         hosts = sorted(self.entry_by_name)
