--- /dev/null
+++ b/tests/lib/end_cases.py
@@ -0,0 +1,134 @@
+"""Ways in which endpoints end under a request, and what happens around them."""
+
+import random
+from collections.abc import Iterator
+from enum import StrEnum
+from typing import Any
+
+import attrs
+
+
+class End(StrEnum):
+    """What an endpoint does under a fatal request, before its process ends."""
+
+    RESET = "reset"
+    CLOSE = "close"
+    SILENCE = "silence"
+    JUNK = "junk"
+    HALF = "half"
+    OTHER_ANSWER = "another request's answer"
+    MANY_ANSWERS = "many answers"
+    INTERIM = "interim answers without end"
+    LARGE_HEAD = "too large a head"
+    UNSIGNED = "unsigned"
+    EVENTS = "after its events"
+
+
+class Entry(StrEnum):
+    """What the store says of an endpoint that ends."""
+
+    STANDS = "stands"
+    GOES_AT_END = "goes at the end"
+    GOES_AT_SEND = "goes at the send"
+    LAPSED = "lapsed"
+    DRAINING = "draining"
+    COMES_BACK = "comes back"
+
+
+class Between(StrEnum):
+    """What each second endpoint does that goes on."""
+
+    NOTHING = "nothing"
+    FAILURE = "500"
+    NOT_EXECUTED = "503 not executed"
+    WRONG_INSTANCE = "421"
+    REJECTED = "429"
+    SILENCE = "silence"
+    CUT = "a cut answer"
+
+
+class Route(StrEnum):
+    """The route of the request."""
+
+    REPEATABLE = "/look/a"
+    ONCE = "/act/a"
+    TURN = "/chat/x"
+    RESUMABLE = "/draft/x"
+
+
+class Repeat(StrEnum):
+    """Who repeats the request, and where."""
+
+    IN_TURN = "at all hosts in turn"
+    ONE_HOST = "at one host"
+    AT_ONCE = "several at once"
+
+
+class Hosts(StrEnum):
+    """What happens to the hosts meanwhile."""
+
+    FINE = "fine"
+    CUT = "one is cut off and healed"
+    RESTARTED = "restarted one by one"
+    STORE_SILENT = "the store is silent"
+
+
+@attrs.frozen
+class EndCase:
+    """One combination.
+
+    Attributes:
+        after_s: how long an endpoint works on the request before that.
+        ends_after_s: how long its process goes on afterwards.
+        leaves_s: after this time the caller leaves, or None.
+    """
+
+    end: End = End.RESET
+    after_s: float = 0.0
+    ends_after_s: float = 0.0
+    entry: Entry = Entry.GOES_AT_END
+    between: Between = Between.NOTHING
+    route: Route = Route.ONCE
+    has_program: bool = True
+    repeat: Repeat = Repeat.IN_TURN
+    hosts: Hosts = Hosts.FINE
+    leaves_s: float | None = None
+    tries: int = 8
+
+    @property
+    def at_once(self) -> int:
+        """Attempts that are under way at the same time."""
+        return AT_ONCE if self.repeat is Repeat.AT_ONCE else 1
+
+
+AT_ONCE = 3
+"""Attempts at a time where several are under way."""
+
+CHOICES: dict[str, tuple[Any, ...]] = {
+    "end": tuple(End),
+    # At once, while its host waits, and after that takes it for silent.
+    "after_s": (0.0, 0.1, 0.3, 0.7, 1.2),
+    "ends_after_s": (0.0, 0.1, 0.4),
+    "entry": tuple(Entry),
+    "between": tuple(Between),
+    "route": tuple(Route),
+    "has_program": (True, False),
+    "repeat": tuple(Repeat),
+    "hosts": tuple(Hosts),
+    "leaves_s": (None, None, 0.3),
+}
+"""What is drawn from for each field of a case."""
+
+
+def draw(seed: int) -> EndCase:
+    """Returns the case of a seed."""
+    rng = random.Random(seed)
+    return EndCase(**{name: rng.choice(choices) for name, choices in CHOICES.items()})
+
+
+def simpler(case: EndCase) -> Iterator[EndCase]:
+    """Yields the cases that differ from one by a field that is as usual."""
+    usual = EndCase()
+    for name in CHOICES:
+        if getattr(case, name) != getattr(usual, name):
+            yield attrs.evolve(case, **{name: getattr(usual, name)})
