An answer takes ends back only if it serves the request

A failure of another endpoint says nothing of those that ended. Now a whole 2xx answer alone does; any other one clears its own endpoint.

--- a/src/bayhinge/_internal/services/gateway/ended_send_tracker.py
+++ b/src/bayhinge/_internal/services/gateway/ended_send_tracker.py
@@ -257,15 +257,22 @@
         if incarnation in self.sends.undecided(key, _now()):
             self.tell(self._changes([(key, incarnation)], Fate.BROKEN))
 
-    def record_answer(self, key: RequestKey, run: ActiveRun, sent_s: float) -> None:
-        """Records a whole answer, which clears its request and its endpoint."""
+    def record_answer(
+        self, key: RequestKey, run: ActiveRun, sent_s: float, is_served: bool
+    ) -> None:
+        """Records a whole answer, which clears its endpoint, and the request if that is served.
+
+        A failure that another endpoint answers tells nothing of those that ended.
+        """
         incarnation = run.state.entry.incarnation
         self._record_endpoint_answered(incarnation)
         cleared = [
             (each, incarnation) for each in self.sends.record_endpoint_alive(incarnation, sent_s)
         ]
-        cleared += [(key, ended) for ended in self.sends.record_served(key)]
-        self._tell_cleared(cleared, "a request was answered")
+        self._tell_cleared(cleared, "the endpoint has answered a later request")
+        if is_served:
+            served = [(key, ended) for ended in self.sends.record_served(key)]
+            self._tell_cleared(served, "the request was served")
 
     # ---- news of endpoints ----
 
--- a/src/bayhinge/_internal/services/gateway/send_guard.py
+++ b/src/bayhinge/_internal/services/gateway/send_guard.py
@@ -175,4 +175,5 @@
     def record_answer(self, run: ActiveRun, send_state: SendState) -> None:
         """Records a whole answer."""
         if run.sent_s is not None and len(self._tracker.sends):
-            self._tracker.record_answer(send_state.key, run, run.sent_s)
+            is_served = send_state.delivery.is_served
+            self._tracker.record_answer(send_state.key, run, run.sent_s, is_served)
--- a/tests/lib/drawn_endings.py
+++ b/tests/lib/drawn_endings.py
@@ -1,4 +1,4 @@
-"""Plays one combination of :mod:`tests.lib.end_cases` with real sends, and judges it from outside."""
+"""Plays a combination of :mod:`tests.lib.end_cases` with real sends; judges it from outside."""
 
 import asyncio
 import time
@@ -42,8 +42,8 @@
     End.JUNK: b"no answer at all\r\n\r\n",
     End.INTERIM: b"HTTP/1.1 102 Processing\r\n\r\n" * 20,
     End.LARGE_HEAD: b"HTTP/1.1 200 OK\r\nX-Large: " + b"x" * 40_000 + b"\r\n\r\n",
-    End.OTHER_ANSWER: b"HTTP/1.1 200 OK\r\nBayhinge-Attempt-Id: other\r\nBayhinge-Server-Seal: s\r\n"
-    b"Connection: close\r\nContent-Length: 2\r\n\r\nno",
+    End.OTHER_ANSWER: b"HTTP/1.1 200 OK\r\nBayhinge-Attempt-Id: other\r\n"
+    b"Bayhinge-Server-Seal: s\r\nConnection: close\r\nContent-Length: 2\r\n\r\nno",
     End.MANY_ANSWERS: b"HTTP/1.1 200 OK\r\nBayhinge-Attempt-Id: other\r\nContent-Length: 0\r\n\r\n"
     * 8,
 }
@@ -119,9 +119,7 @@
             raise ConnectionResetError
         status, has_run = STATUS_BETWEEN[between]
         headers = {"Bayhinge-Attempt-Id": run.attempt}
-        headers |= (
-            {"Bayhinge-Server-Seal": "seal"} if has_run else {"Bayhinge-Not-Executed": "1"}
-        )
+        headers |= {"Bayhinge-Server-Seal": "seal"} if has_run else {"Bayhinge-Not-Executed": "1"}
         raise _Answered(web.Response(status=status, headers=headers))
 
     def _head(self, run: Run, length: int, seal: str = "Bayhinge-Server-Seal: s\r\n") -> bytes:
@@ -197,18 +195,18 @@
         self.sends = 0
         self._tasks: set[asyncio.Task[None]] = set()
         self._listed: set[str] = set()
-        self.engines = [  # type: ignore[assignment]
+        self.engines = [
             DrawnEndpoint(f"i-llm-{number}", "llm", self) for number in range(endpoints)
         ]
-        self.services = [  # type: ignore[assignment]
+        self.services = [
             DrawnEndpoint(f"i-app-{number}", "app", self) for number in range(endpoints)
         ]
 
     def spawn(self, work: Awaitable[None]) -> None:
         """Runs work that goes on although a request is over."""
         task = asyncio.ensure_future(work)
-        self._tasks.add(task)  # type: ignore[arg-type]
-        task.add_done_callback(self._tasks.discard)  # type: ignore[arg-type]
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
 
     def remove_entry(self, endpoint: PlatformEngine) -> None:
         """Removes an endpoint's entry, if it is there."""
@@ -241,7 +239,7 @@
     async def _put_back(self, endpoints: list[PlatformEngine]) -> None:
         await asyncio.sleep(BACK_AFTER_OUTAGE_S)
         for endpoint in endpoints:
-            if not endpoint._is_over:  # type: ignore[attr-defined]
+            if not endpoint._is_over:
                 self.store.put("servers", endpoint.instance, endpoint.entry())
 
     async def ask_fatal(self, host: str) -> int:
--- a/tests/soak/endings.py
+++ b/tests/soak/endings.py
@@ -50,10 +50,10 @@
         for seed, found in pool.imap_unordered(judge_seed, seeds):
             if found:
                 failed.append(seed)
-                print(f"seed {seed}: {'; '.join(found)}: {draw(seed)}", flush=True)  # noqa: T201
-    print(f"{len(failed)} of {len(seeds)} failed: {sorted(failed)}", flush=True)  # noqa: T201
+                print(f"seed {seed}: {'; '.join(found)}: {draw(seed)}", flush=True)
+    print(f"{len(failed)} of {len(seeds)} failed: {sorted(failed)}", flush=True)
     for seed in [] if options.no_shrink else sorted(failed):
-        print(f"seed {seed}, shrunk: {shrink(draw(seed))}", flush=True)  # noqa: T201
+        print(f"seed {seed}, shrunk: {shrink(draw(seed))}", flush=True)
     sys.exit(bool(failed))
 
 
