--- a/idl/hosts.thrift
+++ b/idl/hosts.thrift
@@ -168,8 +168,8 @@
 
 // ENDED: an endpoint ended while it ran a request. CLEARED: it goes on after all, or the request was
 // answered since. TRIAL: a request under which endpoints ended is sent to the last one that it may
-// end. TRIAL_OVER: that send, or that of a RUN, has ended. BROKEN: an endpoint broke the request off
-// or was silent, and may have ended. ANSWERED: it has answered something since. RUN: a request under
+// end. TRIAL_OVER: that send, or that of a RUN, has ended. BROKEN: the request was not served there, and
+// the endpoint may have ended. ANSWERED: it has answered something since. RUN: a request under
 // which endpoints may have ended is under way at an endpoint.
 enum SendFate {
   ENDED = 1, CLEARED = 2, TRIAL = 3, TRIAL_OVER = 4, BROKEN = 5, ANSWERED = 6, RUN = 7
@@ -177,7 +177,8 @@
 
 // What a host has learned of a send. `request`: the fingerprint of the request; `has_program`: it
 // names its program. `sent_ms_ago`, `broken_ms_ago`: before this message. `run`: a random number of
-// the send, where it is under way.
+// the send, where it is under way. `over_in_ms`: after this message the endpoint can no longer be at
+// work on it; negative if that is past.
 struct SendNews {
   1: required string request,
   2: required bool has_program,
@@ -187,6 +188,7 @@
   6: required i32 sent_ms_ago,
   7: required i32 broken_ms_ago,
   8: optional i64 run,
+  9: optional i32 over_in_ms,
 }
 
 // `ends_wanted_at`: the peer address to which the receiver is to tell the ends that it remembers.
--- a/src/bayhinge/_internal/decisions/ended_send_history.py
+++ b/src/bayhinge/_internal/decisions/ended_send_history.py
@@ -13,17 +13,17 @@
 from bayhinge._internal.models.endpoint_entries import EndpointIncarnation
 
 KEEP_S = 600.0
-"""How long a request is remembered after the last endpoint that ended under it."""
+"""How long a request is remembered after the last endpoint that ended under it, or may have."""
 
 KEEP_CLEARED_S = 60.0
 """How long a clearance is remembered, so that hosts that missed it don't bring the end back."""
 
 UNDECIDED_S = 6.0
-"""How long an endpoint's end may be connected with a send that broke off; the entry of one that
-fell silent stays for three of its heartbeats."""
+"""How long an endpoint that has answered may yet be found to have ended under a request, as the
+answer may be that of a later incarnation, of which the store tells late."""
 
-MAX_DOUBT_S = 60.0
-"""How long an endpoint may be in doubt that answers no health check, though its entry stays."""
+ENDING_S = 1.0
+"""How long a process may still answer after it has failed a request and before it has ended."""
 
 SAME_SEND_S = 0.05
 """Two hosts' figures of the same send differ by less, as their messages take time."""
@@ -43,11 +43,12 @@
     """What is known of an endpoint that broke off a request; later ones replace earlier ones.
 
     Attributes:
-        BROKEN: it broke the request off, or was silent, and has not been heard since.
-        ANSWERED: it has answered something since, so that it does not count. The answer may have
-            been that of a later incarnation, so it may yet be found to have ended.
+        BROKEN: the request was not served there, and nothing has shown that it goes on since.
+        ANSWERED: it has answered what was sent after its run was over, so that it does not count.
+            The answer may have been that of a later incarnation, so it may yet be found to have
+            ended.
         ENDED: it has ended.
-        CLEARED: it goes on, or the request was answered since.
+        CLEARED: it goes on, or the request was served since.
     """
 
     BROKEN = 1
@@ -72,26 +73,24 @@
 
 @attrs.define
 class BrokenSend:
-    """A send to one endpoint that broke off, and what is known of the endpoint.
+    """A send to one endpoint that did not serve the request, and what is known of the endpoint.
 
     Attributes:
-        doubt_ends_s: until when its endpoint may be found to have ended, if it stays silent.
+        broken_s: when it failed, or was given up.
+        over_s: when the endpoint can no longer be at work on it, nor be about to end under it. Only
+            an answer to what was sent later shows that the endpoint goes on.
         is_own: it was this host's send, so this host tells the others what becomes of it.
     """
 
     sent_s: float
     broken_s: float
     fate: Fate = Fate.BROKEN
-    doubt_ends_s: float = attrs.field()
+    over_s: float = attrs.field()
     is_own: bool = False
 
-    @doubt_ends_s.default
-    def _doubt_ends_s(self) -> float:
-        return self.broken_s + UNDECIDED_S
-
-    def renew_doubt(self, now_s: float) -> None:
-        """Prolongs the doubt, as the endpoint is silent still."""
-        self.doubt_ends_s = min(self.broken_s + MAX_DOUBT_S, now_s + UNDECIDED_S)
+    @over_s.default
+    def _over_s(self) -> float:
+        return self.broken_s + ENDING_S
 
     def is_before(self, other: "BrokenSend") -> bool:
         """Whether another send to the same endpoint began after this one had broken off."""
@@ -157,22 +156,25 @@
             if send.fate is Fate.ENDED
         ]
 
-    def undecided(self, now_s: float) -> list[EndpointIncarnation]:
-        """Returns the endpoints that broke it off, were not heard since, and may have ended."""
+    def undecided(self) -> list[EndpointIncarnation]:
+        """Returns the endpoints that did not serve it, and may have ended or be about to."""
         return [
             incarnation
             for incarnation, send in self.send_by_incarnation.items()
-            if send.fate is Fate.BROKEN and send.doubt_ends_s >= now_s
+            if send.fate is Fate.BROKEN
         ]
 
+    def counting(self) -> list[EndpointIncarnation]:
+        """Returns the endpoints that ended under it, or may have."""
+        return [*self.ended(), *self.undecided()]
+
     def may_have_ended(self, incarnation: EndpointIncarnation, now_s: float) -> bool:
         """Whether an endpoint may be found to have ended under the request."""
         send = self.send_by_incarnation.get(incarnation)
-        return (
-            send is not None
-            and send.fate in {Fate.BROKEN, Fate.ANSWERED}
-            and send.doubt_ends_s >= now_s
-        )
+        if send is None:
+            return False
+        is_recent = send.over_s + UNDECIDED_S >= now_s
+        return send.fate is Fate.BROKEN or (send.fate is Fate.ANSWERED and is_recent)
 
     def running(self, now_s: float, claim: SendUnderWay | None = None) -> int:
         """Returns how many sends are under way, or how many of them come before a claim."""
@@ -199,9 +201,14 @@
         return count
 
     def oldest(self) -> EndpointIncarnation:
-        """Returns the send to forget first; the ends go last."""
+        """Returns the send to forget first; the ends go last, and before them the doubts."""
         sends = self.send_by_incarnation
-        return min(sends, key=lambda each: (sends[each].fate is Fate.ENDED, sends[each].broken_s))
+
+        def order(each: EndpointIncarnation) -> tuple[bool, bool, float]:
+            send = sends[each]
+            return send.fate is Fate.ENDED, send.fate is Fate.BROKEN, send.broken_s
+
+        return min(sends, key=order)
 
     def is_over(self, now_s: float) -> bool:
         """Whether nothing of it matters any more."""
@@ -211,11 +218,11 @@
 
 
 def _is_past(send: BrokenSend, now_s: float) -> bool:
-    if send.fate is Fate.ENDED:
+    if send.fate in {Fate.BROKEN, Fate.ENDED}:
         return send.broken_s < now_s - KEEP_S
     if send.fate is Fate.CLEARED:
         return send.broken_s < now_s - KEEP_CLEARED_S
-    return send.doubt_ends_s < now_s
+    return send.over_s + UNDECIDED_S < now_s
 
 
 @attrs.frozen
--- a/src/bayhinge/_internal/decisions/ended_sends.py
+++ b/src/bayhinge/_internal/decisions/ended_sends.py
@@ -1,13 +1,13 @@
 """Bounds how many endpoints one request may end, over all its attempts and hosts. Pure.
 
-A host learns from its own sends and from other hosts which endpoints ended while they ran a
-request. A send that broke off proves nothing by itself, since answers are lost and connections are
-reset, but its endpoint is in doubt until it answers something. It counts once the endpoint is found
-to have ended, and no longer once it is heard again. No more endpoints may be in doubt than may end.
+Each send that did not serve its request counts, however it failed: its endpoint may have ended, or
+may be about to. It counts until the endpoint answers what was sent after its run was over; if that
+is found to have ended, it counts as an end. An answer that serves the request clears all its sends.
 All times are in seconds on the host's monotonic clock.
 """
 
 import itertools
+import math
 from collections import OrderedDict
 from collections.abc import Iterator
 
@@ -35,6 +35,9 @@
 MAX_SENDS = 8
 """Sends remembered of one request; more than are needed to decide."""
 
+TOLD_WITHIN_S = 2.0
+"""News is told for the second time within this time."""
+
 EVICTION_CANDIDATES = 8
 """Requests compared when one has to be forgotten, so that a storm of failures stays cheap."""
 
@@ -57,19 +60,26 @@
         history = self._history_by_key.get(key)
         return [] if history is None else history.ended()
 
-    def ends(self, key: RequestKey) -> list[tuple[EndpointIncarnation, BrokenSend]]:
-        """Returns the endpoints that ended under a request, with their sends."""
-        return [(each, self._send(key, each)) for each in self.ended(key)]
+    def counting(self, key: RequestKey) -> list[tuple[EndpointIncarnation, BrokenSend]]:
+        """Returns the endpoints that ended under a request or may have, with their sends."""
+        history = self._history_by_key.get(key)
+        counting = [] if history is None else history.counting()
+        return [(each, self._send(key, each)) for each in counting]
 
     def failures(self, key: RequestKey) -> int:
         """Returns how many endpoints ended under a request, broke it off or were silent."""
         history = self._history_by_key.get(key)
         return 0 if history is None else len(history.send_by_incarnation)
 
-    def undecided(self, key: RequestKey, now_s: float) -> list[EndpointIncarnation]:
-        """Returns the endpoints that broke a request off and may have ended."""
+    def undecided(self, key: RequestKey) -> list[EndpointIncarnation]:
+        """Returns the endpoints that did not serve a request, and may have ended."""
         history = self._history_by_key.get(key)
-        return [] if history is None else history.undecided(now_s)
+        return [] if history is None else history.undecided()
+
+    def settled_from_s(self, key: RequestKey) -> float:
+        """Returns from when an endpoint in doubt can show that it goes on; infinity for none."""
+        over = (self._send(key, each).over_s for each in self.undecided(key))
+        return min(over, default=math.inf)
 
     def doubted_at(self, incarnation: EndpointIncarnation, now_s: float) -> list[RequestKey]:
         """Returns the requests that an endpoint broke off, if it may yet have ended under them."""
@@ -90,66 +100,50 @@
         newest_s = max((send.broken_s for send in sends), default=now_s)
         return Knowledge(
             tuple(each.endpoint for each in history.ended()),
-            tuple(each.endpoint for each in history.undecided(now_s)),
+            tuple(each.endpoint for each in history.undecided()),
             history.running(now_s),
             now_s - newest_s,
         )
 
-    def own_doubts(self, now_s: float) -> dict[EndpointIncarnation, list[RequestKey]]:
-        """Returns the endpoints that are in doubt after sends of this host, with the requests."""
+    def own_doubts(self) -> dict[EndpointIncarnation, list[BrokenSend]]:
+        """Returns the endpoints that are in doubt after sends of this host, with the sends."""
+        sends_by_incarnation = {
+            incarnation: [self._send(key, incarnation) for key in keys]
+            for incarnation, keys in self._keys_by_incarnation.items()
+        }
         return {
-            incarnation: keys
-            for incarnation in self._keys_by_incarnation
-            if (keys := self._own_doubts_at(incarnation, now_s))
+            incarnation: own
+            for incarnation, sends in sends_by_incarnation.items()
+            if (own := [each for each in sends if each.is_own and each.fate is Fate.BROKEN])
         }
 
-    def _own_doubts_at(self, incarnation: EndpointIncarnation, now_s: float) -> list[RequestKey]:
-        return [
-            key
-            for key in self._keys_by_incarnation.get(incarnation, ())
-            if self._send(key, incarnation).is_own
-            and incarnation in self._history_by_key[key].undecided(now_s)
-        ]
-
     def _send(self, key: RequestKey, incarnation: EndpointIncarnation) -> BrokenSend:
         return self._history_by_key[key].send_by_incarnation[incarnation]
 
-    def renew_doubts(self, incarnation: EndpointIncarnation, now_s: float) -> list[RequestKey]:
-        """Renews this host's doubts in an endpoint that is silent still; returns their requests."""
-        keys = self._own_doubts_at(incarnation, now_s)
-        for key in keys:
-            self._send(key, incarnation).renew_doubt(now_s)
-        return keys
-
-    def failed_endpoints(self, key: RequestKey, now_s: float) -> frozenset[str]:
+    def failed_endpoints(self, key: RequestKey) -> frozenset[str]:
         """Returns the endpoints that ended under a request, or may have: it should avoid them."""
         history = self._history_by_key.get(key)
-        if history is None:
-            return frozenset()
-        failed = (*history.ended(), *history.undecided(now_s))
-        return frozenset(each.endpoint for each in failed)
+        return frozenset() if history is None else frozenset(e.endpoint for e in history.counting())
 
-    def all_ended(
+    def all_counting(
         self, now_s: float
     ) -> Iterator[tuple[RequestKey, EndpointIncarnation, BrokenSend]]:
-        """Yields each end that still counts."""
+        """Yields each end that still counts, and each send whose endpoint may have ended."""
         for key, history in self._history_by_key.items():
-            if not history.is_over(now_s):
-                for incarnation in history.ended():
-                    yield key, incarnation, history.send_by_incarnation[incarnation]
+            for incarnation in history.counting():
+                send = history.send_by_incarnation[incarnation]
+                if send.broken_s >= now_s - KEEP_S:
+                    yield key, incarnation, send
 
     def digest(self, now_s: float) -> int:
         """Returns a number that is the same at all hosts that remember the same, 0 if nothing.
 
-        It covers the ends and the doubts.
+        What became known a moment ago is left out, as it is being told.
         """
         digest = 0
-        for key, incarnation, send in self.all_ended(now_s):
-            if send.broken_s >= now_s - KEEP_S:
-                digest ^= digest_of(key, incarnation, Fate.ENDED)
-        for key, history in self._history_by_key.items():
-            for incarnation in history.undecided(now_s):
-                digest ^= digest_of(key, incarnation, Fate.BROKEN)
+        for key, incarnation, send in self.all_counting(now_s):
+            if send.broken_s <= now_s - TOLD_WITHIN_S:
+                digest ^= digest_of(key, incarnation, send.fate)
         return digest
 
     # ---- decisions ----
@@ -158,7 +152,6 @@
         self,
         key: RequestKey,
         now_s: float,
-        is_examined: bool = False,
         claim: SendUnderWay | None = None,
     ) -> Permission:
         """Decides whether a request may be sent to one more endpoint now.
@@ -166,7 +159,6 @@
         Args:
             key: the request.
             now_s: the present time.
-            is_examined: whether the endpoints in doubt were just found not to have ended.
             claim: the send in question, if other hosts were told that it is about to begin; only
                 those that come before it count.
         """
@@ -176,11 +168,11 @@
         if history.is_over(now_s):
             self.forget(key)
             return Permission.FREE
-        return permission_of(key, history, now_s, is_examined, claim)
+        return permission_of(key, history, now_s, claim)
 
-    def has_failed(self, key: RequestKey, now_s: float) -> bool:
+    def has_failed(self, key: RequestKey) -> bool:
         """Whether endpoints ended under a request, or may have."""
-        return bool(self.failed_endpoints(key, now_s))
+        return bool(self.failed_endpoints(key))
 
     def trial_endpoints(self, key: RequestKey, now_s: float) -> frozenset[str]:
         """Returns the endpoints at which other requests are on trial."""
@@ -259,12 +251,17 @@
             self._history_by_key[key].send_by_incarnation[incarnation].fate = Fate.ENDED
         return ended
 
-    def record_endpoint_answered(self, incarnation: EndpointIncarnation) -> list[RequestKey]:
-        """Ends the doubt in an endpoint that has answered; returns the requests in question."""
+    def record_endpoint_answered(
+        self, incarnation: EndpointIncarnation, sent_s: float
+    ) -> list[RequestKey]:
+        """Ends the doubt in an endpoint that has answered what was sent at ``sent_s``.
+
+        Returns the requests in question.
+        """
         doubted: list[RequestKey] = []
         for key in self._keys_by_incarnation.get(incarnation, ()):
-            send = self._history_by_key[key].send_by_incarnation[incarnation]
-            if send.fate is Fate.BROKEN:
+            send = self._send(key, incarnation)
+            if send.fate is Fate.BROKEN and sent_s >= send.over_s:
                 send.fate = Fate.ANSWERED
                 doubted.append(key)
         return doubted
@@ -297,9 +294,9 @@
         self, key: RequestKey, incarnation: EndpointIncarnation, send: BrokenSend, now_s: float
     ) -> bool:
         """Records another host's doubt in an endpoint; returns whether that is new."""
-        known = self.record_broken(key, incarnation, send)
-        known.renew_doubt(now_s)
-        return known is send
+        if send.broken_s < now_s - KEEP_S:
+            return False
+        return self.record_broken(key, incarnation, send) is send
 
     def record_answered(
         self, key: RequestKey, incarnation: EndpointIncarnation, send: BrokenSend
@@ -372,7 +369,11 @@
         which endpoints end.
         """
         oldest = itertools.islice(self._history_by_key, EVICTION_CANDIDATES)
-        self.forget(min(oldest, key=lambda key: len(self._history_by_key[key].ended())))
+        self.forget(min(oldest, key=self._weight))
+
+    def _weight(self, key: RequestKey) -> tuple[int, int]:
+        history = self._history_by_key[key]
+        return len(history.ended()), len(history.undecided())
 
     def _add(
         self, key: RequestKey, incarnation: EndpointIncarnation, send: BrokenSend
--- a/src/bayhinge/_internal/decisions/send_permission.py
+++ b/src/bayhinge/_internal/decisions/send_permission.py
@@ -36,18 +36,15 @@
     key: RequestKey,
     history: RequestHistory,
     now_s: float,
-    is_examined: bool,
     claim: SendUnderWay | None,
 ) -> Permission:
     """Decides whether a request with this history may be sent to one more endpoint now.
 
     The arguments are those of :meth:`EndedSends.permission`.
     """
-    ended = history.ended()
-    if history.count(ended, key.has_program) >= MAX_ENDED:
+    if history.count(history.ended(), key.has_program) >= MAX_ENDED:
         return Permission.WITHHELD
-    suspects = ended if is_examined else [*ended, *history.undecided(now_s)]
-    lost = history.count(suspects, key.has_program)
+    lost = history.count(history.counting(), key.has_program)
     if lost >= MAX_ENDED:
         return Permission.EXAMINE
     return _permission_beside(key, lost, history.running(now_s, claim))
--- a/src/bayhinge/_internal/network/endpoint_answer.py
+++ b/src/bayhinge/_internal/network/endpoint_answer.py
@@ -19,12 +19,14 @@
 
     Attributes:
         cut_bytes: bytes received of an incomplete last event of a stream.
+        is_whole: the endpoint has sent all of it, but it serves nobody.
     """
 
-    def __init__(self, why: str) -> None:
+    def __init__(self, why: str, is_whole: bool = False) -> None:
         super().__init__(why)
         self.why = why
         self.cut_bytes = 0
+        self.is_whole = is_whole
 
 
 class BrokenBodyError(ClientPayloadError):
--- a/src/bayhinge/_internal/network/endpoint_connections.py
+++ b/src/bayhinge/_internal/network/endpoint_connections.py
@@ -238,6 +238,11 @@
         """Whether the connection ended although this host did not close it."""
         return not self.is_open and not self._why_closed.startswith(ABORTED)
 
+    @property
+    def was_ended_by_endpoint(self) -> bool:
+        """Whether the endpoint ended the connection, and not a timeout of this host's kernel."""
+        return self.was_lost and not self._timed_out
+
     @property
     def has_unread_answer(self) -> bool:
         """Whether an answer was received but not read."""
--- a/src/bayhinge/_internal/services/call_runner.py
+++ b/src/bayhinge/_internal/services/call_runner.py
@@ -29,7 +29,7 @@
 """Sends of one repeatable call, including the first."""
 
 ENDED = ("endpoint ended", "it broke the call off and refuses connections")
-IN_DOUBT = ("endpoint in doubt", "it broke the call off and answers nothing")
+IN_DOUBT = ("endpoint in doubt", "it failed the call and may be about to end")
 """What the timeline says of endpoints that are lost, and why."""
 
 FIRST_BACKOFF_S = 0.05
@@ -173,7 +173,7 @@
         recorded = (
             lost for lost in prepared.state.lost_endpoints if lost.digest == prepared.call.digest
         )
-        await self._ended_calls.check(_key_of(prepared), recorded)
+        await self._ended_calls.check(_key_of(prepared), recorded, prepared.deadline)
         now = asyncio.get_running_loop().time()
         patience_s = prepared.deadline - now
         if patience_s <= 0:
@@ -388,11 +388,9 @@
             await asyncio.sleep(max_s * (0.5 + self._random_unit() / 2))
 
     async def _record_lost(self, prepared: PreparedCall, granted: GrantedEndpoint) -> None:
-        """Counts an endpoint that broke a call off, unless it still answers."""
+        """Counts an endpoint that failed a call."""
         key = _key_of(prepared)
         lost = await self._ended_calls.record_failure(key, prepared.call.digest, granted)
-        if lost is None:
-            return
         what, why = ENDED if lost.has_ended else IN_DOUBT
         figure = Figure("endpoints_lost", self._ended_calls.lost_count(key))
         self._record(prepared, what, why, figure, endpoint=granted.endpoint)
--- a/src/bayhinge/_internal/services/ended_calls.py
+++ b/src/bayhinge/_internal/services/ended_calls.py
@@ -7,7 +7,7 @@
 import asyncio
 from collections.abc import Iterable
 
-from bayhinge._internal.decisions.ended_send_history import MAX_DOUBT_S, BrokenSend, RequestKey
+from bayhinge._internal.decisions.ended_send_history import BrokenSend, RequestKey
 from bayhinge._internal.decisions.ended_sends import EndedSends
 from bayhinge._internal.decisions.send_permission import Permission
 from bayhinge._internal.models.endpoint_entries import EndpointIncarnation
@@ -37,12 +37,15 @@
         self._sends = EndedSends()
         self._address_by_incarnation: dict[EndpointIncarnation, str] = {}
 
-    async def check(self, key: RequestKey, recorded: Iterable[LostEndpoint]) -> None:
+    async def check(
+        self, key: RequestKey, recorded: Iterable[LostEndpoint], deadline_s: float
+    ) -> None:
         """Refuses a call under which too many endpoints have ended, or may have.
 
         Args:
             key: the call over all its tries.
             recorded: what its program's journal tells of it; a former owner may have written it.
+            deadline_s: until when it may wait for an endpoint to show that it goes on.
 
         Raises:
             RefusedError: as may have run, for it was sent to those endpoints.
@@ -52,24 +55,24 @@
                 self._add(key, lost, number)
         permission = self._sends.permission(key, _now())
         if permission is Permission.EXAMINE:
+            settled_from_s = self._sends.settled_from_s(key)
+            if settled_from_s < deadline_s:
+                await asyncio.sleep(settled_from_s - _now())
             await self._examine_undecided(key)
             permission = self._sends.permission(key, _now())
         ended = len(self._sends.ended(key))
         if permission is Permission.WITHHELD:
             raise RefusedError(_ends_endpoints(ended))
         if permission is Permission.EXAMINE:
-            in_doubt = len(self._sends.undecided(key, _now()))
+            in_doubt = len(self._sends.undecided(key))
             raise RefusedError(_in_doubt(ended, in_doubt))
 
     async def record_failure(
         self, key: RequestKey, digest: str, granted: GrantedEndpoint
-    ) -> LostEndpoint | None:
-        """Examines an endpoint that broke a call off; returns None if it answers."""
+    ) -> LostEndpoint:
+        """Counts an endpoint that failed a call: one that still answers may be about to end."""
         failed_s = _now()
-        sign = await self._endpoints.examine(granted.address)
-        if sign is SignOfLife.ANSWERED:
-            return None
-        has_ended = sign is SignOfLife.REFUSED
+        has_ended = await self._endpoints.examine(granted.address) is SignOfLife.REFUSED
         lost = LostEndpoint(digest, granted.endpoint, granted.address, has_ended, failed_s)
         self._forget_old()
         self._add(key, lost)
@@ -78,7 +81,7 @@
     def _add(self, key: RequestKey, lost: LostEndpoint, number: int = 0) -> None:
         # Endpoints restart under their ids, so each loss is told apart by its time and number.
         incarnation = EndpointIncarnation(lost.endpoint, round(lost.lost_s * MICROSECONDS) + number)
-        send = BrokenSend(lost.lost_s, lost.lost_s, doubt_ends_s=lost.lost_s + MAX_DOUBT_S)
+        send = BrokenSend(lost.lost_s, lost.lost_s)
         if lost.has_ended:
             self._sends.record_ended(key, incarnation, send, _now())
         else:
@@ -87,7 +90,7 @@
 
     def lost_count(self, key: RequestKey) -> int:
         """Returns how many endpoints have ended under a call, or are silent since."""
-        return len(self._sends.ended(key)) + len(self._sends.undecided(key, _now()))
+        return len(self._sends.counting(key))
 
     def record_answer(self, key: RequestKey) -> None:
         """Forgets a call that was answered."""
@@ -97,12 +100,13 @@
         """Examines the endpoints that fell silent under a call, all at once."""
         undecided = [
             (incarnation, self._address_by_incarnation[incarnation])
-            for incarnation in self._sends.undecided(key, _now())
+            for incarnation in self._sends.undecided(key)
         ]
+        began_s = _now()
         signs = await asyncio.gather(*(self._endpoints.examine(each) for _, each in undecided))
         for (incarnation, _), sign in zip(undecided, signs, strict=True):
             if sign is SignOfLife.ANSWERED:
-                self._sends.record_endpoint_answered(incarnation)
+                self._sends.record_endpoint_answered(incarnation, began_s)
             elif sign is SignOfLife.REFUSED:
                 self._sends.record_endpoint_ended(incarnation, _now())
 
--- a/src/bayhinge/_internal/services/gateway/active_runs.py
+++ b/src/bayhinge/_internal/services/gateway/active_runs.py
@@ -30,6 +30,11 @@
     sent_s: float | None = None
     running_when_sent: int = 1
 
+    @property
+    def is_lost(self) -> bool:
+        """Whether its connection ended although this host did not close it."""
+        return self.connection is not None and self.connection.was_lost
+
     @property
     def endpoint(self) -> str:
         """The endpoint's id."""
--- a/src/bayhinge/_internal/services/gateway/buffered_delivery.py
+++ b/src/bayhinge/_internal/services/gateway/buffered_delivery.py
@@ -33,7 +33,7 @@
         if is_success(answer.status) and (not marks.is_signed or marks.is_encoded):
             raise IncompleteAnswerError("the answer is unsigned or encoded")
         if may_repeat and answer.status >= status_codes.HTTP_SERVER_ERROR:
-            raise IncompleteAnswerError(f"status {answer.status}")
+            raise IncompleteAnswerError(f"status {answer.status}", is_whole=True)
         if self._memory.is_bounded:
             self._exchange.watch_caller()
         self.outcome = "served" if is_success(answer.status) else f"status_{answer.status}"
--- a/src/bayhinge/_internal/services/gateway/ended_send_exchange.py
+++ b/src/bayhinge/_internal/services/gateway/ended_send_exchange.py
@@ -107,10 +107,10 @@
     def _left_out_before(self, changes: Sequence[FateChange | SendChange]) -> list[FateChange]:
         """Returns the earlier ends of requests that fail again, which may not have been told."""
         return [
-            FateChange(change.key, incarnation, send, Fate.ENDED)
+            FateChange(change.key, incarnation, send, send.fate)
             for change in changes
             if isinstance(change, FateChange) and change.fate in {Fate.BROKEN, Fate.ENDED}
-            for incarnation, send in self._tracker.sends.ends(change.key)
+            for incarnation, send in self._tracker.sends.counting(change.key)
             if incarnation != change.incarnation
         ]
 
@@ -214,20 +214,12 @@
         self._send_to([address], self._known()[-MAX_TOLD_AT_START:])
 
     def _known(self) -> list[FateChange]:
-        """Returns all ends, and this host's own doubts: another host's may be settled already."""
+        """Returns all ends and doubts; who knows better corrects them."""
         now = asyncio.get_running_loop().time()
-        sends = self._tracker.sends
-        doubts = [
-            FateChange(key, incarnation, send, Fate.BROKEN)
-            for incarnation, keys in sends.own_doubts(now).items()
-            for key in keys
-            if (send := sends.send_of(key, incarnation)) is not None
-        ]
-        ends = [
-            FateChange(key, incarnation, send, Fate.ENDED)
-            for key, incarnation, send in sends.all_ended(now)
+        return [
+            FateChange(key, incarnation, send, send.fate)
+            for key, incarnation, send in self._tracker.sends.all_counting(now)
         ]
-        return [*ends, *doubts]
 
     # ---- hearing ----
 
@@ -248,22 +240,23 @@
             )
 
     def _correction_of(self, news: wire.SendNews) -> FateChange | None:
-        """Returns the clearance of an end that another host still counts."""
-        if news.fate != wire.SendFate.ENDED:
+        """Returns what has become of a send since the state in which another host counts it."""
+        if news.fate not in {wire.SendFate.ENDED, wire.SendFate.BROKEN}:
             return None
         key = RequestKey(news.request, news.has_program)
         incarnation = EndpointIncarnation(news.endpoint, news.endpoint_born_ms)
         send = self._tracker.sends.send_of(key, incarnation)
-        if send is None or send.fate is not Fate.CLEARED:
+        told = Fate.ENDED if news.fate == wire.SendFate.ENDED else Fate.BROKEN
+        if send is None or send.fate <= told:
             return None
-        return FateChange(key, incarnation, send, Fate.CLEARED)
+        return FateChange(key, incarnation, send, send.fate)
 
     def _apply(self, news: wire.SendNews, now_s: float) -> bool:
         """Applies one change; returns whether it is an end or a doubt that was not known."""
         key = RequestKey(news.request, news.has_program)
         incarnation = EndpointIncarnation(news.endpoint, news.endpoint_born_ms)
         sends = self._tracker.sends
-        send = BrokenSend(now_s - news.sent_ms_ago / 1000, now_s - news.broken_ms_ago / 1000)
+        send = _decode(news, now_s)
         if news.fate == wire.SendFate.ENDED:
             return sends.record_ended(key, incarnation, send, now_s)
         if news.fate == wire.SendFate.BROKEN:
@@ -280,6 +273,13 @@
         return False
 
 
+def _decode(news: wire.SendNews, now_s: float) -> BrokenSend:
+    sent_s, broken_s = now_s - news.sent_ms_ago / 1000, now_s - news.broken_ms_ago / 1000
+    if news.over_in_ms is None:
+        return BrokenSend(sent_s, broken_s)
+    return BrokenSend(sent_s, broken_s, over_s=now_s + news.over_in_ms / 1000)
+
+
 def _encode(change: FateChange | SendChange, now_s: float) -> wire.SendNews:
     news = wire.SendNews(
         change.key.fingerprint,
@@ -293,6 +293,7 @@
         news.fate = _FATES[change.fate]
         news.sent_ms_ago = _age_ms(change.send.sent_s, now_s)
         news.broken_ms_ago = _age_ms(change.send.broken_s, now_s)
+        news.over_in_ms = max(-MAX_AGE_MS, round((change.send.over_s - now_s) * 1000))
         return news
     news.run = change.send.number
     news.fate = wire.SendFate.RUN
--- a/src/bayhinge/_internal/services/gateway/ended_send_tracker.py
+++ b/src/bayhinge/_internal/services/gateway/ended_send_tracker.py
@@ -1,9 +1,10 @@
 """Finds out which endpoints ended while they ran a request, and bounds how many one may end.
 
-Evidence is gathered by each host: a connection that is refused after one broke off, an entry that
-vanished while the endpoint answers nothing, a later incarnation. Until there is any, an endpoint
-that answers nothing is in doubt, which all hosts are told at once. See :mod:`ended_sends` for the
-decisions, and :mod:`ended_send_exchange` for what hosts tell each other.
+Each send that did not serve its request puts its endpoint in doubt, which all hosts are told at
+once. Evidence is gathered by each host. Of an end: a connection that is refused, an entry that
+vanished while the endpoint answers nothing, a later incarnation. That the endpoint goes on: an
+answer to what was sent after the run was over. See :mod:`ended_sends` for the decisions, and
+:mod:`ended_send_exchange` for what hosts tell each other.
 """
 
 import asyncio
@@ -16,6 +17,7 @@
 import eliot
 
 from bayhinge._internal.decisions.ended_send_history import (
+    UNDECIDED_S,
     BrokenSend,
     Fate,
     Knowledge,
@@ -131,20 +133,26 @@
         self.on_failure: Callable[[RequestKey], None] = lambda key: None
         self._random = random.Random()
         self._probe_by_incarnation: dict[EndpointIncarnation, asyncio.Task[ProbeResult]] = {}
+        # Of the endpoints in doubt after own sends; the store's list may drop them meanwhile.
+        self._entry_by_incarnation: dict[EndpointIncarnation, EndpointEntry] = {}
 
     # ---- before a send ----
 
     async def permission(self, key: RequestKey) -> Permission:
         """Returns whether a request may be sent now, after a probe of the endpoints in doubt.
 
-        It is still EXAMINE if too many of them have answered nothing.
+        It is still EXAMINE if too many of them have not shown that they go on.
         """
         permission = self.sends.permission(key, _now())
         if permission is not Permission.EXAMINE:
             return permission
-        await self._examine(self.sends.undecided(key, _now()))
+        await self._examine(self.sends.undecided(key))
         return self.sends.permission(key, _now())
 
+    def settled_in_s(self, key: RequestKey) -> float:
+        """Returns after what time an endpoint in doubt can show that it goes on."""
+        return self.sends.settled_from_s(key) - _now()
+
     def permission_now(self, key: RequestKey, claim: SendUnderWay | None = None) -> Permission:
         """Returns the same without a probe, for a request that was examined a moment ago.
 
@@ -154,11 +162,11 @@
 
     def has_failed(self, key: RequestKey) -> bool:
         """Whether endpoints ended under a request, or may have."""
-        return self.sends.has_failed(key, _now())
+        return self.sends.has_failed(key)
 
     def failed_endpoints(self, key: RequestKey) -> frozenset[str]:
         """Returns the endpoints that a request should avoid."""
-        return self.sends.failed_endpoints(key, _now())
+        return self.sends.failed_endpoints(key)
 
     def knowledge(self, key: RequestKey) -> Knowledge:
         """Returns what this host knows of a request, for its log."""
@@ -192,18 +200,58 @@
 
     # ---- after a send ----
 
-    async def record_broken(self, key: RequestKey, run: ActiveRun, sent_s: float) -> None:
-        """Records a send that broke off, and waits a moment to learn whether its endpoint ended."""
-        if self._ends_as_planned(run.state):
+    def record_unserved(
+        self, key: RequestKey, run: ActiveRun, sent_s: float, over_s: float, why: str
+    ) -> None:
+        """Records a send that did not serve its request, and looks whether its endpoint ended.
+
+        Args:
+            key: the request.
+            run: its run at the endpoint.
+            sent_s: when its bytes may have left.
+            over_s: from when the endpoint can no longer be at work on it, nor about to end.
+            why: why it was not served, for the log.
+        """
+        state = run.state
+        if self._ends_as_planned(state):
+            eliot.log_message(
+                "send.not_counted",
+                request=key.fingerprint,
+                endpoint=run.endpoint,
+                why="its announced end was due",
+            )
             return
-        incarnation = run.state.entry.incarnation
-        self._begin_doubt(key, incarnation, sent_s, "its connection broke off")
-        if run.is_ended or not self._endpoint_table.is_current(run.state):
-            self._record_ended(incarnation, Evidence.RESTARTED)
+        incarnation = state.entry.incarnation
+        send = BrokenSend(sent_s, _now(), over_s=over_s, is_own=True)
+        if self.sends.record_broken(key, incarnation, send) is not send:
             return
-        await self._wait_for([self._probe(run.state.entry)])
-        # Nothing is told of an endpoint that has answered or ended meanwhile.
-        self._tell_doubt(key, incarnation)
+        self._entry_by_incarnation[incarnation] = state.entry
+        eliot.log_message(
+            "send.in_doubt",
+            request=key.fingerprint,
+            endpoint=incarnation.endpoint,
+            why=why,
+            took_s=round(send.broken_s - sent_s, 3),
+            settled_in_s=round(over_s - send.broken_s, 3),
+        )
+        self.on_failure(key)
+        # Callers repeat a request at once, at any host.
+        self.tell(self._changes([(key, incarnation)], Fate.BROKEN))
+        self._look_for_end(run)
+
+    def _look_for_end(self, run: ActiveRun) -> None:
+        """Looks whether the endpoint of a failed run has ended."""
+        state = run.state
+        newest = self._endpoint_table.find(run.endpoint)
+        if run.is_ended or (newest is not None and newest is not state):
+            self._record_ended(state.entry.incarnation, Evidence.RESTARTED)
+        elif newest is None or state.is_suspected:
+            self.handle_vanished(state)
+        elif run.is_lost or not self._is_heard(run.endpoint, _now() - HEARD_WITHIN_S):
+            self._probe(state.entry)
+
+    def _is_heard(self, endpoint: str, since_s: float) -> bool:
+        return self._pool.has_received_since(endpoint, since_s)
 
     def _ends_as_planned(self, state: EndpointState) -> bool:
         """Whether an endpoint that breaks connections off was going to end.
@@ -219,44 +267,6 @@
         has_answered = state.answered_s >= state.missing_since_s
         return has_answered or self._pool.has_received_since(instance, state.missing_since_s)
 
-    def record_silent(self, key: RequestKey, run: ActiveRun, sent_s: float) -> None:
-        """Records a send that was given up, if its endpoint has sent nothing of late."""
-        state = run.state
-        since_s = max(sent_s, _now() - HEARD_WITHIN_S)
-        if state.entry.is_leaving or self._pool.has_received_since(run.endpoint, since_s):
-            return
-        incarnation = state.entry.incarnation
-        self._begin_doubt(key, incarnation, sent_s, "it was silent")
-        newest = self._endpoint_table.find(run.endpoint)
-        if newest is not None and newest is not state:
-            self._record_ended(incarnation, Evidence.RESTARTED)
-            return
-        # Callers repeat a request at once, at any host.
-        self._tell_doubt(key, incarnation)
-        if newest is None or state.is_suspected:
-            self.handle_vanished(state)
-        else:
-            self._probe(state.entry)
-
-    def _begin_doubt(
-        self, key: RequestKey, incarnation: EndpointIncarnation, sent_s: float, why: str
-    ) -> None:
-        send = BrokenSend(sent_s, _now(), is_own=True)
-        if self.sends.record_broken(key, incarnation, send) is not send:
-            return
-        eliot.log_message(
-            "send.in_doubt",
-            request=key.fingerprint,
-            endpoint=incarnation.endpoint,
-            why=why,
-            took_s=round(send.broken_s - sent_s, 3),
-        )
-        self.on_failure(key)
-
-    def _tell_doubt(self, key: RequestKey, incarnation: EndpointIncarnation) -> None:
-        if incarnation in self.sends.undecided(key, _now()):
-            self.tell(self._changes([(key, incarnation)], Fate.BROKEN))
-
     def record_answer(
         self, key: RequestKey, run: ActiveRun, sent_s: float, is_served: bool
     ) -> None:
@@ -265,7 +275,7 @@
         A failure that another endpoint answers tells nothing of those that ended.
         """
         incarnation = run.state.entry.incarnation
-        self._record_endpoint_answered(incarnation)
+        self._record_endpoint_answered(incarnation, sent_s)
         cleared = [
             (each, incarnation) for each in self.sends.record_endpoint_alive(incarnation, sent_s)
         ]
@@ -306,17 +316,31 @@
     def sweep(self) -> None:
         """Forgets what is too old to count, and probes the endpoints in doubt again."""
         self.sends.forget_old(_now())
-        for incarnation in self.sends.own_doubts(_now()):
-            state = self._endpoint_table.find_incarnation(incarnation)
-            if state is not None and not state.entry.is_leaving:
-                self._probe(state.entry)
+        doubts = self.sends.own_doubts()
+        self._entry_by_incarnation = {
+            incarnation: entry
+            for incarnation, entry in self._entry_by_incarnation.items()
+            if incarnation in doubts
+        }
+        for incarnation, sends in doubts.items():
+            entry = self._entry_of(incarnation)
+            over_s = min(send.over_s for send in sends)
+            if entry is not None and (
+                over_s <= _now() or not self._is_heard(entry.instance, _now() - HEARD_WITHIN_S)
+            ):
+                self._probe(entry)
+
+    def _entry_of(self, incarnation: EndpointIncarnation) -> EndpointEntry | None:
+        """Returns the entry of an endpoint in doubt, also of one that is no longer listed."""
+        state = self._endpoint_table.find_incarnation(incarnation)
+        return self._entry_by_incarnation.get(incarnation) if state is None else state.entry
 
     # ---- evidence ----
 
     async def _examine(self, incarnations: Iterable[EndpointIncarnation]) -> None:
         """Probes endpoints that broke a request off, and waits a moment for the results."""
-        states = [self._endpoint_table.find_incarnation(each) for each in incarnations]
-        await self._wait_for([self._probe(state.entry) for state in states if state is not None])
+        entries = [self._entry_of(each) for each in incarnations]
+        await self._wait_for([self._probe(entry) for entry in entries if entry is not None])
 
     async def _wait_for(self, probes: Iterable[asyncio.Task[ProbeResult]]) -> None:
         waited_for = set(probes)
@@ -335,6 +359,7 @@
 
     async def _run_probe(self, entry: EndpointEntry) -> ProbeResult:
         incarnation = entry.incarnation
+        began_s = _now()
         try:
             result = await self._prober.probe(entry)
         finally:
@@ -350,25 +375,37 @@
         if result in ENDED_BY_PROBE:
             self._record_ended(incarnation, ENDED_BY_PROBE[result])
         elif result is ProbeResult.ANSWERED:
-            self._record_endpoint_answered(incarnation)
+            self._record_endpoint_answered(incarnation, began_s)
+        elif result is ProbeResult.CONNECTED and self._is_listed(incarnation):
+            # No answer is to be had there. An entry goes after some heartbeats of silence.
+            self._record_endpoint_answered(incarnation, began_s - UNDECIDED_S)
         elif result is ProbeResult.SILENT:
             self._record_silent_still(entry)
         return result
 
-    def _record_silent_still(self, entry: EndpointEntry) -> None:
-        """Renews the doubt in an endpoint that has answered no health check."""
-        incarnation = entry.incarnation
-        keys = self.sends.renew_doubts(incarnation, _now())
-        changes = self._changes(((key, incarnation) for key in keys), Fate.BROKEN)
-        self.tell(changes)
+    def _is_listed(self, incarnation: EndpointIncarnation) -> bool:
         state = self._endpoint_table.find_incarnation(incarnation)
-        since_s = min((change.send.broken_s for change in changes), default=math.inf)
+        return state is not None and not state.is_suspected
+
+    def _record_silent_still(self, entry: EndpointEntry) -> None:
+        """Ejects an endpoint that has answered no health check for some time."""
+        state = self._endpoint_table.find_incarnation(entry.incarnation)
+        sends = self.sends.own_doubts().get(entry.incarnation, [])
+        since_s = min((send.broken_s for send in sends), default=math.inf)
         if state is not None and since_s <= _now() - EJECTED_AFTER_S:
             state.record_silence(_now())
 
-    def _record_endpoint_answered(self, incarnation: EndpointIncarnation) -> None:
-        """Ends the doubt in an endpoint that has answered anything."""
-        doubted = self.sends.record_endpoint_answered(incarnation)
+    def _record_endpoint_answered(self, incarnation: EndpointIncarnation, sent_s: float) -> None:
+        """Ends the doubt in an endpoint that has answered what was sent after a run was over."""
+        doubted = self.sends.record_endpoint_answered(incarnation, sent_s)
+        for key in doubted[:MAX_LOGGED_REQUESTS]:
+            eliot.log_message(
+                "send.settled",
+                request=key.fingerprint,
+                endpoint=incarnation.endpoint,
+                sent_s_ago=round(_now() - sent_s, 3),
+                settled=len(doubted),
+            )
         self.tell(self._changes(((key, incarnation) for key in doubted), Fate.ANSWERED))
 
     def _record_ended(self, incarnation: EndpointIncarnation, evidence: Evidence) -> None:
--- a/src/bayhinge/_internal/services/gateway/request_sender.py
+++ b/src/bayhinge/_internal/services/gateway/request_sender.py
@@ -41,7 +41,7 @@
 from bayhinge._internal.services.gateway.placement_preferences import preference_of
 from bayhinge._internal.services.gateway.placer import LocalPlacer, Placer
 from bayhinge._internal.services.gateway.platform_interface import CallFormat
-from bayhinge._internal.services.gateway.send_guard import SendGuard
+from bayhinge._internal.services.gateway.send_guard import SendEnd, SendGuard
 from bayhinge._internal.services.gateway.send_state import SendCounts, SendState
 from bayhinge._internal.services.gateway.speed_tracker import SpeedTracker
 from bayhinge._internal.utils.stall_tolerant_timeouts import stall_tolerant_timeout
@@ -157,7 +157,6 @@
                     # Its idle connections may be dead too.
                     self._connection_pool.drop_idle(run.endpoint)
                 self._record_failure(run, send_state, error.why, error.cut_bytes)
-                await self._guard.record_failure(run, send_state, error)
                 self._raise_unless_repeatable(send_state, error)
             finally:
                 self._guard.end(run, send_state)
@@ -239,6 +238,7 @@
     async def _send_to(self, run: ActiveRun, send_state: SendState) -> None:
         connection: EndpointConnection | None = None
         is_complete = False
+        end = SendEnd()
         began_s = asyncio.get_running_loop().time()
         send_state.delivery.on_read = lambda: self._free_place(
             run, send_state, asyncio.get_running_loop().time() - began_s
@@ -249,23 +249,27 @@
                 raise EndpointUnreachableError(ENDED_REASON)
             run.connection = connection
             answer, marks = await self._exchange(connection, run, send_state)
-            is_complete = True
+            is_complete = end.is_answered = True
             self._keep_or_close(connection, answer, marks)
             if marks.not_run or marks.wrong_instance:
+                end.is_rejected = True
                 raise RequestRejectedError(f"status {answer.status}")
+            end.why = send_state.delivery.outcome
             run.state.record_success()
-            self._guard.record_answer(run, send_state)
             self._speeds.record_answer(run, send_state.route, send_state.delivery)
         except asyncio.CancelledError:
             # The caller left, or the request's time is over.
             self._log("send.abandoned", run, send_state, "no whole answer until the request ended")
-            self._guard.record_abandoned(run, send_state)
+            raise
+        except IncompleteAnswerError as error:
+            end.why, end.is_answered = error.why, error.is_whole
             raise
         finally:
             self._free_place(run, send_state, None)
             if connection is not None and not is_complete:
                 # Also makes the endpoint stop if the caller left or the deadline passed.
                 connection.abort("given up")
+            self._guard.record_end(run, send_state, end)
 
     def _free_place(self, run: ActiveRun, send_state: SendState, ran_s: float | None) -> None:
         """Frees a run's place once; ``ran_s`` is how long the endpoint took, None if it failed."""
@@ -295,9 +299,9 @@
             send_state.delivery.resume_after,
         )
         self._check_admission(request)
-        self._speeds.begin(run)
         # Programs retry failed turns, so streams also use the shorter silence limit.
         connection.send(head, send_state.body, may_repeat or route.kind is RouteKind.STREAMING)
+        self._speeds.begin(run)
         answer, marks = await self._answer_in_time(connection, run, send_state, bounds)
         if marks.not_run or marks.wrong_instance:
             if not await answer.skip_body():
--- a/src/bayhinge/_internal/services/gateway/send_guard.py
+++ b/src/bayhinge/_internal/services/gateway/send_guard.py
@@ -5,10 +5,9 @@
 import attrs
 import eliot
 
-from bayhinge._internal.decisions.ended_send_history import SETTLE_S, RequestKey
+from bayhinge._internal.decisions.ended_send_history import ENDING_S, SETTLE_S, RequestKey
 from bayhinge._internal.decisions.send_permission import Permission
 from bayhinge._internal.models.refusals import RefusedError
-from bayhinge._internal.network.endpoint_answer import IncompleteAnswerError, SilentEndpointError
 from bayhinge._internal.services.gateway.active_runs import ActiveRun
 from bayhinge._internal.services.gateway.ended_send_tracker import EndedSendTracker
 from bayhinge._internal.services.gateway.send_state import SendState
@@ -19,6 +18,21 @@
 sent beside it."""
 
 
+@attrs.define
+class SendEnd:
+    """How a send has ended; unless told otherwise, its endpoint may still be at work on it.
+
+    Attributes:
+        why: why the request was not served.
+        is_answered: the endpoint has sent a whole answer, of whatever kind.
+        is_rejected: the endpoint guarantees that the request did not run.
+    """
+
+    why: str = "it was given up before a whole answer"
+    is_answered: bool = False
+    is_rejected: bool = False
+
+
 @attrs.frozen
 class ActiveSend:
     """A send of this host that has no outcome yet."""
@@ -131,7 +145,8 @@
         if permission is Permission.WITHHELD:
             refusal = send_state.ends_endpoints_refusal(len(known.ended))
         elif permission is Permission.EXAMINE:
-            refusal = send_state.doubt_refusal(len(known.ended) + len(known.in_doubt))
+            in_doubt = len(known.ended) + len(known.in_doubt)
+            refusal = send_state.doubt_refusal(in_doubt, self._tracker.settled_in_s(send_state.key))
         elif permission is Permission.BUSY:
             refusal = send_state.busy_refusal()
         else:
@@ -153,27 +168,29 @@
             counted, send_state.counted = send_state.counted, None
             self._tracker.end_send(send_state.key, run, counted)
 
-    async def record_failure(
-        self, run: ActiveRun, send_state: SendState, error: IncompleteAnswerError
-    ) -> None:
-        """Records a send without a whole answer; waits a moment to learn why."""
+    def record_end(self, run: ActiveRun, send_state: SendState, end: SendEnd) -> None:
+        """Records how a send has ended: it counts, unless it served its request or never ran."""
         # It must not be told as one that is under way.
         self.end(run, send_state)
-        if run.sent_s is None:
+        if run.sent_s is None or end.is_rejected:
             return
-        if isinstance(error, SilentEndpointError):
-            self._tracker.record_silent(send_state.key, run, run.sent_s)
-        elif run.is_ended or (run.connection is not None and run.connection.was_lost):
-            await self._tracker.record_broken(send_state.key, run, run.sent_s)
-
-    def record_abandoned(self, run: ActiveRun, send_state: SendState) -> None:
-        """Records a send that was given up with its attempt."""
-        self.end(run, send_state)
-        if run.sent_s is not None:
-            self._tracker.record_silent(send_state.key, run, run.sent_s)
-
-    def record_answer(self, run: ActiveRun, send_state: SendState) -> None:
-        """Records a whole answer."""
-        if run.sent_s is not None and len(self._tracker.sends):
-            is_served = send_state.delivery.is_served
-            self._tracker.record_answer(send_state.key, run, run.sent_s, is_served)
+        tracker = self._tracker
+        is_served = end.is_answered and send_state.delivery.is_served
+        if end.is_answered and len(tracker.sends):
+            tracker.record_answer(send_state.key, run, run.sent_s, is_served)
+        if not is_served:
+            over_s = _over_s(run, send_state, end)
+            tracker.record_unserved(send_state.key, run, run.sent_s, over_s, end.why)
+
+
+def _over_s(run: ActiveRun, send_state: SendState, end: SendEnd) -> float:
+    """Returns from when the endpoint of a failed send is neither at work on it nor ending.
+
+    Where this host gave up, it may be at work until the deadline that it was told.
+    """
+    now = asyncio.get_running_loop().time()
+    connection = run.connection
+    is_lost = connection is not None and connection.was_ended_by_endpoint
+    if end.is_answered or is_lost or run.is_ended:
+        return now + ENDING_S
+    return max(now, send_state.deadline_s) + ENDING_S
--- a/src/bayhinge/_internal/services/gateway/send_state.py
+++ b/src/bayhinge/_internal/services/gateway/send_state.py
@@ -19,8 +19,11 @@
 from bayhinge._internal.services.gateway.place_demand import NoPlaceError, PlaceDemand
 
 DOUBT_RETRY_S = 1.0
-"""Retry delay for a request whose endpoints are in doubt. What settles it, an answer of one of them
-or the end of its entry, takes a few seconds at most."""
+"""Retry delay for a request whose endpoints answer nothing. What settles it, an answer of one of
+them or the end of its entry, takes a few seconds at most."""
+
+MIN_DOUBT_RETRY_S = 0.1
+"""Retry delay where an endpoint in doubt may show at once that it goes on."""
 
 BUSY_RETRY_S = 0.3
 """Retry delay for a request of which another attempt is under way."""
@@ -80,12 +83,19 @@
             (Figure("endpoints_ended", ended),),
         )
 
-    def doubt_refusal(self, in_doubt: int) -> Refusal:
-        """Returns the refusal of a request whose endpoints may all have ended under it."""
+    def doubt_refusal(self, in_doubt: int, settled_in_s: float) -> Refusal:
+        """Returns the refusal of a request whose endpoints may all have ended under it.
+
+        Args:
+            in_doubt: how many did not serve it, and may have ended.
+            settled_in_s: when the first of them can show that it goes on; negative if it could.
+        """
         code = RefusalCode.OUTCOME_UNKNOWN if self.ran else RefusalCode.NO_ENDPOINT
-        why = f"{in_doubt} endpoints broke this request off or were silent, and may have ended"
+        why = f"{in_doubt} endpoints did not serve this request, and may have ended under it"
+        is_settled_later = settled_in_s > 0
+        retry_after_s = max(MIN_DOUBT_RETRY_S, settled_in_s) if is_settled_later else DOUBT_RETRY_S
         return self.send_record.refusal(
-            code, why, Figure("endpoints_in_doubt", in_doubt), retry_after_s=DOUBT_RETRY_S
+            code, why, Figure("endpoints_in_doubt", in_doubt), retry_after_s=retry_after_s
         )
 
     def busy_refusal(self) -> Refusal:
--- a/src/bayhinge/_internal/services/gateway/stream_delivery.py
+++ b/src/bayhinge/_internal/services/gateway/stream_delivery.py
@@ -95,7 +95,7 @@
         body = await self._memory.read_answer(answer)
         is_retryable = may_repeat and answer.status >= status_codes.HTTP_SERVER_ERROR
         if is_retryable or self._exchange.headers_sent:
-            raise IncompleteAnswerError(f"status {answer.status}")
+            raise IncompleteAnswerError(f"status {answer.status}", is_whole=True)
         self.outcome = f"status_{answer.status}"
         await self._exchange.respond(
             answer.status, self._calls.answer_headers(answer.headers), body
--- a/src/bayhinge/_internal/wire/hosts/ttypes.py
+++ b/src/bayhinge/_internal/wire/hosts/ttypes.py
@@ -2473,6 +2473,7 @@
      - sent_ms_ago
      - broken_ms_ago
      - run
+     - over_in_ms
 
     """
 
@@ -2485,10 +2486,11 @@
         'sent_ms_ago',
         'broken_ms_ago',
         'run',
+        'over_in_ms',
     )
 
 
-    def __init__(self, request=None, has_program=None, endpoint=None, endpoint_born_ms=None, fate=None, sent_ms_ago=None, broken_ms_ago=None, run=None,):
+    def __init__(self, request=None, has_program=None, endpoint=None, endpoint_born_ms=None, fate=None, sent_ms_ago=None, broken_ms_ago=None, run=None, over_in_ms=None,):
         self.request = request
         self.has_program = has_program
         self.endpoint = endpoint
@@ -2497,6 +2499,7 @@
         self.sent_ms_ago = sent_ms_ago
         self.broken_ms_ago = broken_ms_ago
         self.run = run
+        self.over_in_ms = over_in_ms
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -2547,6 +2550,11 @@
                     self.run = iprot.readI64()
                 else:
                     iprot.skip(ftype)
+            elif fid == 9:
+                if ftype == TType.I32:
+                    self.over_in_ms = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -2589,6 +2597,10 @@
             oprot.writeFieldBegin('run', TType.I64, 8)
             oprot.writeI64(self.run)
             oprot.writeFieldEnd()
+        if self.over_in_ms is not None:
+            oprot.writeFieldBegin('over_in_ms', TType.I32, 9)
+            oprot.writeI32(self.over_in_ms)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -3776,6 +3788,7 @@
     (6, TType.I32, 'sent_ms_ago', None, None, ),  # 6
     (7, TType.I32, 'broken_ms_ago', None, None, ),  # 7
     (8, TType.I64, 'run', None, None, ),  # 8
+    (9, TType.I32, 'over_in_ms', None, None, ),  # 9
 )
 all_structs.append(LoadNews)
 LoadNews.thrift_spec = (
--- a/tests/functional/test_ends_that_must_count.py
+++ b/tests/functional/test_ends_that_must_count.py
@@ -5,7 +5,7 @@
 import pytest
 
 from tests.lib.drawn_endings import findings, play
-from tests.lib.end_cases import Between, EndCase, Route
+from tests.lib.end_cases import Between, End, EndCase, Route
 
 pytestmark = pytest.mark.functional
 
@@ -20,3 +20,23 @@
     tmp_path: Path, route: Route
 ) -> None:
     check(tmp_path, EndCase(between=Between.FAILURE, route=route, tries=12))
+
+
+@pytest.mark.parametrize("route", [Route.REPEATABLE, Route.ONCE, Route.TURN])
+def test_an_end_counts_that_comes_after_bytes_that_are_no_answer(
+    tmp_path: Path, route: Route
+) -> None:
+    check(tmp_path, EndCase(end=End.JUNK, ends_after_s=0.1, route=route))
+
+
+@pytest.mark.parametrize(
+    "end", [End.OTHER_ANSWER, End.MANY_ANSWERS, End.INTERIM, End.LARGE_HEAD, End.UNSIGNED]
+)
+def test_an_end_counts_that_comes_after_the_host_has_closed_the_connection(
+    tmp_path: Path, end: End
+) -> None:
+    check(tmp_path, EndCase(end=end, ends_after_s=0.4, route=Route.REPEATABLE))
+
+
+def test_an_end_counts_that_comes_after_the_caller_has_left(tmp_path: Path) -> None:
+    check(tmp_path, EndCase(after_s=1.2, leaves_s=0.3, route=Route.ONCE))
--- a/tests/soak/mutants.py
+++ b/tests/soak/mutants.py
@@ -182,15 +182,15 @@
     "an endpoint that broke off is probed": (
         Edit(
             "services/gateway/ended_send_tracker.py",
-            "        await self._wait_for([self._probe(run.state.entry)])",
+            "        self._look_for_end(run)",
             "        pass",
         ),
     ),
     "doubts count like ends": (
         Edit(
             SEND_PERMISSION,
-            "    suspects = ended if is_examined else [*ended, *history.undecided(now_s)]",
-            "    suspects = ended",
+            "    lost = history.count(history.counting(), key.has_program)",
+            "    lost = history.count(history.ended(), key.has_program)",
         ),
     ),
     "hosts ask for what they missed": (
--- a/tests/unit/test_ended_sends.py
+++ b/tests/unit/test_ended_sends.py
@@ -7,10 +7,10 @@
 from hypothesis import strategies as st
 
 from bayhinge._internal.decisions.ended_send_history import (
+    ENDING_S,
     KEEP_CLEARED_S,
     KEEP_S,
     LATENCY_S,
-    MAX_DOUBT_S,
     SETTLE_S,
     TRIAL_S,
     UNDECIDED_S,
@@ -21,6 +21,7 @@
     ALIVE_AFTER_S,
     MAX_REQUESTS,
     MAX_SENDS,
+    TOLD_WITHIN_S,
     EndedSends,
 )
 from bayhinge._internal.decisions.send_permission import MAX_ENDED, Permission
@@ -58,11 +59,22 @@
     assert sends_with(KEY, 3).permission(RequestKey("c", True), 4.0) is Permission.FREE
 
 
-def test_lost_answers_alone_withhold_nothing() -> None:
+def test_lost_answers_withhold_a_request_only_until_their_endpoints_show_that_they_go_on() -> None:
     sends = sends_with(KEY, 0, broken=5)
     assert sends.permission(KEY, 5.0) is Permission.EXAMINE
-    assert sends.permission(KEY, 5.0, is_examined=True) is Permission.FREE
-    assert sends.permission(KEY, 5.0 + UNDECIDED_S) is Permission.FREE
+    assert sends.settled_from_s(KEY) == 0.5 + ENDING_S
+    for number in range(5):
+        assert sends.record_endpoint_answered(endpoint(number), number + 0.5 + ENDING_S) == [KEY]
+    assert sends.permission(KEY, 5.0 + ENDING_S) is Permission.FREE
+
+
+def test_an_answer_to_what_was_sent_before_the_run_was_over_shows_nothing() -> None:
+    sends = EndedSends()
+    sends.record_broken(KEY, endpoint(0), BrokenSend(0.0, 0.5, over_s=4.0))
+    assert sends.record_endpoint_answered(endpoint(0), 3.9) == []
+    assert sends.undecided(KEY) == [endpoint(0)]
+    assert sends.record_endpoint_answered(endpoint(0), 4.0) == [KEY]
+    assert sends.undecided(KEY) == []
 
 
 def test_endpoints_in_doubt_are_examined_before_one_too_many_may_end() -> None:
@@ -74,7 +86,9 @@
 
 def test_an_end_that_is_found_long_after_a_lost_answer_is_not_blamed_on_it() -> None:
     sends = sends_with(KEY, 0, broken=1)
-    assert sends.record_endpoint_ended(endpoint(0), 0.5 + UNDECIDED_S + 0.1) == []
+    over_s = 0.5 + ENDING_S
+    assert sends.record_endpoint_answered(endpoint(0), over_s) == [KEY]
+    assert sends.record_endpoint_ended(endpoint(0), over_s + UNDECIDED_S + 0.1) == []
 
 
 def test_an_endpoint_that_answers_later_has_not_ended() -> None:
@@ -88,42 +102,35 @@
 def test_an_endpoint_in_doubt_that_answers_anything_counts_no_more_but_may_yet_have_ended() -> None:
     sends = sends_with(KEY, 2, broken=1)
     assert sends.permission(KEY, 3.0) is Permission.EXAMINE
-    assert sends.record_endpoint_answered(endpoint(2)) == [KEY]
-    assert sends.permission(KEY, 3.0) is Permission.ALONE
+    assert sends.record_endpoint_answered(endpoint(2), 2.5 + ENDING_S) == [KEY]
+    assert sends.permission(KEY, 4.0) is Permission.ALONE
     # The answer was that of a later incarnation.
-    assert sends.record_endpoint_ended(endpoint(2), 3.0) == [KEY]
-    assert sends.permission(KEY, 3.0) is Permission.WITHHELD
+    assert sends.record_endpoint_ended(endpoint(2), 4.0) == [KEY]
+    assert sends.permission(KEY, 4.0) is Permission.WITHHELD
 
 
-def test_a_doubt_lasts_while_its_endpoint_is_found_silent_but_not_for_ever() -> None:
-    sends = EndedSends()
-    for number in range(MAX_ENDED):
-        send = BrokenSend(number, number + 0.5, is_own=True)
-        sends.record_broken(KEY, endpoint(number), send)
-    for now_s in range(3, 40, 3):
-        for number in range(MAX_ENDED):
-            assert sends.renew_doubts(endpoint(number), now_s) == [KEY]
-        assert sends.permission(KEY, now_s + 1) is Permission.EXAMINE
-    assert sends.permission(KEY, 39.0 + UNDECIDED_S) is Permission.EXAMINE
-    assert sends.permission(KEY, 39.1 + UNDECIDED_S) is Permission.FREE
-    sends.renew_doubts(endpoint(0), 0.5 + MAX_DOUBT_S)
-    assert sends.undecided(KEY, 0.6 + MAX_DOUBT_S) == []
+def test_a_doubt_lasts_until_its_endpoint_answers_but_not_for_ever() -> None:
+    sends = sends_with(KEY, 0, broken=MAX_ENDED)
+    assert sends.permission(KEY, KEEP_S) is Permission.EXAMINE
+    sends.forget_old(KEEP_S)
+    assert sends.permission(KEY, KEEP_S) is Permission.EXAMINE
+    assert sends.permission(KEY, KEEP_S + MAX_ENDED) is Permission.FREE
 
 
 def test_a_later_send_to_the_same_endpoint_puts_it_in_doubt_again() -> None:
     sends = sends_with(KEY, 0, broken=1)
-    sends.record_endpoint_answered(endpoint(0))
-    sends.record_broken(KEY, endpoint(0), BrokenSend(1.0, 1.5))
-    assert sends.undecided(KEY, 2.0) == [endpoint(0)]
+    sends.record_endpoint_answered(endpoint(0), 0.5 + ENDING_S)
+    sends.record_broken(KEY, endpoint(0), BrokenSend(1.6, 1.7))
+    assert sends.undecided(KEY) == [endpoint(0)]
     # The same send, as another host tells it.
-    sends.record_answered(KEY, endpoint(0), BrokenSend(1.001, 1.501))
-    assert sends.undecided(KEY, 2.0) == []
+    sends.record_answered(KEY, endpoint(0), BrokenSend(1.601, 1.701))
+    assert sends.undecided(KEY) == []
 
 
 def test_a_request_avoids_the_endpoints_that_ended_or_are_in_doubt() -> None:
     sends = sends_with(KEY, 1, broken=2)
-    sends.record_endpoint_answered(endpoint(2))
-    assert sends.failed_endpoints(KEY, 3.0) == {"e-0", "e-1"}
+    sends.record_endpoint_answered(endpoint(2), 2.5 + ENDING_S)
+    assert sends.failed_endpoints(KEY) == {"e-0", "e-1"}
 
 
 def test_a_request_that_is_answered_begins_anew() -> None:
@@ -195,8 +202,7 @@
 
 def test_a_request_of_which_many_answers_are_lost_stays_small() -> None:
     sends = sends_with(KEY, 2, broken=10 * MAX_SENDS)
-    now_s = 10.0 * MAX_SENDS
-    assert len(sends.undecided(KEY, now_s)) <= MAX_SENDS
+    assert len(sends.counting(KEY)) == MAX_SENDS
     assert len(sends.ended(KEY)) == 2
 
 
@@ -211,9 +217,9 @@
     assert one.digest(2.1 + KEEP_S) == 0
     # A doubt counts like an end, so a host that missed it must notice.
     one.record_broken(KEY, endpoint(7), BrokenSend(8.0, 9.0))
-    before = one.digest(9.0)
-    one.record_endpoint_answered(endpoint(7))
-    assert one.digest(9.0) not in {0, before}
+    before = one.digest(9.0 + TOLD_WITHIN_S)
+    one.record_endpoint_answered(endpoint(7), 9.0 + ENDING_S)
+    assert one.digest(9.0 + TOLD_WITHIN_S) not in {0, before}
 
 
 def test_an_end_that_is_told_after_its_time_is_not_remembered_again() -> None:
