A planned end is one that was announced for as long as endpoints serve on

Cause: an entry that had gone a second ago, or draining at any moment, was taken for a planned end, which counts nothing. An endpoint that is cut off from the store, or whose entry lapsed, looks the same. Now that takes proof: the end was announced drain_ms ago (0.3 s less, as hosts see the store late), by the entry or by removing it, and the endpoint was heard without it. An entry that lapsed in an outage announces nothing. Before: the 4 new tests fail but that of lapsed entries; now all pass. The test of planned ends had endpoints that end 1.0 s after they say so, where the settings promise 2 s; they now keep the promise, and a second case has endpoints that only remove their entries.

--- a/src/bayhinge/_internal/services/gateway/ended_send_tracker.py
+++ b/src/bayhinge/_internal/services/gateway/ended_send_tracker.py
@@ -37,9 +37,8 @@
 """How long a request waits until an endpoint that broke it off has been probed; some ten round
 trips between halls."""
 
-PLANNED_AFTER_S = 1.0
-"""An endpoint that goes on for so long without its entry ends as planned. One that crashed may lose
-its entry a moment before its connections are seen to end."""
+NOTICE_S = 0.3
+"""Changes of the store are usually seen within this time."""
 
 EJECTED_AFTER_S = 2.0
 """An endpoint that answers nothing for so long gets no other requests either. Where all are busy, a
@@ -111,7 +110,9 @@
 
 
 class EndedSendTracker:
-    """The sends of one host that broke off, and the ends of endpoints that are blamed on them.
+    """The sends of one host that did not serve, and the ends of endpoints that are blamed on them.
+
+    ``serves_on_s`` is for how long endpoints go on at least after they announce their ends.
 
     Attributes:
         tell: tells the other hosts of changes.
@@ -123,10 +124,12 @@
         endpoint_table: EndpointTable,
         pool: EndpointConnectionPool,
         prober: EndpointProber | None = None,
+        serves_on_s: float = 2.0,
     ) -> None:
         self._endpoint_table = endpoint_table
         self._pool = pool
         self._prober = prober or EndpointProber(pool)
+        self._serves_on_s = serves_on_s
         self.sends = EndedSends()
         self.counts = EndedSendCounts()
         self.tell: Callable[[Iterable[FateChange | SendChange]], None] = lambda changes: None
@@ -254,18 +257,16 @@
         return self._pool.has_received_since(endpoint, since_s)
 
     def _ends_as_planned(self, state: EndpointState) -> bool:
-        """Whether an endpoint that breaks connections off was going to end.
+        """Whether an endpoint that fails a request had announced its end, and served on since.
 
-        It says so, or it was heard for some time without its entry.
+        An entry also goes where its endpoint is silent, so it must have been heard without one.
         """
+        if not state.was_end_due(_now(), self._serves_on_s - NOTICE_S):
+            return False
         if state.entry.is_leaving:
             return True
-        instance = state.entry.instance
-        is_missing = state.is_suspected or self._endpoint_table.find(instance) is None
-        if not is_missing or _now() - state.missing_since_s < PLANNED_AFTER_S:
-            return False
-        has_answered = state.answered_s >= state.missing_since_s
-        return has_answered or self._pool.has_received_since(instance, state.missing_since_s)
+        since_s = state.missing_since_s
+        return state.answered_s >= since_s or self._is_heard(state.entry.instance, since_s)
 
     def record_answer(
         self, key: RequestKey, run: ActiveRun, sent_s: float, is_served: bool
@@ -293,7 +294,7 @@
         """
         entry = state.entry
         is_doubted = self.sends.has_undecided(entry.incarnation, _now())
-        if not entry.is_leaving and (is_doubted or state.running_here):
+        if is_doubted or state.running_here:
             self._probe(entry).add_done_callback(
                 lambda done: self._handle_probe_of_vanished(state, done)
             )
@@ -310,8 +311,7 @@
 
     def handle_restart(self, former: EndpointEntry) -> None:
         """Handles that a later incarnation has started."""
-        if not former.is_leaving:
-            self._record_ended(former.incarnation, Evidence.RESTARTED)
+        self._record_ended(former.incarnation, Evidence.RESTARTED)
 
     def sweep(self) -> None:
         """Forgets what is too old to count, and probes the endpoints in doubt again."""
--- a/src/bayhinge/_internal/services/gateway/gateway.py
+++ b/src/bayhinge/_internal/services/gateway/gateway.py
@@ -94,6 +94,7 @@
             self.endpoint_table,
             self.connection_pool,
             EndpointProber(self.connection_pool, platform.calls, self._health_path_of),
+            settings.endpoint_drain_s,
         )
         self.endpoints = EndpointTableUpdater(
             platform.objects,
--- a/src/bayhinge/_internal/services/gateway/store_listeners.py
+++ b/src/bayhinge/_internal/services/gateway/store_listeners.py
@@ -164,6 +164,7 @@
     ) -> None:
         newest = self._endpoint_table.find(entry.instance)
         assert newest is not None
+        newest.record_entry(asyncio.get_running_loop().time())
         if update is EntryChange.RESTARTED and previous is not None:
             self._restarts.handle_restart(newest, previous)
             self._ended_sends.handle_restart(previous)
@@ -192,8 +193,7 @@
         state = self._endpoint_table.find(instance)
         if state is None or instance in self._removal_timer_by_instance:
             return
-        state.is_suspected = True
-        state.missing_since_s = asyncio.get_running_loop().time()
+        state.record_missing(asyncio.get_running_loop().time(), is_after_outage)
         if not is_after_outage:
             # After an outage, entries of live endpoints are missing for a moment.
             self._ended_sends.handle_vanished(state)
--- a/tests/functional/test_ends_that_must_count.py
+++ b/tests/functional/test_ends_that_must_count.py
@@ -5,7 +5,7 @@
 import pytest
 
 from tests.lib.drawn_endings import findings, play
-from tests.lib.end_cases import Between, End, EndCase, Route
+from tests.lib.end_cases import Between, End, EndCase, Entry, Route
 
 pytestmark = pytest.mark.functional
 
@@ -40,3 +40,16 @@
 
 def test_an_end_counts_that_comes_after_the_caller_has_left(tmp_path: Path) -> None:
     check(tmp_path, EndCase(after_s=1.2, leaves_s=0.3, route=Route.ONCE))
+
+
+def test_an_end_counts_whose_entry_went_at_the_send_of_a_request(tmp_path: Path) -> None:
+    check(tmp_path, EndCase(entry=Entry.GOES_AT_SEND, after_s=1.2, route=Route.REPEATABLE))
+
+
+@pytest.mark.parametrize("route", [Route.ONCE, Route.TURN])
+def test_an_end_counts_that_comes_sooner_than_was_announced(tmp_path: Path, route: Route) -> None:
+    check(tmp_path, EndCase(entry=Entry.DRAINING, route=route))
+
+
+def test_an_end_counts_of_an_endpoint_whose_entry_lapsed_in_an_outage(tmp_path: Path) -> None:
+    check(tmp_path, EndCase(entry=Entry.LAPSED, after_s=1.2, route=Route.ONCE))
--- a/tests/functional/test_requests_beside_ending_endpoints.py
+++ b/tests/functional/test_requests_beside_ending_endpoints.py
@@ -142,10 +142,12 @@
     run_ending_site(tmp_path, scenario, endpoints=5)
 
 
-def test_a_request_that_met_planned_ends_is_served(tmp_path: Path) -> None:
+@pytest.mark.parametrize("is_told", [True, False])
+def test_a_request_that_met_planned_ends_is_served(tmp_path: Path, is_told: bool) -> None:
     async def scenario(site: EndingSite) -> None:
+        await site.set_route_timeouts(5000)
         for endpoint in site.services:
-            endpoint.faults.pause_s = 1.3
+            endpoint.faults.pause_s = 2.5
         statuses: list[int] = []
         for number in range(5):
             host = f"entry-{number % 2}"
@@ -153,10 +155,13 @@
             await asyncio.sleep(0.05)
             for endpoint in site.services:
                 if endpoint.runs and endpoint.instance not in site.group.ended:
-                    site.store.put("servers", endpoint.instance, endpoint.entry("draining"))
-                    # Endpoints serve on for longer; hosts must have learned of it.
-                    await asyncio.sleep(1.0)
-                    await endpoint.crash()
+                    if is_told:
+                        site.store.put("servers", endpoint.instance, endpoint.entry("draining"))
+                    else:
+                        site.store.remove("servers", endpoint.instance)
+                    # Endpoints serve on for as long as the settings say.
+                    await asyncio.sleep(2.1)
+                    await endpoint.crash(removes_entry=is_told)
             statuses.append((await asked).status)
         assert len(site.group.ended) == 5
         for endpoint in site.services:
--- a/tests/lib/ending_endpoints.py
+++ b/tests/lib/ending_endpoints.py
@@ -83,7 +83,7 @@
         """Goes on after a freeze; requests of that time are never answered."""
         self._is_frozen = False
 
-    async def crash(self) -> None:
+    async def crash(self, removes_entry: bool = True) -> None:
         """Ends at once: all connections are reset, the port is closed, the entry goes later."""
         self._group.ended.append(self.instance)
         assert self._runner is not None and self._runner.server is not None
@@ -95,7 +95,7 @@
         for connection in self._runner.server.connections:
             if connection.transport is not None:
                 connection.transport.abort()
-        if not self._group.entry_goes_first:
+        if removes_entry and not self._group.entry_goes_first:
             asyncio.get_running_loop().call_later(ENTRY_REMOVED_S, self._group.remove_entry, self)
 
 
