Equal requests of no program don't overtake the one whose outcome they await

Several equal requests without a program that were under way together count once, and of the next ones one at a time is sent. The others waited for it 0.3 s and were then sent beside it: with endpoints that end 0.4 s after a send 5 ended for 2 at once. Now they wait for 2 s, and are told to come back if nothing is known by then.

--- a/src/bayhinge/_internal/services/gateway/send_guard.py
+++ b/src/bayhinge/_internal/services/gateway/send_guard.py
@@ -13,9 +13,9 @@
 from bayhinge._internal.services.gateway.send_state import SendState
 
 OUTCOME_PAUSE_S = 0.05
-MAX_OUTCOME_PAUSES = 6
-"""Pauses, 0.3 s in all, in which an equal request of anybody's may be answered, before this one is
-sent beside it."""
+MAX_OUTCOME_PAUSES = 40
+"""Pauses, 2 s in all, in which an equal request of anybody's may be answered, before this one is
+refused."""
 
 
 @attrs.define
@@ -121,6 +121,7 @@
             self._raise_if_forbidden(permission, send_state)
             if permission is not Permission.WAIT:
                 return
+        self._raise_if_forbidden(Permission.BUSY, send_state)
 
     def count_active(self, key: RequestKey) -> None:
         """Counts the sends that began before anything was known of their request, and tells them.
--- a/tests/functional/test_ends_that_must_count.py
+++ b/tests/functional/test_ends_that_must_count.py
@@ -5,7 +5,7 @@
 import pytest
 
 from tests.lib.drawn_endings import findings, play
-from tests.lib.end_cases import Between, End, EndCase, Entry, Route
+from tests.lib.end_cases import Between, End, EndCase, Entry, Repeat, Route
 
 pytestmark = pytest.mark.functional
 
@@ -53,3 +53,12 @@
 
 def test_an_end_counts_of_an_endpoint_whose_entry_lapsed_in_an_outage(tmp_path: Path) -> None:
     check(tmp_path, EndCase(entry=Entry.LAPSED, after_s=1.2, route=Route.ONCE))
+
+
+def test_equal_requests_of_no_program_are_not_sent_beside_one_that_may_end_its_endpoint(
+    tmp_path: Path,
+) -> None:
+    case = EndCase(
+        after_s=0.4, has_program=False, repeat=Repeat.AT_ONCE, route=Route.REPEATABLE, tries=2
+    )
+    check(tmp_path, case)
