Split the examination of endpoints from the tracker of ended sends, and share the port of news

No change of logic: health checks, one at a time for an endpoint, are a module of their own; the UDP port by which news are told and heard is one class for entry and disk hosts, in place of the same lines twice.

--- a/src/bayhinge/_internal/services/disks/ended_send_keeper.py
+++ b/src/bayhinge/_internal/services/disks/ended_send_keeper.py
@@ -9,14 +9,11 @@
 from mode import Service
 
 from bayhinge._internal.exceptions import FrameError
-from bayhinge._internal.network.addresses import split_address
-from bayhinge._internal.network.datagrams import DatagramReceiver
-from bayhinge._internal.network.frames import decode_message, encode_message
+from bayhinge._internal.network.frames import decode_message
 from bayhinge._internal.services.gateway.ended_send_exchange import EndedSendExchange
 from bayhinge._internal.services.gateway.ended_send_memory import EndedSendMemory, SendNewsPort
 from bayhinge._internal.services.gossip import Gossip
 from bayhinge._internal.services.keep_running import keep_running
-from bayhinge._internal.utils.checked_fields import is_ipv4_with_port
 from bayhinge._internal.wire.hosts import ttypes as wire
 
 FORGET_PERIOD_S = 1.0
@@ -27,32 +24,19 @@
 
     def __init__(self, gossip: Gossip) -> None:
         Service.__init__(self)
+        SendNewsPort.__init__(self)
         self._address = gossip.own_heartbeat.peer_address
-        self.on_sends = lambda news: None
-        self.on_ends_wanted = lambda address: None
-        self._transport: asyncio.DatagramTransport | None = None
         self._memory = EndedSendMemory()
         self._exchange = EndedSendExchange(self._memory, gossip, self)
 
     async def on_start(self) -> None:
-        """Opens a UDP socket on the peer address."""
-        self._transport, _ = await asyncio.get_running_loop().create_datagram_endpoint(
-            lambda: DatagramReceiver(self._receive), local_addr=split_address(self._address)
-        )
+        """Opens the socket."""
+        await self.open_port(self._address, self._receive)
         self.add_future(keep_running("forget old sends", self._forget_old))
 
     async def on_stop(self) -> None:
         """Closes the socket."""
-        if self._transport is not None:
-            self._transport.close()
-
-    def send(self, message: wire.LoadNews, *addresses: str) -> None:
-        """See :class:`SendNewsPort`."""
-        if self._transport is None or self._transport.is_closing():
-            return
-        data = encode_message(message)
-        for address in addresses:
-            self._transport.sendto(data, split_address(address))
+        self.close_port()
 
     def digest(self) -> int | None:
         """Returns the digest of what is remembered, for heartbeats; None for nothing."""
@@ -68,10 +52,7 @@
         except FrameError as error:
             eliot.log_message("send.news_unreadable", why=str(error))
             return
-        if message.sends is not None:
-            self.on_sends(message.sends)
-        if message.ends_wanted_at is not None and is_ipv4_with_port(message.ends_wanted_at):
-            self.on_ends_wanted(message.ends_wanted_at)
+        self.receive_news(message)
 
     async def _forget_old(self) -> None:
         while not self.should_stop:
--- a/src/bayhinge/_internal/services/gateway/ended_send_tracker.py
+++ b/src/bayhinge/_internal/services/gateway/ended_send_tracker.py
@@ -35,12 +35,9 @@
     FateChange,
     SendChange,
 )
+from bayhinge._internal.services.gateway.endpoint_examiner import EndpointExaminer, Examination
 from bayhinge._internal.services.gateway.endpoint_prober import EndpointProber, ProbeResult
 
-PROBE_WAIT_S = 0.1
-"""How long a request waits until an endpoint that broke it off has been probed; some ten round
-trips between halls."""
-
 NOTICE_S = 0.3
 """Changes of the store are usually seen within this time."""
 
@@ -83,14 +80,12 @@
         cleared: such pairs that counted no longer, as the endpoint or the request was fine.
         withheld: attempts that were refused for the endpoints that had ended under the request.
         alone: sends to an endpoint without other requests of this kind.
-        probes: connections that were opened to see whether an endpoint has ended.
     """
 
     ended: int = 0
     cleared: int = 0
     withheld: int = 0
     alone: int = 0
-    probes: int = 0
 
 
 class EndedSendTracker(EndedSendMemory):
@@ -109,14 +104,19 @@
         super().__init__()
         self._endpoint_table = endpoint_table
         self._pool = pool
-        self._prober = prober or EndpointProber(pool)
+        self._examiner = EndpointExaminer(prober or EndpointProber(pool))
+        self._examiner.on_result = self._handle_examined
         self._serves_on_s = serves_on_s
         self.counts = EndedSendCounts()
         self._random = random.Random()
-        self._probe_by_incarnation: dict[EndpointIncarnation, asyncio.Task[ProbeResult]] = {}
         # Of the endpoints in doubt after own sends; the store's list may drop them meanwhile.
         self._entry_by_incarnation: dict[EndpointIncarnation, EndpointEntry] = {}
 
+    @property
+    def probes(self) -> int:
+        """Connections that were opened to see whether an endpoint has ended."""
+        return self._examiner.count
+
     # ---- before a send ----
 
     async def permission(self, key: RequestKey) -> Permission:
@@ -127,7 +127,8 @@
         permission = self.sends.permission(key, _now())
         if permission is not Permission.EXAMINE:
             return permission
-        await self._examine(self.sends.undecided(key))
+        entries = map(self._entry_of, self.sends.undecided(key))
+        await self._examiner.examine_all(filter(None, entries))
         return self.sends.permission(key, _now())
 
     def settled_in_s(self, key: RequestKey) -> float:
@@ -229,7 +230,7 @@
         elif newest is None or state.is_suspected:
             self.handle_vanished(state)
         elif run.is_lost or not self._is_heard(run.endpoint, _now() - HEARD_WITHIN_S):
-            self._probe(state.entry)
+            self._examiner.begin(state.entry)
 
     def _is_heard(self, endpoint: str, since_s: float) -> bool:
         return self._pool.has_received_since(endpoint, since_s)
@@ -276,16 +277,16 @@
         entry = state.entry
         is_doubted = self.sends.has_undecided(entry.incarnation, _now())
         if is_doubted or state.running_here:
-            self._probe(entry).add_done_callback(
+            self._examiner.begin(entry).add_done_callback(
                 lambda done: self._handle_probe_of_vanished(state, done)
             )
 
     def _handle_probe_of_vanished(
-        self, state: EndpointState, probe: asyncio.Task[ProbeResult]
+        self, state: EndpointState, probe: asyncio.Task[Examination]
     ) -> None:
         if probe.cancelled() or probe.exception() is not None:
             return
-        if probe.result() in {ProbeResult.ANSWERED, ProbeResult.CONNECTED}:
+        if probe.result().result in {ProbeResult.ANSWERED, ProbeResult.CONNECTED}:
             state.answered_s = _now()
         else:
             self._record_ended(state.entry.incarnation, Evidence.VANISHED)
@@ -309,7 +310,7 @@
             if entry is not None and (
                 over_s <= _now() or not self._is_heard(entry.instance, _now() - HEARD_WITHIN_S)
             ):
-                self._probe(entry)
+                self._examiner.begin(entry)
 
     def _entry_of(self, incarnation: EndpointIncarnation) -> EndpointEntry | None:
         """Returns the entry of an endpoint in doubt, also of one that is no longer listed."""
@@ -318,33 +319,10 @@
 
     # ---- evidence ----
 
-    async def _examine(self, incarnations: Iterable[EndpointIncarnation]) -> None:
-        """Probes endpoints that broke a request off, and waits a moment for the results."""
-        entries = [self._entry_of(each) for each in incarnations]
-        await self._wait_for([self._probe(entry) for entry in entries if entry is not None])
-
-    async def _wait_for(self, probes: Iterable[asyncio.Task[ProbeResult]]) -> None:
-        waited_for = set(probes)
-        if waited_for:
-            # A probe goes on for others that wait for it.
-            await asyncio.wait(waited_for, timeout=PROBE_WAIT_S)
-
-    def _probe(self, entry: EndpointEntry) -> asyncio.Task[ProbeResult]:
-        incarnation = entry.incarnation
-        probe = self._probe_by_incarnation.get(incarnation)
-        if probe is None:
-            self.counts.probes += 1
-            probe = asyncio.get_running_loop().create_task(self._run_probe(entry))
-            self._probe_by_incarnation[incarnation] = probe
-        return probe
-
-    async def _run_probe(self, entry: EndpointEntry) -> ProbeResult:
+    def _handle_examined(self, examination: Examination) -> None:
+        """Draws the conclusions from a probe of an endpoint."""
+        entry, result, began_s = examination.entry, examination.result, examination.began_s
         incarnation = entry.incarnation
-        began_s = _now()
-        try:
-            result = await self._prober.probe(entry)
-        finally:
-            del self._probe_by_incarnation[incarnation]
         doubted = self.sends.doubted_at(incarnation, _now())
         eliot.log_message(
             "endpoint.probed",
@@ -362,7 +340,6 @@
             self._record_endpoint_answered(incarnation, began_s - UNDECIDED_S)
         elif result is ProbeResult.SILENT:
             self._record_silent_still(entry)
-        return result
 
     def _is_listed(self, incarnation: EndpointIncarnation) -> bool:
         state = self._endpoint_table.find_incarnation(incarnation)
--- a/src/bayhinge/_internal/services/gateway/load_exchange.py
+++ b/src/bayhinge/_internal/services/gateway/load_exchange.py
@@ -17,16 +17,13 @@
     LoadTable,
 )
 from bayhinge._internal.exceptions import FrameError
-from bayhinge._internal.network.addresses import split_address
-from bayhinge._internal.network.datagrams import DatagramReceiver
-from bayhinge._internal.network.frames import decode_message, encode_message
+from bayhinge._internal.network.frames import decode_message
 from bayhinge._internal.services.gateway.ended_send_memory import SendNewsPort
 from bayhinge._internal.services.gateway.hall_coordinators import HallCoordinator, HallCoordinators
 from bayhinge._internal.services.gateway.hall_tables import HallTables
 from bayhinge._internal.services.gateway.load_sums import HeartbeatLoads, excluding_endpoints
 from bayhinge._internal.services.gateway.speed_tracker import SpeedTracker
 from bayhinge._internal.services.keep_running import keep_running
-from bayhinge._internal.utils.checked_fields import is_ipv4_with_port
 from bayhinge._internal.wire.hosts import ttypes as wire
 
 REPORT_DELAY_S = 0.01
@@ -61,6 +58,7 @@
         speeds: SpeedTracker | None = None,
     ) -> None:
         Service.__init__(self)
+        SendNewsPort.__init__(self)
         self._own_heartbeat = own_heartbeat
         self._endpoint_table = endpoint_table
         self._coordinators = coordinators
@@ -79,23 +77,16 @@
         self.endpoints_known_to: Callable[[], int | None] = lambda: None
         self.waiting_by_service: Callable[[], Mapping[str, int]] = dict
         self.on_loads: Callable[[], None] = lambda: None
-        self.on_sends = lambda news: None
-        self.on_ends_wanted = lambda address: None
-        self._transport: asyncio.DatagramTransport | None = None
 
     async def on_start(self) -> None:
         """Opens a UDP socket on the peer address and starts reporting."""
-        host, port = split_address(self._own_heartbeat.peer_address)
-        self._transport, _ = await asyncio.get_running_loop().create_datagram_endpoint(
-            lambda: DatagramReceiver(self._receive), local_addr=(host, port)
-        )
+        await self.open_port(self._own_heartbeat.peer_address, self._receive)
         self.add_future(keep_running("load reports", self._report_periodically))
         self.add_future(keep_running("hall loads", self._send_hall_tables))
 
     async def on_stop(self) -> None:
         """Closes the socket."""
-        if self._transport is not None:
-            self._transport.close()
+        self.close_port()
 
     # ---- this host's own load ----
 
@@ -349,24 +340,13 @@
 
     # ---- datagrams ----
 
-    def send(self, message: wire.LoadNews, *addresses: str) -> None:
-        """See :class:`SendNewsPort`."""
-        if self._transport is None or self._transport.is_closing():
-            return
-        data = encode_message(message)
-        for address in addresses:
-            self._transport.sendto(data, split_address(address))
-
     def _receive(self, data: bytes) -> None:
         try:
             message = decode_message(wire.LoadNews(), data)
         except FrameError as error:
             self.log.warning("ignoring malformed load datagram: %s", error)
             return
-        if message.sends is not None:
-            self.on_sends(message.sends)
-        if message.ends_wanted_at is not None and is_ipv4_with_port(message.ends_wanted_at):
-            self.on_ends_wanted(message.ends_wanted_at)
+        self.receive_news(message)
         is_changed = message.host is not None and self.receive_loads(message.host)
         if message.hall is not None:
             self._receive_hall_table(message.hall)
--- a/src/bayhinge/_internal/services/gateway/metrics.py
+++ b/src/bayhinge/_internal/services/gateway/metrics.py
@@ -99,7 +99,7 @@
         "ended_sends_known": len(gateway.ended_sends.sends),
         "endpoints_ended_under_requests_total": gateway.ended_sends.counts.ended,
         "ended_sends_cleared_total": gateway.ended_sends.counts.cleared,
-        "ended_sends_probes_total": gateway.ended_sends.counts.probes,
+        "ended_sends_probes_total": gateway.ended_sends.probes,
         "sends_alone_total": gateway.ended_sends.counts.alone,
         "sends_withheld_total": gateway.ended_sends.counts.withheld,
         "streams_cut_in_an_event_total": gateway.requests.send_counts.cut_in_event,
