--- a/tests/soak/mutants.py
+++ b/tests/soak/mutants.py
@@ -163,7 +163,7 @@
         Edit(SEND_PERMISSION, "MAX_ENDED = 3", "MAX_ENDED = 1000"),
     ),
     "hosts tell each other of ends": (
-        Edit(ENDED_EXCHANGE, "        tracker.tell = self.tell", "        pass"),
+        Edit(ENDED_EXCHANGE, "        memory.tell = self.tell", "        pass"),
     ),
     "a host that has started is told of ends": (
         Edit(
