--- a/tests/functional/test_calls_that_end_endpoints.py
+++ b/tests/functional/test_calls_that_end_endpoints.py
@@ -30,6 +30,7 @@
 """Timeout of calls; short, as those to frozen endpoints last so long."""
 
 FROZEN_S = 30.0
+ENDS_LATER_S = 0.1
 SETTINGS = cast(
     Settings,
     SimpleNamespace(services_by_name={"app": ServiceSettings("app", timeout_seconds=TIMEOUT_S)}),
@@ -44,12 +45,14 @@
         ends: they stop listening under a call.
         freezes: they answer nothing from a call on; the kernel goes on accepting connections.
         hangs: they don't answer the call, but everything else.
+        ends_later: they break the call off, answer others for a moment, and stop listening then.
         moves_on: frozen endpoints answer again.
     """
 
     ends: bool = False
     freezes: bool = False
     hangs: bool = False
+    ends_later: bool = False
     calls: int = 0
     ended: int = 0
     moves_on: asyncio.Event = attrs.field(factory=asyncio.Event)
@@ -80,10 +83,15 @@
         if self.freezes or self.hangs:
             await asyncio.sleep(FROZEN_S)
         if self.ends:
-            self.ended += 1
-            self._servers[-1].close()
+            self._end(self._servers[-1])
+        if self.ends_later:
+            asyncio.get_running_loop().call_later(ENDS_LATER_S, self._end, self._servers[-1])
         writer.transport.abort()
 
+    def _end(self, server: asyncio.Server) -> None:
+        self.ended += 1
+        server.close()
+
     def done(self, granted: GrantedEndpoint, done: CallCompletion) -> None:
         """See :class:`GrantSource`."""
 
@@ -175,3 +183,15 @@
             assert endpoints.calls == 4 * number
 
     run_with(endpoints, scenario)
+
+
+def test_a_call_whose_endpoints_answer_once_more_before_they_end_ends_three() -> None:
+    """Guards against a sign of life of an endpoint that is about to end."""
+    endpoints = Endpoints(ends_later=True)
+
+    async def scenario(try_call: Callable[[str], Awaitable[RefusedError]]) -> None:
+        for _ in range(3):
+            assert (await try_call("d")).refusal.run_state is RunState.MAY_HAVE_RUN
+        assert endpoints.ended == MAX_ENDED
+
+    run_with(endpoints, scenario)
