--- a/tests/functional/test_leftover_answers.py
+++ b/tests/functional/test_leftover_answers.py
@@ -13,6 +13,7 @@
 from bayhinge._internal.network.endpoint_answer import Answer
 from bayhinge._internal.network.endpoint_connections import EndpointConnectionPool
 from bayhinge._internal.platform.call_format import PlatformCallFormat
+from bayhinge._internal.services.gateway.delivery import is_success
 from bayhinge._internal.services.gateway.request_sender import RequestSender
 from tests.functional.test_sending import REQUEST, BodyCollector, reply, send
 from tests.functional.test_sending import ROUTE as AT_MOST_ONCE_ROUTE
@@ -92,6 +93,7 @@
     ) -> None:
         self.status = answer.status
         await super().deliver(answer, marks, may_repeat, bounds)
+        self.outcome = "served" if is_success(answer.status) else f"status_{answer.status}"
 
 
 LATE_HEADS = {
