--- a/review/common-2/case_site.py
+++ b/review/common-2/case_site.py
@@ -77,6 +77,17 @@
         "service": "app",
         "attempts": 2,
     },
+    {
+        "name": "r-act",
+        "host": HOST,
+        "path_prefix": "/act/",
+        "route_kind": "non_idempotent",
+        "timeout_ms": 6000,
+        "slo_ms": 1200,
+        "priority": 2,
+        "service": "app",
+        "attempts": 1,
+    },
 ]
 
 SERVICES: list[dict[str, Any]] = [
@@ -141,6 +152,8 @@
         bounds: Mapping[str, object] | None = None,
         tenants: list[dict[str, Any]] | None = None,
         retention_s: float = 60.0,
+        plain_engines: int = 2,
+        plain_slots: int = 8,
     ) -> None:
         """Prepares a site; nothing runs before :meth:`start`."""
         self._folder = folder
@@ -153,7 +166,10 @@
         self._net = f"127.{100 + int.from_bytes(os.urandom(1)) % 100}.{os.getpid() % 250 + 1}"
         self.store = PlatformStoreServer()
         self.engines = [CountingEngine(f"i-llm-{n}", "llm", self.record) for n in (1, 2)]
-        self.services = [CountingEngine(f"i-app-{n}", "app", self.record) for n in (1, 2)]
+        self.services = [
+            CountingEngine(f"i-app-{n}", "app", self.record) for n in range(plain_engines)
+        ]
+        self._plain_slots = plain_slots
         self.disks = [f"disk-{number}" for number in range(disks)]
         self.entries = [f"entry-{number}" for number in range(entries)]
         self._process_by_host: dict[str, asyncio.subprocess.Process] = {}
@@ -293,7 +309,8 @@
         await self.store.start()
         for endpoint in (*self.engines, *self.services):
             await endpoint.start()
-            self.store.put("servers", endpoint.instance, endpoint.entry())
+            slots = {"slots": self._plain_slots} if endpoint.service == "app" else {}
+            self.store.put("servers", endpoint.instance, endpoint.entry() | slots)
         configuration: dict[str, Any] = {
             "version": 7,
             "routes": [
