--- a/review/4/case.py
+++ b/review/4/case.py
@@ -74,6 +74,8 @@
         continued_tries=tries,
         continued_reached=reached,
         joined={disk: len(site.log(disk, "disk.joined")) for disk in site.disks},
+        too_long={disk: site.count_lines(disk, "exceeds 64000000 bytes") for disk in site.disks},
+        copies_missed={disk: len(site.log(disk, "disk.peer_missed")) for disk in site.disks},
         peak_mb={disk: site.peak_mb(disk) for disk in site.disks},
     )
     findings = []
--- a/review/common-2/case_site.py
+++ b/review/common-2/case_site.py
@@ -304,6 +304,10 @@
                     found.append(entry)
         return found
 
+    def count_lines(self, host: str, text: str) -> int:
+        """Returns how many lines of a host's output contain a text."""
+        return (self._folder / f"{host}.log").read_text(errors="replace").count(text)
+
     async def start(self) -> None:
         """Starts everything, and waits until all entry hosts are ready and serve a turn."""
         await self.store.start()
