--- a/review/4/case.py
+++ b/review/4/case.py
@@ -10,7 +10,7 @@
 LONG_BYTES = int(os.environ.get("LONG_BYTES", "2400000"))
 CATCH_UP_S = 5.0
 RECOVER_S = 12.0
-DOWN_S = 2.0
+DOWN_S, FINAL_DOWN_S = 2.0, 1.0
 BETWEEN_LOSSES_S = 20.0
 LATE_S = 10.0
 TRIES = 6
@@ -54,7 +54,7 @@
     # The final fault, right after a turn was answered.
     await site.turn(entries[0], "b0000", b"and slot 13?\n")
     if has_trouble():
-        await site.wipe("disk-1", DOWN_S)
+        await site.wipe("disk-1", FINAL_DOWN_S)
     back_s = site.now_s
     await asyncio.sleep(RECOVER_S)
     late = asyncio.gather(*(_continue(site, kept[-1 - n], n) for n in range(4)))
@@ -91,11 +91,21 @@
 
 
 async def _continue(site: CaseSite, kept: tuple[str, Answer], number: int) -> tuple[int, int]:
-    """Goes on from a kept turn until it reaches an engine; returns the tries, and whether so."""
-    program, answer = kept
+    """A new program goes on from a kept turn until it reaches an engine.
+
+    Returns the tries, and whether so.
+    """
+    _, answer = kept
+    began_s = site.now_s
     for tries in range(1, TRIES + 1):
         entry = site.entries[(number + tries) % 2]
-        again = await site.turn(entry, program, b"and then?\n", previous=answer.attempt)
+        again = await site.turn(
+            entry,
+            f"d{number:04x}",
+            b"and then?\n",
+            previous=answer.attempt,
+            program_s=30.0 - (site.now_s - began_s),
+        )
         if site.has_run(again.attempt):
             return tries, 1
         await asyncio.sleep(1.0)
--- a/review/common-2/case_site.py
+++ b/review/common-2/case_site.py
@@ -330,6 +330,9 @@
         for host in (*self.disks, *self.entries):
             await self.spawn(host, is_first=True)
         await self.until(self._all_ready, 15.0)
+        # Traffic starts some seconds after the machines do, when all disks have joined.
+        if self._tenants is None:
+            await self.until(self._serves_a_turn, 10.0)
         self.record("ready")
 
     async def _all_ready(self) -> bool:
@@ -345,6 +348,9 @@
                 return False
         return True
 
+    async def _serves_a_turn(self) -> bool:
+        return (await self.turn(self.entries[0], "3e11", b"hello\n")).is_served
+
     async def until(self, condition: Callable[[], Awaitable[bool]], limit_s: float) -> None:
         """Waits for a condition."""
         async with asyncio.timeout(limit_s):
@@ -438,6 +444,21 @@
             return Answer(attempt, status, text, False, is_sealed)
         return Answer(attempt, status, bytes(pieces), True, is_sealed)
 
+    async def resolve(self, host: str) -> list[str]:
+        """Asks a host where to go; returns the entry hosts, none if there is no answer."""
+        url = f"http://{self.ip(host)}:{DIRECTORY_PORT}/-/resolve?name={HOST}&region=land&zone=x"
+        try:
+            async with (
+                asyncio.timeout(1.0),
+                aiohttp.ClientSession(connector=aiohttp.TCPConnector(force_close=True)) as session,
+                session.get(url) as response,
+            ):
+                found = json.loads(await response.read())["addresses"]
+        except (aiohttp.ClientError, TimeoutError, OSError, ValueError, LookupError):
+            return []
+        host_by_address = {f"{self.ip(entry)}:{FRONT_PORT}": entry for entry in self.entries}
+        return [host_by_address[address] for address in found]
+
     async def turn(
         self,
         host: str,
@@ -448,13 +469,14 @@
         budget: int = 2000,
         most: int = 80,
         leaves_after: int | None = None,
+        program_s: float = 30.0,
     ) -> Answer:
-        """Sends a turn of an agent program; see :meth:`ask`."""
+        """Sends a turn of an agent program, which has ``program_s`` left; see :meth:`ask`."""
         headers = {
             "Bayhinge-Model": "m",
             "Bayhinge-Program-Id": program,
             "Bayhinge-Session-Id": f"{program}s",
-            "Bayhinge-Program-Deadline-Ms": "30000",
+            "Bayhinge-Program-Deadline-Ms": str(int(program_s * 1000)),
             "Bayhinge-Token-Budget": str(budget),
             "Bayhinge-Token-Usage": f"1460,{most}",
         }
