--- a/review/5/case.py
+++ b/review/5/case.py
@@ -1,4 +1,4 @@
-"""A program goes on from another program's turn, and is itself continued after 40 s."""
+"""A program goes on from another program's turn, and a third one from its turn 45 s later."""
 
 import asyncio
 import itertools
@@ -11,11 +11,12 @@
 DISKS = 10
 HALLS = ("accra-a", "accra-b", "tema", "kumasi", "takoradi")
 TOLERATED = 2
-DOWN_S = 0.8
+DOWN_S = 0.5
 CONTINUE_AFTER_S = 57.0
 EXPIRES_AFTER_S = 90.0
 MARGIN_S = 9.0
 TRIES = 6
+THIRD_PROGRAM, AIM_S = "9c41d0", 30.0
 
 
 @attrs.frozen
@@ -95,10 +96,16 @@
         new = await site.turn(site.entries[number % 2], f"c{number}", b"another program\n")
         if not new.is_served:
             raise RuntimeError("a first turn was not served")
-    tries = 0
+    tries, began_s = 0, site.now_s
     while tries < TRIES and not reached:
         entry = site.entries[tries % 2]
-        three = await site.turn(entry, second, b"and the fee?\n", previous=two.attempt)
+        three = await site.turn(
+            entry,
+            THIRD_PROGRAM,
+            b"and the fee?\n",
+            previous=two.attempt,
+            program_s=AIM_S - (site.now_s - began_s),
+        )
         tries += 1
         reached += site.has_run(three.attempt)
         await asyncio.sleep(0.7)
