--- a/review/6/case.py
+++ b/review/6/case.py
@@ -1,31 +1,23 @@
-"""Entry hosts are stopped and started in turn while a plain service has too many calls."""
+"""An entry host stands still for half a second, twice, while a tenant sends far too much."""
 
 import asyncio
-import random
+import os
 import signal
 from pathlib import Path
 
-import attrs
+from bayhinge.coordination.rendezvous import choose
 from case_site import Answer, CaseSite, has_trouble, run_case
 
-SLOTS, WORK_S, ENGINES = 6, 0.3, 2
-CALLS_PER_S = 54.0
-DEADLINE_S = 6.0
-GRACE_S = 8.0
-STOPS, BETWEEN_S = 4, 18.0
-BACK_S = 9.0
-LONGEST_S = 2.97
-READ_AFTER_S = 1.0
-
-
-@attrs.frozen
-class Call:
-    """One call of a client, and how it ended."""
-
-    host: str
-    sent_s: float
-    ended_s: float
-    answer: Answer
+WINDOW_S, OVERAGE, SLACK = 5, 0.1, 20
+RATE_PER_S, BURST = 20, 20
+MOST = (RATE_PER_S * WINDOW_S + BURST) * (1 + OVERAGE) + SLACK
+TENANT, KEY = "acme", "key-of-acme"
+SETTLE_S = 12.0
+FREEZES = int(os.environ.get("FREEZES", "2"))
+STILL_S, BETWEEN_S = 0.5, 1.0
+ENTRIES = 13
+PACE_S = 0.01
+SENDING_S = 8.0
 
 
 async def scenario(folder: Path, record_path: Path) -> str | None:
@@ -34,10 +26,19 @@
         folder,
         record_path,
         disks=3,
-        entries=2,
-        halls=("north", "north", "north"),
-        plain_engines=ENGINES,
-        plain_slots=SLOTS,
+        entries=ENTRIES,
+        halls=("north", "south"),
+        bounds={
+            "revoke_strict": True,
+            "revoke_ms": 5000,
+            "quota_window_s": WINDOW_S,
+            "quota_overage": OVERAGE,
+            "quota_slack": SLACK,
+        },
+        tenants=[
+            {"name": TENANT, "api_keys": [KEY], "rate_per_s": RATE_PER_S, "burst": BURST},
+            {"name": "other", "api_keys": ["key-of-other"]},
+        ],
     )
     try:
         await site.start()
@@ -46,78 +47,51 @@
         await site.stop()
 
 
-async def _stop_and_start(site: CaseSite, host: str) -> None:
-    site.signal(host, signal.SIGTERM)
-    await site.ended(host)
-    await site.spawn(host)
+async def _confirm(site: CaseSite, host: str) -> Answer:
+    headers = {"Authorization": f"Bearer {KEY}"}
+    return await site.ask(host, "GET", "/confirm/x", b"", headers, 2.0)
 
 
-async def _play(site: CaseSite) -> str | None:
-    for engine in site.services:
-        engine.faults.pause_s = WORK_S
-    calls: list[Call] = []
-    asked: list[asyncio.Task[None]] = []
-    stops: list[tuple[float, str]] = []
-    draw = random.Random(7)
-
-    async def call(host: str) -> None:
-        sent_s = site.now_s
-        answer = await site.ask(host, "POST", "/act/x", b"fee\n", {}, DEADLINE_S)
-        calls.append(Call(host, sent_s, site.now_s, answer))
+async def _freeze(site: CaseSite, host: str) -> None:
+    for _ in range(FREEZES):
+        await asyncio.sleep(BETWEEN_S)
+        if has_trouble():
+            site.signal(host, signal.SIGSTOP)
+        await asyncio.sleep(STILL_S)
+        if has_trouble():
+            site.signal(host, signal.SIGCONT)
 
-    def choose() -> str:
-        stop_s, stopping = stops[-1] if stops else (-BACK_S, "")
-        since_s = site.now_s - stop_s
-        if since_s >= BACK_S:
-            return draw.choice(site.entries)
-        # Clients hold on to the addresses for ttl_s (1 s), some for three times as long.
-        other = next(host for host in site.entries if host != stopping)
-        return stopping if since_s < LONGEST_S and draw.random() < 2 / 3 else other
 
-    restarts: list[asyncio.Task[None]] = []
-    began_s, number = site.now_s, 0
-    while site.now_s < began_s + BETWEEN_S * (STOPS + 1) - BETWEEN_S / 2:
-        if len(stops) < STOPS and site.now_s >= began_s + BETWEEN_S * (len(stops) + 1):
-            host = site.entries[len(stops) % 2]
-            stops.append((site.now_s, host))
-            if has_trouble():
-                restarts.append(asyncio.ensure_future(_stop_and_start(site, host)))
-        asked.append(asyncio.ensure_future(call(choose())))
-        number += 1
-        await asyncio.sleep(max(0.0, began_s + number / CALLS_PER_S - site.now_s))
-    await asyncio.gather(*asked, *restarts)
-    return _judge(site, calls, stops)
-
-
-def _judge(site: CaseSite, calls: list[Call], stops: list[tuple[float, str]]) -> str | None:
-    cut = [
-        call
-        for call in calls
-        for stop_s, host in stops
-        if call.host == host
-        and stop_s <= call.sent_s <= stop_s + 3.0
-        and not call.answer.is_whole
-        and READ_AFTER_S < call.ended_s - call.sent_s < DEADLINE_S - 0.2
-        and call.ended_s < stop_s + GRACE_S + 1.0
-    ]
-    unsent = [call for call in cut if not site.has_run(call.answer.attempt)]
-    early = [call for call in unsent if call.ended_s - call.sent_s < 0.7 * DEADLINE_S]
-    site.record(
-        "counts",
-        calls=len(calls),
-        served=sum(call.answer.is_served for call in calls),
-        refused=sum(call.answer.status == 503 for call in calls),
-        cut=len(cut),
-        cut_unsent=len(unsent),
-        cut_unsent_before_seven_tenths=len(early),
-        waited_s=sorted(round(call.ended_s - call.sent_s, 2) for call in unsent),
+async def _play(site: CaseSite) -> str | None:
+    # The host that counts the tenant's requests, and any other one, which its clients use.
+    home = choose(f"quota of {TENANT}", site.entries) or ""
+    caller = next(host for host in site.entries if host != home)
+    site.record("roles", home=home, caller=caller)
+    await asyncio.sleep(SETTLE_S)
+    await _confirm(site, caller)
+    await asyncio.sleep(2.0)
+    asked: list[asyncio.Future[Answer]] = []
+    freezes = asyncio.ensure_future(_freeze(site, home))
+    began_s = site.now_s
+    while site.now_s < began_s + SENDING_S:
+        asked.append(asyncio.ensure_future(_confirm(site, caller)))
+        await asyncio.sleep(PACE_S)
+    await freezes
+    await asyncio.gather(*asked)
+    return _judge(site)
+
+
+def _judge(site: CaseSite) -> str | None:
+    """Counts the requests of each window that were sent and that arrived at an engine in it."""
+    runs = [(site.sent_s[attempt], at_s) for at_s, attempt in site.run_attempts]
+    most, began_s = max(
+        (sum(sent >= first and at_s <= first + WINDOW_S for sent, at_s in runs), first)
+        for first, _ in runs
     )
-    if not unsent:
+    site.record("counts", most_runs=most, from_s=round(began_s, 3), bound=MOST)
+    if most <= MOST:
         return None
-    return (
-        f"LOST: {len(unsent)} calls that a stopping host had read, and passed on to no engine, "
-        f"ended with a closed connection, {len(early)} of them before seven tenths of their time"
-    )
+    return f"QUOTA: {most} requests of a tenant ran within {WINDOW_S} s, {MOST:.1f} may"
 
 
 if __name__ == "__main__":
