Keep a chain's beginning for turns of other programs

Cause: a disk kept a program because another one continues it only where it holds turns of both. Turns of the later program are on that program's own disks; a disk that has the earlier one alone took it for unused 90 s after its last entry, and removed its closed segments. Evidence: the new line turn.not_found names the first turn of the chain, answered by all disks (is_beginning), behind disk.expired of its disks.

Change: an entry host learns with a history the programs whose turns it holds, and with the turn writes one entry (USED) for each other program to that program's disks, before the answer ends. It is an entry of the earlier program: synced on enough disks, copied when the set changes, handed over at a retirement, read at a restart. Ordinary turns write nothing more; a chain over several programs costs one call to each of their disks, or none where they share their disks.

Weighed: copying the chain to the later program's disks (reading it gets cheaper, but the largest legal chain would be written several times before an answer ends); asking all disks before a segment is removed (a removal then waits for hosts that are down, and a chain over n programs needs n rounds).

--- a/idl/hosts.thrift
+++ b/idl/hosts.thrift
@@ -59,8 +59,10 @@
 // RESERVED: tokens reserved before a turn runs. SETTLED: the tokens that it used.
 // TURN: a complete turn, which also settles its reservation. `endpoint_born_ms`: the incarnation of
 // the endpoint that processed it, absent if unknown. `account`: the turn's client account, empty if
-// no key was required, absent in entries of earlier releases.
-enum EntryKind { RESERVED = 1, SETTLED = 2, TURN = 3 }
+// no key was required, absent in entries of earlier releases. USED: a turn of another program, named
+// by `attempt`, has this program's turns in its chain. `keep_s`: how long the program's entries are
+// needed from now on.
+enum EntryKind { RESERVED = 1, SETTLED = 2, TURN = 3, USED = 4 }
 
 struct TurnEntry {
   1: required EntryKind kind,
@@ -88,7 +90,7 @@
 }
 
 // The maps hold the program's turns: reserved tokens of open ones, used tokens of settled ones.
-// `account` is that of the chain's last turn, as in its entry.
+// `account` is that of the chain's last turn, as in its entry; `programs`: those of the chain's turns.
 struct ReserveReply {
   1: required i64 generation,
   2: required map<string, i64> open_by_attempt,
@@ -99,6 +101,7 @@
   7: optional i64 endpoint_born_ms,
   8: optional FenceVerdict verdict = FenceVerdict.TAKEN,
   9: optional string account,
+  10: optional list<string> programs,
 }
 
 struct AppendEntries { 1: required list<TurnEntry> entries }
--- a/src/bayhinge/_internal/services/disks/disk_request_handler.py
+++ b/src/bayhinge/_internal/services/disks/disk_request_handler.py
@@ -71,6 +71,7 @@
             reply.endpoint = chain.run_at.endpoint
             reply.endpoint_born_ms = chain.run_at.born_ms
             reply.account = chain.account
+            reply.programs = list(chain.programs)
         return encode_message(reply)
 
     def _verdict(self, query: wire.ReserveTurn) -> wire.FenceVerdict:
--- a/src/bayhinge/_internal/services/disks/turn_index.py
+++ b/src/bayhinge/_internal/services/disks/turn_index.py
@@ -13,6 +13,10 @@
 MIN_RETENTION_S = 90.0
 """Minimum time for which entries are kept after the last use of their program."""
 
+KEEP_MARGIN_S = 30.0
+"""Entries are kept for so much longer than asked for: a turn that begins at the end of that time
+needs them until it has ended and all disks know of it."""
+
 
 @attrs.frozen
 class Location:
@@ -39,15 +43,18 @@
     """How long a program's entries are needed.
 
     Attributes:
-        last_used_s: when an entry of it was last written, on the log's clock.
-        keep_s: the longest retention that one of its turns asks for.
+        needed_until_s: on the log's clock; each entry of the program may extend it.
         needs: programs that its own turns continue.
     """
 
-    last_used_s: float = 0.0
-    keep_s: float = MIN_RETENTION_S
+    needed_until_s: float = 0.0
     needs: set[str] = attrs.field(factory=set)
 
+    def extend(self, now_s: float, keep_s: float) -> None:
+        """Records that an entry written now needs the program for ``keep_s``."""
+        needed_s = max(MIN_RETENTION_S, keep_s + KEEP_MARGIN_S)
+        self.needed_until_s = max(self.needed_until_s, now_s + needed_s)
+
 
 @attrs.define(eq=False, repr=False)
 class ProgramLedger:
@@ -58,7 +65,9 @@
 
 
 def entry_key(entry: TurnEntry) -> str:
-    """Returns an entry's key: its kind and its attempt."""
+    """Returns an entry's key: its kind and its attempt, which may use several programs."""
+    if entry.kind == EntryKind.USED:
+        return f"{entry.kind}{entry.attempt}\n{entry.program}"
     return f"{entry.kind}{entry.attempt}"
 
 
@@ -127,7 +136,7 @@
         live_programs = {
             program
             for program, life in self._lifetime_by_program.items()
-            if now_s - life.last_used_s <= life.keep_s
+            if now_s <= life.needed_until_s
         }
         waiting = list(live_programs)
         while waiting:
@@ -145,8 +154,9 @@
         self._keys.append((key, entry.program))
         self._keys_by_segment.setdefault(location.segment, []).append((key, entry.program))
         life = self._lifetime_by_program.setdefault(entry.program, ProgramLifetime())
-        life.last_used_s = self.now_s
-        life.keep_s = max(life.keep_s, entry.keep_s or 0.0)
+        life.extend(self.now_s, entry.keep_s or 0.0)
+        if entry.kind == EntryKind.USED:
+            return
         ledger = self._ledger_by_program.setdefault(entry.program, ProgramLedger())
         if entry.kind == EntryKind.RESERVED:
             ledger.open_by_attempt[entry.attempt] = entry.tokens
@@ -175,6 +185,8 @@
         """Removes an entry that was not synced; other entries of its turn still count."""
         # The key keeps its position, as other disks read the keys by position.
         del self._location_by_key[entry_key(entry)]
+        if entry.kind == EntryKind.USED:
+            return
         ledger = self._ledger_by_program[entry.program]
         if entry.kind == EntryKind.RESERVED:
             ledger.open_by_attempt.pop(entry.attempt, None)
--- a/src/bayhinge/_internal/services/disks/turn_log.py
+++ b/src/bayhinge/_internal/services/disks/turn_log.py
@@ -41,12 +41,14 @@
         run_at: the endpoint incarnation that ran the last turn for which one is known.
         missing: a turn of the chain that the disk does not have.
         account: the account of the last turn; None where its entry has none.
+        programs: the programs of the turns.
     """
 
     text: bytes = b""
     run_at: EndpointIncarnation = EndpointIncarnation()
     missing: str | None = None
     account: str | None = None
+    programs: frozenset[str] = frozenset()
 
 
 class TurnLog:
@@ -79,6 +81,7 @@
     def chain(self, last: str) -> Chain:
         """Returns the chain that ends with a turn, its texts joined from the oldest on."""
         texts: list[bytes] = []
+        programs: set[str] = set()
         run_at = EndpointIncarnation()
         attempt: str | None = last
         newest = self._index.turn(last)
@@ -89,8 +92,10 @@
                 return Chain(missing=attempt)
             run_at = run_at if run_at.endpoint else turn.run_at
             texts.append(self._read(turn.location).text or b"")
+            programs.add(turn.program)
             attempt = turn.previous
-        return Chain(b"".join(reversed(texts)), run_at, account=account)
+        text = b"".join(reversed(texts))
+        return Chain(text, run_at, account=account, programs=frozenset(programs))
 
     def ledger(self, program: str) -> ProgramLedger:
         """Returns the token use of a program's turns."""
--- a/src/bayhinge/_internal/services/gateway/open_turn.py
+++ b/src/bayhinge/_internal/services/gateway/open_turn.py
@@ -16,6 +16,7 @@
         reserved: tokens reserved, or 0 if the program has no budget.
         is_retained: the turn is recorded for later ones; otherwise only its tokens are counted.
         account: the client account that owns the turn; empty if no key is required.
+        history_programs: the programs whose turns are in the history.
     """
 
     attempt: str
@@ -25,3 +26,4 @@
     reserved: int
     is_retained: bool = True
     account: str = ""
+    history_programs: set[str] = attrs.field(factory=set)
--- a/src/bayhinge/_internal/services/gateway/turn_histories.py
+++ b/src/bayhinge/_internal/services/gateway/turn_histories.py
@@ -1,5 +1,7 @@
 """Fetches the history of a turn from the disks."""
 
+import eliot
+
 from bayhinge._internal.decisions.memory_budget import MemoryHolder
 from bayhinge._internal.models.endpoint_entries import EndpointIncarnation
 from bayhinge._internal.models.refusals import (
@@ -46,10 +48,7 @@
         # The history is sent with a copy of the body behind it.
         room.take_at_once(memory.claim.bytes_by_holder[MemoryHolder.BODY])
         for reply in replies:
-            if reply.chain is not None and reply.missing is None:
-                _check_account(turn, reply.account)
-                room.take_at_once(len(reply.chain))
-                turn.history, turn.last_engine = reply.chain, _last_engine(reply)
+            if _adopt(turn, reply, room):
                 return
         message = encode_message(wire.ReserveTurn(None, turn.context.previous, True))
         # The program's own disks first; then all, as it may continue another program's turn.
@@ -60,10 +59,7 @@
             async for _, reply in self._disk_client.call_all(
                 disks, methods.RESERVE, message, wire.ReserveReply
             ):
-                if reply.missing is None and reply.chain is not None:
-                    _check_account(turn, reply.account)
-                    room.take_at_once(len(reply.chain))
-                    turn.history, turn.last_engine = reply.chain, _last_engine(reply)
+                if _adopt(turn, reply, room):
                     return
         await self._assemble(turn, room)
 
@@ -79,6 +75,7 @@
                 turn.last_engine = EndpointIncarnation(entry.endpoint or "", entry.endpoint_born_ms)
             texts.append(entry.text or b"")
             room.take_at_once(len(texts[-1]))
+            turn.history_programs.add(entry.program)
             attempt = entry.previous
         turn.history = b"".join(reversed(texts))
 
@@ -102,6 +99,14 @@
                         return entry
         except TimeoutError:
             pass
+        eliot.log_message(
+            "turn.not_found",
+            attempt=attempt,
+            is_beginning=not is_first,
+            answered=answered,
+            asked=len(members),
+            disk_set_version=version,
+        )
         # The turn certainly does not exist only if all disks say so, and none knows a newer set.
         if is_first and members and answered == len(members) and newest == version:
             raise RefusedError(
@@ -135,5 +140,17 @@
     )
 
 
-def _last_engine(reply: wire.ReserveReply) -> EndpointIncarnation:
-    return EndpointIncarnation(reply.endpoint or "", reply.endpoint_born_ms)
+def _adopt(turn: OpenTurn, reply: wire.ReserveReply, room: MemoryRoom) -> bool:
+    """Takes the history from a disk's reply; returns whether it is there in whole.
+
+    Raises:
+        RefusedError: it is another account's, or there is no memory for it.
+    """
+    if reply.chain is None or reply.missing is not None:
+        return False
+    _check_account(turn, reply.account)
+    room.take_at_once(len(reply.chain))
+    turn.history = reply.chain
+    turn.last_engine = EndpointIncarnation(reply.endpoint or "", reply.endpoint_born_ms)
+    turn.history_programs.update(reply.programs or ())
+    return True
--- a/src/bayhinge/_internal/services/gateway/turn_recorder.py
+++ b/src/bayhinge/_internal/services/gateway/turn_recorder.py
@@ -8,17 +8,15 @@
 import asyncio
 
 import attrs
-import eliot
 
-from bayhinge._internal.decisions.disk_quorum import committed_tokens, copies_needed
+from bayhinge._internal.decisions.disk_quorum import committed_tokens
 from bayhinge._internal.models.endpoint_entries import EndpointIncarnation
 from bayhinge._internal.models.refusals import RefusedError
 from bayhinge._internal.models.routed_requests import TurnContext
-from bayhinge._internal.network.frames import encode_message
-from bayhinge._internal.services import methods
 from bayhinge._internal.services.gateway.disk_client import DiskClient
 from bayhinge._internal.services.gateway.disk_directory import DiskDirectory
 from bayhinge._internal.services.gateway.disk_link import DiskLink
+from bayhinge._internal.services.gateway.entry_writer import EntryWriter
 from bayhinge._internal.services.gateway.held_memory import UNBOUNDED, RequestMemory
 from bayhinge._internal.services.gateway.open_turn import OpenTurn
 from bayhinge._internal.services.gateway.turn_histories import TurnHistories
@@ -26,9 +24,6 @@
 from bayhinge._internal.services.gateway.turn_reservations import TurnReservations
 from bayhinge._internal.wire.hosts import ttypes as wire
 
-APPEND_RETRY_S = 0.1
-"""Pause between attempts to append a turn."""
-
 
 class TurnRecorder(DiskClient):
     """Opens and closes turns for one entry host.
@@ -38,9 +33,9 @@
 
     def __init__(self, directory: DiskDirectory, link: DiskLink, tolerated: int) -> None:
         super().__init__(directory, link)
-        self._tolerated = tolerated
         self._reservations = TurnReservations(self, directory, tolerated)
         self._histories = TurnHistories(self, directory)
+        self._writer = EntryWriter(self, directory, tolerated)
 
     async def open(
         self,
@@ -81,7 +76,10 @@
     async def close(
         self, turn: OpenTurn, text: bytes, tokens: int, engine: EndpointIncarnation, keep_s: float
     ) -> None:
-        """Appends a complete turn to enough disks; retries until it is durable."""
+        """Appends a complete turn to enough disks; retries until it is durable.
+
+        The disks of other programs whose turns it goes on from learn that they are needed.
+        """
         entry = wire.TurnEntry(
             wire.EntryKind.TURN,
             turn.attempt,
@@ -94,35 +92,10 @@
             engine.born_ms,
             turn.account,
         )
-        message = encode_message(wire.AppendEntries([entry]))
+        encoded = self._writer.encode(turn.attempt, [entry, *_uses(turn, keep_s)])
         # The encoded message holds both; a long turn would be held twice until it is durable.
         del text, entry
-        generation_by_host: dict[str, int] = {}
-        tries = 0
-        while True:
-            # If the program's own disks are not enough, use any others.
-            disks = (
-                self._directory.writable()
-                if tries
-                else self._directory.replicas(turn.context.program)
-            )
-            disks = [disk for disk in disks if disk.host not in generation_by_host]
-            async for disk, reply in self.call_all(
-                disks, methods.APPEND, message, wire.AppendReply
-            ):
-                generation_by_host[disk.host] = reply.generation
-                if len(set(generation_by_host.values())) >= copies_needed(self._tolerated):
-                    return
-            if tries == 0:
-                eliot.log_message(
-                    "turn.not_durable_yet",
-                    attempt=turn.attempt,
-                    copies_on=list(generation_by_host),
-                    asked=[disk.host for disk in disks],
-                    disk_set_version=self._directory.disk_set.version,
-                )
-            tries += 1
-            await asyncio.sleep(APPEND_RETRY_S)
+        await self._writer.write(encoded)
 
     def settle(self, turn: OpenTurn, tokens: int) -> None:
         """Records in the background the tokens used by a turn without a complete answer."""
@@ -144,3 +117,12 @@
         )
         if committed + turn.reserved > budget:
             raise budget_exceeded(turn, budget, committed)
+
+
+def _uses(turn: OpenTurn, keep_s: float) -> list[wire.TurnEntry]:
+    """Returns one entry for each other program that has turns in a turn's history."""
+    others = sorted(turn.history_programs - {turn.context.program})
+    return [
+        wire.TurnEntry(wire.EntryKind.USED, turn.attempt, program, 0, keep_s=keep_s)
+        for program in others
+    ]
--- a/src/bayhinge/_internal/wire/hosts/ttypes.py
+++ b/src/bayhinge/_internal/wire/hosts/ttypes.py
@@ -34,6 +34,7 @@
     RESERVED = 1
     SETTLED = 2
     TURN = 3
+    USED = 4
 
 
 
@@ -959,6 +960,7 @@
      - endpoint_born_ms
      - verdict
      - account
+     - programs
 
     """
 
@@ -972,10 +974,11 @@
         'endpoint_born_ms',
         'verdict',
         'account',
+        'programs',
     )
 
 
-    def __init__(self, generation=None, open_by_attempt=None, settled_by_attempt=None, chain=None, missing=None, endpoint=None, endpoint_born_ms=None, verdict=    FenceVerdict.TAKEN, account=None,):
+    def __init__(self, generation=None, open_by_attempt=None, settled_by_attempt=None, chain=None, missing=None, endpoint=None, endpoint_born_ms=None, verdict=    FenceVerdict.TAKEN, account=None, programs=None,):
         self.generation = generation
         self.open_by_attempt = open_by_attempt
         self.settled_by_attempt = settled_by_attempt
@@ -985,6 +988,7 @@
         self.endpoint_born_ms = endpoint_born_ms
         self.verdict = verdict
         self.account = account
+        self.programs = programs
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -1052,6 +1056,16 @@
                     self.account = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
                 else:
                     iprot.skip(ftype)
+            elif fid == 10:
+                if ftype == TType.LIST:
+                    self.programs = []
+                    (_etype65, _size62) = iprot.readListBegin()
+                    for _i66 in range(_size62):
+                        _elem67 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        self.programs.append(_elem67)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -1069,17 +1083,17 @@
         if self.open_by_attempt is not None:
             oprot.writeFieldBegin('open_by_attempt', TType.MAP, 2)
             oprot.writeMapBegin(TType.STRING, TType.I64, len(self.open_by_attempt))
-            for kiter62, viter63 in self.open_by_attempt.items():
-                oprot.writeString(kiter62.encode('utf-8') if sys.version_info[0] == 2 else kiter62)
-                oprot.writeI64(viter63)
+            for kiter68, viter69 in self.open_by_attempt.items():
+                oprot.writeString(kiter68.encode('utf-8') if sys.version_info[0] == 2 else kiter68)
+                oprot.writeI64(viter69)
             oprot.writeMapEnd()
             oprot.writeFieldEnd()
         if self.settled_by_attempt is not None:
             oprot.writeFieldBegin('settled_by_attempt', TType.MAP, 3)
             oprot.writeMapBegin(TType.STRING, TType.I64, len(self.settled_by_attempt))
-            for kiter64, viter65 in self.settled_by_attempt.items():
-                oprot.writeString(kiter64.encode('utf-8') if sys.version_info[0] == 2 else kiter64)
-                oprot.writeI64(viter65)
+            for kiter70, viter71 in self.settled_by_attempt.items():
+                oprot.writeString(kiter70.encode('utf-8') if sys.version_info[0] == 2 else kiter70)
+                oprot.writeI64(viter71)
             oprot.writeMapEnd()
             oprot.writeFieldEnd()
         if self.chain is not None:
@@ -1106,6 +1120,13 @@
             oprot.writeFieldBegin('account', TType.STRING, 9)
             oprot.writeString(self.account.encode('utf-8') if sys.version_info[0] == 2 else self.account)
             oprot.writeFieldEnd()
+        if self.programs is not None:
+            oprot.writeFieldBegin('programs', TType.LIST, 10)
+            oprot.writeListBegin(TType.STRING, len(self.programs))
+            for iter72 in self.programs:
+                oprot.writeString(iter72.encode('utf-8') if sys.version_info[0] == 2 else iter72)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -1164,11 +1185,11 @@
             if fid == 1:
                 if ftype == TType.LIST:
                     self.entries = []
-                    (_etype69, _size66) = iprot.readListBegin()
-                    for _i70 in range(_size66):
-                        _elem71 = TurnEntry()
-                        _elem71.read(iprot)
-                        self.entries.append(_elem71)
+                    (_etype76, _size73) = iprot.readListBegin()
+                    for _i77 in range(_size73):
+                        _elem78 = TurnEntry()
+                        _elem78.read(iprot)
+                        self.entries.append(_elem78)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -1185,8 +1206,8 @@
         if self.entries is not None:
             oprot.writeFieldBegin('entries', TType.LIST, 1)
             oprot.writeListBegin(TType.STRUCT, len(self.entries))
-            for iter72 in self.entries:
-                iter72.write(oprot)
+            for iter79 in self.entries:
+                iter79.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -1442,10 +1463,10 @@
             elif fid == 4:
                 if ftype == TType.LIST:
                     self.keys = []
-                    (_etype76, _size73) = iprot.readListBegin()
-                    for _i77 in range(_size73):
-                        _elem78 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
-                        self.keys.append(_elem78)
+                    (_etype83, _size80) = iprot.readListBegin()
+                    for _i84 in range(_size80):
+                        _elem85 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        self.keys.append(_elem85)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -1484,8 +1505,8 @@
         if self.keys is not None:
             oprot.writeFieldBegin('keys', TType.LIST, 4)
             oprot.writeListBegin(TType.STRING, len(self.keys))
-            for iter79 in self.keys:
-                oprot.writeString(iter79.encode('utf-8') if sys.version_info[0] == 2 else iter79)
+            for iter86 in self.keys:
+                oprot.writeString(iter86.encode('utf-8') if sys.version_info[0] == 2 else iter86)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.disk_set_version is not None:
@@ -1558,10 +1579,10 @@
             if fid == 1:
                 if ftype == TType.LIST:
                     self.keys = []
-                    (_etype83, _size80) = iprot.readListBegin()
-                    for _i84 in range(_size80):
-                        _elem85 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
-                        self.keys.append(_elem85)
+                    (_etype90, _size87) = iprot.readListBegin()
+                    for _i91 in range(_size87):
+                        _elem92 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        self.keys.append(_elem92)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -1578,8 +1599,8 @@
         if self.keys is not None:
             oprot.writeFieldBegin('keys', TType.LIST, 1)
             oprot.writeListBegin(TType.STRING, len(self.keys))
-            for iter86 in self.keys:
-                oprot.writeString(iter86.encode('utf-8') if sys.version_info[0] == 2 else iter86)
+            for iter93 in self.keys:
+                oprot.writeString(iter93.encode('utf-8') if sys.version_info[0] == 2 else iter93)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -1639,11 +1660,11 @@
             if fid == 1:
                 if ftype == TType.LIST:
                     self.entries = []
-                    (_etype90, _size87) = iprot.readListBegin()
-                    for _i91 in range(_size87):
-                        _elem92 = TurnEntry()
-                        _elem92.read(iprot)
-                        self.entries.append(_elem92)
+                    (_etype97, _size94) = iprot.readListBegin()
+                    for _i98 in range(_size94):
+                        _elem99 = TurnEntry()
+                        _elem99.read(iprot)
+                        self.entries.append(_elem99)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -1665,8 +1686,8 @@
         if self.entries is not None:
             oprot.writeFieldBegin('entries', TType.LIST, 1)
             oprot.writeListBegin(TType.STRUCT, len(self.entries))
-            for iter93 in self.entries:
-                iter93.write(oprot)
+            for iter100 in self.entries:
+                iter100.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.disk_set_version is not None:
@@ -1727,10 +1748,10 @@
             if fid == 1:
                 if ftype == TType.LIST:
                     self.keys = []
-                    (_etype97, _size94) = iprot.readListBegin()
-                    for _i98 in range(_size94):
-                        _elem99 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
-                        self.keys.append(_elem99)
+                    (_etype104, _size101) = iprot.readListBegin()
+                    for _i105 in range(_size101):
+                        _elem106 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        self.keys.append(_elem106)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -1747,8 +1768,8 @@
         if self.keys is not None:
             oprot.writeFieldBegin('keys', TType.LIST, 1)
             oprot.writeListBegin(TType.STRING, len(self.keys))
-            for iter100 in self.keys:
-                oprot.writeString(iter100.encode('utf-8') if sys.version_info[0] == 2 else iter100)
+            for iter107 in self.keys:
+                oprot.writeString(iter107.encode('utf-8') if sys.version_info[0] == 2 else iter107)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -1819,11 +1840,11 @@
             elif fid == 2:
                 if ftype == TType.MAP:
                     self.value_by_key = {}
-                    (_ktype102, _vtype103, _size101) = iprot.readMapBegin()
-                    for _i105 in range(_size101):
-                        _key106 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
-                        _val107 = iprot.readBinary()
-                        self.value_by_key[_key106] = _val107
+                    (_ktype109, _vtype110, _size108) = iprot.readMapBegin()
+                    for _i112 in range(_size108):
+                        _key113 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        _val114 = iprot.readBinary()
+                        self.value_by_key[_key113] = _val114
                     iprot.readMapEnd()
                 else:
                     iprot.skip(ftype)
@@ -1854,9 +1875,9 @@
         if self.value_by_key is not None:
             oprot.writeFieldBegin('value_by_key', TType.MAP, 2)
             oprot.writeMapBegin(TType.STRING, TType.STRING, len(self.value_by_key))
-            for kiter108, viter109 in self.value_by_key.items():
-                oprot.writeString(kiter108.encode('utf-8') if sys.version_info[0] == 2 else kiter108)
-                oprot.writeBinary(viter109)
+            for kiter115, viter116 in self.value_by_key.items():
+                oprot.writeString(kiter115.encode('utf-8') if sys.version_info[0] == 2 else kiter115)
+                oprot.writeBinary(viter116)
             oprot.writeMapEnd()
             oprot.writeFieldEnd()
         if self.complete_to is not None:
@@ -2134,21 +2155,21 @@
             elif fid == 5:
                 if ftype == TType.MAP:
                     self.running_by_endpoint = {}
-                    (_ktype111, _vtype112, _size110) = iprot.readMapBegin()
-                    for _i114 in range(_size110):
-                        _key115 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
-                        _val116 = iprot.readI32()
-                        self.running_by_endpoint[_key115] = _val116
+                    (_ktype118, _vtype119, _size117) = iprot.readMapBegin()
+                    for _i121 in range(_size117):
+                        _key122 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        _val123 = iprot.readI32()
+                        self.running_by_endpoint[_key122] = _val123
                     iprot.readMapEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 6:
                 if ftype == TType.LIST:
                     self.resting = []
-                    (_etype120, _size117) = iprot.readListBegin()
-                    for _i121 in range(_size117):
-                        _elem122 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
-                        self.resting.append(_elem122)
+                    (_etype127, _size124) = iprot.readListBegin()
+                    for _i128 in range(_size124):
+                        _elem129 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        self.resting.append(_elem129)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -2160,11 +2181,11 @@
             elif fid == 8:
                 if ftype == TType.MAP:
                     self.relative_duration_by_endpoint = {}
-                    (_ktype124, _vtype125, _size123) = iprot.readMapBegin()
-                    for _i127 in range(_size123):
-                        _key128 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
-                        _val129 = iprot.readI32()
-                        self.relative_duration_by_endpoint[_key128] = _val129
+                    (_ktype131, _vtype132, _size130) = iprot.readMapBegin()
+                    for _i134 in range(_size130):
+                        _key135 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        _val136 = iprot.readI32()
+                        self.relative_duration_by_endpoint[_key135] = _val136
                     iprot.readMapEnd()
                 else:
                     iprot.skip(ftype)
@@ -2197,16 +2218,16 @@
         if self.running_by_endpoint is not None:
             oprot.writeFieldBegin('running_by_endpoint', TType.MAP, 5)
             oprot.writeMapBegin(TType.STRING, TType.I32, len(self.running_by_endpoint))
-            for kiter130, viter131 in self.running_by_endpoint.items():
-                oprot.writeString(kiter130.encode('utf-8') if sys.version_info[0] == 2 else kiter130)
-                oprot.writeI32(viter131)
+            for kiter137, viter138 in self.running_by_endpoint.items():
+                oprot.writeString(kiter137.encode('utf-8') if sys.version_info[0] == 2 else kiter137)
+                oprot.writeI32(viter138)
             oprot.writeMapEnd()
             oprot.writeFieldEnd()
         if self.resting is not None:
             oprot.writeFieldBegin('resting', TType.LIST, 6)
             oprot.writeListBegin(TType.STRING, len(self.resting))
-            for iter132 in self.resting:
-                oprot.writeString(iter132.encode('utf-8') if sys.version_info[0] == 2 else iter132)
+            for iter139 in self.resting:
+                oprot.writeString(iter139.encode('utf-8') if sys.version_info[0] == 2 else iter139)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.endpoints_known_to is not None:
@@ -2216,9 +2237,9 @@
         if self.relative_duration_by_endpoint is not None:
             oprot.writeFieldBegin('relative_duration_by_endpoint', TType.MAP, 8)
             oprot.writeMapBegin(TType.STRING, TType.I32, len(self.relative_duration_by_endpoint))
-            for kiter133, viter134 in self.relative_duration_by_endpoint.items():
-                oprot.writeString(kiter133.encode('utf-8') if sys.version_info[0] == 2 else kiter133)
-                oprot.writeI32(viter134)
+            for kiter140, viter141 in self.relative_duration_by_endpoint.items():
+                oprot.writeString(kiter140.encode('utf-8') if sys.version_info[0] == 2 else kiter140)
+                oprot.writeI32(viter141)
             oprot.writeMapEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -2326,11 +2347,11 @@
             elif fid == 5:
                 if ftype == TType.MAP:
                     self.running_by_endpoint = {}
-                    (_ktype136, _vtype137, _size135) = iprot.readMapBegin()
-                    for _i139 in range(_size135):
-                        _key140 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
-                        _val141 = iprot.readI32()
-                        self.running_by_endpoint[_key140] = _val141
+                    (_ktype143, _vtype144, _size142) = iprot.readMapBegin()
+                    for _i146 in range(_size142):
+                        _key147 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        _val148 = iprot.readI32()
+                        self.running_by_endpoint[_key147] = _val148
                     iprot.readMapEnd()
                 else:
                     iprot.skip(ftype)
@@ -2342,22 +2363,22 @@
             elif fid == 7:
                 if ftype == TType.MAP:
                     self.waiting_by_service = {}
-                    (_ktype143, _vtype144, _size142) = iprot.readMapBegin()
-                    for _i146 in range(_size142):
-                        _key147 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
-                        _val148 = iprot.readI32()
-                        self.waiting_by_service[_key147] = _val148
+                    (_ktype150, _vtype151, _size149) = iprot.readMapBegin()
+                    for _i153 in range(_size149):
+                        _key154 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        _val155 = iprot.readI32()
+                        self.waiting_by_service[_key154] = _val155
                     iprot.readMapEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 8:
                 if ftype == TType.MAP:
                     self.relative_duration_by_endpoint = {}
-                    (_ktype150, _vtype151, _size149) = iprot.readMapBegin()
-                    for _i153 in range(_size149):
-                        _key154 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
-                        _val155 = iprot.readI32()
-                        self.relative_duration_by_endpoint[_key154] = _val155
+                    (_ktype157, _vtype158, _size156) = iprot.readMapBegin()
+                    for _i160 in range(_size156):
+                        _key161 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        _val162 = iprot.readI32()
+                        self.relative_duration_by_endpoint[_key161] = _val162
                     iprot.readMapEnd()
                 else:
                     iprot.skip(ftype)
@@ -2390,9 +2411,9 @@
         if self.running_by_endpoint is not None:
             oprot.writeFieldBegin('running_by_endpoint', TType.MAP, 5)
             oprot.writeMapBegin(TType.STRING, TType.I32, len(self.running_by_endpoint))
-            for kiter156, viter157 in self.running_by_endpoint.items():
-                oprot.writeString(kiter156.encode('utf-8') if sys.version_info[0] == 2 else kiter156)
-                oprot.writeI32(viter157)
+            for kiter163, viter164 in self.running_by_endpoint.items():
+                oprot.writeString(kiter163.encode('utf-8') if sys.version_info[0] == 2 else kiter163)
+                oprot.writeI32(viter164)
             oprot.writeMapEnd()
             oprot.writeFieldEnd()
         if self.endpoints_known_to is not None:
@@ -2402,17 +2423,17 @@
         if self.waiting_by_service is not None:
             oprot.writeFieldBegin('waiting_by_service', TType.MAP, 7)
             oprot.writeMapBegin(TType.STRING, TType.I32, len(self.waiting_by_service))
-            for kiter158, viter159 in self.waiting_by_service.items():
-                oprot.writeString(kiter158.encode('utf-8') if sys.version_info[0] == 2 else kiter158)
-                oprot.writeI32(viter159)
+            for kiter165, viter166 in self.waiting_by_service.items():
+                oprot.writeString(kiter165.encode('utf-8') if sys.version_info[0] == 2 else kiter165)
+                oprot.writeI32(viter166)
             oprot.writeMapEnd()
             oprot.writeFieldEnd()
         if self.relative_duration_by_endpoint is not None:
             oprot.writeFieldBegin('relative_duration_by_endpoint', TType.MAP, 8)
             oprot.writeMapBegin(TType.STRING, TType.I32, len(self.relative_duration_by_endpoint))
-            for kiter160, viter161 in self.relative_duration_by_endpoint.items():
-                oprot.writeString(kiter160.encode('utf-8') if sys.version_info[0] == 2 else kiter160)
-                oprot.writeI32(viter161)
+            for kiter167, viter168 in self.relative_duration_by_endpoint.items():
+                oprot.writeString(kiter167.encode('utf-8') if sys.version_info[0] == 2 else kiter167)
+                oprot.writeI32(viter168)
             oprot.writeMapEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -2762,21 +2783,21 @@
             elif fid == 3:
                 if ftype == TType.LIST:
                     self.sends = []
-                    (_etype165, _size162) = iprot.readListBegin()
-                    for _i166 in range(_size162):
-                        _elem167 = SendRecord()
-                        _elem167.read(iprot)
-                        self.sends.append(_elem167)
+                    (_etype172, _size169) = iprot.readListBegin()
+                    for _i173 in range(_size169):
+                        _elem174 = SendRecord()
+                        _elem174.read(iprot)
+                        self.sends.append(_elem174)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 4:
                 if ftype == TType.LIST:
                     self.own = []
-                    (_etype171, _size168) = iprot.readListBegin()
-                    for _i172 in range(_size168):
-                        _elem173 = iprot.readI64()
-                        self.own.append(_elem173)
+                    (_etype178, _size175) = iprot.readListBegin()
+                    for _i179 in range(_size175):
+                        _elem180 = iprot.readI64()
+                        self.own.append(_elem180)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -2801,15 +2822,15 @@
         if self.sends is not None:
             oprot.writeFieldBegin('sends', TType.LIST, 3)
             oprot.writeListBegin(TType.STRUCT, len(self.sends))
-            for iter174 in self.sends:
-                iter174.write(oprot)
+            for iter181 in self.sends:
+                iter181.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.own is not None:
             oprot.writeFieldBegin('own', TType.LIST, 4)
             oprot.writeListBegin(TType.I64, len(self.own))
-            for iter175 in self.own:
-                oprot.writeI64(iter175)
+            for iter182 in self.own:
+                oprot.writeI64(iter182)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -2879,11 +2900,11 @@
             elif fid == 2:
                 if ftype == TType.LIST:
                     self.sends = []
-                    (_etype179, _size176) = iprot.readListBegin()
-                    for _i180 in range(_size176):
-                        _elem181 = SendRecord()
-                        _elem181.read(iprot)
-                        self.sends.append(_elem181)
+                    (_etype186, _size183) = iprot.readListBegin()
+                    for _i187 in range(_size183):
+                        _elem188 = SendRecord()
+                        _elem188.read(iprot)
+                        self.sends.append(_elem188)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -2909,8 +2930,8 @@
         if self.sends is not None:
             oprot.writeFieldBegin('sends', TType.LIST, 2)
             oprot.writeListBegin(TType.STRUCT, len(self.sends))
-            for iter182 in self.sends:
-                iter182.write(oprot)
+            for iter189 in self.sends:
+                iter189.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.has_program is not None:
@@ -3015,21 +3036,21 @@
             elif fid == 7:
                 if ftype == TType.LIST:
                     self.changes = []
-                    (_etype186, _size183) = iprot.readListBegin()
-                    for _i187 in range(_size183):
-                        _elem188 = SendRecord()
-                        _elem188.read(iprot)
-                        self.changes.append(_elem188)
+                    (_etype193, _size190) = iprot.readListBegin()
+                    for _i194 in range(_size190):
+                        _elem195 = SendRecord()
+                        _elem195.read(iprot)
+                        self.changes.append(_elem195)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 8:
                 if ftype == TType.LIST:
                     self.served = []
-                    (_etype192, _size189) = iprot.readListBegin()
-                    for _i193 in range(_size189):
-                        _elem194 = iprot.readI64()
-                        self.served.append(_elem194)
+                    (_etype199, _size196) = iprot.readListBegin()
+                    for _i200 in range(_size196):
+                        _elem201 = iprot.readI64()
+                        self.served.append(_elem201)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -3068,15 +3089,15 @@
         if self.changes is not None:
             oprot.writeFieldBegin('changes', TType.LIST, 7)
             oprot.writeListBegin(TType.STRUCT, len(self.changes))
-            for iter195 in self.changes:
-                iter195.write(oprot)
+            for iter202 in self.changes:
+                iter202.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.served is not None:
             oprot.writeFieldBegin('served', TType.LIST, 8)
             oprot.writeListBegin(TType.I64, len(self.served))
-            for iter196 in self.served:
-                oprot.writeI64(iter196)
+            for iter203 in self.served:
+                oprot.writeI64(iter203)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.sends is not None:
@@ -3207,10 +3228,10 @@
             elif fid == 5:
                 if ftype == TType.LIST:
                     self.avoid = []
-                    (_etype200, _size197) = iprot.readListBegin()
-                    for _i201 in range(_size197):
-                        _elem202 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
-                        self.avoid.append(_elem202)
+                    (_etype207, _size204) = iprot.readListBegin()
+                    for _i208 in range(_size204):
+                        _elem209 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        self.avoid.append(_elem209)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -3232,10 +3253,10 @@
             elif fid == 9:
                 if ftype == TType.LIST:
                     self.connected = []
-                    (_etype206, _size203) = iprot.readListBegin()
-                    for _i207 in range(_size203):
-                        _elem208 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
-                        self.connected.append(_elem208)
+                    (_etype213, _size210) = iprot.readListBegin()
+                    for _i214 in range(_size210):
+                        _elem215 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        self.connected.append(_elem215)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -3313,8 +3334,8 @@
         if self.avoid is not None:
             oprot.writeFieldBegin('avoid', TType.LIST, 5)
             oprot.writeListBegin(TType.STRING, len(self.avoid))
-            for iter209 in self.avoid:
-                oprot.writeString(iter209.encode('utf-8') if sys.version_info[0] == 2 else iter209)
+            for iter216 in self.avoid:
+                oprot.writeString(iter216.encode('utf-8') if sys.version_info[0] == 2 else iter216)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.kept_tokens is not None:
@@ -3332,8 +3353,8 @@
         if self.connected is not None:
             oprot.writeFieldBegin('connected', TType.LIST, 9)
             oprot.writeListBegin(TType.STRING, len(self.connected))
-            for iter210 in self.connected:
-                oprot.writeString(iter210.encode('utf-8') if sys.version_info[0] == 2 else iter210)
+            for iter217 in self.connected:
+                oprot.writeString(iter217.encode('utf-8') if sys.version_info[0] == 2 else iter217)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.waited_ms is not None:
@@ -3784,10 +3805,10 @@
             elif fid == 8:
                 if ftype == TType.LIST:
                     self.silent = []
-                    (_etype214, _size211) = iprot.readListBegin()
-                    for _i215 in range(_size211):
-                        _elem216 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
-                        self.silent.append(_elem216)
+                    (_etype221, _size218) = iprot.readListBegin()
+                    for _i222 in range(_size218):
+                        _elem223 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        self.silent.append(_elem223)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -3832,8 +3853,8 @@
         if self.silent is not None:
             oprot.writeFieldBegin('silent', TType.LIST, 8)
             oprot.writeListBegin(TType.STRING, len(self.silent))
-            for iter217 in self.silent:
-                oprot.writeString(iter217.encode('utf-8') if sys.version_info[0] == 2 else iter217)
+            for iter224 in self.silent:
+                oprot.writeString(iter224.encode('utf-8') if sys.version_info[0] == 2 else iter224)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -4043,6 +4064,7 @@
     (7, TType.I64, 'endpoint_born_ms', None, None, ),  # 7
     (8, TType.I32, 'verdict', None,     FenceVerdict.TAKEN, ),  # 8
     (9, TType.STRING, 'account', 'UTF8', None, ),  # 9
+    (10, TType.LIST, 'programs', (TType.STRING, 'UTF8', False), None, ),  # 10
 )
 all_structs.append(AppendEntries)
 AppendEntries.thrift_spec = (
--- a/tests/unit/test_turn_log.py
+++ b/tests/unit/test_turn_log.py
@@ -27,7 +27,8 @@
 def test_a_chain_is_joined_from_its_oldest_turn_on(tmp_path: Path) -> None:
     log = TurnLog(tmp_path)
     log.append([turn("c", "b", b"three"), turn("a", None, b"one "), turn("b", "a", b"two ")])
-    assert log.chain("c") == Chain(b"one two three", EndpointIncarnation("e-1"))
+    programs = frozenset({"program"})
+    assert log.chain("c") == Chain(b"one two three", EndpointIncarnation("e-1"), programs=programs)
     assert log.chain("x") == Chain(missing="x")
     log.append([turn("z", "y", b"")])
     assert log.chain("z") == Chain(missing="y")
