Keep a chain for a turn that runs for long

Callers would see 503 for a turn that goes on from one that had run for longer than 30 s beyond its chain's retention: no disk knew, while it ran, that it needed the chain.

Cause: a reservation kept its program for 90 s whatever the route allows a turn to run and keep; other programs learned of the use at its end alone.

Change: a reservation says how long the turn needs its program, its run included, and a turn that may run for longer than half of the margin tells the disks before it runs what it goes on from (one more write for such turns, none for others). The rule stands in decisions/turn_retention.py. Two of three places that bound a request's time by route and caller now share Route.time_for with the new one.

Weighed: renewing the use while the turn runs (a timer and a write every few seconds a turn) against one write before it.

Before: 2 of 2 tests failed.

--- a/src/bayhinge/_internal/models/routing.py
+++ b/src/bayhinge/_internal/models/routing.py
@@ -60,6 +60,10 @@
         """Whether a request may be executed more than once."""
         return self.kind is RouteKind.IDEMPOTENT or self.is_resumable
 
+    def time_for(self, patience_s: float | None) -> float:
+        """Returns how long a request may be held, in seconds, by the route and its caller."""
+        return min(patience_s or self.timeout_s, self.timeout_s)
+
     def urgency_of(self, account: RoutedAccount | None) -> int:
         """Returns a request's urgency; the account's setting overrides the route's."""
         return self.urgency if account is None or account.urgency is None else account.urgency
--- a/src/bayhinge/_internal/services/disks/turn_index.py
+++ b/src/bayhinge/_internal/services/disks/turn_index.py
@@ -7,16 +7,10 @@
 
 import attrs
 
+from bayhinge._internal.decisions.turn_retention import needed_s
 from bayhinge._internal.models.endpoint_entries import EndpointIncarnation
 from bayhinge._internal.wire.hosts.ttypes import EntryKind, TurnEntry
 
-MIN_RETENTION_S = 90.0
-"""Minimum time for which entries are kept after the last use of their program."""
-
-KEEP_MARGIN_S = 30.0
-"""Entries are kept for so much longer than asked for: a turn that begins at the end of that time
-needs them until it has ended and all disks know of it."""
-
 
 @attrs.frozen
 class Location:
@@ -52,8 +46,7 @@
 
     def extend(self, now_s: float, keep_s: float) -> None:
         """Records that an entry written now needs the program for ``keep_s``."""
-        needed_s = max(MIN_RETENTION_S, keep_s + KEEP_MARGIN_S)
-        self.needed_until_s = max(self.needed_until_s, now_s + needed_s)
+        self.needed_until_s = max(self.needed_until_s, now_s + needed_s(keep_s))
 
 
 @attrs.define(eq=False, repr=False)
--- a/src/bayhinge/_internal/services/gateway/open_turn.py
+++ b/src/bayhinge/_internal/services/gateway/open_turn.py
@@ -17,6 +17,7 @@
         is_retained: the turn is recorded for later ones; otherwise only its tokens are counted.
         account: the client account that owns the turn; empty if no key is required.
         history_programs: the programs whose turns are in the history.
+        has_told_uses: the disks of these programs know that this turn needs them.
     """
 
     attempt: str
@@ -27,3 +28,4 @@
     is_retained: bool = True
     account: str = ""
     history_programs: set[str] = attrs.field(factory=set)
+    has_told_uses: bool = False
--- a/src/bayhinge/_internal/services/gateway/place_demand.py
+++ b/src/bayhinge/_internal/services/gateway/place_demand.py
@@ -64,7 +64,7 @@
 
 def demand_of(route: Route, request: RoutedRequest, deadline_s: float, now_s: float) -> PlaceDemand:
     """Returns the demand of a request whose wait begins now."""
-    began_s = deadline_s - min(request.patience_s or route.timeout_s, route.timeout_s)
+    began_s = deadline_s - route.time_for(request.patience_s)
     left_s = request.program_left_s
     return PlaceDemand(
         request.attempt,
--- a/src/bayhinge/_internal/services/gateway/request_service.py
+++ b/src/bayhinge/_internal/services/gateway/request_service.py
@@ -10,6 +10,7 @@
 
 from bayhinge._internal import status_codes
 from bayhinge._internal.decisions.memory_budget import MemoryHolder
+from bayhinge._internal.decisions.turn_retention import TurnTimes
 from bayhinge._internal.models.refusals import (
     Refusal,
     RefusalCode,
@@ -149,7 +150,7 @@
                     retry_after_s=NO_CONFIGURATION_RETRY_S,
                 )
             )
-        patience_s = min(request.patience_s or route.timeout_s, route.timeout_s)
+        patience_s = route.time_for(request.patience_s)
         deadline_s = exchange.began_s + patience_s
         send_record = SendRecord()
         try:
@@ -243,8 +244,14 @@
             return None
         if route.retains_turns or context.token_budget is not None:
             await self._disk_sync.wait(request.attempt, sync_deadline_s)
+            run_s = route.time_for(request.patience_s)
             return await self._turn_recorder.open(
-                request.attempt, context, route.retains_turns, request.account_name, memory
+                request.attempt,
+                context,
+                route.retains_turns,
+                request.account_name,
+                memory,
+                TurnTimes(run_s, route.turn_retention_s),
             )
         return None
 
--- a/src/bayhinge/_internal/services/gateway/turn_recorder.py
+++ b/src/bayhinge/_internal/services/gateway/turn_recorder.py
@@ -6,10 +6,12 @@
 """
 
 import asyncio
+from collections.abc import Iterable
 
 import attrs
 
 from bayhinge._internal.decisions.disk_quorum import committed_tokens
+from bayhinge._internal.decisions.turn_retention import TurnTimes
 from bayhinge._internal.models.endpoint_entries import EndpointIncarnation
 from bayhinge._internal.models.refusals import RefusedError
 from bayhinge._internal.models.routed_requests import TurnContext
@@ -24,6 +26,9 @@
 from bayhinge._internal.services.gateway.turn_reservations import TurnReservations
 from bayhinge._internal.wire.hosts import ttypes as wire
 
+NO_TIMES = TurnTimes()
+"""Of a turn that asks for no more than the minimum retention."""
+
 
 class TurnRecorder(DiskClient):
     """Opens and closes turns for one entry host.
@@ -44,11 +49,12 @@
         is_retained: bool = True,
         account: str = "",
         memory: RequestMemory = UNBOUNDED,
+        times: TurnTimes = NO_TIMES,
     ) -> OpenTurn:
         """Reserves the turn's tokens, and fetches its history if turns are retained.
 
         ``account`` owns the turn; programs and turns of other accounts don't exist for it.
-        ``memory`` is what the request holds.
+        ``memory`` is what the request holds, ``times`` how long its chain is needed.
 
         Raises:
             RefusedError: the budget is exhausted, the previous turn does not exist, too few disks
@@ -64,10 +70,12 @@
             attempt, context, b"", EndpointIncarnation(), reserved, is_retained, account
         )
         self._check_turn_size(turn)
-        replies = await self._reservations.reserve(attempt, context, reserved)
+        replies = await self._reservations.reserve(attempt, context, reserved, times.needs_chain_s)
         try:
             self._check_budget(turn, replies)
             await self._histories.add(turn, replies, memory)
+            if times.is_long:
+                await self._tell_uses(turn, times)
         except (RefusedError, asyncio.CancelledError):
             self.settle(turn, 0)
             raise
@@ -92,11 +100,19 @@
             engine.born_ms,
             turn.account,
         )
-        encoded = self._writer.encode(turn.attempt, [entry, *_uses(turn, keep_s)])
+        others = turn.history_programs - {turn.context.program}
+        uses = [] if turn.has_told_uses else _uses(turn, others, keep_s)
+        encoded = self._writer.encode(turn.attempt, [entry, *uses])
         # The encoded message holds both; a long turn would be held twice until it is durable.
         del text, entry
         await self._writer.write(encoded)
 
+    async def _tell_uses(self, turn: OpenTurn, times: TurnTimes) -> None:
+        """Tells the disks before the turn runs how long it needs what it goes on from."""
+        uses = _uses(turn, turn.history_programs, times.needs_chain_s)
+        await self._writer.write(self._writer.encode(turn.attempt, uses))
+        turn.has_told_uses = True
+
     def settle(self, turn: OpenTurn, tokens: int) -> None:
         """Records in the background the tokens used by a turn without a complete answer."""
         self._reservations.settle(turn, tokens)
@@ -119,10 +135,9 @@
             raise budget_exceeded(turn, budget, committed)
 
 
-def _uses(turn: OpenTurn, keep_s: float) -> list[wire.TurnEntry]:
-    """Returns one entry for each other program that has turns in a turn's history."""
-    others = sorted(turn.history_programs - {turn.context.program})
+def _uses(turn: OpenTurn, programs: Iterable[str], keep_s: float) -> list[wire.TurnEntry]:
+    """Returns one entry for each program that a turn goes on from."""
     return [
         wire.TurnEntry(wire.EntryKind.USED, turn.attempt, program, 0, keep_s=keep_s)
-        for program in others
+        for program in sorted(programs)
     ]
--- a/src/bayhinge/_internal/services/gateway/turn_reservations.py
+++ b/src/bayhinge/_internal/services/gateway/turn_reservations.py
@@ -37,16 +37,20 @@
         self._tolerated = tolerated
 
     async def reserve(
-        self, attempt: str, context: TurnContext, reserved: int
+        self, attempt: str, context: TurnContext, reserved: int, keep_s: float = 0.0
     ) -> list[wire.ReserveReply]:
         """Reserves the turn's tokens on enough disks; returns their replies.
 
+        ``keep_s`` is how long the turn needs the program's entries from now on.
+
         Raises:
             RefusedError: too few disks answered.
         """
         if reserved == 0 and context.previous is None:
             return []
-        entry = wire.TurnEntry(wire.EntryKind.RESERVED, attempt, context.program, reserved)
+        entry = wire.TurnEntry(
+            wire.EntryKind.RESERVED, attempt, context.program, reserved, keep_s=keep_s
+        )
         reservation = entry if reserved else None
         bound = StallTolerantDeadline(DISK_ANSWER_S)
         try:
--- a/tests/functional/test_kept_turns.py
+++ b/tests/functional/test_kept_turns.py
@@ -44,6 +44,13 @@
         await site.turn(f"other-{number}", None)
 
 
+def holders_of(site: DiskSite, attempt: str) -> set[str]:
+    """Returns the hosts that have a turn and what it goes on from."""
+    return {
+        host.settings.host for host in site.hosts() if host.turns.chain(attempt).missing is None
+    }
+
+
 def test_a_chain_over_two_programs_is_kept_for_the_later_one(
     play: Callable[[Play, int], None],
 ) -> None:
@@ -74,8 +81,7 @@
         await asyncio.sleep(RETENTION_S - 5.0)
         await site.turn(second, one.attempt)
         await asyncio.sleep(RETENTION_S - 10.0)
-        holders = [host for host in site.hosts() if host.turns.chain(one.attempt).missing is None]
-        assert {host.settings.host for host in holders} == site.replica_names(first)
+        assert holders_of(site, one.attempt) == site.replica_names(first)
 
     play(scenario, 8)
 
@@ -100,6 +106,25 @@
     play(scenario, 12)
 
 
+@pytest.mark.parametrize("is_same_program", [True, False])
+def test_a_chain_is_kept_while_a_long_turn_goes_on_from_it(
+    play: Callable[[Play, int], None], is_same_program: bool
+) -> None:
+    """Guards against 503 after a turn that ran for longer than the margin of its retention."""
+
+    async def scenario(site: DiskSite) -> None:
+        first, second = site.programs_apart(2)
+        one = await site.turn(first, None)
+        await fill_segments(site)
+        await asyncio.sleep(RETENTION_S - 5.0)
+        program = first if is_same_program else second
+        two = await site.turn(program, one.attempt, run_s=200.0)
+        await asyncio.sleep(RETENTION_S - 5.0)
+        assert await site.history(two.attempt) == text_of(one.attempt) + text_of(two.attempt)
+
+    play(scenario, 8)
+
+
 def test_what_nobody_needs_any_more_is_removed(play: Callable[[Play, int], None]) -> None:
     """Guards against a mend that keeps everything."""
 
--- a/tests/lib/disk_site.py
+++ b/tests/lib/disk_site.py
@@ -15,6 +15,7 @@
 import attrs
 
 from bayhinge._internal.decisions.disk_placement import replicas_of
+from bayhinge._internal.decisions.turn_retention import TurnTimes
 from bayhinge._internal.exceptions import PeerFailureError, PeerUnreachableError
 from bayhinge._internal.models.endpoint_entries import EndpointIncarnation
 from bayhinge._internal.models.refusals import RefusedError
@@ -38,6 +39,7 @@
 TOKENS = 5
 BUDGET = 1_000_000
 ENGINE = EndpointIncarnation("i-llm-1", 1)
+SHORT_TURN = TurnTimes(5.0, RETENTION_S)
 
 
 @attrs.define(eq=False)
@@ -47,12 +49,14 @@
     Attributes:
         host: the running process, None while it is down.
         runs: cleared while the process stands still.
+        is_cut: no message reaches it or leaves it.
     """
 
     name: str
     settings: SiteSettings
     runs: asyncio.Event
     host: DiskHost | None = None
+    is_cut: bool = False
     tasks: list[asyncio.Task[None]] = attrs.field(factory=list)
 
 
@@ -72,6 +76,8 @@
             await self._machine.runs.wait()
         await asyncio.sleep(LINK_DELAY_S)
         peer = self._site.machine_by_address[address]
+        if peer.is_cut or (self._machine is not None and self._machine.is_cut):
+            await asyncio.Event().wait()
         if peer.host is None:
             raise PeerUnreachableError(address, "connection refused", sent=False)
         await peer.runs.wait()
@@ -275,14 +281,17 @@
         names = (f"{program}-{number}-{count}" for count in itertools.count())
         return next(n for n in names if self.replica_names(n) == self.replica_names(program))
 
-    async def open(self, program: str, previous: str | None) -> OpenTurn:
+    async def open(
+        self, program: str, previous: str | None, times: TurnTimes = SHORT_TURN
+    ) -> OpenTurn:
         """Opens a turn, whose history is then read.
 
         Raises:
             RefusedError: as a caller would get it.
         """
         context = TurnContext(program, BUDGET, TOKENS, previous)
-        return await self.recorder.open(f"a{next(self._attempts):06x}", context)
+        attempt = f"a{next(self._attempts):06x}"
+        return await self.recorder.open(attempt, context, times=times)
 
     async def turn(
         self, program: str, previous: str | None, run_s: float = 0.1, keep_s: float = RETENTION_S
@@ -292,7 +301,7 @@
         Raises:
             RefusedError: as a caller would get it.
         """
-        turn = await self.open(program, previous)
+        turn = await self.open(program, previous, TurnTimes(run_s, keep_s))
         await asyncio.sleep(run_s)
         await self.recorder.close(turn, text_of(turn.attempt), TOKENS, ENGINE, keep_s)
         return turn
--- a/tests/unit/test_turn_log.py
+++ b/tests/unit/test_turn_log.py
@@ -7,8 +7,9 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
+from bayhinge._internal.decisions.turn_retention import MIN_RETENTION_S
 from bayhinge._internal.models.endpoint_entries import EndpointIncarnation
-from bayhinge._internal.services.disks import turn_index, turn_log
+from bayhinge._internal.services.disks import turn_log
 from bayhinge._internal.services.disks.turn_index import entry_key
 from bayhinge._internal.services.disks.turn_log import Chain, TurnLog
 from bayhinge._internal.wire.hosts.ttypes import EntryKind, TurnEntry
@@ -142,10 +143,10 @@
     # Another program continues from the last turn of the old one, and so retains all of it.
     log.append([TurnEntry(EntryKind.TURN, "new0", "new", 3, "old5", b"y" * 80, "", 60.0)])
     log.append([TurnEntry(EntryKind.TURN, "new1", "new", 3, "new0", b"y" * 80, "", 60.0)])
-    assert log.expire(1000.0 + turn_index.MIN_RETENTION_S + 1) == 0
+    assert log.expire(1000.0 + MIN_RETENTION_S + 1) == 0
     assert log.chain("new1").missing is None
     # Once they are unreferenced, the old segments are removed; the newest stays open.
-    assert log.expire(1051.0 + turn_index.MIN_RETENTION_S) > 0
+    assert log.expire(1051.0 + MIN_RETENTION_S) > 0
     assert not log.has(entry_key(turn("old0")))
     assert log.first_position > 0
     assert log.position == 8
@@ -165,9 +166,9 @@
         log.append([turn(f"t{number}", None, b"x" * 80)])
     log.close()
     reopened = TurnLog(tmp_path, now_s=90_000.0)
-    assert reopened.expire(90_000.0 + turn_index.MIN_RETENTION_S / 2) == 0
+    assert reopened.expire(90_000.0 + MIN_RETENTION_S / 2) == 0
     assert reopened.has(entry_key(turn("t0")))
-    assert reopened.expire(90_001.0 + turn_index.MIN_RETENTION_S) > 0
+    assert reopened.expire(90_001.0 + MIN_RETENTION_S) > 0
 
 
 def test_what_a_failed_sync_should_have_kept_is_forgotten_and_can_be_written_again(
