Remove kept turns only after the other disks were read

A disk that stood still or was cut off for longer than 90 s removed turns that were used meanwhile, and in a set of the smallest size never copied them again: one loss more than the site tolerates was enough to lose a chain.

Cause: after a freeze, entries that arrive count as written at the time of the last expiry, before the freeze; and a disk that reads nobody goes on removing by its own clock.

Change: each write gives the log the time, and a disk removes segments only where it has just read all other members but the tolerated number (may_remove_entries, pure): a use is synced on one more. A disk whose others are away keeps its segments until they are back.

Before: 2 of 2 tests failed (the disk that was away lacked the chain). After: both pass.

--- a/src/bayhinge/_internal/decisions/disk_set_rules.py
+++ b/src/bayhinge/_internal/decisions/disk_set_rules.py
@@ -49,6 +49,18 @@
     return bool(others) and missed <= tolerated
 
 
+def may_remove_entries(
+    members: Sequence[SetMember], own_host: str, read_hosts: Collection[str], tolerated: int
+) -> bool:
+    """Whether a disk has just read all uses of its entries that count.
+
+    A use is synced on ``tolerated + 1`` disks, so all other members but ``tolerated`` must have
+    been read.
+    """
+    others = [member.host for member in members if member.host != own_host]
+    return sum(host not in read_hosts for host in others) <= tolerated
+
+
 def may_make_first_set(members: Sequence[SetMember], *, is_founder: bool, is_joined: bool) -> bool:
     """Whether a disk may put itself into a set that does not exist.
 
--- a/src/bayhinge/_internal/services/disks/disk_host.py
+++ b/src/bayhinge/_internal/services/disks/disk_host.py
@@ -13,6 +13,7 @@
 from bayhinge._internal.decisions.disk_set_rules import (
     has_read_enough,
     may_make_first_set,
+    may_remove_entries,
     with_member_added,
     without_silent,
 )
@@ -167,6 +168,10 @@
         self._set_changed.clear()
 
     def _expire(self) -> None:
+        """Removes what nobody needs, unless a use of it may be known to other disks alone."""
+        members, tolerated = self.disk_set.members, self.settings.tolerated_disks
+        if not may_remove_entries(members, self.settings.host, self._read_hosts, tolerated):
+            return
         removed = self.turns.expire(time.monotonic())
         if removed:
             eliot.log_message("disk.expired", segments=removed, entries_left=self.turns.entry_count)
--- a/src/bayhinge/_internal/services/disks/disk_request_handler.py
+++ b/src/bayhinge/_internal/services/disks/disk_request_handler.py
@@ -87,7 +87,7 @@
         if all(entry.kind == wire.EntryKind.SETTLED for entry in entries):
             # Not synced: a turn whose settlement is lost counts with its reserved tokens, which is
             # safe, and this halves the syncs per turn.
-            self._disk.turns.append(entries)
+            self._disk.append(entries)
         else:
             await self._disk.write(entries)
         return encode_message(wire.AppendReply(self._disk.turns.generation))
--- a/src/bayhinge/_internal/services/disks/disk_state.py
+++ b/src/bayhinge/_internal/services/disks/disk_state.py
@@ -107,13 +107,22 @@
         except OSError as error:
             eliot.log_message("disk.refused", what="disk set", why=str(error))
 
+    def append(self, entries: list[wire.TurnEntry]) -> None:
+        """Appends entries, which are durable after the next sync.
+
+        Raises:
+            OSError: the write failed.
+        """
+        # Not the time of the last expiry: the process may have stood still since.
+        self.turns.append(entries, time.monotonic())
+
     async def write(self, entries: list[wire.TurnEntry]) -> None:
         """Appends entries and syncs them.
 
         Raises:
             OSError: the write or the sync failed.
         """
-        self.turns.append(entries)
+        self.append(entries)
         await self._commits.sync()
 
     async def call(self, address: str, method: str, payload: bytes) -> bytes | None:
--- a/src/bayhinge/_internal/services/disks/turn_log.py
+++ b/src/bayhinge/_internal/services/disks/turn_log.py
@@ -133,12 +133,16 @@
 
     # ---- writing ----
 
-    def append(self, entries: Iterable[TurnEntry]) -> None:
+    def append(self, entries: Iterable[TurnEntry], now_s: float | None = None) -> None:
         """Writes the entries that this disk does not have; durable after :meth:`sync`.
 
+        ``now_s`` is the caller's monotonic clock, None for the time that it gave last.
+
         Raises:
             OSError: the write failed.
         """
+        if now_s is not None:
+            self._index.now_s = now_s
         for entry in entries:
             key = entry_key(entry)
             if not self._index.has(key):
--- a/tests/functional/test_kept_turns.py
+++ b/tests/functional/test_kept_turns.py
@@ -125,6 +125,30 @@
     play(scenario, 8)
 
 
+@pytest.mark.parametrize("is_cut", [True, False])
+def test_a_disk_that_was_away_keeps_what_others_need(
+    play: Callable[[Play, int], None], is_cut: bool
+) -> None:
+    """Guards against a disk that stood still or was cut off and removes what was used meanwhile."""
+
+    async def scenario(site: DiskSite) -> None:
+        one = await site.turn("earlier", None)
+        await fill_segments(site)
+        away = site.machine_by_name["disk-0"]
+        away.is_cut = is_cut
+        if not is_cut:
+            away.runs.clear()
+        await asyncio.sleep(RETENTION_S - 10.0)
+        await site.turn("later", one.attempt)
+        await asyncio.sleep(RETENTION_S - 10.0)
+        away.is_cut = False
+        away.runs.set()
+        await asyncio.sleep(8.0)
+        assert holders_of(site, one.attempt) == set(site.machine_by_name)
+
+    play(scenario, 3)
+
+
 def test_what_nobody_needs_any_more_is_removed(play: Callable[[Play, int], None]) -> None:
     """Guards against a mend that keeps everything."""
 
