Read a restarted disk's log from its beginning

Turns have other copies, so callers would see 503 only after another loss.

Cause: a reader's position counts the entries since the log was opened, the removed ones included; a restart begins anew at what is left, and the generation, by which positions are told apart, outlives it.

Change: the log draws a number at each opening, and answers a position of another opening from its beginning on; keys alone are read again, and only lacking entries copied. Earlier releases send none, and are answered as before.

Weighed: storing the number of removed entries (one more file to sync at each removal). Before: test_a_restarted_disk_is_read_on failed. After: it passes.

--- a/idl/hosts.thrift
+++ b/idl/hosts.thrift
@@ -108,8 +108,15 @@
 struct AppendReply { 1: required i64 generation }
 
 // Requests the keys that a disk has written after a position of its log, of the programs that
-// `asker` stores. The reply is based on the disk set version that it contains.
-struct KeysQuery { 1: required i64 generation, 2: required i64 after, 3: required DiskMember asker }
+// `asker` stores. The reply is based on the disk set version that it contains. A position counts in
+// one opening of the log alone: `opening` is drawn at each start, and a query of another one is
+// answered from the log's beginning on.
+struct KeysQuery {
+  1: required i64 generation,
+  2: required i64 after,
+  3: required DiskMember asker,
+  4: optional i64 opening,
+}
 struct KeysReply {
   1: required i64 generation,
   2: required i64 position,
@@ -117,6 +124,7 @@
   4: required list<string> keys,
   5: required i64 disk_set_version,
   6: optional bool has_caught_up = true,
+  7: optional i64 opening,
 }
 struct EntriesQuery { 1: required list<string> keys }
 struct EntriesReply { 1: required list<TurnEntry> entries, 2: optional i64 disk_set_version = 0 }
--- a/src/bayhinge/_internal/services/disks/disk_host.py
+++ b/src/bayhinge/_internal/services/disks/disk_host.py
@@ -27,7 +27,7 @@
 from bayhinge._internal.services.disks.copy_limits import COPY_PERIOD_S, ENTRIES_PER_CALL
 from bayhinge._internal.services.disks.disk_request_handler import DiskRequestHandler
 from bayhinge._internal.services.disks.disk_retirement import DiskRetirement
-from bayhinge._internal.services.disks.disk_state import DiskState
+from bayhinge._internal.services.disks.disk_state import DiskState, LogPosition
 from bayhinge._internal.services.disks.send_keeper import SendKeeper
 from bayhinge._internal.services.host_registry import HostRegistry
 from bayhinge._internal.services.keep_running import keep_running
@@ -253,8 +253,8 @@
     async def _copy_from(self, member: wire.DiskMember) -> bool:
         version = self.disk_set.version
         while True:
-            after = self._position_by_generation.get(member.generation, 0)
-            query = wire.KeysQuery(member.generation, after, self.me)
+            after = self._position_by_generation.get(member.generation, LogPosition())
+            query = wire.KeysQuery(member.generation, after.entries, self.me, after.opening)
             answer = await self.call(member.address, methods.ENTRY_KEYS, encode_message(query))
             if answer is None:
                 return False
@@ -269,7 +269,8 @@
                 # The answer left out programs placed here only since the change; storing its
                 # position would skip their entries for good.
                 return False
-            self._position_by_generation[member.generation] = reply.position
+            position = LogPosition(reply.position, reply.opening)
+            self._position_by_generation[member.generation] = position
             if not reply.more:
                 if reply.disk_set_version == version:
                     self.fence.record_read(member, version, bool(reply.has_caught_up))
--- a/src/bayhinge/_internal/services/disks/disk_request_handler.py
+++ b/src/bayhinge/_internal/services/disks/disk_request_handler.py
@@ -95,7 +95,9 @@
     async def _keys(self, payload: bytes) -> bytes:
         query = decode_message(wire.KeysQuery(), payload)
         turns = self._disk.turns
-        after = query.after if query.generation == turns.generation else 0
+        # Hosts of earlier releases don't say in which opening a position counts.
+        is_current = query.opening in {None, turns.opening}
+        after = query.after if is_current and query.generation == turns.generation else 0
         written = turns.keys_after(after, KEYS_PER_CALL)
         position = max(after, turns.first_position) + len(written)
         more = position < turns.position
@@ -103,7 +105,9 @@
         version = self._disk.disk_set.version
         caught_up = self._disk.fence.has_caught_up
         return encode_message(
-            wire.KeysReply(turns.generation, position, more, keys, version, caught_up)
+            wire.KeysReply(
+                turns.generation, position, more, keys, version, caught_up, turns.opening
+            )
         )
 
     async def _entries(self, payload: bytes) -> bytes:
--- a/src/bayhinge/_internal/services/disks/disk_state.py
+++ b/src/bayhinge/_internal/services/disks/disk_state.py
@@ -8,6 +8,7 @@
 from collections.abc import Iterable
 from pathlib import Path
 
+import attrs
 import eliot
 
 from bayhinge._internal.decisions.disk_placement import replicas_of
@@ -30,6 +31,14 @@
 """Timeout of a call to another disk."""
 
 
+@attrs.frozen
+class LogPosition:
+    """How far another disk's log was read; ``opening`` is that of the log, None if unknown."""
+
+    entries: int = 0
+    opening: int | None = None
+
+
 class DiskState:
     """One disk host's entries and its view of the set of disks.
 
@@ -48,7 +57,7 @@
         self.objects = ObjectBackup(Path(settings.data_folder), peers)
         self._disk_set_file = Path(settings.data_folder) / DISK_SET_FILE
         self.disk_set = _read_disk_set(self._disk_set_file)
-        self._position_by_generation: dict[int, int] = {}
+        self._position_by_generation: dict[int, LogPosition] = {}
         self._hosts_by_program: dict[str, set[str]] = {}
         self._set_changed = asyncio.Event()
         self.fence = SetFence(settings.tolerated_disks, Path(settings.data_folder))
--- a/src/bayhinge/_internal/services/disks/turn_log.py
+++ b/src/bayhinge/_internal/services/disks/turn_log.py
@@ -26,6 +26,8 @@
 SEGMENT_BYTES = 8_000_000
 """A segment is closed at this size; it is removed as a whole once none of its programs is live."""
 
+OPENING_BITS = 62
+
 GENERATION_FILE = "generation"
 JOINED_FILE = "joined"
 FOUNDER_FILE = "founder"
@@ -52,7 +54,11 @@
 
 
 class TurnLog:
-    """The log of one disk's entries."""
+    """The log of one disk's entries.
+
+    Attributes:
+        opening: a random number; positions count from this opening of the log on.
+    """
 
     def __init__(self, folder: Path, now_s: float = 0.0) -> None:
         """Opens the folder and indexes its segments.
@@ -63,6 +69,7 @@
         folder.mkdir(parents=True, exist_ok=True)
         self._files_by_segment: dict[int, int] = {}
         self._index = TurnIndex(now_s)
+        self.opening = random.SystemRandom().getrandbits(OPENING_BITS)
         self._segment = 0
         self._end = 0
         self._synced_end = 0
--- a/src/bayhinge/_internal/wire/hosts/ttypes.py
+++ b/src/bayhinge/_internal/wire/hosts/ttypes.py
@@ -1313,6 +1313,7 @@
      - generation
      - after
      - asker
+     - opening
 
     """
 
@@ -1320,13 +1321,15 @@
         'generation',
         'after',
         'asker',
+        'opening',
     )
 
 
-    def __init__(self, generation=None, after=None, asker=None,):
+    def __init__(self, generation=None, after=None, asker=None, opening=None,):
         self.generation = generation
         self.after = after
         self.asker = asker
+        self.opening = opening
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -1353,6 +1356,11 @@
                     self.asker.read(iprot)
                 else:
                     iprot.skip(ftype)
+            elif fid == 4:
+                if ftype == TType.I64:
+                    self.opening = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -1375,6 +1383,10 @@
             oprot.writeFieldBegin('asker', TType.STRUCT, 3)
             self.asker.write(oprot)
             oprot.writeFieldEnd()
+        if self.opening is not None:
+            oprot.writeFieldBegin('opening', TType.I64, 4)
+            oprot.writeI64(self.opening)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -1415,6 +1427,7 @@
      - keys
      - disk_set_version
      - has_caught_up
+     - opening
 
     """
 
@@ -1425,16 +1438,18 @@
         'keys',
         'disk_set_version',
         'has_caught_up',
+        'opening',
     )
 
 
-    def __init__(self, generation=None, position=None, more=None, keys=None, disk_set_version=None, has_caught_up=True,):
+    def __init__(self, generation=None, position=None, more=None, keys=None, disk_set_version=None, has_caught_up=True, opening=None,):
         self.generation = generation
         self.position = position
         self.more = more
         self.keys = keys
         self.disk_set_version = disk_set_version
         self.has_caught_up = has_caught_up
+        self.opening = opening
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -1480,6 +1495,11 @@
                     self.has_caught_up = iprot.readBool()
                 else:
                     iprot.skip(ftype)
+            elif fid == 7:
+                if ftype == TType.I64:
+                    self.opening = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -1517,6 +1537,10 @@
             oprot.writeFieldBegin('has_caught_up', TType.BOOL, 6)
             oprot.writeBool(self.has_caught_up)
             oprot.writeFieldEnd()
+        if self.opening is not None:
+            oprot.writeFieldBegin('opening', TType.I64, 7)
+            oprot.writeI64(self.opening)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -4082,6 +4106,7 @@
     (1, TType.I64, 'generation', None, None, ),  # 1
     (2, TType.I64, 'after', None, None, ),  # 2
     (3, TType.STRUCT, 'asker', [DiskMember, None], None, ),  # 3
+    (4, TType.I64, 'opening', None, None, ),  # 4
 )
 all_structs.append(KeysReply)
 KeysReply.thrift_spec = (
@@ -4092,6 +4117,7 @@
     (4, TType.LIST, 'keys', (TType.STRING, 'UTF8', False), None, ),  # 4
     (5, TType.I64, 'disk_set_version', None, None, ),  # 5
     (6, TType.BOOL, 'has_caught_up', None, True, ),  # 6
+    (7, TType.I64, 'opening', None, None, ),  # 7
 )
 all_structs.append(EntriesQuery)
 EntriesQuery.thrift_spec = (
--- a/tests/functional/test_kept_turns.py
+++ b/tests/functional/test_kept_turns.py
@@ -149,6 +149,26 @@
     play(scenario, 3)
 
 
+def test_a_restarted_disk_is_read_on(play: Callable[[Play, int], None]) -> None:
+    """Guards against a position in another disk's log that its restart has made too large."""
+
+    async def scenario(site: DiskSite) -> None:
+        await fill_segments(site)
+        await asyncio.sleep(AFTER_EXPIRY_S)
+        assert any(host.turns.first_position for host in site.hosts())
+        reader, *sources = site.machine_by_name.values()
+        await site.restart(*sources)
+        await asyncio.sleep(5.0)
+        reader.runs.clear()
+        turn = await site.turn("written-meanwhile", None)
+        await asyncio.sleep(2.0)
+        reader.runs.set()
+        await asyncio.sleep(5.0)
+        assert holders_of(site, turn.attempt) == set(site.machine_by_name)
+
+    play(scenario, 3)
+
+
 def test_what_nobody_needs_any_more_is_removed(play: Callable[[Play, int], None]) -> None:
     """Guards against a mend that keeps everything."""
 
