A message too long for a frame fails its own call, not its link

Cause, of turns of 0.6 to 1.7 MB: the thrift library reads no string of more than 16,384,000 bytes, a quarter of the limit of a frame (64,000,000), and a frame that can't be read breaks its link with all calls on it.

Change: the limit of frames is the only one, and the sender keeps it: a call or an answer that is too long fails alone, as not run. peer.unreadable_frame is a log line now and names the peer; it was text beside the log. The log of turns is read with the same limit: a longer entry ended its reading.

Before: 2 of 2 new tests in test_peer_link.py failed. After: they pass.

--- a/src/bayhinge/_internal/network/frames.py
+++ b/src/bayhinge/_internal/network/frames.py
@@ -12,6 +12,8 @@
 from bayhinge._internal.wire.frames.ttypes import Frame
 
 MAX_FRAME_BYTES = 64_000_000
+"""Longest frame that is sent or read."""
+
 _LENGTH = struct.Struct(">I")
 Message = TypeVar("Message")
 
@@ -34,7 +36,8 @@
 # Shared by the whole process, since creating them takes longer than encoding a struct.
 _write_buffer = _WriteBuffer()
 _encoder = TBinaryProtocolAccelerated(_write_buffer)
-_decoder = TBinaryProtocolAccelerated(None)
+# The library's own limit is below that of frames, and breaks the link of the frame that exceeds it.
+_decoder = TBinaryProtocolAccelerated(None, string_length_limit=MAX_FRAME_BYTES)
 
 
 def encode_message(message: Any) -> bytes:
@@ -66,7 +69,9 @@
 
     def __init__(self, data: bytes) -> None:
         self._buffer = TMemoryBuffer(data)
-        self._protocol = TBinaryProtocolAccelerated(self._buffer)
+        self._protocol = TBinaryProtocolAccelerated(
+            self._buffer, string_length_limit=MAX_FRAME_BYTES
+        )
 
     def read(self, empty: Message, offset: int) -> Message:
         """Decodes the thrift struct at ``offset`` into an empty one and returns it.
@@ -84,8 +89,14 @@
 
 
 def encode_frame(frame: Frame) -> bytes:
-    """Returns the wire form of a frame."""
+    """Returns the wire form of a frame.
+
+    Raises:
+        FrameError: it is too long; the peer would break the link with all of its calls.
+    """
     data = encode_message(frame)
+    if len(data) > MAX_FRAME_BYTES:
+        raise FrameError(f"length {len(data)} exceeds {MAX_FRAME_BYTES} bytes")
     return _LENGTH.pack(len(data)) + data
 
 
--- a/src/bayhinge/_internal/network/peer_client.py
+++ b/src/bayhinge/_internal/network/peer_client.py
@@ -6,7 +6,8 @@
 
 import eliot
 
-from bayhinge._internal.exceptions import PeerFailureError, PeerUnreachableError
+from bayhinge._internal.exceptions import FrameError, PeerFailureError, PeerUnreachableError
+from bayhinge._internal.models.refusals import RefusalCode, not_run_refusal
 from bayhinge._internal.network.addresses import split_address
 from bayhinge._internal.network.peer_link import PeerLink
 from bayhinge._internal.network.peers import Peers
@@ -211,7 +212,10 @@
     def start_call(self, address: str, method: str, payload: bytes) -> asyncio.Future[bytes]:
         call = _UnaryCall(self._next_number(), asyncio.get_running_loop().time(), address)
         call.future.add_done_callback(lambda done: self.close_stream(call))
-        self._send_open(call, method, payload)
+        try:
+            self._send_open(call, method, payload)
+        except PeerFailureError as error:
+            call.future.set_exception(error)
         return call.future
 
     def _next_number(self) -> int:
@@ -219,8 +223,17 @@
         return self._last_stream_number
 
     def _send_open(self, stream: _OpenStream, method: str, payload: bytes) -> None:
+        """Opens a stream.
+
+        Raises:
+            PeerFailureError: the message is too long for a frame; nothing is sent.
+        """
+        try:
+            self._send(stream.number, FrameKind.OPEN, method, payload)
+        except FrameError as error:
+            refusal = not_run_refusal(RefusalCode.TOO_LARGE, f"call '{method}': {error}")
+            raise PeerFailureError(refusal.to_json()) from error
         self._stream_by_number[stream.number] = stream
-        self._send(stream.number, FrameKind.OPEN, method, payload)
 
     def close_stream(self, stream: _OpenStream) -> None:
         if self._stream_by_number.pop(stream.number, None) is None:
--- a/src/bayhinge/_internal/network/peer_link.py
+++ b/src/bayhinge/_internal/network/peer_link.py
@@ -9,18 +9,17 @@
 """
 
 import asyncio
-import logging
 from abc import ABC
 from typing import cast
 
+import eliot
+
 from bayhinge._internal.exceptions import FrameError
 from bayhinge._internal.network.frames import FrameSplitter, encode_frame
 from bayhinge._internal.utils.silence import set_tcp_timeouts
 from bayhinge._internal.wire.frames.ttypes import Frame, FrameKind
 from bayhinge.coordination.clock import HybridClock
 
-logger = logging.getLogger(__name__)
-
 TCP_USER_TIMEOUT_S = 1.0
 """TCP user timeout; longer than the first two retransmissions (after 0.2 s and 0.6 s), so that two
 consecutive packet losses do not end a connection."""
@@ -56,7 +55,7 @@
                 self._clock.observe(frame.clock)
                 self._handle_frame(frame)
         except FrameError as error:
-            logger.warning("%s", error)
+            eliot.log_message("peer.unreadable_frame", peer=self._peer_name(), why=str(error))
             self.abort()
 
     def pause_writing(self) -> None:
@@ -77,9 +76,18 @@
         if self._transport is not None:
             self._transport.abort()
 
+    def _peer_name(self) -> str:
+        name = self._transport.get_extra_info("peername") if self._transport is not None else None
+        return "unknown" if name is None else f"{name[0]}:{name[1]}"
+
     def _send(
         self, stream: int, kind: FrameKind, method: str | None, payload: bytes | None
     ) -> None:
+        """Sends a frame.
+
+        Raises:
+            FrameError: it is too long; nothing is sent.
+        """
         if self.is_open and self._transport is not None:
             frame = Frame(stream, kind, self._clock.tick(), method, payload)
             self._transport.write(encode_frame(frame))
--- a/src/bayhinge/_internal/network/peers.py
+++ b/src/bayhinge/_internal/network/peers.py
@@ -84,7 +84,7 @@
 
         Raises:
             PeerUnreachableError: there is no connection, or it broke before the end.
-            PeerFailureError: the peer answered with a failure.
+            PeerFailureError: the peer answered with a failure, or a message is too long.
         """
         answer = b""
         async for message in self.stream(address, method, payload):
--- a/tests/functional/test_peer_link.py
+++ b/tests/functional/test_peer_link.py
@@ -7,6 +7,7 @@
 
 from bayhinge._internal.exceptions import PeerFailureError, PeerUnreachableError
 from bayhinge._internal.models.refusals import RefusalCode, RefusedError, not_run_refusal
+from bayhinge._internal.network.frames import MAX_FRAME_BYTES
 from bayhinge._internal.network.peer_client import PeerClient
 from bayhinge._internal.network.peer_server import PeerServer
 from bayhinge._internal.network.peers import PeerHandler, UnaryPeerHandler
@@ -137,3 +138,55 @@
         await server.stop()
 
     asyncio.run(main())
+
+
+class EchoHandler(UnaryPeerHandler):
+    """Answers with the payload, or with so many bytes; "late" is answered last."""
+
+    def __init__(self) -> None:
+        self.may_end = asyncio.Event()
+
+    async def answer(self, method: str, payload: bytes) -> bytes:
+        if method == "late":
+            await self.may_end.wait()
+        return bytes(int(payload)) if method == "length" else payload
+
+
+def run_with_echo(scenario: Callable[[str, PeerClient, EchoHandler], Awaitable[None]]) -> None:
+    async def main() -> None:
+        handler = EchoHandler()
+        server = PeerServer("127.0.0.1:0", handler, HybridClock(SystemClock()))
+        address = await server.start()
+        client = PeerClient(HybridClock(SystemClock()), connect_s=1.0)
+        async with asyncio.timeout(10):
+            await scenario(address, client, handler)
+        await client.close()
+        await server.stop()
+
+    asyncio.run(main())
+
+
+def test_a_message_just_within_the_frame_limit_arrives_both_ways() -> None:
+    """Guards against a library's limit below that of frames, which broke the link."""
+
+    async def scenario(address: str, client: PeerClient, handler: EchoHandler) -> None:
+        payload = bytes(MAX_FRAME_BYTES - 200)
+        assert await client.call(address, "echo", payload) == payload
+
+    run_with_echo(scenario)
+
+
+def test_a_message_beyond_the_frame_limit_fails_only_its_own_call() -> None:
+    """Guards against a link whose other calls all break with one that is too long."""
+
+    async def scenario(address: str, client: PeerClient, handler: EchoHandler) -> None:
+        late = asyncio.ensure_future(client.call(address, "late", b"served"))
+        await asyncio.sleep(0.05)
+        with pytest.raises(PeerFailureError):
+            await client.call(address, "echo", bytes(MAX_FRAME_BYTES + 1))
+        with pytest.raises(PeerFailureError):
+            await client.call(address, "length", b"%d" % (MAX_FRAME_BYTES + 1))
+        handler.may_end.set()
+        assert await late == b"served"
+
+    run_with_echo(scenario)
