Bound what disks send in one call by bytes

Cause, at turns of 2.4 MB: a disk asked for, answered with and handed over 60 entries at once, whatever their length: 144 MB, where a frame has 64 MB. The history of a turn came in one answer too, however long the chain.

Change: copy, hand-over and push send the first entries that have 1 MB together, one at least; keys are bounded in bytes as well, for callers choose attempts; a chain of over 1 MB is read in parts from its end. A reply says how many of the keys it is about; hosts of earlier releases send and get whole answers as before. A disk that copies from several others begins at another place with each, which saves most of what it got twice.

Weighed: streams of several messages on the link, which has flow control for them (a second way of each call, and a slow reader holds the sender's entries), against pages, which a reader asks for as it has room.

Still by what is stored, not by bytes: a program's tokens by attempt in the reply to its reservation (some 40 bytes a turn), and the platform's objects that a disk keeps.

--- a/idl/hosts.thrift
+++ b/idl/hosts.thrift
@@ -81,16 +81,19 @@
 // disk accepts reservations of newly assigned programs only after it has caught up.
 enum FenceVerdict { TAKEN = 1, HOST_IS_BEHIND = 2, DISK_IS_BEHIND = 3, NOT_YET = 4 }
 
-// `disk_set_version`: the version that the requesting host knows.
+// `disk_set_version`: the version that the requesting host knows. `max_chain_bytes`: of the chain's
+// texts in the reply, which has one turn at least; absent from hosts that need the whole chain.
 struct ReserveTurn {
   1: optional TurnEntry reservation,
   2: optional string previous,
   3: required bool wants_chain,
   4: optional i64 disk_set_version,
+  5: optional i64 max_chain_bytes,
 }
 
 // The maps hold the program's turns: reserved tokens of open ones, used tokens of settled ones.
 // `account` is that of the chain's last turn, as in its entry; `programs`: those of the chain's turns.
+// `earlier`: the turn that ends the part of the chain that was left out; absent if it is whole.
 struct ReserveReply {
   1: required i64 generation,
   2: required map<string, i64> open_by_attempt,
@@ -102,6 +105,7 @@
   8: optional FenceVerdict verdict = FenceVerdict.TAKEN,
   9: optional string account,
   10: optional list<string> programs,
+  11: optional string earlier,
 }
 
 struct AppendEntries { 1: required list<TurnEntry> entries }
@@ -127,7 +131,14 @@
   7: optional i64 opening,
 }
 struct EntriesQuery { 1: required list<string> keys }
-struct EntriesReply { 1: required list<TurnEntry> entries, 2: optional i64 disk_set_version = 0 }
+
+// `answered`: how many of the keys, from the first on, the reply is about, as a reply is bounded in
+// bytes; absent for all of them.
+struct EntriesReply {
+  1: required list<TurnEntry> entries,
+  2: optional i64 disk_set_version = 0,
+  3: optional i32 answered,
+}
 
 struct LackingReply { 1: required list<string> keys }
 
--- a/src/bayhinge/_internal/services/disks/disk_host.py
+++ b/src/bayhinge/_internal/services/disks/disk_host.py
@@ -277,9 +277,13 @@
                 return True
 
     async def _copy_entries(self, member: wire.DiskMember, keys: list[str]) -> bool:
-        for start in range(0, len(keys), ENTRIES_PER_CALL):
-            query = wire.EntriesQuery(keys[start : start + ENTRIES_PER_CALL])
-            answer = await self.call(member.address, methods.ENTRIES, encode_message(query))
+        # Each source is asked for another part first, as others are asked for the same keys.
+        start = random.randrange(len(keys)) if keys else 0
+        waiting = keys[start:] + keys[:start]
+        while waiting := [key for key in waiting if not self.turns.has(key)]:
+            asked = waiting[:ENTRIES_PER_CALL]
+            message = encode_message(wire.EntriesQuery(asked))
+            answer = await self.call(member.address, methods.ENTRIES, message)
             if answer is None:
                 return False
             reply = decode_message(wire.EntriesReply(), answer)
@@ -288,6 +292,8 @@
             except OSError as error:
                 eliot.log_message("disk.refused", why=str(error))
                 return False
+            answered = len(asked) if reply.answered is None else reply.answered
+            waiting = waiting[max(1, answered) :]
         return True
 
     async def retire(self, allowed_s: float = 0.0) -> None:
--- a/src/bayhinge/_internal/services/disks/disk_request_handler.py
+++ b/src/bayhinge/_internal/services/disks/disk_request_handler.py
@@ -11,7 +11,11 @@
 from bayhinge._internal.network.frames import decode_message, encode_message
 from bayhinge._internal.network.peers import UnaryPeerHandler
 from bayhinge._internal.services import methods
-from bayhinge._internal.services.disks.copy_limits import KEYS_PER_CALL
+from bayhinge._internal.services.disks.copy_limits import (
+    KEY_BYTES_PER_CALL,
+    KEYS_PER_CALL,
+    first_within,
+)
 from bayhinge._internal.services.disks.disk_state import DiskState
 from bayhinge._internal.wire.hosts import ttypes as wire
 
@@ -66,12 +70,13 @@
             reply.open_by_attempt = ledger.open_by_attempt
             reply.settled_by_attempt = ledger.settled_by_attempt
         if query.wants_chain and query.previous is not None:
-            chain = turns.chain(query.previous)
+            chain = turns.chain(query.previous, query.max_chain_bytes)
             reply.chain, reply.missing = chain.text, chain.missing
             reply.endpoint = chain.run_at.endpoint
             reply.endpoint_born_ms = chain.run_at.born_ms
             reply.account = chain.account
             reply.programs = list(chain.programs)
+            reply.earlier = chain.earlier
         return encode_message(reply)
 
     def _verdict(self, query: wire.ReserveTurn) -> wire.FenceVerdict:
@@ -98,7 +103,9 @@
         # Hosts of earlier releases don't say in which opening a position counts.
         is_current = query.opening in {None, turns.opening}
         after = query.after if is_current and query.generation == turns.generation else 0
-        written = turns.keys_after(after, KEYS_PER_CALL)
+        written = first_within(
+            turns.keys_after(after, KEYS_PER_CALL), lambda pair: len(pair[0]), KEY_BYTES_PER_CALL
+        )
         position = max(after, turns.first_position) + len(written)
         more = position < turns.position
         keys = self._disk.keys_placed_on(query.asker, written)
@@ -112,8 +119,11 @@
 
     async def _entries(self, payload: bytes) -> bytes:
         query = decode_message(wire.EntriesQuery(), payload)
-        entries = list(self._disk.turns.read_entries(query.keys))
-        return encode_message(wire.EntriesReply(entries, self._disk.disk_set.version))
+        keys = self._disk.turns.first_entries(query.keys)
+        entries = list(self._disk.turns.read_entries(keys))
+        return encode_message(
+            wire.EntriesReply(entries, self._disk.disk_set.version, answered=len(keys))
+        )
 
     async def _lacking(self, payload: bytes) -> bytes:
         query = decode_message(wire.EntriesQuery(), payload)
--- a/src/bayhinge/_internal/services/disks/disk_retirement.py
+++ b/src/bayhinge/_internal/services/disks/disk_retirement.py
@@ -11,11 +11,7 @@
 from bayhinge._internal.network.frames import decode_message, encode_message
 from bayhinge._internal.services import methods
 from bayhinge._internal.services.disk_sets import change_disk_set
-from bayhinge._internal.services.disks.copy_limits import (
-    COPY_PERIOD_S,
-    ENTRIES_PER_CALL,
-    KEYS_PER_CALL,
-)
+from bayhinge._internal.services.disks.copy_limits import COPY_PERIOD_S, first_keys
 from bayhinge._internal.services.disks.disk_state import DiskState
 from bayhinge._internal.wire.hosts import ttypes as wire
 from bayhinge.coordination.store import ObjectStore
@@ -76,24 +72,27 @@
         keys = self._disk.keys_placed_on(
             member, self._disk.turns.keys_after(0, self._disk.turns.position)
         )
-        for start in range(0, len(keys), KEYS_PER_CALL):
-            query = wire.EntriesQuery(keys[start : start + KEYS_PER_CALL])
+        while keys:
+            asked = first_keys(keys)
             answer = await self._disk.call(
-                member.address, methods.MISSING_KEYS, encode_message(query)
+                member.address, methods.MISSING_KEYS, encode_message(wire.EntriesQuery(asked))
             )
             if answer is None:
                 return False
             lacking = decode_message(wire.LackingReply(), answer).keys
             if not await self._push(member, lacking):
                 return False
+            keys = keys[len(asked) :]
         return True
 
     async def _push(self, member: wire.DiskMember, keys: list[str]) -> bool:
-        for start in range(0, len(keys), ENTRIES_PER_CALL):
-            entries = list(self._disk.turns.read_entries(keys[start : start + ENTRIES_PER_CALL]))
+        while keys:
+            pushed = self._disk.turns.first_entries(keys)
+            entries = list(self._disk.turns.read_entries(pushed))
             message = encode_message(wire.AppendEntries(entries))
             if await self._disk.call(member.address, methods.APPEND, message) is None:
                 return False
+            keys = keys[len(pushed) :]
         return True
 
 
--- a/src/bayhinge/_internal/services/disks/turn_index.py
+++ b/src/bayhinge/_internal/services/disks/turn_index.py
@@ -88,6 +88,18 @@
         """Returns a whole turn; None where this disk does not have it."""
         return self._turn_by_attempt.get(attempt)
 
+    def chain(self, last: str) -> tuple[list[KnownTurn], str | None]:
+        """Returns the turns of a chain from its last one back, and one that is missing, if any."""
+        turns: list[KnownTurn] = []
+        attempt: str | None = last
+        while attempt is not None:
+            turn = self._turn_by_attempt.get(attempt)
+            if turn is None:
+                return turns, attempt
+            turns.append(turn)
+            attempt = turn.previous
+        return turns, None
+
     def location(self, key: str) -> Location | None:
         """Returns an entry's location; None where this disk does not have it."""
         return self._location_by_key.get(key)
--- a/src/bayhinge/_internal/services/disks/turn_log.py
+++ b/src/bayhinge/_internal/services/disks/turn_log.py
@@ -6,13 +6,18 @@
 
 import os
 import random
-from collections.abc import Iterable, Iterator
+from collections.abc import Iterable, Iterator, Sequence
 from pathlib import Path
 
 import attrs
 
 from bayhinge._internal.models.endpoint_entries import EndpointIncarnation
 from bayhinge._internal.network.frames import decode_message, encode_message
+from bayhinge._internal.services.disks.copy_limits import (
+    ENTRIES_PER_CALL,
+    ENTRY_BYTES_PER_CALL,
+    first_within,
+)
 from bayhinge._internal.services.disks.log_frames import HEADER_BYTES, encode_frame, read_frames
 from bayhinge._internal.services.disks.turn_index import (
     Location,
@@ -36,7 +41,7 @@
 
 @attrs.frozen
 class Chain:
-    """A chain of turns as stored on one disk.
+    """A chain of turns as stored on one disk, or its end.
 
     Attributes:
         text: the joined texts of the turns.
@@ -44,6 +49,7 @@
         missing: a turn of the chain that the disk does not have.
         account: the account of the last turn; None where its entry has none.
         programs: the programs of the turns.
+        earlier: the last turn of the part that was left out, as the chain is too long.
     """
 
     text: bytes = b""
@@ -51,6 +57,7 @@
     missing: str | None = None
     account: str | None = None
     programs: frozenset[str] = frozenset()
+    earlier: str | None = None
 
 
 class TurnLog:
@@ -85,24 +92,26 @@
 
     # ---- reading ----
 
-    def chain(self, last: str) -> Chain:
-        """Returns the chain that ends with a turn, its texts joined from the oldest on."""
-        texts: list[bytes] = []
-        programs: set[str] = set()
-        run_at = EndpointIncarnation()
-        attempt: str | None = last
-        newest = self._index.turn(last)
-        account = None if newest is None else newest.account
-        while attempt is not None:
-            turn = self._index.turn(attempt)
-            if turn is None:
-                return Chain(missing=attempt)
-            run_at = run_at if run_at.endpoint else turn.run_at
-            texts.append(self._read(turn.location).text or b"")
-            programs.add(turn.program)
-            attempt = turn.previous
-        text = b"".join(reversed(texts))
-        return Chain(text, run_at, account=account, programs=frozenset(programs))
+    def chain(self, last: str, most_bytes: int | None = None) -> Chain:
+        """Returns the chain that ends with a turn, its texts joined from the oldest on.
+
+        Only its end where it is longer than ``most_bytes``, with the last turn at least.
+        """
+        turns, missing = self._index.chain(last)
+        if missing is not None:
+            return Chain(missing=missing)
+        ends = [turn.run_at for turn in turns if turn.run_at.endpoint]
+        sent = turns
+        if most_bytes is not None:
+            sent = first_within(turns, lambda turn: turn.location.length, most_bytes)
+        texts = [self._read(turn.location).text or b"" for turn in reversed(sent)]
+        return Chain(
+            b"".join(texts),
+            ends[0] if ends else EndpointIncarnation(),
+            account=turns[0].account,
+            programs=frozenset(turn.program for turn in turns),
+            earlier=sent[-1].previous,
+        )
 
     def ledger(self, program: str) -> ProgramLedger:
         """Returns the token use of a program's turns."""
@@ -131,6 +140,14 @@
         """Whether this disk has an entry."""
         return self._index.has(key)
 
+    def first_entries(self, keys: Sequence[str]) -> list[str]:
+        """Returns the first of some keys, whose entries go into one message."""
+        return first_within(keys[:ENTRIES_PER_CALL], self._length_of, ENTRY_BYTES_PER_CALL)
+
+    def _length_of(self, key: str) -> int:
+        location = self._index.location(key)
+        return 0 if location is None else location.length
+
     def read_entries(self, keys: Iterable[str]) -> Iterator[TurnEntry]:
         """Yields the entries of those keys that this disk has."""
         for key in keys:
--- a/src/bayhinge/_internal/services/gateway/turn_histories.py
+++ b/src/bayhinge/_internal/services/gateway/turn_histories.py
@@ -22,6 +22,7 @@
     RETRY_AFTER_S,
     too_few_disks,
 )
+from bayhinge._internal.services.gateway.turn_reservations import CHAIN_BYTES_PER_CALL
 from bayhinge._internal.utils.stall_tolerant_timeouts import stall_tolerant_timeout
 from bayhinge._internal.wire.hosts import ttypes as wire
 
@@ -49,8 +50,9 @@
         room.take_at_once(memory.claim.bytes_by_holder[MemoryHolder.BODY])
         for reply in replies:
             if _adopt(turn, reply, room):
+                await self._add_earlier(turn, reply.earlier, room)
                 return
-        message = encode_message(wire.ReserveTurn(None, turn.context.previous, True))
+        message = _chain_query(turn.context.previous)
         # The program's own disks first; then all, as it may continue another program's turn.
         for disks in (
             self._directory.replicas(turn.context.program)[1:],
@@ -60,13 +62,44 @@
                 disks, methods.RESERVE, message, wire.ReserveReply
             ):
                 if _adopt(turn, reply, room):
+                    await self._add_earlier(turn, reply.earlier, room)
                     return
-        await self._assemble(turn, room)
+        await self._assemble(turn, turn.context.previous, [], room)
 
-    async def _assemble(self, turn: OpenTurn, room: MemoryRoom) -> None:
-        """Assembles the history turn by turn, when no disk has all of it."""
-        texts: list[bytes] = []
-        attempt = turn.context.previous
+    async def _add_earlier(self, turn: OpenTurn, earlier: str | None, room: MemoryRoom) -> None:
+        """Adds what a disk has left out of a long chain, which ends with ``earlier``."""
+        texts = [turn.history]
+        while earlier is not None:
+            reply = await self._read_part(turn, earlier)
+            if reply is None:
+                await self._assemble(turn, earlier, texts, room)
+                return
+            room.take_at_once(len(reply.chain))
+            texts.append(reply.chain)
+            earlier = reply.earlier
+        turn.history = b"".join(reversed(texts))
+
+    async def _read_part(self, turn: OpenTurn, last: str) -> wire.ReserveReply | None:
+        """Returns the end of the chain up to a turn, from one disk after another."""
+        message = _chain_query(last)
+        own = self._directory.replicas(turn.context.program)
+        others = [disk for disk in self._directory.nearest_first() if disk not in own]
+        for disk in (*own, *others):
+            reply = await self._disk_client.call(
+                disk, methods.RESERVE, message, wire.ReserveReply()
+            )
+            if reply is not None and reply.chain is not None and reply.missing is None:
+                return reply
+        return None
+
+    async def _assemble(
+        self, turn: OpenTurn, last: str | None, texts: list[bytes], room: MemoryRoom
+    ) -> None:
+        """Assembles the history turn by turn, when no disk has all of it.
+
+        ``texts`` are those behind the turn ``last``, the newest first.
+        """
+        attempt = last
         while attempt is not None:
             entry = await self._find_turn(attempt, is_first=not texts)
             if not texts:
@@ -119,6 +152,10 @@
         raise too_few_disks(answered, len(members))
 
 
+def _chain_query(last: str) -> bytes:
+    return encode_message(wire.ReserveTurn(None, last, True, max_chain_bytes=CHAIN_BYTES_PER_CALL))
+
+
 def _check_account(turn: OpenTurn, owner: str | None) -> None:
     """Refuses a turn that continues one of another account; ``owner`` is None if not recorded.
 
--- a/src/bayhinge/_internal/services/gateway/turn_reservations.py
+++ b/src/bayhinge/_internal/services/gateway/turn_reservations.py
@@ -20,6 +20,9 @@
 from bayhinge._internal.utils.stall_tolerant_timeouts import StallTolerantDeadline
 from bayhinge._internal.wire.hosts import ttypes as wire
 
+CHAIN_BYTES_PER_CALL = 1_000_000
+"""Maximum bytes of a history in one reply, or of its last turn: arrives well within its time."""
+
 HISTORY_HEDGE_S = 0.06
 """Extra wait for the history from the nearest disk after enough disks have answered."""
 
@@ -90,7 +93,11 @@
             needed = reservations_needed(len(members), self._tolerated)
         decided = asyncio.Event()
         with_chain, without_chain = (
-            encode_message(wire.ReserveTurn(reservation, context.previous, wants_chain, version))
+            encode_message(
+                wire.ReserveTurn(
+                    reservation, context.previous, wants_chain, version, CHAIN_BYTES_PER_CALL
+                )
+            )
             for wants_chain in (True, False)
         )
         tasks = [
--- a/src/bayhinge/_internal/wire/hosts/ttypes.py
+++ b/src/bayhinge/_internal/wire/hosts/ttypes.py
@@ -848,6 +848,7 @@
      - previous
      - wants_chain
      - disk_set_version
+     - max_chain_bytes
 
     """
 
@@ -856,14 +857,16 @@
         'previous',
         'wants_chain',
         'disk_set_version',
+        'max_chain_bytes',
     )
 
 
-    def __init__(self, reservation=None, previous=None, wants_chain=None, disk_set_version=None,):
+    def __init__(self, reservation=None, previous=None, wants_chain=None, disk_set_version=None, max_chain_bytes=None,):
         self.reservation = reservation
         self.previous = previous
         self.wants_chain = wants_chain
         self.disk_set_version = disk_set_version
+        self.max_chain_bytes = max_chain_bytes
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -895,6 +898,11 @@
                     self.disk_set_version = iprot.readI64()
                 else:
                     iprot.skip(ftype)
+            elif fid == 5:
+                if ftype == TType.I64:
+                    self.max_chain_bytes = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -921,6 +929,10 @@
             oprot.writeFieldBegin('disk_set_version', TType.I64, 4)
             oprot.writeI64(self.disk_set_version)
             oprot.writeFieldEnd()
+        if self.max_chain_bytes is not None:
+            oprot.writeFieldBegin('max_chain_bytes', TType.I64, 5)
+            oprot.writeI64(self.max_chain_bytes)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -961,6 +973,7 @@
      - verdict
      - account
      - programs
+     - earlier
 
     """
 
@@ -975,10 +988,11 @@
         'verdict',
         'account',
         'programs',
+        'earlier',
     )
 
 
-    def __init__(self, generation=None, open_by_attempt=None, settled_by_attempt=None, chain=None, missing=None, endpoint=None, endpoint_born_ms=None, verdict=    FenceVerdict.TAKEN, account=None, programs=None,):
+    def __init__(self, generation=None, open_by_attempt=None, settled_by_attempt=None, chain=None, missing=None, endpoint=None, endpoint_born_ms=None, verdict=    FenceVerdict.TAKEN, account=None, programs=None, earlier=None,):
         self.generation = generation
         self.open_by_attempt = open_by_attempt
         self.settled_by_attempt = settled_by_attempt
@@ -989,6 +1003,7 @@
         self.verdict = verdict
         self.account = account
         self.programs = programs
+        self.earlier = earlier
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -1066,6 +1081,11 @@
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
+            elif fid == 11:
+                if ftype == TType.STRING:
+                    self.earlier = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -1127,6 +1147,10 @@
                 oprot.writeString(iter72.encode('utf-8') if sys.version_info[0] == 2 else iter72)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
+        if self.earlier is not None:
+            oprot.writeFieldBegin('earlier', TType.STRING, 11)
+            oprot.writeString(self.earlier.encode('utf-8') if sys.version_info[0] == 2 else self.earlier)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -1659,18 +1683,21 @@
     Attributes:
      - entries
      - disk_set_version
+     - answered
 
     """
 
     __slots__ = (
         'entries',
         'disk_set_version',
+        'answered',
     )
 
 
-    def __init__(self, entries=None, disk_set_version=0,):
+    def __init__(self, entries=None, disk_set_version=0, answered=None,):
         self.entries = entries
         self.disk_set_version = disk_set_version
+        self.answered = answered
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -1697,6 +1724,11 @@
                     self.disk_set_version = iprot.readI64()
                 else:
                     iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.I32:
+                    self.answered = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -1718,6 +1750,10 @@
             oprot.writeFieldBegin('disk_set_version', TType.I64, 2)
             oprot.writeI64(self.disk_set_version)
             oprot.writeFieldEnd()
+        if self.answered is not None:
+            oprot.writeFieldBegin('answered', TType.I32, 3)
+            oprot.writeI32(self.answered)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -4075,6 +4111,7 @@
     (2, TType.STRING, 'previous', 'UTF8', None, ),  # 2
     (3, TType.BOOL, 'wants_chain', None, None, ),  # 3
     (4, TType.I64, 'disk_set_version', None, None, ),  # 4
+    (5, TType.I64, 'max_chain_bytes', None, None, ),  # 5
 )
 all_structs.append(ReserveReply)
 ReserveReply.thrift_spec = (
@@ -4089,6 +4126,7 @@
     (8, TType.I32, 'verdict', None,     FenceVerdict.TAKEN, ),  # 8
     (9, TType.STRING, 'account', 'UTF8', None, ),  # 9
     (10, TType.LIST, 'programs', (TType.STRING, 'UTF8', False), None, ),  # 10
+    (11, TType.STRING, 'earlier', 'UTF8', None, ),  # 11
 )
 all_structs.append(AppendEntries)
 AppendEntries.thrift_spec = (
@@ -4129,6 +4167,7 @@
     None,  # 0
     (1, TType.LIST, 'entries', (TType.STRUCT, [TurnEntry, None], False), None, ),  # 1
     (2, TType.I64, 'disk_set_version', None, 0, ),  # 2
+    (3, TType.I32, 'answered', None, None, ),  # 3
 )
 all_structs.append(LackingReply)
 LackingReply.thrift_spec = (
--- a/tests/lib/disk_site.py
+++ b/tests/lib/disk_site.py
@@ -66,7 +66,6 @@
     def __init__(self, site: "DiskSite", machine: DiskMachine | None) -> None:
         self._site = site
         self._machine = machine
-        self.longest_bytes = 0
 
     async def stream(
         self, address: str, method: str, payload: bytes
@@ -88,7 +87,8 @@
             answer = await DiskRequestHandler(host).answer(method, payload)
         except RefusedError as error:
             raise PeerFailureError(error.refusal.to_json()) from error
-        self.longest_bytes = max(self.longest_bytes, len(payload), len(answer))
+        longest = self._site.longest_bytes_by_method
+        longest[method] = max(longest.get(method, 0), len(payload), len(answer))
         await asyncio.sleep(LINK_DELAY_S)
         yield answer
 
@@ -97,7 +97,11 @@
 
 
 class DiskSite:
-    """Several disk hosts, and a recorder of turns that uses them."""
+    """Several disk hosts, and a recorder of turns that uses them.
+
+    Attributes:
+        longest_bytes_by_method: the longest message that was sent between hosts.
+    """
 
     def __init__(self, folder: Path, disks: int, tolerated: int) -> None:
         self._folder = folder
@@ -107,6 +111,7 @@
         self._numbers = itertools.count()
         self._store = MemoryObjectStore(MemoryObjects())
         self._attempts = itertools.count(1)
+        self.longest_bytes_by_method: dict[str, int] = {}
         for _ in range(disks):
             self._add_machine(is_first_start=True)
         settings = self._settings("entry-0", 250, is_first_start=False)
@@ -294,16 +299,22 @@
         return await self.recorder.open(attempt, context, times=times)
 
     async def turn(
-        self, program: str, previous: str | None, run_s: float = 0.1, keep_s: float = RETENTION_S
+        self,
+        program: str,
+        previous: str | None,
+        run_s: float = 0.1,
+        keep_s: float = RETENTION_S,
+        text: bytes | None = None,
     ) -> OpenTurn:
-        """Plays a whole turn; its input is its own name in angle brackets.
+        """Plays a whole turn; its text is its own name in angle brackets by default.
 
         Raises:
             RefusedError: as a caller would get it.
         """
         turn = await self.open(program, previous, TurnTimes(run_s, keep_s))
         await asyncio.sleep(run_s)
-        await self.recorder.close(turn, text_of(turn.attempt), TOKENS, ENGINE, keep_s)
+        text = text_of(turn.attempt) if text is None else text
+        await self.recorder.close(turn, text, TOKENS, ENGINE, keep_s)
         return turn
 
     async def history(self, previous: str) -> bytes:
