--- a/tests/functional/test_soak.py
+++ b/tests/functional/test_soak.py
@@ -31,6 +31,10 @@
 """Seeds of crowds beside faults."""
 
 
+CHAIN_SEEDS = (7001,)
+"""Seeds of chains over several programs while disks are lost and killed."""
+
+
 @pytest.mark.parametrize("seed", [*SHORT_SEEDS, *REGRESSION_SEEDS])
 def test_guarantees_hold_while_faults_overlap(seed: int) -> None:
     play_short("overlapping", seed)
@@ -41,6 +45,11 @@
     play_short("crowds", seed)
 
 
+@pytest.mark.parametrize("seed", CHAIN_SEEDS)
+def test_kept_turns_can_be_continued_by_other_programs(seed: int) -> None:
+    play_short("kept-chains", seed)
+
+
 @pytest.mark.parametrize("seed", ENDING_SEEDS)
 def test_no_request_ends_more_than_three_endpoints_while_hosts_are_hurt(seed: int) -> None:
     assert play_short("ending-endpoints", seed).ended > 20
--- a/tests/soak/callers.py
+++ b/tests/soak/callers.py
@@ -28,6 +28,23 @@
 """Share of turns after which a caller sends such a request."""
 
 
+LONG_TEXT_BYTES = 60_000
+"""Part of what the configuration allows, so that chains outgrow one message between hosts."""
+
+LONG_TEXT_SHARE = 0.3
+
+KEPT_TURNS = 40
+"""How many of the newest turns callers go on from; far younger than their retention."""
+
+
+@attrs.frozen
+class KeptTurn:
+    """A turn that got a whole answer, with what a turn that goes on from it begins with."""
+
+    attempt: str
+    history: bytes
+
+
 @attrs.define
 class Callers:
     """Runs programs until ``is_stopping`` is set.
@@ -41,8 +58,10 @@
     rng: random.Random
     accounts: Accounts | None = None
     sends_fatal: bool = False
+    goes_on_from_others: bool = False
     is_stopping: bool = False
     served_turns: int = 0
+    _kept: list[KeptTurn] = attrs.field(factory=list)
     _staying: set[str] = attrs.field(factory=set)
     _key_by_program: dict[str, str] = attrs.field(factory=dict)
     _sequence: "itertools.count[int]" = attrs.field(factory=itertools.count)
@@ -62,14 +81,15 @@
         if self.accounts is not None:
             self._key_by_program[program] = self.accounts.key_of(program)
         self.ledger.budget_by_program[program] = (budget, MAX_TOKENS)
-        history, previous = b"", ""
+        history, previous = self._beginning()
         for turn in range(self.rng.randint(2, 7)):
-            text = f"{program} turn {turn}\n".encode()
+            text = f"{program} turn {turn}{self._padding()}\n".encode()
             sent = await self._turn(session, program, text, history, previous, budget)
             if sent is None or self.is_stopping:
                 return
             answer_text = event_text(split_events(sent.answer)[0])
             history, previous = history + text + answer_text, sent.attempt
+            self._kept = [*self._kept, KeptTurn(previous, history)][-KEPT_TURNS:]
             self.served_turns += 1
             if self.rng.random() < 0.5:
                 await asyncio.gather(
@@ -81,6 +101,31 @@
             if self.sends_fatal and self.rng.random() < FATAL_SHARE:
                 await self._fatal(session, f"{program}-f{turn}")
 
+    def _beginning(self) -> tuple[bytes, str]:
+        """Returns the history and the previous turn with which a program begins."""
+        if not self.goes_on_from_others or not self._kept or self.rng.random() < 0.4:
+            return b"", ""
+        kept = self.rng.choice(self._kept)
+        return kept.history, kept.attempt
+
+    def _padding(self) -> str:
+        if not self.goes_on_from_others or self.rng.random() > LONG_TEXT_SHARE:
+            return ""
+        return "." * self.rng.randint(1, LONG_TEXT_BYTES)
+
+    async def go_on_from_kept_turns(self) -> list[str]:
+        """Goes on from the newest turns, when all hosts are well; returns what failed."""
+        problems: list[str] = []
+        async with aiohttp.ClientSession() as session:
+            for number, kept in enumerate(self._kept):
+                program = f"after-{number}"
+                self.ledger.budget_by_program[program] = (1000, MAX_TOKENS)
+                text = f"{program}\n".encode()
+                sent = await self._turn(session, program, text, kept.history, kept.attempt, 1000)
+                if sent is None:
+                    problems.append(f"{kept.attempt}: a kept turn can't be continued")
+        return problems
+
     async def _turn(
         self,
         session: aiohttp.ClientSession,
--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -242,6 +242,20 @@
                 await self._wait_for_stable_store()
             disk.is_disrupted = False
 
+    async def restart_all_disks(self) -> None:
+        """Kills all disk hosts at one moment; they are back within a second."""
+        async with self.disk_lock:
+            await self._wait_for_stable_store()
+            self.report("all disks killed")
+            for disk in self.disks:
+                disk.is_disrupted = True
+            await asyncio.gather(*(disk.kill() for disk in self.disks))
+            await asyncio.sleep(self.rng.uniform(0.0, 0.5))
+            await asyncio.gather(*(disk.start() for disk in self.disks))
+            await asyncio.sleep(CATCH_UP_S)
+            for disk in self.disks:
+                disk.is_disrupted = False
+
     async def _wait_for_stable_store(self) -> None:
         """Waits until the store has been undisturbed for as long as a disk needs to catch up.
 
--- a/tests/soak/plans.py
+++ b/tests/soak/plans.py
@@ -30,6 +30,9 @@
     has_fatal_requests = False
     """Whether callers send requests under which endpoints end."""
 
+    goes_on_from_others = False
+    """Whether programs begin with other programs' turns, and some turns are long."""
+
     @abstractmethod
     def size(self, seed: int) -> tuple[int, int]:
         """Returns the numbers of entry and disk hosts for a seed."""
@@ -121,11 +124,27 @@
         return [crowds.send, crowds.send, faults.reload_settings, rng.choice(host_faults)]
 
 
+class KeptChains(Plan):
+    """Programs go on from others' long turns, while disks are lost and all of them are killed."""
+
+    goes_on_from_others = True
+
+    def size(self, seed: int) -> tuple[int, int]:
+        return (3, 6)
+
+    def series(
+        self, rng: random.Random, faults: Faults, endpoint_faults: EndpointFaults
+    ) -> list[Fault]:
+        others: list[Fault] = [faults.hurt_entry, faults.stop_entry, faults.trouble_store]
+        return [faults.hurt_disk, faults.restart_all_disks, rng.choice(others)]
+
+
 PLAN_BY_KIND: dict[str, Plan] = {
     "overlapping": Overlapping(),
     "accounts": KeysAndLimits(),
     "crowds": CrowdsBesideFaults(),
     "ending-endpoints": EndingEndpoints(),
+    "kept-chains": KeptChains(),
     "short-silences": ShortSilences(disrupts_entries=False),
     "short-silences-hurt": ShortSilences(disrupts_entries=True),
 }
--- a/tests/soak/run.py
+++ b/tests/soak/run.py
@@ -100,6 +100,7 @@
         ledger = self._ledger
         callers = Callers(self._entries, ledger, self._rng, self._accounts)
         callers.sends_fatal = self._plan.has_fatal_requests
+        callers.goes_on_from_others = self._plan.goes_on_from_others
         try:
             await self._start()
             for endpoint in self._endpoints:
@@ -110,6 +111,8 @@
             ]
             ledger.problems += await self._inject_faults()
             ledger.problems += await self._check_recovery(callers)
+            if self._plan.goes_on_from_others:
+                ledger.problems += await callers.go_on_from_kept_turns()
             callers.is_stopping = True
             await asyncio.gather(*tasks)
             await self._fatal_requests.wait()
