Return unused quota tokens once

Cause: a call for a token carries those of refused requests, and was sent on with them when its coordinator did not answer in 60 ms, or a relayed one in 30 ms. A coordinator whose answer alone was late had taken them back already.

Change: after a call without an answer its unused tokens are given up. Weighed: numbering refunds, which costs state a caller and account at each coordinator, and still fails between a coordinator and its successor. Cost: where a coordinator does not answer, the tokens of the requests that were refused since the host's last call are lost to the account.

--- a/src/bayhinge/_internal/services/gateway/quotas.py
+++ b/src/bayhinge/_internal/services/gateway/quotas.py
@@ -147,6 +147,8 @@
     ) -> str:
         """Returns whom to ask after a host that did not answer, or named another one."""
         if reply is None or reply.home is None:
+            # It may have taken the unused tokens back, and only its answer is missing.
+            call.unused = 0
             self.coordinators.suspect(asked)
             call.silent.append(asked)
             return self.coordinators.find(call.account, call.silent)
@@ -210,6 +212,9 @@
         relayed = copy.copy(call)
         relayed.silent = []
         reply = await self._call_coordinator(coordinator, relayed, RELAY_ANSWER_S)
+        if reply is None:
+            # The coordinator may have taken the unused tokens back.
+            call.unused = 0
         if reply is not None and reply.home is not None:
             self.coordinators.suspect(coordinator)
             return None
--- a/tests/lib/quota_hosts.py
+++ b/tests/lib/quota_hosts.py
@@ -90,6 +90,7 @@
 
     Attributes:
         silent: links, as source and target, on which calls get no answer.
+        unanswered: links on which calls arrive, and their answers are lost.
         unheard: links on which no heartbeat has ever arrived.
         heartbeat_s_by_link: when the newest heartbeat arrived, if not at the start.
         heartbeat_by_host: the newest heartbeat of each host that the others have received.
@@ -100,6 +101,7 @@
         self.account = RoutedAccount("desk", (), quota=Quota(rate_per_s, rate_per_s))
         self.host_by_name: dict[str, QuotaHost] = {}
         self.silent: set[tuple[str, str]] = set()
+        self.unanswered: set[tuple[str, str]] = set()
         self.unheard: set[tuple[str, str]] = set()
         self.heartbeat_s_by_link: dict[tuple[str, str], float] = {}
         self.heartbeat_by_host: dict[str, wire.Hello] = {}
@@ -132,6 +134,8 @@
             await asyncio.sleep(1000)
         call = decode_message(wire.QuotaCall(), payload)
         reply = await self.host_by_name[target].quotas.answer(call)
+        if (source, target) in self.unanswered:
+            await asyncio.sleep(1000)
         await asyncio.sleep(NETWORK_DELAY_S)
         return encode_message(reply)
 
--- a/tests/unit/test_quota_calls.py
+++ b/tests/unit/test_quota_calls.py
@@ -7,6 +7,7 @@
 
 import pytest
 
+from bayhinge._internal.decisions.quota_bucket import QuotaBucket
 from bayhinge._internal.models.refusals import RefusalCode
 from bayhinge._internal.wire.hosts import ttypes as wire
 from tests.lib.place_hosts import run_virtual
@@ -104,3 +105,34 @@
             assert number + 1 - bisect_left(granted_s, at_s - MARGIN.window_s) <= most
 
     _run(scenario)
+
+
+@pytest.mark.parametrize(
+    ("loses_answers", "is_relayed"), [(False, False), (True, False), (True, True)]
+)
+def test_unused_tokens_are_returned_once_at_most(
+    monkeypatch: pytest.MonkeyPatch, loses_answers: bool, is_relayed: bool
+) -> None:
+    """Guards against a refund that reaches a coordinator, and its successor once more."""
+    returned: list[int] = []
+    refund = QuotaBucket.refund
+
+    def record(bucket: QuotaBucket, count: int) -> None:
+        returned.append(count)
+        refund(bucket, count)
+
+    monkeypatch.setattr(QuotaBucket, "refund", record)
+
+    async def scenario(site: QuotaSite, home: str, host: str) -> None:
+        for _ in range(7):
+            site.host_by_name[host].quotas.return_unused(site.account)
+        if is_relayed:
+            site.silent.add((host, home))
+        if loses_answers:
+            site.unanswered.update((name, home) for name in NAMES if name != home)
+        await site.ask(host)
+        assert not _codes(site)
+
+    _run(scenario)
+    # Where no answer came, they are given up rather than returned again.
+    assert sum(returned) <= 7 if loses_answers else sum(returned) == 7
